--- /dev/null
+++ b/Makefile
@@ -0,0 +1,161 @@
+# Targets:
+#   make            build the two programs
+#   make run        install what is needed, build, and run the example system
+#   make check      install what is needed, then lint and run every test
+#   make bench      figures against a direct connection to the stand-in engine
+#   make format     rewrite sources in the project's format
+#
+# SAN=1 builds with address and undefined-behaviour sanitizers into build/san.
+
+SHELL = /bin/bash
+CC = gcc
+CXX = g++
+SAN ?=
+BUILD = build/$(if $(SAN),san,plain)
+
+PKGS = glib-2.0 jansson libcyaml yaml-0.1 libprotobuf-c libzmq libxxhash
+CPPFLAGS = -D_GNU_SOURCE -DH2O_USE_LIBUV=0 -MMD -MP \
+	$(addprefix -Ipackages/,$(addsuffix /include,$(PACKAGES))) \
+	-Ipackages/connection/src -Itests/fakes \
+	$(shell pkg-config --cflags $(PKGS))
+WARN = -Wall -Wextra -Werror -Wpointer-arith -Wvla
+OPT = -O2 -g -fno-omit-frame-pointer
+SANFLAGS = $(if $(SAN),-fsanitize=address$(comma)undefined -fno-sanitize-recover=undefined)
+comma := ,
+CFLAGS = -std=gnu11 $(WARN) -Wshadow -Wstrict-prototypes -Wmissing-prototypes $(OPT) $(SANFLAGS)
+CXXFLAGS = -std=c++17 $(WARN) $(OPT) $(SANFLAGS)
+LDLIBS = $(shell pkg-config --libs $(PKGS)) -lh2o-evloop -lssl -lcrypto \
+	-llog4c -largtable2 -lm -lpthread
+
+PACKAGES = core request connection version process
+# Libraries in link order: a package may use those after it.
+LIBS = $(addprefix $(BUILD)/libks-,$(addsuffix .a,process version connection request core))
+
+# The daemon links once both of its roles are there.
+ROLES = $(wildcard packages/process/src/entry.c packages/process/src/upstream.c)
+PROGRAMS = $(patsubst cli/%.c,$(BUILD)/%,$(filter-out $(if $(filter 2,$(words $(ROLES))),,cli/knapweedstaird.c),$(wildcard cli/*.c)))
+FAKES = $(patsubst tests/fakes/%.c,$(BUILD)/%,$(wildcard tests/fakes/fake-*.c))
+FAKE_COMMON = $(patsubst %.c,$(BUILD)/%.o,$(filter-out $(wildcard tests/fakes/fake-*.c),$(wildcard tests/fakes/*.c)))
+BENCHES = $(patsubst bench/%.c,$(BUILD)/%,$(wildcard bench/bench-*.c))
+BENCH_COMMON = $(patsubst %.c,$(BUILD)/%.o,$(filter-out $(wildcard bench/bench-*.c),$(wildcard bench/*.c)))
+
+UNIT_SRCS = $(wildcard packages/*/tests/test-*.c)
+PROP_SRCS = $(wildcard packages/*/tests/prop-*.cpp)
+UNIT_BINS = $(patsubst %.c,$(BUILD)/%,$(UNIT_SRCS))
+PROP_BINS = $(patsubst %.cpp,$(BUILD)/%,$(PROP_SRCS))
+SYSTEM_TESTS = $(wildcard tests/system/test-*.sh)
+
+C_SRCS = $(wildcard packages/*/src/*.c cli/*.c tests/fakes/*.c tests/system/*.c bench/*.c packages/*/tests/*.c)
+CXX_SRCS = $(wildcard packages/*/tests/*.cpp tests/*.cpp)
+HDRS = $(wildcard packages/*/include/ks/*.h packages/*/src/*.h cli/*.h tests/fakes/*.h bench/*.h packages/*/tests/*.h)
+FORMAT_SRCS = $(filter-out %.pb-c.c %.pb-c.h,$(C_SRCS) $(CXX_SRCS) $(HDRS))
+TIDY_SRCS = $(filter-out %.pb-c.c,$(C_SRCS))
+
+.PHONY: all programs fakes tests setup run check check-quick unit props system \
+	lint format-check tidy cppcheck format bench bench-mix fuzz proto clean
+.SECONDARY:
+
+all: programs fakes
+
+programs: $(PROGRAMS)
+fakes: $(FAKES)
+tests: $(UNIT_BINS) $(PROP_BINS)
+
+define package_template
+$(BUILD)/libks-$(1).a: $$(patsubst %.c,$$(BUILD)/%.o,$$(wildcard packages/$(1)/src/*.c))
+	@rm -f $$@
+	$$(Q)ar rcs $$@ $$^
+endef
+$(foreach p,$(PACKAGES),$(eval $(call package_template,$(p))))
+
+Q = $(if $(V),,@)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	@echo "CC $<"
+	$(Q)$(CC) $(CPPFLAGS) $(CFLAGS) -c -o $@ $<
+
+$(BUILD)/%.pb-c.o: CFLAGS += -Wno-unused-parameter
+
+$(BUILD)/%.o: %.cpp
+	@mkdir -p $(@D)
+	@echo "CXX $<"
+	$(Q)$(CXX) $(CPPFLAGS) $(CXXFLAGS) -c -o $@ $<
+
+$(PROGRAMS): $(BUILD)/%: $(BUILD)/cli/%.o $(LIBS)
+	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/fake-%: $(BUILD)/tests/fakes/fake-%.o $(FAKE_COMMON) $(LIBS)
+	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/bench-%: $(BUILD)/bench/bench-%.o $(BENCH_COMMON) $(LIBS)
+	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/packages/%: $(BUILD)/packages/%.o $(LIBS)
+	$(Q)$(CXX) $(CXXFLAGS) -o $@ $^ -lrapidcheck $(LDLIBS)
+
+setup:
+	@.ci/setup
+
+run: setup
+	@$(MAKE) --no-print-directory -j all $(BUILD)/bench-load
+	@tests/run-example.sh $(ARGS)
+
+# One entry of KNOWN-RED.txt excuses exactly one named test; see tests/run.sh.
+check: setup
+	@$(MAKE) --no-print-directory lint
+	@$(MAKE) --no-print-directory -j all tests benches
+	@$(MAKE) --no-print-directory -j SAN=1 all tests
+	@tests/run.sh plain san
+
+check-quick:
+	@$(MAKE) --no-print-directory -j all tests benches
+	@tests/run.sh plain
+
+.PHONY: benches
+benches: $(BENCHES)
+
+lint: format-check tidy cppcheck
+
+format-check:
+	$(Q)clang-format --dry-run -Werror $(FORMAT_SRCS)
+
+format:
+	$(Q)clang-format -i $(FORMAT_SRCS)
+
+# One stamp file for each source, so that unchanged files are not linted again.
+TIDY_STAMPS = $(patsubst %.c,build/tidy/%.stamp,$(TIDY_SRCS))
+build/tidy/%.stamp: %.c $(HDRS) .clang-tidy
+	@mkdir -p $(@D)
+	$(Q)clang-tidy --quiet $< -- $(filter-out -MMD -MP,$(CPPFLAGS)) -std=gnu11 2>/dev/null || \
+		{ clang-tidy --quiet $< -- $(filter-out -MMD -MP,$(CPPFLAGS)) -std=gnu11; exit 1; }
+	@touch $@
+
+tidy:
+	@$(MAKE) --no-print-directory -j $(shell nproc) tidy-stamps
+.PHONY: tidy-stamps
+tidy-stamps: $(TIDY_STAMPS)
+
+# cppcheck 2.10 cannot parse the comparison macros of GLib's tests.
+cppcheck:
+	$(Q)cppcheck --quiet --error-exitcode=1 --inline-suppr -j 4 \
+		--enable=warning,performance,portability --suppress=missingInclude \
+		--suppress=normalCheckLevelMaxBranches --suppress=unknownMacro \
+		--library=gtk $(addprefix -Ipackages/,$(addsuffix /include,$(PACKAGES))) \
+		$(filter-out $(wildcard packages/*/tests/*.c),$(TIDY_SRCS))
+
+bench: setup
+	@$(MAKE) --no-print-directory -j all benches
+	@bench/run-bench.sh $(ARGS)
+
+bench-mix: setup
+	@$(MAKE) --no-print-directory -j all benches
+	@bench/run-mix.sh $(ARGS)
+
+proto:
+	protoc-c --c_out=packages/connection/src --proto_path=packages/connection packages/connection/link.proto
+
+clean:
+	rm -rf build
+
+-include $(shell find build -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/cli/knapweedstaird.c
@@ -0,0 +1,141 @@
+/* The daemon: reads its settings, runs its role, stops gracefully. */
+#include "ks/process.h"
+
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#define EXIT_USAGE 2
+#define VERSION "0.1.0"
+
+struct daemon {
+	ks_loop_t loop;
+	ks_settings_t *settings;
+	ks_entry_t *entry;
+	ks_upstream_process_t *upstream;
+	ks_watch_t signals;
+	int signal_fd;
+};
+
+static void on_signal(void *ctx)
+{
+	struct daemon *daemon = ctx;
+	struct signalfd_siginfo info;
+
+	while (read(daemon->signal_fd, &info, sizeof(info)) == sizeof(info)) {
+		ks_log(KS_LOG_MAIN, KS_LOG_INFO, "graceful stop begins");
+		if (daemon->entry)
+			ks_entry_stop(daemon->entry);
+		if (daemon->upstream)
+			ks_upstream_process_stop(daemon->upstream);
+	}
+}
+
+static bool watch_signals(struct daemon *daemon, GError **error)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigprocmask(SIG_BLOCK, &set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	daemon->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	return ks_watch_init(&daemon->signals, &daemon->loop, daemon->signal_fd,
+			     on_signal, daemon, error);
+}
+
+static bool start_role(struct daemon *daemon, GError **error)
+{
+	if (!g_strcmp0(daemon->settings->role, "entry")) {
+		daemon->entry =
+			ks_entry_new(&daemon->loop, daemon->settings, error);
+		return daemon->entry != NULL;
+	}
+	daemon->upstream =
+		ks_upstream_process_new(&daemon->loop, daemon->settings, error);
+	return daemon->upstream != NULL;
+}
+
+static int run_daemon(struct daemon *daemon)
+{
+	GError *error = NULL;
+
+	ks_loop_init(&daemon->loop, ks_clock_monotonic());
+	if (!watch_signals(daemon, &error) || !start_role(daemon, &error)) {
+		ks_log(KS_LOG_MAIN, KS_LOG_ERROR, "cannot start: %s",
+		       error->message);
+		g_error_free(error);
+		return EXIT_FAILURE;
+	}
+	ks_loop_run(&daemon->loop);
+	ks_log(KS_LOG_MAIN, KS_LOG_INFO, "stopped");
+	if (daemon->entry)
+		ks_entry_free(daemon->entry);
+	if (daemon->upstream)
+		ks_upstream_process_free(daemon->upstream);
+	ks_watch_deinit(&daemon->signals);
+	close(daemon->signal_fd);
+	ks_loop_deinit(&daemon->loop);
+	return EXIT_SUCCESS;
+}
+
+static int run_with_settings(const char *file, bool check_only)
+{
+	struct daemon daemon = { 0 };
+	ks_log_level_t level = KS_LOG_INFO;
+	GError *error = NULL;
+	int status;
+
+	if (!ks_settings_load(&daemon.settings, file, &error)) {
+		fprintf(stderr, "knapweedstaird: %s\n", error->message);
+		g_error_free(error);
+		return EXIT_USAGE;
+	}
+	if (check_only) {
+		printf("%s: the settings are valid\n", file);
+		ks_settings_free(daemon.settings);
+		return EXIT_SUCCESS;
+	}
+	if (daemon.settings->log_level)
+		ks_log_level_parse(&level,
+				   ks_str_from(daemon.settings->log_level));
+	ks_log_init(daemon.settings->name, level);
+	status = run_daemon(&daemon);
+	ks_log_deinit();
+	ks_settings_free(daemon.settings);
+	return status;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_str *config =
+		arg_str1("c", "config", "FILE", "read settings from FILE");
+	struct arg_lit *check =
+		arg_lit0(NULL, "check-config", "check the settings and exit");
+	struct arg_lit *help = arg_lit0("h", "help", "print this help");
+	struct arg_lit *version =
+		arg_lit0(NULL, "version", "print the version");
+	struct arg_end *end = arg_end(10);
+	void *table[] = { config, check, help, version, end };
+	int status = EXIT_SUCCESS;
+	int n_errors = arg_parse(argc, argv, table);
+
+	if (help->count) {
+		printf("Usage: knapweedstaird");
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-25s %s\n");
+	} else if (version->count) {
+		printf("knapweedstaird %s\n", VERSION);
+	} else if (n_errors) {
+		arg_print_errors(stderr, end, "knapweedstaird");
+		status = EXIT_USAGE;
+	} else {
+		status = run_with_settings(config->sval[0], check->count > 0);
+	}
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return status;
+}
--- /dev/null
+++ b/packages/connection/src/http_fetch.c
@@ -0,0 +1,81 @@
+/* HTTP calls whose whole answer is held in memory. */
+#include "ks/connection.h"
+
+struct fetch {
+	ks_http_call_t call;
+	ks_http_fetch_func_t func;
+	void *ctx;
+	size_t max_body;
+	int status;
+	GString *etag;
+	GString *retry_after;
+	GString *body;
+	bool too_large;
+};
+
+static void on_head(void *ctx, int status, const ks_header_t *headers,
+		    size_t n_headers)
+{
+	struct fetch *fetch = ctx;
+	ks_str_t etag = ks_header_value(headers, n_headers, "etag");
+	ks_str_t retry = ks_header_value(headers, n_headers, "retry-after");
+
+	fetch->status = status;
+	g_string_append_len(fetch->etag, etag.data, (gssize)etag.len);
+	g_string_append_len(fetch->retry_after, retry.data, (gssize)retry.len);
+}
+
+static void on_body(void *ctx, ks_str_t data)
+{
+	struct fetch *fetch = ctx;
+
+	if (fetch->body->len + data.len > fetch->max_body)
+		fetch->too_large = true;
+	else
+		g_string_append_len(fetch->body, data.data, (gssize)data.len);
+}
+
+static void on_done(void *ctx, ks_http_result_t result)
+{
+	struct fetch *fetch = ctx;
+	ks_http_answer_t answer = {
+		.result = fetch->too_large ? KS_HTTP_LOST : result,
+		.status = fetch->status,
+		.etag = { fetch->etag->str, fetch->etag->len },
+		.retry_after = { fetch->retry_after->str,
+				 fetch->retry_after->len },
+		.body = { fetch->body->str, fetch->body->len },
+	};
+
+	fetch->func(fetch->ctx, &answer);
+	g_string_free(fetch->etag, TRUE);
+	g_string_free(fetch->retry_after, TRUE);
+	g_string_free(fetch->body, TRUE);
+	g_free(fetch);
+}
+
+static const ks_http_events_t fetch_events = {
+	.head = on_head,
+	.body = on_body,
+	.done = on_done,
+};
+
+/**
+ * ks_http_fetch() - send a request and collect its answer
+ * @request: needed during the call only; its timeout bounds the fetch
+ * @max_body: an answer longer than this counts as lost
+ * @func: called once, after this function has returned
+ */
+void ks_http_fetch(ks_http_client_t *client, const ks_http_request_t *request,
+		   size_t max_body, ks_http_fetch_func_t func, void *ctx)
+{
+	struct fetch *fetch = g_new0(struct fetch, 1);
+
+	fetch->func = func;
+	fetch->ctx = ctx;
+	fetch->max_body = max_body;
+	fetch->etag = g_string_new(NULL);
+	fetch->retry_after = g_string_new(NULL);
+	fetch->body = g_string_new(NULL);
+	ks_http_call_start(&fetch->call, client, request, &fetch_events, fetch);
+}
--- /dev/null
+++ b/packages/connection/src/http_server.c
@@ -0,0 +1,262 @@
+/* HTTP server on h2o: one listener, one handler for every path. */
+#include "ks/connection.h"
+
+#include <arpa/inet.h>
+#include <h2o.h>
+#include <h2o/http1.h>
+#include <h2o/http2.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <unistd.h>
+
+#define LISTEN_BACKLOG 1024
+
+struct ks_http_server_state {
+	h2o_globalconf_t config;
+	h2o_context_t context;
+	h2o_accept_ctx_t accept;
+	h2o_socket_t *listener;
+	uint16_t port;
+};
+
+struct server_handler {
+	h2o_handler_t super;
+	ks_http_server_t *server;
+};
+
+static int on_request(h2o_handler_t *self, h2o_req_t *req)
+{
+	ks_http_server_t *server = ((struct server_handler *)self)->server;
+
+	server->handler(server->ctx, req);
+	return 0;
+}
+
+static void on_accept(h2o_socket_t *listener, const char *err)
+{
+	ks_http_server_t *server = listener->data;
+	h2o_socket_t *sock;
+
+	if (err)
+		return;
+	while ((sock = h2o_evloop_socket_accept(listener)))
+		h2o_accept(&server->state->accept, sock);
+}
+
+static socklen_t fill_sockaddr(const ks_address_t *address,
+			       struct sockaddr_storage *storage)
+{
+	struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)storage;
+	struct sockaddr_in *v4 = (struct sockaddr_in *)storage;
+
+	memset(storage, 0, sizeof(*storage));
+	if (inet_pton(AF_INET, address->ip, &v4->sin_addr) == 1) {
+		v4->sin_family = AF_INET;
+		v4->sin_port = htons(address->port);
+		return sizeof(*v4);
+	}
+	inet_pton(AF_INET6, address->ip, &v6->sin6_addr);
+	v6->sin6_family = AF_INET6;
+	v6->sin6_port = htons(address->port);
+	return sizeof(*v6);
+}
+
+static int open_listener(const ks_address_t *address, uint16_t *port)
+{
+	struct sockaddr_storage storage;
+	socklen_t len = fill_sockaddr(address, &storage);
+	int reuse = 1;
+	int fd = socket(storage.ss_family,
+			SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+	if (bind(fd, (struct sockaddr *)&storage, len) ||
+	    listen(fd, LISTEN_BACKLOG) ||
+	    getsockname(fd, (struct sockaddr *)&storage, &len)) {
+		int saved = errno;
+
+		close(fd);
+		errno = saved;
+		return -1;
+	}
+	/* The port stands at the same place for IPv4 and IPv6. */
+	*port = ntohs(((struct sockaddr_in *)&storage)->sin_port);
+	return fd;
+}
+
+/**
+ * ks_http_server_init() - listen and serve
+ * @address: port 0 lets the kernel choose; see ks_http_server_port()
+ * @max_body: longer request bodies are refused with 413
+ * @handler: called for each request, whose body is complete
+ *
+ * Return: false, with KS_ERROR_INTERNAL, if the address cannot be bound.
+ */
+bool ks_http_server_init(ks_http_server_t *server, ks_loop_t *loop,
+			 const ks_address_t *address, size_t max_body,
+			 ks_http_handler_func_t handler, void *ctx,
+			 GError **error)
+{
+	struct ks_http_server_state *state;
+	char text[KS_ADDRESS_TEXT_SIZE];
+	struct server_handler *entry;
+	h2o_hostconf_t *host;
+	h2o_pathconf_t *path;
+	uint16_t port;
+	int fd = open_listener(address, &port);
+
+	server->loop = loop;
+	server->handler = handler;
+	server->ctx = ctx;
+	server->state = NULL;
+	if (fd < 0) {
+		ks_error_set(
+			error, KS_ERROR_INTERNAL, "cannot listen on %s: %s",
+			ks_address_format(address, text), g_strerror(errno));
+		return false;
+	}
+	state = g_new0(struct ks_http_server_state, 1);
+	server->state = state;
+	state->port = port;
+	h2o_config_init(&state->config);
+	state->config.max_request_entity_size = max_body;
+	state->config.server_name = h2o_iovec_init(H2O_STRLIT("knapweedstair"));
+	host = h2o_config_register_host(
+		&state->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+	path = h2o_config_register_path(host, "/", 0);
+	entry = (struct server_handler *)h2o_create_handler(path,
+							    sizeof(*entry));
+	entry->super.on_req = on_request;
+	entry->server = server;
+	h2o_context_init(&state->context, loop->h2o, &state->config);
+	state->accept.ctx = &state->context;
+	state->accept.hosts = state->config.hosts;
+	state->listener = h2o_evloop_socket_create(loop->h2o, fd,
+						   H2O_SOCKET_FLAG_DONT_READ);
+	state->listener->data = server;
+	h2o_socket_read_start(state->listener, on_accept);
+	return true;
+}
+
+/**
+ * ks_http_server_port() - port that the server listens on
+ */
+uint16_t ks_http_server_port(const ks_http_server_t *server)
+{
+	return server->state->port;
+}
+
+/**
+ * ks_http_server_close_listener() - take no new connections
+ */
+void ks_http_server_close_listener(ks_http_server_t *server)
+{
+	if (!server->state || !server->state->listener)
+		return;
+	h2o_socket_read_stop(server->state->listener);
+	h2o_socket_close(server->state->listener);
+	server->state->listener = NULL;
+}
+
+/**
+ * ks_http_server_shutdown() - close connections once they are idle
+ *
+ * Requests that are being served are answered.
+ */
+void ks_http_server_shutdown(ks_http_server_t *server)
+{
+	ks_http_server_close_listener(server);
+	if (server->state)
+		h2o_context_request_shutdown(&server->state->context);
+}
+
+/**
+ * ks_http_server_deinit() - stop listening and free the server
+ *
+ * Connections must be gone; the loop is not run again afterwards.
+ */
+void ks_http_server_deinit(ks_http_server_t *server)
+{
+	if (!server->state)
+		return;
+	ks_http_server_close_listener(server);
+	h2o_context_dispose(&server->state->context);
+	h2o_config_dispose(&server->state->config);
+	g_free(server->state);
+	server->state = NULL;
+}
+
+/**
+ * ks_http_reply() - answer a request whole
+ * @content_type: terminated; copied
+ * @body: copied
+ *
+ * Further fields may be added to req->res before this call.
+ */
+void ks_http_reply(h2o_req_t *req, int status, const char *content_type,
+		   ks_str_t body)
+{
+	h2o_iovec_t type = h2o_strdup(&req->pool, content_type, SIZE_MAX);
+
+	req->res.status = status;
+	req->res.reason = "";
+	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
+		       NULL, type.base, type.len);
+	h2o_send_inline(req, body.data ? body.data : "", body.len);
+}
+
+/**
+ * ks_http_req_header() - value of a request field
+ * @name: terminated, in lower case
+ *
+ * Return: the value, empty when the field is missing.
+ */
+ks_str_t ks_http_req_header(h2o_req_t *req, const char *name)
+{
+	ssize_t index = h2o_find_header_by_str(&req->headers, name,
+					       strlen(name), SIZE_MAX);
+
+	if (index == -1)
+		return (ks_str_t){ NULL, 0 };
+	return (ks_str_t){ req->headers.entries[index].value.base,
+			   req->headers.entries[index].value.len };
+}
+
+/**
+ * ks_http_req_method() - method of a request
+ */
+ks_str_t ks_http_req_method(h2o_req_t *req)
+{
+	return (ks_str_t){ req->method.base, req->method.len };
+}
+
+/**
+ * ks_http_req_path() - path of a request as sent, without the query
+ */
+ks_str_t ks_http_req_path(h2o_req_t *req)
+{
+	size_t len = req->query_at == SIZE_MAX ? req->path.len : req->query_at;
+
+	return (ks_str_t){ req->path.base, len };
+}
+
+/**
+ * ks_http_req_query() - what follows the question mark, or nothing
+ */
+ks_str_t ks_http_req_query(h2o_req_t *req)
+{
+	if (req->query_at == SIZE_MAX)
+		return (ks_str_t){ NULL, 0 };
+	return (ks_str_t){ req->path.base + req->query_at + 1,
+			   req->path.len - req->query_at - 1 };
+}
+
+/**
+ * ks_http_req_body() - body of a request
+ */
+ks_str_t ks_http_req_body(h2o_req_t *req)
+{
+	return (ks_str_t){ req->entity.base, req->entity.len };
+}
--- /dev/null
+++ b/packages/core/tests/test-core.c
@@ -0,0 +1,98 @@
+/* Tests of core: strings, error table, ids, backoff and clocks. */
+#include "ks/core.h"
+
+/* Guards against a kind that lacks its row in the table. */
+static void test_error_every_kind_has_answer(void)
+{
+	for (int i = 0; i < KS_ERROR_N_KINDS; i++) {
+		const ks_error_answer_t *answer = ks_error_answer(i);
+
+		g_assert_nonnull(answer->code);
+		g_assert_cmpint(answer->status, >=, 200);
+		g_assert_cmpint(ks_error_kind_from_code(answer->code), ==, i);
+	}
+}
+
+/* Guards against an unknown outcome being reported as not run. */
+static void test_error_unknown_outcome_is_not_called_not_run(void)
+{
+	g_assert_false(ks_error_answer(KS_ERROR_OUTCOME_UNKNOWN)->not_run);
+	g_assert_false(ks_error_answer(KS_ERROR_IN_PROGRESS)->not_run);
+	g_assert_false(ks_error_answer(KS_ERROR_UPSTREAM_FAILED)->not_run);
+	g_assert_false(ks_error_answer(KS_ERROR_DEADLINE_EXCEEDED)->not_run);
+}
+
+/* Guards against trailing bytes or overflow being accepted. */
+static void test_str_parse_int_is_strict(void)
+{
+	int64_t value = -1;
+
+	g_assert_true(ks_str_parse_int(KS_STR("42"), 0, 100, &value));
+	g_assert_cmpint(value, ==, 42);
+	g_assert_false(ks_str_parse_int(KS_STR("42x"), 0, 100, &value));
+	g_assert_false(ks_str_parse_int(KS_STR(""), 0, 100, &value));
+	g_assert_false(ks_str_parse_int(KS_STR("101"), 0, 100, &value));
+	g_assert_false(ks_str_parse_int(KS_STR("99999999999999999999999999"), 0,
+					INT64_MAX, &value));
+	g_assert_cmpint(value, ==, 42);
+}
+
+/* Guards against an id that does not survive its text form. */
+static void test_id_round_trip(void)
+{
+	char text[KS_ID_HEX_SIZE];
+	ks_id_t id, parsed;
+
+	g_assert_true(ks_id_generate(&id));
+	g_assert_true(
+		ks_id_parse(&parsed, ks_str_from(ks_id_format(&id, text))));
+	g_assert_true(ks_id_equal(&id, &parsed));
+	g_assert_false(ks_id_parse(&parsed, KS_STR("12")));
+	text[3] = 'g';
+	g_assert_false(ks_id_parse(&parsed, ks_str_from(text)));
+}
+
+/* Guards against delays that grow without bound or overflow. */
+static void test_backoff_stays_under_its_ceiling(void)
+{
+	ks_backoff_t backoff;
+	ks_rng_t rng;
+
+	ks_rng_init(&rng, 7);
+	ks_backoff_init(&backoff, 100, 5000);
+	g_assert_cmpint(ks_backoff_next(&backoff, &rng), <=, 101);
+	for (int i = 0; i < 200; i++) {
+		int64_t delay = ks_backoff_next(&backoff, &rng);
+
+		g_assert_cmpint(delay, >=, 1);
+		g_assert_cmpint(delay, <=, 5001);
+	}
+	ks_rng_deinit(&rng);
+}
+
+/* Guards against a test clock that moves on its own. */
+static void test_clock_is_paused(void)
+{
+	ks_test_clock_t test;
+
+	ks_test_clock_init(&test, 5);
+	g_assert_cmpint(ks_clock_now(&test.clock), ==, 5);
+	ks_test_clock_advance(&test, 10);
+	g_assert_cmpint(ks_clock_now(&test.clock), ==, 15);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/error/every-kind-has-answer",
+			test_error_every_kind_has_answer);
+	g_test_add_func("/error/unknown-outcome-is-not-called-not-run",
+			test_error_unknown_outcome_is_not_called_not_run);
+	g_test_add_func("/str/parse-int-is-strict",
+			test_str_parse_int_is_strict);
+	g_test_add_func("/id/round-trip", test_id_round_trip);
+	g_test_add_func("/backoff/stays-under-its-ceiling",
+			test_backoff_stays_under_its_ceiling);
+	g_test_add_func("/clock/is-paused", test_clock_is_paused);
+	return g_test_run();
+}
--- /dev/null
+++ b/packages/process/include/ks/process.h
@@ -0,0 +1,494 @@
+/*
+ * process: what lives as long as a process: settings, logs, metrics, the
+ * platform's service, leases, orders, the planner and the two roles.
+ */
+#ifndef KS_PROCESS_H
+#define KS_PROCESS_H
+
+#include "ks/connection.h"
+#include "ks/core.h"
+#include "ks/request.h"
+#include "ks/version.h"
+
+G_BEGIN_DECLS
+
+/* log.c */
+
+/**
+ * enum ks_log_part - parts of the system, each with a fixed prefix
+ */
+typedef enum ks_log_part {
+	KS_LOG_MAIN,
+	KS_LOG_HTTP,
+	KS_LOG_LINK,
+	KS_LOG_ROUTE,
+	KS_LOG_LEDGER,
+	KS_LOG_STORE,
+	KS_LOG_CONFIG,
+	KS_LOG_LEASE,
+	KS_LOG_ORDER,
+	KS_LOG_PLAN,
+	KS_LOG_N_PARTS
+} ks_log_part_t;
+
+typedef enum ks_log_level {
+	KS_LOG_ERROR,
+	KS_LOG_WARN,
+	KS_LOG_INFO,
+	KS_LOG_DEBUG,
+} ks_log_level_t;
+
+void ks_log_init(const char *program, ks_log_level_t level);
+void ks_log_deinit(void);
+bool ks_log_level_parse(ks_log_level_t *level, ks_str_t name);
+void ks_log_set_part_level(ks_log_part_t part, ks_log_level_t level);
+bool ks_log_part_parse(ks_log_part_t *part, ks_str_t name);
+void ks_log(ks_log_part_t part, ks_log_level_t level, const char *format, ...)
+	G_GNUC_PRINTF(3, 4);
+void ks_log_request(ks_log_part_t part, ks_log_level_t level, const ks_id_t *id,
+		    uint64_t version, const char *format, ...)
+	G_GNUC_PRINTF(5, 6);
+
+/* metrics.c */
+
+typedef struct ks_metrics ks_metrics_t;
+typedef struct ks_counter ks_counter_t;
+typedef struct ks_histogram ks_histogram_t;
+
+ks_metrics_t *ks_metrics_new(void);
+void ks_metrics_free(ks_metrics_t *metrics);
+ks_counter_t *ks_metrics_counter(ks_metrics_t *metrics, const char *name,
+				 const char *help, const char *labels);
+ks_counter_t *ks_metrics_gauge(ks_metrics_t *metrics, const char *name,
+			       const char *help, const char *labels);
+ks_histogram_t *ks_metrics_histogram(ks_metrics_t *metrics, const char *name,
+				     const char *help, const char *labels);
+void ks_counter_add(ks_counter_t *counter, int64_t delta);
+void ks_counter_set(ks_counter_t *counter, int64_t value);
+int64_t ks_counter_value(const ks_counter_t *counter);
+void ks_histogram_record(ks_histogram_t *histogram, int64_t value_us);
+int64_t ks_histogram_quantile(const ks_histogram_t *histogram, double q);
+uint64_t ks_histogram_count(const ks_histogram_t *histogram);
+void ks_metrics_format(const ks_metrics_t *metrics, GString *out);
+
+/* store.c: the platform's table service and object store */
+
+/**
+ * enum ks_store_outcome - how a store operation ended
+ * @KS_STORE_DONE: it took effect, or the read succeeded
+ * @KS_STORE_REFUSED: a precondition failed; it took no effect
+ * @KS_STORE_UNREACHABLE: it took no effect and never will
+ * @KS_STORE_UNKNOWN: the answer was lost; it may have taken effect or may do so
+ *	later
+ */
+typedef enum ks_store_outcome {
+	KS_STORE_DONE,
+	KS_STORE_REFUSED,
+	KS_STORE_UNREACHABLE,
+	KS_STORE_UNKNOWN,
+} ks_store_outcome_t;
+
+const char *ks_store_outcome_name(ks_store_outcome_t outcome);
+
+/**
+ * struct ks_row - a row of a table
+ * @key: path-like, e.g. "lease/planner"
+ * @etag: changes whenever the row does; empty when there is no such row
+ */
+typedef struct ks_row {
+	ks_str_t key;
+	ks_str_t etag;
+	ks_str_t value;
+} ks_row_t;
+
+/**
+ * struct ks_store_write - one write with its precondition
+ * @etag: the row must have this etag; empty: the row must not exist
+ * @unconditional: no precondition
+ * @check_only: only test the precondition
+ * @remove: remove the row instead of writing @value
+ */
+typedef struct ks_store_write {
+	ks_str_t key;
+	ks_str_t etag;
+	ks_str_t value;
+	bool unconditional;
+	bool check_only;
+	bool remove;
+} ks_store_write_t;
+
+/**
+ * ks_store_row_func_t - result of a read, or the new row after a write
+ * @row: for DONE of a read: the row, with an empty etag when it does not exist;
+ *	for DONE of a write: key and new etag; for REFUSED: NULL
+ */
+typedef void (*ks_store_row_func_t)(void *ctx, ks_store_outcome_t outcome,
+				    const ks_row_t *row);
+/**
+ * ks_store_rows_func_t - result of a list or a transaction
+ * @rows: for a list, the rows; for a transaction, one row with the new etag for
+ *	each write
+ * @failed: for REFUSED of a transaction, index of the first write whose
+ *	precondition failed, else -1
+ */
+typedef void (*ks_store_rows_func_t)(void *ctx, ks_store_outcome_t outcome,
+				     const ks_row_t *rows, size_t n_rows,
+				     int failed);
+
+/**
+ * struct ks_store - the platform's service behind callbacks
+ *
+ * Each function returns at once and calls back later, exactly once, with
+ * pointers that are valid during the callback only. Arguments are copied.
+ */
+typedef struct ks_store {
+	void (*get)(void *impl, ks_str_t key, ks_store_row_func_t func,
+		    void *ctx);
+	void (*list)(void *impl, ks_str_t prefix, ks_store_rows_func_t func,
+		     void *ctx);
+	void (*write)(void *impl, const ks_store_write_t *write,
+		      ks_store_row_func_t func, void *ctx);
+	void (*transact)(void *impl, const ks_store_write_t *writes,
+			 size_t n_writes, ks_store_rows_func_t func, void *ctx);
+	void (*remove_prefix)(void *impl, ks_str_t prefix,
+			      ks_store_row_func_t func, void *ctx);
+	void (*object_get)(void *impl, ks_str_t name, ks_store_row_func_t func,
+			   void *ctx);
+	void (*object_put)(void *impl, ks_str_t name, ks_str_t body,
+			   ks_store_row_func_t func, void *ctx);
+	void *impl;
+} ks_store_t;
+
+/* store_http.c: driver over HTTP with ETag preconditions */
+
+/**
+ * struct ks_store_http - store driver; see docs/platform.md for the protocol
+ */
+typedef struct ks_store_http {
+	ks_store_t store;
+	ks_http_client_t *client;
+	ks_address_t address;
+	char *token;
+	int64_t timeout_us;
+} ks_store_http_t;
+
+void ks_store_http_init(ks_store_http_t *driver, ks_http_client_t *client,
+			const ks_address_t *address, const char *token);
+void ks_store_http_deinit(ks_store_http_t *driver);
+
+/* platform.c: host list and weight store */
+
+/**
+ * ks_hosts_func_t - the host list
+ * @ok: false when the list could not be read
+ * @leaving: names of the leaving hosts
+ */
+typedef void (*ks_hosts_func_t)(void *ctx, bool ok, const ks_str_t *leaving,
+				size_t n_leaving);
+
+typedef struct ks_platform {
+	void (*hosts)(void *impl, ks_hosts_func_t func, void *ctx);
+	void *impl;
+} ks_platform_t;
+
+/**
+ * struct ks_platform_http - driver for the host list over HTTP
+ */
+typedef struct ks_platform_http {
+	ks_platform_t platform;
+	ks_http_client_t *client;
+	ks_address_t address;
+	char *token;
+} ks_platform_http_t;
+
+void ks_platform_http_init(ks_platform_http_t *driver, ks_http_client_t *client,
+			   const ks_address_t *address, const char *token);
+void ks_platform_http_deinit(ks_platform_http_t *driver);
+
+/* engine.c: orders to an engine and its observed state */
+
+/**
+ * enum ks_order_kind - orders that an engine takes
+ */
+typedef enum ks_order_kind {
+	KS_ORDER_LOAD_MODEL,
+	KS_ORDER_UNLOAD_MODEL,
+	KS_ORDER_LOAD_ADAPTER,
+	KS_ORDER_UNLOAD_ADAPTER,
+	KS_ORDER_SET_ROLE,
+} ks_order_kind_t;
+
+/**
+ * struct ks_order - one order with the fencing number of the lease it is under
+ */
+typedef struct ks_order {
+	ks_order_kind_t kind;
+	uint64_t fence;
+	char name[64];
+	char version[64];
+	ks_engine_role_t role;
+} ks_order_t;
+
+/**
+ * struct ks_engine_state - what an engine reports of itself
+ */
+typedef struct ks_engine_state {
+	char model[64];
+	char version[64];
+	GPtrArray *adapters;
+	ks_engine_role_t role;
+	bool busy_with_order;
+	uint64_t fence;
+	uint32_t running;
+	uint32_t waiting;
+	uint32_t kv_blocks_free;
+	uint32_t kv_blocks_total;
+} ks_engine_state_t;
+
+typedef enum ks_order_outcome {
+	KS_ORDER_DONE,
+	KS_ORDER_REFUSED,
+	KS_ORDER_NOT_SENT,
+	KS_ORDER_OUTCOME_UNKNOWN,
+} ks_order_outcome_t;
+
+typedef void (*ks_order_func_t)(void *ctx, ks_order_outcome_t outcome);
+typedef void (*ks_observe_func_t)(void *ctx, const ks_engine_state_t *state);
+
+/**
+ * struct ks_engine - an engine's order endpoint behind callbacks
+ * @observe: calls back with NULL when the engine cannot be reached
+ * @order: calls back exactly once
+ */
+typedef struct ks_engine {
+	void (*observe)(void *impl, ks_observe_func_t func, void *ctx);
+	void (*order)(void *impl, const ks_order_t *order, int64_t timeout_us,
+		      ks_order_func_t func, void *ctx);
+	void *impl;
+} ks_engine_t;
+
+/* lease.c */
+
+/**
+ * struct ks_lease - a lease in the table, seen by one process
+ *
+ * Pure: see the functions for the writes it asks for. Times are on the
+ * boot-time clock, which counts suspended time.
+ */
+typedef struct ks_lease {
+	ks_id_t holder;
+	int64_t lifetime_us;
+	uint64_t fence;
+	bool held;
+	int64_t held_until_us;
+	int64_t write_sent_us;
+	uint64_t write_fence;
+	bool write_pending;
+	GString *etag;
+	ks_id_t seen_holder;
+	uint64_t seen_fence;
+	int64_t seen_since_us;
+	bool seen;
+} ks_lease_t;
+
+void ks_lease_init(ks_lease_t *lease, const ks_id_t *holder,
+		   int64_t lifetime_us);
+void ks_lease_deinit(ks_lease_t *lease);
+bool ks_lease_is_held(const ks_lease_t *lease, int64_t now_us);
+int64_t ks_lease_remaining(const ks_lease_t *lease, int64_t now_us);
+uint64_t ks_lease_fence(const ks_lease_t *lease);
+
+/* lease_keeper.c: keeps a lease in the table for its holder */
+
+typedef struct ks_lease_keeper ks_lease_keeper_t;
+typedef void (*ks_lease_func_t)(void *ctx, bool held);
+
+ks_lease_keeper_t *ks_lease_keeper_new(ks_loop_t *loop, ks_store_t *store,
+				       const ks_clock_t *boottime,
+				       ks_rng_t *rng, const char *key,
+				       const ks_id_t *holder,
+				       int64_t lifetime_us,
+				       ks_lease_func_t func, void *ctx);
+void ks_lease_keeper_free(ks_lease_keeper_t *keeper);
+void ks_lease_keeper_want(ks_lease_keeper_t *keeper, bool wanted);
+bool ks_lease_keeper_is_held(const ks_lease_keeper_t *keeper);
+int64_t ks_lease_keeper_remaining(const ks_lease_keeper_t *keeper);
+uint64_t ks_lease_keeper_fence(const ks_lease_keeper_t *keeper);
+ks_store_write_t ks_lease_keeper_check(const ks_lease_keeper_t *keeper);
+
+/* orders.c: brings an engine to its target state by orders */
+
+typedef struct ks_orders ks_orders_t;
+
+/**
+ * struct ks_orders_events - what the order module asks of the upstream process
+ * @accepting: take new requests, or refuse them while the engine changes
+ * @observed: the engine's state, as last seen
+ */
+typedef struct ks_orders_events {
+	void (*accepting)(void *ctx, bool accepting);
+	void (*observed)(void *ctx, const ks_engine_state_t *state);
+} ks_orders_events_t;
+
+ks_orders_t *ks_orders_new(ks_loop_t *loop, ks_store_t *store,
+			   ks_engine_t *engine, const ks_clock_t *boottime,
+			   ks_rng_t *rng, const ks_id_t *incarnation,
+			   const char *upstream_id, int64_t lease_us,
+			   const ks_orders_events_t *events, void *ctx);
+void ks_orders_free(ks_orders_t *orders);
+void ks_orders_set_snapshot(ks_orders_t *orders, ks_snapshot_t *snapshot);
+void ks_orders_set_in_flight(ks_orders_t *orders, unsigned in_flight);
+void ks_orders_stop(ks_orders_t *orders);
+bool ks_orders_is_idle(const ks_orders_t *orders);
+
+/* engine_http.c: order endpoint of an engine over HTTP */
+
+typedef struct ks_engine_http {
+	ks_engine_t engine;
+	ks_http_client_t *client;
+	ks_address_t address;
+} ks_engine_http_t;
+
+void ks_engine_http_init(ks_engine_http_t *driver, ks_http_client_t *client,
+			 const ks_address_t *address);
+void ks_engine_http_deinit(ks_engine_http_t *driver);
+
+/* settings.c */
+
+/**
+ * struct ks_tenant_settings - a tenant of an entry
+ * @key_sha256: SHA-256 of its API key, hexadecimal
+ */
+typedef struct ks_tenant_settings {
+	char *name;
+	char *key_sha256;
+	double weight;
+	unsigned priority;
+	unsigned max_concurrency;
+} ks_tenant_settings_t;
+
+/**
+ * struct ks_route_settings - a route to a plain service
+ */
+typedef struct ks_route_settings {
+	char *path;
+	char *method;
+	char *service;
+	bool idempotent;
+	unsigned timeout_ms;
+	unsigned priority;
+	char *tenant;
+} ks_route_settings_t;
+
+/**
+ * struct ks_settings - settings of a daemon, read from YAML
+ *
+ * See docs/settings.md for each field, its unit, range and default.
+ */
+typedef struct ks_settings {
+	char *role;
+	char *name;
+	char *domain;
+	char *host;
+	char *listen;
+	char *upstream;
+	char *endpoint;
+	char *platform;
+	char *platform_token;
+	char *log_level;
+	bool link_plain;
+	char *link_public_key;
+	char *link_secret_key;
+	char *link_server_key;
+	char **link_allowed_keys;
+	unsigned link_allowed_keys_count;
+	ks_tenant_settings_t *tenants;
+	unsigned tenants_count;
+	ks_route_settings_t *routes;
+	unsigned routes_count;
+	unsigned completion_timeout_ms;
+	unsigned max_body_kib;
+	unsigned max_answer_kib;
+	unsigned max_requests;
+	unsigned poll_ms;
+	unsigned heartbeat_ms;
+	unsigned silence_ms;
+	unsigned drain_delay_ms;
+	unsigned subset;
+	unsigned lease_ms;
+	double role_change_cost;
+	unsigned role_dwell_ms;
+	char *operator_token_sha256;
+} ks_settings_t;
+
+bool ks_settings_load(ks_settings_t **settings, const char *file,
+		      GError **error);
+bool ks_settings_parse(ks_settings_t **settings, ks_str_t yaml,
+		       const char *file, GError **error);
+void ks_settings_free(ks_settings_t *settings);
+
+/* config.c: keeps the snapshot in force up to date */
+
+typedef struct ks_config ks_config_t;
+typedef void (*ks_config_func_t)(void *ctx, ks_snapshot_t *snapshot);
+
+ks_config_t *ks_config_new(ks_loop_t *loop, ks_store_t *store, ks_rng_t *rng,
+			   int64_t poll_us, ks_config_func_t func, void *ctx);
+void ks_config_free(ks_config_t *config);
+ks_snapshot_t *ks_config_current(const ks_config_t *config);
+uint64_t ks_config_version(const ks_config_t *config);
+void ks_config_offer(ks_config_t *config, uint64_t version, ks_str_t digest,
+		     ks_str_t body);
+
+/* ledger.c: at most once for non-idempotent requests with a key */
+
+typedef struct ks_ledger ks_ledger_t;
+typedef struct ks_ledger_entry ks_ledger_entry_t;
+
+/**
+ * struct ks_ledger_events - what the ledger decides for a request
+ * @dispatch: the claim is held; send attempt @attempt now, before its deadline
+ * @replay: the request ran before; this is its answer
+ * @fail: last event; the request is not dispatched by this entry
+ */
+typedef struct ks_ledger_events {
+	void (*dispatch)(void *ctx, uint32_t attempt);
+	void (*replay)(void *ctx, int status, ks_str_t content_type,
+		       ks_str_t body);
+	void (*fail)(void *ctx, ks_error_kind_t kind);
+} ks_ledger_events_t;
+
+ks_ledger_t *ks_ledger_new(ks_loop_t *loop, ks_store_t *store,
+			   const ks_clock_t *wall, ks_rng_t *rng,
+			   const ks_id_t *holder);
+void ks_ledger_free(ks_ledger_t *ledger);
+ks_ledger_entry_t *ks_ledger_begin(ks_ledger_t *ledger,
+				   const ks_idempotency_key_t *key,
+				   ks_str_t tenant, const uint8_t *fingerprint,
+				   const ks_id_t *request, int64_t timeout_us,
+				   const ks_ledger_events_t *events, void *ctx);
+void ks_ledger_done(ks_ledger_entry_t *entry, int status, ks_str_t content_type,
+		    ks_str_t body);
+void ks_ledger_not_run(ks_ledger_entry_t *entry);
+void ks_ledger_unknown(ks_ledger_entry_t *entry);
+void ks_ledger_abandon(ks_ledger_entry_t *entry);
+
+/* entry.c and upstream.c: the two roles */
+
+typedef struct ks_entry ks_entry_t;
+typedef struct ks_upstream_process ks_upstream_process_t;
+
+ks_entry_t *ks_entry_new(ks_loop_t *loop, const ks_settings_t *settings,
+			 GError **error);
+void ks_entry_stop(ks_entry_t *entry);
+void ks_entry_free(ks_entry_t *entry);
+
+ks_upstream_process_t *ks_upstream_process_new(ks_loop_t *loop,
+					       const ks_settings_t *settings,
+					       GError **error);
+void ks_upstream_process_stop(ks_upstream_process_t *process);
+void ks_upstream_process_free(ks_upstream_process_t *process);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/packages/request/include/ks/request.h
@@ -0,0 +1,286 @@
+/*
+ * request: what lives as long as a request: reading it, admitting it, claiming
+ * it, choosing its upstream and retrying it. Nothing here does I/O.
+ */
+#ifndef KS_REQUEST_H
+#define KS_REQUEST_H
+
+#include "ks/core.h"
+
+G_BEGIN_DECLS
+
+/* api.c: OpenAI-style completion requests */
+
+/**
+ * struct ks_completion - what routing needs to know of a completion request
+ * @model: as the caller named it
+ * @stream: answer as server-sent events
+ * @prompt_tokens: estimate
+ * @max_tokens: most tokens generated
+ * @prefix_hashes: one chained hash for each whole block of the prompt, an
+ *	array of uint64_t
+ */
+typedef struct ks_completion {
+	char *model;
+	bool chat;
+	bool stream;
+	uint32_t prompt_tokens;
+	uint32_t max_tokens;
+	GArray *prefix_hashes;
+} ks_completion_t;
+
+#define KS_PREFIX_BLOCK_TOKENS 2000
+
+bool ks_completion_parse(ks_completion_t *completion, ks_str_t body, bool chat,
+			 GError **error);
+void ks_completion_deinit(ks_completion_t *completion);
+
+/* idempotency.c */
+
+/**
+ * struct ks_idempotency_key - key of a non-idempotent request
+ * @text: the key as the caller sent it
+ * @issued_us: time of issue, Unix time
+ */
+typedef struct ks_idempotency_key {
+	ks_str_t text;
+	int64_t issued_us;
+} ks_idempotency_key_t;
+
+#define KS_KEY_RETENTION_US (24 * 3600 * KS_USEC_PER_SEC)
+#define KS_KEY_MAX_SKEW_US (5 * 60 * KS_USEC_PER_SEC)
+
+bool ks_idempotency_key_parse(ks_idempotency_key_t *key, ks_str_t text,
+			      ks_str_t date, int64_t now_us, GError **error);
+
+/* route.c */
+
+/**
+ * struct ks_candidate - an upstream that may serve a request
+ * @id: of the upstream; valid during the call only
+ * @domain_distance_us: one-way delay to its failure domain
+ * @in_flight: requests handed out and not answered, as known here
+ * @prompt_tokens: not yet prefilled, as known here
+ * @output_tokens: still expected, as known here
+ * @limit: requests accepted at once
+ * @cached_tokens: tokens of this prompt believed to be in the prefix cache
+ * @excluded: already tried, ejected, leaving or changing
+ * @same_domain_failed: shares its failure domain with an attempt that failed
+ */
+typedef struct ks_candidate {
+	ks_str_t id;
+	int64_t domain_distance_us;
+	uint32_t in_flight;
+	uint64_t prompt_tokens;
+	uint64_t output_tokens;
+	uint32_t limit;
+	uint32_t cached_tokens;
+	bool excluded;
+	bool same_domain_failed;
+	double prefill_us_per_token;
+	double decode_us_per_token;
+} ks_candidate_t;
+
+/**
+ * struct ks_route_request - what is to be placed
+ */
+typedef struct ks_route_request {
+	uint32_t prompt_tokens;
+	uint32_t output_tokens;
+	int64_t time_left_us;
+} ks_route_request_t;
+
+/**
+ * struct ks_route_choice - where a request goes
+ * @index: of the candidate, or -1 when none can take it
+ * @finish_us: expected time to finish
+ */
+typedef struct ks_route_choice {
+	int index;
+	int64_t finish_us;
+} ks_route_choice_t;
+
+ks_route_choice_t ks_route_choose(const ks_route_request_t *request,
+				  const ks_candidate_t *candidates,
+				  size_t n_candidates, ks_rng_t *rng);
+
+/* admission.c */
+
+typedef struct ks_admission ks_admission_t;
+
+/**
+ * enum ks_admission_verdict - what happens to a request that arrives
+ */
+typedef enum ks_admission_verdict {
+	KS_ADMIT,
+	KS_ADMIT_QUEUE,
+	KS_ADMIT_REFUSE,
+} ks_admission_verdict_t;
+
+/**
+ * struct ks_ticket - a request's place in admission, on memory of its owner
+ * @work_us: expected engine time
+ * @deadline_us: on the monotonic clock
+ * @priority: class; 0 is served first
+ */
+typedef struct ks_ticket {
+	ks_list_t node;
+	const char *tenant;
+	double work_us;
+	int64_t deadline_us;
+	unsigned priority;
+	double finish_tag;
+	bool queued;
+	bool admitted;
+	void *ctx;
+} ks_ticket_t;
+
+ks_admission_t *ks_admission_new(void);
+void ks_admission_free(ks_admission_t *admission);
+void ks_admission_set_capacity(ks_admission_t *admission, double concurrency);
+void ks_admission_set_weight(ks_admission_t *admission, const char *tenant,
+			     double weight);
+ks_admission_verdict_t ks_admission_arrive(ks_admission_t *admission,
+					   ks_ticket_t *ticket, int64_t now_us,
+					   int64_t *retry_after_us);
+void ks_admission_leave(ks_admission_t *admission, ks_ticket_t *ticket,
+			int64_t now_us);
+ks_ticket_t *ks_admission_next(ks_admission_t *admission, int64_t now_us);
+ks_ticket_t *ks_admission_expired(ks_admission_t *admission, int64_t now_us,
+				  int64_t *retry_after_us);
+
+/* retry.c */
+
+/**
+ * struct ks_retry_budget - retries allowed as a share of traffic
+ * @ratio: retries earned by each request
+ * @tokens: retries left
+ * @max_tokens: most retries that can be saved up
+ */
+typedef struct ks_retry_budget {
+	double ratio;
+	double tokens;
+	double max_tokens;
+} ks_retry_budget_t;
+
+/**
+ * struct ks_attempt_failure - how an attempt ended
+ * @kind: why
+ * @not_started: the upstream process says that it never ran
+ * @delivered: the caller has been sent part of the answer
+ */
+typedef struct ks_attempt_failure {
+	ks_error_kind_t kind;
+	bool not_started;
+	bool delivered;
+} ks_attempt_failure_t;
+
+void ks_retry_budget_init(ks_retry_budget_t *budget, double ratio,
+			  double max_tokens);
+void ks_retry_budget_earn(ks_retry_budget_t *budget);
+bool ks_retry_allowed(ks_retry_budget_t *budget,
+		      const ks_attempt_failure_t *failure, bool idempotent,
+		      unsigned attempts, int64_t time_left_us);
+
+/* ejection.c */
+
+/**
+ * struct ks_ejection - health of one upstream as seen by one entry
+ */
+typedef struct ks_ejection {
+	unsigned failures;
+	int64_t until_us;
+	bool probing;
+} ks_ejection_t;
+
+void ks_ejection_init(ks_ejection_t *ejection);
+void ks_ejection_success(ks_ejection_t *ejection);
+void ks_ejection_failure(ks_ejection_t *ejection, int64_t now_us,
+			 ks_rng_t *rng);
+bool ks_ejection_is_out(const ks_ejection_t *ejection, int64_t now_us);
+
+/* prefix.c */
+
+typedef struct ks_prefix_belief ks_prefix_belief_t;
+
+ks_prefix_belief_t *ks_prefix_belief_new(size_t max_blocks,
+					 int64_t half_life_us);
+void ks_prefix_belief_free(ks_prefix_belief_t *belief);
+void ks_prefix_belief_add(ks_prefix_belief_t *belief, const uint64_t *hashes,
+			  size_t count, int64_t now_us);
+void ks_prefix_belief_evict(ks_prefix_belief_t *belief, uint64_t hash);
+void ks_prefix_belief_correct(ks_prefix_belief_t *belief,
+			      const uint64_t *hashes, size_t count,
+			      size_t cached_blocks, int64_t now_us);
+uint32_t ks_prefix_belief_tokens(const ks_prefix_belief_t *belief,
+				 const uint64_t *hashes, size_t count,
+				 int64_t now_us);
+
+/* subset.c */
+
+size_t ks_subset_choose(ks_str_t entry, const ks_str_t *upstreams,
+			const ks_str_t *domains, size_t count, size_t wanted,
+			size_t *chosen);
+
+/* claim.c: state machine of one non-idempotent request with a key */
+
+/**
+ * enum ks_claim_state - state of a claim row
+ */
+typedef enum ks_claim_state {
+	KS_CLAIM_CLAIMED,
+	KS_CLAIM_DONE,
+	KS_CLAIM_NOT_RUN,
+	KS_CLAIM_UNKNOWN,
+} ks_claim_state_t;
+
+#define KS_FINGERPRINT_SIZE 16
+
+/**
+ * struct ks_claim - a claim row
+ * @fingerprint: hash of method, path and body
+ * @attempt: attempt that the holder may dispatch
+ * @holder: incarnation of the claiming entry
+ * @request: request id of the attempt
+ * @state: see enum ks_claim_state
+ * @expires_us: wall clock; another entry may then mark it unknown
+ * @status: HTTP status of a stored answer
+ * @content_type: of a stored answer; owned, may be NULL
+ * @answer: stored body; owned, may be NULL
+ */
+typedef struct ks_claim {
+	uint8_t fingerprint[KS_FINGERPRINT_SIZE];
+	uint32_t attempt;
+	ks_id_t holder;
+	ks_id_t request;
+	ks_claim_state_t state;
+	int64_t expires_us;
+	int status;
+	char *content_type;
+	GBytes *answer;
+} ks_claim_t;
+
+void ks_claim_deinit(ks_claim_t *claim);
+void ks_claim_fingerprint(uint8_t fingerprint[KS_FINGERPRINT_SIZE],
+			  ks_str_t method, ks_str_t path, ks_str_t body);
+char *ks_claim_row_key(const ks_idempotency_key_t *key, ks_str_t tenant);
+char *ks_claim_encode(const ks_claim_t *claim);
+bool ks_claim_decode(ks_claim_t *claim, ks_str_t value, GError **error);
+
+/**
+ * enum ks_claim_step - what the ledger does next for a request
+ */
+typedef enum ks_claim_step {
+	KS_CLAIM_STEP_INSERT,
+	KS_CLAIM_STEP_READ,
+	KS_CLAIM_STEP_TAKE_OVER,
+	KS_CLAIM_STEP_MARK_UNKNOWN,
+	KS_CLAIM_STEP_WAIT,
+	KS_CLAIM_STEP_DISPATCH,
+	KS_CLAIM_STEP_REPLAY,
+	KS_CLAIM_STEP_FAIL,
+} ks_claim_step_t;
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/tests/run.sh
@@ -0,0 +1,57 @@
+#!/bin/bash
+# Runs every test of the builds named on the command line ("plain", "san") and
+# prints one line for each. A test listed in KNOWN-RED.txt is run and printed
+# but does not fail the run. Ends with "N passed, N failed, N skipped".
+set -u
+cd "$(dirname "$0")/.."
+
+export G_SLICE=always-malloc
+export ASAN_OPTIONS=detect_leaks=1:abort_on_error=0
+export LSAN_OPTIONS=suppressions=$PWD/tests/lsan.supp:print_suppressions=0
+export UBSAN_OPTIONS=print_stacktrace=1
+export RC_PARAMS="seed=42 max_success=200"
+unset http_proxy https_proxy HTTP_PROXY HTTPS_PROXY all_proxy ALL_PROXY
+
+passed=0 failed=0 known=0
+logs=build/test-logs
+mkdir -p "$logs"
+
+is_known_red () {
+	test -f KNOWN-RED.txt && grep -q "^test: $1\$" KNOWN-RED.txt
+}
+
+run_one () {
+	local name=$1 log
+	shift
+	log=$logs/$(echo "$name" | tr / _).log
+	if timeout -k 5 300 "$@" >"$log" 2>&1 </dev/null
+	then
+		echo "ok      $name"
+		passed=$((passed + 1))
+	elif is_known_red "$name"
+	then
+		echo "known   $name (KNOWN-RED.txt)"
+		known=$((known + 1))
+	else
+		echo "FAILED  $name"
+		tail -n 40 "$log" | sed 's/^/    /'
+		failed=$((failed + 1))
+	fi
+}
+
+for build in "$@"
+do
+	for source in packages/*/tests/test-*.c packages/*/tests/prop-*.cpp
+	do
+		test -f "$source" || continue
+		run_one "$build/${source%.*}" "build/$build/${source%.*}"
+	done
+	for script in tests/system/test-*.sh
+	do
+		test -f "$script" || continue
+		run_one "$build/${script%.sh}" env BIN="build/$build" "$script"
+	done
+done
+
+echo "$passed passed, $failed failed, $known skipped"
+test "$failed" = 0 && test "$passed" -gt 0
