Add the link between entry and upstream process

One frame is one ZeroMQ message. A silent link gets a new connection and a higher session number; attempts in flight are resumed after the last frame received. A record drawn with the upstream process's memory of an entry tells the entry when what became of its attempts is forgotten.

--- a/packages/connection/include/ks/connection.h
+++ b/packages/connection/include/ks/connection.h
@@ -268,18 +268,134 @@
 	const char *const *allowed_keys;
 } ks_socket_security_t;
 
+typedef void (*ks_socket_receive_func_t)(void *ctx, ks_str_t peer,
+					 ks_str_t message);
+typedef void (*ks_socket_lost_func_t)(void *ctx);
+
 /**
- * struct ks_socket - ZeroMQ socket on the loop
+ * struct ks_socket - ZeroMQ socket on the loop, one frame for each message
+ * @receive: called for each message; @peer is empty on a DEALER
+ * @lost: called when the connection of a DEALER broke; may be NULL
  */
 typedef struct ks_socket {
 	void *zmq;
+	void *monitor;
 	ks_watch_t watch;
+	ks_watch_t monitor_watch;
 	ks_timer_t again;
-	void (*receive)(void *ctx, ks_str_t peer, ks_str_t message);
+	ks_socket_receive_func_t receive;
+	ks_socket_lost_func_t lost;
 	void *ctx;
 	bool is_router;
+	bool draining;
+	bool *closed;
 } ks_socket_t;
 
+bool ks_socket_bind_router(ks_socket_t *sock, ks_loop_t *loop, void *context,
+			   const ks_address_t *address,
+			   const ks_socket_security_t *security,
+			   ks_socket_receive_func_t receive, void *ctx,
+			   uint16_t *port, GError **error);
+bool ks_socket_connect_dealer(ks_socket_t *sock, ks_loop_t *loop, void *context,
+			      const ks_address_t *address,
+			      const ks_socket_security_t *security,
+			      ks_socket_receive_func_t receive,
+			      ks_socket_lost_func_t lost, void *ctx,
+			      GError **error);
+bool ks_socket_send(ks_socket_t *sock, ks_str_t peer, ks_str_t message);
+void ks_socket_deinit(ks_socket_t *sock);
+
+/* zap.c */
+
+struct ks_zap_state;
+
+/**
+ * struct ks_zap - admits the clients of CURVE sockets by their public keys
+ */
+typedef struct ks_zap {
+	struct ks_zap_state *state;
+} ks_zap_t;
+
+bool ks_zap_init(ks_zap_t *zap, ks_loop_t *loop, void *context,
+		 const char *const *allowed_keys, GError **error);
+void ks_zap_deinit(ks_zap_t *zap);
+
+/* transport: what a link sends its frames through */
+
+/**
+ * struct ks_transport - sends the frames of a link
+ * @send: never blocks; false if the frame was dropped
+ * @reopen: client only: replace the connection by a new one. Frames sent on the
+ *	old one may still arrive.
+ * @close: free the transport
+ */
+typedef struct ks_transport {
+	bool (*send)(void *impl, ks_str_t peer, ks_str_t message);
+	bool (*reopen)(void *impl);
+	void (*close)(void *impl);
+	void *impl;
+} ks_transport_t;
+
+/* link_stream.c: numbered frames of one answer */
+
+/**
+ * struct ks_stream_sender - frames kept until they are acknowledged
+ * @frames: GBytes of frames @acked + 1 to @last
+ * @last: number of the last frame
+ * @sent: number of the last frame sent
+ * @acked: number of the last frame acknowledged
+ * @bytes: size of @frames
+ */
+typedef struct ks_stream_sender {
+	GQueue frames;
+	uint64_t last;
+	uint64_t sent;
+	uint64_t acked;
+	size_t bytes;
+} ks_stream_sender_t;
+
+#define KS_STREAM_WINDOW 64
+
+void ks_stream_sender_init(ks_stream_sender_t *sender);
+void ks_stream_sender_deinit(ks_stream_sender_t *sender);
+void ks_stream_sender_push(ks_stream_sender_t *sender, GBytes *frame);
+GBytes *ks_stream_sender_next(ks_stream_sender_t *sender);
+bool ks_stream_sender_ack(ks_stream_sender_t *sender, uint64_t seq);
+bool ks_stream_sender_rewind(ks_stream_sender_t *sender, uint64_t seq);
+void ks_stream_sender_drop_unsent(ks_stream_sender_t *sender);
+
+/**
+ * enum ks_stream_verdict - what a receiver does with a frame
+ */
+typedef enum ks_stream_verdict {
+	KS_STREAM_NEW,
+	KS_STREAM_DUPLICATE,
+	KS_STREAM_GAP,
+} ks_stream_verdict_t;
+
+/**
+ * struct ks_stream_receiver - frames of one answer as they arrive
+ * @received: number of the last frame received in order
+ * @consumed: number of the last frame whose bytes were all consumed
+ * @acked: number of the last frame acknowledged
+ * @body_bytes: size of all bodies received
+ * @pending: sizes of the frames after @consumed, an array of size_t
+ */
+typedef struct ks_stream_receiver {
+	uint64_t received;
+	uint64_t consumed;
+	uint64_t acked;
+	uint64_t body_bytes;
+	GArray *pending;
+} ks_stream_receiver_t;
+
+void ks_stream_receiver_init(ks_stream_receiver_t *receiver);
+void ks_stream_receiver_deinit(ks_stream_receiver_t *receiver);
+ks_stream_verdict_t ks_stream_receiver_accept(ks_stream_receiver_t *receiver,
+					      uint64_t seq, size_t body_len);
+void ks_stream_receiver_consume(ks_stream_receiver_t *receiver, size_t len);
+bool ks_stream_receiver_ack_due(ks_stream_receiver_t *receiver, uint64_t *seq);
+
 /* Link frames, sessions and their two sides: link_*.c; see below. */
 
 /**
@@ -335,7 +451,7 @@
 	uint32_t output_tokens;
 } ks_attempt_request_t;
 
-/* link_client.c: entry side */
+/* link_client.c and link_attempt.c: entry side */
 
 typedef struct ks_link_client ks_link_client_t;
 typedef struct ks_attempt ks_attempt_t;
@@ -349,6 +465,8 @@
  *	connection has taken them
  * @end: last event; @kind is KS_ERROR_NONE when the answer is whole. An attempt
  *	whose outcome is not known ends with KS_ERROR_OUTCOME_UNKNOWN.
+ *
+ * After the last event the attempt is gone and must not be used.
  */
 typedef struct ks_attempt_events {
 	void (*accepted)(void *ctx);
@@ -393,6 +511,13 @@
 				     const ks_link_client_options_t *options,
 				     const ks_link_client_events_t *events,
 				     void *ctx);
+ks_link_client_t *ks_link_client_new_on(ks_loop_t *loop,
+					const ks_transport_t *transport,
+					const ks_link_client_options_t *options,
+					const ks_link_client_events_t *events,
+					void *ctx);
+void ks_link_client_receive(ks_link_client_t *link, ks_str_t message);
+void ks_link_client_lost(ks_link_client_t *link);
 void ks_link_client_free(ks_link_client_t *link);
 bool ks_link_client_is_up(const ks_link_client_t *link);
 ks_upstream_state_t ks_link_client_state(const ks_link_client_t *link);
@@ -406,8 +531,9 @@
 				  const ks_attempt_events_t *events, void *ctx);
 void ks_attempt_consume(ks_attempt_t *attempt, size_t len);
 void ks_attempt_cancel(ks_attempt_t *attempt);
+void ks_attempt_abandon(ks_attempt_t *attempt);
 
-/* link_server.c: upstream side */
+/* link_server.c and link_job.c: upstream side */
 
 typedef struct ks_link_server ks_link_server_t;
 typedef struct ks_job ks_job_t;
@@ -452,6 +578,13 @@
 				     const ks_link_server_options_t *options,
 				     const ks_link_server_events_t *events,
 				     void *ctx, GError **error);
+ks_link_server_t *ks_link_server_new_on(ks_loop_t *loop,
+					const ks_transport_t *transport,
+					const ks_link_server_options_t *options,
+					const ks_link_server_events_t *events,
+					void *ctx);
+void ks_link_server_receive(ks_link_server_t *server, ks_str_t peer,
+			    ks_str_t message);
 void ks_link_server_free(ks_link_server_t *server);
 uint16_t ks_link_server_port(const ks_link_server_t *server);
 void ks_link_server_set_state(ks_link_server_t *server,
--- /dev/null
+++ b/packages/connection/src/link_client.c
@@ -0,0 +1,385 @@
+/*
+ * The entry's side of a link: sessions, heartbeats and versions. A link that
+ * goes silent gets a new connection and a new session, on which the attempts in
+ * flight are resumed.
+ */
+#include "link_client.h"
+
+#include <string.h>
+
+/* Pause before a broken connection is opened again. */
+#define REOPEN_DELAY_US (100 * KS_USEC_PER_MSEC)
+
+/*
+ * Sessions that may fail in a row before idempotent attempts are given up, so
+ * that they can be retried elsewhere. Others wait for their deadline, since
+ * only this upstream process can tell what became of them.
+ */
+#define MAX_FAILED_SESSIONS 2
+
+/**
+ * ks_link_client_send_frame() - send a frame on the current session
+ *
+ * Return: false if it was dropped.
+ */
+bool ks_link_client_send_frame(ks_link_client_t *link, const ks_frame_t *frame)
+{
+	return ks_frame_send(&link->transport, (ks_str_t){ NULL, 0 }, frame);
+}
+
+static void send_hello(ks_link_client_t *link)
+{
+	Ks__Link__Hello hello = KS__LINK__HELLO__INIT;
+	ks_frame_t frame = KS__LINK__FRAME__INIT;
+
+	hello.protocol = KS_LINK_PROTOCOL;
+	hello.incarnation = ks_frame_id(&link->options.incarnation);
+	hello.session = link->session;
+	hello.domain = (char *)link->options.domain;
+	hello.entry = (char *)link->options.entry;
+	hello.config_version = link->version;
+	frame.kind_case = KS__LINK__FRAME__KIND_HELLO;
+	frame.hello = &hello;
+	ks_link_client_send_frame(link, &frame);
+}
+
+static void send_heartbeat(ks_link_client_t *link)
+{
+	Ks__Link__Heartbeat heartbeat = KS__LINK__HEARTBEAT__INIT;
+	ks_frame_t frame = KS__LINK__FRAME__INIT;
+
+	heartbeat.session = link->session;
+	heartbeat.config_version = link->version;
+	heartbeat.leaving_seen = link->leaving_seen;
+	frame.kind_case = KS__LINK__FRAME__KIND_HEARTBEAT;
+	frame.heartbeat = &heartbeat;
+	ks_link_client_send_frame(link, &frame);
+}
+
+static void notify(ks_link_client_t *link)
+{
+	link->events->changed(link->ctx, link);
+}
+
+static void give_up_idempotent(ks_link_client_t *link)
+{
+	GList *attempts = g_hash_table_get_values(link->attempts);
+
+	for (GList *it = attempts; it; it = it->next) {
+		ks_attempt_t *attempt = it->data;
+
+		if (attempt->idempotent || attempt->abandoned)
+			ks_attempt_finish(attempt, KS_ERROR_OUTCOME_UNKNOWN,
+					  KS_STR("the link is down"));
+	}
+	g_list_free(attempts);
+}
+
+/**
+ * ks_link_client_replace() - open a new connection and a new session
+ */
+void ks_link_client_replace(ks_link_client_t *link)
+{
+	bool was_up = link->up;
+
+	ks_timer_clear(&link->reopen);
+	if (!was_up)
+		link->failed_sessions++;
+	link->up = false;
+	link->session++;
+	link->heard_us = ks_loop_now(link->loop);
+	if (link->transport.reopen(link->transport.impl))
+		send_hello(link);
+	if (was_up)
+		notify(link);
+	if (link->failed_sessions >= MAX_FAILED_SESSIONS)
+		give_up_idempotent(link);
+}
+
+static void on_reopen(void *ctx)
+{
+	ks_link_client_replace(ctx);
+}
+
+/**
+ * ks_link_client_lost() - the transport's connection broke
+ */
+void ks_link_client_lost(ks_link_client_t *link)
+{
+	if (!ks_timer_is_set(&link->reopen))
+		ks_timer_set(&link->reopen, REOPEN_DELAY_US);
+}
+
+static void on_tick(void *ctx)
+{
+	ks_link_client_t *link = ctx;
+	int64_t silent = ks_loop_now(link->loop) - link->heard_us;
+
+	ks_timer_set(&link->tick, link->options.heartbeat_us);
+	if (silent >= link->options.silence_us)
+		ks_link_client_replace(link);
+	else if (link->up)
+		send_heartbeat(link);
+}
+
+static void note_peer_version(ks_link_client_t *link, uint64_t version)
+{
+	Ks__Link__ConfigFetch fetch = KS__LINK__CONFIG_FETCH__INIT;
+	ks_frame_t frame = KS__LINK__FRAME__INIT;
+
+	link->peer_version = version;
+	if (version <= link->version)
+		return;
+	fetch.have = link->version;
+	frame.kind_case = KS__LINK__FRAME__KIND_CONFIG_FETCH;
+	frame.config_fetch = &fetch;
+	ks_link_client_send_frame(link, &frame);
+}
+
+static void end_unknown_attempts(ks_link_client_t *link)
+{
+	GList *attempts = g_hash_table_get_values(link->attempts);
+
+	for (GList *it = attempts; it; it = it->next)
+		ks_attempt_finish(it->data, KS_ERROR_OUTCOME_UNKNOWN,
+				  KS_STR("the upstream process was replaced"));
+	g_list_free(attempts);
+}
+
+static void resume_attempts(ks_link_client_t *link)
+{
+	GList *attempts = g_hash_table_get_values(link->attempts);
+
+	for (GList *it = attempts; it; it = it->next)
+		ks_attempt_resume(it->data);
+	g_list_free(attempts);
+}
+
+static void on_welcome(ks_link_client_t *link, const Ks__Link__Welcome *welcome)
+{
+	ks_id_t incarnation;
+
+	if (welcome->protocol != KS_LINK_PROTOCOL ||
+	    welcome->session != link->session || link->up ||
+	    !ks_id_from_bytes(&incarnation, welcome->incarnation.data,
+			      welcome->incarnation.len))
+		return;
+	link->up = true;
+	link->failed_sessions = 0;
+	link->state = ks_frame_state_read(welcome->state);
+	ks_frame_load_read(&link->load, welcome->load);
+	if (ks_id_equal(&incarnation, &link->peer_incarnation)) {
+		resume_attempts(link);
+	} else {
+		link->peer_incarnation = incarnation;
+		end_unknown_attempts(link);
+	}
+	/* Tells the upstream process that every attempt has been resumed. */
+	send_heartbeat(link);
+	note_peer_version(link, welcome->config_version);
+	notify(link);
+}
+
+static void on_heartbeat(ks_link_client_t *link,
+			 const Ks__Link__Heartbeat *heartbeat)
+{
+	if (heartbeat->session != link->session)
+		return;
+	link->state = ks_frame_state_read(heartbeat->state);
+	ks_frame_load_read(&link->load, heartbeat->load);
+	note_peer_version(link, heartbeat->config_version);
+	notify(link);
+}
+
+static void send_config(ks_link_client_t *link)
+{
+	Ks__Link__Config config = KS__LINK__CONFIG__INIT;
+	ks_frame_t frame = KS__LINK__FRAME__INIT;
+	ks_str_t digest = { NULL, 0 };
+	ks_str_t body =
+		link->events->config_body(link->ctx, &config.version, &digest);
+
+	if (!body.len)
+		return;
+	config.digest = ks_frame_bytes(digest);
+	config.body = ks_frame_bytes(body);
+	frame.kind_case = KS__LINK__FRAME__KIND_CONFIG;
+	frame.config = &config;
+	ks_link_client_send_frame(link, &frame);
+}
+
+static void on_frame(ks_link_client_t *link, const ks_frame_t *frame)
+{
+	ks_attempt_key_t key;
+	ks_attempt_t *attempt;
+
+	switch (frame->kind_case) {
+	case KS__LINK__FRAME__KIND_HEARTBEAT:
+		on_heartbeat(link, frame->heartbeat);
+		return;
+	case KS__LINK__FRAME__KIND_CONFIG_FETCH:
+		send_config(link);
+		return;
+	case KS__LINK__FRAME__KIND_CONFIG:
+		link->events->config(link->ctx, frame->config->version,
+				     ks_frame_str(frame->config->digest),
+				     ks_frame_str(frame->config->body));
+		return;
+	default:
+		break;
+	}
+	if (!ks_frame_key(frame, &key))
+		return;
+	/* An unknown attempt has ended here; its late frames are of no use. */
+	attempt = g_hash_table_lookup(link->attempts, &key);
+	if (attempt)
+		ks_attempt_receive(attempt, frame);
+}
+
+/**
+ * ks_link_client_receive() - a message arrived on the current connection
+ */
+void ks_link_client_receive(ks_link_client_t *link, ks_str_t message)
+{
+	ks_frame_t *frame = ks_frame_decode(message);
+
+	if (!frame)
+		return;
+	if (frame->kind_case == KS__LINK__FRAME__KIND_WELCOME) {
+		link->heard_us = ks_loop_now(link->loop);
+		on_welcome(link, frame->welcome);
+	} else if (link->up) {
+		link->heard_us = ks_loop_now(link->loop);
+		on_frame(link, frame);
+	}
+	ks_frame_free(frame);
+}
+
+static void copy_options(ks_link_client_options_t *to,
+			 const ks_link_client_options_t *from)
+{
+	*to = *from;
+	to->entry = g_strdup(from->entry);
+	to->domain = g_strdup(from->domain);
+	to->upstream = g_strdup(from->upstream);
+}
+
+/**
+ * ks_link_client_new_on() - open a link on a transport that is connected
+ * @transport: copied; closed with the link
+ */
+ks_link_client_t *ks_link_client_new_on(ks_loop_t *loop,
+					const ks_transport_t *transport,
+					const ks_link_client_options_t *options,
+					const ks_link_client_events_t *events,
+					void *ctx)
+{
+	ks_link_client_t *link = g_new0(ks_link_client_t, 1);
+
+	link->loop = loop;
+	link->transport = *transport;
+	copy_options(&link->options, options);
+	link->events = events;
+	link->ctx = ctx;
+	link->attempts =
+		g_hash_table_new(ks_attempt_key_hash, ks_attempt_key_equal);
+	link->session = 1;
+	link->heard_us = ks_loop_now(loop);
+	ks_timer_init(&link->tick, loop, on_tick, link);
+	ks_timer_init(&link->reopen, loop, on_reopen, link);
+	ks_timer_set(&link->tick, options->heartbeat_us);
+	send_hello(link);
+	return link;
+}
+
+/**
+ * ks_link_client_free() - close the link
+ *
+ * Attempts in flight end without events; the upstream process cancels the
+ * idempotent ones once the entry is silent for long.
+ */
+void ks_link_client_free(ks_link_client_t *link)
+{
+	GList *attempts = g_hash_table_get_values(link->attempts);
+
+	for (GList *it = attempts; it; it = it->next) {
+		ks_attempt_t *attempt = it->data;
+
+		ks_stream_receiver_deinit(&attempt->receiver);
+		g_free(attempt);
+	}
+	g_list_free(attempts);
+	g_hash_table_unref(link->attempts);
+	ks_timer_clear(&link->tick);
+	ks_timer_clear(&link->reopen);
+	link->transport.close(link->transport.impl);
+	g_free((char *)link->options.entry);
+	g_free((char *)link->options.domain);
+	g_free((char *)link->options.upstream);
+	g_free(link);
+}
+
+/**
+ * ks_link_client_is_up() - whether requests can be sent
+ */
+bool ks_link_client_is_up(const ks_link_client_t *link)
+{
+	return link->up;
+}
+
+/**
+ * ks_link_client_state() - last state that the upstream process reported
+ */
+ks_upstream_state_t ks_link_client_state(const ks_link_client_t *link)
+{
+	return link->up ? link->state : KS_UPSTREAM_UNKNOWN;
+}
+
+/**
+ * ks_link_client_load() - last load that the upstream process reported
+ */
+const ks_load_t *ks_link_client_load(const ks_link_client_t *link)
+{
+	return &link->load;
+}
+
+/**
+ * ks_link_client_peer_version() - version that the upstream process has in
+ * force
+ */
+uint64_t ks_link_client_peer_version(const ks_link_client_t *link)
+{
+	return link->peer_version;
+}
+
+/**
+ * ks_link_client_in_flight() - attempts sent and not ended
+ */
+unsigned ks_link_client_in_flight(const ks_link_client_t *link)
+{
+	return g_hash_table_size(link->attempts);
+}
+
+/**
+ * ks_link_client_set_version() - the entry has a new version in force
+ */
+void ks_link_client_set_version(ks_link_client_t *link, uint64_t version)
+{
+	if (version == link->version)
+		return;
+	link->version = version;
+	if (link->up)
+		send_heartbeat(link);
+}
+
+/**
+ * ks_link_client_set_leaving_seen() - the host list shows the host as leaving
+ */
+void ks_link_client_set_leaving_seen(ks_link_client_t *link, bool leaving)
+{
+	if (leaving == link->leaving_seen)
+		return;
+	link->leaving_seen = leaving;
+	if (link->up)
+		send_heartbeat(link);
+}
--- /dev/null
+++ b/packages/connection/src/link_stream.c
@@ -0,0 +1,185 @@
+/*
+ * The numbered frames of one answer. The sender keeps each frame until it is
+ * acknowledged, so that a new session can continue after the last frame that
+ * the receiver got.
+ */
+#include "ks/connection.h"
+
+/* An acknowledgement for each frame would double the frames of a stream. */
+#define ACK_INTERVAL (KS_STREAM_WINDOW / 4)
+
+/**
+ * ks_stream_sender_init() - set up a sender with no frames
+ */
+void ks_stream_sender_init(ks_stream_sender_t *sender)
+{
+	g_queue_init(&sender->frames);
+	sender->last = 0;
+	sender->sent = 0;
+	sender->acked = 0;
+	sender->bytes = 0;
+}
+
+/**
+ * ks_stream_sender_deinit() - drop all frames
+ */
+void ks_stream_sender_deinit(ks_stream_sender_t *sender)
+{
+	g_queue_clear_full(&sender->frames, (GDestroyNotify)g_bytes_unref);
+	sender->bytes = 0;
+}
+
+/**
+ * ks_stream_sender_push() - append the frame with number @sender->last + 1
+ * @frame: the sender takes the reference
+ */
+void ks_stream_sender_push(ks_stream_sender_t *sender, GBytes *frame)
+{
+	g_queue_push_tail(&sender->frames, frame);
+	sender->last++;
+	sender->bytes += g_bytes_get_size(frame);
+}
+
+/**
+ * ks_stream_sender_next() - the next frame that credit allows to send
+ *
+ * Return: a borrowed frame, which now counts as sent, or NULL.
+ */
+GBytes *ks_stream_sender_next(ks_stream_sender_t *sender)
+{
+	if (sender->sent == sender->last ||
+	    sender->sent - sender->acked >= KS_STREAM_WINDOW)
+		return NULL;
+	sender->sent++;
+	return g_queue_peek_nth(&sender->frames,
+				(guint)(sender->sent - sender->acked - 1));
+}
+
+/**
+ * ks_stream_sender_ack() - drop the frames up to a number
+ *
+ * Return: false if a frame that was never sent is acknowledged.
+ */
+bool ks_stream_sender_ack(ks_stream_sender_t *sender, uint64_t seq)
+{
+	if (seq > sender->sent)
+		return false;
+	while (sender->acked < seq) {
+		GBytes *frame = g_queue_pop_head(&sender->frames);
+
+		sender->bytes -= g_bytes_get_size(frame);
+		g_bytes_unref(frame);
+		sender->acked++;
+	}
+	return true;
+}
+
+/**
+ * ks_stream_sender_rewind() - continue after the last frame the receiver got
+ * @seq: number of that frame
+ *
+ * Return: false if the frames after @seq are gone or @seq was never sent.
+ */
+bool ks_stream_sender_rewind(ks_stream_sender_t *sender, uint64_t seq)
+{
+	if (seq < sender->acked || !ks_stream_sender_ack(sender, seq))
+		return false;
+	return true;
+}
+
+/**
+ * ks_stream_sender_drop_unsent() - forget the frames that were not sent
+ */
+void ks_stream_sender_drop_unsent(ks_stream_sender_t *sender)
+{
+	while (sender->last > sender->sent) {
+		GBytes *frame = g_queue_pop_tail(&sender->frames);
+
+		sender->bytes -= g_bytes_get_size(frame);
+		g_bytes_unref(frame);
+		sender->last--;
+	}
+}
+
+/**
+ * ks_stream_receiver_init() - set up a receiver that expects frame 1
+ */
+void ks_stream_receiver_init(ks_stream_receiver_t *receiver)
+{
+	receiver->received = 0;
+	receiver->consumed = 0;
+	receiver->acked = 0;
+	receiver->body_bytes = 0;
+	receiver->pending = g_array_new(FALSE, FALSE, sizeof(size_t));
+}
+
+/**
+ * ks_stream_receiver_deinit() - free what ks_stream_receiver_init() allocated
+ */
+void ks_stream_receiver_deinit(ks_stream_receiver_t *receiver)
+{
+	g_array_free(receiver->pending, TRUE);
+	receiver->pending = NULL;
+}
+
+/* Frames without a body are consumed as soon as those before them are. */
+static void skip_consumed(ks_stream_receiver_t *receiver)
+{
+	unsigned n = 0;
+
+	while (n < receiver->pending->len &&
+	       g_array_index(receiver->pending, size_t, n) == 0)
+		n++;
+	if (n > 0)
+		g_array_remove_range(receiver->pending, 0, n);
+	receiver->consumed += n;
+}
+
+/**
+ * ks_stream_receiver_accept() - decide on a frame by its number
+ * @body_len: bytes that the frame adds to the body
+ *
+ * Return: whether the frame is the next one, was received before, or follows
+ * one that is missing.
+ */
+ks_stream_verdict_t ks_stream_receiver_accept(ks_stream_receiver_t *receiver,
+					      uint64_t seq, size_t body_len)
+{
+	if (seq <= receiver->received)
+		return KS_STREAM_DUPLICATE;
+	if (seq != receiver->received + 1)
+		return KS_STREAM_GAP;
+	receiver->received = seq;
+	receiver->body_bytes += body_len;
+	g_array_append_val(receiver->pending, body_len);
+	skip_consumed(receiver);
+	return KS_STREAM_NEW;
+}
+
+/**
+ * ks_stream_receiver_consume() - note that the caller took bytes of the body
+ */
+void ks_stream_receiver_consume(ks_stream_receiver_t *receiver, size_t len)
+{
+	for (unsigned i = 0; i < receiver->pending->len && len > 0; i++) {
+		size_t *left = &g_array_index(receiver->pending, size_t, i);
+		size_t taken = MIN(*left, len);
+
+		*left -= taken;
+		len -= taken;
+	}
+	skip_consumed(receiver);
+}
+
+/**
+ * ks_stream_receiver_ack_due() - whether to acknowledge now
+ * @seq: set to the number to acknowledge
+ */
+bool ks_stream_receiver_ack_due(ks_stream_receiver_t *receiver, uint64_t *seq)
+{
+	if (receiver->consumed - receiver->acked < ACK_INTERVAL)
+		return false;
+	receiver->acked = receiver->consumed;
+	*seq = receiver->acked;
+	return true;
+}
--- /dev/null
+++ b/packages/connection/src/socket.c
@@ -0,0 +1,349 @@
+/* ZeroMQ sockets on the event loop. */
+#include "ks/connection.h"
+
+#include <string.h>
+#include <zmq.h>
+
+/* A frame carries at most one request or one piece of an answer. */
+#define MAX_FRAME_BYTES (INT64_C(64) << 20)
+#define RECONNECT_MIN_MS 50
+#define RECONNECT_MAX_MS 1000
+
+static bool set_int(void *zmq, int option, int value)
+{
+	return !zmq_setsockopt(zmq, option, &value, sizeof(value));
+}
+
+static bool set_text(void *zmq, int option, const char *value)
+{
+	return value && !zmq_setsockopt(zmq, option, value, strlen(value) + 1);
+}
+
+static bool has_input(void *zmq)
+{
+	int events = 0;
+	size_t size = sizeof(events);
+
+	return !zmq_getsockopt(zmq, ZMQ_EVENTS, &events, &size) &&
+	       (events & ZMQ_POLLIN);
+}
+
+/*
+ * Receives one whole message. Other than one frame, after the peer's identity
+ * on a ROUTER, is not of this protocol and is dropped.
+ */
+static bool receive_one(ks_socket_t *sock)
+{
+	zmq_msg_t parts[2];
+	int n_parts = 0, expected = sock->is_router ? 2 : 1;
+	bool more = true, received = false;
+	ks_str_t peer = { NULL, 0 }, message;
+
+	while (more) {
+		zmq_msg_t part;
+
+		zmq_msg_init(&part);
+		if (zmq_msg_recv(&part, sock->zmq, ZMQ_DONTWAIT) < 0) {
+			zmq_msg_close(&part);
+			break;
+		}
+		received = true;
+		more = zmq_msg_more(&part);
+		if (n_parts < expected)
+			parts[n_parts] = part;
+		else
+			zmq_msg_close(&part);
+		n_parts++;
+	}
+	if (n_parts == expected) {
+		if (sock->is_router)
+			peer = (ks_str_t){ zmq_msg_data(&parts[0]),
+					   zmq_msg_size(&parts[0]) };
+		message = (ks_str_t){ zmq_msg_data(&parts[expected - 1]),
+				      zmq_msg_size(&parts[expected - 1]) };
+		sock->receive(sock->ctx, peer, message);
+	}
+	for (int i = 0; i < MIN(n_parts, expected); i++)
+		zmq_msg_close(&parts[i]);
+	return received;
+}
+
+/*
+ * ZeroMQ's descriptor is edge-triggered, so everything has to be received each
+ * time that it becomes readable.
+ */
+static void drain_socket(void *ctx)
+{
+	ks_socket_t *sock = ctx;
+	bool closed = false;
+
+	if (sock->draining)
+		return;
+	sock->draining = true;
+	sock->closed = &closed;
+	while (!closed && has_input(sock->zmq) && receive_one(sock))
+		;
+	if (closed)
+		return;
+	sock->closed = NULL;
+	sock->draining = false;
+}
+
+static void drain_monitor(void *ctx)
+{
+	ks_socket_t *sock = ctx;
+	bool lost = false;
+
+	while (has_input(sock->monitor)) {
+		zmq_msg_t event, address;
+		uint16_t number = 0;
+
+		zmq_msg_init(&event);
+		zmq_msg_init(&address);
+		zmq_msg_recv(&event, sock->monitor, ZMQ_DONTWAIT);
+		zmq_msg_recv(&address, sock->monitor, ZMQ_DONTWAIT);
+		if (zmq_msg_size(&event) >= sizeof(number))
+			memcpy(&number, zmq_msg_data(&event), sizeof(number));
+		zmq_msg_close(&event);
+		zmq_msg_close(&address);
+		lost |= number == ZMQ_EVENT_DISCONNECTED;
+	}
+	if (lost)
+		sock->lost(sock->ctx);
+}
+
+static bool watch_zmq(ks_watch_t *watch, ks_loop_t *loop, void *zmq,
+		      ks_watch_func_t func, ks_socket_t *sock, GError **error)
+{
+	int fd;
+	size_t size = sizeof(fd);
+
+	if (zmq_getsockopt(zmq, ZMQ_FD, &fd, &size)) {
+		ks_error_set(error, KS_ERROR_INTERNAL,
+			     "cannot watch a ZeroMQ socket: %s",
+			     zmq_strerror(zmq_errno()));
+		return false;
+	}
+	return ks_watch_init(watch, loop, fd, func, sock, error);
+}
+
+static bool secure_socket(void *zmq, const ks_socket_security_t *security,
+			  bool server)
+{
+	if (security->plain)
+		return true;
+	if (server)
+		return set_int(zmq, ZMQ_CURVE_SERVER, 1) &&
+		       set_text(zmq, ZMQ_CURVE_SECRETKEY,
+				security->secret_key) &&
+		       set_text(zmq, ZMQ_ZAP_DOMAIN, "knapweedstair");
+	return set_text(zmq, ZMQ_CURVE_SERVERKEY, security->server_key) &&
+	       set_text(zmq, ZMQ_CURVE_PUBLICKEY, security->public_key) &&
+	       set_text(zmq, ZMQ_CURVE_SECRETKEY, security->secret_key);
+}
+
+static bool open_socket(ks_socket_t *sock, void *context, int type,
+			const ks_address_t *address,
+			const ks_socket_security_t *security, GError **error)
+{
+	int64_t max_size = MAX_FRAME_BYTES;
+
+	if (security->plain && !ks_address_is_loopback(address)) {
+		ks_error_set(error, KS_ERROR_BAD_REQUEST,
+			     "a link without encryption needs a loopback "
+			     "address, and %s is none",
+			     address->ip);
+		return false;
+	}
+	sock->zmq = zmq_socket(context, type);
+	if (!sock->zmq || !set_int(sock->zmq, ZMQ_LINGER, 0) ||
+	    /* Credit bounds what is queued, so the high-water mark is off. */
+	    !set_int(sock->zmq, ZMQ_SNDHWM, 0) ||
+	    !set_int(sock->zmq, ZMQ_RCVHWM, 0) ||
+	    !set_int(sock->zmq, ZMQ_IPV6, strchr(address->ip, ':') != NULL) ||
+	    zmq_setsockopt(sock->zmq, ZMQ_MAXMSGSIZE, &max_size,
+			   sizeof(max_size)) ||
+	    !secure_socket(sock->zmq, security, type == ZMQ_ROUTER)) {
+		ks_error_set(error, KS_ERROR_INTERNAL,
+			     "cannot open a ZeroMQ socket: %s",
+			     zmq_strerror(zmq_errno()));
+		return false;
+	}
+	return true;
+}
+
+static void set_up(ks_socket_t *sock, ks_loop_t *loop,
+		   ks_socket_receive_func_t receive, void *ctx)
+{
+	memset(sock, 0, sizeof(*sock));
+	sock->receive = receive;
+	sock->ctx = ctx;
+	ks_timer_init(&sock->again, loop, drain_socket, sock);
+}
+
+static bool bind_address(ks_socket_t *sock, const ks_address_t *address,
+			 uint16_t *port, GError **error)
+{
+	char text[KS_ADDRESS_TEXT_SIZE], endpoint[KS_ADDRESS_TEXT_SIZE + 8];
+	char bound[128];
+	size_t size = sizeof(bound);
+	const char *colon;
+	int64_t number;
+
+	g_snprintf(endpoint, sizeof(endpoint), "tcp://%s",
+		   ks_address_format(address, text));
+	if (zmq_bind(sock->zmq, endpoint) ||
+	    zmq_getsockopt(sock->zmq, ZMQ_LAST_ENDPOINT, bound, &size)) {
+		ks_error_set(error, KS_ERROR_INTERNAL,
+			     "cannot listen on %s: %s", text,
+			     zmq_strerror(zmq_errno()));
+		return false;
+	}
+	colon = strrchr(bound, ':');
+	if (!colon ||
+	    !ks_str_parse_int(ks_str_from(colon + 1), 1, UINT16_MAX, &number)) {
+		ks_error_set(error, KS_ERROR_INTERNAL,
+			     "ZeroMQ listens on an unknown port");
+		return false;
+	}
+	*port = (uint16_t)number;
+	return true;
+}
+
+/**
+ * ks_socket_bind_router() - listen with a ROUTER socket
+ * @address: port 0 lets the kernel choose
+ * @port: set to the port
+ *
+ * Return: false if the address is taken, the keys are unusable, or an
+ * unencrypted link was asked for on an address other than loopback.
+ */
+bool ks_socket_bind_router(ks_socket_t *sock, ks_loop_t *loop, void *context,
+			   const ks_address_t *address,
+			   const ks_socket_security_t *security,
+			   ks_socket_receive_func_t receive, void *ctx,
+			   uint16_t *port, GError **error)
+{
+	set_up(sock, loop, receive, ctx);
+	sock->is_router = true;
+	if (!open_socket(sock, context, ZMQ_ROUTER, address, security, error))
+		goto fail;
+	set_int(sock->zmq, ZMQ_ROUTER_MANDATORY, 1);
+	if (!bind_address(sock, address, port, error) ||
+	    !watch_zmq(&sock->watch, loop, sock->zmq, drain_socket, sock,
+		       error))
+		goto fail;
+	ks_timer_set(&sock->again, 0);
+	return true;
+fail:
+	ks_socket_deinit(sock);
+	return false;
+}
+
+static bool open_monitor(ks_socket_t *sock, ks_loop_t *loop, void *context,
+			 GError **error)
+{
+	char endpoint[64];
+
+	g_snprintf(endpoint, sizeof(endpoint), "inproc://monitor-%p",
+		   (void *)sock->zmq);
+	sock->monitor = zmq_socket(context, ZMQ_PAIR);
+	if (!sock->monitor || !set_int(sock->monitor, ZMQ_LINGER, 0) ||
+	    zmq_socket_monitor(sock->zmq, endpoint, ZMQ_EVENT_DISCONNECTED) ||
+	    zmq_connect(sock->monitor, endpoint)) {
+		ks_error_set(error, KS_ERROR_INTERNAL,
+			     "cannot monitor a ZeroMQ socket: %s",
+			     zmq_strerror(zmq_errno()));
+		return false;
+	}
+	return watch_zmq(&sock->monitor_watch, loop, sock->monitor,
+			 drain_monitor, sock, error);
+}
+
+/**
+ * ks_socket_connect_dealer() - connect with a DEALER socket
+ * @lost: called when an established connection breaks
+ *
+ * Messages sent before the connection is up wait for it.
+ *
+ * Return: false if the keys are unusable, or an unencrypted link was asked for
+ * to an address other than loopback.
+ */
+bool ks_socket_connect_dealer(ks_socket_t *sock, ks_loop_t *loop, void *context,
+			      const ks_address_t *address,
+			      const ks_socket_security_t *security,
+			      ks_socket_receive_func_t receive,
+			      ks_socket_lost_func_t lost, void *ctx,
+			      GError **error)
+{
+	char text[KS_ADDRESS_TEXT_SIZE], endpoint[KS_ADDRESS_TEXT_SIZE + 8];
+
+	set_up(sock, loop, receive, ctx);
+	sock->lost = lost;
+	if (!open_socket(sock, context, ZMQ_DEALER, address, security, error) ||
+	    !open_monitor(sock, loop, context, error))
+		goto fail;
+	set_int(sock->zmq, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS);
+	set_int(sock->zmq, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+	g_snprintf(endpoint, sizeof(endpoint), "tcp://%s",
+		   ks_address_format(address, text));
+	if (zmq_connect(sock->zmq, endpoint)) {
+		ks_error_set(error, KS_ERROR_INTERNAL,
+			     "cannot connect to %s: %s", text,
+			     zmq_strerror(zmq_errno()));
+		goto fail;
+	}
+	if (!watch_zmq(&sock->watch, loop, sock->zmq, drain_socket, sock,
+		       error))
+		goto fail;
+	return true;
+fail:
+	ks_socket_deinit(sock);
+	return false;
+}
+
+/**
+ * ks_socket_send() - send one message without blocking
+ * @peer: identity of the receiver on a ROUTER; ignored on a DEALER
+ *
+ * Return: false if the message was dropped because the peer is gone.
+ */
+bool ks_socket_send(ks_socket_t *sock, ks_str_t peer, ks_str_t message)
+{
+	bool sent;
+
+	if (sock->is_router && zmq_send(sock->zmq, peer.data, peer.len,
+					ZMQ_DONTWAIT | ZMQ_SNDMORE) < 0)
+		return false;
+	sent = zmq_send(sock->zmq, message.data, message.len, ZMQ_DONTWAIT) >=
+	       0;
+	/* A send may swallow the edge that announces input. */
+	if (!sock->draining && has_input(sock->zmq) &&
+	    !ks_timer_is_set(&sock->again))
+		ks_timer_set(&sock->again, 0);
+	return sent;
+}
+
+/**
+ * ks_socket_deinit() - close the socket; what was not sent is dropped
+ *
+ * May be called while a message is being received.
+ */
+void ks_socket_deinit(ks_socket_t *sock)
+{
+	if (sock->closed)
+		*sock->closed = true;
+	ks_timer_clear(&sock->again);
+	ks_watch_deinit(&sock->watch);
+	ks_watch_deinit(&sock->monitor_watch);
+	if (sock->monitor) {
+		zmq_socket_monitor(sock->zmq, NULL, 0);
+		zmq_close(sock->monitor);
+	}
+	if (sock->zmq)
+		zmq_close(sock->zmq);
+	sock->zmq = NULL;
+	sock->monitor = NULL;
+	sock->closed = NULL;
+	sock->draining = false;
+}
