--- a/packages/connection/src/link_stream.c
+++ b/packages/connection/src/link_stream.c
@@ -84,6 +84,7 @@
 {
 	if (seq < sender->acked || !ks_stream_sender_ack(sender, seq))
 		return false;
+	sender->sent = seq;
 	return true;
 }
 
