Add routing, admission, retry, ejection, prefix belief and subset choice

The entry needs them to place requests. All are pure: state and time in, decisions out. The learned concurrency limit has its own section, limit.c.

--- a/packages/request/include/ks/request.h
+++ b/packages/request/include/ks/request.h
@@ -119,20 +119,28 @@
 
 /**
  * struct ks_ticket - a request's place in admission, on memory of its owner
- * @work_us: expected engine time
+ * @tenant: terminated; valid until ks_admission_leave()
+ * @work_us: expected time between admission and the end of the answer
  * @deadline_us: on the monotonic clock
  * @priority: class; 0 is served first
+ * @ctx: of the owner
+ * @admitted: has started and not left
+ *
+ * The owner sets the first five members; the others belong to admission.
  */
 typedef struct ks_ticket {
-	ks_list_t node;
 	const char *tenant;
 	double work_us;
 	int64_t deadline_us;
 	unsigned priority;
-	double finish_tag;
+	void *ctx;
 	bool queued;
 	bool admitted;
-	void *ctx;
+	int64_t admitted_us;
+	double finish_tag;
+	unsigned fair_place;
+	unsigned deadline_place;
+	ks_list_t node;
 } ks_ticket_t;
 
 ks_admission_t *ks_admission_new(void);
@@ -149,6 +157,28 @@
 ks_ticket_t *ks_admission_expired(ks_admission_t *admission, int64_t now_us,
 				  int64_t *retry_after_us);
 
+/* limit.c: concurrency limit of one upstream, learned from latency */
+
+/**
+ * struct ks_limit - see ks_limit_sample()
+ * @value: attempts that may be under way at once
+ * @baseline: least recent ratio of real to expected latency
+ * @recent: that ratio now
+ */
+typedef struct ks_limit {
+	double value;
+	double min;
+	double max;
+	double baseline;
+	double recent;
+} ks_limit_t;
+
+void ks_limit_init(ks_limit_t *limit, double initial, double min, double max);
+void ks_limit_sample(ks_limit_t *limit, int64_t latency_us, int64_t expected_us,
+		     unsigned in_flight);
+void ks_limit_overload(ks_limit_t *limit);
+unsigned ks_limit_value(const ks_limit_t *limit);
+
 /* retry.c */
 
 /**
@@ -186,6 +216,9 @@
 
 /**
  * struct ks_ejection - health of one upstream as seen by one entry
+ * @failures: in a row
+ * @until_us: no request is sent before this time
+ * @probing: one request is under way to see whether the upstream has recovered
  */
 typedef struct ks_ejection {
 	unsigned failures;
@@ -198,6 +231,9 @@
 void ks_ejection_failure(ks_ejection_t *ejection, int64_t now_us,
 			 ks_rng_t *rng);
 bool ks_ejection_is_out(const ks_ejection_t *ejection, int64_t now_us);
+void ks_ejection_dispatch(ks_ejection_t *ejection, int64_t now_us);
+size_t ks_ejection_cap(const ks_ejection_t *const *group, size_t count,
+		       int64_t now_us, bool *out);
 
 /* prefix.c */
 
--- /dev/null
+++ b/packages/request/src/admission.c
@@ -0,0 +1,463 @@
+/*
+ * Admission: who may use the upstreams of a model or service now, who waits and
+ * who is refused.
+ *
+ * Tenants share by self-clocked fair queueing: a ticket's finish tag is the
+ * virtual time at which its tenant will have been given the ticket's work, and
+ * the least tag goes first. The classes share in the same way one level up,
+ * with weights so far apart that a lower class only gets what keeps it from
+ * starving.
+ */
+#include "ks/request.h"
+
+#include "ticket_heap.h"
+
+#include <math.h>
+
+#define N_CLASSES 4
+
+/* Each class is owed this many times the work of the class below it. */
+#define CLASS_RATIO 8.0
+
+/*
+ * Share of the time left that a request may be expected to use. The rest
+ * covers the error of the estimate: without it every queued request would be
+ * answered just before or just after its deadline under overload.
+ */
+#define DEADLINE_SHARE 0.8
+
+/*
+ * Share of the capacity that only class 0 may use, while class 0 is in use, so
+ * that short lookups need not wait for a long prompt to end.
+ */
+#define RESERVED_SHARE 0.0625
+#define RESERVE_FOR_US (10 * KS_USEC_PER_SEC)
+
+/* Weight of one finished request in the ratio of real to expected work. */
+#define SCALE_WEIGHT 0.03
+#define SCALE_MIN 0.25
+#define SCALE_MAX 8.0
+
+#define RETRY_AFTER_MIN_US (1 * KS_USEC_PER_SEC)
+#define RETRY_AFTER_MAX_US (300 * KS_USEC_PER_SEC)
+
+struct tenant {
+	double weight;
+	double last_tag[N_CLASSES];
+	unsigned queued[N_CLASSES];
+};
+
+/**
+ * struct service_class - tickets of one priority
+ * @virtual_time: tag of the ticket admitted last
+ * @weights: sum over the tenants with a queued ticket
+ * @queued_us: expected work of the queued tickets
+ * @given: work admitted, divided by the weight of the class
+ */
+struct service_class {
+	ks_ticket_heap_t queue;
+	double virtual_time;
+	double weights;
+	double queued_us;
+	double weight;
+	double given;
+};
+
+struct ks_admission {
+	GHashTable *tenants;
+	struct service_class classes[N_CLASSES];
+	ks_ticket_heap_t deadlines;
+	ks_list_t missed;
+	double capacity;
+	double running;
+	double running_low;
+	double running_us;
+	double scale;
+	double class_time;
+	int64_t class0_seen_us;
+};
+
+static bool has_lesser_tag(const ks_ticket_t *a, const ks_ticket_t *b)
+{
+	if (a->finish_tag < b->finish_tag)
+		return true;
+	return a->finish_tag <= b->finish_tag &&
+	       a->deadline_us < b->deadline_us;
+}
+
+static bool must_start_earlier(const ks_ticket_t *a, const ks_ticket_t *b)
+{
+	return (double)a->deadline_us - a->work_us <
+	       (double)b->deadline_us - b->work_us;
+}
+
+static unsigned *fair_place(ks_ticket_t *ticket)
+{
+	return &ticket->fair_place;
+}
+
+static unsigned *deadline_place(ks_ticket_t *ticket)
+{
+	return &ticket->deadline_place;
+}
+
+/**
+ * ks_admission_new() - set up admission with a capacity of 1
+ *
+ * One is needed for each model or service. Memory grows with the number of
+ * tenant names and queued tickets only.
+ */
+ks_admission_t *ks_admission_new(void)
+{
+	ks_admission_t *admission = g_new0(ks_admission_t, 1);
+	double weight = 1.0;
+
+	admission->tenants =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	for (int i = N_CLASSES - 1; i >= 0; i--) {
+		ks_ticket_heap_init(&admission->classes[i].queue,
+				    has_lesser_tag, fair_place);
+		admission->classes[i].weight = weight;
+		weight *= CLASS_RATIO;
+	}
+	ks_ticket_heap_init(&admission->deadlines, must_start_earlier,
+			    deadline_place);
+	ks_list_init(&admission->missed);
+	admission->capacity = 1.0;
+	admission->scale = 1.0;
+	admission->class0_seen_us = INT64_MIN / 2;
+	return admission;
+}
+
+/**
+ * ks_admission_free() - free it; tickets still queued belong to their owners
+ */
+void ks_admission_free(ks_admission_t *admission)
+{
+	if (!admission)
+		return;
+	for (int i = 0; i < N_CLASSES; i++)
+		ks_ticket_heap_deinit(&admission->classes[i].queue);
+	ks_ticket_heap_deinit(&admission->deadlines);
+	g_hash_table_destroy(admission->tenants);
+	g_free(admission);
+}
+
+/**
+ * ks_admission_set_capacity() - set the number of requests admitted at once
+ * @concurrency: sum of the learned limits of the upstreams in use; less than 1
+ *	admits nothing
+ */
+void ks_admission_set_capacity(ks_admission_t *admission, double concurrency)
+{
+	admission->capacity = MAX(concurrency, 0.0);
+}
+
+static struct tenant *find_tenant(ks_admission_t *admission, const char *name)
+{
+	struct tenant *tenant = g_hash_table_lookup(admission->tenants, name);
+
+	if (!tenant) {
+		tenant = g_new0(struct tenant, 1);
+		tenant->weight = 1.0;
+		g_hash_table_insert(admission->tenants, g_strdup(name), tenant);
+	}
+	return tenant;
+}
+
+/**
+ * ks_admission_set_weight() - set a tenant's share
+ * @weight: relative to the other tenants, greater than 0; 1 unless set
+ */
+void ks_admission_set_weight(ks_admission_t *admission, const char *tenant,
+			     double weight)
+{
+	struct tenant *found = find_tenant(admission, tenant);
+
+	for (int i = 0; i < N_CLASSES; i++)
+		if (found->queued[i] > 0)
+			admission->classes[i].weights += weight - found->weight;
+	found->weight = weight;
+}
+
+static unsigned class_of(const ks_ticket_t *ticket)
+{
+	return MIN(ticket->priority, N_CLASSES - 1);
+}
+
+static double reserved_slots(const ks_admission_t *admission, int64_t now_us)
+{
+	if (now_us - admission->class0_seen_us > RESERVE_FOR_US)
+		return 0.0;
+	return floor(admission->capacity * RESERVED_SHARE);
+}
+
+static bool has_room(const ks_admission_t *admission, unsigned class,
+		     int64_t now_us)
+{
+	double low;
+
+	if (admission->running + 1.0 > admission->capacity)
+		return false;
+	if (class == 0)
+		return true;
+	low = admission->capacity - reserved_slots(admission, now_us);
+	return admission->running_low + 1.0 <= low;
+}
+
+static void start(ks_admission_t *admission, ks_ticket_t *ticket,
+		  int64_t now_us)
+{
+	unsigned i = class_of(ticket);
+	struct service_class *class = &admission->classes[i];
+
+	class->virtual_time = MAX(class->virtual_time, ticket->finish_tag);
+	class->given = MAX(class->given, admission->class_time);
+	admission->class_time = class->given;
+	class->given += ticket->work_us / class->weight;
+	admission->running += 1.0;
+	if (i > 0)
+		admission->running_low += 1.0;
+	admission->running_us += ticket->work_us;
+	ticket->admitted = true;
+	ticket->admitted_us = now_us;
+}
+
+static void enqueue(ks_admission_t *admission, ks_ticket_t *ticket,
+		    struct tenant *tenant)
+{
+	unsigned i = class_of(ticket);
+	struct service_class *class = &admission->classes[i];
+
+	if (tenant->queued[i]++ == 0)
+		class->weights += tenant->weight;
+	class->queued_us += ticket->work_us;
+	ks_ticket_heap_push(&class->queue, ticket);
+	ks_ticket_heap_push(&admission->deadlines, ticket);
+	ticket->queued = true;
+}
+
+static void dequeue(ks_admission_t *admission, ks_ticket_t *ticket)
+{
+	unsigned i = class_of(ticket);
+	struct service_class *class = &admission->classes[i];
+	struct tenant *tenant = find_tenant(admission, ticket->tenant);
+
+	ks_ticket_heap_remove(&class->queue, ticket);
+	ks_ticket_heap_remove(&admission->deadlines, ticket);
+	class->queued_us -= ticket->work_us;
+	if (--tenant->queued[i] == 0)
+		class->weights -= tenant->weight;
+	if (!ks_ticket_heap_first(&class->queue)) {
+		/* Rounding errors must not add up. */
+		class->weights = 0.0;
+		class->queued_us = 0.0;
+	}
+	ticket->queued = false;
+}
+
+/* Time until a ticket that is to be queued would start, at the least share. */
+static double expected_wait(const ks_admission_t *admission,
+			    const ks_ticket_t *ticket,
+			    const struct tenant *tenant)
+{
+	unsigned i = class_of(ticket);
+	const struct service_class *class = &admission->classes[i];
+	double slots = MAX(admission->capacity, 1.0);
+	double weights = class->weights, shares = class->weight;
+	double fair, backlog = 0.0;
+
+	if (tenant->queued[i] == 0)
+		weights += tenant->weight;
+	for (unsigned j = 0; j < N_CLASSES; j++) {
+		const struct service_class *other = &admission->classes[j];
+
+		backlog += other->queued_us;
+		if (j != i && ks_ticket_heap_first(&other->queue))
+			shares += other->weight;
+	}
+	fair = (ticket->finish_tag - class->virtual_time) * weights * shares /
+	       class->weight;
+	/* A slot comes free after the running work divided by the slots. */
+	return (MIN(fair, backlog + ticket->work_us) +
+		admission->running_us / MAX(admission->running, 1.0)) *
+	       admission->scale / slots;
+}
+
+static int64_t retry_after(const ks_admission_t *admission)
+{
+	double slots = MAX(admission->capacity, 1.0);
+	double backlog = admission->running_us;
+
+	for (int i = 0; i < N_CLASSES; i++)
+		backlog += admission->classes[i].queued_us;
+	backlog *= admission->scale / slots;
+	return (int64_t)CLAMP(backlog, (double)RETRY_AFTER_MIN_US,
+			      (double)RETRY_AFTER_MAX_US);
+}
+
+static double next_tag(const struct tenant *tenant,
+		       const struct service_class *class, unsigned i,
+		       const ks_ticket_t *ticket)
+{
+	return MAX(tenant->last_tag[i], class->virtual_time) +
+	       ticket->work_us / tenant->weight;
+}
+
+static bool can_finish(const ks_admission_t *admission,
+		       const ks_ticket_t *ticket, double wait_us,
+		       int64_t now_us)
+{
+	return wait_us + ticket->work_us * admission->scale <=
+	       DEADLINE_SHARE * (double)(ticket->deadline_us - now_us);
+}
+
+/**
+ * ks_admission_arrive() - decide on a request that has just been read
+ * @ticket: its tenant, work, deadline, priority and ctx are set; stays in place
+ *	until ks_admission_leave(), and so does its tenant's name
+ * @retry_after_us: set when it is refused, to the time in which the backlog
+ *	will have been worked off
+ *
+ * Return: KS_ADMIT when it may start; KS_ADMIT_QUEUE when ks_admission_next()
+ *	or ks_admission_expired() will return it; KS_ADMIT_REFUSE when it could
+ *	not finish by its deadline, and @ticket is free again.
+ */
+ks_admission_verdict_t ks_admission_arrive(ks_admission_t *admission,
+					   ks_ticket_t *ticket, int64_t now_us,
+					   int64_t *retry_after_us)
+{
+	struct tenant *tenant = find_tenant(admission, ticket->tenant);
+	unsigned i = class_of(ticket);
+	struct service_class *class = &admission->classes[i];
+	bool at_once;
+	double wait = 0.0;
+
+	ticket->queued = false;
+	ticket->admitted = false;
+	ks_list_init(&ticket->node);
+	if (i == 0)
+		admission->class0_seen_us = now_us;
+	ticket->finish_tag = next_tag(tenant, class, i, ticket);
+	at_once = has_room(admission, i, now_us) &&
+		  !ks_ticket_heap_first(&class->queue);
+	if (!at_once)
+		wait = expected_wait(admission, ticket, tenant);
+	if (!can_finish(admission, ticket, wait, now_us)) {
+		*retry_after_us = retry_after(admission);
+		return KS_ADMIT_REFUSE;
+	}
+	tenant->last_tag[i] = ticket->finish_tag;
+	if (at_once) {
+		start(admission, ticket, now_us);
+		return KS_ADMIT;
+	}
+	enqueue(admission, ticket, tenant);
+	return KS_ADMIT_QUEUE;
+}
+
+static void learn_scale(ks_admission_t *admission, const ks_ticket_t *ticket,
+			int64_t now_us)
+{
+	double took = (double)(now_us - ticket->admitted_us);
+	double ratio = took / MAX(ticket->work_us, 1.0);
+
+	admission->scale += SCALE_WEIGHT * (CLAMP(ratio, SCALE_MIN, SCALE_MAX) -
+					    admission->scale);
+}
+
+/**
+ * ks_admission_leave() - a request has ended, was cancelled or has been refused
+ * @ticket: in any state after ks_admission_arrive(); harmless when repeated
+ *
+ * The owner then calls ks_admission_next() for as long as it returns a ticket.
+ */
+void ks_admission_leave(ks_admission_t *admission, ks_ticket_t *ticket,
+			int64_t now_us)
+{
+	if (ticket->queued)
+		dequeue(admission, ticket);
+	ks_list_remove(&ticket->node);
+	if (!ticket->admitted)
+		return;
+	ticket->admitted = false;
+	learn_scale(admission, ticket, now_us);
+	admission->running -= 1.0;
+	if (class_of(ticket) > 0)
+		admission->running_low -= 1.0;
+	admission->running_us -= ticket->work_us;
+	if (admission->running < 1.0)
+		admission->running_us = 0.0;
+}
+
+/* The class that has been given the least for its weight. */
+static struct service_class *next_class(ks_admission_t *admission,
+					int64_t now_us)
+{
+	struct service_class *next = NULL;
+
+	for (unsigned i = 0; i < N_CLASSES; i++) {
+		struct service_class *class = &admission->classes[i];
+
+		if (!ks_ticket_heap_first(&class->queue) ||
+		    !has_room(admission, i, now_us))
+			continue;
+		class->given = MAX(class->given, admission->class_time);
+		if (!next || class->given < next->given)
+			next = class;
+	}
+	return next;
+}
+
+/**
+ * ks_admission_next() - take the queued request that may start now
+ *
+ * A request that can no longer finish by its deadline is not started; it is
+ * returned by ks_admission_expired().
+ *
+ * Return: the ticket, which counts as admitted, or NULL.
+ */
+ks_ticket_t *ks_admission_next(ks_admission_t *admission, int64_t now_us)
+{
+	struct service_class *class;
+
+	while ((class = next_class(admission, now_us))) {
+		ks_ticket_t *ticket = ks_ticket_heap_first(&class->queue);
+
+		dequeue(admission, ticket);
+		if ((double)(ticket->deadline_us - now_us) >=
+		    ticket->work_us * admission->scale) {
+			start(admission, ticket, now_us);
+			return ticket;
+		}
+		ks_list_append(&admission->missed, &ticket->node);
+	}
+	return NULL;
+}
+
+/**
+ * ks_admission_expired() - take a queued request that cannot finish in time
+ * @retry_after_us: set when a ticket is returned
+ *
+ * Called on a timer and after ks_admission_next(), until it returns NULL.
+ *
+ * Return: a ticket that is no longer queued and never ran, or NULL.
+ */
+ks_ticket_t *ks_admission_expired(ks_admission_t *admission, int64_t now_us,
+				  int64_t *retry_after_us)
+{
+	ks_ticket_t *ticket = ks_ticket_heap_first(&admission->deadlines);
+
+	if (!ks_list_is_empty(&admission->missed)) {
+		ticket = KS_CONTAINER_OF(admission->missed.next, ks_ticket_t,
+					 node);
+		ks_list_remove(&ticket->node);
+	} else if (ticket &&
+		   (double)(ticket->deadline_us - now_us) < ticket->work_us) {
+		dequeue(admission, ticket);
+	} else {
+		return NULL;
+	}
+	*retry_after_us = retry_after(admission);
+	return ticket;
+}
--- /dev/null
+++ b/packages/request/src/route.c
@@ -0,0 +1,166 @@
+/* Choice of the upstream that a request goes to. */
+#include "ks/request.h"
+
+/*
+ * Draws are made among this many of the best candidates. More would place
+ * requests on upstreams that are clearly slower; fewer would let entries that
+ * see the same stale load all choose the same upstream.
+ */
+#define N_BEST 4
+
+/*
+ * A candidate counts as equal to the best one when its wait is longer by no
+ * more than this share of the best wait, or by NEAR_MIN_US. The load known
+ * here is up to one heartbeat old, so finer differences mean nothing.
+ */
+#define NEAR_SHARE 0.25
+#define NEAR_MIN_US 5000
+
+/*
+ * Cost of a request in flight beside its tokens. It orders plain services,
+ * whose requests have no tokens.
+ */
+#define REQUEST_US 1000
+
+/* Order of preference; a lower rank is always chosen first. */
+enum rank {
+	RANK_GOOD,
+	RANK_LATE,
+	RANK_FAILED_DOMAIN,
+	RANK_OVER_LIMIT,
+};
+
+struct option {
+	int index;
+	enum rank rank;
+	double wait_us;
+	double finish_us;
+};
+
+static double wait_for_slot(const ks_candidate_t *candidate)
+{
+	double over, mean_us;
+
+	if (candidate->limit == 0 || candidate->in_flight < candidate->limit)
+		return 0;
+	over = 1.0 + candidate->in_flight - candidate->limit;
+	mean_us = REQUEST_US + (double)candidate->output_tokens /
+				       candidate->in_flight *
+				       candidate->decode_us_per_token;
+	return over * mean_us / candidate->limit;
+}
+
+/* Time until the first token: network, queue and prefill. */
+static double expected_wait(const ks_route_request_t *request,
+			    const ks_candidate_t *candidate)
+{
+	uint32_t cached = MIN(candidate->cached_tokens, request->prompt_tokens);
+	double prefill = (double)candidate->prompt_tokens +
+			 request->prompt_tokens - cached;
+	double slots = MAX(candidate->limit, 1);
+
+	return 2.0 * (double)candidate->domain_distance_us +
+	       prefill * candidate->prefill_us_per_token +
+	       (double)candidate->output_tokens / slots *
+		       candidate->decode_us_per_token +
+	       (double)candidate->in_flight * REQUEST_US +
+	       wait_for_slot(candidate);
+}
+
+static struct option evaluate(const ks_route_request_t *request,
+			      const ks_candidate_t *candidate, int index)
+{
+	struct option option = { .index = index, .rank = RANK_GOOD };
+
+	option.wait_us = expected_wait(request, candidate);
+	option.finish_us =
+		option.wait_us +
+		request->output_tokens * candidate->decode_us_per_token;
+	if (candidate->limit > 0 && candidate->in_flight >= candidate->limit)
+		option.rank = RANK_OVER_LIMIT;
+	else if (candidate->same_domain_failed)
+		option.rank = RANK_FAILED_DOMAIN;
+	else if (option.finish_us > (double)request->time_left_us)
+		option.rank = RANK_LATE;
+	return option;
+}
+
+static bool is_better(const struct option *a, const struct option *b)
+{
+	if (a->rank != b->rank)
+		return a->rank < b->rank;
+	return a->finish_us < b->finish_us;
+}
+
+/* Inserts into the best options, which are kept in order. */
+static size_t keep_best(struct option *best, size_t n_best,
+			const struct option *option)
+{
+	size_t place = n_best;
+
+	while (place > 0 && is_better(option, &best[place - 1]))
+		place--;
+	if (place == N_BEST)
+		return n_best;
+	if (n_best < N_BEST)
+		n_best++;
+	for (size_t i = n_best - 1; i > place; i--)
+		best[i] = best[i - 1];
+	best[place] = *option;
+	return n_best;
+}
+
+static size_t count_near(const struct option *best, size_t n_best)
+{
+	double spare = MAX(best[0].wait_us * NEAR_SHARE, NEAR_MIN_US);
+	size_t n = 1;
+
+	while (n < n_best && best[n].rank == best[0].rank &&
+	       best[n].finish_us <= best[0].finish_us + spare)
+		n++;
+	return n;
+}
+
+/**
+ * ks_route_choose() - choose the upstream for a request
+ * @candidates: upstreams that serve the model or service
+ * @rng: breaks the agreement between entries that see the same load
+ *
+ * Estimates for each candidate the time to finish: network, prefill queued
+ * there and needed here beyond the cached tokens, decoding under way, and the
+ * request's own output. Of the best few that are nearly equal, two are drawn
+ * and the better one is taken. A cached prefix attracts a request only as long
+ * as the queue costs less than the prefill saved.
+ *
+ * Candidates over their limit come last, before them those in a failure domain
+ * where an attempt failed, before them those that would miss the deadline.
+ * Takes time linear in @n_candidates.
+ *
+ * Return: the choice, with index -1 when every candidate is excluded.
+ */
+ks_route_choice_t ks_route_choose(const ks_route_request_t *request,
+				  const ks_candidate_t *candidates,
+				  size_t n_candidates, ks_rng_t *rng)
+{
+	ks_route_choice_t none = { -1, 0 };
+	struct option best[N_BEST];
+	size_t n_best = 0, a, b;
+	uint32_t near;
+
+	for (size_t i = 0; i < n_candidates; i++) {
+		struct option option;
+
+		if (candidates[i].excluded)
+			continue;
+		option = evaluate(request, &candidates[i], (int)i);
+		n_best = keep_best(best, n_best, &option);
+	}
+	if (n_best == 0)
+		return none;
+	near = (uint32_t)count_near(best, n_best);
+	a = ks_rng_below(rng, near);
+	b = ks_rng_below(rng, near);
+	if (best[b].finish_us < best[a].finish_us)
+		a = b;
+	return (ks_route_choice_t){ best[a].index, (int64_t)best[a].finish_us };
+}
