Add the load tool

It sends streamed completions, lookups and charges with keys at Poisson arrivals, and verifies each answer against the stand-in engine's token sequence, so that an answer cut short or given to another request is found. The Makefile links the tool's parts into the test that covers them.

--- a/Makefile
+++ b/Makefile
@@ -92,7 +92,10 @@
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/packages/%: $(BUILD)/packages/%.o $(LIBS)
-	$(Q)$(CXX) $(CXXFLAGS) -o $@ $^ -lrapidcheck $(LDLIBS)
+	$(Q)$(CXX) $(CXXFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) -lrapidcheck $(LDLIBS)
+
+# The parts of the load tool that this test covers.
+$(BUILD)/packages/process/tests/test-load: $(patsubst %,$(BUILD)/bench/%.o,load_request load_run load_verify)
 
 setup:
 	@.ci/setup
--- /dev/null
+++ b/bench/load.h
@@ -0,0 +1,124 @@
+/* The load tool: options, verification of answers, the run and its report. */
+#ifndef LOAD_H
+#define LOAD_H
+
+#include "ks/connection.h"
+
+#define LOAD_MAX_ENTRIES 64
+
+typedef enum load_class {
+	LOAD_COMPLETION,
+	LOAD_LOOKUP,
+	LOAD_CHARGE,
+	LOAD_N_CLASSES
+} load_class_t;
+
+/**
+ * struct load_options - what to send and where
+ * @rates: requests a second for each class
+ * @timeout_ms: deadline of each request, sent as X-Request-Timeout-Ms
+ * @max_in_flight: requests beyond this are counted as skipped, not sent
+ */
+typedef struct load_options {
+	ks_address_t entries[LOAD_MAX_ENTRIES];
+	unsigned n_entries;
+	uint32_t seed;
+	double duration_s;
+	double rates[LOAD_N_CLASSES];
+	unsigned prompt_min;
+	unsigned prompt_max;
+	unsigned output_min;
+	unsigned output_max;
+	unsigned timeout_ms;
+	unsigned max_in_flight;
+	char *api_key;
+	char *model;
+	char *lookup_path;
+	char *charge_path;
+	bool json;
+} load_options_t;
+
+/* load_options.c */
+
+bool load_options_parse(load_options_t *options, int argc, char **argv,
+			int *status);
+void load_options_deinit(load_options_t *options);
+
+/* load_verify.c */
+
+/**
+ * enum load_verdict - what became of a request
+ * @LOAD_WHOLE: its own answer, to the end
+ * @LOAD_REFUSED: an error that says it has not run
+ * @LOAD_UNKNOWN: it may have run; the answer is missing
+ * @LOAD_FAILED: an error, or an answer that is marked as cut short
+ * @LOAD_WRONG: an answer that ended as if whole but is not, or is another
+ *	request's
+ */
+typedef enum load_verdict {
+	LOAD_WHOLE,
+	LOAD_REFUSED,
+	LOAD_UNKNOWN,
+	LOAD_FAILED,
+	LOAD_WRONG,
+	LOAD_N_VERDICTS
+} load_verdict_t;
+
+/**
+ * struct load_stream - a completion as it arrives in server-sent events
+ * @line: the last line, as far as it has arrived
+ * @text: of all tokens so far
+ * @finish_reason: empty until one arrives
+ */
+typedef struct load_stream {
+	GString *line;
+	GString *text;
+	char finish_reason[16];
+	int64_t completion_tokens;
+	bool has_usage;
+	bool done;
+	bool failed;
+	bool malformed;
+} load_stream_t;
+
+void load_stream_init(load_stream_t *stream);
+void load_stream_deinit(load_stream_t *stream);
+void load_stream_feed(load_stream_t *stream, ks_str_t data);
+void load_expected_text(GString *out, ks_str_t prompt, unsigned tokens);
+load_verdict_t load_verify_completion(const load_stream_t *stream,
+				      ks_str_t prompt, unsigned max_tokens,
+				      const char **why);
+load_verdict_t load_verify_error(int status, ks_str_t body);
+bool load_answers(ks_str_t body, const char *member, const char *value);
+
+/* load_run.c */
+
+/**
+ * struct load_stats - outcome of one class
+ * @skipped: not sent, because too many requests were in flight
+ * @late: whole, but after the deadline
+ * @first_us: time to the first token of each whole answer, array of int64_t
+ * @whole_us: time to the end of each whole answer, array of int64_t
+ */
+typedef struct load_stats {
+	uint64_t sent;
+	uint64_t skipped;
+	uint64_t verdicts[LOAD_N_VERDICTS];
+	uint64_t late;
+	uint64_t tokens;
+	GArray *first_us;
+	GArray *whole_us;
+} load_stats_t;
+
+void load_stats_init(load_stats_t stats[LOAD_N_CLASSES]);
+void load_stats_deinit(load_stats_t stats[LOAD_N_CLASSES]);
+void load_run(ks_loop_t *loop, const load_options_t *options,
+	      load_stats_t stats[LOAD_N_CLASSES]);
+
+/* load_report.c */
+
+void load_report(const load_options_t *options,
+		 const load_stats_t stats[LOAD_N_CLASSES]);
+bool load_any_wrong(const load_stats_t stats[LOAD_N_CLASSES]);
+
+#endif
--- /dev/null
+++ b/bench/load_run.c
@@ -0,0 +1,286 @@
+/* A run of the load tool: draws requests and sends each at its time. */
+#include "load_request.h"
+
+#include <inttypes.h>
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Prompts of one group start with the same words. */
+#define N_PREFIXES 16
+
+/* Share of the prompts that belong to a group, and its share of the prompt. */
+#define SHARED_PROMPTS 0.5
+#define SHARED_PART 0.75
+
+/* Share of the charges that are sent twice, and the greatest delay between. */
+#define COPIED_CHARGES 0.25
+#define COPY_DELAY_US (50 * KS_USEC_PER_MSEC)
+
+/* After the last request, answers are awaited for the deadline and this. */
+#define END_US (10 * KS_USEC_PER_SEC)
+
+struct run;
+
+struct arrivals {
+	struct run *run;
+	load_class_t class;
+	ks_timer_t timer;
+	int64_t due_us;
+};
+
+struct run {
+	ks_loop_t *loop;
+	const load_options_t *options;
+	load_stats_t *stats;
+	ks_http_client_t client;
+	ks_rng_t rng;
+	ks_timer_t end;
+	struct arrivals arrivals[LOAD_N_CLASSES];
+	ks_list_t requests;
+	unsigned in_flight;
+	int64_t last_us;
+	uint64_t n_baskets;
+};
+
+/**
+ * load_stats_init() - set up counts for every class
+ */
+void load_stats_init(load_stats_t stats[LOAD_N_CLASSES])
+{
+	memset(stats, 0, LOAD_N_CLASSES * sizeof(stats[0]));
+	for (int i = 0; i < LOAD_N_CLASSES; i++) {
+		stats[i].first_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
+		stats[i].whole_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	}
+}
+
+/**
+ * load_stats_deinit() - free them
+ */
+void load_stats_deinit(load_stats_t stats[LOAD_N_CLASSES])
+{
+	for (int i = 0; i < LOAD_N_CLASSES; i++) {
+		g_array_free(stats[i].first_us, TRUE);
+		g_array_free(stats[i].whole_us, TRUE);
+	}
+}
+
+/* Words of three letters and a space: one token by any usual estimate. */
+static void append_words(GString *out, ks_rng_t *rng, unsigned count)
+{
+	for (unsigned i = 0; i < count; i++) {
+		uint32_t word = ks_rng_below(rng, 26 * 26 * 26);
+
+		g_string_append_c(out, (char)('a' + word % 26));
+		g_string_append_c(out, (char)('a' + word / 26 % 26));
+		g_string_append_c(out, (char)('a' + word / 26 / 26));
+		g_string_append_c(out, ' ');
+	}
+}
+
+static unsigned draw_between(ks_rng_t *rng, unsigned min, unsigned max)
+{
+	return min + ks_rng_below(rng, max - min + 1);
+}
+
+static void draw_prompt(struct run *run, load_request_t *request)
+{
+	const load_options_t *options = run->options;
+	unsigned tokens = draw_between(&run->rng, options->prompt_min,
+				       options->prompt_max);
+	unsigned shared = 0;
+	ks_rng_t words;
+
+	if (ks_rng_unit(&run->rng) < SHARED_PROMPTS) {
+		shared = (unsigned)(SHARED_PART * tokens);
+		ks_rng_init(&words, options->seed + ks_rng_below(&run->rng,
+								 N_PREFIXES));
+		append_words(request->prompt, &words, shared);
+		ks_rng_deinit(&words);
+	}
+	append_words(request->prompt, &run->rng, tokens - shared);
+	request->max_tokens = draw_between(&run->rng, options->output_min,
+					   options->output_max);
+}
+
+/* A UUID of version 7: its time of issue is what the entry needs. */
+static void draw_key(struct run *run, char *out, size_t size)
+{
+	uint64_t ms = (uint64_t)(ks_clock_now(ks_clock_wall()) / 1000);
+	uint32_t a = ks_rng_below(&run->rng, 0x1000);
+	uint32_t b = ks_rng_below(&run->rng, 0x4000) | 0x8000;
+	uint32_t c = ks_rng_below(&run->rng, 0x1000000);
+	uint32_t d = ks_rng_below(&run->rng, 0x1000000);
+
+	snprintf(out, size, "%08x-%04x-7%03x-%04x-%06x%06x",
+		 (unsigned)(ms >> 16), (unsigned)(ms & 0xffff), a, b, c, d);
+}
+
+static void stop_if_idle(struct run *run)
+{
+	if (ks_loop_now(run->loop) < run->last_us || run->in_flight > 0)
+		return;
+	for (int i = 0; i < LOAD_N_CLASSES; i++)
+		if (ks_timer_is_set(&run->arrivals[i].timer))
+			return;
+	ks_loop_stop(run->loop);
+}
+
+static void on_finished(void *ctx, load_request_t *request)
+{
+	struct run *run = ctx;
+
+	ks_list_remove(&request->node);
+	run->in_flight--;
+	load_request_free(request);
+	stop_if_idle(run);
+}
+
+static void on_delay(void *ctx)
+{
+	load_request_send(ctx);
+}
+
+static load_request_t *create_request(struct run *run, load_class_t class)
+{
+	load_request_t *request = g_new0(load_request_t, 1);
+
+	request->options = run->options;
+	request->client = &run->client;
+	request->stats = &run->stats[class];
+	request->class = class;
+	request->entry = ks_rng_below(&run->rng, run->options->n_entries);
+	request->prompt = g_string_new(NULL);
+	request->body = g_string_new(NULL);
+	request->finished = on_finished;
+	request->ctx = run;
+	load_stream_init(&request->stream);
+	ks_timer_init(&request->delay, run->loop, on_delay, request);
+	ks_list_append(&run->requests, &request->node);
+	run->in_flight++;
+	return request;
+}
+
+static void send_copy(struct run *run, load_request_t *first)
+{
+	load_request_t *copy = create_request(run, LOAD_CHARGE);
+
+	g_strlcpy(copy->id, first->id, sizeof(copy->id));
+	copy->entry = (first->entry + 1) % run->options->n_entries;
+	copy->max_tokens = first->max_tokens;
+	copy->pair = first->pair = g_new0(load_pair_t, 1);
+	copy->pair->refs = 2;
+	ks_timer_set(&copy->delay,
+		     (int64_t)(ks_rng_unit(&run->rng) * COPY_DELAY_US));
+}
+
+static void send_new(struct run *run, load_class_t class)
+{
+	load_request_t *request = create_request(run, class);
+
+	if (class == LOAD_COMPLETION) {
+		draw_prompt(run, request);
+		snprintf(request->id, sizeof(request->id), "completion");
+	} else if (class == LOAD_LOOKUP) {
+		snprintf(request->id, sizeof(request->id), "b%" PRIu64,
+			 run->n_baskets++);
+	} else {
+		draw_key(run, request->id, sizeof(request->id));
+		request->max_tokens = draw_between(&run->rng, 1, 10000);
+		if (ks_rng_unit(&run->rng) < COPIED_CHARGES)
+			send_copy(run, request);
+	}
+	load_request_send(request);
+}
+
+/* Poisson arrivals: the next one does not wait for earlier answers. */
+static void schedule(struct arrivals *arrivals)
+{
+	struct run *run = arrivals->run;
+	double rate = run->options->rates[arrivals->class];
+	double gap_s = -log(1.0 - ks_rng_unit(&run->rng)) / rate;
+
+	arrivals->due_us += (int64_t)(gap_s * KS_USEC_PER_SEC);
+	if (arrivals->due_us < run->last_us)
+		ks_timer_set(&arrivals->timer,
+			     MAX(arrivals->due_us - ks_loop_now(run->loop), 0));
+}
+
+static void on_arrival(void *ctx)
+{
+	struct arrivals *arrivals = ctx;
+	struct run *run = arrivals->run;
+
+	schedule(arrivals);
+	if (run->in_flight < run->options->max_in_flight)
+		send_new(run, arrivals->class);
+	else
+		run->stats[arrivals->class].skipped++;
+}
+
+static void on_end(void *ctx)
+{
+	struct run *run = ctx;
+	int64_t limit = run->last_us +
+			run->options->timeout_ms * KS_USEC_PER_MSEC + END_US;
+
+	stop_if_idle(run);
+	if (run->loop->stopping)
+		return;
+	if (ks_loop_now(run->loop) >= limit)
+		ks_loop_stop(run->loop);
+	else
+		ks_timer_set(&run->end, KS_USEC_PER_SEC / 10);
+}
+
+static void start_run(struct run *run)
+{
+	int64_t now = ks_loop_now(run->loop);
+
+	run->last_us =
+		now + (int64_t)(run->options->duration_s * KS_USEC_PER_SEC);
+	ks_timer_init(&run->end, run->loop, on_end, run);
+	ks_timer_set(&run->end, run->last_us - now);
+	for (int i = 0; i < LOAD_N_CLASSES; i++) {
+		struct arrivals *arrivals = &run->arrivals[i];
+
+		arrivals->run = run;
+		arrivals->class = (load_class_t)i;
+		arrivals->due_us = now;
+		ks_timer_init(&arrivals->timer, run->loop, on_arrival,
+			      arrivals);
+		if (run->options->rates[i] > 0)
+			schedule(arrivals);
+	}
+}
+
+/**
+ * load_run() - send the load and wait for the answers
+ * @loop: stopped on return
+ * @stats: set up with load_stats_init()
+ *
+ * Ends at the latest one deadline and 10 s after the last request.
+ */
+void load_run(ks_loop_t *loop, const load_options_t *options,
+	      load_stats_t stats[LOAD_N_CLASSES])
+{
+	struct run run = { .loop = loop, .options = options, .stats = stats };
+
+	ks_rng_init(&run.rng, options->seed);
+	ks_http_client_init(&run.client, loop);
+	ks_list_init(&run.requests);
+	start_run(&run);
+	ks_loop_run(loop);
+	ks_timer_clear(&run.end);
+	while (!ks_list_is_empty(&run.requests)) {
+		load_request_t *request = KS_CONTAINER_OF(run.requests.next,
+							  load_request_t, node);
+
+		ks_list_remove(&request->node);
+		load_request_give_up(request);
+		load_request_free(request);
+	}
+	ks_http_client_deinit(&run.client);
+	ks_rng_deinit(&run.rng);
+}
--- /dev/null
+++ b/bench/load_verify.c
@@ -0,0 +1,202 @@
+/*
+ * Verification of answers. The stand-in engine's tokens follow from the prompt,
+ * so an answer that lacks a part or belongs to another prompt is recognised.
+ */
+#include "load.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define TOKEN_STEP UINT64_C(0x9E3779B97F4A7C15)
+#define TOKEN_RANGE 100000
+
+/**
+ * load_expected_text() - append what the stand-in engine answers to a prompt
+ * @tokens: number of tokens
+ */
+void load_expected_text(GString *out, ks_str_t prompt, unsigned tokens)
+{
+	uint64_t hash = XXH64(prompt.data, prompt.len, 0);
+
+	for (uint64_t i = 0; i < tokens; i++)
+		g_string_append_printf(
+			out, "t%u ",
+			(unsigned)((hash ^ (i * TOKEN_STEP)) % TOKEN_RANGE));
+}
+
+/**
+ * load_stream_init() - set up a stream of which nothing has arrived
+ */
+void load_stream_init(load_stream_t *stream)
+{
+	memset(stream, 0, sizeof(*stream));
+	stream->line = g_string_new(NULL);
+	stream->text = g_string_new(NULL);
+}
+
+/**
+ * load_stream_deinit() - free it
+ */
+void load_stream_deinit(load_stream_t *stream)
+{
+	g_string_free(stream->line, TRUE);
+	g_string_free(stream->text, TRUE);
+}
+
+static void read_choice(load_stream_t *stream, const json_t *choice)
+{
+	const json_t *delta = json_object_get(choice, "delta");
+	const char *reason =
+		json_string_value(json_object_get(choice, "finish_reason"));
+	const char *text =
+		json_string_value(delta ? json_object_get(delta, "content")
+					: json_object_get(choice, "text"));
+
+	if (text)
+		g_string_append(stream->text, text);
+	if (reason)
+		g_strlcpy(stream->finish_reason, reason,
+			  sizeof(stream->finish_reason));
+}
+
+static void read_event(load_stream_t *stream, const char *data, size_t len)
+{
+	json_t *event = json_loadb(data, len, 0, NULL);
+	const json_t *usage = json_object_get(event, "usage");
+
+	if (!event)
+		stream->malformed = true;
+	if (json_object_get(event, "error"))
+		stream->failed = true;
+	read_choice(stream,
+		    json_array_get(json_object_get(event, "choices"), 0));
+	if (json_is_object(usage)) {
+		stream->has_usage = true;
+		stream->completion_tokens = json_integer_value(
+			json_object_get(usage, "completion_tokens"));
+	}
+	json_decref(event);
+}
+
+static void read_line(load_stream_t *stream)
+{
+	const char *line = stream->line->str;
+	size_t len = stream->line->len;
+
+	if (len > 0 && line[len - 1] == '\r')
+		len--;
+	if (len < 5 || strncmp(line, "data:", 5) != 0)
+		return;
+	line += 5;
+	len -= 5;
+	while (len > 0 && *line == ' ') {
+		line++;
+		len--;
+	}
+	if (stream->done)
+		stream->malformed = true;
+	else if (len == 6 && !strncmp(line, "[DONE]", 6))
+		stream->done = true;
+	else
+		read_event(stream, line, len);
+}
+
+/**
+ * load_stream_feed() - take the next bytes
+ */
+void load_stream_feed(load_stream_t *stream, ks_str_t data)
+{
+	for (size_t i = 0; i < data.len; i++) {
+		if (data.data[i] != '\n') {
+			g_string_append_c(stream->line, data.data[i]);
+			continue;
+		}
+		read_line(stream);
+		g_string_truncate(stream->line, 0);
+	}
+}
+
+static bool has_expected_text(const load_stream_t *stream, ks_str_t prompt)
+{
+	GString *expected = g_string_new(NULL);
+	bool same;
+
+	load_expected_text(expected, prompt,
+			   (unsigned)stream->completion_tokens);
+	same = g_string_equal(expected, stream->text);
+	g_string_free(expected, TRUE);
+	return same;
+}
+
+/**
+ * load_verify_completion() - judge a stream whose HTTP answer ended as whole
+ * @max_tokens: that were asked for
+ * @why: set to what is wrong for LOAD_WRONG
+ */
+load_verdict_t load_verify_completion(const load_stream_t *stream,
+				      ks_str_t prompt, unsigned max_tokens,
+				      const char **why)
+{
+	bool full = stream->completion_tokens == max_tokens;
+
+	*why = NULL;
+	if (stream->failed && !stream->done)
+		return LOAD_FAILED;
+	if (stream->failed)
+		*why = "an error event and [DONE] in one stream";
+	else if (stream->malformed)
+		*why = "an event is malformed or follows [DONE]";
+	else if (!stream->done)
+		*why = "it ended without [DONE]";
+	else if (!stream->has_usage)
+		*why = "usage is missing";
+	else if (stream->completion_tokens < 1 ||
+		 stream->completion_tokens > max_tokens)
+		*why = "the token count in usage is out of range";
+	else if (strcmp(stream->finish_reason, "stop") != 0 &&
+		 (strcmp(stream->finish_reason, "length") != 0 || !full))
+		*why = "the finish reason is missing or contradicts usage";
+	else if (!has_expected_text(stream, prompt))
+		*why = "the tokens are not those of the prompt";
+	return *why ? LOAD_WRONG : LOAD_WHOLE;
+}
+
+/**
+ * load_verify_error() - judge an answer that reports an error
+ */
+load_verdict_t load_verify_error(int status, ks_str_t body)
+{
+	load_verdict_t verdict = LOAD_FAILED;
+	json_t *root = json_loadb(body.len ? body.data : "", body.len, 0, NULL);
+	const json_t *error = json_object_get(root, "error");
+	const char *code = json_string_value(json_object_get(error, "code"));
+	ks_error_kind_t kind =
+		code ? ks_error_kind_from_code(code) : KS_ERROR_NONE;
+
+	if (json_is_true(json_object_get(error, "not_run")))
+		verdict = LOAD_REFUSED;
+	else if (kind == KS_ERROR_OUTCOME_UNKNOWN ||
+		 kind == KS_ERROR_IN_PROGRESS || status == 504)
+		verdict = LOAD_UNKNOWN;
+	json_decref(root);
+	return verdict;
+}
+
+/**
+ * load_answers() - whether an answer is not visibly another request's
+ * @member: member of the answer that names the request
+ * @value: the name that was sent
+ *
+ * Return: false when the answer is JSON and names another request.
+ */
+bool load_answers(ks_str_t body, const char *member, const char *value)
+{
+	json_t *root = json_loadb(body.len ? body.data : "", body.len, 0, NULL);
+	const char *found = json_string_value(json_object_get(root, member));
+	bool same = !found || !strcmp(found, value);
+
+	json_decref(root);
+	return same;
+}
