Draw among all nearly equal upstreams when routing

Keeping only the four best let every entry that saw the same load choose among the same four upstreams. The property tests cover the order of preference, hot prefixes, herding and deadlines.

--- a/packages/request/src/route.c
+++ b/packages/request/src/route.c
@@ -1,13 +1,6 @@
 /* Choice of the upstream that a request goes to. */
 #include "ks/request.h"
 
-/*
- * Draws are made among this many of the best candidates. More would place
- * requests on upstreams that are clearly slower; fewer would let entries that
- * see the same stale load all choose the same upstream.
- */
-#define N_BEST 4
-
 /*
  * A candidate counts as equal to the best one when its wait is longer by no
  * more than this share of the best wait, or by NEAR_MIN_US. The load known
@@ -92,32 +85,56 @@
 	return a->finish_us < b->finish_us;
 }
 
-/* Inserts into the best options, which are kept in order. */
-static size_t keep_best(struct option *best, size_t n_best,
-			const struct option *option)
+static struct option find_best(const ks_route_request_t *request,
+			       const ks_candidate_t *candidates,
+			       size_t n_candidates)
+{
+	struct option best = { .index = -1 };
+
+	for (size_t i = 0; i < n_candidates; i++) {
+		struct option option;
+
+		if (candidates[i].excluded)
+			continue;
+		option = evaluate(request, &candidates[i], (int)i);
+		if (best.index < 0 || is_better(&option, &best))
+			best = option;
+	}
+	return best;
+}
+
+static bool is_near(const struct option *option, const struct option *best)
 {
-	size_t place = n_best;
-
-	while (place > 0 && is_better(option, &best[place - 1]))
-		place--;
-	if (place == N_BEST)
-		return n_best;
-	if (n_best < N_BEST)
-		n_best++;
-	for (size_t i = n_best - 1; i > place; i--)
-		best[i] = best[i - 1];
-	best[place] = *option;
-	return n_best;
+	double spare = MAX(best->wait_us * NEAR_SHARE, NEAR_MIN_US);
+
+	return option->rank == best->rank &&
+	       option->finish_us <= best->finish_us + spare;
 }
 
-static size_t count_near(const struct option *best, size_t n_best)
+/*
+ * Counts the candidates that are nearly as good as the best one, and sets
+ * @found to the one with number @wanted among them.
+ */
+static uint32_t scan_near(const ks_route_request_t *request,
+			  const ks_candidate_t *candidates, size_t n_candidates,
+			  const struct option *best, uint32_t wanted,
+			  struct option *found)
 {
-	double spare = MAX(best[0].wait_us * NEAR_SHARE, NEAR_MIN_US);
-	size_t n = 1;
+	uint32_t n = 0;
+
+	for (size_t i = 0; i < n_candidates; i++) {
+		struct option option;
 
-	while (n < n_best && best[n].rank == best[0].rank &&
-	       best[n].finish_us <= best[0].finish_us + spare)
-		n++;
+		if (candidates[i].excluded)
+			continue;
+		option = evaluate(request, &candidates[i], (int)i);
+		if (!is_near(&option, best))
+			continue;
+		if (n++ == wanted) {
+			*found = option;
+			return n;
+		}
+	}
 	return n;
 }
 
@@ -128,9 +145,9 @@
  *
  * Estimates for each candidate the time to finish: network, prefill queued
  * there and needed here beyond the cached tokens, decoding under way, and the
- * request's own output. Of the best few that are nearly equal, two are drawn
- * and the better one is taken. A cached prefix attracts a request only as long
- * as the queue costs less than the prefill saved.
+ * request's own output. Of the candidates nearly as good as the best one, two
+ * are drawn and the better one is taken. A cached prefix attracts a request
+ * only as long as the queue costs less than the prefill saved.
  *
  * Candidates over their limit come last, before them those in a failure domain
  * where an attempt failed, before them those that would miss the deadline.
@@ -142,25 +159,21 @@
 				  const ks_candidate_t *candidates,
 				  size_t n_candidates, ks_rng_t *rng)
 {
-	ks_route_choice_t none = { -1, 0 };
-	struct option best[N_BEST];
-	size_t n_best = 0, a, b;
-	uint32_t near;
-
-	for (size_t i = 0; i < n_candidates; i++) {
-		struct option option;
-
-		if (candidates[i].excluded)
-			continue;
-		option = evaluate(request, &candidates[i], (int)i);
-		n_best = keep_best(best, n_best, &option);
+	struct option best = find_best(request, candidates, n_candidates);
+	struct option first = best, second = best;
+	uint32_t n_near;
+
+	if (best.index < 0)
+		return (ks_route_choice_t){ -1, 0 };
+	n_near = scan_near(request, candidates, n_candidates, &best, UINT32_MAX,
+			   &first);
+	if (n_near > 1) {
+		scan_near(request, candidates, n_candidates, &best,
+			  ks_rng_below(rng, n_near), &first);
+		scan_near(request, candidates, n_candidates, &best,
+			  ks_rng_below(rng, n_near), &second);
 	}
-	if (n_best == 0)
-		return none;
-	near = (uint32_t)count_near(best, n_best);
-	a = ks_rng_below(rng, near);
-	b = ks_rng_below(rng, near);
-	if (best[b].finish_us < best[a].finish_us)
-		a = b;
-	return (ks_route_choice_t){ best[a].index, (int64_t)best[a].finish_us };
+	if (second.finish_us < first.finish_us)
+		first = second;
+	return (ks_route_choice_t){ first.index, (int64_t)first.finish_us };
 }
