Test admission and estimate lookups' wait from their own slots

The reserved slots serve class 0 alone, so a lookup's wait does not depend on the long prompts beside it.

--- a/packages/request/src/admission.c
+++ b/packages/request/src/admission.c
@@ -52,6 +52,8 @@
  * @virtual_time: tag of the ticket admitted last
  * @weights: sum over the tenants with a queued ticket
  * @queued_us: expected work of the queued tickets
+ * @running: number of admitted tickets
+ * @running_us: their expected work
  * @given: work admitted, divided by the weight of the class
  */
 struct service_class {
@@ -59,6 +61,8 @@
 	double virtual_time;
 	double weights;
 	double queued_us;
+	double running;
+	double running_us;
 	double weight;
 	double given;
 };
@@ -70,8 +74,6 @@
 	ks_list_t missed;
 	double capacity;
 	double running;
-	double running_low;
-	double running_us;
 	double scale;
 	double class_time;
 	int64_t class0_seen_us;
@@ -202,7 +204,7 @@
 	if (class == 0)
 		return true;
 	low = admission->capacity - reserved_slots(admission, now_us);
-	return admission->running_low + 1.0 <= low;
+	return admission->running - admission->classes[0].running + 1.0 <= low;
 }
 
 static void start(ks_admission_t *admission, ks_ticket_t *ticket,
@@ -216,9 +218,8 @@
 	admission->class_time = class->given;
 	class->given += ticket->work_us / class->weight;
 	admission->running += 1.0;
-	if (i > 0)
-		admission->running_low += 1.0;
-	admission->running_us += ticket->work_us;
+	class->running += 1.0;
+	class->running_us += ticket->work_us;
 	ticket->admitted = true;
 	ticket->admitted_us = now_us;
 }
@@ -256,43 +257,75 @@
 	ticket->queued = false;
 }
 
-/* Time until a ticket that is to be queued would start, at the least share. */
-static double expected_wait(const ks_admission_t *admission,
-			    const ks_ticket_t *ticket,
-			    const struct tenant *tenant)
+static double backlog_us(const ks_admission_t *admission)
+{
+	double sum = 0.0;
+
+	for (int i = 0; i < N_CLASSES; i++)
+		sum += admission->classes[i].queued_us;
+	return sum;
+}
+
+static double running_us(const ks_admission_t *admission)
+{
+	double sum = 0.0;
+
+	for (int i = 0; i < N_CLASSES; i++)
+		sum += admission->classes[i].running_us;
+	return sum;
+}
+
+/* Work done before a ticket that is to be queued, at its tenant's fair share.
+ */
+static double fair_work_ahead(const ks_admission_t *admission,
+			      const ks_ticket_t *ticket,
+			      const struct tenant *tenant)
 {
 	unsigned i = class_of(ticket);
 	const struct service_class *class = &admission->classes[i];
-	double slots = MAX(admission->capacity, 1.0);
 	double weights = class->weights, shares = class->weight;
-	double fair, backlog = 0.0;
 
 	if (tenant->queued[i] == 0)
 		weights += tenant->weight;
-	for (unsigned j = 0; j < N_CLASSES; j++) {
-		const struct service_class *other = &admission->classes[j];
-
-		backlog += other->queued_us;
-		if (j != i && ks_ticket_heap_first(&other->queue))
-			shares += other->weight;
-	}
-	fair = (ticket->finish_tag - class->virtual_time) * weights * shares /
+	for (unsigned j = 0; j < N_CLASSES; j++)
+		if (j != i &&
+		    ks_ticket_heap_first(&admission->classes[j].queue))
+			shares += admission->classes[j].weight;
+	return (ticket->finish_tag - class->virtual_time) * weights * shares /
 	       class->weight;
-	/* A slot comes free after the running work divided by the slots. */
-	return (MIN(fair, backlog + ticket->work_us) +
-		admission->running_us / MAX(admission->running, 1.0)) *
-	       admission->scale / slots;
+}
+
+/* Time until a ticket that is to be queued would start. */
+static double expected_wait(const ks_admission_t *admission,
+			    const ks_ticket_t *ticket,
+			    const struct tenant *tenant, int64_t now_us)
+{
+	const struct service_class *first = &admission->classes[0];
+	double slots = MAX(admission->capacity, 1.0);
+	double reserved = reserved_slots(admission, now_us);
+	double wait;
+
+	/* A slot comes free after the mean running work over the slots. */
+	wait = (MIN(fair_work_ahead(admission, ticket, tenant),
+		    backlog_us(admission) + ticket->work_us) +
+		running_us(admission) / MAX(admission->running, 1.0)) /
+	       slots;
+	/* The reserved slots serve class 0 alone, whatever runs beside it. */
+	if (class_of(ticket) == 0 && reserved >= 1.0)
+		wait = MIN(wait,
+			   (first->queued_us +
+			    first->running_us / MAX(first->running, 1.0)) /
+				   reserved);
+	return wait * admission->scale;
 }
 
 static int64_t retry_after(const ks_admission_t *admission)
 {
 	double slots = MAX(admission->capacity, 1.0);
-	double backlog = admission->running_us;
+	double left = (running_us(admission) + backlog_us(admission)) *
+		      admission->scale / slots;
 
-	for (int i = 0; i < N_CLASSES; i++)
-		backlog += admission->classes[i].queued_us;
-	backlog *= admission->scale / slots;
-	return (int64_t)CLAMP(backlog, (double)RETRY_AFTER_MIN_US,
+	return (int64_t)CLAMP(left, (double)RETRY_AFTER_MIN_US,
 			      (double)RETRY_AFTER_MAX_US);
 }
 
@@ -342,7 +375,7 @@
 	at_once = has_room(admission, i, now_us) &&
 		  !ks_ticket_heap_first(&class->queue);
 	if (!at_once)
-		wait = expected_wait(admission, ticket, tenant);
+		wait = expected_wait(admission, ticket, tenant, now_us);
 	if (!can_finish(admission, ticket, wait, now_us)) {
 		*retry_after_us = retry_after(admission);
 		return KS_ADMIT_REFUSE;
@@ -375,6 +408,8 @@
 void ks_admission_leave(ks_admission_t *admission, ks_ticket_t *ticket,
 			int64_t now_us)
 {
+	struct service_class *class = &admission->classes[class_of(ticket)];
+
 	if (ticket->queued)
 		dequeue(admission, ticket);
 	ks_list_remove(&ticket->node);
@@ -383,11 +418,10 @@
 	ticket->admitted = false;
 	learn_scale(admission, ticket, now_us);
 	admission->running -= 1.0;
-	if (class_of(ticket) > 0)
-		admission->running_low -= 1.0;
-	admission->running_us -= ticket->work_us;
-	if (admission->running < 1.0)
-		admission->running_us = 0.0;
+	class->running -= 1.0;
+	class->running_us -= ticket->work_us;
+	if (class->running < 1.0)
+		class->running_us = 0.0; /* no sum of rounding errors */
 }
 
 /* The class that has been given the least for its weight. */
--- /dev/null
+++ b/packages/request/tests/prop-admission.cpp
@@ -0,0 +1,382 @@
+/* Properties of admission, some of them in a simulation with its own time. */
+#include "ks/request.h"
+
+#include <algorithm>
+#include <memory>
+#include <queue>
+#include <random>
+#include <rapidcheck.h>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+const int64_t SEC = KS_USEC_PER_SEC;
+const int64_t FAR = INT64_MAX / 4;
+
+struct Admission {
+	ks_admission_t *ptr = ks_admission_new();
+
+	~Admission()
+	{
+		ks_admission_free(ptr);
+	}
+};
+
+ks_ticket_t make_ticket(const char *tenant, double work_us, int64_t deadline_us,
+			unsigned priority)
+{
+	ks_ticket_t ticket = {};
+
+	ticket.tenant = tenant;
+	ticket.work_us = work_us;
+	ticket.deadline_us = deadline_us;
+	ticket.priority = priority;
+	return ticket;
+}
+
+/* Guards against a tenant with many requests taking the share of others. */
+bool check_fair_shares()
+{
+	return rc::check("backlogged tenants share by weight", [] {
+		auto weight = *rc::gen::inRange(1, 8);
+		auto work_a = *rc::gen::inRange(1, 2000);
+		auto work_b = *rc::gen::inRange(1, 2000);
+		const size_t n = 200;
+		std::vector<ks_ticket_t> tickets;
+		double given[2] = { 0, 0 };
+		size_t left[2] = { n, n };
+		int64_t retry;
+		Admission a;
+
+		ks_admission_set_capacity(a.ptr, 0);
+		ks_admission_set_weight(a.ptr, "a", weight);
+		for (size_t i = 0; i < 2 * n; i++)
+			tickets.push_back(make_ticket(i < n ? "a" : "b",
+						      i < n ? work_a : work_b,
+						      FAR, 1));
+		for (auto &ticket : tickets)
+			RC_ASSERT(ks_admission_arrive(a.ptr, &ticket, 0,
+						      &retry) ==
+				  KS_ADMIT_QUEUE);
+		ks_admission_set_capacity(a.ptr, 1);
+		while (left[0] > 0 && left[1] > 0) {
+			ks_ticket_t *ticket = ks_admission_next(a.ptr, 0);
+			int tenant = ticket->tenant[0] - 'a';
+
+			RC_ASSERT(!ks_admission_next(a.ptr, 0));
+			given[tenant] += ticket->work_us;
+			left[tenant]--;
+			/* The bound of self-clocked fair queueing. */
+			RC_ASSERT(std::abs(given[0] / weight - given[1]) <=
+				  (double)work_a / weight + work_b + 1e-6);
+			ks_admission_leave(a.ptr, ticket, 0);
+		}
+		for (auto &ticket : tickets)
+			ks_admission_leave(a.ptr, &ticket, 0);
+	});
+}
+
+/* Guards against tickets lost, returned twice or admitted over capacity. */
+bool check_accounting()
+{
+	return rc::check("every ticket ends once and capacity holds", [] {
+		auto capacity = *rc::gen::inRange(1, 8);
+		auto steps = *rc::gen::container<std::vector<int>>(
+			rc::gen::inRange(0, 1000));
+		std::vector<std::unique_ptr<ks_ticket_t>> waiting, running;
+		const char *names[] = { "a", "b", "c" };
+		int64_t now = 0, retry = 0;
+		Admission a;
+
+		auto take = [](auto &from, const ks_ticket_t *ticket) {
+			auto it = std::find_if(from.begin(), from.end(),
+					       [=](const auto &held) {
+						       return held.get() ==
+							      ticket;
+					       });
+			RC_ASSERT(it != from.end());
+			auto held = std::move(*it);
+			from.erase(it);
+			return held;
+		};
+		auto settle = [&] {
+			while (ks_ticket_t *next =
+				       ks_admission_next(a.ptr, now)) {
+				RC_ASSERT(next->deadline_us > now);
+				running.push_back(take(waiting, next));
+			}
+			while (ks_ticket_t *late = ks_admission_expired(
+				       a.ptr, now, &retry)) {
+				RC_ASSERT(retry > 0);
+				take(waiting, late);
+			}
+			RC_ASSERT(running.size() <= (size_t)capacity);
+		};
+		ks_admission_set_capacity(a.ptr, capacity);
+		for (int step : steps) {
+			now += step * 100;
+			if (step % 3 == 0 && !running.empty()) {
+				auto done = std::move(running.back());
+				running.pop_back();
+				ks_admission_leave(a.ptr, done.get(), now);
+			} else if (step % 7 == 0 && !waiting.empty()) {
+				auto gone = std::move(waiting.back());
+				waiting.pop_back();
+				ks_admission_leave(a.ptr, gone.get(), now);
+				ks_admission_leave(a.ptr, gone.get(), now);
+			} else {
+				auto ticket = std::make_unique<ks_ticket_t>(
+					make_ticket(names[step % 3], step * 50,
+						    now + step * 1000,
+						    step % 5));
+				switch (ks_admission_arrive(a.ptr, ticket.get(),
+							    now, &retry)) {
+				case KS_ADMIT:
+					running.push_back(std::move(ticket));
+					break;
+				case KS_ADMIT_QUEUE:
+					waiting.push_back(std::move(ticket));
+					break;
+				case KS_ADMIT_REFUSE:
+					RC_ASSERT(retry > 0);
+					break;
+				}
+			}
+			settle();
+		}
+		for (auto &ticket : running)
+			ks_admission_leave(a.ptr, ticket.get(), now);
+		for (auto &ticket : waiting)
+			ks_admission_leave(a.ptr, ticket.get(), now);
+		RC_ASSERT(!ks_admission_next(a.ptr, now));
+		RC_ASSERT(!ks_admission_expired(a.ptr, FAR, &retry));
+	});
+}
+
+/* A class of requests in the simulation. */
+struct Kind {
+	std::string tenant;
+	unsigned priority;
+	double rate; /* a second */
+	double mean_work_us;
+	int64_t deadline_us;
+	double work_done_us = 0; /* inside the deadline */
+	size_t sent = 0;
+	size_t in_time = 0;
+};
+
+struct Job {
+	ks_ticket_t ticket;
+	double real_us;
+	Kind *kind;
+};
+
+struct Event {
+	int64_t at_us;
+	Job *job;
+	Kind *kind; /* of an arrival */
+
+	bool operator>(const Event &other) const
+	{
+		return at_us > other.at_us;
+	}
+};
+
+/* Slots that each serve one request; estimates are off by up to 40%. */
+class Simulation
+{
+	std::mt19937 random;
+	std::vector<Kind> &kinds;
+	std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
+	std::vector<std::unique_ptr<Job>> jobs;
+	Admission admission;
+	int64_t end_us;
+
+	void run_job(Job *job, int64_t now)
+	{
+		events.push({ now + (int64_t)job->real_us, job, nullptr });
+	}
+
+	void next_arrival(Kind &kind, int64_t now)
+	{
+		std::exponential_distribution<> gap(kind.rate);
+
+		events.push(
+			{ now + (int64_t)(gap(random) * SEC), nullptr, &kind });
+	}
+
+	void arrive(Kind &kind, int64_t now)
+	{
+		std::gamma_distribution<> work(2.0, kind.mean_work_us / 2.0);
+		std::uniform_real_distribution<> error(0.6, 1.4);
+		auto job = std::make_unique<Job>();
+		int64_t retry;
+
+		job->real_us = work(random);
+		job->kind = &kind;
+		job->ticket = make_ticket(
+			kind.tenant.c_str(), job->real_us * error(random),
+			now + kind.deadline_us, kind.priority);
+		job->ticket.ctx = job.get();
+		kind.sent++;
+		if (ks_admission_arrive(admission.ptr, &job->ticket, now,
+					&retry) == KS_ADMIT)
+			run_job(job.get(), now);
+		jobs.push_back(std::move(job));
+		next_arrival(kind, now);
+	}
+
+	void finish(Job *job, int64_t now)
+	{
+		int64_t retry;
+
+		if (now <= job->ticket.deadline_us) {
+			job->kind->work_done_us += job->real_us;
+			job->kind->in_time++;
+		}
+		ks_admission_leave(admission.ptr, &job->ticket, now);
+		while (ks_ticket_t *next =
+			       ks_admission_next(admission.ptr, now))
+			run_job(static_cast<Job *>(next->ctx), now);
+		while (ks_admission_expired(admission.ptr, now, &retry))
+			;
+	}
+
+      public:
+	Simulation(std::vector<Kind> &kinds, int slots, int64_t end_us,
+		   uint32_t seed)
+	    : random(seed), kinds(kinds), end_us(end_us)
+	{
+		ks_admission_set_capacity(admission.ptr, slots);
+	}
+
+	void run()
+	{
+		for (Kind &kind : kinds)
+			next_arrival(kind, 0);
+		while (events.top().at_us < end_us) {
+			Event event = events.top();
+
+			events.pop();
+			if (event.job)
+				finish(event.job, event.at_us);
+			else
+				arrive(*event.kind, event.at_us);
+		}
+	}
+};
+
+/* Work done inside the deadline, as a share of what the slots could do. */
+double goodput_at(double load, uint32_t seed)
+{
+	const int slots = 16;
+	const int64_t end = 400 * SEC;
+	std::vector<Kind> kinds = {
+		{ "a", 1, load * slots / 2, 1e6, 6 * SEC },
+		{ "b", 1, load * slots / 2, 1e6, 6 * SEC },
+	};
+
+	Simulation(kinds, slots, end, seed).run();
+	return (kinds[0].work_done_us + kinds[1].work_done_us) /
+	       ((double)slots * (double)end);
+}
+
+/* Guards against goodput that collapses when more arrives than can be done. */
+bool check_overload()
+{
+	return rc::check("overload keeps goodput within 10% of its peak", [] {
+		auto seed = *rc::gen::arbitrary<uint32_t>();
+		double peak = 0, twice, four;
+
+		for (double load : { 0.7, 0.9, 1.0, 1.1, 1.5 })
+			peak = std::max(peak, goodput_at(load, seed));
+		twice = goodput_at(2.0, seed);
+		four = goodput_at(4.0, seed);
+		RC_LOG() << peak << " " << twice << " " << four << "\n";
+		RC_ASSERT(peak > 0.8);
+		RC_ASSERT(std::max(peak, twice) * 0.9 <= twice);
+		RC_ASSERT(std::max(peak, four) * 0.9 <= four);
+	});
+}
+
+/* Guards against lookups that wait behind long prompts. */
+bool check_lookups()
+{
+	return rc::check("lookups stay quick beside long prompts", [] {
+		std::vector<Kind> kinds = {
+			{ "shop", 0, 40, 5e3, SEC / 4 },
+			{ "chat", 1, 8, 4e6, 20 * SEC },
+		};
+
+		/* The prompts alone ask for twice the capacity. */
+		Simulation(kinds, 16, 300 * SEC,
+			   *rc::gen::arbitrary<uint32_t>())
+			.run();
+		RC_LOG() << kinds[0].in_time << "/" << kinds[0].sent << "\n";
+		RC_ASSERT((double)kinds[0].in_time >=
+			  0.95 * (double)kinds[0].sent);
+		RC_ASSERT(kinds[1].work_done_us > 0.75 * 16 * 300 * 1e6);
+	});
+}
+
+/* Guards against a low class that gets nothing while a high one overloads. */
+bool check_no_starvation()
+{
+	return rc::check("a lower class is not starved", [] {
+		std::vector<Kind> kinds = {
+			{ "shop", 0, 32, 1e6, 20 * SEC },
+			{ "chat", 1, 8, 1e6, 60 * SEC },
+		};
+		double total = 16 * 600 * 1e6;
+
+		Simulation(kinds, 16, 600 * SEC,
+			   *rc::gen::arbitrary<uint32_t>())
+			.run();
+		RC_LOG() << kinds[0].work_done_us / total << " "
+			 << kinds[1].work_done_us / total << "\n";
+		RC_ASSERT(kinds[1].work_done_us > 0.05 * total);
+		RC_ASSERT(kinds[0].work_done_us > 0.7 * total);
+	});
+}
+
+/* Guards against a queue that holds requests until they are too late. */
+bool check_refused_at_once()
+{
+	return rc::check("what cannot finish in time is refused at once", [] {
+		auto backlog = *rc::gen::inRange(1, 50);
+		std::vector<ks_ticket_t> tickets(backlog + 1);
+		ks_ticket_t hopeless =
+			make_ticket("b", 1e6, (int64_t)(0.9e6), 1);
+		int64_t retry = 0;
+		Admission a;
+
+		for (auto &ticket : tickets) {
+			ticket = make_ticket("a", 1e6, FAR, 1);
+			RC_ASSERT(ks_admission_arrive(a.ptr, &ticket, 0,
+						      &retry) !=
+				  KS_ADMIT_REFUSE);
+		}
+		RC_ASSERT(ks_admission_arrive(a.ptr, &hopeless, 0, &retry) ==
+			  KS_ADMIT_REFUSE);
+		/* All of the backlog, one request after the other. */
+		RC_ASSERT(retry == (backlog + 1) * SEC);
+		for (auto &ticket : tickets)
+			ks_admission_leave(a.ptr, &ticket, 0);
+	});
+}
+
+} // namespace
+
+int main()
+{
+	bool ok = check_fair_shares();
+
+	ok = check_accounting() && ok;
+	ok = check_refused_at_once() && ok;
+	ok = check_overload() && ok;
+	ok = check_lookups() && ok;
+	ok = check_no_starvation() && ok;
+	return ok ? 0 : 1;
+}
