--- a/packages/request/src/limit.c
+++ b/packages/request/src/limit.c
@@ -11,9 +11,12 @@
 
 /*
  * The baseline follows faster samples at once and slower ones by this weight,
- * so that a lasting change of the work's nature becomes the new baseline.
+ * so that a lasting change of the work's nature becomes the new baseline. It
+ * rises only while the upstream is lightly used or the limit is near its
+ * minimum: under steady load it would learn the queueing as normal, and the
+ * limit would creep up without end.
  */
-#define BASELINE_DRIFT 0.001
+#define BASELINE_DRIFT 0.01
 
 #define LEAST_GRADIENT 0.5
 #define SMOOTHING 0.05
@@ -58,7 +61,8 @@
 	limit->recent += RECENT_WEIGHT * (ratio - limit->recent);
 	if (limit->recent < limit->baseline)
 		limit->baseline = limit->recent;
-	else
+	else if (2.0 * in_flight < limit->value ||
+		 limit->value < 2.0 * limit->min)
 		limit->baseline +=
 			BASELINE_DRIFT * (limit->recent - limit->baseline);
 	gradient = CLAMP(TOLERANCE * limit->baseline / limit->recent,
