--- /dev/null
+++ b/packages/process/src/upstream.h
@@ -0,0 +1,120 @@
+/* What the files of the upstream process share. */
+#ifndef KS_PROCESS_UPSTREAM_H
+#define KS_PROCESS_UPSTREAM_H
+
+#include "ks/process.h"
+
+/**
+ * struct upstream_sse - finds the events in a stream of server-sent events
+ * @line: start of the current line
+ * @events: data events seen, without the last marker
+ * @done: the last data event was [DONE]
+ */
+struct upstream_sse {
+	char line[16];
+	size_t line_len;
+	unsigned events;
+	bool done;
+};
+
+void upstream_sse_feed(struct upstream_sse *sse, ks_str_t data);
+
+/**
+ * struct ks_upstream_process - the process beside one upstream
+ * @entry: this upstream in @snapshot, or NULL
+ * @queue: jobs not yet handed on, by priority and then by arrival
+ * @running: jobs handed on
+ * @engine_model: model that the engine was last seen with; empty: not known
+ */
+struct ks_upstream_process {
+	ks_loop_t *loop;
+	const ks_settings_t *settings;
+	ks_rng_t rng;
+	ks_id_t incarnation;
+	ks_http_client_t client;
+	ks_address_t endpoint;
+	ks_store_http_t store;
+	ks_platform_http_t platform;
+	ks_engine_http_t engine;
+	void *zmq;
+	ks_link_server_t *link;
+	ks_config_t *config;
+	ks_orders_t *orders;
+	ks_snapshot_t *snapshot;
+	const ks_upstream_t *entry;
+	ks_drain_t drain;
+	ks_upstream_state_t announced;
+
+	ks_list_t queue;
+	ks_list_t running;
+	unsigned n_queued;
+	unsigned n_running;
+	int64_t mean_job_us;
+
+	ks_load_t load;
+	ks_timer_t load_timer;
+	int64_t load_sent_us;
+	char engine_model[64];
+
+	ks_timer_t poll_timer;
+	int64_t hosts_asked_us;
+	ks_timer_t stop_timer;
+};
+
+/**
+ * struct upstream_job - a request that this process has taken
+ * @link_job: where the answer goes; NULL once it was ended
+ * @start_timer: refuses the job unless it was sent by its deadline
+ * @request: with strings copied into @text and headers into @headers
+ * @prompt_left: prompt tokens that count as pending
+ * @output_left: output tokens that count as pending
+ * @running: handed to the HTTP client
+ * @sent: the request is being written; it may run from here on
+ */
+struct upstream_job {
+	ks_list_t node;
+	ks_upstream_process_t *process;
+	ks_job_t *link_job;
+	ks_http_call_t call;
+	ks_timer_t start_timer;
+	ks_attempt_request_t request;
+	ks_header_t *headers;
+	char *text;
+	int64_t deadline_us;
+	int64_t started_us;
+	uint32_t prompt_left;
+	uint32_t output_left;
+	bool running;
+	bool sent;
+	bool is_sse;
+	struct upstream_sse sse;
+};
+
+/* upstream.c */
+void upstream_update_state(ks_upstream_process_t *process);
+bool upstream_is_engine(const ks_upstream_process_t *process);
+
+/* upstream_queue.c */
+void upstream_job_arrive(ks_upstream_process_t *process, ks_job_t *link_job,
+			 const ks_attempt_request_t *request);
+void upstream_jobs_hand_on(ks_upstream_process_t *process);
+
+/* upstream_job.c */
+struct upstream_job *upstream_job_new(ks_upstream_process_t *process,
+				      ks_job_t *link_job,
+				      const ks_attempt_request_t *request);
+void upstream_job_hand_on(struct upstream_job *job);
+void upstream_job_refuse(struct upstream_job *job, ks_error_kind_t kind);
+void upstream_job_cancelled(ks_job_t *link_job);
+void upstream_jobs_free(ks_upstream_process_t *process);
+
+/* upstream_load.c */
+void upstream_load_init(ks_upstream_process_t *process);
+void upstream_load_changed(ks_upstream_process_t *process);
+void upstream_load_send(ks_upstream_process_t *process);
+void upstream_load_observed(ks_upstream_process_t *process,
+			    const ks_engine_state_t *state);
+unsigned upstream_limit(const ks_upstream_process_t *process);
+int64_t upstream_retry_after(const ks_upstream_process_t *process);
+
+#endif
