Add the stand-in engine

Tests need an engine that truly batches, caches prefixes and takes orders, so that routing, resuming and fencing can be checked against its counts.

--- a/packages/process/src/upstream.h
+++ b/packages/process/src/upstream.h
@@ -68,6 +68,7 @@
  * @request: with strings copied into @text and headers into @headers
  * @prompt_left: prompt tokens that count as pending
  * @output_left: output tokens that count as pending
+ * @for_engine: as configured when it was taken
  * @running: handed to the HTTP client
  * @sent: the request is being written; it may run from here on
  */
@@ -84,6 +85,7 @@
 	int64_t started_us;
 	uint32_t prompt_left;
 	uint32_t output_left;
+	bool for_engine;
 	bool running;
 	bool sent;
 	bool is_sse;
--- a/packages/process/src/upstream_job.c
+++ b/packages/process/src/upstream_job.c
@@ -156,7 +156,7 @@
 	for (size_t i = 0; i < n_headers; i++)
 		if (!is_connection_field(headers[i].name))
 			kept[n_kept++] = headers[i];
-	job->is_sse = upstream_is_engine(job->process) && status == 200 &&
+	job->is_sse = job->for_engine && status == 200 &&
 		      ks_str_has_prefix(type, KS_STR("text/event-stream"));
 	if (job->link_job)
 		ks_job_head(job->link_job, status, kept, n_kept);
@@ -315,6 +315,7 @@
 	ks_job_set_context(link_job, job);
 	copy_request(job, request);
 	job->deadline_us = ks_loop_now(process->loop) + request->timeout_us;
+	job->for_engine = upstream_is_engine(process);
 	job->prompt_left = request->prompt_tokens;
 	job->output_left = request->output_tokens;
 	process->load.prompt_tokens_pending += job->prompt_left;
--- /dev/null
+++ b/tests/fakes/engine_batch.c
@@ -0,0 +1,253 @@
+/*
+ * Continuous batching: every iteration does one decode step for each sequence
+ * that has its prompt prefilled, and a chunk of prefill for the others. Its
+ * length depends on both, so that prefill slows decoding down.
+ */
+#include "engine.h"
+
+/* Longer steps for larger batches, as a share of a step of one sequence. */
+#define DECODE_GROWTH 0.02
+#define MAX_CATCH_UP 1000
+
+/* A decode engine keeps its steps short, a prefill engine its chunks long. */
+static unsigned chunk_tokens(const struct fake_engine *engine)
+{
+	if (g_str_equal(engine->orders.role, "prefill"))
+		return 8192;
+	if (g_str_equal(engine->orders.role, "decode"))
+		return 512;
+	return 2048;
+}
+
+static void insert_waiting(struct engine_batch *batch,
+			   struct engine_sequence *seq)
+{
+	ks_list_t *before = &batch->waiting;
+
+	KS_LIST_FOREACH(it, &batch->waiting) {
+		struct engine_sequence *other =
+			KS_CONTAINER_OF(it, struct engine_sequence, node);
+
+		if (other->priority > seq->priority) {
+			before = it;
+			break;
+		}
+	}
+	ks_list_append(before, &seq->node);
+	batch->n_waiting++;
+}
+
+static bool take_blocks(struct engine_sequence *seq)
+{
+	struct engine_cache *cache = &seq->engine->cache;
+	unsigned tokens = seq->prompt_tokens + seq->max_tokens;
+	unsigned needed = (tokens + BLOCK_TOKENS - 1) / BLOCK_TOKENS;
+
+	seq->pinned = engine_cache_pin_prefix(cache, seq->hashes);
+	if (engine_cache_reserve(cache, needed - seq->pinned)) {
+		seq->private_blocks = needed - seq->pinned;
+		return true;
+	}
+	while (seq->pinned > 0)
+		engine_cache_unpin(cache, g_array_index(seq->hashes, uint64_t,
+							--seq->pinned));
+	return false;
+}
+
+static void start_waiting(struct fake_engine *engine)
+{
+	struct engine_batch *batch = &engine->batch;
+
+	while (batch->n_running < engine->options.max_batch &&
+	       !ks_list_is_empty(&batch->waiting)) {
+		struct engine_sequence *seq = KS_CONTAINER_OF(
+			batch->waiting.next, struct engine_sequence, node);
+
+		if (!take_blocks(seq))
+			return;
+		ks_list_remove(&seq->node);
+		ks_list_append(&batch->running, &seq->node);
+		batch->n_waiting--;
+		batch->n_running++;
+		seq->running = true;
+		/* The last token is always computed, to get the next one. */
+		seq->cached_tokens = MIN(seq->pinned * BLOCK_TOKENS,
+					 seq->prompt_tokens - 1);
+		seq->prefill_left = seq->prompt_tokens + seq->resume_from -
+				    seq->cached_tokens;
+		engine->stats.max_running =
+			MAX(engine->stats.max_running, batch->n_running);
+	}
+}
+
+static double plan_iteration(struct fake_engine *engine)
+{
+	unsigned budget = chunk_tokens(engine);
+	unsigned n_decode = 0, n_prefill = 0;
+	double duration;
+
+	KS_LIST_FOREACH(it, &engine->batch.running) {
+		struct engine_sequence *seq =
+			KS_CONTAINER_OF(it, struct engine_sequence, node);
+
+		seq->chunk = MIN(seq->prefill_left, budget);
+		budget -= seq->chunk;
+		n_prefill += seq->chunk;
+		if (seq->prefill_left == 0)
+			n_decode++;
+	}
+	duration = n_prefill * engine->options.prefill_us;
+	if (n_decode > 0)
+		duration += engine->options.decode_us *
+			    (1 + DECODE_GROWTH * (n_decode - 1));
+	return MAX(duration, 1);
+}
+
+static void remove_sequence(struct engine_sequence *seq)
+{
+	struct engine_batch *batch = &seq->engine->batch;
+	struct engine_cache *cache = &seq->engine->cache;
+
+	ks_list_remove(&seq->node);
+	if (seq->running)
+		batch->n_running--;
+	else
+		batch->n_waiting--;
+	for (unsigned i = 0; i < seq->pinned; i++)
+		engine_cache_unpin(cache,
+				   g_array_index(seq->hashes, uint64_t, i));
+	engine_cache_release(cache, seq->private_blocks);
+	engine_sequence_free(seq);
+}
+
+static void store_prompt(struct engine_sequence *seq)
+{
+	while (seq->pinned < seq->hashes->len && seq->private_blocks > 0) {
+		engine_cache_store_reserved(&seq->engine->cache,
+					    g_array_index(seq->hashes, uint64_t,
+							  seq->pinned));
+		seq->pinned++;
+		seq->private_blocks--;
+	}
+}
+
+static void generate_token(struct engine_sequence *seq)
+{
+	unsigned index = seq->resume_from + seq->n_generated++;
+
+	engine_reply_token(seq, engine_token(seq->prompt_hash, index));
+	if (index + 1 < seq->max_tokens)
+		return;
+	engine_reply_finish(seq);
+	seq->engine->stats.completed++;
+	remove_sequence(seq);
+}
+
+static void step_sequence(struct engine_sequence *seq)
+{
+	if (seq->prefill_left == 0) {
+		generate_token(seq);
+		return;
+	}
+	seq->prefill_left -= seq->chunk;
+	if (seq->prefill_left == 0 && seq->chunk > 0) {
+		store_prompt(seq);
+		generate_token(seq);
+	}
+}
+
+static void drop_closed(struct fake_engine *engine, ks_list_t *list)
+{
+	KS_LIST_FOREACH_SAFE(it, next, list) {
+		struct engine_sequence *seq =
+			KS_CONTAINER_OF(it, struct engine_sequence, node);
+
+		if (!engine_reply_is_closed(seq->reply))
+			continue;
+		engine_reply_abort(seq);
+		engine->stats.cancelled++;
+		remove_sequence(seq);
+	}
+}
+
+static void run_iteration(struct fake_engine *engine)
+{
+	KS_LIST_FOREACH_SAFE(it, next, &engine->batch.running)
+		step_sequence(
+			KS_CONTAINER_OF(it, struct engine_sequence, node));
+}
+
+static void start_iteration(struct fake_engine *engine)
+{
+	struct engine_batch *batch = &engine->batch;
+
+	start_waiting(engine);
+	batch->due_us += (int64_t)plan_iteration(engine);
+}
+
+/*
+ * Timers are only accurate to a millisecond, so an iteration begins when the
+ * one before it was due rather than when the timer ran.
+ */
+static void on_timer(void *ctx)
+{
+	struct fake_engine *engine = ctx;
+	struct engine_batch *batch = &engine->batch;
+	int64_t now = ks_loop_now(&engine->loop);
+
+	drop_closed(engine, &batch->waiting);
+	drop_closed(engine, &batch->running);
+	for (int i = 0; i < MAX_CATCH_UP && batch->due_us <= now; i++) {
+		run_iteration(engine);
+		start_iteration(engine);
+		if (batch->n_running == 0)
+			break;
+	}
+	engine_state_record(engine);
+	if (batch->n_running + batch->n_waiting == 0)
+		return;
+	batch->due_us = MAX(batch->due_us, now);
+	ks_timer_set(&batch->timer, batch->due_us - now);
+}
+
+/**
+ * engine_batch_init() - start with no sequence
+ */
+void engine_batch_init(struct fake_engine *engine)
+{
+	struct engine_batch *batch = &engine->batch;
+
+	ks_list_init(&batch->running);
+	ks_list_init(&batch->waiting);
+	ks_timer_init(&batch->timer, &engine->loop, on_timer, engine);
+}
+
+/**
+ * engine_batch_add() - take a sequence, which joins the next iteration
+ */
+void engine_batch_add(struct fake_engine *engine, struct engine_sequence *seq)
+{
+	struct engine_batch *batch = &engine->batch;
+
+	insert_waiting(batch, seq);
+	engine_state_record(engine);
+	if (ks_timer_is_set(&batch->timer) || engine->silent)
+		return;
+	batch->due_us = ks_loop_now(&engine->loop);
+	start_iteration(engine);
+	ks_timer_set(&batch->timer,
+		     batch->due_us - ks_loop_now(&engine->loop));
+}
+
+/**
+ * engine_batch_pause() - stop all work, or go on with it
+ */
+void engine_batch_pause(struct fake_engine *engine, bool paused)
+{
+	struct engine_batch *batch = &engine->batch;
+
+	if (paused)
+		ks_timer_clear(&batch->timer);
+	else if (batch->n_running + batch->n_waiting > 0)
+		ks_timer_set(&batch->timer, 0);
+}
--- /dev/null
+++ b/tests/fakes/engine_kv.c
@@ -0,0 +1,136 @@
+/* Export and import of a prefix's blocks, which take time by their number. */
+#include "engine.h"
+
+/**
+ * struct transfer - a transfer under way; lives as long as its request
+ * @hashes: blocks that were exported, or are to be imported
+ */
+struct transfer {
+	struct fake_engine *engine;
+	h2o_req_t *req;
+	ks_timer_t timer;
+	GArray *hashes;
+};
+
+static void dispose_transfer(void *data)
+{
+	struct transfer *transfer = data;
+
+	ks_timer_clear(&transfer->timer);
+	g_array_free(transfer->hashes, TRUE);
+}
+
+static void start_transfer(struct fake_engine *engine, h2o_req_t *req,
+			   GArray *hashes, ks_timer_func_t done)
+{
+	struct transfer *transfer = h2o_mem_alloc_shared(
+		&req->pool, sizeof(*transfer), dispose_transfer);
+
+	transfer->engine = engine;
+	transfer->req = req;
+	transfer->hashes = hashes;
+	ks_timer_init(&transfer->timer, &engine->loop, done, transfer);
+	ks_timer_set(&transfer->timer,
+		     engine->options.block_us * (int64_t)hashes->len);
+}
+
+static json_t *hashes_to_json(const GArray *hashes)
+{
+	json_t *list = json_array();
+	char hex[17];
+
+	for (unsigned i = 0; i < hashes->len; i++) {
+		g_snprintf(hex, sizeof(hex), "%016" G_GINT64_MODIFIER "x",
+			   g_array_index(hashes, uint64_t, i));
+		json_array_append_new(list, json_string(hex));
+	}
+	return list;
+}
+
+static bool hashes_from_json(json_t *list, GArray *hashes)
+{
+	json_t *item;
+	size_t i;
+
+	json_array_foreach(list, i, item) {
+		guint64 hash;
+
+		if (!json_is_string(item) ||
+		    !g_ascii_string_to_unsigned(json_string_value(item), 16, 0,
+						G_MAXUINT64, &hash, NULL))
+			return false;
+		g_array_append_val(hashes, hash);
+	}
+	return json_is_array(list);
+}
+
+static void on_exported(void *ctx)
+{
+	struct transfer *transfer = ctx;
+
+	engine_reply_json(transfer->req, 200,
+			  json_pack("{s:o,s:i}", "blocks",
+				    hashes_to_json(transfer->hashes), "tokens",
+				    (int)transfer->hashes->len * BLOCK_TOKENS));
+}
+
+static void on_imported(void *ctx)
+{
+	struct transfer *transfer = ctx;
+	int n = 0;
+
+	/* A later block is of no use without those before it. */
+	while (n < (int)transfer->hashes->len &&
+	       engine_cache_import(&transfer->engine->cache,
+				   g_array_index(transfer->hashes, uint64_t,
+						 n)))
+		n++;
+	engine_reply_json(transfer->req, 200,
+			  json_pack("{s:i}", "imported", n));
+}
+
+/**
+ * engine_kv_handle_export() - POST /kv/export
+ */
+void engine_kv_handle_export(struct fake_engine *engine, h2o_req_t *req)
+{
+	ks_str_t body = ks_http_req_body(req);
+	json_t *root = json_loadb(body.data ? body.data : "", body.len, 0, NULL);
+	json_t *prompt = json_object_get(root, "prompt");
+	GArray *hashes;
+	unsigned n;
+
+	if (!json_is_string(prompt)) {
+		engine_reply_error(req, 400, "bad_request", "no prompt");
+		json_decref(root);
+		return;
+	}
+	hashes = engine_cache_hashes(
+		(ks_str_t){ json_string_value(prompt),
+			    json_string_length(prompt) });
+	json_decref(root);
+	n = engine_cache_pin_prefix(&engine->cache, hashes);
+	for (unsigned i = 0; i < n; i++)
+		engine_cache_unpin(&engine->cache,
+				   g_array_index(hashes, uint64_t, i));
+	g_array_set_size(hashes, n);
+	start_transfer(engine, req, hashes, on_exported);
+}
+
+/**
+ * engine_kv_handle_import() - POST /kv/import
+ */
+void engine_kv_handle_import(struct fake_engine *engine, h2o_req_t *req)
+{
+	ks_str_t body = ks_http_req_body(req);
+	json_t *root = json_loadb(body.data ? body.data : "", body.len, 0, NULL);
+	GArray *hashes = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+
+	if (hashes_from_json(json_object_get(root, "blocks"), hashes)) {
+		start_transfer(engine, req, hashes, on_imported);
+	} else {
+		g_array_free(hashes, TRUE);
+		engine_reply_error(req, 400, "bad_request", "no blocks");
+	}
+	json_decref(root);
+}
--- /dev/null
+++ b/tests/fakes/engine_reply.c
@@ -0,0 +1,292 @@
+/* Answering a completion, whole or as server-sent events. */
+#include "engine.h"
+
+#include <sys/socket.h>
+#include <xxhash.h>
+
+#define TOKEN_VALUES 1000
+
+/**
+ * struct engine_reply - the answer being written; lives as long as the request
+ * @pending: to be sent once @sending was taken
+ * @last: @pending holds the end of the answer
+ * @aborted: the answer is to be broken off
+ * @closed: the caller has gone
+ */
+struct engine_reply {
+	h2o_generator_t super;
+	h2o_req_t *req;
+	struct engine_sequence *seq;
+	GString *pending;
+	GString *sending;
+	bool started;
+	bool busy;
+	bool last;
+	bool aborted;
+	bool closed;
+};
+
+/**
+ * engine_token() - the token at an index of the answer to a prompt
+ *
+ * A test can so compute the whole answer on its own; see docs/engine.md.
+ */
+unsigned engine_token(uint64_t prompt_hash, unsigned index)
+{
+	return (unsigned)(XXH3_64bits_withSeed(&prompt_hash,
+					       sizeof(prompt_hash), index) %
+			  TOKEN_VALUES);
+}
+
+static void dispose_reply(void *data)
+{
+	struct engine_reply *reply = data;
+
+	if (reply->seq)
+		reply->seq->reply = NULL;
+	g_string_free(reply->pending, TRUE);
+	g_string_free(reply->sending, TRUE);
+}
+
+static void send_pending(struct engine_reply *reply)
+{
+	GString *next = reply->pending;
+	h2o_iovec_t buf;
+
+	if (reply->busy || (next->len == 0 && !reply->last && !reply->aborted))
+		return;
+	reply->pending = reply->sending;
+	reply->sending = next;
+	g_string_truncate(reply->pending, 0);
+	buf = h2o_iovec_init(next->str, next->len);
+	reply->busy = true;
+	h2o_send(reply->req, &buf, 1,
+		 reply->aborted ? H2O_SEND_STATE_ERROR :
+		 reply->last	? H2O_SEND_STATE_FINAL :
+				  H2O_SEND_STATE_IN_PROGRESS);
+}
+
+static void on_proceed(h2o_generator_t *self, h2o_req_t *req G_GNUC_UNUSED)
+{
+	struct engine_reply *reply = (struct engine_reply *)self;
+
+	reply->busy = false;
+	send_pending(reply);
+}
+
+static void on_stop(h2o_generator_t *self, h2o_req_t *req G_GNUC_UNUSED)
+{
+	struct engine_reply *reply = (struct engine_reply *)self;
+
+	reply->closed = true;
+}
+
+/**
+ * engine_reply_attach() - answer a request with what a sequence generates
+ */
+void engine_reply_attach(struct engine_sequence *seq, h2o_req_t *req)
+{
+	struct engine_reply *reply =
+		h2o_mem_alloc_shared(&req->pool, sizeof(*reply), dispose_reply);
+
+	memset(reply, 0, sizeof(*reply));
+	reply->super.proceed = on_proceed;
+	reply->super.stop = on_stop;
+	reply->req = req;
+	reply->seq = seq;
+	reply->pending = g_string_new(NULL);
+	reply->sending = g_string_new(NULL);
+	seq->reply = reply;
+}
+
+/* h2o does not watch for a closed caller, so the socket is asked. */
+static bool is_peer_gone(h2o_req_t *req)
+{
+	h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
+	char byte;
+	ssize_t n;
+
+	if (!sock)
+		return false;
+	n = recv(h2o_socket_get_fd(sock), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+/**
+ * engine_reply_is_closed() - whether the caller has closed its connection
+ * @reply: NULL once h2o has dropped the request
+ */
+bool engine_reply_is_closed(const struct engine_reply *reply)
+{
+	return !reply || reply->closed || is_peer_gone(reply->req);
+}
+
+static void start_stream(struct engine_reply *reply)
+{
+	h2o_req_t *req = reply->req;
+
+	if (reply->started)
+		return;
+	reply->started = true;
+	req->res.status = 200;
+	req->res.reason = "OK";
+	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
+		       NULL, H2O_STRLIT("text/event-stream"));
+	h2o_start_response(req, &reply->super);
+}
+
+static void append_id(GString *out, const struct engine_sequence *seq,
+		      const char *object)
+{
+	g_string_append_printf(
+		out,
+		"{\"id\":\"cmpl-%" G_GUINT64_FORMAT
+		"\",\"object\":\"%s\",\"created\":0,\"model\":%s,",
+		seq->id, object, seq->model_json);
+}
+
+static void append_usage(GString *out, const struct engine_sequence *seq)
+{
+	g_string_append_printf(
+		out,
+		"\"usage\":{\"prompt_tokens\":%u,\"completion_tokens\":%u,"
+		"\"total_tokens\":%u,"
+		"\"prompt_tokens_details\":{\"cached_tokens\":%u}}",
+		seq->prompt_tokens, seq->n_generated,
+		seq->prompt_tokens + seq->n_generated, seq->cached_tokens);
+}
+
+static const char *stream_object(const struct engine_sequence *seq)
+{
+	return seq->chat ? "chat.completion.chunk" : "text_completion";
+}
+
+/**
+ * engine_reply_token() - the next token of the answer
+ */
+void engine_reply_token(struct engine_sequence *seq, unsigned token)
+{
+	struct engine_reply *reply = seq->reply;
+
+	if (!seq->stream) {
+		g_string_append_printf(seq->text, "t%u ", token);
+		return;
+	}
+	if (!reply || reply->closed)
+		return;
+	start_stream(reply);
+	g_string_append(reply->pending, "data: ");
+	append_id(reply->pending, seq, stream_object(seq));
+	g_string_append_printf(
+		reply->pending,
+		seq->chat ? "\"choices\":[{\"index\":0,\"delta\":"
+			    "{\"content\":\"t%u \"},"
+			    "\"finish_reason\":null}]}\n\n" :
+			    "\"choices\":[{\"index\":0,\"text\":\"t%u \","
+			    "\"finish_reason\":null}]}\n\n",
+		token);
+	send_pending(reply);
+}
+
+static void finish_stream(struct engine_sequence *seq)
+{
+	struct engine_reply *reply = seq->reply;
+	GString *out = reply->pending;
+
+	g_string_append(out, "data: ");
+	append_id(out, seq, stream_object(seq));
+	g_string_append(out, seq->chat ? "\"choices\":[{\"index\":0,\"delta\":"
+					 "{},\"finish_reason\":\"length\"}]," :
+					 "\"choices\":[{\"index\":0,\"text\":"
+					 "\"\",\"finish_reason\":\"length\"}],");
+	append_usage(out, seq);
+	g_string_append(out, "}\n\ndata: [DONE]\n\n");
+	reply->last = true;
+	send_pending(reply);
+}
+
+static void finish_whole(struct engine_sequence *seq)
+{
+	GString *out = g_string_new(NULL);
+
+	append_id(out, seq, seq->chat ? "chat.completion" : "text_completion");
+	if (seq->chat)
+		g_string_append_printf(
+			out,
+			"\"choices\":[{\"index\":0,\"message\":"
+			"{\"role\":\"assistant\",\"content\":\"%s\"},"
+			"\"finish_reason\":\"length\"}],",
+			seq->text->str);
+	else
+		g_string_append_printf(out,
+				       "\"choices\":[{\"index\":0,"
+				       "\"text\":\"%s\","
+				       "\"finish_reason\":\"length\"}],",
+				       seq->text->str);
+	append_usage(out, seq);
+	g_string_append_c(out, '}');
+	ks_http_reply(seq->reply->req, 200, "application/json",
+		      (ks_str_t){ out->str, out->len });
+	g_string_free(out, TRUE);
+}
+
+/**
+ * engine_reply_finish() - the answer is complete
+ */
+void engine_reply_finish(struct engine_sequence *seq)
+{
+	struct engine_reply *reply = seq->reply;
+
+	if (!reply || reply->closed)
+		return;
+	reply->seq = NULL;
+	if (seq->stream)
+		finish_stream(seq);
+	else
+		finish_whole(seq);
+}
+
+/**
+ * engine_reply_abort() - the caller has gone; let h2o notice
+ */
+void engine_reply_abort(struct engine_sequence *seq)
+{
+	struct engine_reply *reply = seq->reply;
+
+	if (!reply)
+		return;
+	reply->seq = NULL;
+	if (reply->closed)
+		return;
+	if (reply->started) {
+		reply->aborted = true;
+		send_pending(reply);
+		return;
+	}
+	reply->req->http1_is_persistent = 0;
+	ks_http_reply(reply->req, 499, "text/plain", KS_STR(""));
+}
+
+/**
+ * engine_reply_error() - refuse a request
+ */
+void engine_reply_error(h2o_req_t *req, int status, const char *code,
+			const char *message)
+{
+	engine_reply_json(req, status,
+			  json_pack("{s:{s:s,s:s}}", "error", "code", code,
+				    "message", message));
+}
+
+/**
+ * engine_reply_json() - answer with a JSON value
+ * @root: released
+ */
+void engine_reply_json(h2o_req_t *req, int status, json_t *root)
+{
+	char *text = json_dumps(root, JSON_COMPACT);
+
+	ks_http_reply(req, status, "application/json", ks_str_from(text));
+	free(text);
+	json_decref(root);
+}
--- /dev/null
+++ b/tests/fakes/fake-engine.c
@@ -0,0 +1,232 @@
+/* Stand-in for a model engine; docs/engine.md has its interface. */
+#include "engine.h"
+#include "fake_main.h"
+
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#define EXIT_USAGE 2
+#define EXIT_CRASHED 3
+
+static void handle_completion(struct fake_engine *engine, h2o_req_t *req,
+			      bool chat)
+{
+	struct engine_sequence *seq;
+	json_t *model;
+	const char *problem;
+
+	engine->stats.requests++;
+	seq = engine_sequence_parse(engine, req, chat, &problem);
+	if (!seq) {
+		engine_reply_error(req, 400, "bad_request", problem);
+		return;
+	}
+	model = json_loads(seq->model_json, JSON_DECODE_ANY, NULL);
+	if (engine->orders.current) {
+		engine->stats.refused++;
+		engine_reply_error(req, 503, "changing",
+				   "an order is being carried out");
+	} else if (!engine_orders_serves(engine, json_string_value(model))) {
+		engine->stats.refused++;
+		engine_reply_error(req, 404, "model_not_found",
+				   "the model is not loaded");
+	} else {
+		engine_reply_attach(seq, req);
+		engine_batch_add(engine, seq);
+		seq = NULL;
+	}
+	json_decref(model);
+	if (seq)
+		engine_sequence_free(seq);
+}
+
+static void handle_stats(struct fake_engine *engine, h2o_req_t *req)
+{
+	const struct engine_stats *stats = &engine->stats;
+
+	engine_reply_json(
+		req, 200,
+		json_pack("{s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i}", "requests",
+			  (int)stats->requests, "completed",
+			  (int)stats->completed, "cancelled",
+			  (int)stats->cancelled, "refused",
+			  (int)stats->refused, "orders", (int)stats->orders,
+			  "stale_orders", (int)stats->stale_orders,
+			  "orders_while_running",
+			  (int)stats->orders_while_running, "conflicts",
+			  (int)stats->conflicts, "max_running",
+			  (int)stats->max_running));
+}
+
+static void handle_events(struct fake_engine *engine, h2o_req_t *req)
+{
+	ks_str_t query = ks_http_req_query(req);
+	int64_t since = 0;
+
+	if (ks_str_has_prefix(query, KS_STR("since=")))
+		ks_str_parse_int((ks_str_t){ query.data + 6, query.len - 6 }, 0,
+				 INT64_MAX, &since);
+	engine_reply_json(
+		req, 200,
+		engine_cache_events_since(&engine->cache, (uint64_t)since));
+}
+
+/* Answered even when silent, so that a test can undo it. */
+static void handle_control(struct fake_engine *engine, h2o_req_t *req)
+{
+	ks_str_t body = ks_http_req_body(req);
+	json_t *root = json_loadb(body.data ? body.data : "", body.len, 0, NULL);
+	json_t *silent = json_object_get(root, "silent");
+
+	if (json_is_true(json_object_get(root, "crash")))
+		_exit(EXIT_CRASHED);
+	if (json_is_true(json_object_get(root, "crash_in_change")))
+		engine->orders.crash_in_change = true;
+	if (silent) {
+		engine->silent = json_is_true(silent);
+		engine_batch_pause(engine, engine->silent);
+	}
+	json_decref(root);
+	engine_reply_json(req, 200, json_object());
+}
+
+static void handle(void *ctx, h2o_req_t *req)
+{
+	struct fake_engine *engine = ctx;
+	ks_str_t path = ks_http_req_path(req);
+
+	if (ks_str_equal(path, KS_STR("/control")))
+		handle_control(engine, req);
+	else if (engine->silent)
+		return;
+	else if (ks_str_equal(path, KS_STR("/v1/completions")))
+		handle_completion(engine, req, false);
+	else if (ks_str_equal(path, KS_STR("/v1/chat/completions")))
+		handle_completion(engine, req, true);
+	else if (ks_str_equal(path, KS_STR("/orders")))
+		engine_orders_handle(engine, req);
+	else if (ks_str_equal(path, KS_STR("/state")))
+		engine_state_handle(engine, req);
+	else if (ks_str_equal(path, KS_STR("/stats")))
+		handle_stats(engine, req);
+	else if (ks_str_equal(path, KS_STR("/cache/events")))
+		handle_events(engine, req);
+	else if (ks_str_equal(path, KS_STR("/kv/export")))
+		engine_kv_handle_export(engine, req);
+	else if (ks_str_equal(path, KS_STR("/kv/import")))
+		engine_kv_handle_import(engine, req);
+	else
+		engine_reply_error(req, 404, "unknown_route", "no such path");
+}
+
+static int run_engine(struct fake_engine *engine)
+{
+	struct fake_signals signals;
+	int status = EXIT_FAILURE;
+
+	ks_loop_init(&engine->loop, ks_clock_monotonic());
+	fake_signals_init(&signals, &engine->loop);
+	engine->loads = g_array_new(FALSE, FALSE, sizeof(struct engine_load));
+	engine_cache_init(&engine->cache, &engine->loop, &engine->options);
+	engine_batch_init(engine);
+	engine_orders_init(engine);
+	engine_state_record(engine);
+	if (fake_listen(&engine->server, &engine->loop,
+			&engine->options.listen, handle, engine)) {
+		ks_loop_run(&engine->loop);
+		status = EXIT_SUCCESS;
+	}
+	/* Requests may still be open, which the server cannot outlive. */
+	fflush(stderr);
+	_exit(status);
+}
+
+static const struct engine_options default_options = {
+	.listen = { "127.0.0.1", 0 },
+	.prefill_us = 20,
+	.decode_us = 10000,
+	.max_batch = 32,
+	.kv_blocks = 512,
+	.change_us = 2 * KS_USEC_PER_SEC,
+	.block_us = 8000,
+	.seed = 1,
+	.model = "",
+	.version = "",
+	.role = "both",
+};
+
+#define SET_IF_GIVEN(arg, target, value) \
+	do {                             \
+		if ((arg)->count)        \
+			(target) = (value); \
+	} while (0)
+
+int main(int argc, char **argv)
+{
+	struct arg_str *listen =
+		arg_str0(NULL, "listen", "IP:PORT", "where to listen");
+	struct arg_dbl *prefill = arg_dbl0(NULL, "prefill-us-per-token", "US",
+					   "time for a prompt token");
+	struct arg_dbl *decode =
+		arg_dbl0(NULL, "decode-us", "US", "time of a decode step");
+	struct arg_int *max_batch = arg_int0(NULL, "max-batch", "N",
+					     "most sequences at once");
+	struct arg_int *kv_blocks = arg_int0(NULL, "kv-blocks", "N",
+					     "memory in blocks of 2,000 tokens");
+	struct arg_lit *fencing = arg_lit0(NULL, "checks-fencing",
+					   "refuse orders with an old fence");
+	struct arg_int *change =
+		arg_int0(NULL, "change-ms", "MS", "time of an order");
+	struct arg_int *load_lag =
+		arg_int0(NULL, "load-lag-ms", "MS", "age of reported load");
+	struct arg_int *event_lag =
+		arg_int0(NULL, "event-lag-ms", "MS", "age of cache events");
+	struct arg_int *block = arg_int0(NULL, "kv-us-per-block", "US",
+					 "time to move one block");
+	struct arg_int *seed = arg_int0(NULL, "seed", "N", "random seed");
+	struct arg_str *model =
+		arg_str0(NULL, "model", "NAME", "model loaded at the start");
+	struct arg_str *version = arg_str0(NULL, "model-version", "VERSION",
+					   "its version");
+	struct arg_str *role =
+		arg_str0(NULL, "role", "ROLE", "both, prefill or decode");
+	struct arg_end *end = arg_end(10);
+	void *table[] = { listen,    prefill, decode,	 max_batch, kv_blocks,
+			  fencing,   change,  load_lag,	 event_lag, block,
+			  seed,	     model,   version,	 role,	    end };
+	struct fake_engine engine = { .options = default_options };
+	struct engine_options *options = &engine.options;
+
+	if (arg_parse(argc, argv, table) > 0) {
+		arg_print_errors(stderr, end, "fake-engine");
+		return EXIT_USAGE;
+	}
+	if (listen->count &&
+	    !ks_address_parse(&options->listen, ks_str_from(listen->sval[0]),
+			      NULL)) {
+		fprintf(stderr, "fake-engine: '%s' is not IP:PORT\n",
+			listen->sval[0]);
+		return EXIT_USAGE;
+	}
+	SET_IF_GIVEN(prefill, options->prefill_us, prefill->dval[0]);
+	SET_IF_GIVEN(decode, options->decode_us, decode->dval[0]);
+	SET_IF_GIVEN(max_batch, options->max_batch,
+		     (unsigned)max_batch->ival[0]);
+	SET_IF_GIVEN(kv_blocks, options->kv_blocks,
+		     (unsigned)kv_blocks->ival[0]);
+	SET_IF_GIVEN(change, options->change_us,
+		     change->ival[0] * KS_USEC_PER_MSEC);
+	SET_IF_GIVEN(load_lag, options->load_lag_us,
+		     load_lag->ival[0] * KS_USEC_PER_MSEC);
+	SET_IF_GIVEN(event_lag, options->event_lag_us,
+		     event_lag->ival[0] * KS_USEC_PER_MSEC);
+	SET_IF_GIVEN(block, options->block_us, block->ival[0]);
+	SET_IF_GIVEN(seed, options->seed, (uint32_t)seed->ival[0]);
+	SET_IF_GIVEN(model, options->model, model->sval[0]);
+	SET_IF_GIVEN(version, options->version, version->sval[0]);
+	SET_IF_GIVEN(role, options->role, role->sval[0]);
+	options->checks_fencing = fencing->count > 0;
+	return run_engine(&engine);
+}
