--- /dev/null
+++ b/tests/fakes/fake-service.c
@@ -0,0 +1,221 @@
+/*
+ * Stand-in for a plain service whose calls may not be repeated: it counts how
+ * often each call was carried out.
+ */
+#include "fake_main.h"
+
+#include <argtable2.h>
+#include <h2o.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#define EXIT_USAGE 2
+#define EXIT_CRASHED 3
+
+/**
+ * struct service - the whole service
+ * @executions: from key and hash of the body to the count
+ * @lose_answers: calls that are yet to be carried out without an answer
+ */
+struct service {
+	ks_loop_t loop;
+	ks_http_server_t server;
+	ks_address_t listen;
+	int64_t delay_us;
+	GHashTable *executions;
+	unsigned total;
+	unsigned lose_answers;
+	bool silent;
+};
+
+/**
+ * struct answer - an answer that waits for its delay; lives with its request
+ */
+struct answer {
+	struct service *service;
+	h2o_req_t *req;
+	ks_timer_t timer;
+	json_t *root;
+	bool lost;
+};
+
+static void dispose_answer(void *data)
+{
+	struct answer *answer = data;
+
+	ks_timer_clear(&answer->timer);
+	json_decref(answer->root);
+}
+
+static void reply_json(h2o_req_t *req, json_t *root)
+{
+	char *text = json_dumps(root, JSON_COMPACT);
+
+	ks_http_reply(req, 200, "application/json", ks_str_from(text));
+	free(text); /* jansson uses malloc */
+}
+
+/* The caller sees its connection end without a byte of an answer. */
+static void drop_connection(h2o_req_t *req)
+{
+	h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
+
+	if (sock)
+		shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
+	req->http1_is_persistent = 0;
+}
+
+static void on_delay_over(void *ctx)
+{
+	struct answer *answer = ctx;
+
+	if (answer->service->silent)
+		return;
+	if (answer->lost)
+		drop_connection(answer->req);
+	reply_json(answer->req, answer->root);
+}
+
+/* Counts one execution of a call, and returns how many there were. */
+static unsigned count_execution(struct service *service, ks_str_t key,
+				ks_str_t body)
+{
+	char *name = g_strdup_printf(
+		"%.*s %016" G_GINT64_MODIFIER "x", (int)key.len,
+		key.data ? key.data : "", XXH3_64bits(body.data, body.len));
+	unsigned count =
+		GPOINTER_TO_UINT(
+			g_hash_table_lookup(service->executions, name)) +
+		1;
+
+	g_hash_table_replace(service->executions, name,
+			     GUINT_TO_POINTER(count));
+	service->total++;
+	return count;
+}
+
+/* A call is carried out when it arrives; only its answer is delayed. */
+static void handle_call(struct service *service, h2o_req_t *req)
+{
+	struct answer *answer = h2o_mem_alloc_shared(
+		&req->pool, sizeof(*answer), dispose_answer);
+	ks_str_t body = ks_http_req_body(req);
+	ks_str_t key = ks_http_req_header(req, "idempotency-key");
+	json_t *root = json_loadb(body.data ? body.data : "", body.len, 0, NULL);
+	json_t *value = json_object_get(root, "value");
+	unsigned count = count_execution(service, key, body);
+
+	answer->service = service;
+	answer->req = req;
+	answer->root =
+		json_pack("{s:O,s:i}", "value", value ? value : json_null(),
+			  "executions", (int)count);
+	answer->lost = service->lose_answers > 0;
+	if (answer->lost)
+		service->lose_answers--;
+	json_decref(root);
+	ks_timer_init(&answer->timer, &service->loop, on_delay_over, answer);
+	if (service->delay_us > 0 || service->silent)
+		ks_timer_set(&answer->timer, service->delay_us);
+	else
+		on_delay_over(answer);
+}
+
+static void handle_stats(struct service *service, h2o_req_t *req)
+{
+	json_t *by_key = json_object();
+	gpointer name, count;
+	GHashTableIter iter;
+	int max = 0;
+	json_t *root;
+
+	g_hash_table_iter_init(&iter, service->executions);
+	while (g_hash_table_iter_next(&iter, &name, &count)) {
+		json_object_set_new(by_key, name,
+				    json_integer(GPOINTER_TO_INT(count)));
+		max = MAX(max, GPOINTER_TO_INT(count));
+	}
+	root = json_pack("{s:o,s:i,s:i}", "executions", by_key, "total",
+			 (int)service->total, "max_per_key", max);
+	reply_json(req, root);
+	json_decref(root);
+}
+
+/* Answered even when silent, so that a test can undo it. */
+static void handle_control(struct service *service, h2o_req_t *req)
+{
+	ks_str_t body = ks_http_req_body(req);
+	json_t *root = json_loadb(body.data ? body.data : "", body.len, 0, NULL);
+	json_t *silent = json_object_get(root, "silent");
+	json_t *lose = json_object_get(root, "lose_answers");
+
+	if (json_is_true(json_object_get(root, "crash")))
+		_exit(EXIT_CRASHED);
+	if (silent)
+		service->silent = json_is_true(silent);
+	if (lose)
+		service->lose_answers = (unsigned)json_integer_value(lose);
+	json_decref(root);
+	ks_http_reply(req, 200, "application/json", KS_STR("{}"));
+}
+
+static void handle(void *ctx, h2o_req_t *req)
+{
+	struct service *service = ctx;
+	ks_str_t path = ks_http_req_path(req);
+
+	if (ks_str_equal(path, KS_STR("/control")))
+		handle_control(service, req);
+	else if (ks_str_equal(path, KS_STR("/stats")))
+		handle_stats(service, req);
+	else if (!service->silent)
+		handle_call(service, req);
+}
+
+static int run_service(struct service *service)
+{
+	struct fake_signals signals;
+	int status = EXIT_FAILURE;
+
+	ks_loop_init(&service->loop, ks_clock_monotonic());
+	fake_signals_init(&signals, &service->loop);
+	service->executions =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	if (fake_listen(&service->server, &service->loop, &service->listen,
+			handle, service)) {
+		ks_loop_run(&service->loop);
+		status = EXIT_SUCCESS;
+	}
+	/* Requests may still be open, which the server cannot outlive. */
+	fflush(stderr);
+	_exit(status);
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_str *listen =
+		arg_str0(NULL, "listen", "IP:PORT", "where to listen");
+	struct arg_int *delay =
+		arg_int0(NULL, "delay-us", "US", "time before each answer");
+	struct arg_end *end = arg_end(10);
+	void *table[] = { listen, delay, end };
+	struct service service = { .listen = { "127.0.0.1", 0 } };
+
+	if (arg_parse(argc, argv, table) > 0) {
+		arg_print_errors(stderr, end, "fake-service");
+		return EXIT_USAGE;
+	}
+	if (listen->count &&
+	    !ks_address_parse(&service.listen, ks_str_from(listen->sval[0]),
+			      NULL)) {
+		fprintf(stderr, "fake-service: '%s' is not IP:PORT\n",
+			listen->sval[0]);
+		return EXIT_USAGE;
+	}
+	service.delay_us = delay->count ? delay->ival[0] : 0;
+	return run_service(&service);
+}
