--- a/packages/process/src/engine_http.c
+++ b/packages/process/src/engine_http.c
@@ -54,7 +54,8 @@
 
 	if (!json_is_array(list))
 		return false;
-	json_array_foreach(list, i, item) {
+	json_array_foreach(list, i, item)
+	{
 		if (!json_is_string(item))
 			return false;
 		g_ptr_array_add(adapters, g_strdup(json_string_value(item)));
--- a/packages/process/src/upstream.c
+++ b/packages/process/src/upstream.c
@@ -218,9 +218,9 @@
 	if (!ks_address_parse(&options.address, ks_str_from(settings->listen),
 			      error))
 		return false;
-	process->link = ks_link_server_new(process->loop, process->zmq,
-					   &options, &link_events, process,
-					   error);
+	process->link =
+		ks_link_server_new(process->loop, process->zmq, &options,
+				   &link_events, process, error);
 	if (!process->link)
 		return false;
 	options.address.port = ks_link_server_port(process->link);
@@ -233,10 +233,9 @@
 {
 	const ks_settings_t *settings = process->settings;
 
-	process->config = ks_config_new(process->loop, &process->store.store,
-					&process->rng,
-					settings->poll_ms * KS_USEC_PER_MSEC,
-					on_snapshot, process);
+	process->config = ks_config_new(
+		process->loop, &process->store.store, &process->rng,
+		settings->poll_ms * KS_USEC_PER_MSEC, on_snapshot, process);
 	if (settings->host)
 		on_poll_timer(process);
 }
--- a/packages/process/src/upstream_job.c
+++ b/packages/process/src/upstream_job.c
@@ -204,17 +204,17 @@
 {
 	struct upstream_job *job = ctx;
 	int64_t left = job->deadline_us - ks_loop_now(job->process->loop);
-	ks_error_kind_t kind = job->request.idempotent ?
-				       KS_ERROR_UPSTREAM_FAILED :
-				       KS_ERROR_OUTCOME_UNKNOWN;
+	ks_error_kind_t kind = job->request.idempotent
+				       ? KS_ERROR_UPSTREAM_FAILED
+				       : KS_ERROR_OUTCOME_UNKNOWN;
 
 	switch (result) {
 	case KS_HTTP_WHOLE:
 		end_whole(job);
 		break;
 	case KS_HTTP_NOT_SENT:
-		upstream_job_refuse(job, left > 0 ? KS_ERROR_NO_UPSTREAM :
-					   KS_ERROR_DEADLINE_NOT_RUN);
+		upstream_job_refuse(job, left > 0 ? KS_ERROR_NO_UPSTREAM
+						  : KS_ERROR_DEADLINE_NOT_RUN);
 		break;
 	case KS_HTTP_TIMED_OUT:
 		end_job(job, kind, "no whole answer from the upstream in time");
@@ -268,9 +268,8 @@
 	};
 
 	g_snprintf(priority, sizeof(priority), "%u", job->request.priority);
-	request.n_headers =
-		build_headers(job, headers,
-			      ks_id_format(&job->request.key.id, id), priority);
+	request.n_headers = build_headers(
+		job, headers, ks_id_format(&job->request.key.id, id), priority);
 	ks_http_call_start(&job->call, &process->client, &request, &call_events,
 			   job);
 	g_free(headers);
@@ -357,7 +356,7 @@
 	ks_list_t *lists[] = { &process->queue, &process->running };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(lists); i++)
-		KS_LIST_FOREACH_SAFE(it, next, lists[i]) {
+		KS_LIST_FOREACH_SAFE (it, next, lists[i]) {
 			struct upstream_job *job =
 				KS_CONTAINER_OF(it, struct upstream_job, node);
 
--- a/packages/process/src/upstream_queue.c
+++ b/packages/process/src/upstream_queue.c
@@ -51,7 +51,7 @@
 {
 	ks_list_t *before = &process->queue;
 
-	KS_LIST_FOREACH(it, &process->queue) {
+	KS_LIST_FOREACH (it, &process->queue) {
 		struct upstream_job *other =
 			KS_CONTAINER_OF(it, struct upstream_job, node);
 
--- a/packages/process/tests/prop-drain.cpp
+++ b/packages/process/tests/prop-drain.cpp
@@ -101,7 +101,7 @@
 					     now);
 				       check(&drain, expected);
 			       }
-		       }) ?
-		       0 :
-		       1;
+		       })
+		       ? 0
+		       : 1;
 }
--- /dev/null
+++ b/packages/process/tests/test-upstream-queue.c
@@ -0,0 +1,324 @@
+/* Tests of the upstream process: queue, load, and how it leaves and stops. */
+#include "../src/upstream.h"
+#include "upstream_fixture.h"
+
+static ks_attempt_request_t request_of_priority(uint32_t priority)
+{
+	ks_attempt_request_t request = example_request(true);
+
+	request.priority = priority;
+	return request;
+}
+
+static void reply_ok(struct fixture *f, unsigned i)
+{
+	ks_http_reply(f->calls[i]->req, 200, "text/plain", KS_STR("ok"));
+}
+
+/*
+ * Guards against an upstream with more than its limit, a queue without bound,
+ * and an urgent request that waits behind others.
+ */
+static void test_queue_is_bounded_and_by_priority(void)
+{
+	struct fixture *f = fixture_ready(false, 1);
+	ks_job_t *running = arrive(f, request_of_priority(2));
+	ks_job_t *low = arrive(f, request_of_priority(2));
+	ks_job_t *middle = arrive(f, request_of_priority(1));
+	ks_job_t *refused = arrive(f, request_of_priority(2));
+	ks_job_t *urgent = arrive(f, request_of_priority(0));
+
+	g_assert_cmpint(refused->kind, ==, KS_ERROR_OVERLOADED);
+	g_assert_cmpint(refused->retry_after_us, >, 0);
+	/* The urgent one took the place of the least urgent. */
+	g_assert_cmpint(low->kind, ==, KS_ERROR_OVERLOADED);
+	g_assert_true(low->refused);
+	RUN_UNTIL(f, f->n_calls == 1);
+	run_turns(f, 20);
+	g_assert_cmpuint(f->n_calls, ==, 1);
+	reply_ok(f, 0);
+	RUN_UNTIL(f, urgent->accepted);
+	g_assert_true(running->ended);
+	g_assert_false(middle->accepted);
+	RUN_UNTIL(f, f->n_calls == 2);
+	reply_ok(f, 1);
+	RUN_UNTIL(f, f->n_calls == 3);
+	reply_ok(f, 2);
+	RUN_UNTIL(f, middle->ended);
+	job_free(running);
+	job_free(low);
+	job_free(middle);
+	job_free(refused);
+	job_free(urgent);
+	fixture_free(f);
+}
+
+/* Guards against a request that runs although it was answered as not run. */
+static void test_cancelled_in_queue_never_runs(void)
+{
+	struct fixture *f = fixture_ready(false, 1);
+	ks_job_t *running = arrive(f, example_request(false));
+	ks_job_t *queued = arrive(f, example_request(false));
+
+	RUN_UNTIL(f, f->n_calls == 1);
+	cancel(queued);
+	g_assert_true(queued->refused);
+	reply_ok(f, 0);
+	RUN_UNTIL(f, running->ended);
+	run_turns(f, 20);
+	g_assert_cmpuint(f->n_calls, ==, 1);
+	job_free(running);
+	job_free(queued);
+	fixture_free(f);
+}
+
+/* Guards against a queued request that is held until long after its deadline,
+ * or handed on after it. */
+static void test_deadline_in_queue(void)
+{
+	struct fixture *f = fixture_ready(false, 1);
+	ks_attempt_request_t request = example_request(false);
+	ks_job_t *running = arrive(f, request);
+	ks_job_t *queued;
+
+	RUN_UNTIL(f, f->n_calls == 1);
+	request.timeout_us = 3 * SEC;
+	queued = arrive(f, request);
+	ks_test_clock_advance(&f->clock, 3 * SEC);
+	RUN_UNTIL(f, queued->refused);
+	g_assert_cmpint(queued->kind, ==, KS_ERROR_DEADLINE_NOT_RUN);
+	reply_ok(f, 0);
+	RUN_UNTIL(f, running->ended);
+	run_turns(f, 20);
+	g_assert_cmpuint(f->n_calls, ==, 1);
+	job_free(running);
+	job_free(queued);
+	fixture_free(f);
+}
+
+/*
+ * Guards against orders being carried out among requests, and against queued
+ * requests that wait for the end of a change.
+ */
+static void test_change_refuses_new_and_queued_requests(void)
+{
+	struct fixture *f = fixture_ready(true, 1);
+	ks_job_t *running = arrive(f, example_request(true));
+	ks_job_t *queued = arrive(f, example_request(true));
+	ks_job_t *late;
+
+	RUN_UNTIL(f, f->n_calls == 1);
+	g_assert_cmpuint(doubles.orders_in_flight, ==, 2);
+	doubles.orders_events->accepting(doubles.orders_ctx, false);
+	g_assert_cmpint(doubles.state, ==, KS_UPSTREAM_CHANGING);
+	g_assert_cmpint(queued->kind, ==, KS_ERROR_NO_UPSTREAM);
+	late = arrive(f, example_request(true));
+	g_assert_cmpint(late->kind, ==, KS_ERROR_NO_UPSTREAM);
+	g_assert_cmpuint(doubles.orders_in_flight, ==, 1);
+	reply_ok(f, 0);
+	RUN_UNTIL(f, running->ended);
+	g_assert_cmpint(running->kind, ==, KS_ERROR_NONE);
+	g_assert_cmpuint(doubles.orders_in_flight, ==, 0);
+	doubles.orders_events->accepting(doubles.orders_ctx, true);
+	g_assert_cmpint(doubles.state, ==, KS_UPSTREAM_READY);
+	job_free(running);
+	job_free(queued);
+	job_free(late);
+	fixture_free(f);
+}
+
+/* Guards against new work for an upstream that a release or host list drops. */
+static void test_each_sign_of_leaving_is_heeded(void)
+{
+	struct fixture *f = fixture_ready(false, 4);
+	ks_str_t hosts[] = { KS_STR("host0"), KS_STR("host1") };
+	ks_job_t *job;
+
+	doubles.config_func(doubles.config_ctx, &f->without);
+	g_assert_cmpint(doubles.state, ==, KS_UPSTREAM_LEAVING);
+	g_assert_cmpuint(doubles.version, ==, 8);
+	doubles.config_func(doubles.config_ctx, &f->snapshot);
+	g_assert_cmpint(doubles.state, ==, KS_UPSTREAM_READY);
+
+	doubles.hosts_func(doubles.hosts_ctx, true, hosts, 2);
+	g_assert_cmpint(doubles.state, ==, KS_UPSTREAM_LEAVING);
+	/* A list that could not be read says nothing. */
+	doubles.hosts_func(doubles.hosts_ctx, false, NULL, 0);
+	g_assert_cmpint(doubles.state, ==, KS_UPSTREAM_LEAVING);
+	doubles.hosts_func(doubles.hosts_ctx, true, hosts, 1);
+	g_assert_cmpint(doubles.state, ==, KS_UPSTREAM_READY);
+
+	doubles.link_events->leaving_seen(doubles.link_ctx);
+	g_assert_cmpint(doubles.state, ==, KS_UPSTREAM_LEAVING);
+	job = arrive(f, example_request(true));
+	g_assert_cmpint(job->kind, ==, KS_ERROR_NO_UPSTREAM);
+	job_free(job);
+	fixture_free(f);
+}
+
+/* Guards against a host list that is read only once. */
+static void test_host_list_is_polled(void)
+{
+	struct fixture *f = fixture_ready(false, 4);
+
+	g_assert_cmpuint(doubles.n_host_polls, ==, 1);
+	ks_test_clock_advance(&f->clock, 10 * SEC);
+	run_turns(f, 2);
+	g_assert_cmpuint(doubles.n_host_polls, ==, 2);
+	fixture_free(f);
+}
+
+/* Guards against a stop that loses an answer or leaves an order half done. */
+static void test_stop_waits_for_answers_and_orders(void)
+{
+	struct fixture *f = fixture_ready(true, 4);
+	ks_job_t *running = arrive(f, example_request(true));
+
+	RUN_UNTIL(f, f->n_calls == 1);
+	doubles.link_idle = false;
+	doubles.orders_idle = false;
+	ks_upstream_process_stop(f->process);
+	g_assert_cmpint(doubles.state, ==, KS_UPSTREAM_LEAVING);
+	g_assert_true(doubles.orders_stopped);
+	ks_test_clock_advance(&f->clock, 5 * SEC);
+	run_turns(f, 5);
+	g_assert_false(f->loop.stopping);
+	reply_ok(f, 0);
+	RUN_UNTIL(f, running->ended);
+	g_assert_cmpint(running->kind, ==, KS_ERROR_NONE);
+	ks_test_clock_advance(&f->clock, SEC);
+	run_turns(f, 5);
+	g_assert_false(f->loop.stopping);
+	doubles.link_idle = true;
+	ks_test_clock_advance(&f->clock, SEC);
+	run_turns(f, 5);
+	g_assert_false(f->loop.stopping);
+	doubles.orders_idle = true;
+	ks_test_clock_advance(&f->clock, SEC);
+	run_turns(f, 5);
+	g_assert_true(f->loop.stopping);
+	job_free(running);
+	fixture_free(f);
+}
+
+/* Guards against a heartbeat for each request, and against a stale last one. */
+static void test_load_is_announced_at_most_every_interval(void)
+{
+	struct fixture *f = fixture_ready(false, 50);
+	ks_job_t *jobs[10];
+	unsigned before;
+
+	ks_test_clock_advance(&f->clock, SEC);
+	run_turns(f, 1);
+	before = doubles.n_loads;
+	for (int i = 0; i < 10; i++)
+		jobs[i] = arrive(f, example_request(true));
+	g_assert_cmpuint(doubles.n_loads, ==, before + 1);
+	RUN_UNTIL(f, f->n_calls == 10);
+	g_assert_cmpuint(doubles.n_loads, ==, before + 1);
+	ks_test_clock_advance(&f->clock, 50 * MSEC);
+	run_turns(f, 1);
+	g_assert_cmpuint(doubles.n_loads, ==, before + 2);
+	g_assert_cmpuint(doubles.load.in_flight, ==, 10);
+	g_assert_cmpuint(doubles.load.limit, ==, 50);
+	g_assert_cmpuint(doubles.load.prompt_tokens_pending, ==, 1000);
+	g_assert_cmpuint(doubles.load.output_tokens_pending, ==, 100);
+	for (int i = 0; i < 10; i++)
+		cancel(jobs[i]);
+	ks_test_clock_advance(&f->clock, 50 * MSEC);
+	run_turns(f, 1);
+	g_assert_cmpuint(doubles.load.in_flight, ==, 0);
+	g_assert_cmpuint(doubles.load.prompt_tokens_pending, ==, 0);
+	g_assert_cmpuint(doubles.load.output_tokens_pending, ==, 0);
+	for (int i = 0; i < 10; i++)
+		job_free(jobs[i]);
+	fixture_free(f);
+}
+
+/* Guards against pending tokens that do not shrink as a stream goes on. */
+static void test_pending_tokens_shrink_with_events(void)
+{
+	struct fixture *f = fixture_ready(true, 4);
+	ks_job_t *job = arrive(f, example_request(true));
+
+	RUN_UNTIL(f, f->n_calls == 1);
+	stream_begin(f->calls[0], "text/event-stream");
+	stream_send(f, f->calls[0], "data: 1\n\ndata: 2\n\ndata: 3\n\n",
+		    H2O_SEND_STATE_IN_PROGRESS);
+	RUN_UNTIL(f, job->body->len > 0);
+	ks_test_clock_advance(&f->clock, 50 * MSEC);
+	run_turns(f, 2);
+	g_assert_cmpuint(doubles.load.prompt_tokens_pending, ==, 0);
+	g_assert_cmpuint(doubles.load.output_tokens_pending, ==, 7);
+	job_free(job);
+	fixture_free(f);
+}
+
+/* Guards against the engine's own report being left out of the load. */
+static void test_observed_engine_is_announced(void)
+{
+	struct fixture *f = fixture_ready(true, 4);
+	ks_engine_state_t state = {
+		.model = "m1",
+		.role = KS_ROLE_DECODE,
+		.kv_blocks_free = 5,
+		.kv_blocks_total = 9,
+	};
+
+	doubles.orders_events->observed(doubles.orders_ctx, &state);
+	ks_test_clock_advance(&f->clock, SEC);
+	run_turns(f, 2);
+	g_assert_cmpuint(doubles.load.kv_blocks_free, ==, 5);
+	g_assert_cmpuint(doubles.load.kv_blocks_total, ==, 9);
+	g_assert_cmpstr(doubles.load.role, ==, "decode");
+	fixture_free(f);
+}
+
+/* Guards against events that are miscounted where a read cuts a line. */
+static void test_events_are_found_across_any_cut(void)
+{
+	static const char text[] = "data: {\"long\":\"line of text\"}\n\n"
+				   ": comment\n\n"
+				   "data:two\r\n\r\n"
+				   "data: [DONE]\r\n\r\n";
+
+	for (size_t step = 1; step < sizeof(text); step++) {
+		struct upstream_sse sse = { 0 };
+
+		for (size_t at = 0; at < sizeof(text) - 1; at += step)
+			upstream_sse_feed(
+				&sse,
+				(ks_str_t){ text + at,
+					    MIN(step, sizeof(text) - 1 - at) });
+		g_assert_cmpuint(sse.events, ==, 2);
+		g_assert_true(sse.done);
+		upstream_sse_feed(&sse, KS_STR("data: more\n\n"));
+		g_assert_false(sse.done);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/upstream-queue/priority",
+			test_queue_is_bounded_and_by_priority);
+	g_test_add_func("/upstream-queue/cancel",
+			test_cancelled_in_queue_never_runs);
+	g_test_add_func("/upstream-queue/deadline", test_deadline_in_queue);
+	g_test_add_func("/upstream-queue/change",
+			test_change_refuses_new_and_queued_requests);
+	g_test_add_func("/upstream-queue/leaving",
+			test_each_sign_of_leaving_is_heeded);
+	g_test_add_func("/upstream-queue/host-list", test_host_list_is_polled);
+	g_test_add_func("/upstream-queue/stop",
+			test_stop_waits_for_answers_and_orders);
+	g_test_add_func("/upstream-queue/load",
+			test_load_is_announced_at_most_every_interval);
+	g_test_add_func("/upstream-queue/tokens",
+			test_pending_tokens_shrink_with_events);
+	g_test_add_func("/upstream-queue/observed",
+			test_observed_engine_is_announced);
+	g_test_add_func("/upstream-queue/events",
+			test_events_are_found_across_any_cut);
+	return g_test_run();
+}
--- /dev/null
+++ b/packages/process/tests/test-upstream.c
@@ -0,0 +1,288 @@
+/* Tests of the upstream process: handing requests on and their answers. */
+#include "upstream_fixture.h"
+
+/* Guards against a request that runs where no snapshot allows it. */
+static void test_refuses_without_snapshot(void)
+{
+	struct fixture *f = fixture_new(false, 4);
+	ks_job_t *job = arrive(f, example_request(true));
+
+	g_assert_true(job->refused);
+	g_assert_cmpint(job->kind, ==, KS_ERROR_NO_UPSTREAM);
+	g_assert_cmpint(job->retry_after_us, >, 0);
+	job_free(job);
+	fixture_free(f);
+}
+
+/* Guards against lost fields, and against an answer that is not the whole. */
+static void test_hands_on_and_returns_whole_answer(void)
+{
+	struct fixture *f = fixture_ready(false, 4);
+	ks_header_t headers[] = {
+		{ KS_STR("x-ks-resume-from"), KS_STR("5") },
+		{ KS_STR("x-priority"), KS_STR("0") },
+		{ KS_STR("connection"), KS_STR("keep-alive") },
+	};
+	ks_attempt_request_t request = example_request(true);
+	char id[KS_ID_HEX_SIZE];
+	h2o_req_t *req;
+	ks_job_t *job;
+
+	request.headers = headers;
+	request.n_headers = G_N_ELEMENTS(headers);
+	request.priority = 3;
+	job = arrive(f, request);
+	RUN_UNTIL(f, f->n_calls == 1);
+	req = f->calls[0]->req;
+	g_assert_true(job->accepted);
+	g_assert_true(ks_str_equal(ks_http_req_header(req, "x-ks-resume-from"),
+				   KS_STR("5")));
+	/* The class counts, not what a caller claims. */
+	g_assert_true(ks_str_equal(ks_http_req_header(req, "x-priority"),
+				   KS_STR("3")));
+	g_assert_true(
+		ks_str_equal(ks_http_req_header(req, "x-request-id"),
+			     ks_str_from(ks_id_format(&job->key.id, id))));
+	g_assert_true(ks_str_equal(ks_http_req_body(req), KS_STR("{}")));
+	ks_http_reply(req, 201, "text/plain", KS_STR("answer"));
+	RUN_UNTIL(f, job->ended);
+	g_assert_cmpint(job->kind, ==, KS_ERROR_NONE);
+	g_assert_cmpint(job->status, ==, 201);
+	g_assert_cmpstr(job->body->str, ==, "answer");
+	g_assert_false(job->has_framing_header);
+	job_free(job);
+	fixture_free(f);
+}
+
+/* Guards against "not run" being lost when the upstream is not there. */
+static void test_failed_connection_is_not_started(void)
+{
+	struct fixture *f = fixture_ready(false, 4);
+	ks_job_t *job;
+
+	ks_http_server_close_listener(&f->backend);
+	job = arrive(f, example_request(false));
+	RUN_UNTIL(f, job->n_last == 1);
+	g_assert_true(job->refused);
+	g_assert_cmpint(job->kind, ==, KS_ERROR_NO_UPSTREAM);
+	job_free(job);
+	fixture_free(f);
+}
+
+static ks_error_kind_t kind_of_lost(bool idempotent)
+{
+	struct fixture *f = fixture_ready(false, 4);
+	ks_job_t *job = arrive(f, example_request(idempotent));
+	ks_error_kind_t kind;
+
+	RUN_UNTIL(f, f->n_calls == 1);
+	stream_begin(f->calls[0], "text/plain");
+	stream_send(f, f->calls[0], "part", H2O_SEND_STATE_IN_PROGRESS);
+	stream_send(f, f->calls[0], "", H2O_SEND_STATE_ERROR);
+	RUN_UNTIL(f, job->ended);
+	kind = job->kind;
+	job_free(job);
+	fixture_free(f);
+	return kind;
+}
+
+/* Guards against a truncated answer that passes for a whole one. */
+static void test_lost_answer_is_not_whole(void)
+{
+	g_assert_cmpint(kind_of_lost(true), ==, KS_ERROR_UPSTREAM_FAILED);
+	g_assert_cmpint(kind_of_lost(false), ==, KS_ERROR_OUTCOME_UNKNOWN);
+}
+
+static ks_error_kind_t kind_of_stream(const char *last)
+{
+	struct fixture *f = fixture_ready(true, 4);
+	ks_job_t *job = arrive(f, example_request(true));
+	ks_error_kind_t kind;
+
+	RUN_UNTIL(f, f->n_calls == 1);
+	stream_begin(f->calls[0], "text/event-stream");
+	stream_send(f, f->calls[0], "data: {}\n\nda",
+		    H2O_SEND_STATE_IN_PROGRESS);
+	stream_send(f, f->calls[0], last, H2O_SEND_STATE_FINAL);
+	RUN_UNTIL(f, job->ended);
+	kind = job->kind;
+	job_free(job);
+	fixture_free(f);
+	return kind;
+}
+
+/* Guards against a stream that ends cleanly but without its end marker. */
+static void test_stream_without_end_marker_is_cut_short(void)
+{
+	g_assert_cmpint(kind_of_stream("ta: {}\n\ndata: [DONE]\n\n"), ==,
+			KS_ERROR_NONE);
+	g_assert_cmpint(kind_of_stream("ta: {}\n\n"), ==,
+			KS_ERROR_UPSTREAM_FAILED);
+	g_assert_cmpint(kind_of_stream("ta: \"[DONE]\"\n\n"), ==,
+			KS_ERROR_UPSTREAM_FAILED);
+	g_assert_cmpint(kind_of_stream("ta: [DONE]"), ==,
+			KS_ERROR_UPSTREAM_FAILED);
+}
+
+/* Guards against work for a caller that has gone. */
+static void test_cancel_closes_idempotent_call(void)
+{
+	struct fixture *f = fixture_ready(true, 4);
+	ks_job_t *job = arrive(f, example_request(true));
+
+	RUN_UNTIL(f, f->n_calls == 1);
+	cancel(job);
+	g_assert_true(job->ended);
+	g_assert_cmpuint(doubles.orders_in_flight, ==, 0);
+	/* h2o notices a closed caller when it writes. */
+	stream_begin(f->calls[0], "text/plain");
+	for (int i = 0; i < MAX_TURNS && !f->calls[0]->gone; i++) {
+		if (!f->calls[0]->busy)
+			stream_send(f, f->calls[0], "x",
+				    H2O_SEND_STATE_IN_PROGRESS);
+		ks_loop_run_once(&f->loop, 10 * MSEC);
+	}
+	g_assert_true(f->calls[0]->gone);
+	job_free(job);
+	fixture_free(f);
+}
+
+/* Guards against a payment being broken off half way. */
+static void test_cancel_lets_non_idempotent_call_finish(void)
+{
+	struct fixture *f = fixture_ready(false, 4);
+	ks_job_t *job = arrive(f, example_request(false));
+
+	RUN_UNTIL(f, f->n_calls == 1);
+	cancel(job);
+	g_assert_false(job->ended);
+	ks_http_reply(f->calls[0]->req, 200, "text/plain", KS_STR("paid"));
+	RUN_UNTIL(f, job->ended);
+	g_assert_cmpint(job->kind, ==, KS_ERROR_NONE);
+	g_assert_cmpstr(job->body->str, ==, "paid");
+	job_free(job);
+	fixture_free(f);
+}
+
+/* Guards against a call that outlives the end of its attempt. */
+static void test_slow_reader_frees_its_slot(void)
+{
+	struct fixture *f = fixture_ready(true, 1);
+	ks_job_t *job = arrive(f, example_request(true));
+
+	job->body_refused = true;
+	RUN_UNTIL(f, f->n_calls == 1);
+	stream_begin(f->calls[0], "text/event-stream");
+	stream_send(f, f->calls[0], "data: {}\n\n", H2O_SEND_STATE_IN_PROGRESS);
+	RUN_UNTIL(f, job->ended);
+	RUN_UNTIL(f, doubles.orders_in_flight == 0);
+	g_assert_cmpint(job->kind, ==, KS_ERROR_SLOW_READER);
+	job_free(job);
+	fixture_free(f);
+}
+
+/* Guards against a call without an end when the upstream goes silent. */
+static void test_silent_upstream_is_given_up_at_deadline(void)
+{
+	struct fixture *f = fixture_ready(false, 4);
+	ks_job_t *job = arrive(f, example_request(true));
+
+	RUN_UNTIL(f, f->n_calls == 1);
+	ks_test_clock_advance(&f->clock, 10 * SEC);
+	RUN_UNTIL(f, job->ended);
+	g_assert_cmpint(job->kind, ==, KS_ERROR_UPSTREAM_FAILED);
+	job_free(job);
+	fixture_free(f);
+}
+
+/* Guards against the outcome of a slow payment being thrown away. */
+static void test_non_idempotent_call_outlasts_deadline(void)
+{
+	struct fixture *f = fixture_ready(false, 4);
+	ks_job_t *job = arrive(f, example_request(false));
+
+	RUN_UNTIL(f, f->n_calls == 1);
+	ks_test_clock_advance(&f->clock, 11 * SEC);
+	run_turns(f, 5);
+	g_assert_false(job->ended);
+	ks_test_clock_advance(&f->clock, 60 * SEC);
+	RUN_UNTIL(f, job->ended);
+	g_assert_cmpint(job->kind, ==, KS_ERROR_OUTCOME_UNKNOWN);
+	job_free(job);
+	fixture_free(f);
+}
+
+/* Guards against a request being sent after its caller was answered. */
+static void test_nothing_is_sent_after_deadline(void)
+{
+	struct fixture *f = fixture_ready(false, 4);
+	ks_attempt_request_t request = example_request(false);
+	ks_job_t *late = arrive(f, request);
+	ks_job_t *none;
+
+	ks_test_clock_advance(&f->clock, request.timeout_us);
+	RUN_UNTIL(f, late->n_last == 1);
+	g_assert_true(late->refused);
+	g_assert_cmpint(late->kind, ==, KS_ERROR_DEADLINE_NOT_RUN);
+	request.timeout_us = 0;
+	none = arrive(f, request);
+	g_assert_cmpint(none->kind, ==, KS_ERROR_DEADLINE_NOT_RUN);
+	run_turns(f, 20);
+	g_assert_cmpuint(f->n_calls, ==, 0);
+	job_free(late);
+	job_free(none);
+	fixture_free(f);
+}
+
+/* Guards against a request for one model running on another. */
+static void test_refuses_other_model(void)
+{
+	struct fixture *f = fixture_ready(true, 4);
+	ks_engine_state_t state = { .model = "m2" };
+	ks_attempt_request_t request = example_request(true);
+	ks_job_t *job;
+
+	request.model = KS_STR("m2");
+	job = arrive(f, request);
+	g_assert_cmpint(job->kind, ==, KS_ERROR_UNKNOWN_MODEL);
+	job_free(job);
+
+	request.model = KS_STR("m1-adapter");
+	job = arrive(f, request);
+	RUN_UNTIL(f, f->n_calls == 1);
+	cancel(job);
+	job_free(job);
+
+	doubles.orders_events->observed(doubles.orders_ctx, &state);
+	request.model = KS_STR("m1");
+	job = arrive(f, request);
+	g_assert_cmpint(job->kind, ==, KS_ERROR_UNKNOWN_MODEL);
+	job_free(job);
+	fixture_free(f);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/upstream/no-snapshot", test_refuses_without_snapshot);
+	g_test_add_func("/upstream/whole",
+			test_hands_on_and_returns_whole_answer);
+	g_test_add_func("/upstream/not-started",
+			test_failed_connection_is_not_started);
+	g_test_add_func("/upstream/lost", test_lost_answer_is_not_whole);
+	g_test_add_func("/upstream/end-marker",
+			test_stream_without_end_marker_is_cut_short);
+	g_test_add_func("/upstream/cancel", test_cancel_closes_idempotent_call);
+	g_test_add_func("/upstream/cancel-non-idempotent",
+			test_cancel_lets_non_idempotent_call_finish);
+	g_test_add_func("/upstream/slow-reader",
+			test_slow_reader_frees_its_slot);
+	g_test_add_func("/upstream/silent",
+			test_silent_upstream_is_given_up_at_deadline);
+	g_test_add_func("/upstream/grace",
+			test_non_idempotent_call_outlasts_deadline);
+	g_test_add_func("/upstream/deadline",
+			test_nothing_is_sent_after_deadline);
+	g_test_add_func("/upstream/model", test_refuses_other_model);
+	return g_test_run();
+}
--- a/tests/fakes/engine_batch.c
+++ b/tests/fakes/engine_batch.c
@@ -24,7 +24,7 @@
 {
 	ks_list_t *before = &batch->waiting;
 
-	KS_LIST_FOREACH(it, &batch->waiting) {
+	KS_LIST_FOREACH (it, &batch->waiting) {
 		struct engine_sequence *other =
 			KS_CONTAINER_OF(it, struct engine_sequence, node);
 
@@ -71,8 +71,8 @@
 		batch->n_running++;
 		seq->running = true;
 		/* The last token is always computed, to get the next one. */
-		seq->cached_tokens = MIN(seq->pinned * BLOCK_TOKENS,
-					 seq->prompt_tokens - 1);
+		seq->cached_tokens =
+			MIN(seq->pinned * BLOCK_TOKENS, seq->prompt_tokens - 1);
 		seq->prefill_left = seq->prompt_tokens + seq->resume_from -
 				    seq->cached_tokens;
 		engine->stats.max_running =
@@ -86,7 +86,7 @@
 	unsigned n_decode = 0, n_prefill = 0;
 	double duration;
 
-	KS_LIST_FOREACH(it, &engine->batch.running) {
+	KS_LIST_FOREACH (it, &engine->batch.running) {
 		struct engine_sequence *seq =
 			KS_CONTAINER_OF(it, struct engine_sequence, node);
 
@@ -123,9 +123,9 @@
 static void store_prompt(struct engine_sequence *seq)
 {
 	while (seq->pinned < seq->hashes->len && seq->private_blocks > 0) {
-		engine_cache_store_reserved(&seq->engine->cache,
-					    g_array_index(seq->hashes, uint64_t,
-							  seq->pinned));
+		engine_cache_store_reserved(
+			&seq->engine->cache,
+			g_array_index(seq->hashes, uint64_t, seq->pinned));
 		seq->pinned++;
 		seq->private_blocks--;
 	}
@@ -158,7 +158,7 @@
 
 static void drop_closed(struct fake_engine *engine, ks_list_t *list)
 {
-	KS_LIST_FOREACH_SAFE(it, next, list) {
+	KS_LIST_FOREACH_SAFE (it, next, list) {
 		struct engine_sequence *seq =
 			KS_CONTAINER_OF(it, struct engine_sequence, node);
 
@@ -172,7 +172,7 @@
 
 static void run_iteration(struct fake_engine *engine)
 {
-	KS_LIST_FOREACH_SAFE(it, next, &engine->batch.running)
+	KS_LIST_FOREACH_SAFE (it, next, &engine->batch.running)
 		step_sequence(
 			KS_CONTAINER_OF(it, struct engine_sequence, node));
 }
@@ -235,8 +235,7 @@
 		return;
 	batch->due_us = ks_loop_now(&engine->loop);
 	start_iteration(engine);
-	ks_timer_set(&batch->timer,
-		     batch->due_us - ks_loop_now(&engine->loop));
+	ks_timer_set(&batch->timer, batch->due_us - ks_loop_now(&engine->loop));
 }
 
 /**
--- a/tests/fakes/engine_cache.c
+++ b/tests/fakes/engine_cache.c
@@ -224,7 +224,7 @@
 {
 	unsigned unused = 0;
 
-	KS_LIST_FOREACH(it, &cache->lru)
+	KS_LIST_FOREACH (it, &cache->lru)
 		unused++;
 	return cache->capacity - used_blocks(cache) + unused;
 }
--- a/tests/fakes/engine_kv.c
+++ b/tests/fakes/engine_kv.c
@@ -52,7 +52,8 @@
 	json_t *item;
 	size_t i;
 
-	json_array_foreach(list, i, item) {
+	json_array_foreach(list, i, item)
+	{
 		guint64 hash;
 
 		if (!json_is_string(item) ||
@@ -81,9 +82,9 @@
 
 	/* A later block is of no use without those before it. */
 	while (n < (int)transfer->hashes->len &&
-	       engine_cache_import(&transfer->engine->cache,
-				   g_array_index(transfer->hashes, uint64_t,
-						 n)))
+	       engine_cache_import(
+		       &transfer->engine->cache,
+		       g_array_index(transfer->hashes, uint64_t, n)))
 		n++;
 	engine_reply_json(transfer->req, 200,
 			  json_pack("{s:i}", "imported", n));
@@ -95,7 +96,8 @@
 void engine_kv_handle_export(struct fake_engine *engine, h2o_req_t *req)
 {
 	ks_str_t body = ks_http_req_body(req);
-	json_t *root = json_loadb(body.data ? body.data : "", body.len, 0, NULL);
+	json_t *root =
+		json_loadb(body.data ? body.data : "", body.len, 0, NULL);
 	json_t *prompt = json_object_get(root, "prompt");
 	GArray *hashes;
 	unsigned n;
@@ -105,9 +107,8 @@
 		json_decref(root);
 		return;
 	}
-	hashes = engine_cache_hashes(
-		(ks_str_t){ json_string_value(prompt),
-			    json_string_length(prompt) });
+	hashes = engine_cache_hashes((ks_str_t){ json_string_value(prompt),
+						 json_string_length(prompt) });
 	json_decref(root);
 	n = engine_cache_pin_prefix(&engine->cache, hashes);
 	for (unsigned i = 0; i < n; i++)
@@ -123,7 +124,8 @@
 void engine_kv_handle_import(struct fake_engine *engine, h2o_req_t *req)
 {
 	ks_str_t body = ks_http_req_body(req);
-	json_t *root = json_loadb(body.data ? body.data : "", body.len, 0, NULL);
+	json_t *root =
+		json_loadb(body.data ? body.data : "", body.len, 0, NULL);
 	GArray *hashes = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 
 	if (hashes_from_json(json_object_get(root, "blocks"), hashes)) {
--- a/tests/fakes/engine_orders.c
+++ b/tests/fakes/engine_orders.c
@@ -16,8 +16,8 @@
 };
 
 static const char *const kind_names[N_ORDER_KINDS] = {
-	"load_model", "unload_model", "load_adapter", "unload_adapter",
-	"set_role",
+	"load_model",	  "unload_model", "load_adapter",
+	"unload_adapter", "set_role",
 };
 
 /**
@@ -121,7 +121,8 @@
 		return;
 	reply->order = NULL;
 	if (!engine->silent)
-		engine_reply_json(reply->req, 200, json_pack("{s:b}", "done", 1));
+		engine_reply_json(reply->req, 200,
+				  json_pack("{s:b}", "done", 1));
 }
 
 static const char *text_of(json_t *root, const char *name)
@@ -233,7 +234,8 @@
 {
 	struct engine_order *order = g_new0(struct engine_order, 1);
 	ks_str_t body = ks_http_req_body(req);
-	json_t *root = json_loadb(body.data ? body.data : "", body.len, 0, NULL);
+	json_t *root =
+		json_loadb(body.data ? body.data : "", body.len, 0, NULL);
 	int status = 400;
 
 	ks_timer_init(&order->timer, &engine->loop, on_order_done, order);
@@ -244,9 +246,10 @@
 	} else {
 		free_order(order);
 		engine_reply_error(req, status, "order_refused",
-				   status == 409 ? "another order runs" :
-				   status == 412 ? "the fence is old" :
-						   "the order cannot be done");
+				   status == 409 ? "another order runs"
+				   : status == 412
+					   ? "the fence is old"
+					   : "the order cannot be done");
 	}
 	json_decref(root);
 }
--- a/tests/fakes/engine_reply.c
+++ b/tests/fakes/engine_reply.c
@@ -61,9 +61,9 @@
 	buf = h2o_iovec_init(next->str, next->len);
 	reply->busy = true;
 	h2o_send(reply->req, &buf, 1,
-		 reply->aborted ? H2O_SEND_STATE_ERROR :
-		 reply->last	? H2O_SEND_STATE_FINAL :
-				  H2O_SEND_STATE_IN_PROGRESS);
+		 reply->aborted ? H2O_SEND_STATE_ERROR
+		 : reply->last	? H2O_SEND_STATE_FINAL
+				: H2O_SEND_STATE_IN_PROGRESS);
 }
 
 static void on_proceed(h2o_generator_t *self, h2o_req_t *req G_GNUC_UNUSED)
@@ -181,8 +181,8 @@
 		reply->pending,
 		seq->chat ? "\"choices\":[{\"index\":0,\"delta\":"
 			    "{\"content\":\"t%u \"},"
-			    "\"finish_reason\":null}]}\n\n" :
-			    "\"choices\":[{\"index\":0,\"text\":\"t%u \","
+			    "\"finish_reason\":null}]}\n\n"
+			  : "\"choices\":[{\"index\":0,\"text\":\"t%u \","
 			    "\"finish_reason\":null}]}\n\n",
 		token);
 	send_pending(reply);
@@ -195,10 +195,11 @@
 
 	g_string_append(out, "data: ");
 	append_id(out, seq, stream_object(seq));
-	g_string_append(out, seq->chat ? "\"choices\":[{\"index\":0,\"delta\":"
-					 "{},\"finish_reason\":\"length\"}]," :
-					 "\"choices\":[{\"index\":0,\"text\":"
-					 "\"\",\"finish_reason\":\"length\"}],");
+	g_string_append(out, seq->chat
+				     ? "\"choices\":[{\"index\":0,\"delta\":"
+				       "{},\"finish_reason\":\"length\"}],"
+				     : "\"choices\":[{\"index\":0,\"text\":"
+				       "\"\",\"finish_reason\":\"length\"}],");
 	append_usage(out, seq);
 	g_string_append(out, "}\n\ndata: [DONE]\n\n");
 	reply->last = true;
--- a/tests/fakes/engine_request.c
+++ b/tests/fakes/engine_request.c
@@ -24,7 +24,8 @@
 		append_part(text, json_object_get(root, "prompt"));
 		return json_is_string(json_object_get(root, "prompt"));
 	}
-	json_array_foreach(messages, i, message) {
+	json_array_foreach(messages, i, message)
+	{
 		append_part(text, json_object_get(message, "role"));
 		append_part(text, json_object_get(message, "content"));
 	}
@@ -82,8 +83,8 @@
 	unsigned long tokens =
 		(unsigned long)seq->prompt_tokens + seq->max_tokens;
 
-	if (tokens > (unsigned long)seq->engine->options.kv_blocks *
-			     BLOCK_TOKENS)
+	if (tokens >
+	    (unsigned long)seq->engine->options.kv_blocks * BLOCK_TOKENS)
 		return "the context does not fit into memory";
 	if (seq->resume_from >= seq->max_tokens)
 		return "there is no token left to resume from";
@@ -101,7 +102,8 @@
 					      const char **problem)
 {
 	ks_str_t body = ks_http_req_body(req);
-	json_t *root = json_loadb(body.data ? body.data : "", body.len, 0, NULL);
+	json_t *root =
+		json_loadb(body.data ? body.data : "", body.len, 0, NULL);
 	GString *text = g_string_new(NULL);
 	struct engine_sequence *seq = NULL;
 	unsigned max_tokens;
--- a/tests/fakes/fake-engine.c
+++ b/tests/fakes/fake-engine.c
@@ -51,10 +51,9 @@
 		json_pack("{s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i}", "requests",
 			  (int)stats->requests, "completed",
 			  (int)stats->completed, "cancelled",
-			  (int)stats->cancelled, "refused",
-			  (int)stats->refused, "orders", (int)stats->orders,
-			  "stale_orders", (int)stats->stale_orders,
-			  "orders_while_running",
+			  (int)stats->cancelled, "refused", (int)stats->refused,
+			  "orders", (int)stats->orders, "stale_orders",
+			  (int)stats->stale_orders, "orders_while_running",
 			  (int)stats->orders_while_running, "conflicts",
 			  (int)stats->conflicts, "max_running",
 			  (int)stats->max_running));
@@ -77,7 +76,8 @@
 static void handle_control(struct fake_engine *engine, h2o_req_t *req)
 {
 	ks_str_t body = ks_http_req_body(req);
-	json_t *root = json_loadb(body.data ? body.data : "", body.len, 0, NULL);
+	json_t *root =
+		json_loadb(body.data ? body.data : "", body.len, 0, NULL);
 	json_t *silent = json_object_get(root, "silent");
 
 	if (json_is_true(json_object_get(root, "crash")))
@@ -133,8 +133,8 @@
 	engine_batch_init(engine);
 	engine_orders_init(engine);
 	engine_state_record(engine);
-	if (fake_listen(&engine->server, &engine->loop,
-			&engine->options.listen, handle, engine)) {
+	if (fake_listen(&engine->server, &engine->loop, &engine->options.listen,
+			handle, engine)) {
 		ks_loop_run(&engine->loop);
 		status = EXIT_SUCCESS;
 	}
@@ -157,9 +157,9 @@
 	.role = "both",
 };
 
-#define SET_IF_GIVEN(arg, target, value) \
-	do {                             \
-		if ((arg)->count)        \
+#define SET_IF_GIVEN(arg, target, value)    \
+	do {                                \
+		if ((arg)->count)           \
 			(target) = (value); \
 	} while (0)
 
@@ -171,10 +171,10 @@
 					   "time for a prompt token");
 	struct arg_dbl *decode =
 		arg_dbl0(NULL, "decode-us", "US", "time of a decode step");
-	struct arg_int *max_batch = arg_int0(NULL, "max-batch", "N",
-					     "most sequences at once");
-	struct arg_int *kv_blocks = arg_int0(NULL, "kv-blocks", "N",
-					     "memory in blocks of 2,000 tokens");
+	struct arg_int *max_batch =
+		arg_int0(NULL, "max-batch", "N", "most sequences at once");
+	struct arg_int *kv_blocks = arg_int0(
+		NULL, "kv-blocks", "N", "memory in blocks of 2,000 tokens");
 	struct arg_lit *fencing = arg_lit0(NULL, "checks-fencing",
 					   "refuse orders with an old fence");
 	struct arg_int *change =
@@ -188,14 +188,14 @@
 	struct arg_int *seed = arg_int0(NULL, "seed", "N", "random seed");
 	struct arg_str *model =
 		arg_str0(NULL, "model", "NAME", "model loaded at the start");
-	struct arg_str *version = arg_str0(NULL, "model-version", "VERSION",
-					   "its version");
+	struct arg_str *version =
+		arg_str0(NULL, "model-version", "VERSION", "its version");
 	struct arg_str *role =
 		arg_str0(NULL, "role", "ROLE", "both, prefill or decode");
 	struct arg_end *end = arg_end(10);
-	void *table[] = { listen,    prefill, decode,	 max_batch, kv_blocks,
-			  fencing,   change,  load_lag,	 event_lag, block,
-			  seed,	     model,   version,	 role,	    end };
+	void *table[] = { listen,  prefill, decode,   max_batch, kv_blocks,
+			  fencing, change,  load_lag, event_lag, block,
+			  seed,	   model,   version,  role,	 end };
 	struct fake_engine engine = { .options = default_options };
 	struct engine_options *options = &engine.options;
 
--- a/tests/fakes/fake-service.c
+++ b/tests/fakes/fake-service.c
@@ -84,13 +84,12 @@
 static unsigned count_execution(struct service *service, ks_str_t key,
 				ks_str_t body)
 {
-	char *name = g_strdup_printf(
-		"%.*s %016" G_GINT64_MODIFIER "x", (int)key.len,
-		key.data ? key.data : "", XXH3_64bits(body.data, body.len));
-	unsigned count =
-		GPOINTER_TO_UINT(
-			g_hash_table_lookup(service->executions, name)) +
-		1;
+	char *name = g_strdup_printf("%.*s %016" G_GINT64_MODIFIER "x",
+				     (int)key.len, key.data ? key.data : "",
+				     XXH3_64bits(body.data, body.len));
+	unsigned count = GPOINTER_TO_UINT(g_hash_table_lookup(
+				 service->executions, name)) +
+			 1;
 
 	g_hash_table_replace(service->executions, name,
 			     GUINT_TO_POINTER(count));
@@ -105,7 +104,8 @@
 		&req->pool, sizeof(*answer), dispose_answer);
 	ks_str_t body = ks_http_req_body(req);
 	ks_str_t key = ks_http_req_header(req, "idempotency-key");
-	json_t *root = json_loadb(body.data ? body.data : "", body.len, 0, NULL);
+	json_t *root =
+		json_loadb(body.data ? body.data : "", body.len, 0, NULL);
 	json_t *value = json_object_get(root, "value");
 	unsigned count = count_execution(service, key, body);
 
@@ -149,7 +149,8 @@
 static void handle_control(struct service *service, h2o_req_t *req)
 {
 	ks_str_t body = ks_http_req_body(req);
-	json_t *root = json_loadb(body.data ? body.data : "", body.len, 0, NULL);
+	json_t *root =
+		json_loadb(body.data ? body.data : "", body.len, 0, NULL);
 	json_t *silent = json_object_get(root, "silent");
 	json_t *lose = json_object_get(root, "lose_answers");
 
