--- /dev/null
+++ b/packages/process/tests/test-fakes.c
@@ -0,0 +1,299 @@
+/* Tests of the stand-ins, on whose counts and answers other tests rely. */
+#include "fake_process.h"
+
+#include <xxhash.h>
+
+#define ARGS "--model m1 --decode-us 1000 --prefill-us-per-token 0.1 "
+#define N_AT_ONCE 8
+
+/* The tokens that docs/engine.md promises for a prompt. */
+static char *expected_text(const char *prompt, unsigned from, unsigned to)
+{
+	uint64_t hash = XXH3_64bits(prompt, strlen(prompt));
+	GString *text = g_string_new(NULL);
+
+	for (unsigned i = from; i < to; i++)
+		g_string_append_printf(
+			text, "t%u ",
+			(unsigned)(XXH3_64bits_withSeed(&hash, sizeof(hash),
+							i) %
+				   1000));
+	return g_string_free(text, FALSE);
+}
+
+static char *completion_body(const char *prompt, unsigned max_tokens,
+			     bool stream)
+{
+	return g_strdup_printf("{\"model\":\"m1\",\"prompt\":\"%s\","
+			       "\"max_tokens\":%u,\"stream\":%s}",
+			       prompt, max_tokens, stream ? "true" : "false");
+}
+
+static struct reply complete(const struct fake *fake, const char *prompt,
+			     unsigned max_tokens)
+{
+	char *body = completion_body(prompt, max_tokens, false);
+	struct reply reply = call(fake, "POST", "/v1/completions", body);
+
+	g_free(body);
+	return reply;
+}
+
+static void assert_contains(const struct reply *reply, const char *text)
+{
+	g_assert_cmpint(reply->result, ==, KS_HTTP_WHOLE);
+	if (!strstr(reply->body, text))
+		g_test_message("no '%s' in: %s", text, reply->body);
+	g_assert_nonnull(strstr(reply->body, text));
+}
+
+/* Joins the texts of all events of a stream. */
+static char *stream_text(const char *body)
+{
+	GString *text = g_string_new(NULL);
+	const char *at = body;
+
+	while ((at = strstr(at, "\"text\":\""))) {
+		at += strlen("\"text\":\"");
+		g_string_append_len(text, at, strchr(at, '"') - at);
+	}
+	return g_string_free(text, FALSE);
+}
+
+/* Guards against answers that a test cannot tell to be whole and its own. */
+static void test_answers_are_a_function_of_the_prompt(void)
+{
+	struct fake fake = fake_start("fake-engine", ARGS);
+	struct reply replies[N_AT_ONCE];
+	char prompt[32];
+	char *text;
+
+	for (int i = 0; i < N_AT_ONCE; i++) {
+		char *body;
+
+		g_snprintf(prompt, sizeof(prompt), "prompt %d", i);
+		body = completion_body(prompt, 20, i % 2);
+		call_start(&fake, "POST", "/v1/completions", NULL, body,
+			   &replies[i]);
+		g_free(body);
+	}
+	for (int i = 0; i < N_AT_ONCE; i++) {
+		char *got;
+
+		WAIT_FOR(replies[i].done);
+		g_snprintf(prompt, sizeof(prompt), "prompt %d", i);
+		text = expected_text(prompt, 0, 20);
+		got = stream_text(replies[i].body);
+		g_assert_cmpstr(got, ==, text);
+		if (i % 2)
+			g_assert_true(g_str_has_suffix(replies[i].body,
+						       "data: [DONE]\n\n"));
+		assert_contains(&replies[i], "\"completion_tokens\":20");
+		g_free(got);
+		g_free(text);
+		g_free(replies[i].body);
+	}
+	g_assert_cmpint(stat_of(&fake, "completed"), ==, N_AT_ONCE);
+	/* Batched together, rather than one after the other. */
+	g_assert_cmpint(stat_of(&fake, "max_running"), >, 1);
+	fake_stop(&fake);
+}
+
+/* Guards against a resumed stream that repeats or skips a token. */
+static void test_resume_continues_at_token(void)
+{
+	static const ks_header_t resume = { KS_STR("x-ks-resume-from"),
+					    KS_STR("7") };
+	struct fake fake = fake_start("fake-engine", ARGS);
+	char *body = completion_body("abc", 12, true);
+	char *expected = expected_text("abc", 7, 12);
+	struct reply reply;
+	char *got;
+
+	call_start(&fake, "POST", "/v1/completions", &resume, body, &reply);
+	WAIT_FOR(reply.done);
+	got = stream_text(reply.body);
+	g_assert_cmpstr(got, ==, expected);
+	g_free(got);
+	g_free(expected);
+	g_free(body);
+	g_free(reply.body);
+	fake_stop(&fake);
+}
+
+/*
+ * Guards against a cache without effect or without limit, and against blocks
+ * that a transfer does not carry over.
+ */
+static void test_prefix_cache_and_transfer(void)
+{
+	struct fake one = fake_start("fake-engine",
+				     ARGS "--kv-blocks 4 --kv-us-per-block 1");
+	struct fake two = fake_start("fake-engine",
+				     ARGS "--kv-blocks 4 --kv-us-per-block 1");
+	char *prompt = g_strnfill(18000, 'a');
+	char *other = g_strnfill(18000, 'b');
+	char *body = g_strdup_printf("{\"prompt\":\"%s\"}", prompt);
+	struct reply reply = complete(&one, prompt, 2);
+
+	assert_contains(&reply, "\"cached_tokens\":0}");
+	g_free(reply.body);
+	reply = complete(&one, prompt, 2);
+	assert_contains(&reply, "\"cached_tokens\":4000}");
+	g_free(reply.body);
+
+	reply = call(&one, "POST", "/kv/export", body);
+	assert_contains(&reply, "\"tokens\":4000");
+	g_free(body);
+	body = reply.body;
+	reply = call(&two, "POST", "/kv/import", body);
+	assert_contains(&reply, "\"imported\":2");
+	g_free(reply.body);
+	reply = complete(&two, prompt, 2);
+	assert_contains(&reply, "\"cached_tokens\":4000}");
+	g_free(reply.body);
+
+	/* Three blocks of another prompt evict those of the first. */
+	reply = complete(&one, other, 2);
+	g_free(reply.body);
+	reply = complete(&one, prompt, 2);
+	assert_contains(&reply, "\"cached_tokens\":0}");
+	g_free(reply.body);
+	reply = call(&one, "GET", "/cache/events?since=0", "");
+	assert_contains(&reply, "\"evicted\"");
+	g_free(reply.body);
+	g_free(body);
+	g_free(prompt);
+	g_free(other);
+	fake_stop(&one);
+	fake_stop(&two);
+}
+
+static void ignore_head(void *ctx G_GNUC_UNUSED, int status G_GNUC_UNUSED,
+			const ks_header_t *headers G_GNUC_UNUSED,
+			size_t n_headers G_GNUC_UNUSED)
+{
+}
+
+static void count_body(void *ctx, ks_str_t data)
+{
+	*(size_t *)ctx += data.len;
+}
+
+static void ignore_done(void *ctx G_GNUC_UNUSED,
+			ks_http_result_t result G_GNUC_UNUSED)
+{
+}
+
+static const ks_http_events_t count_events = {
+	.head = ignore_head,
+	.body = count_body,
+	.done = ignore_done,
+};
+
+/* Starts a completion that would run for a quarter of an hour. */
+static void start_endless(const struct fake *fake, ks_http_call_t *call,
+			  bool stream, size_t *n_bytes)
+{
+	char *body = completion_body("abc", 900000, stream);
+	ks_http_request_t request = {
+		.address = fake->address,
+		.method = KS_STR("POST"),
+		.target = KS_STR("/v1/completions"),
+		.body = ks_str_from(body),
+	};
+
+	*n_bytes = 0;
+	ks_http_call_start(call, &test_client, &request, &count_events,
+			   n_bytes);
+	g_free(body);
+}
+
+/* Guards against an engine that works on for a caller that has gone. */
+static void test_closed_connection_cancels(void)
+{
+	struct fake fake = fake_start("fake-engine", ARGS);
+
+	for (int stream = 0; stream < 2; stream++) {
+		ks_http_call_t running;
+		size_t n_bytes;
+
+		start_endless(&fake, &running, stream, &n_bytes);
+		WAIT_FOR(stat_of(&fake, "requests") == stream + 1);
+		ks_http_call_cancel(&running);
+		WAIT_FOR(stat_of(&fake, "cancelled") == stream + 1);
+	}
+	g_assert_cmpint(stat_of(&fake, "completed"), ==, 0);
+	fake_stop(&fake);
+}
+
+/* Guards against a change that drops what runs or lets new work in. */
+static void test_change_keeps_running_and_refuses_new(void)
+{
+	struct fake fake = fake_start("fake-engine", ARGS "--change-ms 600000");
+	struct reply order, refused;
+	ks_http_call_t running;
+	size_t n_bytes, before;
+
+	start_endless(&fake, &running, true, &n_bytes);
+	WAIT_FOR(n_bytes > 0);
+	call_start(&fake, "POST", "/orders", NULL,
+		   "{\"kind\":\"set_role\",\"role\":\"decode\",\"fence\":1}",
+		   &order);
+	WAIT_FOR(stat_of(&fake, "orders") == 1);
+	refused = complete(&fake, "abc", 3);
+	g_assert_cmpint(refused.status, ==, 503);
+	g_assert_cmpint(stat_of(&fake, "orders_while_running"), ==, 1);
+	before = n_bytes;
+	WAIT_FOR(n_bytes > before + 1000);
+	g_assert_cmpint(stat_of(&fake, "cancelled"), ==, 0);
+	ks_http_call_cancel(&running);
+	fake_stop(&fake);
+	WAIT_FOR(order.done);
+	g_free(refused.body);
+	g_free(order.body);
+}
+
+/* Guards against a lost answer whose execution is not counted. */
+static void test_service_counts_every_execution(void)
+{
+	static const ks_header_t key = { KS_STR("idempotency-key"),
+					 KS_STR("k1") };
+	struct fake fake = fake_start("fake-service", "--delay-us 1000");
+	struct reply reply;
+
+	reply = call(&fake, "POST", "/control", "{\"lose_answers\":1}");
+	g_free(reply.body);
+	call_start(&fake, "POST", "/pay", &key, "{\"value\":5}", &reply);
+	WAIT_FOR(reply.done);
+	g_assert_cmpint(reply.result, ==, KS_HTTP_LOST);
+	g_free(reply.body);
+	g_assert_cmpint(stat_of(&fake, "max_per_key"), ==, 1);
+	call_start(&fake, "POST", "/pay", &key, "{\"value\":5}", &reply);
+	WAIT_FOR(reply.done);
+	assert_contains(&reply, "\"value\":5");
+	assert_contains(&reply, "\"executions\":2");
+	g_free(reply.body);
+	call_start(&fake, "POST", "/pay", &key, "{\"value\":6}", &reply);
+	WAIT_FOR(reply.done);
+	assert_contains(&reply, "\"executions\":1");
+	g_free(reply.body);
+	g_assert_cmpint(stat_of(&fake, "max_per_key"), ==, 2);
+	g_assert_cmpint(stat_of(&fake, "total"), ==, 3);
+	fake_stop(&fake);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	fakes_init(argv[0]);
+	g_test_add_func("/fakes/answers",
+			test_answers_are_a_function_of_the_prompt);
+	g_test_add_func("/fakes/resume", test_resume_continues_at_token);
+	g_test_add_func("/fakes/cache", test_prefix_cache_and_transfer);
+	g_test_add_func("/fakes/cancel", test_closed_connection_cancels);
+	g_test_add_func("/fakes/change",
+			test_change_keeps_running_and_refuses_new);
+	g_test_add_func("/fakes/service", test_service_counts_every_execution);
+	return g_test_run();
+}
