--- /dev/null
+++ b/cli/knapweedstair.c
@@ -0,0 +1,7 @@
+/* The operators' command line; see knapweedstair(1). */
+#include "ks/process.h"
+
+int main(int argc, char **argv)
+{
+	return ks_cli_main(argc, argv);
+}
--- a/packages/process/include/ks/process.h
+++ b/packages/process/include/ks/process.h
@@ -176,7 +176,95 @@
 			const ks_address_t *address, const char *token);
 void ks_store_http_deinit(ks_store_http_t *driver);
 
-/* platform.c: host list and weight store */
+/* write_budget.c: share of the store's writes that this process may use */
+
+/**
+ * enum ks_write_priority - which writes go first when the budget is short
+ */
+typedef enum ks_write_priority {
+	KS_WRITE_LEDGER,
+	KS_WRITE_LEASE,
+	KS_WRITE_REST,
+	KS_WRITE_N_PRIORITIES
+} ks_write_priority_t;
+
+typedef struct ks_write_budget ks_write_budget_t;
+
+ks_write_budget_t *ks_write_budget_new(ks_loop_t *loop, ks_store_t *store,
+				       ks_rng_t *rng, double writes_per_s,
+				       unsigned burst);
+void ks_write_budget_free(ks_write_budget_t *budget);
+ks_store_t *ks_write_budget_store(ks_write_budget_t *budget,
+				  ks_write_priority_t priority);
+
+/* release_store.c: releases and snapshots as they are kept in the store */
+
+#define KS_RELEASE_PREFIX "release/"
+#define KS_RELEASE_HEAD_KEY "release/head"
+
+/**
+ * struct ks_release_record - row release/N, and row release/head
+ * @digest: of the snapshot
+ * @publisher: drawn for each publishing, so that two operators who publish the
+ *	same content can still tell who won
+ * @published_us: Unix time in microseconds
+ * @note: the operators' text; may be empty
+ */
+typedef struct ks_release_record {
+	uint64_t version;
+	ks_digest_t digest;
+	ks_id_t publisher;
+	int64_t published_us;
+	char *note;
+} ks_release_record_t;
+
+/**
+ * ks_release_fetch_func_t - a release read from the store
+ * @outcome: UNREACHABLE also when what was read is damaged
+ * @record: NULL when there is no such version, or for version 0
+ * @snapshot: valid during the call unless a reference is taken
+ */
+typedef void (*ks_release_fetch_func_t)(void *ctx, ks_store_outcome_t outcome,
+					const ks_release_record_t *record,
+					ks_snapshot_t *snapshot);
+
+bool ks_release_record_parse(ks_release_record_t *record, ks_str_t value);
+char *ks_release_record_format(const ks_release_record_t *record);
+void ks_release_record_deinit(ks_release_record_t *record);
+char *ks_release_row_key(uint64_t version);
+char *ks_release_object_name(uint64_t version, const ks_digest_t *digest);
+void ks_release_fetch(ks_store_t *store, uint64_t version,
+		      ks_release_fetch_func_t func, void *ctx);
+
+/* publish.c: publishes a release note */
+
+typedef struct ks_publish ks_publish_t;
+
+/**
+ * struct ks_publish_result - how publishing ended
+ * @kind: KS_ERROR_NONE: this note is version @version. KS_ERROR_CONFLICT:
+ *	another note is. KS_ERROR_OUTCOME_UNKNOWN: the store did not tell.
+ *	KS_ERROR_STORE_UNAVAILABLE: nothing was published and nothing will be.
+ *	KS_ERROR_BAD_REQUEST: the note does not fit its base.
+ * @message: short sentence; empty for KS_ERROR_NONE
+ * @difference: for a conflict, what changed since the note's base; may be empty
+ */
+typedef struct ks_publish_result {
+	ks_error_kind_t kind;
+	uint64_t version;
+	const char *message;
+	const char *difference;
+} ks_publish_result_t;
+
+typedef void (*ks_publish_func_t)(void *ctx, const ks_publish_result_t *result);
+
+ks_publish_t *ks_publish_new(ks_loop_t *loop, ks_store_t *store, ks_rng_t *rng,
+			     const ks_release_t *release,
+			     const ks_id_t *publisher, ks_publish_func_t func,
+			     void *ctx);
+void ks_publish_free(ks_publish_t *publish);
+
+/* platform_http.c: host list */
 
 /**
  * ks_hosts_func_t - the host list
@@ -435,6 +523,7 @@
 ks_config_t *ks_config_new(ks_loop_t *loop, ks_store_t *store, ks_rng_t *rng,
 			   int64_t poll_us, ks_config_func_t func, void *ctx);
 void ks_config_free(ks_config_t *config);
+void ks_config_note_version(ks_config_t *config, uint64_t version);
 ks_snapshot_t *ks_config_current(const ks_config_t *config);
 uint64_t ks_config_version(const ks_config_t *config);
 void ks_config_offer(ks_config_t *config, uint64_t version, ks_str_t digest,
@@ -473,6 +562,10 @@
 void ks_ledger_unknown(ks_ledger_entry_t *entry);
 void ks_ledger_abandon(ks_ledger_entry_t *entry);
 
+/* cli.c: the operators' command line */
+
+int ks_cli_main(int argc, char **argv);
+
 /* entry.c and upstream.c: the two roles */
 
 typedef struct ks_entry ks_entry_t;
--- /dev/null
+++ b/packages/process/src/cli.h
@@ -0,0 +1,74 @@
+/* What the operators' commands share. */
+#ifndef KS_PROCESS_CLI_H
+#define KS_PROCESS_CLI_H
+
+#include "ks/process.h"
+
+#include <jansson.h>
+
+/**
+ * enum ks_exit - exit codes of the operators' command line
+ */
+enum ks_exit {
+	KS_EXIT_DONE = 0,
+	KS_EXIT_FAILED = 1,
+	KS_EXIT_USAGE = 2,
+	KS_EXIT_CONFLICT = 3,
+	KS_EXIT_UNREACHABLE = 4,
+	KS_EXIT_UNKNOWN = 5,
+};
+
+/**
+ * struct ks_cli - options and what the commands work with
+ * @words: what follows the command's two words
+ * @base: -1 when --base was not given
+ * @date_s: -1 when --date was not given
+ */
+typedef struct ks_cli {
+	ks_loop_t loop;
+	ks_http_client_t client;
+	ks_rng_t rng;
+	ks_store_http_t store;
+	bool has_platform;
+	char *platform_token;
+	char *operator_token;
+	ks_address_t *entries;
+	size_t n_entries;
+	const char **words;
+	int n_words;
+	bool json;
+	bool wait;
+	int64_t timeout_us;
+	int64_t base;
+	int64_t date_s;
+	const char *tenant;
+} ks_cli_t;
+
+/**
+ * struct ks_cli_row - a row read by ks_cli_get()
+ * @value: NULL when there is no such row
+ */
+typedef struct ks_cli_row {
+	ks_store_outcome_t outcome;
+	GString *value;
+	bool done;
+} ks_cli_row_t;
+
+int ks_cli_error(int code, const char *format, ...) G_GNUC_PRINTF(2, 3);
+int ks_cli_unreachable(void);
+void ks_cli_print_json(json_t *root);
+void ks_cli_wait(ks_cli_t *cli, const bool *done);
+void ks_cli_get(ks_cli_t *cli, ks_str_t key, ks_cli_row_t *row);
+int ks_cli_fetch(ks_cli_t *cli, uint64_t version, ks_snapshot_t **snapshot);
+int ks_cli_read_head(ks_cli_t *cli, ks_release_record_t *head);
+
+int ks_cli_release_check(ks_cli_t *cli);
+int ks_cli_release_publish(ks_cli_t *cli);
+int ks_cli_release_history(ks_cli_t *cli);
+int ks_cli_release_show(ks_cli_t *cli);
+int ks_cli_release_diff(ks_cli_t *cli);
+int ks_cli_release_status(ks_cli_t *cli);
+int ks_cli_fleet_status(ks_cli_t *cli);
+int ks_cli_request_status(ks_cli_t *cli);
+
+#endif
--- /dev/null
+++ b/packages/process/src/store.c
@@ -0,0 +1,20 @@
+/* What every store driver shares. */
+#include "ks/process.h"
+
+/**
+ * ks_store_outcome_name() - name of an outcome for logs
+ */
+const char *ks_store_outcome_name(ks_store_outcome_t outcome)
+{
+	switch (outcome) {
+	case KS_STORE_DONE:
+		return "done";
+	case KS_STORE_REFUSED:
+		return "refused";
+	case KS_STORE_UNREACHABLE:
+		return "unreachable";
+	case KS_STORE_UNKNOWN:
+		return "unknown";
+	}
+	return "invalid";
+}
--- /dev/null
+++ b/packages/process/src/store_http.c
@@ -0,0 +1,344 @@
+/* Store driver over HTTP/1.1 with ETag preconditions; see docs/platform.md. */
+#include "ks/process.h"
+#include "store_json.h"
+
+#include <string.h>
+
+#define DEFAULT_TIMEOUT_US (5 * KS_USEC_PER_SEC)
+#define MAX_ANSWER_SIZE ((size_t)64 * 1024 * 1024)
+
+/* The platform sends this field when a refused call has changed nothing. */
+#define NO_EFFECT_FIELD "x-effect"
+#define NO_EFFECT_VALUE "none"
+
+#define STATUS_NOT_FOUND 404
+#define STATUS_PRECONDITION_FAILED 412
+
+enum operation_kind {
+	OPERATION_READ,
+	OPERATION_LIST,
+	OPERATION_WRITE,
+	OPERATION_TRANSACT,
+};
+
+struct operation {
+	ks_http_call_t call;
+	enum operation_kind kind;
+	ks_store_row_func_t row_func;
+	ks_store_rows_func_t rows_func;
+	void *ctx;
+	char *key;
+	size_t n_writes;
+	int status;
+	bool no_effect;
+	bool too_large;
+	GString *etag;
+	GString *body;
+};
+
+static bool is_read(const struct operation *op)
+{
+	return op->kind == OPERATION_READ || op->kind == OPERATION_LIST;
+}
+
+static void on_head(void *ctx, int status, const ks_header_t *headers,
+		    size_t n_headers)
+{
+	struct operation *op = ctx;
+	ks_str_t etag = ks_header_value(headers, n_headers, "etag");
+	ks_str_t effect = ks_header_value(headers, n_headers, NO_EFFECT_FIELD);
+
+	op->status = status;
+	op->no_effect = ks_str_equal(effect, KS_STR(NO_EFFECT_VALUE));
+	g_string_append_len(op->etag, etag.data, (gssize)etag.len);
+}
+
+static void on_body(void *ctx, ks_str_t data)
+{
+	struct operation *op = ctx;
+
+	if (op->body->len + data.len > MAX_ANSWER_SIZE)
+		op->too_large = true;
+	else
+		g_string_append_len(op->body, data.data, (gssize)data.len);
+}
+
+/* Outcome of a call whose answer was not the expected one. */
+static ks_store_outcome_t failed_outcome(const struct operation *op)
+{
+	return is_read(op) ? KS_STORE_UNREACHABLE : KS_STORE_UNKNOWN;
+}
+
+static ks_store_outcome_t judge(const struct operation *op,
+				ks_http_result_t result)
+{
+	if (result == KS_HTTP_NOT_SENT)
+		return KS_STORE_UNREACHABLE;
+	if (result != KS_HTTP_WHOLE || op->too_large)
+		return failed_outcome(op);
+	if (op->status >= 200 && op->status < 300)
+		return KS_STORE_DONE;
+	if (op->status == STATUS_NOT_FOUND && op->kind == OPERATION_READ)
+		return KS_STORE_DONE;
+	if (op->status == STATUS_PRECONDITION_FAILED && !is_read(op))
+		return KS_STORE_REFUSED;
+	if (op->no_effect)
+		return KS_STORE_UNREACHABLE;
+	return failed_outcome(op);
+}
+
+static void finish_row(struct operation *op, ks_store_outcome_t outcome)
+{
+	bool exists = op->status != STATUS_NOT_FOUND;
+	ks_row_t row = { .key = ks_str_from(op->key) };
+
+	if (outcome == KS_STORE_DONE && exists) {
+		row.etag = (ks_str_t){ op->etag->str, op->etag->len };
+		if (op->kind == OPERATION_READ)
+			row.value = (ks_str_t){ op->body->str, op->body->len };
+		/* An empty etag would mean that there is no such row. */
+		if (op->kind == OPERATION_READ && !op->etag->len)
+			outcome = KS_STORE_UNREACHABLE;
+	}
+	op->row_func(op->ctx, outcome, outcome == KS_STORE_DONE ? &row : NULL);
+}
+
+/* A single check goes as a transaction but calls back with one row. */
+static void call_back_rows(struct operation *op, ks_store_outcome_t outcome,
+			   const ks_row_t *rows, size_t n_rows, int failed)
+{
+	if (op->rows_func)
+		op->rows_func(op->ctx, outcome, rows, n_rows, failed);
+	else
+		op->row_func(op->ctx, outcome, n_rows ? rows : NULL);
+}
+
+static void finish_rows(struct operation *op, ks_store_outcome_t outcome)
+{
+	ks_str_t body = { op->body->str, op->body->len };
+	ks_store_rows_t rows = { 0 };
+	int failed = -1;
+
+	if (outcome == KS_STORE_DONE &&
+	    (!ks_store_rows_parse(&rows, body) ||
+	     (op->kind == OPERATION_TRANSACT && rows.n_rows != op->n_writes)))
+		outcome = failed_outcome(op);
+	if (outcome == KS_STORE_REFUSED)
+		failed = ks_store_failed_index_parse(body, op->n_writes);
+	if (outcome == KS_STORE_DONE)
+		call_back_rows(op, outcome, rows.rows, rows.n_rows, failed);
+	else
+		call_back_rows(op, outcome, NULL, 0, failed);
+	ks_store_rows_deinit(&rows);
+}
+
+static void on_done(void *ctx, ks_http_result_t result)
+{
+	struct operation *op = ctx;
+	ks_store_outcome_t outcome = judge(op, result);
+
+	if (outcome == KS_STORE_UNREACHABLE || outcome == KS_STORE_UNKNOWN)
+		ks_log(KS_LOG_STORE, KS_LOG_WARN, "%s %s: %s, status %d",
+		       is_read(op) ? "read of" : "write of", op->key,
+		       ks_store_outcome_name(outcome), op->status);
+	if (op->kind == OPERATION_LIST || op->kind == OPERATION_TRANSACT)
+		finish_rows(op, outcome);
+	else
+		finish_row(op, outcome);
+	g_string_free(op->etag, TRUE);
+	g_string_free(op->body, TRUE);
+	g_free(op->key);
+	g_free(op);
+}
+
+static const ks_http_events_t operation_events = {
+	.head = on_head,
+	.body = on_body,
+	.done = on_done,
+};
+
+static struct operation *new_operation(enum operation_kind kind, ks_str_t key,
+				       void *ctx)
+{
+	struct operation *op = g_new0(struct operation, 1);
+
+	op->kind = kind;
+	op->key = ks_str_dup(key);
+	op->ctx = ctx;
+	op->etag = g_string_new(NULL);
+	op->body = g_string_new(NULL);
+	return op;
+}
+
+/* @condition may be NULL. */
+static void start(ks_store_http_t *driver, struct operation *op,
+		  const char *method, const char *target,
+		  const ks_header_t *condition, ks_str_t body)
+{
+	char *bearer = driver->token
+			       ? g_strconcat("Bearer ", driver->token, NULL)
+			       : NULL;
+	ks_header_t headers[2];
+	ks_http_request_t request = {
+		.address = driver->address,
+		.method = ks_str_from(method),
+		.target = ks_str_from(target),
+		.headers = headers,
+		.body = body,
+		.timeout_us = driver->timeout_us,
+	};
+
+	if (bearer)
+		headers[request.n_headers++] =
+			(ks_header_t){ KS_STR("authorization"),
+				       ks_str_from(bearer) };
+	if (condition)
+		headers[request.n_headers++] = *condition;
+	ks_http_call_start(&op->call, driver->client, &request,
+			   &operation_events, op);
+	g_free(bearer);
+}
+
+static char *path_of(const char *prefix, ks_str_t key)
+{
+	char *text = ks_str_dup(key);
+	char *escaped = g_uri_escape_string(text, "/", FALSE);
+	char *path = g_strconcat(prefix, escaped, NULL);
+
+	g_free(text);
+	g_free(escaped);
+	return path;
+}
+
+static void start_on(ks_store_http_t *driver, struct operation *op,
+		     const char *method, const char *prefix, ks_str_t key,
+		     const ks_header_t *condition, ks_str_t body)
+{
+	char *path = path_of(prefix, key);
+
+	start(driver, op, method, path, condition, body);
+	g_free(path);
+}
+
+static void store_get(void *impl, ks_str_t key, ks_store_row_func_t func,
+		      void *ctx)
+{
+	struct operation *op = new_operation(OPERATION_READ, key, ctx);
+
+	op->row_func = func;
+	start_on(impl, op, "GET", "/v1/rows/", key, NULL, KS_STR(""));
+}
+
+static void store_list(void *impl, ks_str_t prefix, ks_store_rows_func_t func,
+		       void *ctx)
+{
+	struct operation *op = new_operation(OPERATION_LIST, prefix, ctx);
+
+	op->rows_func = func;
+	start_on(impl, op, "GET", "/v1/rows?prefix=", prefix, NULL, KS_STR(""));
+}
+
+static void start_transaction(ks_store_http_t *driver, struct operation *op,
+			      const ks_store_write_t *writes, size_t n_writes)
+{
+	char *body = ks_store_writes_format(writes, n_writes);
+
+	op->n_writes = n_writes;
+	start(driver, op, "POST", "/v1/transactions", NULL, ks_str_from(body));
+	g_free(body);
+}
+
+static void store_write(void *impl, const ks_store_write_t *write,
+			ks_store_row_func_t func, void *ctx)
+{
+	struct operation *op = new_operation(
+		write->check_only ? OPERATION_TRANSACT : OPERATION_WRITE,
+		write->key, ctx);
+	ks_header_t condition = { KS_STR("if-match"), write->etag };
+
+	op->row_func = func;
+	if (write->check_only) {
+		start_transaction(impl, op, write, 1);
+		return;
+	}
+	if (!write->etag.len)
+		condition =
+			(ks_header_t){ KS_STR("if-none-match"), KS_STR("*") };
+	start_on(impl, op, write->remove ? "DELETE" : "PUT", "/v1/rows/",
+		 write->key, write->unconditional ? NULL : &condition,
+		 write->remove ? KS_STR("") : write->value);
+}
+
+static void store_transact(void *impl, const ks_store_write_t *writes,
+			   size_t n_writes, ks_store_rows_func_t func,
+			   void *ctx)
+{
+	struct operation *op = new_operation(
+		OPERATION_TRANSACT, n_writes ? writes[0].key : KS_STR(""), ctx);
+
+	op->rows_func = func;
+	start_transaction(impl, op, writes, n_writes);
+}
+
+static void store_remove_prefix(void *impl, ks_str_t prefix,
+				ks_store_row_func_t func, void *ctx)
+{
+	struct operation *op = new_operation(OPERATION_WRITE, prefix, ctx);
+
+	op->row_func = func;
+	start_on(impl, op, "DELETE", "/v1/rows?prefix=", prefix, NULL,
+		 KS_STR(""));
+}
+
+static void store_object_get(void *impl, ks_str_t name,
+			     ks_store_row_func_t func, void *ctx)
+{
+	struct operation *op = new_operation(OPERATION_READ, name, ctx);
+
+	op->row_func = func;
+	start_on(impl, op, "GET", "/v1/objects/", name, NULL, KS_STR(""));
+}
+
+static void store_object_put(void *impl, ks_str_t name, ks_str_t body,
+			     ks_store_row_func_t func, void *ctx)
+{
+	struct operation *op = new_operation(OPERATION_WRITE, name, ctx);
+
+	op->row_func = func;
+	start_on(impl, op, "PUT", "/v1/objects/", name, NULL, body);
+}
+
+/**
+ * ks_store_http_init() - set up the driver; hand out @driver->store
+ * @client: must outlive the driver
+ * @token: bearer token, copied; NULL for none
+ */
+void ks_store_http_init(ks_store_http_t *driver, ks_http_client_t *client,
+			const ks_address_t *address, const char *token)
+{
+	driver->store = (ks_store_t){
+		.get = store_get,
+		.list = store_list,
+		.write = store_write,
+		.transact = store_transact,
+		.remove_prefix = store_remove_prefix,
+		.object_get = store_object_get,
+		.object_put = store_object_put,
+		.impl = driver,
+	};
+	driver->client = client;
+	driver->address = *address;
+	driver->token = g_strdup(token);
+	driver->timeout_us = DEFAULT_TIMEOUT_US;
+}
+
+/**
+ * ks_store_http_deinit() - free the driver
+ *
+ * Calls that are still out call back as long as the client lives.
+ */
+void ks_store_http_deinit(ks_store_http_t *driver)
+{
+	g_free(driver->token);
+	driver->token = NULL;
+}
--- /dev/null
+++ b/packages/process/src/store_json.h
@@ -0,0 +1,24 @@
+/* JSON forms of the store protocol; see docs/platform.md. */
+#ifndef KS_PROCESS_STORE_JSON_H
+#define KS_PROCESS_STORE_JSON_H
+
+#include "ks/process.h"
+
+#include <jansson.h>
+
+/**
+ * struct ks_store_rows - rows read from JSON
+ * @rows: strings point into @root
+ */
+typedef struct ks_store_rows {
+	ks_row_t *rows;
+	size_t n_rows;
+	json_t *root;
+} ks_store_rows_t;
+
+char *ks_store_writes_format(const ks_store_write_t *writes, size_t n_writes);
+bool ks_store_rows_parse(ks_store_rows_t *rows, ks_str_t body);
+void ks_store_rows_deinit(ks_store_rows_t *rows);
+int ks_store_failed_index_parse(ks_str_t body, size_t n_writes);
+
+#endif
--- a/packages/version/include/ks/version.h
+++ b/packages/version/include/ks/version.h
@@ -116,7 +116,10 @@
 
 ks_release_t *ks_release_parse(ks_str_t yaml, const char *file, GError **error);
 void ks_release_free(ks_release_t *release);
+bool ks_release_has_base(const ks_release_t *release);
 uint64_t ks_release_base(const ks_release_t *release);
+void ks_release_set_base(ks_release_t *release, uint64_t base);
+const char *ks_release_note(const ks_release_t *release);
 ks_snapshot_t *ks_release_apply(const ks_release_t *release,
 				const ks_snapshot_t *base, GError **error);
 char *ks_snapshot_diff(const ks_snapshot_t *from, const ks_snapshot_t *to);
--- /dev/null
+++ b/packages/version/src/fields.c
@@ -0,0 +1,122 @@
+/* The fields of an upstream. */
+#include "fields.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#define FIELD(field_name, field_kind, is_required)             \
+	{                                                      \
+		.name = #field_name, .kind = (field_kind),     \
+		.offset = offsetof(ks_upstream_t, field_name), \
+		.required = (is_required)                      \
+	}
+
+/* In the order in which differences and error messages name them. */
+const ks_field_t ks_upstream_fields[KS_UPSTREAM_N_FIELDS] = {
+	FIELD(id, KS_FIELD_TEXT, true),
+	FIELD(process, KS_FIELD_ADDRESS, true),
+	FIELD(endpoint, KS_FIELD_ADDRESS, true),
+	FIELD(host, KS_FIELD_TEXT, true),
+	FIELD(domain, KS_FIELD_TEXT, true),
+	FIELD(model, KS_FIELD_TEXT, false),
+	FIELD(service, KS_FIELD_TEXT, false),
+	FIELD(role, KS_FIELD_ROLE, false),
+	FIELD(limit, KS_FIELD_UINT, true),
+	FIELD(checks_fencing, KS_FIELD_BOOL, false),
+	FIELD(resumes, KS_FIELD_BOOL, false),
+};
+
+/**
+ * ks_upstream_field_index() - place of a field in ks_upstream_fields
+ *
+ * Return: the index, or -1 for an unknown name.
+ */
+int ks_upstream_field_index(const char *name)
+{
+	for (int i = 0; i < KS_UPSTREAM_N_FIELDS; i++)
+		if (!strcmp(ks_upstream_fields[i].name, name))
+			return i;
+	return -1;
+}
+
+/**
+ * ks_upstream_field_format() - value of a field as text
+ *
+ * Return: memory to be freed with g_free(), or NULL when the field is not set.
+ */
+char *ks_upstream_field_format(const ks_upstream_t *upstream,
+			       const ks_field_t *field)
+{
+	switch (field->kind) {
+	case KS_FIELD_ROLE:
+		return g_strdup(ks_engine_role_name(
+			*KS_FIELD_CONST_AT(upstream, field, ks_engine_role_t)));
+	case KS_FIELD_UINT:
+		return g_strdup_printf(
+			"%u", *KS_FIELD_CONST_AT(upstream, field, unsigned));
+	case KS_FIELD_BOOL:
+		return g_strdup(*KS_FIELD_CONST_AT(upstream, field, bool)
+					? "true"
+					: "false");
+	case KS_FIELD_TEXT:
+	case KS_FIELD_ADDRESS:
+		break;
+	}
+	return g_strdup(*KS_FIELD_CONST_AT(upstream, field, char *));
+}
+
+/**
+ * ks_upstream_field_copy() - copy one field, replacing its earlier value
+ */
+void ks_upstream_field_copy(ks_upstream_t *to, const ks_upstream_t *from,
+			    const ks_field_t *field)
+{
+	char **text;
+
+	switch (field->kind) {
+	case KS_FIELD_ROLE:
+		*KS_FIELD_AT(to, field, ks_engine_role_t) =
+			*KS_FIELD_CONST_AT(from, field, ks_engine_role_t);
+		return;
+	case KS_FIELD_UINT:
+		*KS_FIELD_AT(to, field, unsigned) =
+			*KS_FIELD_CONST_AT(from, field, unsigned);
+		return;
+	case KS_FIELD_BOOL:
+		*KS_FIELD_AT(to, field, bool) =
+			*KS_FIELD_CONST_AT(from, field, bool);
+		return;
+	case KS_FIELD_TEXT:
+	case KS_FIELD_ADDRESS:
+		break;
+	}
+	text = KS_FIELD_AT(to, field, char *);
+	g_free(*text);
+	*text = g_strdup(*KS_FIELD_CONST_AT(from, field, char *));
+}
+
+/**
+ * ks_address_text_is_valid() - whether a text is IP:PORT with a port above 0
+ *
+ * An IPv6 address stands in brackets.
+ */
+bool ks_address_text_is_valid(const char *text)
+{
+	unsigned char bytes[sizeof(struct in6_addr)];
+	const char *colon = strrchr(text, ':');
+	bool bracketed = text[0] == '[';
+	int64_t port;
+	char *ip;
+	bool ok;
+
+	if (!colon ||
+	    !ks_str_parse_int(ks_str_from(colon + 1), 1, UINT16_MAX, &port))
+		return false;
+	if (bracketed && (colon - text < 2 || colon[-1] != ']'))
+		return false;
+	ip = bracketed ? g_strndup(text + 1, (gsize)(colon - text) - 2)
+		       : g_strndup(text, (gsize)(colon - text));
+	ok = inet_pton(bracketed ? AF_INET6 : AF_INET, ip, bytes) == 1;
+	g_free(ip);
+	return ok;
+}
--- /dev/null
+++ b/tests/fakes/fake_tables.c
@@ -0,0 +1,185 @@
+/* Tables and objects in memory. */
+#include "fake_tables.h"
+
+#include <string.h>
+
+static void free_row(void *data)
+{
+	fake_row_t *row = data;
+
+	g_free(row->key);
+	g_free(row->etag);
+	g_free(row->old_etag);
+	g_string_free(row->value, TRUE);
+	g_string_free(row->old_value, TRUE);
+	g_free(row);
+}
+
+static int compare_keys(const void *a, const void *b, void *ctx G_GNUC_UNUSED)
+{
+	return strcmp(a, b);
+}
+
+/**
+ * fake_tables_init() - set up without rows
+ */
+void fake_tables_init(fake_tables_t *tables)
+{
+	tables->rows = g_tree_new_full(compare_keys, NULL, NULL, free_row);
+	tables->objects = g_tree_new_full(compare_keys, NULL, NULL, free_row);
+	tables->last_etag = 0;
+}
+
+/**
+ * fake_tables_deinit() - free every row and object
+ */
+void fake_tables_deinit(fake_tables_t *tables)
+{
+	g_tree_destroy(tables->rows);
+	g_tree_destroy(tables->objects);
+}
+
+static fake_row_t *lookup(GTree *tree, ks_str_t key)
+{
+	char *text = ks_str_dup(key);
+	fake_row_t *row = g_tree_lookup(tree, text);
+
+	g_free(text);
+	return row;
+}
+
+/**
+ * fake_tables_get() - row by key, or NULL
+ */
+const fake_row_t *fake_tables_get(const fake_tables_t *tables, ks_str_t key)
+{
+	return lookup(tables->rows, key);
+}
+
+/**
+ * fake_tables_get_object() - object by name, or NULL
+ */
+const fake_row_t *fake_tables_get_object(const fake_tables_t *tables,
+					 ks_str_t name)
+{
+	return lookup(tables->objects, name);
+}
+
+struct listing {
+	ks_str_t prefix;
+	GPtrArray *rows;
+};
+
+static gboolean list_row(void *key, void *value, void *ctx)
+{
+	struct listing *listing = ctx;
+
+	if (ks_str_has_prefix(ks_str_from(key), listing->prefix))
+		g_ptr_array_add(listing->rows, value);
+	return FALSE;
+}
+
+/**
+ * fake_tables_list() - rows whose key starts with a prefix, by key
+ *
+ * Return: array of fake_row_t *, to be freed by the caller; the rows belong to
+ * the tables.
+ */
+GPtrArray *fake_tables_list(const fake_tables_t *tables, ks_str_t prefix)
+{
+	struct listing listing = { prefix, g_ptr_array_new() };
+
+	g_tree_foreach(tables->rows, list_row, &listing);
+	return listing.rows;
+}
+
+static bool holds(const fake_tables_t *tables, const ks_store_write_t *write)
+{
+	const fake_row_t *row = lookup(tables->rows, write->key);
+
+	if (write->unconditional)
+		return true;
+	if (!write->etag.len)
+		return !row;
+	return row && ks_str_equal(ks_str_from(row->etag), write->etag);
+}
+
+static fake_row_t *put(fake_tables_t *tables, GTree *tree, ks_str_t key,
+		       ks_str_t value)
+{
+	fake_row_t *row = lookup(tree, key);
+
+	if (!row) {
+		row = g_new0(fake_row_t, 1);
+		row->key = ks_str_dup(key);
+		row->value = g_string_new(NULL);
+		row->old_value = g_string_new(NULL);
+		g_tree_insert(tree, row->key, row);
+	}
+	g_string_truncate(row->old_value, 0);
+	g_string_append_len(row->old_value, row->value->str,
+			    (gssize)row->value->len);
+	g_free(row->old_etag);
+	row->old_etag = row->etag ? row->etag : g_strdup("");
+	g_string_truncate(row->value, 0);
+	g_string_append_len(row->value, value.data, (gssize)value.len);
+	row->etag = g_strdup_printf("\"%" G_GUINT64_FORMAT "\"",
+				    ++tables->last_etag);
+	return row;
+}
+
+static void apply(fake_tables_t *tables, const ks_store_write_t *write)
+{
+	char *key;
+
+	if (write->check_only)
+		return;
+	if (!write->remove) {
+		put(tables, tables->rows, write->key, write->value);
+		return;
+	}
+	key = ks_str_dup(write->key);
+	g_tree_remove(tables->rows, key);
+	g_free(key);
+}
+
+/**
+ * fake_tables_transact() - carry out all writes or none
+ *
+ * Return: -1 when done, else the index of the first write whose precondition
+ * failed.
+ */
+int fake_tables_transact(fake_tables_t *tables, const ks_store_write_t *writes,
+			 size_t n_writes)
+{
+	for (size_t i = 0; i < n_writes; i++)
+		if (!holds(tables, &writes[i]))
+			return (int)i;
+	for (size_t i = 0; i < n_writes; i++)
+		apply(tables, &writes[i]);
+	return -1;
+}
+
+/**
+ * fake_tables_remove_prefix() - remove rows whose key starts with a prefix
+ */
+void fake_tables_remove_prefix(fake_tables_t *tables, ks_str_t prefix)
+{
+	GPtrArray *rows = fake_tables_list(tables, prefix);
+
+	for (guint i = 0; i < rows->len; i++)
+		g_tree_remove(tables->rows,
+			      ((const fake_row_t *)rows->pdata[i])->key);
+	g_ptr_array_free(rows, TRUE);
+}
+
+/**
+ * fake_tables_put_object() - write an object
+ *
+ * Return: the object.
+ */
+const fake_row_t *fake_tables_put_object(fake_tables_t *tables, ks_str_t name,
+					 ks_str_t body)
+{
+	return put(tables, tables->objects, name, body);
+}
