--- a/Makefile
+++ b/Makefile
@@ -91,7 +91,8 @@
 $(BUILD)/bench-%: $(BUILD)/bench/bench-%.o $(BENCH_COMMON) $(LIBS)
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/packages/%: $(BUILD)/packages/%.o $(LIBS)
+# Tests may use the test doubles beside the fakes.
+$(BUILD)/packages/%: $(BUILD)/packages/%.o $(FAKE_COMMON) $(LIBS)
 	$(Q)$(CXX) $(CXXFLAGS) -o $@ $^ -lrapidcheck $(LDLIBS)
 
 setup:
--- a/packages/version/src/fields.c
+++ b/packages/version/src/fields.c
@@ -120,3 +120,21 @@
 	g_free(ip);
 	return ok;
 }
+
+/**
+ * ks_name_is_valid() - whether a text may name a model, upstream, host, ...
+ *
+ * Names become parts of row keys and of label values, so only letters, digits
+ * and "._:@+-" are allowed, and at most KS_NAME_MAX_LEN of them.
+ */
+bool ks_name_is_valid(const char *text)
+{
+	size_t len = strlen(text);
+
+	if (!len || len > KS_NAME_MAX_LEN)
+		return false;
+	for (size_t i = 0; i < len; i++)
+		if (!g_ascii_isalnum(text[i]) && !strchr("._:@+-", text[i]))
+			return false;
+	return true;
+}
--- a/packages/version/src/fields.h
+++ b/packages/version/src/fields.h
@@ -28,6 +28,8 @@
 
 #define KS_UPSTREAM_N_FIELDS 11
 #define KS_UPSTREAM_MAX_LIMIT 1000000
+/* Orders carry names in fields of 64 bytes. */
+#define KS_NAME_MAX_LEN 63
 
 extern const ks_field_t ks_upstream_fields[KS_UPSTREAM_N_FIELDS];
 
@@ -37,6 +39,7 @@
 void ks_upstream_field_copy(ks_upstream_t *to, const ks_upstream_t *from,
 			    const ks_field_t *field);
 bool ks_address_text_is_valid(const char *text);
+bool ks_name_is_valid(const char *text);
 
 #define KS_FIELD_AT(upstream, field, type) \
 	((type *)(void *)((char *)(upstream) + (field)->offset))
--- a/packages/version/src/release_yaml.c
+++ b/packages/version/src/release_yaml.c
@@ -97,6 +97,17 @@
 	return true;
 }
 
+static bool read_name(struct reader *reader, const char *key,
+		      const yaml_node_t *value, char **text)
+{
+	if (!read_text(reader, key, value, text))
+		return false;
+	return ks_name_is_valid(*text) ||
+	       fail(reader, node_line(value),
+		    "%s: expected at most %d letters, digits or ._:@+-", key,
+		    KS_NAME_MAX_LEN);
+}
+
 static bool read_bool(struct reader *reader, const char *key,
 		      const yaml_node_t *value, bool *flag)
 {
@@ -134,8 +145,10 @@
 		yaml_node_t *node = yaml_document_get_node(&reader->doc, *item);
 		char *name = NULL;
 
-		if (!read_text(reader, key, node, &name))
+		if (!read_name(reader, key, node, &name)) {
+			g_free(name);
 			return false;
+		}
 		if (g_ptr_array_find_with_equal_func(names, name, g_str_equal,
 						     NULL)) {
 			fail(reader, node_line(node), "%s: '%s' occurs twice",
@@ -176,12 +189,12 @@
 	ks_change_t *change = ctx;
 
 	if (!strcmp(key, "name"))
-		return read_text(reader, key, value, &change->model->name);
+		return read_name(reader, key, value, &change->model->name);
 	if (!strcmp(key, "allow_unserved"))
 		return read_bool(reader, key, value, &change->allow_unserved);
 	if (change->action != KS_CHANGE_WITHDRAW) {
 		if (!strcmp(key, "version"))
-			return read_text(reader, key, value,
+			return read_name(reader, key, value,
 					 &change->model->version);
 		if (!strcmp(key, "adapters"))
 			return read_adapters(reader, change, value);
@@ -230,7 +243,7 @@
 	case KS_FIELD_TEXT:
 		break;
 	}
-	return read_text(reader, field->name, value, text);
+	return read_name(reader, field->name, value, text);
 }
 
 static bool on_upstream_entry(struct reader *reader, void *ctx, const char *key,
@@ -285,8 +298,8 @@
 			    const yaml_node_t *node)
 {
 	return change->model
-		       ? read_text(reader, "name", node, &change->model->name)
-		       : read_text(reader, "id", node, &change->upstream->id);
+		       ? read_name(reader, "name", node, &change->model->name)
+		       : read_name(reader, "id", node, &change->upstream->id);
 }
 
 static bool read_item(struct reader *reader, ks_change_t *change,
--- a/packages/version/src/snapshot_parse.c
+++ b/packages/version/src/snapshot_parse.c
@@ -20,14 +20,18 @@
 	ks_model_t *model;
 	size_t i;
 
-	if (json_unpack(item, "{sssssO!}", "name", &name, "version", &version,
+	if (json_unpack(item, "{s:s, s:s, s:O !}", "name", &name, "version", &version,
 			"adapters", &adapters))
 		return NULL;
+	if (!ks_name_is_valid(name) || !ks_name_is_valid(version)) {
+		json_decref(adapters);
+		return NULL;
+	}
 	model = ks_model_new(name, version);
 	json_array_foreach(adapters, i, value)
 	{
 		adapter = json_string_value(value);
-		if (adapter)
+		if (adapter && ks_name_is_valid(adapter))
 			g_ptr_array_add(model->adapters, g_strdup(adapter));
 	}
 	if (!json_is_array(adapters) ||
@@ -65,10 +69,12 @@
 			return false;
 		break;
 	case KS_FIELD_TEXT:
+		if (!text || !ks_name_is_valid(text))
+			return false;
 		break;
 	}
 	*KS_FIELD_AT(upstream, field, char *) = g_strdup(text);
-	return text != NULL;
+	return true;
 }
 
 static ks_upstream_t *parse_upstream(json_t *item)
@@ -180,7 +186,7 @@
 	json_int_t version;
 	int format;
 
-	if (json_unpack(root, "{sisIsoso!}", "format", &format, "version",
+	if (json_unpack(root, "{s:i, s:I, s:o, s:o !}", "format", &format, "version",
 			&version, "models", &models, "upstreams", &upstreams) ||
 	    format != KS_SNAPSHOT_FORMAT || version < 0 ||
 	    version > MAX_VERSION) {
