--- /dev/null
+++ b/packages/process/tests/test-store-http.c
@@ -0,0 +1,407 @@
+/* Tests of the HTTP drivers against the fake platform in the same process. */
+#include "fake_platform.h"
+#include "ks/process.h"
+
+#include <signal.h>
+#include <string.h>
+
+#define MAX_TURNS 10000
+
+static fake_platform_t platform;
+static ks_http_client_t client;
+static ks_store_http_t driver;
+static ks_address_t address = { "127.0.0.1", 0 };
+
+/* What a callback saw. */
+struct answer {
+	bool done;
+	ks_store_outcome_t outcome;
+	char *etag;
+	char *value;
+	size_t n_rows;
+	int failed;
+};
+
+static void wait_for(const bool *done)
+{
+	for (int i = 0; i < MAX_TURNS && !*done; i++)
+		ks_loop_run_once(&platform.loop, 10 * KS_USEC_PER_MSEC);
+	g_assert_true(*done);
+}
+
+static void clear(struct answer *answer)
+{
+	g_free(answer->etag);
+	g_free(answer->value);
+	*answer = (struct answer){ 0 };
+}
+
+static void on_row(void *ctx, ks_store_outcome_t outcome, const ks_row_t *row)
+{
+	struct answer *answer = ctx;
+
+	g_assert_false(answer->done);
+	answer->done = true;
+	answer->outcome = outcome;
+	if (!row)
+		return;
+	answer->etag = ks_str_dup(row->etag);
+	answer->value = ks_str_dup(row->value);
+}
+
+static void on_rows(void *ctx, ks_store_outcome_t outcome, const ks_row_t *rows,
+		    size_t n_rows, int failed)
+{
+	on_row(ctx, outcome, n_rows ? rows : NULL);
+	((struct answer *)ctx)->n_rows = n_rows;
+	((struct answer *)ctx)->failed = failed;
+}
+
+static ks_store_outcome_t get(struct answer *answer, const char *key)
+{
+	clear(answer);
+	driver.store.get(driver.store.impl, ks_str_from(key), on_row, answer);
+	wait_for(&answer->done);
+	return answer->outcome;
+}
+
+static ks_store_outcome_t write_row(struct answer *answer,
+				    const ks_store_write_t *write)
+{
+	clear(answer);
+	driver.store.write(driver.store.impl, write, on_row, answer);
+	wait_for(&answer->done);
+	return answer->outcome;
+}
+
+static ks_store_outcome_t transact(struct answer *answer,
+				   const ks_store_write_t *writes, size_t n)
+{
+	clear(answer);
+	driver.store.transact(driver.store.impl, writes, n, on_rows, answer);
+	wait_for(&answer->done);
+	return answer->outcome;
+}
+
+static void reset_faults(void)
+{
+	platform.down = false;
+	platform.stale_reads = false;
+	platform.hosts_down = false;
+	platform.delay_us = 0;
+	platform.lose_answers = 0;
+	g_clear_pointer(&platform.lose_matching, g_free);
+	platform.write_rate = (fake_rate_t){ 0 };
+	platform.read_rate = (fake_rate_t){ 0 };
+	driver.timeout_us = 5 * KS_USEC_PER_SEC;
+	fake_tables_deinit(&platform.tables);
+	fake_tables_init(&platform.tables);
+}
+
+/* Guards against keys or values that change on the way, and against etags that
+ * the next write cannot use. */
+static void test_store_rows(void)
+{
+	struct answer answer = { 0 };
+	ks_store_write_t write = { .key = KS_STR("claim/1/t n/k%?#\"/é"),
+				   .value = KS_STR("{\"a\":\"é\"}") };
+	char *etag;
+
+	reset_faults();
+	g_assert_cmpint(get(&answer, "claim/none"), ==, KS_STORE_DONE);
+	g_assert_cmpstr(answer.etag, ==, "");
+	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_DONE);
+	etag = g_strdup(answer.etag);
+	g_assert_cmpint(get(&answer, write.key.data), ==, KS_STORE_DONE);
+	g_assert_cmpstr(answer.etag, ==, etag);
+	g_assert_cmpstr(answer.value, ==, write.value.data);
+	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_REFUSED);
+	write.etag = ks_str_from(etag);
+	write.value = KS_STR("2");
+	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_DONE);
+	g_assert_cmpstr(answer.etag, !=, etag);
+	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_REFUSED);
+	write.remove = true;
+	write.unconditional = true;
+	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_DONE);
+	g_assert_cmpint(get(&answer, write.key.data), ==, KS_STORE_DONE);
+	g_assert_cmpstr(answer.etag, ==, "");
+	g_free(etag);
+	clear(&answer);
+}
+
+/* Guards against a check that writes, or that misses a changed row. */
+static void test_store_check_only(void)
+{
+	struct answer answer = { 0 };
+	ks_store_write_t write = { .key = KS_STR("lease/a"),
+				   .value = KS_STR("1") };
+	ks_store_write_t check = { .key = KS_STR("lease/a"),
+				   .check_only = true };
+
+	reset_faults();
+	g_assert_cmpint(write_row(&answer, &check), ==, KS_STORE_DONE);
+	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_DONE);
+	g_assert_cmpint(write_row(&answer, &check), ==, KS_STORE_REFUSED);
+	clear(&answer);
+}
+
+/* Guards against a transaction that is carried out in part. */
+static void test_store_transactions(void)
+{
+	struct answer answer = { 0 };
+	ks_store_write_t writes[] = {
+		{ .key = KS_STR("release/1"), .value = KS_STR("one") },
+		{ .key = KS_STR("release/head"), .value = KS_STR("head") },
+	};
+
+	reset_faults();
+	g_assert_cmpint(transact(&answer, &writes[1], 1), ==, KS_STORE_DONE);
+	g_assert_cmpint(transact(&answer, writes, 2), ==, KS_STORE_REFUSED);
+	g_assert_cmpint(answer.failed, ==, 1);
+	g_assert_cmpint(get(&answer, "release/1"), ==, KS_STORE_DONE);
+	g_assert_cmpstr(answer.etag, ==, "");
+	writes[1].unconditional = true;
+	g_assert_cmpint(transact(&answer, writes, 2), ==, KS_STORE_DONE);
+	g_assert_cmpuint(answer.n_rows, ==, 2);
+	g_assert_cmpint(get(&answer, "release/1"), ==, KS_STORE_DONE);
+	g_assert_cmpstr(answer.value, ==, "one");
+	clear(&answer);
+}
+
+/* Guards against lists, or removals, that reach beyond their prefix. */
+static void test_store_prefixes(void)
+{
+	struct answer answer = { 0 };
+	ks_store_write_t writes[] = {
+		{ .key = KS_STR("claim/1/a"), .value = KS_STR("1") },
+		{ .key = KS_STR("claim/1/b"), .value = KS_STR("2") },
+		{ .key = KS_STR("claim/10/a"), .value = KS_STR("3") },
+	};
+
+	reset_faults();
+	g_assert_cmpint(transact(&answer, writes, 3), ==, KS_STORE_DONE);
+	clear(&answer);
+	driver.store.list(driver.store.impl, KS_STR("claim/1/"), on_rows,
+			  &answer);
+	wait_for(&answer.done);
+	g_assert_cmpint(answer.outcome, ==, KS_STORE_DONE);
+	g_assert_cmpuint(answer.n_rows, ==, 2);
+	g_assert_cmpstr(answer.value, ==, "1");
+	clear(&answer);
+	driver.store.remove_prefix(driver.store.impl, KS_STR("claim/1/"),
+				   on_row, &answer);
+	wait_for(&answer.done);
+	g_assert_cmpint(answer.outcome, ==, KS_STORE_DONE);
+	g_assert_cmpint(get(&answer, "claim/1/a"), ==, KS_STORE_DONE);
+	g_assert_cmpstr(answer.etag, ==, "");
+	g_assert_cmpint(get(&answer, "claim/10/a"), ==, KS_STORE_DONE);
+	g_assert_cmpstr(answer.value, ==, "3");
+	clear(&answer);
+}
+
+/* Guards against objects that come back changed. */
+static void test_store_objects(void)
+{
+	struct answer answer = { 0 };
+	char *body = g_strnfill(200000, 'x');
+
+	reset_faults();
+	driver.store.object_put(driver.store.impl, KS_STR("snapshot/1/ab"),
+				ks_str_from(body), on_row, &answer);
+	wait_for(&answer.done);
+	g_assert_cmpint(answer.outcome, ==, KS_STORE_DONE);
+	clear(&answer);
+	driver.store.object_get(driver.store.impl, KS_STR("snapshot/1/ab"),
+				on_row, &answer);
+	wait_for(&answer.done);
+	g_assert_cmpint(answer.outcome, ==, KS_STORE_DONE);
+	g_assert_cmpstr(answer.value, ==, body);
+	g_free(body);
+	clear(&answer);
+}
+
+/* Guards against a lost answer that is taken for a failure. */
+static void test_store_lost_answer_is_unknown(void)
+{
+	struct answer answer = { 0 };
+	ks_store_write_t write = { .key = KS_STR("claim/1/a"),
+				   .value = KS_STR("1") };
+
+	reset_faults();
+	platform.lose_answers = 1;
+	platform.lose_matching = g_strdup("claim/");
+	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_UNKNOWN);
+	g_assert_cmpint(get(&answer, "claim/1/a"), ==, KS_STORE_DONE);
+	g_assert_cmpstr(answer.value, ==, "1");
+	platform.lose_answers = 1;
+	write.key = KS_STR("lease/a");
+	g_assert_cmpint(transact(&answer, &write, 1), ==, KS_STORE_DONE);
+	clear(&answer);
+}
+
+/* Guards against a slow write that is called not done. */
+static void test_store_slow_answer_is_unknown(void)
+{
+	struct answer answer = { 0 };
+	ks_store_write_t write = { .key = KS_STR("plan/a"),
+				   .value = KS_STR("1") };
+
+	reset_faults();
+	platform.delay_us = 3600 * KS_USEC_PER_SEC;
+	driver.timeout_us = 50 * KS_USEC_PER_MSEC;
+	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_UNKNOWN);
+	g_assert_cmpint(get(&answer, "plan/a"), ==, KS_STORE_UNREACHABLE);
+	clear(&answer);
+}
+
+/* Guards against an outage or a limit that leaves callers in doubt. */
+static void test_store_refused_without_effect_is_unreachable(void)
+{
+	struct answer answer = { 0 };
+	ks_store_write_t write = { .key = KS_STR("plan/a"),
+				   .value = KS_STR("1") };
+
+	reset_faults();
+	platform.down = true;
+	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_UNREACHABLE);
+	g_assert_cmpint(get(&answer, "plan/a"), ==, KS_STORE_UNREACHABLE);
+	reset_faults();
+	platform.write_rate.per_s = 1e-9;
+	platform.write_rate.refilled_us = 1;
+	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_UNREACHABLE);
+	g_assert_cmpint(get(&answer, "plan/a"), ==, KS_STORE_DONE);
+	g_assert_cmpstr(answer.etag, ==, "");
+	clear(&answer);
+}
+
+/* Guards against a connection that was never made but counts as unknown. */
+static void test_store_no_connection_is_unreachable(void)
+{
+	struct answer answer = { 0 };
+	ks_store_write_t write = { .key = KS_STR("plan/a") };
+	ks_address_t good = driver.address;
+
+	reset_faults();
+	/* Nothing listens on port 1. */
+	driver.address.port = 1;
+	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_UNREACHABLE);
+	driver.address = good;
+	clear(&answer);
+}
+
+/* Guards against calls that leave out the token. */
+static void test_store_sends_its_token(void)
+{
+	struct answer answer = { 0 };
+
+	reset_faults();
+	platform.token = g_strdup("secret");
+	g_assert_cmpint(get(&answer, "plan/a"), ==, KS_STORE_UNREACHABLE);
+	ks_store_http_deinit(&driver);
+	ks_store_http_init(&driver, &client, &address, "secret");
+	g_assert_cmpint(get(&answer, "plan/a"), ==, KS_STORE_DONE);
+	g_clear_pointer(&platform.token, g_free);
+	clear(&answer);
+}
+
+struct hosts {
+	bool done;
+	bool ok;
+	size_t n_leaving;
+	char *first;
+};
+
+static void on_hosts(void *ctx, bool ok, const ks_str_t *leaving,
+		     size_t n_leaving)
+{
+	struct hosts *hosts = ctx;
+
+	hosts->done = true;
+	hosts->ok = ok;
+	hosts->n_leaving = n_leaving;
+	hosts->first = n_leaving ? ks_str_dup(leaving[0]) : NULL;
+}
+
+/* Guards against live hosts that are called leaving, and against an outage that
+ * reads as an empty list. */
+static void test_platform_hosts(void)
+{
+	ks_platform_http_t hosts_driver;
+	struct hosts hosts = { 0 };
+
+	reset_faults();
+	ks_platform_http_init(&hosts_driver, &client, &address, NULL);
+	g_ptr_array_add(platform.hosts, g_strdup("h1"));
+	g_ptr_array_add(platform.hosts, g_strdup("h2"));
+	g_ptr_array_add(platform.leaving, g_strdup("h2"));
+	hosts_driver.platform.hosts(hosts_driver.platform.impl, on_hosts,
+				    &hosts);
+	wait_for(&hosts.done);
+	g_assert_true(hosts.ok);
+	g_assert_cmpuint(hosts.n_leaving, ==, 1);
+	g_assert_cmpstr(hosts.first, ==, "h2");
+	g_free(hosts.first);
+	hosts = (struct hosts){ 0 };
+	platform.hosts_down = true;
+	hosts_driver.platform.hosts(hosts_driver.platform.impl, on_hosts,
+				    &hosts);
+	wait_for(&hosts.done);
+	g_assert_false(hosts.ok);
+	ks_platform_http_deinit(&hosts_driver);
+}
+
+static int compare_keys(const void *a, const void *b, void *ctx G_GNUC_UNUSED)
+{
+	return strcmp(a, b);
+}
+
+static void start_platform(void)
+{
+	GError *error = NULL;
+
+	fake_tables_init(&platform.tables);
+	platform.hosts = g_ptr_array_new_with_free_func(g_free);
+	platform.leaving = g_ptr_array_new_with_free_func(g_free);
+	platform.prefixes =
+		g_tree_new_full(compare_keys, NULL, g_free, g_free);
+	ks_loop_init(&platform.loop, ks_clock_monotonic());
+	ks_http_server_init(&platform.server, &platform.loop, &address,
+			    1 << 20, fake_platform_handle, &platform, &error);
+	g_assert_no_error(error);
+	address.port = ks_http_server_port(&platform.server);
+	ks_http_client_init(&client, &platform.loop);
+	ks_store_http_init(&driver, &client, &address, NULL);
+}
+
+int main(int argc, char **argv)
+{
+	int status;
+
+	signal(SIGPIPE, SIG_IGN);
+	g_test_init(&argc, &argv, NULL);
+	start_platform();
+	g_test_add_func("/store-http/rows", test_store_rows);
+	g_test_add_func("/store-http/check-only", test_store_check_only);
+	g_test_add_func("/store-http/transactions", test_store_transactions);
+	g_test_add_func("/store-http/prefixes", test_store_prefixes);
+	g_test_add_func("/store-http/objects", test_store_objects);
+	g_test_add_func("/store-http/lost-answer-is-unknown",
+			test_store_lost_answer_is_unknown);
+	g_test_add_func("/store-http/slow-answer-is-unknown",
+			test_store_slow_answer_is_unknown);
+	g_test_add_func("/store-http/refused-without-effect-is-unreachable",
+			test_store_refused_without_effect_is_unreachable);
+	g_test_add_func("/store-http/no-connection-is-unreachable",
+			test_store_no_connection_is_unreachable);
+	g_test_add_func("/store-http/sends-its-token",
+			test_store_sends_its_token);
+	g_test_add_func("/platform-http/hosts", test_platform_hosts);
+	status = g_test_run();
+	ks_store_http_deinit(&driver);
+	g_ptr_array_free(platform.hosts, TRUE);
+	g_ptr_array_free(platform.leaving, TRUE);
+	g_tree_destroy(platform.prefixes);
+	fake_tables_deinit(&platform.tables);
+	return status;
+}
