Add the ledger of non-idempotent requests

A claim row is written by insert-if-absent before a request with a key is handed on. The state machine is pure; the driver groups claims into transactions, reads back unknown outcomes and stores answers. A property runs three entries against a store with faults.

--- a/packages/process/include/ks/process.h
+++ b/packages/process/include/ks/process.h
@@ -472,6 +472,15 @@
 void ks_ledger_not_run(ks_ledger_entry_t *entry);
 void ks_ledger_unknown(ks_ledger_entry_t *entry);
 void ks_ledger_abandon(ks_ledger_entry_t *entry);
+bool ks_ledger_is_idle(const ks_ledger_t *ledger);
+
+/* claim_sweep.c: removes claims that are past their retention */
+
+typedef struct ks_claim_sweep ks_claim_sweep_t;
+
+ks_claim_sweep_t *ks_claim_sweep_new(ks_loop_t *loop, ks_store_t *store,
+				     const ks_clock_t *wall, ks_rng_t *rng);
+void ks_claim_sweep_free(ks_claim_sweep_t *sweep);
 
 /* entry.c and upstream.c: the two roles */
 
--- /dev/null
+++ b/packages/process/tests/sim.h
@@ -0,0 +1,501 @@
+/*
+ * Simulated processes and an in-memory store with faults, for the properties of
+ * the ledger, the leases and the orders. Time stands still until the test moves
+ * it; which fault strikes which operation comes from a list of choices, so that
+ * RapidCheck can shrink it. An exhausted list means no more faults.
+ */
+#ifndef KS_TESTS_SIM_H
+#define KS_TESTS_SIM_H
+
+#include "ks/process.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sim
+{
+constexpr int64_t MS = KS_USEC_PER_MSEC;
+constexpr int64_t SEC = KS_USEC_PER_SEC;
+
+inline std::string text(ks_str_t s)
+{
+	return s.len ? std::string(s.data, s.len) : std::string();
+}
+
+inline ks_str_t view(const std::string &s)
+{
+	return { s.data(), s.size() };
+}
+
+enum fault {
+	FAULT_NONE,
+	FAULT_LOST_AFTER_EFFECT,
+	FAULT_DELAYED_PAST_CALLER,
+	FAULT_LONG_DELAYED,
+	FAULT_DOWN,
+	FAULT_LOST_BEFORE_EFFECT,
+	FAULT_SLOW_EFFECT,
+	FAULT_SLOW_RESPONSE,
+	N_FAULTS
+};
+
+/* Draws the generator's choices one by one. */
+struct choices {
+	std::vector<uint8_t> values;
+	size_t next = 0;
+
+	unsigned draw(unsigned limit)
+	{
+		return next < values.size() ? values[next++] % limit : 0;
+	}
+};
+
+struct event {
+	int64_t at;
+	uint64_t order;
+	std::function<void()> run;
+};
+
+/* The simulated world: true time and what happens in it. */
+struct world {
+	ks_test_clock_t clock;
+	std::vector<event> events;
+	uint64_t order = 0;
+	choices faults;
+
+	explicit world(std::vector<uint8_t> fault_choices)
+	{
+		ks_test_clock_init(&clock, 1000000 * SEC);
+		faults.values = std::move(fault_choices);
+	}
+	int64_t now() const
+	{
+		return clock.time_us;
+	}
+	void at(int64_t when, std::function<void()> run)
+	{
+		events.push_back({ when, order++, std::move(run) });
+	}
+	int64_t next_time() const
+	{
+		int64_t next = INT64_MAX;
+
+		for (const auto &e : events)
+			next = std::min(next, e.at);
+		return next;
+	}
+	/* Runs what is due, in order of time. */
+	void run_due()
+	{
+		for (;;) {
+			size_t first = events.size();
+
+			for (size_t i = 0; i < events.size(); i++) {
+				if (events[i].at > now())
+					continue;
+				if (first == events.size() ||
+				    std::tie(events[i].at, events[i].order) <
+					    std::tie(events[first].at,
+						     events[first].order))
+					first = i;
+			}
+			if (first == events.size())
+				return;
+			auto run = std::move(events[first].run);
+			events.erase(events.begin() + (long)first);
+			run();
+		}
+	}
+};
+
+struct stored {
+	std::string etag;
+	std::string value;
+};
+
+struct write {
+	std::string key, etag, value;
+	bool unconditional, check_only, remove;
+};
+
+/* Rows and objects that all processes share. */
+struct table {
+	std::map<std::string, stored> rows;
+	std::map<std::string, std::string> objects;
+	uint64_t next_etag = 1;
+	unsigned writes = 0;
+
+	bool allows(const write &w) const
+	{
+		auto it = rows.find(w.key);
+
+		return w.unconditional ||
+		       (it == rows.end() ? w.etag.empty()
+					 : it->second.etag == w.etag);
+	}
+	/* All preconditions are tested before the first write. */
+	int apply(const std::vector<write> &writes_in,
+		  std::vector<std::string> *etags)
+	{
+		for (size_t i = 0; i < writes_in.size(); i++) {
+			if (!allows(writes_in[i]))
+				return (int)i;
+		}
+		for (const auto &w : writes_in) {
+			if (w.remove) {
+				rows.erase(w.key);
+				etags->push_back("");
+				continue;
+			}
+			if (!w.check_only) {
+				rows[w.key] = { "e" + std::to_string(
+							      next_etag++),
+						w.value };
+				writes++;
+			}
+			etags->push_back(rows[w.key].etag);
+		}
+		return -1;
+	}
+};
+
+/* The store as one process reaches it; responses wait in its inbox. */
+struct store {
+	world *w;
+	table *t;
+	ks_store_t iface;
+	std::vector<std::function<void()>> inbox;
+	unsigned under_way = 0;
+
+	store(world *world_in, table *table_in) : w(world_in), t(table_in)
+	{
+		iface.get = get;
+		iface.list = list;
+		iface.write = write_one;
+		iface.transact = transact;
+		iface.remove_prefix = remove_prefix;
+		iface.object_get = object_get;
+		iface.object_put = object_put;
+		iface.impl = this;
+	}
+	void deliver()
+	{
+		while (!inbox.empty()) {
+			auto run = std::move(inbox.front());
+
+			inbox.erase(inbox.begin());
+			under_way--;
+			run();
+		}
+	}
+
+	struct timing {
+		int64_t effect, response;
+		ks_store_outcome_t forced;
+		bool is_forced, no_effect;
+	};
+	timing draw()
+	{
+		switch (w->faults.draw(N_FAULTS)) {
+		case FAULT_LOST_AFTER_EFFECT:
+			return { 1 * MS, 100 * MS, KS_STORE_UNKNOWN, true,
+				 false };
+		case FAULT_DELAYED_PAST_CALLER:
+			return { 3 * SEC, 100 * MS, KS_STORE_UNKNOWN, true,
+				 false };
+		case FAULT_LONG_DELAYED:
+			return { 40 * SEC, 100 * MS, KS_STORE_UNKNOWN, true,
+				 false };
+		case FAULT_DOWN:
+			return { 0, 5 * MS, KS_STORE_UNREACHABLE, true, true };
+		case FAULT_LOST_BEFORE_EFFECT:
+			return { 0, 100 * MS, KS_STORE_UNKNOWN, true, true };
+		case FAULT_SLOW_EFFECT:
+			return { 2 * SEC, 2 * SEC + MS, KS_STORE_DONE, false,
+				 false };
+		case FAULT_SLOW_RESPONSE:
+			return { 1 * MS, 4 * SEC, KS_STORE_DONE, false, false };
+		default:
+			return { 1 * MS, 2 * MS, KS_STORE_DONE, false, false };
+		}
+	}
+	struct result {
+		ks_store_outcome_t outcome = KS_STORE_DONE;
+		int failed = -1;
+		std::vector<std::string> keys, etags, values;
+	};
+	/* @effect acts on the table; @respond runs in the process. */
+	void start(std::function<void(result *)> effect,
+		   std::function<void(const result &)> respond)
+	{
+		timing timing = draw();
+		auto res = std::make_shared<result>();
+		int64_t now = w->now();
+
+		under_way++;
+		if (!timing.no_effect)
+			w->at(now + timing.effect,
+			      [res, effect] { effect(res.get()); });
+		w->at(now + timing.response, [this, res, respond, timing] {
+			result final = *res;
+
+			if (timing.is_forced)
+				final.outcome = timing.forced;
+			inbox.push_back([respond, final] { respond(final); });
+		});
+	}
+	static store *self(void *impl)
+	{
+		return static_cast<store *>(impl);
+	}
+	static void respond_row(const result &r, ks_store_row_func_t func,
+				void *ctx)
+	{
+		ks_row_t row = {};
+
+		if (r.outcome != KS_STORE_DONE) {
+			func(ctx, r.outcome, nullptr);
+			return;
+		}
+		row.key = view(r.keys[0]);
+		row.etag = view(r.etags[0]);
+		row.value = view(r.values[0]);
+		func(ctx, r.outcome, &row);
+	}
+	static void respond_rows(const result &r, ks_store_rows_func_t func,
+				 void *ctx)
+	{
+		std::vector<ks_row_t> rows;
+
+		if (r.outcome != KS_STORE_DONE) {
+			func(ctx, r.outcome, nullptr, 0, r.failed);
+			return;
+		}
+		for (size_t i = 0; i < r.keys.size(); i++)
+			rows.push_back({ view(r.keys[i]), view(r.etags[i]),
+					 view(r.values[i]) });
+		func(ctx, r.outcome, rows.data(), rows.size(), -1);
+	}
+	static void get(void *impl, ks_str_t key, ks_store_row_func_t func,
+			void *ctx)
+	{
+		table *t = self(impl)->t;
+		std::string k = text(key);
+
+		self(impl)->start(
+			[t, k](result *r) {
+				auto it = t->rows.find(k);
+
+				r->keys = { k };
+				r->etags = { "" };
+				r->values = { "" };
+				if (it == t->rows.end())
+					return;
+				r->etags = { it->second.etag };
+				r->values = { it->second.value };
+			},
+			[func, ctx](const result &r) {
+				respond_row(r, func, ctx);
+			});
+	}
+	static void list(void *impl, ks_str_t prefix, ks_store_rows_func_t func,
+			 void *ctx)
+	{
+		table *t = self(impl)->t;
+		std::string p = text(prefix);
+
+		self(impl)->start(
+			[t, p](result *r) {
+				for (const auto &row : t->rows) {
+					if (row.first.rfind(p, 0) != 0)
+						continue;
+					r->keys.push_back(row.first);
+					r->etags.push_back(row.second.etag);
+					r->values.push_back(row.second.value);
+				}
+			},
+			[func, ctx](const result &r) {
+				respond_rows(r, func, ctx);
+			});
+	}
+	static write copy(const ks_store_write_t *w)
+	{
+		return { text(w->key),	   text(w->etag), text(w->value),
+			 w->unconditional, w->check_only, w->remove };
+	}
+	static void apply(table *t, const std::vector<write> &writes, result *r)
+	{
+		r->failed = t->apply(writes, &r->etags);
+		if (r->failed >= 0)
+			r->outcome = KS_STORE_REFUSED;
+		for (const auto &w : writes) {
+			r->keys.push_back(w.key);
+			r->values.push_back("");
+		}
+	}
+	static void write_one(void *impl, const ks_store_write_t *w,
+			      ks_store_row_func_t func, void *ctx)
+	{
+		table *t = self(impl)->t;
+		std::vector<write> writes = { copy(w) };
+
+		self(impl)->start(
+			[t, writes](result *r) { apply(t, writes, r); },
+			[func, ctx](const result &r) {
+				respond_row(r, func, ctx);
+			});
+	}
+	static void transact(void *impl, const ks_store_write_t *w, size_t n,
+			     ks_store_rows_func_t func, void *ctx)
+	{
+		table *t = self(impl)->t;
+		std::vector<write> writes;
+
+		for (size_t i = 0; i < n; i++)
+			writes.push_back(copy(&w[i]));
+		self(impl)->start(
+			[t, writes](result *r) { apply(t, writes, r); },
+			[func, ctx](const result &r) {
+				respond_rows(r, func, ctx);
+			});
+	}
+	static void remove_prefix(void *impl, ks_str_t prefix,
+				  ks_store_row_func_t func, void *ctx)
+	{
+		table *t = self(impl)->t;
+		std::string p = text(prefix);
+
+		self(impl)->start(
+			[t, p](result *r) {
+				auto it = t->rows.lower_bound(p);
+
+				while (it != t->rows.end() &&
+				       it->first.rfind(p, 0) == 0)
+					it = t->rows.erase(it);
+				r->keys = r->etags = r->values = { "" };
+			},
+			[func, ctx](const result &r) {
+				respond_row(r, func, ctx);
+			});
+	}
+	static void object_get(void *impl, ks_str_t name,
+			       ks_store_row_func_t func, void *ctx)
+	{
+		table *t = self(impl)->t;
+		std::string n = text(name);
+
+		self(impl)->start(
+			[t, n](result *r) {
+				auto it = t->objects.find(n);
+				bool found = it != t->objects.end();
+
+				r->keys = { n };
+				r->etags = { found ? "o" : "" };
+				r->values = { found ? it->second : "" };
+			},
+			[func, ctx](const result &r) {
+				respond_row(r, func, ctx);
+			});
+	}
+	static void object_put(void *impl, ks_str_t name, ks_str_t body,
+			       ks_store_row_func_t func, void *ctx)
+	{
+		table *t = self(impl)->t;
+		std::string n = text(name), b = text(body);
+
+		self(impl)->start(
+			[t, n, b](result *r) {
+				t->objects[n] = b;
+				r->keys = { n };
+				r->etags = { "o" };
+				r->values = { "" };
+			},
+			[func, ctx](const result &r) {
+				respond_row(r, func, ctx);
+			});
+	}
+};
+
+/* The loops live as long as the test, as h2o cannot free them. */
+inline ks_loop_t *loop_at(size_t index, world *w)
+{
+	static std::vector<ks_loop_t *> loops;
+
+	while (loops.size() <= index) {
+		loops.push_back(new ks_loop_t);
+		ks_loop_init(loops.back(), &w->clock.clock);
+	}
+	loops[index]->clock = &w->clock.clock;
+	return loops[index];
+}
+
+/* One process: its loop, its way to the store, and whether it is paused. */
+struct process {
+	world *w;
+	ks_loop_t *loop;
+	store db;
+	ks_rng_t rng;
+	int64_t paused_until = 0;
+
+	process(size_t index, world *world_in, table *t)
+	    : w(world_in), loop(loop_at(index, world_in)), db(world_in, t)
+	{
+		ks_rng_init(&rng, (uint32_t)index + 1);
+	}
+	~process()
+	{
+		ks_rng_deinit(&rng);
+	}
+	process(const process &) = delete;
+	process &operator=(const process &) = delete;
+
+	bool paused() const
+	{
+		return w->now() < paused_until;
+	}
+	int64_t next_time() const
+	{
+		int64_t next = INT64_MAX;
+
+		if (loop->timers->len > 0)
+			next = ((ks_timer_t *)g_ptr_array_index(loop->timers,
+								0))
+				       ->due_us;
+		if (!db.inbox.empty())
+			next = w->now();
+		return std::max(next, paused_until);
+	}
+	/* Responses first, as the loop handles sockets before timers. */
+	void run()
+	{
+		if (paused())
+			return;
+		db.deliver();
+		ks_loop_run_once(loop, 0);
+	}
+};
+
+/* Runs the world and its processes until a moment. */
+inline void run_until(world *w, const std::vector<process *> &processes,
+		      int64_t end)
+{
+	while (w->now() < end) {
+		int64_t next = w->next_time();
+
+		for (process *p : processes)
+			next = std::min(next, p->next_time());
+		next = std::max(next, w->now());
+		if (next > end)
+			next = end;
+		w->clock.time_us = next;
+		w->run_due();
+		for (process *p : processes)
+			p->run();
+	}
+}
+} // namespace sim
+
+#endif
--- a/packages/request/include/ks/request.h
+++ b/packages/request/include/ks/request.h
@@ -246,7 +246,8 @@
  * @expires_us: wall clock; another entry may then mark it unknown
  * @status: HTTP status of a stored answer
  * @content_type: of a stored answer; owned, may be NULL
- * @answer: stored body; owned, may be NULL
+ * @answer: stored body; owned, NULL when @object holds it
+ * @object: name of the object that holds a large body; owned, may be NULL
  */
 typedef struct ks_claim {
 	uint8_t fingerprint[KS_FINGERPRINT_SIZE];
@@ -258,29 +259,146 @@
 	int status;
 	char *content_type;
 	GBytes *answer;
+	char *object;
 } ks_claim_t;
 
+/* A larger body is stored as an object, which keeps rows small. */
+#define KS_CLAIM_MAX_INLINE (64 * 1024)
+/*
+ * Added to the deadline for the expiry of a claim. It covers the difference of
+ * the wall clocks of two hosts; a wrong clock makes an outcome unknown, but
+ * never lets an attempt run twice.
+ */
+#define KS_CLAIM_EXPIRY_MARGIN_US (10 * KS_USEC_PER_SEC)
+/* Rows are removed an hour after the retention; dispatch ends well before. */
+#define KS_CLAIM_DISPATCH_GRACE_US (30 * 60 * KS_USEC_PER_SEC)
+/* How long a holder tries to store how its attempt ended. */
+#define KS_CLAIM_SETTLE_US (10 * 60 * KS_USEC_PER_SEC)
+
 void ks_claim_deinit(ks_claim_t *claim);
 void ks_claim_fingerprint(uint8_t fingerprint[KS_FINGERPRINT_SIZE],
 			  ks_str_t method, ks_str_t path, ks_str_t body);
 char *ks_claim_row_key(const ks_idempotency_key_t *key, ks_str_t tenant);
+int64_t ks_claim_hour(int64_t issued_us);
 char *ks_claim_encode(const ks_claim_t *claim);
 bool ks_claim_decode(ks_claim_t *claim, ks_str_t value, GError **error);
 
 /**
  * enum ks_claim_step - what the ledger does next for a request
+ * @KS_CLAIM_STEP_INSERT: write the claim if there is no row
+ * @KS_CLAIM_STEP_READ: read the row
+ * @KS_CLAIM_STEP_TAKE_OVER: write the claim over the row with the known etag
+ * @KS_CLAIM_STEP_MARK_UNKNOWN: mark the lapsed claim of another request unknown
+ * @KS_CLAIM_STEP_STORE: write @claim over the row with the known etag, or
+ *insert it if that is empty
+ * @KS_CLAIM_STEP_WAIT: wait, then call ks_claim_machine_resume()
+ * @KS_CLAIM_STEP_DISPATCH: hand the attempt on now
+ * @KS_CLAIM_STEP_REPLAY: answer from the row
+ * @KS_CLAIM_STEP_FAIL: answer with the machine's @failure, then call
+ *	ks_claim_machine_settle()
+ * @KS_CLAIM_STEP_FINISH: nothing is left to do
+ * @KS_CLAIM_STEP_NONE: wait for the operation under way
  */
 typedef enum ks_claim_step {
 	KS_CLAIM_STEP_INSERT,
 	KS_CLAIM_STEP_READ,
 	KS_CLAIM_STEP_TAKE_OVER,
 	KS_CLAIM_STEP_MARK_UNKNOWN,
+	KS_CLAIM_STEP_STORE,
 	KS_CLAIM_STEP_WAIT,
 	KS_CLAIM_STEP_DISPATCH,
 	KS_CLAIM_STEP_REPLAY,
 	KS_CLAIM_STEP_FAIL,
+	KS_CLAIM_STEP_FINISH,
+	KS_CLAIM_STEP_NONE,
 } ks_claim_step_t;
 
+/**
+ * enum ks_claim_event - how an operation on the row ended
+ * @KS_CLAIM_EVENT_WRITTEN: the write took effect
+ * @KS_CLAIM_EVENT_REFUSED: its precondition failed
+ * @KS_CLAIM_EVENT_UNKNOWN: it may have taken effect or may do so later
+ * @KS_CLAIM_EVENT_UNREACHABLE: the write took no effect and never will, or the
+ *	read failed
+ */
+typedef enum ks_claim_event {
+	KS_CLAIM_EVENT_WRITTEN,
+	KS_CLAIM_EVENT_REFUSED,
+	KS_CLAIM_EVENT_UNKNOWN,
+	KS_CLAIM_EVENT_UNREACHABLE,
+} ks_claim_event_t;
+
+/**
+ * enum ks_claim_phase - where a request with a claim stands
+ */
+typedef enum ks_claim_phase {
+	KS_CLAIM_CLAIMING,
+	KS_CLAIM_DISPATCHED,
+	KS_CLAIM_SETTLING,
+	KS_CLAIM_FINISHED,
+} ks_claim_phase_t;
+
+/**
+ * struct ks_claim_times - one moment on both clocks
+ * @loop_us: the loop's clock
+ * @wall_us: Unix time
+ */
+typedef struct ks_claim_times {
+	int64_t loop_us;
+	int64_t wall_us;
+} ks_claim_times_t;
+
+/**
+ * struct ks_claim_machine - state of one request that needs a claim
+ * @claim: the row as this request writes it
+ * @etag: of the row that the next conditional write expects; empty: no row
+ * @deadline: no dispatch at or after it, on either clock
+ * @settle_until_us: loop clock; the end of the tries to store the outcome
+ * @asked: last step handed out
+ * @in_flight: the operation of @asked has not ended
+ * @maybe_claimed: a claim write of this request had an unknown outcome
+ * @held: the row is known to have carried this request's claim
+ * @row_seen: there is a row, which may be that of another request
+ * @failure: why the request failed
+ */
+typedef struct ks_claim_machine {
+	ks_claim_t claim;
+	GString *etag;
+	ks_claim_times_t deadline;
+	int64_t settle_until_us;
+	ks_claim_phase_t phase;
+	ks_claim_step_t asked;
+	bool in_flight;
+	bool maybe_claimed;
+	bool held;
+	bool row_seen;
+	ks_error_kind_t failure;
+} ks_claim_machine_t;
+
+void ks_claim_machine_init(ks_claim_machine_t *machine,
+			   const uint8_t fingerprint[KS_FINGERPRINT_SIZE],
+			   const ks_id_t *holder, const ks_id_t *request,
+			   int64_t issued_us, int64_t timeout_us,
+			   ks_claim_times_t now);
+void ks_claim_machine_deinit(ks_claim_machine_t *machine);
+ks_claim_step_t ks_claim_machine_start(ks_claim_machine_t *machine,
+				       ks_claim_times_t now);
+ks_claim_step_t ks_claim_machine_event(ks_claim_machine_t *machine,
+				       ks_claim_event_t event, ks_str_t etag,
+				       ks_claim_times_t now);
+ks_claim_step_t ks_claim_machine_row(ks_claim_machine_t *machine,
+				     const ks_claim_t *row, ks_str_t etag,
+				     ks_claim_times_t now);
+ks_claim_step_t ks_claim_machine_resume(ks_claim_machine_t *machine,
+					ks_claim_times_t now);
+ks_claim_step_t ks_claim_machine_deadline(ks_claim_machine_t *machine,
+					  ks_claim_times_t now);
+ks_claim_step_t ks_claim_machine_end(ks_claim_machine_t *machine,
+				     ks_claim_state_t state,
+				     ks_claim_times_t now);
+ks_claim_step_t ks_claim_machine_settle(ks_claim_machine_t *machine,
+					ks_claim_times_t now);
+
 G_END_DECLS
 
 #endif
