--- a/packages/process/include/ks/process.h
+++ b/packages/process/include/ks/process.h
@@ -480,6 +480,7 @@
 
 ks_entry_t *ks_entry_new(ks_loop_t *loop, const ks_settings_t *settings,
 			 GError **error);
+uint16_t ks_entry_port(const ks_entry_t *entry);
 void ks_entry_stop(ks_entry_t *entry);
 void ks_entry_free(ks_entry_t *entry);
 
--- /dev/null
+++ b/packages/process/src/entry.c
@@ -0,0 +1,159 @@
+/* The life of the entry process. */
+#include "entry.h"
+
+#include <zmq.h>
+
+#define RETRY_RATIO 0.1
+#define RETRY_MAX_TOKENS 100
+/* How often a stopping process looks whether its requests are answered. */
+#define STOP_CHECK_US (20 * KS_USEC_PER_MSEC)
+
+static void on_snapshot(void *ctx, ks_snapshot_t *snapshot)
+{
+	ks_entry_t *entry = ctx;
+
+	entry_fleet_apply(entry, snapshot);
+}
+
+static void on_stop_timer(void *ctx)
+{
+	ks_entry_t *entry = ctx;
+
+	if (!entry->listener_closed) {
+		entry->listener_closed = true;
+		ks_http_server_shutdown(&entry->server);
+		ks_log(KS_LOG_HTTP, KS_LOG_INFO,
+		       "closed the listener with %u requests in flight",
+		       entry->n_active);
+	}
+	if (ks_list_is_empty(&entry->requests))
+		ks_loop_stop(entry->loop);
+	else
+		ks_timer_set(&entry->stop_timer, STOP_CHECK_US);
+}
+
+static bool listen_for_callers(ks_entry_t *entry, GError **error)
+{
+	const ks_settings_t *settings = entry->settings;
+	char text[KS_ADDRESS_TEXT_SIZE];
+	ks_address_t address;
+
+	if (!ks_address_parse(&address, ks_str_from(settings->listen), error))
+		return false;
+	if (!ks_http_server_init(&entry->server, entry->loop, &address,
+				 (size_t)settings->max_body_kib * 1024,
+				 entry_http_handle, entry, error))
+		return false;
+	address.port = ks_http_server_port(&entry->server);
+	ks_log(KS_LOG_HTTP, KS_LOG_INFO, "listens on %s",
+	       ks_address_format(&address, text));
+	return true;
+}
+
+static bool start_platform(ks_entry_t *entry, GError **error)
+{
+	const ks_settings_t *settings = entry->settings;
+	ks_address_t address;
+
+	if (!ks_address_parse(&address, ks_str_from(settings->platform), error))
+		return false;
+	ks_http_client_init(&entry->client, entry->loop);
+	ks_store_http_init(&entry->store, &entry->client, &address,
+			   settings->platform_token);
+	ks_platform_http_init(&entry->platform, &entry->client, &address,
+			      settings->platform_token);
+	entry->ledger =
+		ks_ledger_new(entry->loop, &entry->store.store, ks_clock_wall(),
+			      &entry->rng, &entry->incarnation);
+	entry->config = ks_config_new(
+		entry->loop, &entry->store.store, &entry->rng,
+		settings->poll_ms * KS_USEC_PER_MSEC, on_snapshot, entry);
+	return true;
+}
+
+static void init_parts(ks_entry_t *entry)
+{
+	ks_rng_init_random(&entry->rng);
+	entry->zmq = zmq_ctx_new();
+	entry->metrics = ks_metrics_new();
+	ks_retry_budget_init(&entry->retries, RETRY_RATIO, RETRY_MAX_TOKENS);
+	ks_list_init(&entry->requests);
+	ks_timer_init(&entry->stop_timer, entry->loop, on_stop_timer, entry);
+	entry_fleet_init(entry);
+}
+
+/**
+ * ks_entry_new() - start the entry role
+ * @settings: must outlive the entry
+ *
+ * Return: NULL, with an error, if the settings are wrong or the address cannot
+ * be bound.
+ */
+ks_entry_t *ks_entry_new(ks_loop_t *loop, const ks_settings_t *settings,
+			 GError **error)
+{
+	ks_entry_t *entry = g_new0(ks_entry_t, 1);
+
+	entry->loop = loop;
+	entry->settings = settings;
+	init_parts(entry);
+	if (!ks_id_generate(&entry->incarnation)) {
+		ks_error_set(error, KS_ERROR_INTERNAL, "no random bytes");
+		ks_entry_free(entry);
+		return NULL;
+	}
+	if (!entry_auth_init(entry, error) || !start_platform(entry, error) ||
+	    !listen_for_callers(entry, error)) {
+		ks_entry_free(entry);
+		return NULL;
+	}
+	entry_fleet_poll_hosts(entry);
+	return entry;
+}
+
+/**
+ * ks_entry_port() - port that callers connect to
+ */
+uint16_t ks_entry_port(const ks_entry_t *entry)
+{
+	return ks_http_server_port(&entry->server);
+}
+
+/**
+ * ks_entry_stop() - stop gracefully, then stop the loop
+ */
+void ks_entry_stop(ks_entry_t *entry)
+{
+	if (entry->stopping)
+		return;
+	entry->stopping = true;
+	ks_timer_set(&entry->stop_timer,
+		     entry->settings->drain_delay_ms * KS_USEC_PER_MSEC);
+}
+
+/**
+ * ks_entry_free() - free the entry; the loop is not run again afterwards
+ */
+void ks_entry_free(ks_entry_t *entry)
+{
+	ks_timer_clear(&entry->stop_timer);
+	ks_http_server_deinit(&entry->server);
+	KS_LIST_FOREACH_SAFE (it, tmp, &entry->requests)
+		entry_request_free(
+			KS_CONTAINER_OF(it, struct entry_request, node));
+	entry_fleet_deinit(entry);
+	if (entry->config)
+		ks_config_free(entry->config);
+	if (entry->ledger)
+		ks_ledger_free(entry->ledger);
+	if (entry->client.loop) {
+		ks_platform_http_deinit(&entry->platform);
+		ks_store_http_deinit(&entry->store);
+		ks_http_client_deinit(&entry->client);
+	}
+	entry_auth_deinit(entry);
+	ks_metrics_free(entry->metrics);
+	ks_rng_deinit(&entry->rng);
+	zmq_ctx_term(entry->zmq);
+	g_free(entry);
+}
--- /dev/null
+++ b/packages/process/src/entry_answer.c
@@ -0,0 +1,186 @@
+/* Answers of the entry: errors, whole answers, and which fields pass. */
+#include "entry.h"
+
+#include <jansson.h>
+
+/* Fields that concern one connection only, or that this process writes. */
+static const char *const hop_fields[] = {
+	"connection",
+	"keep-alive",
+	"proxy-connection",
+	"te",
+	"trailer",
+	"transfer-encoding",
+	"upgrade",
+	"content-length",
+	"host",
+	"expect",
+	"proxy-authenticate",
+	"proxy-authorization",
+	"server",
+	"date",
+	"x-request-timeout-ms",
+};
+
+static bool is_hop_field(ks_str_t name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(hop_fields); i++)
+		if (ks_str_equal_nocase(name, ks_str_from(hop_fields[i])))
+			return true;
+	/* Fields of this system; a caller must not set them. */
+	return name.len >= 5 && !g_ascii_strncasecmp(name.data, "x-ks-", 5);
+}
+
+/**
+ * entry_answer_error_body() - JSON body of an error
+ *
+ * Return: memory to be freed with free().
+ */
+char *entry_answer_error_body(ks_error_kind_t kind, const char *message,
+			      const ks_id_t *id)
+{
+	const ks_error_answer_t *answer = ks_error_answer(kind);
+	char hex[KS_ID_HEX_SIZE];
+	json_t *json = json_pack(
+		"{s:{s:s, s:s, s:b, s:s}}", "error", "code", answer->code,
+		"message", message ? message : answer->code, "not_run",
+		(int)answer->not_run, "request_id", ks_id_format(id, hex));
+	char *text = json_dumps(json, JSON_COMPACT);
+
+	json_decref(json);
+	return text;
+}
+
+static void add_header(h2o_req_t *req, const char *name, const char *value)
+{
+	h2o_iovec_t copy = h2o_strdup(&req->pool, value, SIZE_MAX);
+
+	h2o_add_header_by_str(&req->pool, &req->res.headers, name, strlen(name),
+			      1, NULL, copy.base, copy.len);
+}
+
+/**
+ * entry_answer_add_id() - name the request in the answer's fields
+ */
+void entry_answer_add_id(h2o_req_t *req, const ks_id_t *id)
+{
+	char hex[KS_ID_HEX_SIZE];
+
+	add_header(req, "x-request-id", ks_id_format(id, hex));
+}
+
+/**
+ * entry_answer_error() - answer a request with an error
+ * @message: NULL for the code alone
+ * @retry_after_us: sent, rounded up to seconds, for the kinds that have it
+ */
+void entry_answer_error(h2o_req_t *req, ks_error_kind_t kind,
+			const char *message, const ks_id_t *id,
+			int64_t retry_after_us)
+{
+	const ks_error_answer_t *answer = ks_error_answer(kind);
+	char *body = entry_answer_error_body(kind, message, id);
+
+	if (answer->retry_after) {
+		int64_t seconds = (retry_after_us + KS_USEC_PER_SEC - 1) /
+				  KS_USEC_PER_SEC;
+		char text[24];
+
+		g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT,
+			   MAX(seconds, 1));
+		add_header(req, "retry-after", text);
+	}
+	entry_answer_add_id(req, id);
+	ks_http_reply(req, answer->status, "application/json",
+		      ks_str_from(body));
+	free(body);
+}
+
+/**
+ * entry_answer_keep_headers() - copy the fields of an upstream's answer
+ *
+ * They are kept as name, value, name, value in request->headers.
+ */
+void entry_answer_keep_headers(struct entry_request *request,
+			       const ks_header_t *headers, size_t n_headers)
+{
+	g_ptr_array_set_size(request->headers, 0);
+	g_clear_pointer(&request->content_type, g_free);
+	request->content_type =
+		ks_str_dup(ks_header_value(headers, n_headers, "content-type"));
+	for (size_t i = 0; i < n_headers; i++) {
+		if (is_hop_field(headers[i].name) ||
+		    ks_str_equal_nocase(headers[i].name,
+					KS_STR("content-type")))
+			continue;
+		g_ptr_array_add(request->headers, ks_str_dup(headers[i].name));
+		g_ptr_array_add(request->headers, ks_str_dup(headers[i].value));
+	}
+}
+
+/**
+ * entry_answer_whole() - send the whole answer that has been collected
+ */
+void entry_answer_whole(struct entry_request *request)
+{
+	h2o_req_t *req = request->req;
+	const char *type = request->content_type;
+
+	for (unsigned i = 0; i + 1 < request->headers->len; i += 2) {
+		const char *name = g_ptr_array_index(request->headers, i);
+		h2o_iovec_t copy = h2o_strdup(&req->pool, name, SIZE_MAX);
+
+		h2o_strtolower(copy.base, copy.len);
+		add_header(req, copy.base,
+			   g_ptr_array_index(request->headers, i + 1));
+	}
+	entry_answer_add_id(req, &request->id);
+	request->answered = true;
+	ks_http_reply(req, request->status,
+		      type && *type ? type : "application/octet-stream",
+		      (ks_str_t){ request->answer->str, request->answer->len });
+}
+
+/**
+ * entry_answer_replay() - send the stored answer of an earlier copy
+ */
+void entry_answer_replay(struct entry_request *request, int status,
+			 ks_str_t content_type, ks_str_t body)
+{
+	char *type = ks_str_dup(content_type);
+
+	add_header(request->req, "idempotency-replayed", "true");
+	entry_answer_add_id(request->req, &request->id);
+	request->answered = true;
+	ks_http_reply(request->req, status,
+		      *type ? type : "application/octet-stream", body);
+	g_free(type);
+}
+
+/**
+ * entry_answer_forward_headers() - fields of the request that the upstream gets
+ *
+ * Return: array of ks_header_t, valid as long as the h2o request.
+ */
+GArray *entry_answer_forward_headers(struct entry_request *request)
+{
+	h2o_headers_t *from = &request->req->headers;
+	GArray *headers = g_array_new(FALSE, FALSE, sizeof(ks_header_t));
+
+	for (size_t i = 0; i < from->size; i++) {
+		ks_header_t header = {
+			{ from->entries[i].name->base,
+			  from->entries[i].name->len },
+			{ from->entries[i].value.base,
+			  from->entries[i].value.len },
+		};
+
+		if (is_hop_field(header.name))
+			continue;
+		if (request->strip_authorization &&
+		    ks_str_equal_nocase(header.name, KS_STR("authorization")))
+			continue;
+		g_array_append_val(headers, header);
+	}
+	return headers;
+}
--- /dev/null
+++ b/packages/process/src/entry_attempt.c
@@ -0,0 +1,411 @@
+/* Attempts at a request: sending, events, retry and resumption. */
+#include "entry.h"
+
+/* Weight of the newest value in running averages. */
+#define AVERAGE_GAIN 0.1
+
+static void average(double *mean, double value)
+{
+	*mean += AVERAGE_GAIN * (value - *mean);
+}
+
+static void take_output(struct entry_attempt *attempt, uint64_t tokens)
+{
+	tokens = MIN(tokens, attempt->output_tokens);
+	attempt->output_tokens -= tokens;
+	attempt->upstream->output_tokens -= tokens;
+}
+
+static void take_prompt(struct entry_attempt *attempt)
+{
+	attempt->upstream->prompt_tokens -= attempt->prompt_tokens;
+	attempt->prompt_tokens = 0;
+}
+
+static void free_attempt(struct entry_attempt *attempt)
+{
+	struct entry_upstream *upstream = attempt->upstream;
+
+	take_prompt(attempt);
+	take_output(attempt, attempt->output_tokens);
+	upstream->in_flight--;
+	ks_list_remove(&attempt->node);
+	g_free(attempt);
+	if (upstream->withdrawn && !upstream->in_flight)
+		ks_timer_set(&upstream->entry->reap_timer, 0);
+}
+
+/* The last event of an attempt has come. */
+static struct entry_request *end_attempt(struct entry_attempt *attempt)
+{
+	struct entry_request *request = attempt->request;
+
+	if (request) {
+		request->attempt = NULL;
+		entry_stream_attempt_over(request);
+	}
+	free_attempt(attempt);
+	return request;
+}
+
+/**
+ * entry_attempt_drop() - cancel the attempt in flight, if there is one
+ *
+ * The attempt still counts as in flight until its last event.
+ */
+void entry_attempt_drop(struct entry_request *request)
+{
+	struct entry_attempt *attempt = request->attempt;
+
+	if (!attempt)
+		return;
+	request->attempt = NULL;
+	entry_stream_attempt_over(request);
+	attempt->request = NULL;
+	ks_attempt_cancel(attempt->attempt);
+}
+
+/**
+ * entry_attempt_consume() - the caller's connection has taken some bytes
+ */
+void entry_attempt_consume(struct entry_request *request, size_t len)
+{
+	if (len && request->attempt)
+		ks_attempt_consume(request->attempt->attempt, len);
+}
+
+/**
+ * entry_attempt_note_token() - a token of a stream has arrived
+ */
+void entry_attempt_note_token(struct entry_request *request)
+{
+	struct entry_attempt *attempt = request->attempt;
+	int64_t now = ks_loop_now(request->entry->loop);
+	struct entry_upstream *upstream;
+
+	if (!attempt)
+		return;
+	upstream = attempt->upstream;
+	take_output(attempt, 1);
+	if (attempt->tokens++ == 0) {
+		take_prompt(attempt);
+		if (attempt->alone && attempt->uncached_tokens)
+			average(&upstream->prefill_us,
+				(double)(now - attempt->sent_us) /
+					attempt->uncached_tokens);
+		if (!request->stream.delivered)
+			ks_histogram_record(request->class->first_token,
+					    now - request->start_us);
+	} else {
+		average(&upstream->decode_us,
+			(double)(now - attempt->last_token_us));
+		ks_histogram_record(request->class->between_tokens,
+				    now - attempt->last_token_us);
+	}
+	attempt->last_token_us = now;
+}
+
+/**
+ * entry_attempt_note_cached() - the engine said how much of the prompt it had
+ */
+void entry_attempt_note_cached(struct entry_request *request, uint32_t tokens)
+{
+	const GArray *hashes = request->completion.prefix_hashes;
+	int64_t now = ks_loop_now(request->entry->loop);
+	struct entry_upstream *upstream;
+
+	if (!request->attempt || !hashes || !hashes->len)
+		return;
+	upstream = request->attempt->upstream;
+	ks_prefix_belief_correct(
+		upstream->belief, (const uint64_t *)(const void *)hashes->data,
+		hashes->len, tokens / KS_PREFIX_BLOCK_TOKENS, now);
+	/* The whole prompt has been prefilled by now. */
+	ks_prefix_belief_add(upstream->belief,
+			     (const uint64_t *)(const void *)hashes->data,
+			     hashes->len, now);
+}
+
+static void note_failed_domain(struct entry_request *request,
+			       const struct entry_upstream *upstream)
+{
+	g_ptr_array_add(request->failed_domains, g_strdup(upstream->domain));
+}
+
+/* Tries another upstream; false when the request is to be given up on. */
+static bool try_again(struct entry_request *request,
+		      const ks_attempt_failure_t *failure)
+{
+	ks_entry_t *entry = request->entry;
+	int64_t left = request->deadline_us - ks_loop_now(entry->loop);
+
+	if (!request->req || request->answered)
+		return false;
+	if (!ks_retry_allowed(&entry->retries, failure, request->idempotent,
+			      request->n_attempts, left))
+		return false;
+	g_string_truncate(request->answer, 0);
+	request->streaming = false;
+	entry_attempt_dispatch(request);
+	return true;
+}
+
+static void on_accepted(void *ctx)
+{
+	struct entry_attempt *attempt = ctx;
+
+	if (attempt->request)
+		attempt->request->may_have_run = true;
+}
+
+static void on_not_started(void *ctx, ks_error_kind_t kind,
+			   int64_t retry_after_us)
+{
+	struct entry_attempt *attempt = ctx;
+	struct entry_upstream *upstream = attempt->upstream;
+	struct entry_request *request = end_attempt(attempt);
+	ks_attempt_failure_t failure = { .kind = kind, .not_started = true };
+
+	if (!request)
+		return;
+	failure.delivered = request->stream.delivered > 0;
+	note_failed_domain(request, upstream);
+	if (try_again(request, &failure))
+		return;
+	if (!ks_error_answer(kind)->not_run)
+		kind = KS_ERROR_NO_UPSTREAM;
+	entry_request_fail(request, kind, retry_after_us, NULL);
+}
+
+static bool is_event_stream(const char *content_type)
+{
+	return content_type &&
+	       !g_ascii_strncasecmp(content_type, "text/event-stream", 17);
+}
+
+static void on_head(void *ctx, int status, const ks_header_t *headers,
+		    size_t n_headers)
+{
+	struct entry_attempt *attempt = ctx;
+	struct entry_request *request = attempt->request;
+
+	if (!request)
+		return;
+	request->may_have_run = true;
+	request->status = status;
+	entry_answer_keep_headers(request, headers, n_headers);
+	request->streaming = request->is_completion && status == 200 &&
+			     is_event_stream(request->content_type);
+}
+
+static void on_body(void *ctx, ks_str_t data)
+{
+	struct entry_attempt *attempt = ctx;
+	struct entry_request *request = attempt->request;
+	size_t limit;
+
+	if (!request)
+		return;
+	limit = (size_t)request->entry->settings->max_answer_kib * 1024;
+	if (request->streaming) {
+		if (!entry_stream_receive(request, data))
+			entry_request_fail(request, KS_ERROR_ANSWER_TOO_LARGE,
+					   0, NULL);
+		return;
+	}
+	if (request->answer->len + data.len > limit) {
+		entry_request_fail(request, KS_ERROR_ANSWER_TOO_LARGE, 0, NULL);
+		return;
+	}
+	g_string_append_len(request->answer, data.data, (gssize)data.len);
+	ks_attempt_consume(attempt->attempt, data.len);
+}
+
+static void judge_upstream(struct entry_upstream *upstream,
+			   ks_error_kind_t kind, int status)
+{
+	ks_entry_t *entry = upstream->entry;
+
+	if (kind == KS_ERROR_NONE && status != 502 && status != 503 &&
+	    status != 504)
+		ks_ejection_success(&upstream->ejection);
+	else if (kind != KS_ERROR_SLOW_READER &&
+		 kind != KS_ERROR_ANSWER_TOO_LARGE &&
+		 kind != KS_ERROR_DEADLINE_EXCEEDED)
+		ks_ejection_failure(&upstream->ejection,
+				    ks_loop_now(entry->loop), &entry->rng);
+}
+
+static void finish_whole(struct entry_request *request)
+{
+	if (request->claim) {
+		ks_ledger_done(request->claim, request->status,
+			       ks_str_from(request->content_type),
+			       (ks_str_t){ request->answer->str,
+					   request->answer->len });
+		request->claim = NULL;
+	}
+	if (request->req && !request->answered)
+		entry_answer_whole(request);
+	entry_request_complete(request,
+			       request->status < 400 ? "ok" : "upstream_error");
+}
+
+static void give_up(struct entry_request *request, ks_error_kind_t kind,
+		    ks_str_t message)
+{
+	char *text = message.len ? ks_str_dup(message) : NULL;
+
+	entry_request_fail(request, kind, 0, text);
+	g_free(text);
+}
+
+static void on_end(void *ctx, ks_error_kind_t kind, ks_str_t message)
+{
+	struct entry_attempt *attempt = ctx;
+	struct entry_upstream *upstream = attempt->upstream;
+	int64_t took = ks_loop_now(upstream->entry->loop) - attempt->sent_us;
+	unsigned tokens = attempt->tokens;
+	struct entry_request *request = end_attempt(attempt);
+	ks_attempt_failure_t failure = { .kind = kind };
+
+	if (!request)
+		return;
+	request->may_have_run = true;
+	/* A stream that ends without [DONE] was cut short by the engine. */
+	if (kind == KS_ERROR_NONE &&
+	    ((request->streaming && !request->stream.done_seen) ||
+	     !request->status))
+		kind = failure.kind = KS_ERROR_UPSTREAM_FAILED;
+	judge_upstream(upstream, kind, request->status);
+	if (kind == KS_ERROR_NONE) {
+		average(&upstream->group->mean_service_us, (double)took);
+		if (tokens)
+			average(&upstream->group->mean_output, tokens);
+		if (request->streaming)
+			entry_stream_finish(request);
+		else
+			finish_whole(request);
+		return;
+	}
+	failure.delivered = request->stream.delivered > 0;
+	request->failed_kind = kind;
+	note_failed_domain(request, upstream);
+	if (failure.delivered && !upstream->resumes)
+		give_up(request, kind, message);
+	else if (!try_again(request, &failure))
+		give_up(request, kind, message);
+}
+
+static const ks_attempt_events_t attempt_events = {
+	.accepted = on_accepted,
+	.not_started = on_not_started,
+	.head = on_head,
+	.body = on_body,
+	.end = on_end,
+};
+
+static struct entry_attempt *new_attempt(struct entry_request *request,
+					 struct entry_upstream *upstream)
+{
+	struct entry_attempt *attempt = g_new0(struct entry_attempt, 1);
+	const GArray *hashes = request->completion.prefix_hashes;
+	uint32_t prompt = request->completion.prompt_tokens;
+	uint32_t cached = 0;
+
+	attempt->request = request;
+	attempt->upstream = upstream;
+	attempt->sent_us = ks_loop_now(request->entry->loop);
+	attempt->alone = upstream->in_flight == 0;
+	if (hashes && hashes->len) {
+		const uint64_t *data =
+			(const uint64_t *)(const void *)hashes->data;
+
+		cached = ks_prefix_belief_tokens(upstream->belief, data,
+						 hashes->len, attempt->sent_us);
+		ks_prefix_belief_add(upstream->belief, data, hashes->len,
+				     attempt->sent_us);
+	}
+	attempt->uncached_tokens = prompt > cached ? prompt - cached : 0;
+	attempt->prompt_tokens = attempt->uncached_tokens;
+	attempt->output_tokens = request->completion.max_tokens;
+	upstream->prompt_tokens += attempt->prompt_tokens;
+	upstream->output_tokens += attempt->output_tokens;
+	upstream->in_flight++;
+	ks_list_append(&upstream->attempts, &attempt->node);
+	return attempt;
+}
+
+static void fill_request(const struct entry_request *request,
+			 ks_attempt_request_t *out, const GArray *headers)
+{
+	int64_t now = ks_loop_now(request->entry->loop);
+
+	out->key.id = request->id;
+	out->key.attempt = request->attempt_number;
+	out->method = ks_http_req_method(request->req);
+	out->path =
+		(ks_str_t){ request->req->path.base, request->req->path.len };
+	out->headers = (const ks_header_t *)(const void *)headers->data;
+	out->n_headers = headers->len;
+	out->body = ks_http_req_body(request->req);
+	out->timeout_us = request->deadline_us - now;
+	out->priority = request->priority;
+	out->idempotent = request->idempotent;
+	out->model = request->is_completion ? ks_str_from(request->group->name)
+					    : (ks_str_t){ NULL, 0 };
+	out->tenant = ks_str_from(request->tenant->name);
+	out->prompt_tokens = request->completion.prompt_tokens;
+	out->output_tokens = request->completion.max_tokens;
+}
+
+static void send_attempt(struct entry_request *request,
+			 struct entry_upstream *upstream)
+{
+	struct entry_attempt *attempt = new_attempt(request, upstream);
+	GArray *headers = entry_answer_forward_headers(request);
+	ks_attempt_request_t out;
+	char resume_from[16];
+
+	if (request->stream.delivered) {
+		ks_header_t header = { KS_STR("x-ks-resume-from"),
+				       { resume_from, 0 } };
+
+		header.value.len =
+			(size_t)g_snprintf(resume_from, sizeof(resume_from),
+					   "%u", request->stream.delivered);
+		g_array_append_val(headers, header);
+	}
+	fill_request(request, &out, headers);
+	g_ptr_array_add(request->tried, g_strdup(upstream->id));
+	request->n_attempts++;
+	request->attempt_number++;
+	request->status = 0;
+	request->attempt = attempt;
+	attempt->attempt = ks_link_client_send(upstream->link, &out,
+					       &attempt_events, attempt);
+	g_array_unref(headers);
+	if (!attempt->attempt)
+		on_not_started(attempt, KS_ERROR_NO_UPSTREAM, 0);
+}
+
+/**
+ * entry_attempt_dispatch() - send a request to the best upstream left
+ */
+void entry_attempt_dispatch(struct entry_request *request)
+{
+	int64_t now = ks_loop_now(request->entry->loop);
+	struct entry_upstream *upstream;
+
+	if (now >= request->deadline_us) {
+		entry_request_fail(request, KS_ERROR_DEADLINE_NOT_RUN, 0, NULL);
+		return;
+	}
+	upstream = entry_group_choose(request->group, request);
+	if (!upstream) {
+		entry_request_fail(request, KS_ERROR_NO_UPSTREAM, 0,
+				   "no upstream can take the request");
+		return;
+	}
+	send_attempt(request, upstream);
+}
--- /dev/null
+++ b/packages/process/src/entry_fleet.c
@@ -0,0 +1,328 @@
+/* The fleet as one entry sees it: links to the upstreams of its subset. */
+#include "entry.h"
+
+#define BELIEF_BLOCKS 4096
+#define BELIEF_HALF_LIFE_US (300 * KS_USEC_PER_SEC)
+#define POLL_JITTER 0.2
+#define PREFILL_US_PER_TOKEN 50.0
+#define DECODE_US_PER_TOKEN 20000.0
+
+static void on_link_changed(void *ctx, ks_link_client_t *link G_GNUC_UNUSED)
+{
+	struct entry_upstream *upstream = ctx;
+
+	if (upstream->group->queued)
+		entry_group_pump(upstream->group);
+}
+
+static void on_link_config(void *ctx, uint64_t version, ks_str_t digest,
+			   ks_str_t body)
+{
+	const struct entry_upstream *upstream = ctx;
+
+	ks_config_offer(upstream->entry->config, version, digest, body);
+}
+
+static ks_str_t link_config_body(void *ctx, uint64_t *version, ks_str_t *digest)
+{
+	const struct entry_upstream *upstream = ctx;
+	const ks_snapshot_t *snapshot =
+		ks_config_current(upstream->entry->config);
+
+	if (!snapshot) {
+		*version = 0;
+		*digest = (ks_str_t){ NULL, 0 };
+		return (ks_str_t){ NULL, 0 };
+	}
+	*version = snapshot->version;
+	*digest = (ks_str_t){ (const char *)snapshot->digest.bytes,
+			      KS_DIGEST_SIZE };
+	return (ks_str_t){ snapshot->body, snapshot->body_len };
+}
+
+static const ks_link_client_events_t link_events = {
+	.changed = on_link_changed,
+	.config = on_link_config,
+	.config_body = link_config_body,
+};
+
+static ks_link_client_t *open_link(struct entry_upstream *upstream,
+				   const ks_address_t *address)
+{
+	ks_entry_t *entry = upstream->entry;
+	const ks_settings_t *settings = entry->settings;
+	ks_link_client_options_t options = {
+		.entry = settings->name,
+		.domain = settings->domain,
+		.upstream = upstream->id,
+		.incarnation = entry->incarnation,
+		.address = *address,
+		.security = {
+			.plain = settings->link_plain,
+			.server_key = settings->link_server_key,
+			.public_key = settings->link_public_key,
+			.secret_key = settings->link_secret_key,
+		},
+		.heartbeat_us = settings->heartbeat_ms * KS_USEC_PER_MSEC,
+		.silence_us = settings->silence_ms * KS_USEC_PER_MSEC,
+	};
+
+	return ks_link_client_new(entry->loop, entry->zmq, &options,
+				  &link_events, upstream);
+}
+
+static void free_upstream(struct entry_upstream *upstream)
+{
+	ks_list_remove(&upstream->node);
+	if (upstream->link)
+		ks_link_client_free(upstream->link);
+	KS_LIST_FOREACH_SAFE (it, tmp, &upstream->attempts) {
+		ks_list_remove(it);
+		g_free(KS_CONTAINER_OF(it, struct entry_attempt, node));
+	}
+	ks_prefix_belief_free(upstream->belief);
+	g_free(upstream->id);
+	g_free(upstream->process);
+	g_free(upstream->host);
+	g_free(upstream->domain);
+	g_free(upstream);
+}
+
+static void add_upstream(ks_entry_t *entry, struct entry_group *group,
+			 const ks_upstream_t *from)
+{
+	struct entry_upstream *upstream;
+	ks_address_t address;
+
+	if (!ks_address_parse(&address, ks_str_from(from->process), NULL)) {
+		ks_log(KS_LOG_CONFIG, KS_LOG_ERROR,
+		       "upstream %s has no valid address", from->id);
+		return;
+	}
+	upstream = g_new0(struct entry_upstream, 1);
+	upstream->entry = entry;
+	upstream->group = group;
+	upstream->id = g_strdup(from->id);
+	upstream->process = g_strdup(from->process);
+	upstream->host = g_strdup(from->host);
+	upstream->domain = g_strdup(from->domain);
+	upstream->prefill_us = PREFILL_US_PER_TOKEN;
+	upstream->decode_us = DECODE_US_PER_TOKEN;
+	ks_list_init(&upstream->attempts);
+	ks_ejection_init(&upstream->ejection);
+	upstream->belief =
+		ks_prefix_belief_new(BELIEF_BLOCKS, BELIEF_HALF_LIFE_US);
+	ks_list_append(&entry->upstreams, &upstream->node);
+	g_ptr_array_add(group->members, upstream);
+	upstream->limit = from->limit;
+	upstream->resumes = from->resumes;
+	upstream->link = open_link(upstream, &address);
+}
+
+static struct entry_upstream *find_member(const struct entry_group *group,
+					  const ks_upstream_t *wanted)
+{
+	for (unsigned i = 0; i < group->members->len; i++) {
+		struct entry_upstream *upstream =
+			g_ptr_array_index(group->members, i);
+
+		if (!strcmp(upstream->id, wanted->id) &&
+		    !strcmp(upstream->process, wanted->process) &&
+		    !g_strcmp0(upstream->host, wanted->host) &&
+		    !strcmp(upstream->domain, wanted->domain))
+			return upstream;
+	}
+	return NULL;
+}
+
+static void withdraw(struct entry_upstream *upstream)
+{
+	upstream->withdrawn = true;
+	ks_timer_set(&upstream->entry->reap_timer, 0);
+}
+
+/* Brings the links of a group to the chosen upstreams. */
+static void apply_chosen(struct entry_group *group, const GPtrArray *wanted,
+			 const size_t *chosen, size_t n_chosen)
+{
+	GPtrArray *old = group->members;
+
+	group->members = g_ptr_array_new();
+	for (size_t i = 0; i < n_chosen; i++) {
+		const ks_upstream_t *from =
+			g_ptr_array_index(wanted, chosen[i]);
+		struct entry_group kept = { .members = old };
+		struct entry_upstream *upstream = find_member(&kept, from);
+
+		if (!upstream) {
+			add_upstream(group->entry, group, from);
+			continue;
+		}
+		upstream->limit = from->limit;
+		upstream->resumes = from->resumes;
+		g_ptr_array_add(group->members, upstream);
+		g_ptr_array_remove(old, upstream);
+	}
+	for (unsigned i = 0; i < old->len; i++)
+		withdraw(g_ptr_array_index(old, i));
+	g_ptr_array_unref(old);
+}
+
+static void apply_group(struct entry_group *group, const GPtrArray *wanted)
+{
+	ks_entry_t *entry = group->entry;
+	size_t count = wanted->len;
+	ks_str_t *ids = g_new(ks_str_t, count + 1);
+	ks_str_t *domains = g_new(ks_str_t, count + 1);
+	size_t *chosen = g_new(size_t, count + 1);
+	size_t n_chosen = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		const ks_upstream_t *upstream = g_ptr_array_index(wanted, i);
+
+		ids[i] = ks_str_from(upstream->id);
+		domains[i] = ks_str_from(upstream->domain);
+	}
+	if (count)
+		n_chosen = ks_subset_choose(
+			ks_str_from(entry->settings->name), ids, domains, count,
+			MIN(entry->settings->subset, count), chosen);
+	apply_chosen(group, wanted, chosen, n_chosen);
+	g_free(ids);
+	g_free(domains);
+	g_free(chosen);
+}
+
+static void collect(ks_entry_t *entry, const ks_upstream_t *upstream,
+		    GHashTable *by_group)
+{
+	bool is_model = upstream->model != NULL;
+	const char *name = is_model ? upstream->model : upstream->service;
+	struct entry_group *group;
+	GPtrArray *wanted;
+
+	if (!name)
+		return;
+	group = entry_group_get(entry, is_model, ks_str_from(name));
+	wanted = g_hash_table_lookup(by_group, group);
+	if (!wanted) {
+		wanted = g_ptr_array_new();
+		g_hash_table_insert(by_group, group, wanted);
+	}
+	g_ptr_array_add(wanted, (void *)upstream);
+}
+
+/**
+ * entry_fleet_apply() - open and close links for a new snapshot
+ *
+ * A link that is no longer wanted closes once nothing is in flight on it.
+ */
+void entry_fleet_apply(ks_entry_t *entry, ks_snapshot_t *snapshot)
+{
+	GHashTable *by_group = g_hash_table_new_full(
+		NULL, NULL, NULL, (GDestroyNotify)g_ptr_array_unref);
+	GPtrArray *none = g_ptr_array_new();
+	GHashTableIter it;
+	void *value;
+
+	for (unsigned i = 0; i < snapshot->upstreams->len; i++)
+		collect(entry, g_ptr_array_index(snapshot->upstreams, i),
+			by_group);
+	g_hash_table_iter_init(&it, entry->groups);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		GPtrArray *wanted = g_hash_table_lookup(by_group, value);
+
+		apply_group(value, wanted ? wanted : none);
+	}
+	g_hash_table_unref(by_group);
+	g_ptr_array_unref(none);
+	KS_LIST_FOREACH (node, &entry->upstreams)
+		ks_link_client_set_version(
+			KS_CONTAINER_OF(node, struct entry_upstream, node)
+				->link,
+			snapshot->version);
+}
+
+/**
+ * entry_fleet_reap() - close the links that are no longer needed
+ */
+void entry_fleet_reap(void *ctx)
+{
+	ks_entry_t *entry = ctx;
+
+	KS_LIST_FOREACH_SAFE (it, tmp, &entry->upstreams) {
+		struct entry_upstream *upstream =
+			KS_CONTAINER_OF(it, struct entry_upstream, node);
+
+		if (upstream->withdrawn && !upstream->in_flight)
+			free_upstream(upstream);
+	}
+}
+
+static bool is_listed(const char *host, const ks_str_t *hosts, size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+		if (ks_str_equal(ks_str_from(host), hosts[i]))
+			return true;
+	return false;
+}
+
+static void on_hosts(void *ctx, bool ok, const ks_str_t *leaving,
+		     size_t n_leaving)
+{
+	ks_entry_t *entry = ctx;
+	int64_t period = entry->settings->poll_ms * KS_USEC_PER_MSEC;
+
+	ks_timer_set(&entry->hosts_timer,
+		     ks_rng_jitter(&entry->rng, period, POLL_JITTER));
+	/* A list that cannot be read says nothing; the last one stands. */
+	if (!ok)
+		return;
+	KS_LIST_FOREACH (it, &entry->upstreams) {
+		struct entry_upstream *upstream =
+			KS_CONTAINER_OF(it, struct entry_upstream, node);
+		bool listed = upstream->host &&
+			      is_listed(upstream->host, leaving, n_leaving);
+
+		if (listed == upstream->host_leaving)
+			continue;
+		upstream->host_leaving = listed;
+		ks_link_client_set_leaving_seen(upstream->link, listed);
+	}
+}
+
+/**
+ * entry_fleet_poll_hosts() - read the host list
+ */
+void entry_fleet_poll_hosts(void *ctx)
+{
+	ks_entry_t *entry = ctx;
+
+	entry->platform.platform.hosts(entry->platform.platform.impl, on_hosts,
+				       entry);
+}
+
+/**
+ * entry_fleet_init() - start with no links
+ */
+void entry_fleet_init(ks_entry_t *entry)
+{
+	entry->groups = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      entry_group_free);
+	ks_list_init(&entry->upstreams);
+	ks_timer_init(&entry->hosts_timer, entry->loop, entry_fleet_poll_hosts,
+		      entry);
+	ks_timer_init(&entry->reap_timer, entry->loop, entry_fleet_reap, entry);
+}
+
+/**
+ * entry_fleet_deinit() - close every link
+ */
+void entry_fleet_deinit(ks_entry_t *entry)
+{
+	ks_timer_clear(&entry->hosts_timer);
+	ks_timer_clear(&entry->reap_timer);
+	KS_LIST_FOREACH_SAFE (it, tmp, &entry->upstreams)
+		free_upstream(KS_CONTAINER_OF(it, struct entry_upstream, node));
+	g_hash_table_unref(entry->groups);
+}
--- /dev/null
+++ b/packages/process/src/entry_group.c
@@ -0,0 +1,279 @@
+/* The upstreams of one model or service: choice and admission. */
+#include "entry.h"
+
+/* Rates assumed until answers have been measured. */
+#define PREFILL_US_PER_TOKEN 50.0
+#define DECODE_US_PER_TOKEN 20000.0
+#define SERVICE_US 10000.0
+#define OUTPUT_TOKENS 256.0
+/* One-way delay to another failure domain; the deployments have about 1 ms. */
+#define OTHER_DOMAIN_US 1000
+/* While requests queue, capacity and deadlines are looked at this often. */
+#define PUMP_US (10 * KS_USEC_PER_MSEC)
+
+static char *group_key(bool is_model, ks_str_t name)
+{
+	return g_strdup_printf("%c%.*s", is_model ? 'm' : 's', (int)name.len,
+			       name.data);
+}
+
+/**
+ * entry_group_find() - the group of a model or service, or NULL
+ */
+struct entry_group *entry_group_find(ks_entry_t *entry, bool is_model,
+				     ks_str_t name)
+{
+	char *key = group_key(is_model, name);
+	struct entry_group *group = g_hash_table_lookup(entry->groups, key);
+
+	g_free(key);
+	return group;
+}
+
+static void on_pump(void *ctx)
+{
+	entry_group_pump(ctx);
+}
+
+/**
+ * entry_group_get() - the group of a model or service, made when missing
+ */
+struct entry_group *entry_group_get(ks_entry_t *entry, bool is_model,
+				    ks_str_t name)
+{
+	struct entry_group *group = entry_group_find(entry, is_model, name);
+
+	if (group)
+		return group;
+	group = g_new0(struct entry_group, 1);
+	group->entry = entry;
+	group->name = ks_str_dup(name);
+	group->is_model = is_model;
+	group->members = g_ptr_array_new();
+	group->admission = ks_admission_new();
+	group->mean_output = OUTPUT_TOKENS;
+	group->mean_service_us = SERVICE_US;
+	ks_timer_init(&group->pump, entry->loop, on_pump, group);
+	g_hash_table_insert(entry->groups, group_key(is_model, name), group);
+	return group;
+}
+
+/**
+ * entry_group_free() - GDestroyNotify of a group
+ */
+void entry_group_free(void *data)
+{
+	struct entry_group *group = data;
+
+	ks_timer_clear(&group->pump);
+	ks_admission_free(group->admission);
+	g_ptr_array_unref(group->members);
+	g_free(group->name);
+	g_free(group);
+}
+
+/**
+ * entry_upstream_is_usable() - whether an upstream takes new requests
+ */
+bool entry_upstream_is_usable(const struct entry_upstream *upstream)
+{
+	return !upstream->withdrawn && !upstream->host_leaving &&
+	       ks_link_client_is_up(upstream->link) &&
+	       ks_link_client_state(upstream->link) == KS_UPSTREAM_READY;
+}
+
+/**
+ * entry_group_is_served() - whether any upstream of a group is usable
+ */
+bool entry_group_is_served(const struct entry_group *group)
+{
+	for (unsigned i = 0; i < group->members->len; i++)
+		if (entry_upstream_is_usable(
+			    g_ptr_array_index(group->members, i)))
+			return true;
+	return false;
+}
+
+static bool contains(const GPtrArray *names, const char *name)
+{
+	for (unsigned i = 0; i < names->len; i++)
+		if (!strcmp(g_ptr_array_index(names, i), name))
+			return true;
+	return false;
+}
+
+static uint32_t upstream_limit(const struct entry_upstream *upstream)
+{
+	const ks_load_t *load = ks_link_client_load(upstream->link);
+
+	return load->limit ? load->limit : MAX(upstream->limit, 1);
+}
+
+/* A load report may lag behind what this entry handed out, and may not. */
+static void fill_load(const struct entry_upstream *upstream,
+		      ks_candidate_t *candidate)
+{
+	const ks_load_t *load = ks_link_client_load(upstream->link);
+
+	candidate->in_flight = MAX(upstream->in_flight, load->in_flight);
+	candidate->prompt_tokens =
+		MAX(upstream->prompt_tokens, load->prompt_tokens_pending);
+	candidate->output_tokens =
+		MAX(upstream->output_tokens, load->output_tokens_pending);
+	candidate->limit = upstream_limit(upstream);
+	candidate->prefill_us_per_token = upstream->prefill_us;
+	candidate->decode_us_per_token = upstream->decode_us;
+}
+
+static void fill_candidate(const struct entry_upstream *upstream,
+			   const struct entry_request *request,
+			   ks_candidate_t *candidate)
+{
+	const ks_entry_t *entry = upstream->entry;
+	const GArray *hashes = request->completion.prefix_hashes;
+
+	memset(candidate, 0, sizeof(*candidate));
+	candidate->id = ks_str_from(upstream->id);
+	candidate->domain_distance_us =
+		strcmp(upstream->domain, entry->settings->domain)
+			? OTHER_DOMAIN_US
+			: 0;
+	fill_load(upstream, candidate);
+	if (hashes && hashes->len)
+		candidate->cached_tokens = ks_prefix_belief_tokens(
+			upstream->belief,
+			(const uint64_t *)(const void *)hashes->data,
+			hashes->len, ks_loop_now(entry->loop));
+	/* Only an upstream that resumes can go on with a stream. */
+	candidate->excluded = !entry_upstream_is_usable(upstream) ||
+			      contains(request->tried, upstream->id) ||
+			      (request->stream.delivered && !upstream->resumes);
+	candidate->same_domain_failed =
+		contains(request->failed_domains, upstream->domain);
+}
+
+/* At most half of a group is ejected, so that it is never without upstreams. */
+static void exclude_ejected(const struct entry_group *group,
+			    ks_candidate_t *candidates)
+{
+	int64_t now = ks_loop_now(group->entry->loop);
+	unsigned left = group->members->len / 2;
+
+	for (unsigned i = 0; i < group->members->len && left; i++) {
+		const struct entry_upstream *upstream =
+			g_ptr_array_index(group->members, i);
+
+		if (!ks_ejection_is_out(&upstream->ejection, now))
+			continue;
+		candidates[i].excluded = true;
+		left--;
+	}
+}
+
+/**
+ * entry_group_choose() - the upstream that the next attempt goes to, or NULL
+ */
+struct entry_upstream *entry_group_choose(struct entry_group *group,
+					  struct entry_request *request)
+{
+	ks_entry_t *entry = group->entry;
+	ks_route_request_t wanted = {
+		.prompt_tokens = request->completion.prompt_tokens,
+		.output_tokens = request->completion.max_tokens,
+		.time_left_us = request->deadline_us - ks_loop_now(entry->loop),
+	};
+	size_t count = group->members->len;
+	ks_candidate_t *candidates;
+	ks_route_choice_t choice;
+
+	if (!count)
+		return NULL;
+	candidates = g_new(ks_candidate_t, count);
+	for (size_t i = 0; i < count; i++)
+		fill_candidate(g_ptr_array_index(group->members, i), request,
+			       &candidates[i]);
+	exclude_ejected(group, candidates);
+	choice = ks_route_choose(&wanted, candidates, count, &entry->rng);
+	g_free(candidates);
+	if (choice.index < 0)
+		return NULL;
+	return g_ptr_array_index(group->members, choice.index);
+}
+
+/**
+ * entry_group_work() - time an upstream is expected to spend on a request
+ *
+ * Return: microseconds.
+ */
+double entry_group_work(const struct entry_group *group,
+			const struct entry_request *request)
+{
+	double prefill = PREFILL_US_PER_TOKEN;
+	double decode = DECODE_US_PER_TOKEN;
+	double output;
+
+	if (!group->is_model)
+		return group->mean_service_us;
+	if (group->members->len) {
+		const struct entry_upstream *upstream =
+			g_ptr_array_index(group->members, 0);
+
+		prefill = upstream->prefill_us;
+		decode = upstream->decode_us;
+	}
+	output = MIN(request->completion.max_tokens, group->mean_output);
+	return request->completion.prompt_tokens * prefill + output * decode;
+}
+
+/* Places left for this entry once the other entries' requests are counted. */
+static double group_capacity(const struct entry_group *group)
+{
+	double capacity = 0;
+
+	for (unsigned i = 0; i < group->members->len; i++) {
+		const struct entry_upstream *upstream =
+			g_ptr_array_index(group->members, i);
+		const ks_load_t *load = ks_link_client_load(upstream->link);
+		uint32_t limit = upstream_limit(upstream);
+		uint32_t others =
+			load->in_flight > upstream->in_flight
+				? load->in_flight - upstream->in_flight
+				: 0;
+
+		if (entry_upstream_is_usable(upstream))
+			capacity += limit - MIN(others, limit);
+	}
+	return MAX(capacity, 1);
+}
+
+static void refuse_expired(struct entry_group *group, int64_t now)
+{
+	int64_t retry_after_us = 0;
+	ks_ticket_t *ticket;
+
+	while ((ticket = ks_admission_expired(group->admission, now,
+					      &retry_after_us)))
+		entry_request_refuse(ticket->ctx, KS_ERROR_OVERLOADED,
+				     retry_after_us);
+}
+
+/**
+ * entry_group_pump() - admit what has become possible, refuse what has expired
+ */
+void entry_group_pump(struct entry_group *group)
+{
+	int64_t now = ks_loop_now(group->entry->loop);
+	ks_ticket_t *ticket;
+
+	/* A request that ends while it is admitted calls this again. */
+	if (group->pumping)
+		return;
+	group->pumping = true;
+	ks_admission_set_capacity(group->admission, group_capacity(group));
+	refuse_expired(group, now);
+	while ((ticket = ks_admission_next(group->admission, now)))
+		entry_request_admitted(ticket->ctx);
+	group->pumping = false;
+	if (group->queued && !ks_timer_is_set(&group->pump))
+		ks_timer_set(&group->pump, PUMP_US);
+}
--- /dev/null
+++ b/packages/process/src/entry_request.c
@@ -0,0 +1,496 @@
+/* The life of one request, from its arrival to its answer. */
+#include "entry.h"
+
+/* Longest deadline a caller may ask for. */
+#define MAX_TIMEOUT_MS (3600 * 1000)
+#define MAX_HEADERS 64
+#define RETRY_AFTER_DEFAULT_US KS_USEC_PER_SEC
+
+static void dispose_caller(void *data)
+{
+	struct entry_caller *caller = data;
+
+	if (caller->request)
+		entry_request_caller_gone(caller->request);
+}
+
+static void on_deadline(void *ctx);
+
+static struct entry_request *new_request(ks_entry_t *entry, h2o_req_t *req)
+{
+	struct entry_request *request = g_new0(struct entry_request, 1);
+
+	request->entry = entry;
+	request->req = req;
+	request->start_us = ks_loop_now(entry->loop);
+	ks_id_generate(&request->id);
+	request->tried = g_ptr_array_new_with_free_func(g_free);
+	request->failed_domains = g_ptr_array_new_with_free_func(g_free);
+	request->headers = g_ptr_array_new_with_free_func(g_free);
+	request->answer = g_string_new(NULL);
+	entry_stream_init(&request->stream);
+	ks_timer_init(&request->deadline, entry->loop, on_deadline, request);
+	ks_list_append(&entry->requests, &request->node);
+	request->caller = h2o_mem_alloc_shared(
+		&req->pool, sizeof(*request->caller), dispose_caller);
+	memset(request->caller, 0, sizeof(*request->caller));
+	request->caller->request = request;
+	return request;
+}
+
+/**
+ * entry_request_free() - free a request that nothing refers to any more
+ */
+void entry_request_free(struct entry_request *request)
+{
+	if (request->caller)
+		request->caller->request = NULL;
+	ks_timer_clear(&request->deadline);
+	ks_list_remove(&request->node);
+	ks_completion_deinit(&request->completion);
+	entry_stream_deinit(&request->stream);
+	g_ptr_array_unref(request->tried);
+	g_ptr_array_unref(request->failed_domains);
+	g_ptr_array_unref(request->headers);
+	g_string_free(request->answer, TRUE);
+	g_free(request->content_type);
+	g_free(request);
+}
+
+static void release_admission(struct entry_request *request)
+{
+	struct entry_group *group = request->group;
+
+	if (!request->ticket_held)
+		return;
+	request->ticket_held = false;
+	ks_admission_leave(group->admission, &request->ticket,
+			   ks_loop_now(request->entry->loop));
+	entry_group_pump(group);
+}
+
+/**
+ * entry_request_complete() - count the result and let go of everything held
+ *
+ * The request may be freed by this call.
+ */
+void entry_request_complete(struct entry_request *request, const char *result)
+{
+	ks_entry_t *entry = request->entry;
+	bool was_queued = request->phase == ENTRY_QUEUED;
+
+	request->phase = ENTRY_DONE;
+	ks_timer_clear(&request->deadline);
+	entry_count_result(entry, request->tenant ? request->tenant->label : "",
+			   request->priority, result);
+	if (request->class) {
+		ks_histogram_record(request->class->answer,
+				    ks_loop_now(entry->loop) -
+					    request->start_us);
+		request->class->in_flight--;
+		request->tenant->in_flight--;
+		entry->n_active--;
+	}
+	if (was_queued)
+		request->group->queued--;
+	if (!request->req) {
+		release_admission(request);
+		entry_request_free(request);
+		return;
+	}
+	release_admission(request);
+}
+
+static void settle_claim(struct entry_request *request)
+{
+	if (!request->claim)
+		return;
+	if (request->phase == ENTRY_CLAIMING)
+		ks_ledger_abandon(request->claim);
+	else if (request->may_have_run)
+		ks_ledger_unknown(request->claim);
+	else
+		ks_ledger_not_run(request->claim);
+	request->claim = NULL;
+}
+
+/* "Not run" is never said of a request of which an attempt has started. */
+static ks_error_kind_t true_kind(const struct entry_request *request,
+				 ks_error_kind_t kind)
+{
+	if (!request->may_have_run)
+		return kind;
+	if (!request->idempotent)
+		return KS_ERROR_OUTCOME_UNKNOWN;
+	if (!ks_error_answer(kind)->not_run)
+		return kind;
+	return request->failed_kind ? request->failed_kind
+				    : KS_ERROR_UPSTREAM_FAILED;
+}
+
+/**
+ * entry_request_fail() - give up on a request and answer its caller at once
+ * @message: NULL for the code alone
+ */
+void entry_request_fail(struct entry_request *request, ks_error_kind_t kind,
+			int64_t retry_after_us, const char *message)
+{
+	const char *code;
+
+	kind = true_kind(request, kind);
+	code = ks_error_answer(kind)->code;
+	settle_claim(request);
+	entry_attempt_drop(request);
+	if (request->req && !request->answered) {
+		if (request->stream.started) {
+			entry_stream_abort(request, kind, message);
+			return;
+		}
+		request->answered = true;
+		entry_answer_error(request->req, kind, message, &request->id,
+				   retry_after_us ? retry_after_us
+						  : RETRY_AFTER_DEFAULT_US);
+	}
+	entry_request_complete(request, code);
+}
+
+/**
+ * entry_request_caller_gone() - the caller's connection or stream is gone
+ *
+ * Work that may be repeated is cancelled; other work runs to its end, so that
+ * its outcome is known.
+ */
+void entry_request_caller_gone(struct entry_request *request)
+{
+	request->req = NULL;
+	request->caller = NULL;
+	if (request->phase == ENTRY_DONE) {
+		entry_request_free(request);
+		return;
+	}
+	if (request->phase == ENTRY_SENT && !request->idempotent)
+		return;
+	settle_claim(request);
+	entry_attempt_drop(request);
+	entry_request_complete(request, "caller_gone");
+}
+
+/* A non-idempotent attempt is left to run, so that its answer can be stored. */
+static void on_sent_deadline(struct entry_request *request)
+{
+	if (request->idempotent || !request->attempt) {
+		entry_request_fail(request, KS_ERROR_DEADLINE_EXCEEDED, 0,
+				   NULL);
+		return;
+	}
+	if (!request->req || request->answered)
+		return;
+	request->answered = true;
+	entry_answer_error(request->req, KS_ERROR_OUTCOME_UNKNOWN, NULL,
+			   &request->id, 0);
+}
+
+static void on_deadline(void *ctx)
+{
+	struct entry_request *request = ctx;
+
+	switch (request->phase) {
+	case ENTRY_SENT:
+		on_sent_deadline(request);
+		break;
+	case ENTRY_CLAIMING:
+		/* The ledger has the same deadline and knows which error is
+		 * true. */
+		break;
+	default:
+		entry_request_fail(request, KS_ERROR_DEADLINE_NOT_RUN, 0, NULL);
+		break;
+	}
+}
+
+static void on_claim_dispatch(void *ctx, uint32_t attempt)
+{
+	struct entry_request *request = ctx;
+
+	request->attempt_number = attempt;
+	request->phase = ENTRY_SENT;
+	entry_attempt_dispatch(request);
+}
+
+static void on_claim_replay(void *ctx, int status, ks_str_t content_type,
+			    ks_str_t body)
+{
+	struct entry_request *request = ctx;
+
+	request->claim = NULL;
+	if (request->req)
+		entry_answer_replay(request, status, content_type, body);
+	entry_request_complete(request, "replayed");
+}
+
+static void on_claim_fail(void *ctx, ks_error_kind_t kind)
+{
+	struct entry_request *request = ctx;
+
+	request->claim = NULL;
+	entry_request_fail(request, kind, 0, NULL);
+}
+
+static const ks_ledger_events_t claim_events = {
+	.dispatch = on_claim_dispatch,
+	.replay = on_claim_replay,
+	.fail = on_claim_fail,
+};
+
+static void begin_claim(struct entry_request *request)
+{
+	uint8_t fingerprint[KS_FINGERPRINT_SIZE];
+	ks_entry_t *entry = request->entry;
+	ks_str_t path = { request->req->path.base, request->req->path.len };
+	int64_t left = request->deadline_us - ks_loop_now(entry->loop);
+
+	ks_claim_fingerprint(fingerprint, ks_http_req_method(request->req),
+			     path, ks_http_req_body(request->req));
+	request->phase = ENTRY_CLAIMING;
+	request->claim =
+		ks_ledger_begin(entry->ledger, &request->key,
+				ks_str_from(request->tenant->name), fingerprint,
+				&request->id, left, &claim_events, request);
+}
+
+/**
+ * entry_request_admitted() - go on with a request that admission let in
+ */
+void entry_request_admitted(struct entry_request *request)
+{
+	if (request->phase == ENTRY_QUEUED)
+		request->group->queued--;
+	if (request->key.text.len) {
+		begin_claim(request);
+		return;
+	}
+	request->phase = ENTRY_SENT;
+	entry_attempt_dispatch(request);
+}
+
+/**
+ * entry_request_refuse() - refuse a request that admission did not let in
+ */
+void entry_request_refuse(struct entry_request *request, ks_error_kind_t kind,
+			  int64_t retry_after_us)
+{
+	request->ticket_held = false;
+	entry_request_fail(request, kind, retry_after_us, NULL);
+}
+
+static void ask_admission(struct entry_request *request)
+{
+	struct entry_group *group = request->group;
+	ks_ticket_t *ticket = &request->ticket;
+	int64_t retry_after_us = 0;
+
+	ticket->tenant = request->tenant->name;
+	ticket->work_us = entry_group_work(group, request);
+	ticket->deadline_us = request->deadline_us;
+	ticket->priority = request->priority;
+	ticket->ctx = request;
+	ks_list_init(&ticket->node);
+	switch (ks_admission_arrive(group->admission, ticket,
+				    ks_loop_now(request->entry->loop),
+				    &retry_after_us)) {
+	case KS_ADMIT:
+		request->ticket_held = true;
+		entry_request_admitted(request);
+		break;
+	case KS_ADMIT_QUEUE:
+		request->ticket_held = true;
+		request->phase = ENTRY_QUEUED;
+		group->queued++;
+		entry_group_pump(group);
+		break;
+	case KS_ADMIT_REFUSE:
+		entry_request_fail(request, KS_ERROR_OVERLOADED, retry_after_us,
+				   NULL);
+		break;
+	}
+}
+
+static bool read_timeout(struct entry_request *request, unsigned fallback_ms,
+			 GError **error)
+{
+	ks_str_t text =
+		ks_http_req_header(request->req, "x-request-timeout-ms");
+	int64_t timeout_ms = fallback_ms;
+
+	if (text.len &&
+	    !ks_str_parse_int(text, 1, MAX_TIMEOUT_MS, &timeout_ms)) {
+		ks_error_set(error, KS_ERROR_BAD_REQUEST,
+			     "X-Request-Timeout-Ms is not a whole number from "
+			     "1 to %d",
+			     MAX_TIMEOUT_MS);
+		return false;
+	}
+	request->deadline_us =
+		request->start_us + timeout_ms * KS_USEC_PER_MSEC;
+	return true;
+}
+
+static bool find_tenant(struct entry_request *request, GError **error)
+{
+	ks_entry_t *entry = request->entry;
+	const ks_route_settings_t *route = request->route;
+
+	if (route && route->tenant) {
+		request->tenant = entry_auth_named(entry, route->tenant);
+	} else {
+		request->tenant = entry_auth_tenant(entry, request->req);
+		request->strip_authorization = true;
+	}
+	if (!request->tenant) {
+		ks_error_set(error, KS_ERROR_UNAUTHORIZED,
+			     "the API key is missing or unknown");
+		return false;
+	}
+	request->priority = route ? route->priority : request->tenant->priority;
+	return true;
+}
+
+/* An adapter is asked for by its name and is served with its model. */
+static const char *model_of(const ks_snapshot_t *snapshot, const char *name)
+{
+	if (ks_snapshot_find_model(snapshot, ks_str_from(name)))
+		return name;
+	for (unsigned i = 0; i < snapshot->models->len; i++) {
+		const ks_model_t *model =
+			g_ptr_array_index(snapshot->models, i);
+
+		for (unsigned j = 0;
+		     model->adapters && j < model->adapters->len; j++)
+			if (!strcmp(g_ptr_array_index(model->adapters, j),
+				    name))
+				return model->name;
+	}
+	return NULL;
+}
+
+static bool read_completion(struct entry_request *request, bool chat,
+			    GError **error)
+{
+	ks_entry_t *entry = request->entry;
+	const char *model;
+
+	request->is_completion = true;
+	request->idempotent = true;
+	if (!ks_completion_parse(&request->completion,
+				 ks_http_req_body(request->req), chat, error))
+		return false;
+	model = model_of(ks_config_current(entry->config),
+			 request->completion.model);
+	if (!model) {
+		ks_error_set(error, KS_ERROR_UNKNOWN_MODEL,
+			     "there is no model '%s'",
+			     request->completion.model);
+		return false;
+	}
+	request->group = entry_group_find(entry, true, ks_str_from(model));
+	return read_timeout(request, entry->settings->completion_timeout_ms,
+			    error);
+}
+
+static bool read_key(struct entry_request *request, GError **error)
+{
+	ks_str_t text = ks_http_req_header(request->req, "idempotency-key");
+	ks_str_t date =
+		ks_http_req_header(request->req, "idempotency-key-date");
+
+	if (request->idempotent || !text.len)
+		return true;
+	return ks_idempotency_key_parse(&request->key, text, date,
+					ks_clock_now(ks_clock_wall()), error);
+}
+
+static bool read_service(struct entry_request *request, GError **error)
+{
+	const ks_route_settings_t *route = request->route;
+
+	request->idempotent = route->idempotent;
+	request->group = entry_group_find(request->entry, false,
+					  ks_str_from(route->service));
+	return read_key(request, error) &&
+	       read_timeout(request, route->timeout_ms, error);
+}
+
+static bool check_limits(struct entry_request *request, GError **error)
+{
+	const ks_entry_t *entry = request->entry;
+	const struct entry_tenant *tenant = request->tenant;
+
+	if (entry->n_active >= entry->settings->max_requests) {
+		ks_error_set(error, KS_ERROR_OVERLOADED,
+			     "too many requests at once");
+		return false;
+	}
+	if (tenant->max_concurrency &&
+	    tenant->in_flight >= tenant->max_concurrency) {
+		ks_error_set(error, KS_ERROR_RATE_LIMITED,
+			     "too many requests of this tenant at once");
+		return false;
+	}
+	if (!request->group || !entry_group_is_served(request->group)) {
+		ks_error_set(error, KS_ERROR_NO_UPSTREAM,
+			     "no upstream can take the request");
+		return false;
+	}
+	return true;
+}
+
+static bool read_request(struct entry_request *request, bool chat,
+			 GError **error)
+{
+	if (request->req->headers.size > MAX_HEADERS) {
+		ks_error_set(error, KS_ERROR_BAD_REQUEST,
+			     "more than %d header fields", MAX_HEADERS);
+		return false;
+	}
+	if (!find_tenant(request, error))
+		return false;
+	if (!ks_config_current(request->entry->config)) {
+		ks_error_set(error, KS_ERROR_NOT_READY,
+			     "there is no configuration yet");
+		return false;
+	}
+	return request->route ? read_service(request, error)
+			      : read_completion(request, chat, error);
+}
+
+/**
+ * entry_request_begin() - serve a request of a caller
+ * @route: NULL for a completion
+ * @chat: the completion is in chat form
+ */
+void entry_request_begin(ks_entry_t *entry, h2o_req_t *req,
+			 const ks_route_settings_t *route, bool chat)
+{
+	struct entry_request *request = new_request(entry, req);
+	GError *error = NULL;
+
+	request->route = route;
+	if (!read_request(request, chat, &error) ||
+	    !check_limits(request, &error)) {
+		entry_request_fail(request, ks_error_kind(error), 0,
+				   error->message);
+		g_error_free(error);
+		return;
+	}
+	request->class =
+		entry_tenant_class(entry, request->tenant, request->priority);
+	request->class->in_flight++;
+	request->tenant->in_flight++;
+	entry->n_active++;
+	ks_retry_budget_earn(&entry->retries);
+	ks_timer_set(&request->deadline,
+		     request->deadline_us - request->start_us);
+	ks_admission_set_weight(request->group->admission,
+				request->tenant->name, request->tenant->weight);
+	ask_admission(request);
+}
