--- a/packages/process/src/entry.c
+++ b/packages/process/src/entry.c
@@ -5,6 +5,11 @@
 
 #define RETRY_RATIO 0.1
 #define RETRY_MAX_TOKENS 100
+/*
+ * h2o refuses larger bodies with a page of its own. Within the margin the
+ * handler refuses them with the error body that callers expect.
+ */
+#define BODY_MARGIN (64 * 1024)
 /* How often a stopping process looks whether its requests are answered. */
 #define STOP_CHECK_US (20 * KS_USEC_PER_MSEC)
 
@@ -41,7 +46,8 @@
 	if (!ks_address_parse(&address, ks_str_from(settings->listen), error))
 		return false;
 	if (!ks_http_server_init(&entry->server, entry->loop, &address,
-				 (size_t)settings->max_body_kib * 1024,
+				 (size_t)settings->max_body_kib * 1024 +
+					 BODY_MARGIN,
 				 entry_http_handle, entry, error))
 		return false;
 	address.port = ks_http_server_port(&entry->server);
@@ -79,6 +85,8 @@
 	ks_retry_budget_init(&entry->retries, RETRY_RATIO, RETRY_MAX_TOKENS);
 	ks_list_init(&entry->requests);
 	ks_timer_init(&entry->stop_timer, entry->loop, on_stop_timer, entry);
+	ks_timer_init(&entry->sweep_timer, entry->loop, entry_request_sweep,
+		      entry);
 	entry_fleet_init(entry);
 }
 
@@ -108,6 +116,7 @@
 		return NULL;
 	}
 	entry_fleet_poll_hosts(entry);
+	entry_request_sweep(entry);
 	return entry;
 }
 
@@ -131,13 +140,29 @@
 		     entry->settings->drain_delay_ms * KS_USEC_PER_MSEC);
 }
 
+/*
+ * h2o 2.2 cannot close the idle connections of a server, and asserts that there
+ * are none when the server is freed. A server that has been shut down therefore
+ * lives as long as the process.
+ */
+static void release_server(ks_entry_t *entry)
+{
+	static GSList *kept;
+
+	if (entry->listener_closed)
+		kept = g_slist_prepend(kept, entry->server.state);
+	else
+		ks_http_server_deinit(&entry->server);
+}
+
 /**
  * ks_entry_free() - free the entry; the loop is not run again afterwards
  */
 void ks_entry_free(ks_entry_t *entry)
 {
 	ks_timer_clear(&entry->stop_timer);
-	ks_http_server_deinit(&entry->server);
+	ks_timer_clear(&entry->sweep_timer);
+	release_server(entry);
 	KS_LIST_FOREACH_SAFE (it, tmp, &entry->requests)
 		entry_request_free(
 			KS_CONTAINER_OF(it, struct entry_request, node));
--- a/packages/process/src/entry.h
+++ b/packages/process/src/entry.h
@@ -156,6 +156,7 @@
  * @failed_kind: how the attempt that started failed
  * @tried: struct entry_upstream ids that were given an attempt
  * @failed_domains: failure domains of attempts that failed
+ * @output_tokens: tokens of the answer, as its usage says
  */
 struct entry_request {
 	ks_list_t node;
@@ -172,6 +173,7 @@
 	bool idempotent;
 	bool is_completion;
 	bool strip_authorization;
+	bool caller_closed;
 	bool answered;
 	bool may_have_run;
 	ks_error_kind_t failed_kind;
@@ -194,7 +196,7 @@
 	GString *answer;
 	bool streaming;
 	struct entry_stream stream;
-	uint32_t cached_tokens;
+	uint32_t output_tokens;
 };
 
 /**
@@ -282,6 +284,7 @@
 void entry_request_complete(struct entry_request *request, const char *result);
 void entry_request_caller_gone(struct entry_request *request);
 void entry_request_free(struct entry_request *request);
+void entry_request_sweep(void *ctx);
 
 /* entry_attempt.c */
 void entry_attempt_dispatch(struct entry_request *request);
@@ -295,6 +298,7 @@
 void entry_stream_deinit(struct entry_stream *stream);
 bool entry_stream_receive(struct entry_request *request, ks_str_t data);
 void entry_stream_attempt_over(struct entry_request *request);
+bool entry_stream_read_usage(struct entry_request *request, ks_str_t json);
 void entry_stream_finish(struct entry_request *request);
 void entry_stream_abort(struct entry_request *request, ks_error_kind_t kind,
 			const char *message);
--- a/packages/process/src/entry_answer.c
+++ b/packages/process/src/entry_answer.c
@@ -135,7 +135,6 @@
 			   g_ptr_array_index(request->headers, i + 1));
 	}
 	entry_answer_add_id(req, &request->id);
-	request->answered = true;
 	ks_http_reply(req, request->status,
 		      type && *type ? type : "application/octet-stream",
 		      (ks_str_t){ request->answer->str, request->answer->len });
@@ -151,7 +150,6 @@
 
 	add_header(request->req, "idempotency-replayed", "true");
 	entry_answer_add_id(request->req, &request->id);
-	request->answered = true;
 	ks_http_reply(request->req, status,
 		      *type ? type : "application/octet-stream", body);
 	g_free(type);
--- a/packages/process/src/entry_attempt.c
+++ b/packages/process/src/entry_attempt.c
@@ -168,7 +168,6 @@
 
 	if (!request)
 		return;
-	failure.delivered = request->stream.delivered > 0;
 	note_failed_domain(request, upstream);
 	if (try_again(request, &failure))
 		return;
@@ -238,6 +237,8 @@
 
 static void finish_whole(struct entry_request *request)
 {
+	bool answer;
+
 	if (request->claim) {
 		ks_ledger_done(request->claim, request->status,
 			       ks_str_from(request->content_type),
@@ -245,10 +246,12 @@
 					   request->answer->len });
 		request->claim = NULL;
 	}
-	if (request->req && !request->answered)
-		entry_answer_whole(request);
+	answer = request->req && !request->answered;
+	request->answered = true;
 	entry_request_complete(request,
 			       request->status < 400 ? "ok" : "upstream_error");
+	if (answer)
+		entry_answer_whole(request);
 }
 
 static void give_up(struct entry_request *request, ks_error_kind_t kind,
@@ -265,10 +268,14 @@
 	struct entry_attempt *attempt = ctx;
 	struct entry_upstream *upstream = attempt->upstream;
 	int64_t took = ks_loop_now(upstream->entry->loop) - attempt->sent_us;
-	unsigned tokens = attempt->tokens;
-	struct entry_request *request = end_attempt(attempt);
+	struct entry_request *request = attempt->request;
 	ks_attempt_failure_t failure = { .kind = kind };
 
+	if (request && request->is_completion && !request->streaming)
+		entry_stream_read_usage(request,
+					(ks_str_t){ request->answer->str,
+						    request->answer->len });
+	end_attempt(attempt);
 	if (!request)
 		return;
 	request->may_have_run = true;
@@ -280,20 +287,20 @@
 	judge_upstream(upstream, kind, request->status);
 	if (kind == KS_ERROR_NONE) {
 		average(&upstream->group->mean_service_us, (double)took);
-		if (tokens)
-			average(&upstream->group->mean_output, tokens);
+		if (request->output_tokens)
+			average(&upstream->group->mean_output,
+				request->output_tokens);
 		if (request->streaming)
 			entry_stream_finish(request);
 		else
 			finish_whole(request);
 		return;
 	}
-	failure.delivered = request->stream.delivered > 0;
 	request->failed_kind = kind;
 	note_failed_domain(request, upstream);
-	if (failure.delivered && !upstream->resumes)
-		give_up(request, kind, message);
-	else if (!try_again(request, &failure))
+	/* What was delivered is no obstacle where the stream can go on. */
+	failure.delivered = request->stream.delivered && !upstream->resumes;
+	if (failure.delivered || !try_again(request, &failure))
 		give_up(request, kind, message);
 }
 
@@ -359,11 +366,36 @@
 	out->output_tokens = request->completion.max_tokens;
 }
 
+/*
+ * Another upstream can go on with a stream only if it samples alike, so a
+ * stream whose caller gave no seed gets one.
+ */
+static bool needs_seed(const struct entry_request *request)
+{
+	return request->completion.stream && !request->completion.has_seed;
+}
+
+static GString *add_seed(const struct entry_request *request, ks_str_t body)
+{
+	/* The body has been parsed: it starts with a brace, and is not empty.
+	 */
+	const char *brace = memchr(body.data, '{', body.len);
+	size_t skip = (size_t)(brace + 1 - body.data);
+	GString *seeded = g_string_sized_new(body.len + 32);
+
+	g_string_append_printf(seeded, "{\"seed\":%u,",
+			       ks_id_hash(&request->id) & INT32_MAX);
+	g_string_append_len(seeded, body.data + skip,
+			    (gssize)(body.len - skip));
+	return seeded;
+}
+
 static void send_attempt(struct entry_request *request,
 			 struct entry_upstream *upstream)
 {
 	struct entry_attempt *attempt = new_attempt(request, upstream);
 	GArray *headers = entry_answer_forward_headers(request);
+	GString *seeded = NULL;
 	ks_attempt_request_t out;
 	char resume_from[16];
 
@@ -377,6 +409,10 @@
 		g_array_append_val(headers, header);
 	}
 	fill_request(request, &out, headers);
+	if (upstream->resumes && needs_seed(request)) {
+		seeded = add_seed(request, out.body);
+		out.body = (ks_str_t){ seeded->str, seeded->len };
+	}
 	g_ptr_array_add(request->tried, g_strdup(upstream->id));
 	request->n_attempts++;
 	request->attempt_number++;
@@ -385,6 +421,8 @@
 	attempt->attempt = ks_link_client_send(upstream->link, &out,
 					       &attempt_events, attempt);
 	g_array_unref(headers);
+	if (seeded)
+		g_string_free(seeded, TRUE);
 	if (!attempt->attempt)
 		on_not_started(attempt, KS_ERROR_NO_UPSTREAM, 0);
 }
--- a/packages/process/src/entry_http.c
+++ b/packages/process/src/entry_http.c
@@ -153,6 +153,9 @@
 	const struct fixed_path *fixed = find_fixed_path(method, path);
 	const ks_route_settings_t *route;
 
+	/* A connection that stays open would delay the end of the process. */
+	if (entry->stopping)
+		req->http1_is_persistent = 0;
 	if (fixed) {
 		fixed->answer(entry, req);
 		return;
--- a/packages/process/src/entry_request.c
+++ b/packages/process/src/entry_request.c
@@ -1,10 +1,14 @@
 /* The life of one request, from its arrival to its answer. */
 #include "entry.h"
 
+#include <errno.h>
+#include <sys/socket.h>
+
 /* Longest deadline a caller may ask for. */
 #define MAX_TIMEOUT_MS (3600 * 1000)
 #define MAX_HEADERS 64
 #define RETRY_AFTER_DEFAULT_US KS_USEC_PER_SEC
+#define SWEEP_US (250 * KS_USEC_PER_MSEC)
 
 static void dispose_caller(void *data)
 {
@@ -82,7 +86,8 @@
 	request->phase = ENTRY_DONE;
 	ks_timer_clear(&request->deadline);
 	entry_count_result(entry, request->tenant ? request->tenant->label : "",
-			   request->priority, result);
+			   request->priority,
+			   request->caller_closed ? "caller_gone" : result);
 	if (request->class) {
 		ks_histogram_record(request->class->answer,
 				    ks_loop_now(entry->loop) -
@@ -135,23 +140,25 @@
 void entry_request_fail(struct entry_request *request, ks_error_kind_t kind,
 			int64_t retry_after_us, const char *message)
 {
-	const char *code;
+	h2o_req_t *req = request->answered ? NULL : request->req;
+	ks_id_t id = request->id;
 
+	/* The end of the stream waits for the caller's connection already. */
+	if (request->stream.final)
+		return;
 	kind = true_kind(request, kind);
-	code = ks_error_answer(kind)->code;
 	settle_claim(request);
 	entry_attempt_drop(request);
-	if (request->req && !request->answered) {
-		if (request->stream.started) {
-			entry_stream_abort(request, kind, message);
-			return;
-		}
-		request->answered = true;
-		entry_answer_error(request->req, kind, message, &request->id,
+	if (req && request->stream.started) {
+		entry_stream_abort(request, kind, message);
+		return;
+	}
+	request->answered = true;
+	entry_request_complete(request, ks_error_answer(kind)->code);
+	if (req)
+		entry_answer_error(req, kind, message, &id,
 				   retry_after_us ? retry_after_us
 						  : RETRY_AFTER_DEFAULT_US);
-	}
-	entry_request_complete(request, code);
 }
 
 /**
@@ -175,6 +182,43 @@
 	entry_request_complete(request, "caller_gone");
 }
 
+static bool is_closed_by_peer(h2o_req_t *req)
+{
+	h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
+	char byte;
+	ssize_t got;
+
+	if (!sock)
+		return false;
+	got = recv(h2o_socket_get_fd(sock), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+/**
+ * entry_request_sweep() - find callers that have closed their connection
+ *
+ * h2o does not read from an HTTP/1 connection while a request on it is being
+ * served, so it would notice a closed one at the first write only.
+ */
+void entry_request_sweep(void *ctx)
+{
+	ks_entry_t *entry = ctx;
+
+	KS_LIST_FOREACH_SAFE (it, tmp, &entry->requests) {
+		struct entry_request *request =
+			KS_CONTAINER_OF(it, struct entry_request, node);
+
+		if (request->phase == ENTRY_DONE || !request->req ||
+		    request->req->version >= 0x200 || !request->idempotent ||
+		    !is_closed_by_peer(request->req))
+			continue;
+		request->caller_closed = true;
+		entry_request_fail(request, KS_ERROR_DEADLINE_EXCEEDED, 0,
+				   "the caller has closed the connection");
+	}
+	ks_timer_set(&entry->sweep_timer, SWEEP_US);
+}
+
 /* A non-idempotent attempt is left to run, so that its answer can be stored. */
 static void on_sent_deadline(struct entry_request *request)
 {
@@ -223,9 +267,9 @@
 	struct entry_request *request = ctx;
 
 	request->claim = NULL;
-	if (request->req)
-		entry_answer_replay(request, status, content_type, body);
+	request->answered = true;
 	entry_request_complete(request, "replayed");
+	entry_answer_replay(request, status, content_type, body);
 }
 
 static void on_claim_fail(void *ctx, ks_error_kind_t kind)
@@ -403,7 +447,8 @@
 	ks_str_t date =
 		ks_http_req_header(request->req, "idempotency-key-date");
 
-	if (request->idempotent || !text.len)
+	/* A field without a value is a malformed key, not a missing one. */
+	if (request->idempotent || !text.data)
 		return true;
 	return ks_idempotency_key_parse(&request->key, text, date,
 					ks_clock_now(ks_clock_wall()), error);
@@ -447,6 +492,13 @@
 static bool read_request(struct entry_request *request, bool chat,
 			 GError **error)
 {
+	size_t max_body = (size_t)request->entry->settings->max_body_kib * 1024;
+
+	if (ks_http_req_body(request->req).len > max_body) {
+		ks_error_set(error, KS_ERROR_TOO_LARGE,
+			     "the body has more than %zu bytes", max_body);
+		return false;
+	}
 	if (request->req->headers.size > MAX_HEADERS) {
 		ks_error_set(error, KS_ERROR_BAD_REQUEST,
 			     "more than %d header fields", MAX_HEADERS);
--- a/packages/process/src/entry_stream.c
+++ b/packages/process/src/entry_stream.c
@@ -59,19 +59,28 @@
 	return payload;
 }
 
-/* Reads the usage of an event; says whether the event holds a token as well. */
-static bool read_usage(struct entry_request *request, ks_str_t payload)
+/**
+ * entry_stream_read_usage() - learn from the usage of an event or whole answer
+ * @text: JSON
+ *
+ * Return: whether it holds a choice, and so a token, as well.
+ */
+bool entry_stream_read_usage(struct entry_request *request, ks_str_t text)
 {
-	json_t *json = json_loadb(payload.data, payload.len, 0, NULL);
+	json_t *json = json_loadb(text.data, text.len, 0, NULL);
 	json_t *usage = json_object_get(json, "usage");
 	json_t *details = json_object_get(usage, "prompt_tokens_details");
 	json_t *cached = json_object_get(details, "cached_tokens");
+	json_t *output = json_object_get(usage, "completion_tokens");
 	bool has_token = json_array_size(json_object_get(json, "choices")) > 0;
 
 	if (json_is_integer(cached))
 		entry_attempt_note_cached(
 			request, (uint32_t)CLAMP(json_integer_value(cached), 0,
 						 UINT32_MAX));
+	if (json_is_integer(output))
+		request->output_tokens = (uint32_t)CLAMP(
+			json_integer_value(output), 0, UINT32_MAX);
 	json_decref(json);
 	return has_token;
 }
@@ -82,7 +91,7 @@
 		return false;
 	if (!memmem(payload.data, payload.len, "\"usage\"", 7))
 		return true;
-	return read_usage(request, payload);
+	return entry_stream_read_usage(request, payload);
 }
 
 /* Moves one event to the output; [DONE] is held until the attempt has ended. */
@@ -102,7 +111,6 @@
 	g_string_append_len(stream->out, event.data, (gssize)event.len);
 }
 
-static void start_response(struct entry_request *request);
 static void flush(struct entry_request *request);
 
 /**
--- /dev/null
+++ b/packages/process/tests/test-entry.c
@@ -0,0 +1,1007 @@
+/*
+ * Tests of the entry process against doubles of its links, ledger and decision
+ * modules. Callers are real HTTP connections; the loop's clock stands still.
+ */
+#include "entry-doubles.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define KEY "sk-test"
+#define KEY7 "018f2d3c-0000-7000-8000-000000000000"
+#define CHAT "/v1/chat/completions"
+#define EVENT(token) "data: {\"choices\":[{\"text\":\"" token "\"}]}\n\n"
+#define DONE "data: [DONE]\n\n"
+#define SSE "text/event-stream"
+#define STREAM_BODY                                      \
+	"{\"model\":\"m\",\"stream\":true,\"messages\":" \
+	"[{\"role\":\"user\",\"content\":\"hi\"}]}"
+#define WHOLE_BODY                       \
+	"{\"model\":\"m\",\"messages\":" \
+	"[{\"role\":\"user\",\"content\":\"hi\"}]}"
+/* Upper bound of turns of the loop; a condition is waited for, not a time. */
+#define MAX_TURNS 2000
+#define TURN_US (5 * KS_USEC_PER_MSEC)
+
+static struct fixture {
+	ks_test_clock_t clock;
+	ks_loop_t loop;
+	ks_settings_t settings;
+	ks_entry_t *entry;
+	ks_http_client_t client;
+	ks_snapshot_t snapshot;
+	ks_model_t model;
+	ks_upstream_t upstreams[4];
+	unsigned n_upstreams;
+} fx;
+
+struct call {
+	ks_http_call_t call;
+	int status;
+	GString *headers;
+	GString *body;
+	bool done;
+	ks_http_result_t result;
+};
+
+static void turn(void)
+{
+	ks_loop_run_once(&fx.loop, TURN_US);
+}
+
+#define WAIT_FOR(condition)                                            \
+	do {                                                           \
+		for (int turns = 0; turns < MAX_TURNS && !(condition); \
+		     turns++)                                          \
+			turn();                                        \
+		g_assert_true(condition);                              \
+	} while (0)
+
+static void on_head(void *ctx, int status, const ks_header_t *headers, size_t n)
+{
+	struct call *call = ctx;
+
+	call->status = status;
+	for (size_t i = 0; i < n; i++)
+		g_string_append_printf(
+			call->headers, "%.*s: %.*s\n", (int)headers[i].name.len,
+			headers[i].name.data, (int)headers[i].value.len,
+			headers[i].value.data);
+}
+
+static void on_body(void *ctx, ks_str_t data)
+{
+	struct call *call = ctx;
+
+	g_string_append_len(call->body, data.data, (gssize)data.len);
+}
+
+static void on_done(void *ctx, ks_http_result_t result)
+{
+	struct call *call = ctx;
+
+	call->done = true;
+	call->result = result;
+}
+
+static const ks_http_events_t call_events = {
+	.head = on_head,
+	.body = on_body,
+	.done = on_done,
+};
+
+static struct call *start(const char *method, const char *path,
+			  const char *body, const char *const *fields)
+{
+	struct call *call = g_new0(struct call, 1);
+	GArray *headers = g_array_new(FALSE, FALSE, sizeof(ks_header_t));
+	ks_http_request_t request = {
+		.method = ks_str_from(method),
+		.target = ks_str_from(path),
+		.body = ks_str_from(body),
+	};
+
+	for (; fields && *fields; fields += 2) {
+		ks_header_t header = { ks_str_from(fields[0]),
+				       ks_str_from(fields[1]) };
+
+		g_array_append_val(headers, header);
+	}
+	strcpy(request.address.ip, "127.0.0.1");
+	request.address.port = ks_entry_port(fx.entry);
+	request.headers = (const ks_header_t *)(const void *)headers->data;
+	request.n_headers = headers->len;
+	call->headers = g_string_new("\n");
+	call->body = g_string_new(NULL);
+	ks_http_call_start(&call->call, &fx.client, &request, &call_events,
+			   call);
+	g_array_unref(headers);
+	return call;
+}
+
+static const char *const key_fields[] = { "authorization", "Bearer " KEY,
+					  NULL };
+
+static struct call *start_completion(const char *body)
+{
+	return start("POST", CHAT, body, key_fields);
+}
+
+static void finish(struct call *call)
+{
+	WAIT_FOR(call->done);
+}
+
+static void free_call(struct call *call)
+{
+	ks_http_call_cancel(&call->call);
+	g_string_free(call->headers, TRUE);
+	g_string_free(call->body, TRUE);
+	g_free(call);
+}
+
+static void add_upstream(const char *id, const char *domain, const char *model,
+			 const char *service)
+{
+	ks_upstream_t *upstream = &fx.upstreams[fx.n_upstreams++];
+
+	memset(upstream, 0, sizeof(*upstream));
+	upstream->id = (char *)id;
+	upstream->process = (char *)"127.0.0.1:1";
+	upstream->endpoint = (char *)"127.0.0.1:2";
+	upstream->host = (char *)id;
+	upstream->domain = (char *)domain;
+	upstream->model = (char *)model;
+	upstream->service = (char *)service;
+	upstream->limit = 4;
+	upstream->resumes = true;
+	g_ptr_array_add(fx.snapshot.upstreams, upstream);
+}
+
+static ks_route_settings_t routes[] = {
+	{ .path = (char *)"/pay",
+	  .service = (char *)"shop",
+	  .timeout_ms = 1000,
+	  .tenant = (char *)"web" },
+	{ .path = (char *)"/basket",
+	  .method = (char *)"GET",
+	  .service = (char *)"shop",
+	  .idempotent = true,
+	  .timeout_ms = 1000,
+	  .tenant = (char *)"web" },
+};
+
+static ks_tenant_settings_t tenants[1];
+
+static void fill_settings(void)
+{
+	static char digest[KS_DIGEST_HEX_SIZE];
+	ks_settings_t *settings = &fx.settings;
+	ks_digest_t sha;
+
+	ks_digest_compute(&sha, KS_STR(KEY));
+	ks_digest_format(&sha, digest);
+	tenants[0] = (ks_tenant_settings_t){
+		.name = (char *)"a\"b",
+		.key_sha256 = digest,
+		.weight = 1,
+		.max_concurrency = 3,
+	};
+	memset(settings, 0, sizeof(*settings));
+	settings->name = (char *)"entry-1";
+	settings->domain = (char *)"z1";
+	settings->listen = (char *)"127.0.0.1:0";
+	settings->platform = (char *)"127.0.0.1:1";
+	settings->link_plain = true;
+	settings->tenants = tenants;
+	settings->tenants_count = 1;
+	settings->routes = routes;
+	settings->routes_count = G_N_ELEMENTS(routes);
+	settings->completion_timeout_ms = 60000;
+	settings->max_body_kib = 64;
+	settings->max_answer_kib = 1;
+	settings->max_requests = 100;
+	settings->poll_ms = 5000;
+	settings->drain_delay_ms = 2000;
+	settings->subset = 64;
+	settings->operator_token_sha256 = digest;
+}
+
+static void apply_snapshot(void)
+{
+	fx.snapshot.version++;
+	double_config->current = &fx.snapshot;
+	double_config->func(double_config->ctx, &fx.snapshot);
+}
+
+static void set_up(void)
+{
+	GError *error = NULL;
+
+	memset(&fx, 0, sizeof(fx));
+	double_links = g_ptr_array_new();
+	double_attempts = g_ptr_array_new_with_free_func(double_free_attempt);
+	double_refuse = false;
+	double_hosts_func = NULL;
+	ks_test_clock_init(&fx.clock, 1000 * KS_USEC_PER_SEC);
+	ks_loop_init(&fx.loop, &fx.clock.clock);
+	ks_http_client_init(&fx.client, &fx.loop);
+	fill_settings();
+	fx.model.name = (char *)"m";
+	fx.snapshot.models = g_ptr_array_new();
+	fx.snapshot.upstreams = g_ptr_array_new();
+	g_ptr_array_add(fx.snapshot.models, &fx.model);
+	add_upstream("e1", "z1", "m", NULL);
+	add_upstream("e2", "z2", "m", NULL);
+	add_upstream("s1", "z1", NULL, "shop");
+	add_upstream("s2", "z2", NULL, "shop");
+	fx.entry = ks_entry_new(&fx.loop, &fx.settings, &error);
+	g_assert_no_error(error);
+	apply_snapshot();
+}
+
+static void tear_down(void)
+{
+	/* Lets connections close before the loop is gone. */
+	for (int i = 0; i < 3; i++)
+		turn();
+	ks_entry_free(fx.entry);
+	ks_http_client_deinit(&fx.client);
+	ks_loop_deinit(&fx.loop);
+	g_ptr_array_unref(fx.snapshot.models);
+	g_ptr_array_unref(fx.snapshot.upstreams);
+	g_assert_cmpuint(double_links->len, ==, 0);
+	g_ptr_array_unref(double_links);
+	g_ptr_array_unref(double_attempts);
+}
+
+static void assert_has(const GString *text, const char *wanted)
+{
+	if (!strstr(text->str, wanted))
+		g_error("no '%s' in: %s", wanted, text->str);
+}
+
+static void assert_lacks(const GString *text, const char *unwanted)
+{
+	if (strstr(text->str, unwanted))
+		g_error("'%s' in: %s", unwanted, text->str);
+}
+
+/* Guards against a stream that is held back, changed or left without end. */
+static void test_stream_is_passed_on(void)
+{
+	struct call *call;
+	ks_attempt_t *attempt;
+
+	set_up();
+	call = start_completion(STREAM_BODY);
+	WAIT_FOR(double_attempts->len == 1);
+	attempt = double_attempt(0);
+	g_assert_cmpstr(attempt->model, ==, "m");
+	assert_lacks(attempt->headers, KEY);
+	double_head(attempt, 200, SSE);
+	double_body(attempt, EVENT("one"));
+	WAIT_FOR(strstr(call->body->str, "one"));
+	double_body(attempt, EVENT("two") DONE);
+	double_end(attempt, KS_ERROR_NONE);
+	finish(call);
+	g_assert_cmpint(call->status, ==, 200);
+	g_assert_cmpstr(call->body->str, ==, EVENT("one") EVENT("two") DONE);
+	assert_has(call->headers, SSE);
+	free_call(call);
+	tear_down();
+}
+
+/* Guards against a whole answer that loses its status, type or body. */
+static void test_service_is_answered(void)
+{
+	struct call *call;
+
+	set_up();
+	call = start("GET", "/basket/7?x=1", "", NULL);
+	WAIT_FOR(double_attempts->len == 1);
+	g_assert_cmpstr(double_attempt(0)->path, ==, "/basket/7?x=1");
+	g_assert_true(double_attempt(0)->idempotent);
+	double_head(double_attempt(0), 201, "application/json");
+	double_body(double_attempt(0), "{\"a\":");
+	double_body(double_attempt(0), "1}");
+	g_assert_cmpuint(double_attempt(0)->consumed, ==, 7);
+	double_end(double_attempt(0), KS_ERROR_NONE);
+	finish(call);
+	g_assert_cmpint(call->status, ==, 201);
+	g_assert_cmpstr(call->body->str, ==, "{\"a\":1}");
+	free_call(call);
+	tear_down();
+}
+
+/* Guards against a truncated stream that looks complete. */
+static void test_truncated_stream_ends_with_error(void)
+{
+	struct call *call;
+
+	set_up();
+	fx.upstreams[0].resumes = false;
+	apply_snapshot();
+	call = start_completion(STREAM_BODY);
+	WAIT_FOR(double_attempts->len == 1);
+	double_head(double_attempt(0), 200, SSE);
+	double_body(double_attempt(0), EVENT("one") "data: {\"cho");
+	WAIT_FOR(strstr(call->body->str, "one"));
+	double_end(double_attempt(0), KS_ERROR_UPSTREAM_FAILED);
+	finish(call);
+	assert_has(call->body,
+		   "data: {\"error\":{\"code\":\"upstream_failed\"");
+	assert_has(call->body, "\"not_run\":false");
+	assert_lacks(call->body, "[DONE]");
+	assert_lacks(call->body, "{\"cho\"");
+	g_assert_cmpuint(double_attempts->len, ==, 1);
+	free_call(call);
+	tear_down();
+}
+
+/* Guards against an engine's clean end of connection passing for a whole
+ * stream. */
+static void test_stream_without_done_is_truncated(void)
+{
+	struct call *call;
+
+	set_up();
+	fx.upstreams[0].resumes = false;
+	apply_snapshot();
+	call = start_completion(STREAM_BODY);
+	WAIT_FOR(double_attempts->len == 1);
+	double_head(double_attempt(0), 200, SSE);
+	double_body(double_attempt(0), EVENT("one"));
+	WAIT_FOR(strstr(call->body->str, "one"));
+	double_end(double_attempt(0), KS_ERROR_NONE);
+	finish(call);
+	assert_has(call->body, "upstream_failed");
+	assert_lacks(call->body, "[DONE]");
+	free_call(call);
+	tear_down();
+}
+
+/* Guards against repeated or missing tokens when a stream goes on elsewhere. */
+static void test_stream_resumes_elsewhere(void)
+{
+	struct call *call;
+
+	set_up();
+	call = start_completion(STREAM_BODY);
+	WAIT_FOR(double_attempts->len == 1);
+	assert_has(double_attempt(0)->headers, "\n");
+	assert_lacks(double_attempt(0)->headers, "x-ks-resume-from");
+	double_head(double_attempt(0), 200, SSE);
+	double_body(double_attempt(0),
+		    EVENT("one") EVENT("two") "data: {\"choices\":[{\"tex");
+	double_end(double_attempt(0), KS_ERROR_OUTCOME_UNKNOWN);
+	g_assert_cmpuint(double_attempts->len, ==, 2);
+	assert_has(double_attempt(1)->headers, "\nx-ks-resume-from: 2\n");
+	g_assert_cmpstr(double_attempt(1)->link->upstream, ==, "e2");
+	g_assert_cmpstr(double_attempt(0)->body, ==, double_attempt(1)->body);
+	g_assert_nonnull(strstr(double_attempt(0)->body, "\"seed\":"));
+	double_head(double_attempt(1), 200, SSE);
+	double_body(double_attempt(1), EVENT("three") DONE);
+	double_end(double_attempt(1), KS_ERROR_NONE);
+	finish(call);
+	g_assert_cmpstr(call->body->str, ==,
+			EVENT("one") EVENT("two") EVENT("three") DONE);
+	free_call(call);
+	tear_down();
+}
+
+/* Guards against a stream that goes on where it cannot be resumed. */
+static void test_stream_needs_upstream_that_resumes(void)
+{
+	struct call *call;
+
+	set_up();
+	fx.upstreams[1].resumes = false;
+	apply_snapshot();
+	call = start_completion(STREAM_BODY);
+	WAIT_FOR(double_attempts->len == 1);
+	double_head(double_attempt(0), 200, SSE);
+	double_body(double_attempt(0), EVENT("one"));
+	WAIT_FOR(strstr(call->body->str, "one"));
+	double_end(double_attempt(0), KS_ERROR_UPSTREAM_FAILED);
+	finish(call);
+	g_assert_cmpuint(double_attempts->len, ==, 1);
+	assert_has(call->body, "\"not_run\":false");
+	assert_lacks(call->body, "[DONE]");
+	free_call(call);
+	tear_down();
+}
+
+/* Guards against a truncated whole answer reaching the caller, and against a
+ * retry at the upstream that failed. */
+static void test_whole_answer_is_retried_elsewhere(void)
+{
+	struct call *call;
+
+	set_up();
+	call = start_completion(WHOLE_BODY);
+	WAIT_FOR(double_attempts->len == 1);
+	double_head(double_attempt(0), 200, "application/json");
+	double_body(double_attempt(0), "{\"half\":");
+	double_end(double_attempt(0), KS_ERROR_UPSTREAM_FAILED);
+	g_assert_cmpuint(double_attempts->len, ==, 2);
+	g_assert_cmpstr(double_attempt(1)->link->upstream, ==, "e2");
+	g_assert_cmpuint(double_attempt(1)->key.attempt, !=,
+			 double_attempt(0)->key.attempt);
+	double_head(double_attempt(1), 200, "application/json");
+	double_body(double_attempt(1), "{}");
+	double_end(double_attempt(1), KS_ERROR_NONE);
+	finish(call);
+	g_assert_cmpstr(call->body->str, ==, "{}");
+	free_call(call);
+	tear_down();
+}
+
+/* Guards against "not run" being said after an attempt has started. */
+static void test_not_run_is_not_said_after_a_start(void)
+{
+	struct call *call;
+
+	set_up();
+	call = start_completion(WHOLE_BODY);
+	WAIT_FOR(double_attempts->len == 1);
+	double_head(double_attempt(0), 200, "application/json");
+	double_end(double_attempt(0), KS_ERROR_UPSTREAM_FAILED);
+	double_not_started(double_attempt(1), KS_ERROR_OVERLOADED, 0);
+	finish(call);
+	g_assert_cmpint(call->status, ==, 502);
+	assert_has(call->body, "\"not_run\":false");
+	free_call(call);
+	tear_down();
+}
+
+/* Guards against a refusal without a true Retry-After, and against a retry in
+ * the failure domain that refused. */
+static void test_not_started_goes_elsewhere_then_is_told(void)
+{
+	struct call *call;
+
+	set_up();
+	call = start_completion(WHOLE_BODY);
+	WAIT_FOR(double_attempts->len == 1);
+	double_not_started(double_attempt(0), KS_ERROR_OVERLOADED, 0);
+	g_assert_cmpuint(double_attempts->len, ==, 2);
+	double_not_started(double_attempt(1), KS_ERROR_OVERLOADED,
+			   1500 * KS_USEC_PER_MSEC);
+	finish(call);
+	g_assert_cmpint(call->status, ==, 503);
+	assert_has(call->body, "\"not_run\":true");
+	assert_has(call->headers, "\nretry-after: ");
+	free_call(call);
+	tear_down();
+}
+
+/* Guards against a second run of a request that has no key. */
+static void test_without_key_is_sent_once(void)
+{
+	struct call *call;
+
+	set_up();
+	call = start("POST", "/pay", "x", NULL);
+	WAIT_FOR(double_attempts->len == 1);
+	g_assert_cmpuint(double_ledger.begun, ==, 0);
+	double_attempt(0)->events->accepted(double_attempt(0)->ctx);
+	double_end(double_attempt(0), KS_ERROR_UPSTREAM_FAILED);
+	finish(call);
+	g_assert_cmpuint(double_attempts->len, ==, 1);
+	g_assert_cmpint(call->status, ==, 504);
+	assert_has(call->body, "outcome_unknown");
+	free_call(call);
+	tear_down();
+}
+
+static struct call *start_payment(void)
+{
+	char *now = g_strdup_printf("%" G_GINT64_FORMAT,
+				    ks_clock_now(ks_clock_wall()) /
+					    KS_USEC_PER_SEC);
+	const char *fields[] = { "idempotency-key", "k1",
+				 "idempotency-key-date", now, NULL };
+	struct call *call = start("POST", "/pay", "x", fields);
+
+	g_free(now);
+	return call;
+}
+
+/* Guards against dispatch before the claim is held, and against an answer that
+ * is not stored. */
+static void test_payment_is_claimed_first(void)
+{
+	struct call *call;
+
+	set_up();
+	call = start_payment();
+	WAIT_FOR(double_ledger.begun == 1);
+	g_assert_cmpuint(double_attempts->len, ==, 0);
+	double_ledger.events->dispatch(double_ledger.ctx, 5);
+	g_assert_cmpuint(double_attempts->len, ==, 1);
+	g_assert_cmpuint(double_attempt(0)->key.attempt, ==, 5);
+	double_head(double_attempt(0), 200, "text/plain");
+	double_body(double_attempt(0), "paid");
+	double_end(double_attempt(0), KS_ERROR_NONE);
+	finish(call);
+	g_assert_cmpuint(double_ledger.done, ==, 1);
+	g_assert_cmpstr(double_ledger.answer->str, ==, "paid");
+	g_assert_cmpstr(call->body->str, ==, "paid");
+	free_call(call);
+	tear_down();
+}
+
+/* Guards against a copy that runs instead of getting the stored answer. */
+static void test_payment_is_replayed(void)
+{
+	struct call *call;
+
+	set_up();
+	call = start_payment();
+	WAIT_FOR(double_ledger.begun == 1);
+	double_ledger.events->replay(double_ledger.ctx, 202,
+				     KS_STR("text/plain"), KS_STR("paid"));
+	finish(call);
+	g_assert_cmpint(call->status, ==, 202);
+	g_assert_cmpstr(call->body->str, ==, "paid");
+	g_assert_cmpuint(double_attempts->len, ==, 0);
+	free_call(call);
+	tear_down();
+}
+
+/* Guards against a claim that stays open after a final refusal. */
+static void test_payment_not_run_is_recorded(void)
+{
+	struct call *call;
+
+	set_up();
+	call = start_payment();
+	WAIT_FOR(double_ledger.begun == 1);
+	double_ledger.events->dispatch(double_ledger.ctx, 1);
+	double_not_started(double_attempt(0), KS_ERROR_OVERLOADED, 0);
+	double_not_started(double_attempt(1), KS_ERROR_OVERLOADED, 0);
+	finish(call);
+	g_assert_cmpuint(double_ledger.not_run, ==, 1);
+	g_assert_cmpuint(double_ledger.unknown, ==, 0);
+	assert_has(call->body, "\"not_run\":true");
+	free_call(call);
+	tear_down();
+}
+
+/* Guards against an unknown outcome that is called not run or sent again. */
+static void test_payment_unknown_is_recorded(void)
+{
+	struct call *call;
+
+	set_up();
+	call = start_payment();
+	WAIT_FOR(double_ledger.begun == 1);
+	double_ledger.events->dispatch(double_ledger.ctx, 1);
+	double_end(double_attempt(0), KS_ERROR_OUTCOME_UNKNOWN);
+	finish(call);
+	g_assert_cmpuint(double_ledger.unknown, ==, 1);
+	g_assert_cmpuint(double_ledger.not_run, ==, 0);
+	g_assert_cmpuint(double_attempts->len, ==, 1);
+	g_assert_cmpint(call->status, ==, 504);
+	assert_has(call->body, "\"not_run\":false");
+	free_call(call);
+	tear_down();
+}
+
+/* Guards against a payment that is cancelled with its caller or deadline: its
+ * answer is stored for the next copy. */
+static void test_payment_outlives_its_deadline(void)
+{
+	struct call *call;
+
+	set_up();
+	call = start_payment();
+	WAIT_FOR(double_ledger.begun == 1);
+	double_ledger.events->dispatch(double_ledger.ctx, 1);
+	ks_test_clock_advance(&fx.clock, 1001 * KS_USEC_PER_MSEC);
+	finish(call);
+	assert_has(call->body, "outcome_unknown");
+	for (int i = 0; i < 3; i++)
+		turn();
+	g_assert_false(double_attempt(0)->cancelled);
+	double_head(double_attempt(0), 200, "text/plain");
+	double_body(double_attempt(0), "paid");
+	double_end(double_attempt(0), KS_ERROR_NONE);
+	g_assert_cmpuint(double_ledger.done, ==, 1);
+	free_call(call);
+	tear_down();
+}
+
+/* Guards against work that goes on for a caller that has left. */
+static void test_caller_gone_cancels(void)
+{
+	struct call *call;
+
+	set_up();
+	call = start_completion(STREAM_BODY);
+	WAIT_FOR(double_attempts->len == 1);
+	ks_http_call_cancel(&call->call);
+	for (int i = 0; i < MAX_TURNS && !double_attempt(0)->cancelled; i++) {
+		ks_test_clock_advance(&fx.clock, 300 * KS_USEC_PER_MSEC);
+		turn();
+	}
+	g_assert_true(double_attempt(0)->cancelled);
+	double_end(double_attempt(0), KS_ERROR_OUTCOME_UNKNOWN);
+	g_assert_cmpuint(double_attempts->len, ==, 1);
+	free_call(call);
+	tear_down();
+}
+
+/* Guards against credit that is given before the caller has taken the bytes. */
+static void test_slow_caller_gives_no_credit(void)
+{
+	GString *event = g_string_new("data: {\"choices\":[{\"text\":\"");
+	struct sockaddr_in to = { .sin_family = AF_INET };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int small = 4096;
+	ks_attempt_t *attempt;
+	size_t sent = 0;
+
+	set_up();
+	g_string_append_printf(event, "%065536d\"}]}\n\n", 0);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	to.sin_port = htons(ks_entry_port(fx.entry));
+	to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	g_assert_cmpint(connect(fd, (struct sockaddr *)&to, sizeof(to)), ==, 0);
+	dprintf(fd,
+		"POST " CHAT
+		" HTTP/1.1\r\nhost: x\r\nauthorization: Bearer " KEY
+		"\r\ncontent-length: %zu\r\n\r\n" STREAM_BODY,
+		strlen(STREAM_BODY));
+	WAIT_FOR(double_attempts->len == 1);
+	attempt = double_attempt(0);
+	double_head(attempt, 200, SSE);
+	for (int i = 0; i < 200; i++) {
+		double_body(attempt, event->str);
+		sent += event->len;
+		turn();
+	}
+	g_assert_cmpuint(attempt->consumed, <, sent);
+	close(fd);
+	WAIT_FOR(attempt->cancelled);
+	g_string_free(event, TRUE);
+	tear_down();
+}
+
+/* Guards against an answer without bound. */
+static void test_answer_is_bounded(void)
+{
+	GString *big = g_string_new(NULL);
+	struct call *call;
+
+	set_up();
+	g_string_append_printf(big, "%02000d", 0);
+	call = start("GET", "/basket", "", NULL);
+	WAIT_FOR(double_attempts->len == 1);
+	double_head(double_attempt(0), 200, "text/plain");
+	double_body(double_attempt(0), big->str);
+	finish(call);
+	g_assert_cmpint(call->status, ==, 502);
+	assert_has(call->body, "answer_too_large");
+	g_assert_true(double_attempt(0)->cancelled);
+	double_end(double_attempt(0), KS_ERROR_UPSTREAM_FAILED);
+	g_string_free(big, TRUE);
+	free_call(call);
+	tear_down();
+}
+
+static void assert_error(const char *method, const char *path, const char *body,
+			 const char *const *fields, int status,
+			 const char *code)
+{
+	struct call *call = start(method, path, body, fields);
+
+	finish(call);
+	g_assert_cmpint(call->status, ==, status);
+	assert_has(call->body, code);
+	assert_has(call->body, "\"request_id\":\"");
+	free_call(call);
+}
+
+/* Guards against a wrong request that reaches an upstream, or gets another body
+ * than the one for its kind. */
+static void test_wrong_requests_are_refused(void)
+{
+	const char *const bad_key[] = { "authorization", "Bearer no", NULL };
+	const char *const bad_time[] = { "authorization", "Bearer " KEY,
+					 "x-request-timeout-ms", "soon", NULL };
+	const char *const no_time[] = { "idempotency-key", "k", NULL };
+	const char *const empty[] = { "idempotency-key", "", NULL };
+	const char *const old[] = { "idempotency-key", KEY7, NULL };
+	char *large;
+
+	set_up();
+	large = g_strnfill(65 * 1024, ' ');
+	assert_error("POST", CHAT, WHOLE_BODY, NULL, 401, "unauthorized");
+	assert_error("POST", CHAT, WHOLE_BODY, bad_key, 401, "unauthorized");
+	assert_error("POST", CHAT, "{", key_fields, 400, "bad_request");
+	assert_error("POST", CHAT, WHOLE_BODY, bad_time, 400, "bad_request");
+	assert_error("POST", "/v1/completions",
+		     "{\"model\":\"x\",\"prompt\":\"p\"}", key_fields, 404,
+		     "unknown_model");
+	assert_error("GET", "/payday", "", NULL, 404, "unknown_route");
+	assert_error("GET", "/basket/../pay", "", NULL, 400, "bad_request");
+	assert_error("GET", "/basket/%2E./pay", "", NULL, 400, "bad_request");
+	assert_error("POST", "/pay", "x", no_time, 400, "bad_request");
+	assert_error("POST", "/pay", "x", empty, 400, "bad_request");
+	assert_error("POST", "/pay", "x", old, 410, "key_expired");
+	assert_error("POST", "/pay", large, NULL, 413, "too_large");
+	assert_error("GET", "/internal/status", "", NULL, 401, "unauthorized");
+	g_assert_cmpuint(double_attempts->len, ==, 0);
+	g_free(large);
+	tear_down();
+}
+
+/* Guards against a refusal by admission that is held back or rounded down. */
+static void test_admission_refuses_at_once(void)
+{
+	struct call *call;
+
+	set_up();
+	double_refuse = true;
+	call = start_completion(WHOLE_BODY);
+	finish(call);
+	g_assert_cmpint(call->status, ==, 503);
+	assert_has(call->body, "overloaded");
+	assert_has(call->headers, "\nretry-after: 3\n");
+	free_call(call);
+	tear_down();
+}
+
+static void limit_to_one(const char *model_link)
+{
+	for (unsigned i = 0; i < double_links->len; i++) {
+		ks_link_client_t *link = g_ptr_array_index(double_links, i);
+
+		link->load.limit = 1;
+		link->up = !strcmp(link->upstream, model_link);
+	}
+}
+
+/* Guards against a queued request that is never admitted. */
+static void test_queue_moves_on(void)
+{
+	struct call *first, *second;
+
+	set_up();
+	limit_to_one("e1");
+	first = start_completion(WHOLE_BODY);
+	WAIT_FOR(double_attempts->len == 1);
+	second = start_completion(WHOLE_BODY);
+	for (int i = 0; i < 5; i++)
+		turn();
+	g_assert_cmpuint(double_attempts->len, ==, 1);
+	double_head(double_attempt(0), 200, "text/plain");
+	double_end(double_attempt(0), KS_ERROR_NONE);
+	WAIT_FOR(double_attempts->len == 2);
+	double_head(double_attempt(1), 200, "text/plain");
+	double_end(double_attempt(1), KS_ERROR_NONE);
+	finish(first);
+	finish(second);
+	g_assert_cmpint(second->status, ==, 200);
+	free_call(first);
+	free_call(second);
+	tear_down();
+}
+
+/* Guards against a queued request that is held until its deadline. */
+static void test_queue_refuses_the_hopeless(void)
+{
+	struct call *first, *second;
+
+	set_up();
+	limit_to_one("e1");
+	first = start_completion(WHOLE_BODY);
+	WAIT_FOR(double_attempts->len == 1);
+	second = start_completion(WHOLE_BODY);
+	for (int i = 0; i < 5; i++)
+		turn();
+	/* Too little of 60 s is left for the expected work. */
+	ks_test_clock_advance(&fx.clock, 59 * KS_USEC_PER_SEC);
+	finish(second);
+	g_assert_cmpint(second->status, ==, 503);
+	assert_has(second->headers, "\nretry-after: 3\n");
+	assert_has(second->body, "\"not_run\":true");
+	double_head(double_attempt(0), 200, "text/plain");
+	double_end(double_attempt(0), KS_ERROR_NONE);
+	finish(first);
+	free_call(first);
+	free_call(second);
+	tear_down();
+}
+
+/* Guards against new work for an upstream that leaves, and against a link that
+ * closes under a request. */
+static void test_leaving_and_withdrawn(void)
+{
+	ks_str_t leaving[] = { KS_STR("e1") };
+	struct call *call;
+
+	set_up();
+	double_hosts_func(double_hosts_ctx, true, leaving, 1);
+	call = start_completion(WHOLE_BODY);
+	WAIT_FOR(double_attempts->len == 1);
+	g_assert_cmpstr(double_attempt(0)->link->upstream, ==, "e2");
+	g_ptr_array_set_size(fx.snapshot.upstreams, 0);
+	apply_snapshot();
+	turn();
+	g_assert_cmpuint(double_links->len, ==, 1);
+	double_head(double_attempt(0), 200, "text/plain");
+	double_end(double_attempt(0), KS_ERROR_NONE);
+	finish(call);
+	g_assert_cmpint(call->status, ==, 200);
+	WAIT_FOR(double_links->len == 0);
+	free_call(call);
+	assert_error("POST", CHAT, WHOLE_BODY, key_fields, 503, "no_upstream");
+	tear_down();
+}
+
+/* Guards against a tenant that takes more than its share. */
+static void test_tenant_is_limited(void)
+{
+	struct call *calls[3];
+
+	set_up();
+	for (unsigned i = 0; i < 3; i++) {
+		calls[i] = start_completion(WHOLE_BODY);
+		WAIT_FOR(double_attempts->len == i + 1);
+	}
+	assert_error("POST", CHAT, WHOLE_BODY, key_fields, 429, "rate_limited");
+	for (unsigned i = 0; i < 3; i++) {
+		double_head(double_attempt(i), 200, "text/plain");
+		double_end(double_attempt(i), KS_ERROR_NONE);
+		finish(calls[i]);
+		free_call(calls[i]);
+	}
+	tear_down();
+}
+
+/* Guards against usage that does not reach the prefix belief, or that counts as
+ * a token. */
+static void test_usage_is_learned_from(void)
+{
+	GString *body = g_string_new("{\"model\":\"m\",\"stream\":true,"
+				     "\"seed\":1,\"messages\":[{\"role\":"
+				     "\"user\",\"content\":\"");
+	struct call *call;
+
+	set_up();
+	double_cached_blocks = 0;
+	g_string_append_printf(body, "%020000d\"}]}", 0);
+	call = start_completion(body->str);
+	WAIT_FOR(double_attempts->len == 1);
+	g_assert_cmpstr(double_attempt(0)->body, ==, body->str);
+	double_head(double_attempt(0), 200, SSE);
+	double_body(double_attempt(0),
+		    EVENT("one") "data: {\"choices\":[],\"usage\":{"
+				 "\"completion_tokens\":1,"
+				 "\"prompt_tokens_details\":"
+				 "{\"cached_tokens\":4000}}}\n\n");
+	g_assert_cmpuint(double_cached_blocks, ==, 2);
+	double_end(double_attempt(0), KS_ERROR_UPSTREAM_FAILED);
+	assert_has(double_attempt(1)->headers, "\nx-ks-resume-from: 1\n");
+	double_head(double_attempt(1), 200, SSE);
+	double_body(double_attempt(1), DONE);
+	double_end(double_attempt(1), KS_ERROR_NONE);
+	finish(call);
+	g_string_free(body, TRUE);
+	free_call(call);
+	tear_down();
+}
+
+/* Guards against a stop that cuts off requests or never ends. */
+static void test_stop_is_graceful(void)
+{
+	struct call *call, *ready;
+
+	set_up();
+	call = start_completion(STREAM_BODY);
+	WAIT_FOR(double_attempts->len == 1);
+	double_head(double_attempt(0), 200, SSE);
+	ks_entry_stop(fx.entry);
+	assert_error("GET", "/readyz", "", NULL, 503, "not_ready");
+	ready = start("GET", "/healthz", "", NULL);
+	finish(ready);
+	g_assert_cmpint(ready->status, ==, 200);
+	ks_test_clock_advance(&fx.clock, 2001 * KS_USEC_PER_MSEC);
+	for (int i = 0; i < 5; i++)
+		turn();
+	g_assert_false(fx.loop.stopping);
+	double_body(double_attempt(0), EVENT("one") DONE);
+	double_end(double_attempt(0), KS_ERROR_NONE);
+	finish(call);
+	g_assert_cmpstr(call->body->str, ==, EVENT("one") DONE);
+	for (int i = 0; i < MAX_TURNS && !fx.loop.stopping; i++) {
+		ks_test_clock_advance(&fx.clock, 100 * KS_USEC_PER_MSEC);
+		turn();
+	}
+	g_assert_true(fx.loop.stopping);
+	free_call(call);
+	free_call(ready);
+	tear_down();
+}
+
+/* Guards against operators' pages that fail to parse or leak a key. */
+static void test_operators_pages(void)
+{
+	struct call *call;
+
+	set_up();
+	call = start("GET", "/internal/status", "", key_fields);
+	finish(call);
+	g_assert_cmpint(call->status, ==, 200);
+	assert_has(call->body, "\"version\":1");
+	assert_has(call->body, "\"id\":\"e1\"");
+	free_call(call);
+	call = start("GET", "/v1/models", "", key_fields);
+	finish(call);
+	assert_has(call->body, "\"id\":\"m\"");
+	free_call(call);
+	call = start("GET", "/metrics", "", NULL);
+	finish(call);
+	assert_has(call->body, "ks_config_version 1\n");
+	free_call(call);
+	tear_down();
+}
+
+/* Guards against readiness without a configuration. */
+static void test_not_ready_without_snapshot(void)
+{
+	set_up();
+	double_config->current = NULL;
+	assert_error("GET", "/readyz", "", NULL, 503, "not_ready");
+	assert_error("POST", CHAT, WHOLE_BODY, key_fields, 503, "not_ready");
+	tear_down();
+}
+
+static const struct {
+	const char *path;
+	void (*func)(void);
+} tests[] = {
+	{ "/entry/stream-is-passed-on", test_stream_is_passed_on },
+	{ "/entry/service-is-answered", test_service_is_answered },
+	{ "/entry/truncated-stream", test_truncated_stream_ends_with_error },
+	{ "/entry/stream-without-done", test_stream_without_done_is_truncated },
+	{ "/entry/stream-resumes", test_stream_resumes_elsewhere },
+	{ "/entry/resume-needs-support",
+	  test_stream_needs_upstream_that_resumes },
+	{ "/entry/whole-retried", test_whole_answer_is_retried_elsewhere },
+	{ "/entry/not-run-is-true", test_not_run_is_not_said_after_a_start },
+	{ "/entry/not-started", test_not_started_goes_elsewhere_then_is_told },
+	{ "/entry/without-key", test_without_key_is_sent_once },
+	{ "/entry/claim-first", test_payment_is_claimed_first },
+	{ "/entry/replay", test_payment_is_replayed },
+	{ "/entry/claim-not-run", test_payment_not_run_is_recorded },
+	{ "/entry/claim-unknown", test_payment_unknown_is_recorded },
+	{ "/entry/claim-deadline", test_payment_outlives_its_deadline },
+	{ "/entry/caller-gone", test_caller_gone_cancels },
+	{ "/entry/slow-caller", test_slow_caller_gives_no_credit },
+	{ "/entry/answer-bounded", test_answer_is_bounded },
+	{ "/entry/wrong-requests", test_wrong_requests_are_refused },
+	{ "/entry/admission-refuses", test_admission_refuses_at_once },
+	{ "/entry/queue-moves", test_queue_moves_on },
+	{ "/entry/queue-refuses", test_queue_refuses_the_hopeless },
+	{ "/entry/leaving", test_leaving_and_withdrawn },
+	{ "/entry/tenant-limit", test_tenant_is_limited },
+	{ "/entry/usage", test_usage_is_learned_from },
+	{ "/entry/stop", test_stop_is_graceful },
+	{ "/entry/operators-pages", test_operators_pages },
+	{ "/entry/not-ready", test_not_ready_without_snapshot },
+};
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(tests); i++)
+		g_test_add_func(tests[i].path, tests[i].func);
+	return g_test_run();
+}
--- a/packages/request/include/ks/request.h
+++ b/packages/request/include/ks/request.h
@@ -15,6 +15,7 @@
  * struct ks_completion - what routing needs to know of a completion request
  * @model: as the caller named it
  * @stream: answer as server-sent events
+ * @has_seed: the caller gave a seed for sampling
  * @prompt_tokens: estimate
  * @max_tokens: most tokens generated
  * @prefix_hashes: one chained hash for each whole block of the prompt, an
@@ -24,6 +25,7 @@
 	char *model;
 	bool chat;
 	bool stream;
+	bool has_seed;
 	uint32_t prompt_tokens;
 	uint32_t max_tokens;
 	GArray *prefix_hashes;
--- a/packages/request/src/api.c
+++ b/packages/request/src/api.c
@@ -59,6 +59,15 @@
 	return true;
 }
 
+/* Takes the room that a token of text takes on average. */
+static void append_token(GString *prompt, json_int_t token)
+{
+	uint32_t value = (uint32_t)token;
+
+	G_STATIC_ASSERT(sizeof(value) == BYTES_PER_TOKEN);
+	g_string_append_len(prompt, (const char *)&value, sizeof(value));
+}
+
 /* A prompt is a text, a list of texts, or tokens as numbers. */
 static bool read_prompt(GString *prompt, const json_t *root, GError **error)
 {
@@ -77,9 +86,7 @@
 		if (json_is_string(part))
 			append_content(prompt, part);
 		else if (json_is_integer(part))
-			g_string_append_printf(
-				prompt, "%03x ",
-				(unsigned)json_integer_value(part));
+			append_token(prompt, json_integer_value(part));
 		else
 			return refuse(error, "'prompt' holds neither texts nor "
 					     "tokens");
@@ -139,6 +146,7 @@
 			       : read_prompt(prompt, root, error)))
 		return false;
 	completion->stream = json_is_true(stream);
+	completion->has_seed = json_object_get(root, "seed") != NULL;
 	completion->model = g_strdup(json_string_value(model));
 	hash_blocks(completion, prompt);
 	return true;
