--- a/tests/fakes/fake-service.c
+++ b/tests/fakes/fake-service.c
@@ -137,7 +137,9 @@
 	while (g_hash_table_iter_next(&iter, &name, &count)) {
 		json_object_set_new(by_key, name,
 				    json_integer(GPOINTER_TO_INT(count)));
-		max = MAX(max, GPOINTER_TO_INT(count));
+		/* Only a key tells a repeated call from a second one. */
+		if (((const char *)name)[0] != ' ')
+			max = MAX(max, GPOINTER_TO_INT(count));
 	}
 	root = json_pack("{s:o,s:i,s:i}", "executions", by_key, "total",
 			 (int)service->total, "max_per_key", max);
