--- /dev/null
+++ b/tests/system/test-race.sh
@@ -0,0 +1,45 @@
+#!/bin/bash
+# Guards against two operators who both believe that their release note won, and
+# against a version that is lost or goes back after the store went down.
+set -u
+cd "$(dirname "$0")/../.."
+. tests/system/lib.sh
+. tests/system/cluster.sh
+
+start_cluster 2
+for side in a b
+do
+	printf '%s\n' "base: 1" "note: from operator $side" "models:" "  add:" \
+		"    - {name: extra-$side, version: v1}" \
+		>"$WORK/release-$side.yaml"
+done
+publish "$WORK/release-a.yaml" >"$WORK/out-a" 2>&1 &
+pid_a=$!
+publish "$WORK/release-b.yaml" >"$WORK/out-b" 2>&1
+status_b=$?
+wait $pid_a
+status_a=$?
+case "$status_a $status_b" in
+"0 3" | "3 0") ;;
+*) fail "statuses $status_a and $status_b: $(cat "$WORK"/out-?)" ;;
+esac
+wait_for_release 2
+
+# A lost answer is resolved by reading back.
+control platform '{"lose_answers":1,"lose_matching":"release/"}'
+printf '%s\n' "base: 2" "note: answer lost" "models:" "  add:" \
+	"    - {name: extra-c, version: v1}" >"$WORK/release-c.yaml"
+publish "$WORK/release-c.yaml" || fail "a lost answer was not resolved"
+control platform '{"lose_answers":0}'
+wait_for_release 3
+
+# The store goes down right after accepting a version that one process has.
+control platform '{"down":true}'
+kill_now up-engine1
+start_upstream up-engine1 engine1 engine1 domain-1
+wait_until "up-engine1 has version 3" has_log up-engine1 "version 3 from a peer"
+control platform '{"down":false,"stale_reads":true}'
+sleep 1
+in_force entry1 3 || fail "a stale read lowered the version"
+control platform '{"stale_reads":false}'
+stop_cluster
