Add the orders that bring an engine to its target

The next step is decided by a pure function of target, observed state and leases. The driver observes the engine before each order, sends one at a time with a fencing number, and acquires a new number after an unknown outcome.

--- a/packages/process/include/ks/process.h
+++ b/packages/process/include/ks/process.h
@@ -361,6 +361,90 @@
 bool ks_lease_keeper_is_idle(const ks_lease_keeper_t *keeper);
 ks_store_write_t ks_lease_keeper_check(const ks_lease_keeper_t *keeper);
 
+/* order.c: from target, plan and observed state to the next step */
+
+/**
+ * struct ks_order_target - what an engine is to become
+ * @known: false when the snapshot has no engine of this name; no orders then
+ * @adapters: array of char *, owned
+ */
+typedef struct ks_order_target {
+	bool known;
+	char model[64];
+	char version[64];
+	char domain[64];
+	ks_engine_role_t role;
+	GPtrArray *adapters;
+} ks_order_target_t;
+
+/**
+ * enum ks_order_step - what the order driver does next
+ * @KS_ORDER_STEP_SETTLED: nothing; the engine is at its target
+ * @KS_ORDER_STEP_WAIT: nothing until something changes
+ * @KS_ORDER_STEP_OBSERVE: observe the engine
+ * @KS_ORDER_STEP_ACQUIRE: acquire the engine lease and the change slot
+ * @KS_ORDER_STEP_DRAIN: refuse new requests and wait for those in flight
+ * @KS_ORDER_STEP_PERMIT: acquire a load permit
+ * @KS_ORDER_STEP_ORDER: send the order
+ * @KS_ORDER_STEP_ACCEPT: take new requests again
+ * @KS_ORDER_STEP_RELEASE: release the permit, the slot and the engine lease
+ */
+typedef enum ks_order_step {
+	KS_ORDER_STEP_SETTLED,
+	KS_ORDER_STEP_WAIT,
+	KS_ORDER_STEP_OBSERVE,
+	KS_ORDER_STEP_ACQUIRE,
+	KS_ORDER_STEP_DRAIN,
+	KS_ORDER_STEP_PERMIT,
+	KS_ORDER_STEP_ORDER,
+	KS_ORDER_STEP_ACCEPT,
+	KS_ORDER_STEP_RELEASE,
+} ks_order_step_t;
+
+/**
+ * struct ks_order_view - what the next step depends on
+ * @target: what the engine is to become
+ * @state: as last observed; NULL when it was not reached
+ * @fresh: observed after the leases were acquired, after the last order ended,
+ *	and a moment ago
+ * @order_under_way: an order has been sent and has not ended
+ * @stopping: no more orders
+ * @leased: engine lease and change slot are held
+ * @permitted: a load permit is held
+ * @holding: some lease, slot or permit is wanted or held
+ * @accepting: new requests are taken
+ * @changing: the engine was drained for a change that has not ended
+ * @abandoned: the change has sent no order and lost its leases for a lifetime
+ * @in_flight: requests at the engine
+ * @time_left_us: of the leases that are held, the least
+ * @order_timeout_us: longest time that an order takes
+ */
+typedef struct ks_order_view {
+	const ks_order_target_t *target;
+	const ks_engine_state_t *state;
+	bool fresh;
+	bool order_under_way;
+	bool stopping;
+	bool leased;
+	bool permitted;
+	bool holding;
+	bool accepting;
+	bool changing;
+	bool abandoned;
+	unsigned in_flight;
+	int64_t time_left_us;
+	int64_t order_timeout_us;
+} ks_order_view_t;
+
+void ks_order_target_init(ks_order_target_t *target);
+void ks_order_target_deinit(ks_order_target_t *target);
+void ks_order_target_from_snapshot(ks_order_target_t *target,
+				   const ks_snapshot_t *snapshot,
+				   const char *upstream_id);
+bool ks_order_needed(const ks_order_target_t *target,
+		     const ks_engine_state_t *state, ks_order_t *order);
+ks_order_step_t ks_order_next(const ks_order_view_t *view, ks_order_t *order);
+
 /* orders.c: brings an engine to its target state by orders */
 
 typedef struct ks_orders ks_orders_t;
--- /dev/null
+++ b/packages/process/src/orders_plan.c
@@ -0,0 +1,88 @@
+/* Follows the plan, {"number":N,"fence":F,"roles":{"UPSTREAM":"ROLE"}}. */
+#include "orders.h"
+
+#include <jansson.h>
+
+#define PLAN_POLL_US (5 * KS_USEC_PER_SEC)
+#define POLL_JITTER 0.3
+
+/**
+ * ks_orders_apply_role() - put the role of the plan or the snapshot into the
+ * target
+ */
+void ks_orders_apply_role(ks_orders_t *orders)
+{
+	orders->target.role =
+		orders->planned ? orders->plan_role : orders->snapshot_role;
+	ks_orders_schedule(orders, 0);
+}
+
+/* Return: false if the row is damaged; @role is set only if @named. */
+static bool decode_plan(ks_str_t value, const char *upstream_id,
+			uint64_t *number, bool *named, ks_engine_role_t *role)
+{
+	json_t *object =
+		json_loadb(value.data ? value.data : "", value.len, 0, NULL);
+	const char *name;
+	json_int_t parsed;
+	json_t *roles;
+	bool ok;
+
+	ok = object &&
+	     !json_unpack(object, "{s:I,s:o}", "number", &parsed, "roles",
+			  &roles) &&
+	     parsed >= 0 && json_is_object(roles);
+	if (ok) {
+		name = json_string_value(json_object_get(roles, upstream_id));
+		*number = (uint64_t)parsed;
+		*named = name != NULL;
+		ok = !name || ks_engine_role_parse(role, ks_str_from(name));
+	}
+	json_decref(object);
+	return ok;
+}
+
+static void on_plan(void *ctx, ks_store_outcome_t outcome, const ks_row_t *row)
+{
+	ks_orders_t *orders = ctx;
+	ks_engine_role_t role;
+	uint64_t number;
+	bool named;
+
+	if (!ks_orders_end_operation(orders))
+		return;
+	orders->polling_plan = false;
+	ks_timer_set(&orders->plan_timer,
+		     ks_rng_jitter(orders->rng, PLAN_POLL_US, POLL_JITTER));
+	if (outcome != KS_STORE_DONE || !row->etag.len ||
+	    !decode_plan(row->value, orders->upstream_id, &number, &named,
+			 &role))
+		return;
+	/* A stale read never brings an older plan back. */
+	if (number < orders->plan_number)
+		return;
+	orders->plan_number = number;
+	orders->planned = named;
+	orders->plan_role = role;
+	ks_orders_apply_role(orders);
+}
+
+/**
+ * ks_orders_poll_plan() - read the plan of the engine's model
+ */
+void ks_orders_poll_plan(void *ctx)
+{
+	ks_orders_t *orders = ctx;
+	char *key, *part;
+
+	if (orders->polling_plan || !orders->target.known)
+		return;
+	part = g_uri_escape_string(orders->target.model, NULL, FALSE);
+	key = g_strdup_printf("plan/%s", part);
+	orders->polling_plan = true;
+	orders->refs++;
+	orders->store->get(orders->store->impl, ks_str_from(key), on_plan,
+			   orders);
+	g_free(part);
+	g_free(key);
+}
