Check settings completely and test the operators' commands

Every wrong setting is refused with file, line and what was expected; libcyaml names neither the line of an unknown key nor a key that occurs twice, so its schema is compared with the YAML nodes first. An empty file no longer crashes the daemon. Secrets may come from the environment, and each part of the logs may have a level of its own.

--- a/packages/process/include/ks/process.h
+++ b/packages/process/include/ks/process.h
@@ -468,6 +468,22 @@
 	char *tenant;
 } ks_route_settings_t;
 
+/**
+ * struct ks_log_level_settings - levels of single parts; NULL for log_level
+ */
+typedef struct ks_log_level_settings {
+	char *main;
+	char *http;
+	char *link;
+	char *route;
+	char *ledger;
+	char *store;
+	char *config;
+	char *lease;
+	char *order;
+	char *plan;
+} ks_log_level_settings_t;
+
 /**
  * struct ks_settings - settings of a daemon, read from YAML
  *
@@ -484,6 +500,7 @@
 	char *platform;
 	char *platform_token;
 	char *log_level;
+	ks_log_level_settings_t log_levels;
 	bool link_plain;
 	char *link_public_key;
 	char *link_secret_key;
@@ -514,6 +531,7 @@
 bool ks_settings_parse(ks_settings_t **settings, ks_str_t yaml,
 		       const char *file, GError **error);
 void ks_settings_free(ks_settings_t *settings);
+void ks_settings_init_logs(const ks_settings_t *settings);
 
 /* config.c: keeps the snapshot in force up to date */
 
--- a/packages/process/src/settings.c
+++ b/packages/process/src/settings.c
@@ -1,7 +1,7 @@
 /* Settings of a daemon: read from YAML with a schema, then checked. */
-#include "ks/process.h"
+#include "settings_check.h"
 
-#include <cyaml/cyaml.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define MAX_LIST 10000
@@ -48,6 +48,20 @@
 			    route_fields),
 };
 
+static const cyaml_schema_field_t level_fields[] = {
+	STRING(ks_log_level_settings_t, main, CYAML_FLAG_OPTIONAL),
+	STRING(ks_log_level_settings_t, http, CYAML_FLAG_OPTIONAL),
+	STRING(ks_log_level_settings_t, link, CYAML_FLAG_OPTIONAL),
+	STRING(ks_log_level_settings_t, route, CYAML_FLAG_OPTIONAL),
+	STRING(ks_log_level_settings_t, ledger, CYAML_FLAG_OPTIONAL),
+	STRING(ks_log_level_settings_t, store, CYAML_FLAG_OPTIONAL),
+	STRING(ks_log_level_settings_t, config, CYAML_FLAG_OPTIONAL),
+	STRING(ks_log_level_settings_t, lease, CYAML_FLAG_OPTIONAL),
+	STRING(ks_log_level_settings_t, order, CYAML_FLAG_OPTIONAL),
+	STRING(ks_log_level_settings_t, plan, CYAML_FLAG_OPTIONAL),
+	CYAML_FIELD_END,
+};
+
 static const cyaml_schema_field_t settings_fields[] = {
 	STRING(ks_settings_t, role, 0),
 	STRING(ks_settings_t, name, 0),
@@ -59,6 +73,8 @@
 	STRING(ks_settings_t, platform, 0),
 	STRING(ks_settings_t, platform_token, CYAML_FLAG_OPTIONAL),
 	STRING(ks_settings_t, log_level, CYAML_FLAG_OPTIONAL),
+	CYAML_FIELD_MAPPING("log_levels", CYAML_FLAG_OPTIONAL, ks_settings_t,
+			    log_levels, level_fields),
 	CYAML_FIELD_BOOL("link_plain", CYAML_FLAG_OPTIONAL, ks_settings_t,
 			 link_plain),
 	STRING(ks_settings_t, link_public_key, CYAML_FLAG_OPTIONAL),
@@ -107,69 +123,77 @@
 	.flags = CYAML_CFG_DEFAULT,
 };
 
-static void set_default(unsigned *value, unsigned fallback)
+/* A value that is given stays, so that the checks can refuse a zero. */
+static void set_default(ks_settings_document_t *doc, const char *field,
+			unsigned *value, unsigned fallback)
 {
-	if (!*value)
+	if (!ks_settings_document_line(doc, field, -1, NULL))
 		*value = fallback;
 }
 
-static void fill_defaults(ks_settings_t *settings)
+static bool is_given(ks_settings_document_t *doc, const char *list, unsigned i,
+		     const char *field)
+{
+	return ks_settings_document_has(doc, list, (int)i, field);
+}
+
+static void fill_list_defaults(ks_settings_document_t *doc,
+			       ks_settings_t *settings)
 {
-	set_default(&settings->completion_timeout_ms, 60000);
-	set_default(&settings->max_body_kib, 4096);
-	set_default(&settings->max_answer_kib, 16384);
-	set_default(&settings->max_requests, 4096);
-	set_default(&settings->poll_ms, 5000);
-	set_default(&settings->heartbeat_ms, 1000);
-	set_default(&settings->silence_ms, 3000);
-	set_default(&settings->subset, 64);
-	set_default(&settings->lease_ms, 15000);
-	set_default(&settings->role_dwell_ms, 60000);
-	if (settings->role_change_cost <= 0)
-		settings->role_change_cost = 1;
 	for (unsigned i = 0; i < settings->tenants_count; i++)
-		if (settings->tenants[i].weight <= 0)
+		if (!is_given(doc, "tenants", i, "weight"))
 			settings->tenants[i].weight = 1;
 	for (unsigned i = 0; i < settings->routes_count; i++)
-		set_default(&settings->routes[i].timeout_ms, 10000);
+		if (!is_given(doc, "routes", i, "timeout_ms"))
+			settings->routes[i].timeout_ms = 10000;
 }
 
-static bool check_address(const char *file, const char *field, const char *text,
-			  GError **error)
+static void fill_defaults(ks_settings_document_t *doc, ks_settings_t *settings)
 {
-	ks_address_t address;
-	GError *cause = NULL;
+	set_default(doc, "completion_timeout_ms",
+		    &settings->completion_timeout_ms, 60000);
+	set_default(doc, "max_body_kib", &settings->max_body_kib, 4096);
+	set_default(doc, "max_answer_kib", &settings->max_answer_kib, 16384);
+	set_default(doc, "max_requests", &settings->max_requests, 4096);
+	set_default(doc, "poll_ms", &settings->poll_ms, 5000);
+	set_default(doc, "heartbeat_ms", &settings->heartbeat_ms, 1000);
+	set_default(doc, "silence_ms", &settings->silence_ms, 3000);
+	set_default(doc, "subset", &settings->subset, 64);
+	set_default(doc, "lease_ms", &settings->lease_ms, 15000);
+	set_default(doc, "role_dwell_ms", &settings->role_dwell_ms, 60000);
+	if (!ks_settings_document_line(doc, "role_change_cost", -1, NULL))
+		settings->role_change_cost = 1;
+	fill_list_defaults(doc, settings);
+}
 
-	if (ks_address_parse(&address, ks_str_from(text), &cause))
-		return true;
-	ks_error_set(error, KS_ERROR_BAD_REQUEST, "%s: %s: %s", file, field,
-		     cause->message);
-	g_error_free(cause);
-	return false;
+/* The environment wins, so that a file can be shared without its secrets. */
+static void take_secret(char **field, const char *variable)
+{
+	const char *value = g_getenv(variable);
+
+	if (!value || !*value)
+		return;
+	free(*field);
+	*field = strdup(value); /* freed by libcyaml, so not GLib's */
 }
 
-static bool check_settings(const ks_settings_t *settings, const char *file,
-			   GError **error)
+static bool load_data(ks_settings_t **settings, ks_str_t yaml, const char *file,
+		      GError **error)
 {
-	bool is_entry = !strcmp(settings->role, "entry");
+	GString *messages = g_string_new(NULL);
+	cyaml_config_t config = base_config;
+	cyaml_data_t *data = NULL;
+	cyaml_err_t err;
 
-	if (!is_entry && strcmp(settings->role, "upstream")) {
-		ks_error_set(error, KS_ERROR_BAD_REQUEST,
-			     "%s: role: '%s' is neither entry nor upstream",
-			     file, settings->role);
-		return false;
-	}
-	if (!is_entry && (!settings->upstream || !settings->endpoint)) {
-		ks_error_set(
-			error, KS_ERROR_BAD_REQUEST,
-			"%s: role upstream needs 'upstream' and 'endpoint'",
-			file);
-		return false;
-	}
-	return check_address(file, "listen", settings->listen, error) &&
-	       check_address(file, "platform", settings->platform, error) &&
-	       (is_entry ||
-		check_address(file, "endpoint", settings->endpoint, error));
+	config.log_ctx = messages;
+	err = cyaml_load_data((const uint8_t *)yaml.data, yaml.len, &config,
+			      &settings_schema, &data, NULL);
+	if (err != CYAML_OK)
+		ks_error_set(error, KS_ERROR_BAD_REQUEST, "%s: %s\n%s", file,
+			     cyaml_strerror(err), messages->str);
+	g_string_free(messages, TRUE);
+	*settings = data;
+	return err == CYAML_OK;
 }
 
 /**
@@ -183,24 +207,23 @@
 bool ks_settings_parse(ks_settings_t **settings, ks_str_t yaml,
 		       const char *file, GError **error)
 {
-	GString *messages = g_string_new(NULL);
-	cyaml_config_t config = base_config;
-	cyaml_data_t *data = NULL;
-	cyaml_err_t err;
+	ks_settings_document_t doc;
+	bool ok;
 
-	config.log_ctx = messages;
-	err = cyaml_load_data((const uint8_t *)yaml.data, yaml.len, &config,
-			      &settings_schema, &data, NULL);
-	if (err != CYAML_OK) {
-		ks_error_set(error, KS_ERROR_BAD_REQUEST, "%s: %s\n%s", file,
-			     cyaml_strerror(err), messages->str);
-		g_string_free(messages, TRUE);
+	*settings = NULL;
+	if (!ks_settings_document_init(&doc, yaml, file, error))
 		return false;
+	ok = ks_settings_document_fits(&doc, &settings_schema) &&
+	     load_data(settings, yaml, file, error);
+	if (ok) {
+		fill_defaults(&doc, *settings);
+		take_secret(&(*settings)->platform_token, "KS_PLATFORM_TOKEN");
+		take_secret(&(*settings)->link_secret_key,
+			    "KS_LINK_SECRET_KEY");
+		ok = ks_settings_check(&doc, *settings);
 	}
-	g_string_free(messages, TRUE);
-	*settings = data;
-	fill_defaults(*settings);
-	if (check_settings(*settings, file, error))
+	ks_settings_document_deinit(&doc);
+	if (ok)
 		return true;
 	ks_settings_free(*settings);
 	*settings = NULL;
@@ -238,3 +261,35 @@
 	config.log_fn = NULL;
 	cyaml_free(&config, &settings_schema, settings, 0);
 }
+
+static void set_part_level(ks_log_part_t part, const char *text)
+{
+	ks_log_level_t level;
+
+	if (text && ks_log_level_parse(&level, ks_str_from(text)))
+		ks_log_set_part_level(part, level);
+}
+
+/**
+ * ks_settings_init_logs() - start logging with the levels of the settings
+ * @settings: must outlive the logs
+ */
+void ks_settings_init_logs(const ks_settings_t *settings)
+{
+	const ks_log_level_settings_t *levels = &settings->log_levels;
+	ks_log_level_t level = KS_LOG_INFO;
+
+	if (settings->log_level)
+		ks_log_level_parse(&level, ks_str_from(settings->log_level));
+	ks_log_init(settings->name, level);
+	set_part_level(KS_LOG_MAIN, levels->main);
+	set_part_level(KS_LOG_HTTP, levels->http);
+	set_part_level(KS_LOG_LINK, levels->link);
+	set_part_level(KS_LOG_ROUTE, levels->route);
+	set_part_level(KS_LOG_LEDGER, levels->ledger);
+	set_part_level(KS_LOG_STORE, levels->store);
+	set_part_level(KS_LOG_CONFIG, levels->config);
+	set_part_level(KS_LOG_LEASE, levels->lease);
+	set_part_level(KS_LOG_ORDER, levels->order);
+	set_part_level(KS_LOG_PLAN, levels->plan);
+}
--- /dev/null
+++ b/packages/process/src/settings_check.c
@@ -0,0 +1,359 @@
+/* The meaning of settings: ranges, addresses, keys and what fits together. */
+#include "settings_check.h"
+
+#include <string.h>
+
+#define Z85_KEY_LEN 40
+#define SHA256_HEX_LEN 64
+#define MAX_NAME_LEN 63
+#define MAX_WEIGHT 1000.0
+#define MAX_ROLE_CHANGE_COST 1000.0
+#define MAX_PRIORITY 9
+#define HOUR_MS 3600000
+#define DAY_MS 86400000
+
+struct range {
+	const char *name;
+	size_t offset;
+	unsigned min;
+	unsigned max;
+};
+
+#define RANGE(name, min, max)                                  \
+	{                                                      \
+#name, offsetof(ks_settings_t, name), min, max \
+	}
+
+static const struct range ranges[] = {
+	RANGE(completion_timeout_ms, 1, DAY_MS),
+	RANGE(max_body_kib, 1, 1024 * 1024),
+	RANGE(max_answer_kib, 1, 1024 * 1024),
+	RANGE(max_requests, 1, 1000000),
+	RANGE(poll_ms, 10, 60000),
+	RANGE(heartbeat_ms, 10, 60000),
+	RANGE(silence_ms, 20, HOUR_MS),
+	RANGE(drain_delay_ms, 0, HOUR_MS),
+	RANGE(subset, 1, 10000),
+	RANGE(lease_ms, 100, HOUR_MS),
+	RANGE(role_dwell_ms, 1, DAY_MS),
+};
+
+static const char *const methods[] = { "GET", "POST", "PUT", "PATCH",
+				       "DELETE" };
+
+static int line(ks_settings_document_t *doc, const char *field)
+{
+	return MAX(ks_settings_document_line(doc, field, -1, NULL), 1);
+}
+
+/* A field that is not given has its default, which needs no check. */
+static bool check_ranges(ks_settings_document_t *doc,
+			 const ks_settings_t *settings)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(ranges); i++) {
+		const struct range *range = &ranges[i];
+		unsigned value = *(
+			const unsigned *)(const void *)((const char *)settings +
+							range->offset);
+
+		if (ks_settings_document_line(doc, range->name, -1, NULL) &&
+		    (value < range->min || value > range->max))
+			return ks_settings_fail(doc, line(doc, range->name),
+						"%s: expected %u to %u",
+						range->name, range->min,
+						range->max);
+	}
+	return true;
+}
+
+static bool check_address(ks_settings_document_t *doc, const char *field,
+			  const char *text, bool may_be_zero,
+			  ks_address_t *address)
+{
+	if (ks_address_parse(address, ks_str_from(text), NULL) &&
+	    (may_be_zero || address->port))
+		return true;
+	return ks_settings_fail(doc, line(doc, field),
+				"%s: '%s' is no address, expected IP:PORT",
+				field, text);
+}
+
+static bool check_name(ks_settings_document_t *doc, const char *field,
+		       const char *text)
+{
+	size_t len = text ? strlen(text) : 0;
+	bool ok = len <= MAX_NAME_LEN;
+
+	for (size_t i = 0; ok && i < len; i++)
+		ok = g_ascii_isalnum(text[i]) || strchr("._:@+-", text[i]);
+	return ok || ks_settings_fail(doc, line(doc, field),
+				      "%s: expected at most %d letters, "
+				      "digits or ._:@+-",
+				      field, MAX_NAME_LEN);
+}
+
+static bool is_z85_key(const char *text)
+{
+	static const char digits[] = "0123456789abcdefghijklmnopqrstuvwxyz"
+				     "ABCDEFGHIJKLMNOPQRSTUVWXYZ.-:+=^!/*?&<>()"
+				     "[]{}@%$#";
+
+	return strlen(text) == Z85_KEY_LEN &&
+	       strspn(text, digits) == Z85_KEY_LEN;
+}
+
+/* The key itself stays out of the message: it may be the secret one. */
+static bool check_z85(ks_settings_document_t *doc, const char *field,
+		      const char *text, int at)
+{
+	return !text || is_z85_key(text) ||
+	       ks_settings_fail(doc, at,
+				"%s: expected a key of %d characters of Z85",
+				field, Z85_KEY_LEN);
+}
+
+static bool check_hash(ks_settings_document_t *doc, const char *field,
+		       const char *text, int at)
+{
+	ks_digest_t digest;
+
+	return !text || ks_digest_parse(&digest, ks_str_from(text)) ||
+	       ks_settings_fail(doc, at, "%s: expected %d hexadecimal digits",
+				field, SHA256_HEX_LEN);
+}
+
+/* A line break would end the header field that carries the token. */
+static bool check_token(ks_settings_document_t *doc, const char *token)
+{
+	for (size_t i = 0; token && token[i]; i++)
+		if (!g_ascii_isgraph(token[i]))
+			return ks_settings_fail(
+				doc, line(doc, "platform_token"),
+				"platform_token: expected printable "
+				"characters without spaces");
+	return true;
+}
+
+static bool check_level(ks_settings_document_t *doc, const char *field,
+			const char *part, const char *text)
+{
+	int at = ks_settings_document_line(doc, field, -1, part);
+	ks_log_level_t level;
+
+	return !text || ks_log_level_parse(&level, ks_str_from(text)) ||
+	       ks_settings_fail(doc, MAX(at, 1),
+				"%s: expected error, warn, info or debug",
+				part ? part : field);
+}
+
+static bool check_levels(ks_settings_document_t *doc,
+			 const ks_settings_t *settings)
+{
+	const ks_log_level_settings_t *levels = &settings->log_levels;
+
+	return check_level(doc, "log_level", NULL, settings->log_level) &&
+	       check_level(doc, "log_levels", "main", levels->main) &&
+	       check_level(doc, "log_levels", "http", levels->http) &&
+	       check_level(doc, "log_levels", "link", levels->link) &&
+	       check_level(doc, "log_levels", "route", levels->route) &&
+	       check_level(doc, "log_levels", "ledger", levels->ledger) &&
+	       check_level(doc, "log_levels", "store", levels->store) &&
+	       check_level(doc, "log_levels", "config", levels->config) &&
+	       check_level(doc, "log_levels", "lease", levels->lease) &&
+	       check_level(doc, "log_levels", "order", levels->order) &&
+	       check_level(doc, "log_levels", "plan", levels->plan);
+}
+
+static bool check_key_formats(ks_settings_document_t *doc,
+			      const ks_settings_t *settings)
+{
+	for (unsigned i = 0; i < settings->link_allowed_keys_count; i++)
+		if (!check_z85(doc, "link_allowed_keys",
+			       settings->link_allowed_keys[i],
+			       ks_settings_document_line(
+				       doc, "link_allowed_keys", (int)i, NULL)))
+			return false;
+	return check_z85(doc, "link_public_key", settings->link_public_key,
+			 line(doc, "link_public_key")) &&
+	       check_z85(doc, "link_secret_key", settings->link_secret_key,
+			 line(doc, "link_secret_key")) &&
+	       check_z85(doc, "link_server_key", settings->link_server_key,
+			 line(doc, "link_server_key"));
+}
+
+static bool need(ks_settings_document_t *doc, const char *field, bool is_given)
+{
+	return is_given ||
+	       ks_settings_fail(doc, 1,
+				"expected '%s', or link_plain: true on "
+				"loopback",
+				field);
+}
+
+static bool check_link(ks_settings_document_t *doc,
+		       const ks_settings_t *settings, bool is_entry,
+		       const ks_address_t *listen)
+{
+	if (settings->link_plain)
+		return ks_address_is_loopback(listen) ||
+		       ks_settings_fail(doc, line(doc, "link_plain"),
+					"link_plain: allowed only when "
+					"'listen' is a loopback address");
+	return need(doc, "link_public_key", settings->link_public_key) &&
+	       need(doc, "link_secret_key", settings->link_secret_key) &&
+	       (is_entry ? need(doc, "link_server_key",
+				settings->link_server_key)
+			 : need(doc, "link_allowed_keys",
+				settings->link_allowed_keys_count > 0));
+}
+
+static bool check_tenant(ks_settings_document_t *doc,
+			 const ks_settings_t *settings, unsigned i)
+{
+	const ks_tenant_settings_t *tenant = &settings->tenants[i];
+	int at = ks_settings_document_line(doc, "tenants", (int)i, NULL);
+
+	for (unsigned j = 0; j < i; j++)
+		if (!strcmp(settings->tenants[j].name, tenant->name))
+			return ks_settings_fail(doc, at,
+						"tenant '%s' occurs twice",
+						tenant->name);
+	if (!check_name(doc, "tenants", tenant->name))
+		return false;
+	if (!(tenant->weight > 0) || tenant->weight > MAX_WEIGHT)
+		return ks_settings_fail(doc, at,
+					"weight: expected more than 0, up to "
+					"%g",
+					MAX_WEIGHT);
+	if (tenant->priority > MAX_PRIORITY)
+		return ks_settings_fail(doc, at, "priority: expected 0 to %d",
+					MAX_PRIORITY);
+	return check_hash(doc, "key_sha256", tenant->key_sha256, at);
+}
+
+static bool has_tenant(const ks_settings_t *settings, const char *name)
+{
+	for (unsigned i = 0; i < settings->tenants_count; i++)
+		if (!strcmp(settings->tenants[i].name, name))
+			return true;
+	return false;
+}
+
+static bool is_method(const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(methods); i++)
+		if (!strcmp(methods[i], name))
+			return true;
+	return false;
+}
+
+static bool check_route(ks_settings_document_t *doc,
+			const ks_settings_t *settings, unsigned i)
+{
+	const ks_route_settings_t *route = &settings->routes[i];
+	int at = ks_settings_document_line(doc, "routes", (int)i, NULL);
+
+	for (unsigned j = 0; j < i; j++)
+		if (!strcmp(settings->routes[j].path, route->path) &&
+		    !g_strcmp0(settings->routes[j].method, route->method))
+			return ks_settings_fail(doc, at,
+						"route '%s' occurs twice",
+						route->path);
+	if (route->path[0] != '/')
+		return ks_settings_fail(doc, at,
+					"path: expected a path that starts "
+					"with '/'");
+	if (route->method && !is_method(route->method))
+		return ks_settings_fail(doc, at,
+					"method: expected GET, POST, PUT, "
+					"PATCH or DELETE");
+	if (route->timeout_ms < 1 || route->timeout_ms > DAY_MS)
+		return ks_settings_fail(doc, at, "timeout_ms: expected 1 to %d",
+					DAY_MS);
+	if (route->priority > MAX_PRIORITY)
+		return ks_settings_fail(doc, at, "priority: expected 0 to %d",
+					MAX_PRIORITY);
+	if (route->tenant && !has_tenant(settings, route->tenant))
+		return ks_settings_fail(doc, at,
+					"tenant: '%s' is not among 'tenants'",
+					route->tenant);
+	return true;
+}
+
+static bool check_lists(ks_settings_document_t *doc,
+			const ks_settings_t *settings)
+{
+	for (unsigned i = 0; i < settings->tenants_count; i++)
+		if (!check_tenant(doc, settings, i))
+			return false;
+	for (unsigned i = 0; i < settings->routes_count; i++)
+		if (!check_route(doc, settings, i))
+			return false;
+	return true;
+}
+
+static bool check_role(ks_settings_document_t *doc,
+		       const ks_settings_t *settings, bool is_entry)
+{
+	ks_address_t endpoint;
+
+	if (!is_entry && strcmp(settings->role, "upstream"))
+		return ks_settings_fail(doc, line(doc, "role"),
+					"role: expected entry or upstream");
+	if (is_entry)
+		return true;
+	if (!settings->upstream || !settings->endpoint)
+		return ks_settings_fail(doc, line(doc, "role"),
+					"role upstream: expected 'upstream' "
+					"and 'endpoint'");
+	return check_address(doc, "endpoint", settings->endpoint, false,
+			     &endpoint);
+}
+
+static bool check_times(ks_settings_document_t *doc,
+			const ks_settings_t *settings)
+{
+	if (settings->silence_ms < 2 * settings->heartbeat_ms)
+		return ks_settings_fail(doc, line(doc, "silence_ms"),
+					"silence_ms: expected at least twice "
+					"heartbeat_ms, so that one lost "
+					"heartbeat does not break a link");
+	if (!(settings->role_change_cost > 0) ||
+	    settings->role_change_cost > MAX_ROLE_CHANGE_COST)
+		return ks_settings_fail(doc, line(doc, "role_change_cost"),
+					"role_change_cost: expected more than "
+					"0, up to %g",
+					MAX_ROLE_CHANGE_COST);
+	return true;
+}
+
+/**
+ * ks_settings_check() - check what the settings say
+ * @settings: with defaults filled in and secrets from the environment
+ *
+ * Return: false, with an error that names file, line and what was expected.
+ */
+bool ks_settings_check(ks_settings_document_t *doc,
+		       const ks_settings_t *settings)
+{
+	bool is_entry = !strcmp(settings->role, "entry");
+	ks_address_t listen, platform;
+
+	return check_role(doc, settings, is_entry) &&
+	       check_name(doc, "name", settings->name) &&
+	       check_name(doc, "domain", settings->domain) &&
+	       check_name(doc, "host", settings->host) &&
+	       check_name(doc, "upstream", settings->upstream) &&
+	       check_address(doc, "listen", settings->listen, true, &listen) &&
+	       check_address(doc, "platform", settings->platform, false,
+			     &platform) &&
+	       check_ranges(doc, settings) && check_times(doc, settings) &&
+	       check_levels(doc, settings) &&
+	       check_token(doc, settings->platform_token) &&
+	       check_key_formats(doc, settings) &&
+	       check_link(doc, settings, is_entry, &listen) &&
+	       check_hash(doc, "operator_token_sha256",
+			  settings->operator_token_sha256,
+			  line(doc, "operator_token_sha256")) &&
+	       check_lists(doc, settings);
+}
--- a/packages/process/tests/prop-publish.cpp
+++ b/packages/process/tests/prop-publish.cpp
@@ -75,9 +75,9 @@
 
 	op->release = make_note(service, 0);
 	op->publisher.bytes[0] = (uint8_t)(index + 1);
-	op->publish = ks_publish_new(&world->loop, &world->memory.store,
-				     &world->rng, op->release, &op->publisher,
-				     on_result, op);
+	op->publish =
+		ks_publish_new(&world->loop, &world->memory.store, &world->rng,
+			       op->release, &op->publisher, on_result, op);
 }
 
 /* Lets time pass until both have their answer and nothing is on its way. */
@@ -98,9 +98,8 @@
 
 std::string winner_in_store(const World *world)
 {
-	const fake_row_t *head =
-		fake_tables_get(&world->memory.tables,
-				ks_str_from(KS_RELEASE_HEAD_KEY));
+	const fake_row_t *head = fake_tables_get(
+		&world->memory.tables, ks_str_from(KS_RELEASE_HEAD_KEY));
 	ks_release_record_t record;
 	std::string service = "none";
 
@@ -113,8 +112,8 @@
 
 	/* The winner's object must be the one that the head names. */
 	char *name = ks_release_object_name(1, &record.digest);
-	const fake_row_t *object = fake_tables_get_object(
-		&world->memory.tables, ks_str_from(name));
+	const fake_row_t *object = fake_tables_get_object(&world->memory.tables,
+							  ks_str_from(name));
 	ks_digest_t digest;
 
 	g_free(name);
@@ -209,8 +208,8 @@
 				  0 };
 		for (int i = 0; i < 100; i++)
 			world->faults.drawn.push_back(
-				loses ? MEMORY_FAULT_LOSE_ANSWER :
-					MEMORY_FAULT_DOWN);
+				loses ? MEMORY_FAULT_LOSE_ANSWER
+				      : MEMORY_FAULT_DOWN);
 		world->memory.fault = next_fault;
 		world->memory.fault_ctx = &world->faults;
 		start(world, 0, "a");
--- /dev/null
+++ b/packages/process/tests/test-cli.c
@@ -0,0 +1,154 @@
+/* Tests of the operators' commands that ask entries. */
+#include "../src/cli.h"
+#include "fake_platform.h"
+
+#include <signal.h>
+
+static fake_platform_t platform;
+static ks_http_server_t entry;
+static ks_cli_t cli;
+
+/* What the entry answers, and how often it was asked. */
+static unsigned n_asked;
+static unsigned behind_until;
+static bool is_ready;
+static const char *last_token;
+
+static void handle_status(void *ctx G_GNUC_UNUSED, struct st_h2o_req_t *req)
+{
+	ks_str_t token = ks_http_req_header(req, "authorization");
+	int version = ++n_asked > behind_until ? 1 : 0;
+	char *body = g_strdup_printf(
+		"{\"version\":1,\"links\":[{\"upstream\":\"s0\",\"state\":"
+		"\"%s\",\"version\":%d,\"in_flight\":3}]}",
+		is_ready ? "ready" : "changing", version);
+
+	last_token = ks_str_equal(token, KS_STR("Bearer op")) ? "op" : "other";
+	ks_http_reply(req, 200, "application/json", ks_str_from(body));
+	g_free(body);
+}
+
+static void publish_first(void)
+{
+	ks_str_t yaml = KS_STR("base: 0\nupstreams: {add: [{id: s0, process: "
+			       "'127.0.0.1:1', endpoint: '127.0.0.1:1', host: "
+			       "h, domain: d, service: s, limit: 1}]}\n");
+	ks_release_t *release = ks_release_parse(yaml, "n", NULL);
+	ks_snapshot_t *empty = ks_snapshot_new_empty();
+	ks_snapshot_t *first = ks_release_apply(release, empty, NULL);
+	ks_release_record_t record = { .version = 1, .digest = first->digest };
+	char *value = ks_release_record_format(&record);
+	char *name = ks_release_object_name(1, &first->digest);
+	ks_store_write_t writes[] = {
+		{ .key = KS_STR("release/1"), .value = ks_str_from(value) },
+		{ .key = KS_STR(KS_RELEASE_HEAD_KEY),
+		  .value = ks_str_from(value) },
+	};
+
+	g_assert_cmpint(fake_tables_transact(&platform.tables, writes, 2), ==,
+			-1);
+	fake_tables_put_object(&platform.tables, ks_str_from(name),
+			       (ks_str_t){ first->body, first->body_len });
+	g_free(name);
+	g_free(value);
+	ks_snapshot_unref(first);
+	ks_snapshot_unref(empty);
+	ks_release_free(release);
+}
+
+static void reset(unsigned behind)
+{
+	n_asked = 0;
+	behind_until = behind;
+	is_ready = true;
+	cli.wait = true;
+	cli.timeout_us = 60 * KS_USEC_PER_SEC;
+}
+
+/* Guards against a wait that ends before every process has the version. */
+static void test_release_status_waits_for_the_last_process(void)
+{
+	reset(1);
+	g_assert_cmpint(ks_cli_release_status(&cli), ==, KS_EXIT_DONE);
+	g_assert_cmpuint(n_asked, ==, 2);
+	g_assert_cmpstr(last_token, ==, "op");
+}
+
+/* Guards against a wait for work that goes on after the version is in force. */
+static void test_release_status_does_not_wait_for_changes(void)
+{
+	reset(0);
+	is_ready = false;
+	g_assert_cmpint(ks_cli_release_status(&cli), ==, KS_EXIT_DONE);
+	g_assert_cmpuint(n_asked, ==, 1);
+}
+
+/* Guards against success reported for a version that is not in force. */
+static void test_release_status_times_out(void)
+{
+	reset(1000);
+	cli.timeout_us = 1;
+	g_assert_cmpint(ks_cli_release_status(&cli), ==, KS_EXIT_FAILED);
+}
+
+/* Guards against a status that fails although every entry answered. */
+static void test_fleet_status(void)
+{
+	reset(0);
+	g_assert_cmpint(ks_cli_fleet_status(&cli), ==, KS_EXIT_DONE);
+	g_assert_cmpuint(n_asked, ==, 1);
+}
+
+static int compare_keys(const void *a, const void *b, void *ctx G_GNUC_UNUSED)
+{
+	return g_strcmp0(a, b);
+}
+
+static void start(ks_address_t *entry_address)
+{
+	ks_address_t address = { "127.0.0.1", 0 };
+	GError *error = NULL;
+
+	fake_tables_init(&platform.tables);
+	platform.prefixes = g_tree_new_full(compare_keys, NULL, g_free, g_free);
+	ks_loop_init(&cli.loop, ks_clock_monotonic());
+	platform.loop = cli.loop;
+	ks_http_server_init(&platform.server, &cli.loop, &address, 1 << 20,
+			    fake_platform_handle, &platform, &error);
+	g_assert_no_error(error);
+	ks_http_server_init(&entry, &cli.loop, entry_address, 1 << 20,
+			    handle_status, NULL, &error);
+	g_assert_no_error(error);
+	entry_address->port = ks_http_server_port(&entry);
+	address.port = ks_http_server_port(&platform.server);
+	ks_http_client_init(&cli.client, &cli.loop);
+	ks_store_http_init(&cli.store, &cli.client, &address, NULL);
+	cli.has_platform = true;
+	cli.entries = entry_address;
+	cli.n_entries = 1;
+	cli.operator_token = g_strdup("op");
+}
+
+int main(int argc, char **argv)
+{
+	ks_address_t entry_address = { "127.0.0.1", 0 };
+	int status;
+
+	signal(SIGPIPE, SIG_IGN);
+	g_test_init(&argc, &argv, NULL);
+	start(&entry_address);
+	publish_first();
+	g_test_add_func("/cli/release-status-waits-for-the-last-process",
+			test_release_status_waits_for_the_last_process);
+	g_test_add_func("/cli/release-status-does-not-wait-for-changes",
+			test_release_status_does_not_wait_for_changes);
+	g_test_add_func("/cli/release-status-times-out",
+			test_release_status_times_out);
+	g_test_add_func("/cli/fleet-status", test_fleet_status);
+	status = g_test_run();
+	ks_store_http_deinit(&cli.store);
+	g_free(cli.operator_token);
+	g_tree_destroy(platform.prefixes);
+	fake_tables_deinit(&platform.tables);
+	return status;
+}
--- a/packages/process/tests/test-config.c
+++ b/packages/process/tests/test-config.c
@@ -35,9 +35,9 @@
 	*fixture = (struct fixture){ 0 };
 	memory_store_init(&fixture->memory, &test_clock.clock);
 	ks_rng_init(&fixture->rng, 11);
-	fixture->config = ks_config_new(&loop, &fixture->memory.store,
-					&fixture->rng, POLL_US, on_applied,
-					fixture);
+	fixture->config =
+		ks_config_new(&loop, &fixture->memory.store, &fixture->rng,
+			      POLL_US, on_applied, fixture);
 }
 
 static void teardown(struct fixture *fixture)
@@ -70,8 +70,7 @@
 			i, i, 1000 + i);
 		ks_release_t *release =
 			ks_release_parse(ks_str_from(yaml), "n", NULL);
-		ks_snapshot_t *next =
-			ks_release_apply(release, snapshot, NULL);
+		ks_snapshot_t *next = ks_release_apply(release, snapshot, NULL);
 
 		g_assert_nonnull(next);
 		ks_snapshot_unref(snapshot);
@@ -104,8 +103,8 @@
 static void put_object(struct fixture *fixture, const ks_snapshot_t *snapshot,
 		       ks_str_t body)
 {
-	char *name = ks_release_object_name(snapshot->version,
-					    &snapshot->digest);
+	char *name =
+		ks_release_object_name(snapshot->version, &snapshot->digest);
 
 	fake_tables_put_object(&fixture->memory.tables, ks_str_from(name),
 			       body);
--- a/packages/process/tests/test-store-http.c
+++ b/packages/process/tests/test-store-http.c
@@ -363,11 +363,10 @@
 	fake_tables_init(&platform.tables);
 	platform.hosts = g_ptr_array_new_with_free_func(g_free);
 	platform.leaving = g_ptr_array_new_with_free_func(g_free);
-	platform.prefixes =
-		g_tree_new_full(compare_keys, NULL, g_free, g_free);
+	platform.prefixes = g_tree_new_full(compare_keys, NULL, g_free, g_free);
 	ks_loop_init(&platform.loop, ks_clock_monotonic());
-	ks_http_server_init(&platform.server, &platform.loop, &address,
-			    1 << 20, fake_platform_handle, &platform, &error);
+	ks_http_server_init(&platform.server, &platform.loop, &address, 1 << 20,
+			    fake_platform_handle, &platform, &error);
 	g_assert_no_error(error);
 	address.port = ks_http_server_port(&platform.server);
 	ks_http_client_init(&client, &platform.loop);
--- a/packages/process/tests/test-write-budget.c
+++ b/packages/process/tests/test-write-budget.c
@@ -21,9 +21,8 @@
 	memory_store_init(&fixture->memory, &test_clock.clock);
 	ks_rng_init(&fixture->rng, 3);
 	fixture->order = g_string_new(NULL);
-	fixture->budget =
-		ks_write_budget_new(&loop, &fixture->memory.store,
-				    &fixture->rng, per_s, burst);
+	fixture->budget = ks_write_budget_new(&loop, &fixture->memory.store,
+					      &fixture->rng, per_s, burst);
 }
 
 static void teardown(struct fixture *fixture)
--- a/packages/version/src/snapshot_parse.c
+++ b/packages/version/src/snapshot_parse.c
@@ -20,8 +20,8 @@
 	ks_model_t *model;
 	size_t i;
 
-	if (json_unpack(item, "{s:s, s:s, s:O !}", "name", &name, "version", &version,
-			"adapters", &adapters))
+	if (json_unpack(item, "{s:s, s:s, s:O !}", "name", &name, "version",
+			&version, "adapters", &adapters))
 		return NULL;
 	if (!ks_name_is_valid(name) || !ks_name_is_valid(version)) {
 		json_decref(adapters);
@@ -186,8 +186,9 @@
 	json_int_t version;
 	int format;
 
-	if (json_unpack(root, "{s:i, s:I, s:o, s:o !}", "format", &format, "version",
-			&version, "models", &models, "upstreams", &upstreams) ||
+	if (json_unpack(root, "{s:i, s:I, s:o, s:o !}", "format", &format,
+			"version", &version, "models", &models, "upstreams",
+			&upstreams) ||
 	    format != KS_SNAPSHOT_FORMAT || version < 0 ||
 	    version > MAX_VERSION) {
 		refuse(error, "wrong fields, format or version");
--- a/packages/version/tests/prop-spread.cpp
+++ b/packages/version/tests/prop-spread.cpp
@@ -12,7 +12,7 @@
 /* Snapshots 1 to N, each built on the one before. */
 class Versions
 {
-public:
+      public:
 	explicit Versions(int count)
 	{
 		ks_snapshot_t *last = ks_snapshot_new_empty();
@@ -54,7 +54,7 @@
 		return all_.at(version - 1);
 	}
 
-private:
+      private:
 	std::vector<ks_snapshot_t *> all_;
 };
 
@@ -145,8 +145,8 @@
 			int damage = *rc::gen::inRange(0, (int)N_DAMAGES);
 			uint32_t where = *rc::gen::arbitrary<uint32_t>();
 			uint64_t before = ks_spread_version(&spread);
-			Offer offer = make_offer(versions, version, damage,
-						 where);
+			Offer offer =
+				make_offer(versions, version, damage, where);
 			ks_spread_result_t result = ks_spread_offer(
 				&spread, offer.version,
 				{ offer.digest.data(), offer.digest.size() },
--- a/packages/version/tests/test-release.c
+++ b/packages/version/tests/test-release.c
@@ -3,21 +3,21 @@
 
 #include <string.h>
 
-#define ENGINE                                                              \
-	"{id: e1, process: '127.0.0.1:7001', endpoint: '127.0.0.1:8001', "  \
+#define ENGINE                                                             \
+	"{id: e1, process: '127.0.0.1:7001', endpoint: '127.0.0.1:8001', " \
 	"host: h1, domain: a, model: m, limit: 32}"
-#define SERVICE                                                             \
-	"{id: s1, process: '127.0.0.1:7002', endpoint: '127.0.0.1:8002', "  \
+#define SERVICE                                                            \
+	"{id: s1, process: '127.0.0.1:7002', endpoint: '127.0.0.1:8002', " \
 	"host: h2, domain: b, service: shop, limit: 8}"
-#define FIRST                                      \
-	"base: 0\n"                                \
-	"note: first\n"                            \
-	"models:\n"                                \
-	"  add:\n"                                 \
+#define FIRST                                           \
+	"base: 0\n"                                     \
+	"note: first\n"                                 \
+	"models:\n"                                     \
+	"  add:\n"                                      \
 	"    - {name: m, version: v1, adapters: [x]}\n" \
-	"upstreams:\n"                             \
-	"  add:\n"                                 \
-	"    - " ENGINE "\n"                       \
+	"upstreams:\n"                                  \
+	"  add:\n"                                      \
+	"    - " ENGINE "\n"                            \
 	"    - " SERVICE "\n"
 
 /* Return: the next snapshot, or NULL with @error. */
@@ -107,8 +107,8 @@
 	GError *error = NULL;
 
 	g_assert_cmpuint(g_string_replace(body, from, to, 1), ==, 1);
-	snapshot = ks_snapshot_parse((ks_str_t){ body->str, body->len },
-				     &error);
+	snapshot =
+		ks_snapshot_parse((ks_str_t){ body->str, body->len }, &error);
 	if (snapshot)
 		g_error("accepted with '%s' as '%s'", from, to);
 	g_assert_cmpint(ks_error_kind(error), ==, KS_ERROR_BAD_REQUEST);
@@ -245,19 +245,19 @@
 	{ "base: 1\nbase: 1\n", "note.yaml:2:", "occurs twice" },
 	{ "base: 1\nnote: ''\n", "note.yaml:2:", "expected a text" },
 	{ "base: 1\nservices: {}\n", "note.yaml:2:", "unknown key 'services'" },
-	{ "base: 1\nmodels: {drop: []}\n", "note.yaml:2:",
-	  "unknown key 'drop'" },
+	{ "base: 1\nmodels: {drop: []}\n",
+	  "note.yaml:2:", "unknown key 'drop'" },
 	{ "base: 1\nmodels: {add: m}\n", "note.yaml:2:", "expected a list" },
-	{ "base: 1\nmodels: {add: [{version: v}]}\n", "note.yaml:2:",
-	  "needs 'name'" },
-	{ "base: 1\nmodels: {add: [{name: n}]}\n", "note.yaml:2:",
-	  "needs 'version'" },
-	{ "base: 1\nmodels: {add: [{name: m, version: v}]}\n", "note.yaml:2:",
-	  "exists already" },
+	{ "base: 1\nmodels: {add: [{version: v}]}\n",
+	  "note.yaml:2:", "needs 'name'" },
+	{ "base: 1\nmodels: {add: [{name: n}]}\n",
+	  "note.yaml:2:", "needs 'version'" },
+	{ "base: 1\nmodels: {add: [{name: m, version: v}]}\n",
+	  "note.yaml:2:", "exists already" },
 	{ "base: 1\nmodels: {change: [{name: n, version: v}]}\n",
 	  "note.yaml:2:", "there is no model 'n'" },
-	{ "base: 1\nmodels: {withdraw: [n]}\n", "note.yaml:2:",
-	  "there is no model 'n'" },
+	{ "base: 1\nmodels: {withdraw: [n]}\n",
+	  "note.yaml:2:", "there is no model 'n'" },
 	{ "base: 1\nmodels: {change: [{name: m, adapters: {remove: [q]}}]}\n",
 	  "note.yaml:2:", "has no adapter 'q'" },
 	{ "base: 1\nmodels: {change: [{name: m, adapters: {add: [x]}}]}\n",
@@ -269,10 +269,10 @@
 	  "note.yaml:5:", "named twice, first in line 4" },
 	{ "base: 1\nmodels: {change: [{name: m, version: 'a b'}]}\n",
 	  "note.yaml:2:", "letters, digits" },
-	{ "base: 1\nupstreams: {add: [{id: e2}]}\n", "note.yaml:2:",
-	  "needs 'process'" },
-	{ "base: 1\nupstreams: {add: [" ENGINE "]}\n", "note.yaml:2:",
-	  "exists already" },
+	{ "base: 1\nupstreams: {add: [{id: e2}]}\n",
+	  "note.yaml:2:", "needs 'process'" },
+	{ "base: 1\nupstreams: {add: [" ENGINE "]}\n",
+	  "note.yaml:2:", "exists already" },
 	{ "base: 1\nupstreams: {change: [{id: e9, limit: 1}]}\n",
 	  "note.yaml:2:", "there is no upstream 'e9'" },
 	{ "base: 1\nupstreams: {change: [{id: e1, limit: 0}]}\n",
--- a/tests/fakes/memory_store.c
+++ b/tests/fakes/memory_store.c
@@ -255,16 +255,16 @@
 /* Copies keep what a callback reads valid while it makes further calls. */
 static ks_row_t copy_row(const char *key, const fake_row_t *row, bool stale)
 {
-	const GString *value = row ? (stale ? row->old_value : row->value) :
-				     NULL;
+	const GString *value =
+		row ? (stale ? row->old_value : row->value) : NULL;
 	const char *etag = row ? (stale ? row->old_etag : row->etag) : "";
 
 	return (ks_row_t){
 		.key = copy_str(ks_str_from(key)),
 		.etag = copy_str(ks_str_from(etag)),
-		.value = value && *etag ?
-				 copy_str((ks_str_t){ value->str, value->len }) :
-				 (ks_str_t){ NULL, 0 },
+		.value = value && *etag ? copy_str((ks_str_t){ value->str,
+							       value->len })
+					: (ks_str_t){ NULL, 0 },
 	};
 }
 
@@ -281,8 +281,8 @@
 static ks_row_t *rows_of_list(const memory_store_t *memory,
 			      const struct call *call, size_t *n_rows)
 {
-	GPtrArray *found = fake_tables_list(&memory->tables,
-					    ks_str_from(call->key));
+	GPtrArray *found =
+		fake_tables_list(&memory->tables, ks_str_from(call->key));
 	ks_row_t *rows = g_new0(ks_row_t, found->len + 1);
 
 	*n_rows = found->len;
@@ -302,10 +302,10 @@
 
 	*n_rows = call->n_writes;
 	for (size_t i = 0; i < call->n_writes; i++)
-		rows[i] = copy_row(call->writes[i].key.data,
-				   fake_tables_get(&memory->tables,
-						   call->writes[i].key),
-				   false);
+		rows[i] = copy_row(
+			call->writes[i].key.data,
+			fake_tables_get(&memory->tables, call->writes[i].key),
+			false);
 	return rows;
 }
 
@@ -314,9 +314,9 @@
 {
 	ks_str_t key = ks_str_from(call->key);
 	const fake_row_t *row =
-		call->kind == CALL_GET ?
-			fake_tables_get(&memory->tables, key) :
-			fake_tables_get_object(&memory->tables, key);
+		call->kind == CALL_GET
+			? fake_tables_get(&memory->tables, key)
+			: fake_tables_get_object(&memory->tables, key);
 	ks_row_t *rows = g_new0(ks_row_t, 1);
 
 	*n_rows = 1;
@@ -328,11 +328,11 @@
 static void answer_done(const memory_store_t *memory, const struct call *call)
 {
 	size_t n_rows;
-	ks_row_t *rows = call->kind == CALL_LIST ?
-				 rows_of_list(memory, call, &n_rows) :
-			 call->kind == CALL_WRITE ?
-				 rows_of_writes(memory, call, &n_rows) :
-				 rows_of_one(memory, call, &n_rows);
+	ks_row_t *rows = call->kind == CALL_LIST
+				 ? rows_of_list(memory, call, &n_rows)
+			 : call->kind == CALL_WRITE
+				 ? rows_of_writes(memory, call, &n_rows)
+				 : rows_of_one(memory, call, &n_rows);
 
 	if (call->rows_func)
 		call->rows_func(call->ctx, KS_STORE_DONE, rows, n_rows, -1);
@@ -344,8 +344,8 @@
 static void answer_unknown(const struct call *call)
 {
 	answer_failure(call,
-		       is_read(call->kind) ? KS_STORE_UNREACHABLE :
-					     KS_STORE_UNKNOWN,
+		       is_read(call->kind) ? KS_STORE_UNREACHABLE
+					   : KS_STORE_UNKNOWN,
 		       -1);
 }
 
@@ -423,9 +423,8 @@
  */
 bool memory_store_next_due(const memory_store_t *memory, int64_t *due_us)
 {
-	const struct call *call = memory->calls.head ?
-					  memory->calls.head->data :
-					  NULL;
+	const struct call *call =
+		memory->calls.head ? memory->calls.head->data : NULL;
 
 	if (call)
 		*due_us = call->due_us;
