--- a/packages/process/src/publish.c
+++ b/packages/process/src/publish.c
@@ -76,14 +76,16 @@
 static void finish(ks_publish_t *publish, ks_error_kind_t kind,
 		   const char *message, const char *difference)
 {
+	const ks_snapshot_t *target = publish->target;
 	ks_publish_result_t result = {
 		.kind = kind,
-		.version = kind == KS_ERROR_NONE ? publish->target->version
-						 : publish->head_version,
+		.version = publish->head_version,
 		.message = message,
 		.difference = difference,
 	};
 
+	if (kind == KS_ERROR_NONE && target)
+		result.version = target->version;
 	publish->func(publish->ctx, &result);
 }
 
--- a/packages/process/src/settings_document.c
+++ b/packages/process/src/settings_document.c
@@ -11,7 +11,7 @@
 
 static int line_of(const yaml_node_t *node)
 {
-	return (int)node->start_mark.line + 1;
+	return node ? (int)node->start_mark.line + 1 : 1;
 }
 
 /**
--- a/packages/process/tests/test-config.c
+++ b/packages/process/tests/test-config.c
@@ -26,8 +26,10 @@
 	g_assert_cmpuint(snapshot->version, >, fixture->last);
 	fixture->last = snapshot->version;
 	fixture->n_applied++;
-	if (fixture->free_in_callback)
-		g_clear_pointer(&fixture->config, ks_config_free);
+	if (!fixture->free_in_callback)
+		return;
+	ks_config_free(fixture->config);
+	fixture->config = NULL;
 }
 
 static void setup(struct fixture *fixture)
--- a/packages/process/tests/test-write-budget.c
+++ b/packages/process/tests/test-write-budget.c
@@ -45,7 +45,8 @@
 	if (!fixture->free_in_callback)
 		return;
 	fixture->free_in_callback = false;
-	g_clear_pointer(&fixture->budget, ks_write_budget_free);
+	ks_write_budget_free(fixture->budget);
+	fixture->budget = NULL;
 }
 
 static void put(struct fixture *fixture, ks_write_priority_t priority,
--- a/packages/version/src/release_yaml.c
+++ b/packages/version/src/release_yaml.c
@@ -352,7 +352,7 @@
 {
 	ks_release_t *release = reader->release;
 	bool is_model = !strcmp(key, "models");
-	int64_t base;
+	int64_t base = 0;
 
 	if (!strcmp(key, "base")) {
 		if (!read_int(reader, key, value, 0, MAX_NOTE_BASE, &base))
--- a/tests/fakes/fake_platform_control.c
+++ b/tests/fakes/fake_platform_control.c
@@ -21,18 +21,17 @@
 	const char *slash = key.len ? memchr(key.data, '/', key.len) : NULL;
 	size_t len = slash ? (size_t)(slash - key.data) : key.len;
 	char *prefix = ks_str_dup((ks_str_t){ key.data, len });
-	struct prefix_count *count = g_tree_lookup(platform->prefixes, prefix);
+	struct prefix_count *count;
 
 	platform->reads += reads;
 	platform->writes += writes;
-	if (count) {
-		g_free(prefix);
-	} else {
-		count = g_new0(struct prefix_count, 1);
-		g_tree_insert(platform->prefixes, prefix, count);
-	}
+	if (!g_tree_lookup(platform->prefixes, prefix))
+		g_tree_insert(platform->prefixes, g_strdup(prefix),
+			      g_new0(struct prefix_count, 1));
+	count = g_tree_lookup(platform->prefixes, prefix);
 	count->reads += reads;
 	count->writes += writes;
+	g_free(prefix);
 }
 
 static void reply_json(h2o_req_t *req, int status, json_t *root)
--- a/tests/fakes/fake_platform_store.c
+++ b/tests/fakes/fake_platform_store.c
@@ -112,7 +112,9 @@
 	char *plain = g_uri_unescape_string(copy, NULL);
 
 	g_free(copy);
-	return plain ? plain : g_strdup("");
+	if (!plain)
+		return g_strdup("");
+	return plain;
 }
 
 static bool loses_answer(fake_platform_t *platform, ks_str_t key)
