--- a/packages/process/tests/test-settings.c
+++ b/packages/process/tests/test-settings.c
@@ -216,6 +216,24 @@
 	g_error_free(error);
 }
 
+/* Guards against examples in the documentation that are refused. */
+static void test_settings_examples_are_valid(void)
+{
+	static const char *const files[] = { "docs/examples/entry.yaml",
+					     "docs/examples/upstream.yaml" };
+
+	g_setenv("KS_LINK_SECRET_KEY", KEY, TRUE);
+	for (size_t i = 0; i < G_N_ELEMENTS(files); i++) {
+		ks_settings_t *settings = NULL;
+		GError *error = NULL;
+
+		ks_settings_load(&settings, files[i], &error);
+		g_assert_no_error(error);
+		ks_settings_free(settings);
+	}
+	g_unsetenv("KS_LINK_SECRET_KEY");
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -231,5 +249,7 @@
 			test_settings_refuse_what_is_wrong);
 	g_test_add_func("/settings/errors-hide-secrets",
 			test_settings_errors_hide_secrets);
+	g_test_add_func("/settings/examples-are-valid",
+			test_settings_examples_are_valid);
 	return g_test_run();
 }
--- a/tests/system/test-operators.sh
+++ b/tests/system/test-operators.sh
@@ -82,6 +82,14 @@
 expect 0 --version
 expect 0 release check "$work/first.yaml"
 output_has "+ upstream s1"
+expect 0 release check docs/examples/first-release.yaml
+output_has "+ upstream verse-a1"
+
+# Completion offers what the program takes.
+source cli/knapweedstair.bash
+COMP_WORDS=(knapweedstair --platform 1 release p) COMP_CWORD=4
+_knapweedstair
+test "${COMPREPLY[*]}" = publish || fail "completion: ${COMPREPLY[*]}"
 
 expect 0 --platform "$platform" release publish "$work/first.yaml"
 output_has "version 1 is published"
