--- a/packages/process/src/publish.c
+++ b/packages/process/src/publish.c
@@ -229,7 +229,7 @@
 	else if (publish->head_version >= publish->target->version)
 		run_step(publish, step_read_row);
 	else
-		retry(publish, step_transact);
+		retry(publish, publish->lost ? step_resolve : step_transact);
 }
 
 static void step_resolve(ks_publish_t *publish)
@@ -252,7 +252,7 @@
 		break;
 	case KS_STORE_REFUSED:
 		/* An earlier copy may be what this one collided with. */
-		publish->lost = !publish->maybe_published;
+		publish->lost |= !publish->maybe_published;
 		run_step(publish, step_resolve);
 		break;
 	case KS_STORE_UNKNOWN:
--- a/packages/process/tests/prop-publish.cpp
+++ b/packages/process/tests/prop-publish.cpp
@@ -80,10 +80,13 @@
 			       op->release, &op->publisher, on_result, op);
 }
 
-/* Lets time pass until both have their answer and nothing is on its way. */
+/*
+ * Lets time pass until both have their answer and nothing is on its way: at
+ * most a minute, and an operator gives up after 20 delays of at most 2 s.
+ */
 void run(World *world)
 {
-	for (int i = 0; i < 20000; i++) {
+	for (int i = 0; i < 60000; i++) {
 		int64_t due = 0;
 		bool is_done = world->operators[0].answers &&
 			       world->operators[1].answers;
@@ -230,6 +233,30 @@
 	});
 }
 
+/* Guards against a winner who only read an old head. */
+bool check_stale_reads(World *world)
+{
+	return rc::check("stale reads make no second winner", [=] {
+		memory_store_init(&world->memory, &world->clock.clock);
+		ks_rng_init(&world->rng, *rc::gen::arbitrary<uint32_t>());
+		world->operators[1].answers = 1;
+		start(world, 0, "a");
+		run(world);
+		RC_ASSERT(world->operators[0].kind == KS_ERROR_NONE);
+
+		world->memory.stale_reads = true;
+		world->memory.lose_answers = *rc::gen::inRange(0U, 4U);
+		world->operators[1].answers = 0;
+		start(world, 1, "b");
+		run(world);
+		RC_ASSERT(world->operators[1].answers == 1);
+		RC_ASSERT(world->operators[1].kind == KS_ERROR_CONFLICT ||
+			  world->operators[1].kind == KS_ERROR_OUTCOME_UNKNOWN);
+		RC_ASSERT(winner_in_store(world) == "0");
+		finish(world);
+	});
+}
+
 } // namespace
 
 int main()
@@ -239,7 +266,8 @@
 	ks_test_clock_init(&world.clock, KS_USEC_PER_SEC);
 	ks_loop_init(&world.loop, &world.clock.clock);
 
-	bool ok = check_race(&world) && check_store_away(&world);
+	bool ok = check_race(&world) && check_store_away(&world) &&
+		  check_stale_reads(&world);
 
 	ks_loop_deinit(&world.loop);
 	return ok ? 0 : 1;
