--- a/packages/process/tests/prop-publish.cpp
+++ b/packages/process/tests/prop-publish.cpp
@@ -257,6 +257,28 @@
 	});
 }
 
+/* Guards against a conflict reported to an operator who has won. */
+bool check_stale_reads_of_own_rows(World *world)
+{
+	return rc::check("stale reads do not turn a win into a conflict", [=] {
+		memory_store_init(&world->memory, &world->clock.clock);
+		ks_rng_init(&world->rng, *rc::gen::arbitrary<uint32_t>());
+		world->faults = { { MEMORY_FAULT_NONE, MEMORY_FAULT_NONE,
+				    MEMORY_FAULT_LOSE_ANSWER },
+				  0 };
+		world->memory.fault = next_fault;
+		world->memory.fault_ctx = &world->faults;
+		world->memory.stale_reads = true;
+		world->operators[1].answers = 1;
+		start(world, 0, "a");
+		run(world);
+		RC_ASSERT(world->operators[0].answers == 1);
+		RC_ASSERT(world->operators[0].kind == KS_ERROR_OUTCOME_UNKNOWN);
+		RC_ASSERT(winner_in_store(world) == "0");
+		finish(world);
+	});
+}
+
 } // namespace
 
 int main()
@@ -267,7 +289,8 @@
 	ks_loop_init(&world.loop, &world.clock.clock);
 
 	bool ok = check_race(&world) && check_store_away(&world) &&
-		  check_stale_reads(&world);
+		  check_stale_reads(&world) &&
+		  check_stale_reads_of_own_rows(&world);
 
 	ks_loop_deinit(&world.loop);
 	return ok ? 0 : 1;
