--- a/packages/process/src/cli.c
+++ b/packages/process/src/cli.c
@@ -146,6 +146,20 @@
 	arg_print_glossary(stdout, (void **)options, "  %-30s %s\n");
 }
 
+/* A line break would end the header field that carries the token. */
+static char *check_token(char *token, bool *ok)
+{
+	for (const char *at = token; at && *at; at++) {
+		if (g_ascii_isgraph(*at))
+			continue;
+		ks_cli_error(KS_EXIT_USAGE,
+			     "a token has spaces or control characters");
+		*ok = false;
+		break;
+	}
+	return token;
+}
+
 static char *read_token(const struct arg_file *file, const char *variable,
 			bool *ok)
 {
@@ -154,14 +168,15 @@
 	char *text = NULL;
 
 	if (!file->count)
-		return value && *value ? g_strdup(value) : NULL;
+		return check_token(value && *value ? g_strdup(value) : NULL,
+				   ok);
 	if (!g_file_get_contents(file->filename[0], &text, NULL, &error)) {
 		ks_cli_error(KS_EXIT_USAGE, "%s", error->message);
 		g_error_free(error);
 		*ok = false;
 		return NULL;
 	}
-	return g_strstrip(text);
+	return check_token(g_strstrip(text), ok);
 }
 
 static bool read_entries(ks_cli_t *cli, const struct arg_str *option)
--- a/packages/process/src/store_http.c
+++ b/packages/process/src/store_http.c
@@ -23,6 +23,7 @@
 
 struct operation {
 	ks_http_call_t call;
+	ks_timer_t refusal;
 	enum operation_kind kind;
 	ks_store_row_func_t row_func;
 	ks_store_rows_func_t rows_func;
@@ -157,6 +158,37 @@
 	.done = on_done,
 };
 
+static void on_refusal(void *ctx)
+{
+	on_done(ctx, KS_HTTP_NOT_SENT);
+}
+
+/*
+ * JSON carries text only. A value that is none would be dropped from the body
+ * of a transaction, so the call ends here, before anything is sent.
+ */
+static bool refuse_if_no_text(ks_store_http_t *driver, struct operation *op,
+			      const ks_store_write_t *writes, size_t n_writes)
+{
+	for (size_t i = 0; i < n_writes; i++) {
+		ks_str_t key = writes[i].key;
+		ks_str_t value = writes[i].value;
+
+		if ((!key.len ||
+		     g_utf8_validate_len(key.data, key.len, NULL)) &&
+		    (!value.len ||
+		     g_utf8_validate_len(value.data, value.len, NULL)))
+			continue;
+		ks_log(KS_LOG_STORE, KS_LOG_ERROR,
+		       "a row's key or value is not UTF-8 text");
+		ks_timer_init(&op->refusal, driver->client->loop, on_refusal,
+			      op);
+		ks_timer_set(&op->refusal, 0);
+		return true;
+	}
+	return false;
+}
+
 static struct operation *new_operation(enum operation_kind kind, ks_str_t key,
 				       void *ctx)
 {
@@ -241,9 +273,12 @@
 static void start_transaction(ks_store_http_t *driver, struct operation *op,
 			      const ks_store_write_t *writes, size_t n_writes)
 {
-	char *body = ks_store_writes_format(writes, n_writes);
+	char *body;
 
 	op->n_writes = n_writes;
+	if (refuse_if_no_text(driver, op, writes, n_writes))
+		return;
+	body = ks_store_writes_format(writes, n_writes);
 	start(driver, op, "POST", "/v1/transactions", NULL, ks_str_from(body));
 	g_free(body);
 }
@@ -261,6 +296,8 @@
 		start_transaction(impl, op, write, 1);
 		return;
 	}
+	if (refuse_if_no_text(impl, op, write, 1))
+		return;
 	if (!write->etag.len)
 		condition =
 			(ks_header_t){ KS_STR("if-none-match"), KS_STR("*") };
--- a/packages/process/tests/test-store-http.c
+++ b/packages/process/tests/test-store-http.c
@@ -169,6 +169,24 @@
 	clear(&answer);
 }
 
+/* Guards against a value that is no text and is silently stored as empty. */
+static void test_store_rows_are_text(void)
+{
+	struct answer answer = { 0 };
+	ks_store_write_t writes[] = {
+		{ .key = KS_STR("claim/1/a"), .value = KS_STR("good") },
+		{ .key = KS_STR("claim/1/b"), .value = KS_STR("\xff\xfe") },
+	};
+
+	reset_faults();
+	g_assert_cmpint(transact(&answer, writes, 2), ==, KS_STORE_UNREACHABLE);
+	g_assert_cmpint(write_row(&answer, &writes[1]), ==,
+			KS_STORE_UNREACHABLE);
+	g_assert_cmpint(get(&answer, "claim/1/a"), ==, KS_STORE_DONE);
+	g_assert_cmpstr(answer.etag, ==, "");
+	clear(&answer);
+}
+
 /* Guards against lists, or removals, that reach beyond their prefix. */
 static void test_store_prefixes(void)
 {
@@ -383,6 +401,7 @@
 	g_test_add_func("/store-http/rows", test_store_rows);
 	g_test_add_func("/store-http/check-only", test_store_check_only);
 	g_test_add_func("/store-http/transactions", test_store_transactions);
+	g_test_add_func("/store-http/rows-are-text", test_store_rows_are_text);
 	g_test_add_func("/store-http/prefixes", test_store_prefixes);
 	g_test_add_func("/store-http/objects", test_store_objects);
 	g_test_add_func("/store-http/lost-answer-is-unknown",
--- a/tests/fakes/fake_platform_store.c
+++ b/tests/fakes/fake_platform_store.c
@@ -206,6 +206,11 @@
 	};
 	bool lost;
 
+	if (write.value.len &&
+	    !g_utf8_validate_len(write.value.data, write.value.len, NULL)) {
+		answer_no_effect(req, 400, "the value is not text");
+		return;
+	}
 	if (!take_writes(platform, req, key, 1))
 		return;
 	if (fake_tables_transact(&platform->tables, &write, 1) >= 0) {
@@ -221,7 +226,7 @@
 
 static bool write_from_json(ks_store_write_t *write, json_t *item)
 {
-	const char *op, *key, *value = "", *match = NULL, *none_match = NULL;
+	const char *op, *key, *value = NULL, *match = NULL, *none_match = NULL;
 
 	if (json_unpack(item, "{s:s, s:s, s?:s, s?:s, s?:s !}", "op", &op,
 			"key", &key, "value", &value, "if_match", &match,
@@ -234,7 +239,8 @@
 	write->unconditional = !match && !none_match;
 	write->check_only = !strcmp(op, "check");
 	write->remove = !strcmp(op, "remove");
-	return write->check_only || write->remove || !strcmp(op, "put");
+	return write->check_only || write->remove ||
+	       (!strcmp(op, "put") && value);
 }
 
 static json_t *rows_after(fake_platform_t *platform,
--- a/tests/system/test-operators.sh
+++ b/tests/system/test-operators.sh
@@ -169,6 +169,9 @@
 KS_PLATFORM_TOKEN=wrong expect 0 --platform "$platform" \
 	--token-file "$work/token" release status
 
+printf 'two words\n' >"$work/token"
+expect 2 --platform "$platform" --token-file "$work/token" release status
+
 # An entry that cannot be reached is reported as such.
 expect 2 fleet status
 expect 1 fleet status --entry 127.0.0.1:1
