--- a/packages/process/src/publish.c
+++ b/packages/process/src/publish.c
@@ -76,14 +76,16 @@
 static void finish(ks_publish_t *publish, ks_error_kind_t kind,
 		   const char *message, const char *difference)
 {
+	const ks_snapshot_t *target = publish->target;
 	ks_publish_result_t result = {
 		.kind = kind,
-		.version = kind == KS_ERROR_NONE ? publish->target->version
-						 : publish->head_version,
+		.version = publish->head_version,
 		.message = message,
 		.difference = difference,
 	};
 
+	if (kind == KS_ERROR_NONE && target)
+		result.version = target->version;
 	publish->func(publish->ctx, &result);
 }
 
@@ -227,7 +229,7 @@
 	else if (publish->head_version >= publish->target->version)
 		run_step(publish, step_read_row);
 	else
-		retry(publish, step_transact);
+		retry(publish, publish->lost ? step_resolve : step_transact);
 }
 
 static void step_resolve(ks_publish_t *publish)
@@ -250,7 +252,7 @@
 		break;
 	case KS_STORE_REFUSED:
 		/* An earlier copy may be what this one collided with. */
-		publish->lost = !publish->maybe_published;
+		publish->lost |= !publish->maybe_published;
 		run_step(publish, step_resolve);
 		break;
 	case KS_STORE_UNKNOWN:
--- a/packages/process/tests/prop-publish.cpp
+++ b/packages/process/tests/prop-publish.cpp
@@ -75,15 +75,18 @@
 
 	op->release = make_note(service, 0);
 	op->publisher.bytes[0] = (uint8_t)(index + 1);
-	op->publish = ks_publish_new(&world->loop, &world->memory.store,
-				     &world->rng, op->release, &op->publisher,
-				     on_result, op);
+	op->publish =
+		ks_publish_new(&world->loop, &world->memory.store, &world->rng,
+			       op->release, &op->publisher, on_result, op);
 }
 
-/* Lets time pass until both have their answer and nothing is on its way. */
+/*
+ * Lets time pass until both have their answer and nothing is on its way: at
+ * most a minute, and an operator gives up after 20 delays of at most 2 s.
+ */
 void run(World *world)
 {
-	for (int i = 0; i < 20000; i++) {
+	for (int i = 0; i < 60000; i++) {
 		int64_t due = 0;
 		bool is_done = world->operators[0].answers &&
 			       world->operators[1].answers;
@@ -98,9 +101,8 @@
 
 std::string winner_in_store(const World *world)
 {
-	const fake_row_t *head =
-		fake_tables_get(&world->memory.tables,
-				ks_str_from(KS_RELEASE_HEAD_KEY));
+	const fake_row_t *head = fake_tables_get(
+		&world->memory.tables, ks_str_from(KS_RELEASE_HEAD_KEY));
 	ks_release_record_t record;
 	std::string service = "none";
 
@@ -113,8 +115,8 @@
 
 	/* The winner's object must be the one that the head names. */
 	char *name = ks_release_object_name(1, &record.digest);
-	const fake_row_t *object = fake_tables_get_object(
-		&world->memory.tables, ks_str_from(name));
+	const fake_row_t *object = fake_tables_get_object(&world->memory.tables,
+							  ks_str_from(name));
 	ks_digest_t digest;
 
 	g_free(name);
@@ -209,8 +211,8 @@
 				  0 };
 		for (int i = 0; i < 100; i++)
 			world->faults.drawn.push_back(
-				loses ? MEMORY_FAULT_LOSE_ANSWER :
-					MEMORY_FAULT_DOWN);
+				loses ? MEMORY_FAULT_LOSE_ANSWER
+				      : MEMORY_FAULT_DOWN);
 		world->memory.fault = next_fault;
 		world->memory.fault_ctx = &world->faults;
 		start(world, 0, "a");
@@ -231,6 +233,52 @@
 	});
 }
 
+/* Guards against a winner who only read an old head. */
+bool check_stale_reads(World *world)
+{
+	return rc::check("stale reads make no second winner", [=] {
+		memory_store_init(&world->memory, &world->clock.clock);
+		ks_rng_init(&world->rng, *rc::gen::arbitrary<uint32_t>());
+		world->operators[1].answers = 1;
+		start(world, 0, "a");
+		run(world);
+		RC_ASSERT(world->operators[0].kind == KS_ERROR_NONE);
+
+		world->memory.stale_reads = true;
+		world->memory.lose_answers = *rc::gen::inRange(0U, 4U);
+		world->operators[1].answers = 0;
+		start(world, 1, "b");
+		run(world);
+		RC_ASSERT(world->operators[1].answers == 1);
+		RC_ASSERT(world->operators[1].kind == KS_ERROR_CONFLICT ||
+			  world->operators[1].kind == KS_ERROR_OUTCOME_UNKNOWN);
+		RC_ASSERT(winner_in_store(world) == "0");
+		finish(world);
+	});
+}
+
+/* Guards against a conflict reported to an operator who has won. */
+bool check_stale_reads_of_own_rows(World *world)
+{
+	return rc::check("stale reads do not turn a win into a conflict", [=] {
+		memory_store_init(&world->memory, &world->clock.clock);
+		ks_rng_init(&world->rng, *rc::gen::arbitrary<uint32_t>());
+		world->faults = { { MEMORY_FAULT_NONE, MEMORY_FAULT_NONE,
+				    MEMORY_FAULT_LOSE_ANSWER },
+				  0 };
+		world->memory.fault = next_fault;
+		world->memory.fault_ctx = &world->faults;
+		world->memory.stale_reads = true;
+		world->operators[1].answers = 1;
+		start(world, 0, "a");
+		run(world);
+		RC_ASSERT(world->operators[0].answers == 1);
+		RC_ASSERT(world->operators[0].kind == KS_ERROR_OUTCOME_UNKNOWN);
+		RC_ASSERT(winner_in_store(world) == "0");
+		finish(world);
+	});
+}
+
 } // namespace
 
 int main()
@@ -240,7 +288,9 @@
 	ks_test_clock_init(&world.clock, KS_USEC_PER_SEC);
 	ks_loop_init(&world.loop, &world.clock.clock);
 
-	bool ok = check_race(&world) && check_store_away(&world);
+	bool ok = check_race(&world) && check_store_away(&world) &&
+		  check_stale_reads(&world) &&
+		  check_stale_reads_of_own_rows(&world);
 
 	ks_loop_deinit(&world.loop);
 	return ok ? 0 : 1;
--- a/packages/process/tests/test-store-http.c
+++ b/packages/process/tests/test-store-http.c
@@ -169,6 +169,24 @@
 	clear(&answer);
 }
 
+/* Guards against a value that is no text and is silently stored as empty. */
+static void test_store_rows_are_text(void)
+{
+	struct answer answer = { 0 };
+	ks_store_write_t writes[] = {
+		{ .key = KS_STR("claim/1/a"), .value = KS_STR("good") },
+		{ .key = KS_STR("claim/1/b"), .value = KS_STR("\xff\xfe") },
+	};
+
+	reset_faults();
+	g_assert_cmpint(transact(&answer, writes, 2), ==, KS_STORE_UNREACHABLE);
+	g_assert_cmpint(write_row(&answer, &writes[1]), ==,
+			KS_STORE_UNREACHABLE);
+	g_assert_cmpint(get(&answer, "claim/1/a"), ==, KS_STORE_DONE);
+	g_assert_cmpstr(answer.etag, ==, "");
+	clear(&answer);
+}
+
 /* Guards against lists, or removals, that reach beyond their prefix. */
 static void test_store_prefixes(void)
 {
@@ -363,11 +381,10 @@
 	fake_tables_init(&platform.tables);
 	platform.hosts = g_ptr_array_new_with_free_func(g_free);
 	platform.leaving = g_ptr_array_new_with_free_func(g_free);
-	platform.prefixes =
-		g_tree_new_full(compare_keys, NULL, g_free, g_free);
+	platform.prefixes = g_tree_new_full(compare_keys, NULL, g_free, g_free);
 	ks_loop_init(&platform.loop, ks_clock_monotonic());
-	ks_http_server_init(&platform.server, &platform.loop, &address,
-			    1 << 20, fake_platform_handle, &platform, &error);
+	ks_http_server_init(&platform.server, &platform.loop, &address, 1 << 20,
+			    fake_platform_handle, &platform, &error);
 	g_assert_no_error(error);
 	address.port = ks_http_server_port(&platform.server);
 	ks_http_client_init(&client, &platform.loop);
@@ -384,6 +401,7 @@
 	g_test_add_func("/store-http/rows", test_store_rows);
 	g_test_add_func("/store-http/check-only", test_store_check_only);
 	g_test_add_func("/store-http/transactions", test_store_transactions);
+	g_test_add_func("/store-http/rows-are-text", test_store_rows_are_text);
 	g_test_add_func("/store-http/prefixes", test_store_prefixes);
 	g_test_add_func("/store-http/objects", test_store_objects);
 	g_test_add_func("/store-http/lost-answer-is-unknown",
--- a/packages/process/tests/test-write-budget.c
+++ b/packages/process/tests/test-write-budget.c
@@ -21,9 +21,8 @@
 	memory_store_init(&fixture->memory, &test_clock.clock);
 	ks_rng_init(&fixture->rng, 3);
 	fixture->order = g_string_new(NULL);
-	fixture->budget =
-		ks_write_budget_new(&loop, &fixture->memory.store,
-				    &fixture->rng, per_s, burst);
+	fixture->budget = ks_write_budget_new(&loop, &fixture->memory.store,
+					      &fixture->rng, per_s, burst);
 }
 
 static void teardown(struct fixture *fixture)
@@ -46,7 +45,8 @@
 	if (!fixture->free_in_callback)
 		return;
 	fixture->free_in_callback = false;
-	g_clear_pointer(&fixture->budget, ks_write_budget_free);
+	ks_write_budget_free(fixture->budget);
+	fixture->budget = NULL;
 }
 
 static void put(struct fixture *fixture, ks_write_priority_t priority,
