Match the stand-ins to what entry and load tool rely on

Each chunk but the last of a stream holds one token, a stream whose end alone was lost can be resumed, tokens follow the load tool's formula, and the service echoes the fields of its call.

--- a/packages/process/src/upstream_load.c
+++ b/packages/process/src/upstream_load.c
@@ -6,6 +6,8 @@
 #define LOAD_INTERVAL_US (50 * KS_USEC_PER_MSEC)
 #define MIN_RETRY_AFTER_US (100 * KS_USEC_PER_MSEC)
 #define MAX_RETRY_AFTER_US (10 * KS_USEC_PER_SEC)
+/* A change takes seconds, and a replacement of a leaving upstream longer. */
+#define DRAINING_RETRY_AFTER_US (1 * KS_USEC_PER_SEC)
 
 /**
  * upstream_limit() - requests handed on at once
@@ -27,6 +29,8 @@
 	int64_t slots = MAX(upstream_limit(process), 1);
 	int64_t wait = process->mean_job_us * (process->n_queued + 1) / slots;
 
+	if (!ks_drain_is_accepting(&process->drain))
+		return DRAINING_RETRY_AFTER_US;
 	return CLAMP(wait, MIN_RETRY_AFTER_US, MAX_RETRY_AFTER_US);
 }
 
--- a/packages/process/tests/test-fakes.c
+++ b/packages/process/tests/test-fakes.c
@@ -1,6 +1,7 @@
 /* Tests of the stand-ins, on whose counts and answers other tests rely. */
 #include "fake_process.h"
 
+#include <stdlib.h>
 #include <xxhash.h>
 
 #define ARGS "--model m1 --decode-us 1000 --prefill-us-per-token 0.1 "
@@ -9,15 +10,14 @@
 /* The tokens that docs/engine.md promises for a prompt. */
 static char *expected_text(const char *prompt, unsigned from, unsigned to)
 {
-	uint64_t hash = XXH3_64bits(prompt, strlen(prompt));
+	uint64_t hash = XXH64(prompt, strlen(prompt), 0);
 	GString *text = g_string_new(NULL);
 
 	for (unsigned i = from; i < to; i++)
 		g_string_append_printf(
 			text, "t%u ",
-			(unsigned)(XXH3_64bits_withSeed(&hash, sizeof(hash),
-							i) %
-				   1000));
+			(unsigned)((hash ^ (i * UINT64_C(0x9E3779B97F4A7C15))) %
+				   100000));
 	return g_string_free(text, FALSE);
 }
 
@@ -99,25 +99,35 @@
 	fake_stop(&fake);
 }
 
-/* Guards against a resumed stream that repeats or skips a token. */
-static void test_resume_continues_at_token(void)
+static void assert_resumes(const struct fake *fake, const char *from)
 {
-	static const ks_header_t resume = { KS_STR("x-ks-resume-from"),
-					    KS_STR("7") };
-	struct fake fake = fake_start("fake-engine", ARGS);
+	ks_header_t resume = { KS_STR("x-ks-resume-from"), ks_str_from(from) };
 	char *body = completion_body("abc", 12, true);
-	char *expected = expected_text("abc", 7, 12);
+	char *expected = expected_text("abc", (unsigned)atoi(from), 12);
 	struct reply reply;
 	char *got;
 
-	call_start(&fake, "POST", "/v1/completions", &resume, body, &reply);
+	call_start(fake, "POST", "/v1/completions", &resume, body, &reply);
 	WAIT_FOR(reply.done);
 	got = stream_text(reply.body);
 	g_assert_cmpstr(got, ==, expected);
+	assert_contains(&reply, "\"completion_tokens\":12");
+	g_assert_true(g_str_has_suffix(reply.body, "data: [DONE]\n\n"));
 	g_free(got);
 	g_free(expected);
 	g_free(body);
 	g_free(reply.body);
+}
+
+/* Guards against a resumed stream that repeats or skips a token, or that
+ * cannot end when only its end was lost. */
+static void test_resume_continues_at_token(void)
+{
+	struct fake fake = fake_start("fake-engine", ARGS);
+
+	assert_resumes(&fake, "7");
+	assert_resumes(&fake, "11");
+	assert_resumes(&fake, "12");
 	fake_stop(&fake);
 }
 
@@ -274,12 +284,18 @@
 	assert_contains(&reply, "\"value\":5");
 	assert_contains(&reply, "\"executions\":2");
 	g_free(reply.body);
+	reply = call(&fake, "GET", "/basket?basket=b7", "");
+	assert_contains(&reply, "\"basket\":\"b7\"");
+	g_free(reply.body);
+	/* Calls without a key may be repeated. */
+	reply = call(&fake, "GET", "/basket?basket=b7", "");
+	g_free(reply.body);
 	call_start(&fake, "POST", "/pay", &key, "{\"value\":6}", &reply);
 	WAIT_FOR(reply.done);
 	assert_contains(&reply, "\"executions\":1");
 	g_free(reply.body);
 	g_assert_cmpint(stat_of(&fake, "max_per_key"), ==, 2);
-	g_assert_cmpint(stat_of(&fake, "total"), ==, 3);
+	g_assert_cmpint(stat_of(&fake, "total"), ==, 5);
 	fake_stop(&fake);
 }
 
--- a/tests/fakes/engine.h
+++ b/tests/fakes/engine.h
@@ -146,7 +146,7 @@
 unsigned engine_token(uint64_t prompt_hash, unsigned index);
 void engine_reply_attach(struct engine_sequence *seq, h2o_req_t *req);
 bool engine_reply_is_closed(const struct engine_reply *reply);
-void engine_reply_token(struct engine_sequence *seq, unsigned token);
+void engine_reply_token(struct engine_sequence *seq, unsigned token, bool last);
 void engine_reply_finish(struct engine_sequence *seq);
 void engine_reply_abort(struct engine_sequence *seq);
 void engine_reply_error(h2o_req_t *req, int status, const char *code,
--- a/tests/fakes/engine_batch.c
+++ b/tests/fakes/engine_batch.c
@@ -133,9 +133,14 @@
 
 static void generate_token(struct engine_sequence *seq)
 {
-	unsigned index = seq->resume_from + seq->n_generated++;
+	unsigned index = seq->resume_from + seq->n_generated;
 
-	engine_reply_token(seq, engine_token(seq->prompt_hash, index));
+	/* Nothing is left when a stream was cut just before its end. */
+	if (index < seq->max_tokens) {
+		seq->n_generated++;
+		engine_reply_token(seq, engine_token(seq->prompt_hash, index),
+				   index + 1 == seq->max_tokens);
+	}
 	if (index + 1 < seq->max_tokens)
 		return;
 	engine_reply_finish(seq);
--- a/tests/fakes/engine_reply.c
+++ b/tests/fakes/engine_reply.c
@@ -2,9 +2,9 @@
 #include "engine.h"
 
 #include <sys/socket.h>
-#include <xxhash.h>
 
-#define TOKEN_VALUES 1000
+#define TOKEN_STEP UINT64_C(0x9E3779B97F4A7C15)
+#define TOKEN_VALUES 100000
 
 /**
  * struct engine_reply - the answer being written; lives as long as the request
@@ -33,9 +33,7 @@
  */
 unsigned engine_token(uint64_t prompt_hash, unsigned index)
 {
-	return (unsigned)(XXH3_64bits_withSeed(&prompt_hash,
-					       sizeof(prompt_hash), index) %
-			  TOKEN_VALUES);
+	return (unsigned)((prompt_hash ^ (index * TOKEN_STEP)) % TOKEN_VALUES);
 }
 
 static void dispose_reply(void *data)
@@ -145,15 +143,18 @@
 		seq->id, object, seq->model_json);
 }
 
+/* Counts the tokens before the one that it resumed from as well. */
 static void append_usage(GString *out, const struct engine_sequence *seq)
 {
+	unsigned n_output = seq->resume_from + seq->n_generated;
+
 	g_string_append_printf(
 		out,
 		"\"usage\":{\"prompt_tokens\":%u,\"completion_tokens\":%u,"
 		"\"total_tokens\":%u,"
 		"\"prompt_tokens_details\":{\"cached_tokens\":%u}}",
-		seq->prompt_tokens, seq->n_generated,
-		seq->prompt_tokens + seq->n_generated, seq->cached_tokens);
+		seq->prompt_tokens, n_output, seq->prompt_tokens + n_output,
+		seq->cached_tokens);
 }
 
 static const char *stream_object(const struct engine_sequence *seq)
@@ -161,10 +162,28 @@
 	return seq->chat ? "chat.completion.chunk" : "text_completion";
 }
 
+/* As in the OpenAI API, the chunk of the last token says why it is the last. */
+static void append_chunk(GString *out, const struct engine_sequence *seq,
+			 unsigned token, bool last)
+{
+	const char *reason = last ? "\"length\"" : "null";
+
+	g_string_append(out, "data: ");
+	append_id(out, seq, stream_object(seq));
+	g_string_append_printf(out,
+			       seq->chat ? "\"choices\":[{\"index\":0,"
+					   "\"delta\":{\"content\":\"t%u \"},"
+					   "\"finish_reason\":%s}]}\n\n"
+					 : "\"choices\":[{\"index\":0,"
+					   "\"text\":\"t%u \","
+					   "\"finish_reason\":%s}]}\n\n",
+			       token, reason);
+}
+
 /**
  * engine_reply_token() - the next token of the answer
  */
-void engine_reply_token(struct engine_sequence *seq, unsigned token)
+void engine_reply_token(struct engine_sequence *seq, unsigned token, bool last)
 {
 	struct engine_reply *reply = seq->reply;
 
@@ -175,16 +194,7 @@
 	if (!reply || reply->closed)
 		return;
 	start_stream(reply);
-	g_string_append(reply->pending, "data: ");
-	append_id(reply->pending, seq, stream_object(seq));
-	g_string_append_printf(
-		reply->pending,
-		seq->chat ? "\"choices\":[{\"index\":0,\"delta\":"
-			    "{\"content\":\"t%u \"},"
-			    "\"finish_reason\":null}]}\n\n"
-			  : "\"choices\":[{\"index\":0,\"text\":\"t%u \","
-			    "\"finish_reason\":null}]}\n\n",
-		token);
+	append_chunk(reply->pending, seq, token, last);
 	send_pending(reply);
 }
 
@@ -193,13 +203,10 @@
 	struct engine_reply *reply = seq->reply;
 	GString *out = reply->pending;
 
+	start_stream(reply);
 	g_string_append(out, "data: ");
 	append_id(out, seq, stream_object(seq));
-	g_string_append(out, seq->chat
-				     ? "\"choices\":[{\"index\":0,\"delta\":"
-				       "{},\"finish_reason\":\"length\"}],"
-				     : "\"choices\":[{\"index\":0,\"text\":"
-				       "\"\",\"finish_reason\":\"length\"}],");
+	g_string_append(out, "\"choices\":[],");
 	append_usage(out, seq);
 	g_string_append(out, "}\n\ndata: [DONE]\n\n");
 	reply->last = true;
--- a/tests/fakes/engine_request.c
+++ b/tests/fakes/engine_request.c
@@ -6,14 +6,21 @@
 #define DEFAULT_MAX_TOKENS 16
 #define MAX_TOKENS 1000000
 
+/* A text, or a list of parts that have texts. */
 static void append_part(GString *text, json_t *value)
 {
+	json_t *part;
+	size_t i;
+
 	if (json_is_string(value))
 		g_string_append_len(text, json_string_value(value),
 				    (gssize)json_string_length(value));
+	json_array_foreach(value, i, part)
+		append_part(text, json_object_get(part, "text"));
 }
 
-/* A chat's prompt is the role and content of each message in turn. */
+/* A chat's prompt is a line for the role and one for the content of each
+ * message. */
 static bool read_prompt(json_t *root, bool chat, GString *text)
 {
 	json_t *messages = json_object_get(root, "messages");
@@ -27,7 +34,9 @@
 	json_array_foreach(messages, i, message)
 	{
 		append_part(text, json_object_get(message, "role"));
+		g_string_append_c(text, '\n');
 		append_part(text, json_object_get(message, "content"));
+		g_string_append_c(text, '\n');
 	}
 	return json_is_array(messages) && json_array_size(messages) > 0;
 }
@@ -70,8 +79,10 @@
 		json_dumps(json_object_get(root, "model"), JSON_ENCODE_ANY);
 	seq->priority = read_header(req, "x-priority");
 	seq->resume_from = read_header(req, "x-ks-resume-from");
-	seq->prompt_hash = XXH3_64bits(prompt.data, prompt.len);
-	seq->prompt_tokens = MAX((unsigned)(prompt.len / BYTES_PER_TOKEN), 1);
+	seq->prompt_hash = XXH64(prompt.data, prompt.len, 0);
+	seq->prompt_tokens = (unsigned)((prompt.len + BYTES_PER_TOKEN - 1) /
+					BYTES_PER_TOKEN);
+	seq->prompt_tokens = MAX(seq->prompt_tokens, 1);
 	seq->hashes = engine_cache_hashes(prompt);
 	seq->text = g_string_new(NULL);
 	read_max_tokens(root, &seq->max_tokens);
@@ -86,8 +97,8 @@
 	if (tokens >
 	    (unsigned long)seq->engine->options.kv_blocks * BLOCK_TOKENS)
 		return "the context does not fit into memory";
-	if (seq->resume_from >= seq->max_tokens)
-		return "there is no token left to resume from";
+	if (seq->resume_from > seq->max_tokens)
+		return "the answer ends before the token to resume from";
 	return NULL;
 }
 
--- a/tests/fakes/fake-service.c
+++ b/tests/fakes/fake-service.c
@@ -80,46 +80,74 @@
 	reply_json(answer->req, answer->root);
 }
 
-/* Counts one execution of a call, and returns how many there were. */
+/*
+ * Counts one execution of a call, and returns how many there were. Only calls
+ * with a key must not be repeated, so the others are only counted in total.
+ */
 static unsigned count_execution(struct service *service, ks_str_t key,
 				ks_str_t body)
 {
-	char *name = g_strdup_printf("%.*s %016" G_GINT64_MODIFIER "x",
-				     (int)key.len, key.data ? key.data : "",
-				     XXH3_64bits(body.data, body.len));
-	unsigned count = GPOINTER_TO_UINT(g_hash_table_lookup(
-				 service->executions, name)) +
-			 1;
+	unsigned count;
+	char *name;
 
+	service->total++;
+	if (key.len == 0)
+		return 1;
+	name = g_strdup_printf("%.*s %016" G_GINT64_MODIFIER "x", (int)key.len,
+			       key.data, XXH3_64bits(body.data, body.len));
+	count = 1 + GPOINTER_TO_UINT(
+			    g_hash_table_lookup(service->executions, name));
 	g_hash_table_replace(service->executions, name,
 			     GUINT_TO_POINTER(count));
-	service->total++;
 	return count;
 }
 
+/* The fields of the query and of the body, so that answers can be told apart.
+ */
+static json_t *echo_fields(h2o_req_t *req)
+{
+	ks_str_t body = ks_http_req_body(req);
+	ks_str_t query = ks_http_req_query(req);
+	char *text = ks_str_dup(query);
+	GHashTable *params =
+		g_uri_parse_params(text, -1, "&", G_URI_PARAMS_NONE, NULL);
+	json_t *fields =
+		json_loadb(body.data ? body.data : "", body.len, 0, NULL);
+	json_t *root = json_object();
+	gpointer name, value;
+	GHashTableIter iter;
+
+	if (json_is_object(fields))
+		json_object_update(root, fields);
+	if (params) {
+		g_hash_table_iter_init(&iter, params);
+		while (g_hash_table_iter_next(&iter, &name, &value))
+			json_object_set_new(root, name, json_string(value));
+		g_hash_table_unref(params);
+	}
+	json_decref(fields);
+	g_free(text);
+	return root;
+}
+
 /* A call is carried out when it arrives; only its answer is delayed. */
 static void handle_call(struct service *service, h2o_req_t *req)
 {
 	struct answer *answer = h2o_mem_alloc_shared(
 		&req->pool, sizeof(*answer), dispose_answer);
-	ks_str_t body = ks_http_req_body(req);
 	ks_str_t key = ks_http_req_header(req, "idempotency-key");
-	json_t *root =
-		json_loadb(body.data ? body.data : "", body.len, 0, NULL);
-	json_t *value = json_object_get(root, "value");
-	unsigned count = count_execution(service, key, body);
+	unsigned count = count_execution(service, key, ks_http_req_body(req));
 
 	answer->service = service;
 	answer->req = req;
-	answer->root =
-		json_pack("{s:O,s:i}", "value", value ? value : json_null(),
-			  "executions", (int)count);
+	answer->root = echo_fields(req);
+	json_object_set_new(answer->root, "executions",
+			    json_integer((json_int_t)count));
 	answer->lost = service->lose_answers > 0;
 	if (answer->lost)
 		service->lose_answers--;
-	json_decref(root);
 	ks_timer_init(&answer->timer, &service->loop, on_delay_over, answer);
-	if (service->delay_us > 0 || service->silent)
+	if (service->delay_us > 0)
 		ks_timer_set(&answer->timer, service->delay_us);
 	else
 		on_delay_over(answer);
