--- a/bench/load_verify.c
+++ b/bench/load_verify.c
@@ -16,7 +16,7 @@
  */
 void load_expected_text(GString *out, ks_str_t prompt, unsigned tokens)
 {
-	uint64_t hash = XXH3_64bits(prompt.data, prompt.len);
+	uint64_t hash = XXH64(prompt.data, prompt.len, 0);
 
 	for (unsigned i = 0; i < tokens; i++)
 		g_string_append_printf(out, "t%u ", engine_token(hash, i));
--- a/tests/fakes/engine_reply.c
+++ b/tests/fakes/engine_reply.c
@@ -130,15 +130,18 @@
 		seq->id, object, seq->model_json);
 }
 
+/* Counts the tokens before the one that it resumed from as well. */
 static void append_usage(GString *out, const struct engine_sequence *seq)
 {
+	unsigned n_output = seq->resume_from + seq->n_generated;
+
 	g_string_append_printf(
 		out,
 		"\"usage\":{\"prompt_tokens\":%u,\"completion_tokens\":%u,"
 		"\"total_tokens\":%u,"
 		"\"prompt_tokens_details\":{\"cached_tokens\":%u}}",
-		seq->prompt_tokens, seq->n_generated,
-		seq->prompt_tokens + seq->n_generated, seq->cached_tokens);
+		seq->prompt_tokens, n_output, seq->prompt_tokens + n_output,
+		seq->cached_tokens);
 }
 
 static const char *stream_object(const struct engine_sequence *seq)
@@ -146,10 +149,28 @@
 	return seq->chat ? "chat.completion.chunk" : "text_completion";
 }
 
+/* As in the OpenAI API, the chunk of the last token says why it is the last. */
+static void append_chunk(GString *out, const struct engine_sequence *seq,
+			 unsigned token, bool last)
+{
+	const char *reason = last ? "\"length\"" : "null";
+
+	g_string_append(out, "data: ");
+	append_id(out, seq, stream_object(seq));
+	g_string_append_printf(out,
+			       seq->chat ? "\"choices\":[{\"index\":0,"
+					   "\"delta\":{\"content\":\"t%u \"},"
+					   "\"finish_reason\":%s}]}\n\n"
+					 : "\"choices\":[{\"index\":0,"
+					   "\"text\":\"t%u \","
+					   "\"finish_reason\":%s}]}\n\n",
+			       token, reason);
+}
+
 /**
  * engine_reply_token() - the next token of the answer
  */
-void engine_reply_token(struct engine_sequence *seq, unsigned token)
+void engine_reply_token(struct engine_sequence *seq, unsigned token, bool last)
 {
 	struct engine_reply *reply = seq->reply;
 
@@ -160,16 +181,7 @@
 	if (!reply || reply->closed)
 		return;
 	start_stream(reply);
-	g_string_append(reply->pending, "data: ");
-	append_id(reply->pending, seq, stream_object(seq));
-	g_string_append_printf(
-		reply->pending,
-		seq->chat ? "\"choices\":[{\"index\":0,\"delta\":"
-			    "{\"content\":\"t%u \"},"
-			    "\"finish_reason\":null}]}\n\n"
-			  : "\"choices\":[{\"index\":0,\"text\":\"t%u \","
-			    "\"finish_reason\":null}]}\n\n",
-		token);
+	append_chunk(reply->pending, seq, token, last);
 	send_pending(reply);
 }
 
@@ -178,13 +190,10 @@
 	struct engine_reply *reply = seq->reply;
 	GString *out = reply->pending;
 
+	start_stream(reply);
 	g_string_append(out, "data: ");
 	append_id(out, seq, stream_object(seq));
-	g_string_append(out, seq->chat
-				     ? "\"choices\":[{\"index\":0,\"delta\":"
-				       "{},\"finish_reason\":\"length\"}],"
-				     : "\"choices\":[{\"index\":0,\"text\":"
-				       "\"\",\"finish_reason\":\"length\"}],");
+	g_string_append(out, "\"choices\":[],");
 	append_usage(out, seq);
 	g_string_append(out, "}\n\ndata: [DONE]\n\n");
 	reply->last = true;
