Add the planner

It changes a role only when that would have paid in every part of the last dwell time, so that an oscillation faster than that cannot justify a change and its reversal. The driver writes plans together with a check of the lease row.

--- a/packages/process/include/ks/process.h
+++ b/packages/process/include/ks/process.h
@@ -440,6 +440,107 @@
 void ks_config_offer(ks_config_t *config, uint64_t version, ks_str_t digest,
 		     ks_str_t body);
 
+/* planner.c: decides on role changes of one model's engines; pure */
+
+typedef struct ks_planner ks_planner_t;
+
+/**
+ * struct ks_planner_options - what a role change costs and how long it lasts
+ * @role_change_cost: engine-seconds of goodput that one engine-second out of
+ *	service must earn back
+ * @change_us: time that a role change takes an engine out of service
+ * @dwell_us: least time between two changes; also the payback time, since a
+ *	change is sure to last for no longer than that
+ * @stale_us: a view of the engines older than this is not acted on
+ */
+typedef struct ks_planner_options {
+	double role_change_cost;
+	int64_t change_us;
+	int64_t dwell_us;
+	int64_t stale_us;
+} ks_planner_options_t;
+
+/**
+ * struct ks_plan_engine - an engine of the model, as its heartbeat shows it
+ * @role: according to the plan
+ * @ready: its link is up and it takes requests
+ * @changing: its link is up, but an order is under way or it has not reached
+ *	@role yet
+ * @in_flight: requests, of all entries
+ */
+typedef struct ks_plan_engine {
+	ks_str_t id;
+	ks_str_t domain;
+	ks_engine_role_t role;
+	bool ready;
+	bool changing;
+	unsigned in_flight;
+} ks_plan_engine_t;
+
+/**
+ * struct ks_plan_change - one engine changes its role
+ * @engine: index of the engine
+ * @gain: engine-seconds of goodput gained over the payback time, less the cost
+ */
+typedef struct ks_plan_change {
+	size_t engine;
+	ks_engine_role_t from;
+	ks_engine_role_t to;
+	double gain;
+} ks_plan_change_t;
+
+/**
+ * struct ks_planner_report - what a planner has done
+ * @undone: changes that took an engine back to an earlier role within the dwell
+ *	time
+ */
+typedef struct ks_planner_report {
+	uint64_t changes;
+	uint64_t undone;
+} ks_planner_report_t;
+
+ks_planner_t *ks_planner_new(const ks_planner_options_t *options);
+void ks_planner_free(ks_planner_t *planner);
+void ks_planner_observe(ks_planner_t *planner, double prefill, double decode,
+			int64_t now_us);
+void ks_planner_hold(ks_planner_t *planner, int64_t now_us);
+bool ks_planner_decide(const ks_planner_t *planner,
+		       const ks_plan_engine_t *engines, size_t n_engines,
+		       int64_t view_us, bool lease_held, int64_t now_us,
+		       ks_plan_change_t *change);
+void ks_planner_changed(ks_planner_t *planner, ks_str_t engine,
+			ks_engine_role_t from, ks_engine_role_t to,
+			int64_t now_us);
+const ks_planner_report_t *ks_planner_report(const ks_planner_t *planner);
+
+/* planner_run.c: runs the planners of all models under the planner lease */
+
+typedef struct ks_planner_run ks_planner_run_t;
+
+/**
+ * struct ks_planner_run_options - see struct ks_planner_options
+ * @tick_us: time between two decisions
+ */
+typedef struct ks_planner_run_options {
+	ks_planner_options_t planner;
+	int64_t tick_us;
+	int64_t lease_us;
+} ks_planner_run_options_t;
+
+ks_planner_run_t *ks_planner_run_new(ks_loop_t *loop, ks_store_t *store,
+				     const ks_clock_t *boottime, ks_rng_t *rng,
+				     const ks_id_t *incarnation,
+				     const ks_planner_run_options_t *options);
+void ks_planner_run_free(ks_planner_run_t *run);
+void ks_planner_run_demand(ks_planner_run_t *run, const char *model,
+			   double prefill_us, double decode_us);
+void ks_planner_run_engines(ks_planner_run_t *run, const char *model,
+			    const ks_plan_engine_t *engines, size_t n_engines,
+			    double share);
+bool ks_planner_run_role(const ks_planner_run_t *run, const char *model,
+			 ks_str_t engine, ks_engine_role_t *role);
+ks_planner_report_t ks_planner_run_report(const ks_planner_run_t *run);
+
 /* ledger.c: at most once for non-idempotent requests with a key */
 
 typedef struct ks_ledger ks_ledger_t;
