--- a/Makefile
+++ b/Makefile
@@ -31,9 +31,7 @@
 # Libraries in link order: a package may use those after it.
 LIBS = $(addprefix $(BUILD)/libks-,$(addsuffix .a,process version connection request core))
 
-# The daemon links once both of its roles are there.
-ROLES = $(wildcard packages/process/src/entry.c packages/process/src/upstream.c packages/process/src/orders.c)
-PROGRAMS = $(patsubst cli/%.c,$(BUILD)/%,$(filter-out $(if $(filter 3,$(words $(ROLES))),,cli/knapweedstaird.c),$(wildcard cli/*.c)))
+PROGRAMS = $(patsubst cli/%.c,$(BUILD)/%,$(wildcard cli/*.c))
 FAKES = $(patsubst tests/fakes/%.c,$(BUILD)/%,$(wildcard tests/fakes/fake-*.c))
 FAKE_COMMON = $(patsubst %.c,$(BUILD)/%.o,$(filter-out $(wildcard tests/fakes/fake-*.c),$(wildcard tests/fakes/*.c)))
 BENCHES = $(patsubst bench/%.c,$(BUILD)/%,$(wildcard bench/bench-*.c))
--- a/tests/run-example.sh
+++ b/tests/run-example.sh
@@ -26,7 +26,7 @@
 	sleep infinity
 fi
 
-start_load 10 --lookups-per-s 50
+LOOKUPS=50 start_load 10
 end_load
 stop_cluster
 echo "run twice: 0"
--- a/tests/system/cluster.sh
+++ b/tests/system/cluster.sh
@@ -92,17 +92,17 @@
 	done
 }
 
-# start_load SECONDS [OPTION...]: a mixed load through both entries, in the
-# background; its report goes to load.log.
+# start_load SECONDS: a mixed load through both entries, in the background, at
+# the rates in COMPLETIONS, LOOKUPS and CHARGES; its report goes to load.log.
 start_load () {
-	local seconds=$1
-	shift
 	"$BIN/bench-load" --entry "${ADDRESS[entry1]}" \
-		--entry "${ADDRESS[entry2]}" --seed 1 --duration-s "$seconds" \
-		--completions-per-s 20 --lookups-per-s 20 --charges-per-s 10 \
+		--entry "${ADDRESS[entry2]}" --seed 1 --duration-s "$1" \
+		--completions-per-s "${COMPLETIONS:-20}" \
+		--lookups-per-s "${LOOKUPS:-20}" \
+		--charges-per-s "${CHARGES:-10}" \
 		--prompt-tokens 200:2000 --output-tokens 20:100 \
 		--api-key $API_KEY --model fitting --lookup-path /basket/size \
-		--charge-path /checkout/charge "$@" >"$WORK/load.log" 2>&1 &
+		--charge-path /checkout/charge >"$WORK/load.log" 2>&1 &
 	PID[load]=$!
 }
 
--- a/tests/system/lib.sh
+++ b/tests/system/lib.sh
@@ -139,9 +139,9 @@
 		echo "  - {name: shop, key_sha256: $(sha256 $API_KEY), weight: 1}"
 		echo "routes:"
 		echo "  - {path: /basket, method: GET, service: shop," \
-			"idempotent: true, timeout_ms: 5000}"
+			"tenant: shop, idempotent: true, timeout_ms: 5000}"
 		echo "  - {path: /checkout, method: POST, service: shop," \
-			"idempotent: false, timeout_ms: 10000}"
+			"tenant: shop, idempotent: false, timeout_ms: 10000}"
 		printf '%s\n' "$@"
 	} >"$WORK/$name.yaml"
 	launch "$name" "$BIN/knapweedstaird" --config "$WORK/$name.yaml"
--- a/tests/system/test-platform-away.sh
+++ b/tests/system/test-platform-away.sh
@@ -17,7 +17,7 @@
 
 # Answers lost after the write took effect: each charge still runs once.
 control platform '{"lose_answers":20,"lose_matching":"claim/"}'
-start_load 4 --completions-per-s 5
+COMPLETIONS=5 start_load 4
 end_load
 expect_no_repeats
 
