--- /dev/null
+++ b/tests/fakes/fake-relay.c
@@ -0,0 +1,228 @@
+/*
+ * Stand-in for a network device that loses track of connections. It relays TCP
+ * connections to one address. On SIGUSR1 the connections open at that moment
+ * go silent for good: their bytes are swallowed and they stay open. New ones
+ * work.
+ */
+#include "fake_main.h"
+
+#include <argtable2.h>
+#include <h2o.h>
+#include <netinet/in.h>
+#include <arpa/inet.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#define EXIT_USAGE 2
+#define BACKLOG 128
+
+struct relay {
+	ks_loop_t loop;
+	ks_address_t listen;
+	ks_address_t target;
+	h2o_socket_t *listener;
+	ks_list_t pairs;
+	ks_watch_t usr1;
+	int usr1_fd;
+};
+
+struct pair;
+
+/**
+ * struct side - one of the two connections of a pair
+ */
+struct side {
+	struct pair *pair;
+	struct side *other;
+	h2o_socket_t *sock;
+	bool writing;
+};
+
+struct pair {
+	ks_list_t node;
+	struct side near;
+	struct side far;
+	bool silent;
+	bool closing;
+};
+
+static void close_pair(struct pair *pair)
+{
+	if (pair->near.writing || pair->far.writing) {
+		pair->closing = true;
+		return;
+	}
+	ks_list_remove(&pair->node);
+	if (pair->near.sock)
+		h2o_socket_close(pair->near.sock);
+	if (pair->far.sock)
+		h2o_socket_close(pair->far.sock);
+	g_free(pair);
+}
+
+static void on_read(h2o_socket_t *sock, const char *err);
+
+static void on_written(h2o_socket_t *sock, const char *err)
+{
+	struct side *to = sock->data;
+	struct side *from = to->other;
+
+	to->writing = false;
+	if (err || to->pair->closing) {
+		close_pair(to->pair);
+		return;
+	}
+	h2o_buffer_consume(&from->sock->input, from->sock->input->size);
+	h2o_socket_read_start(from->sock, on_read);
+}
+
+static void on_read(h2o_socket_t *sock, const char *err)
+{
+	struct side *from = sock->data;
+	h2o_iovec_t bytes;
+
+	if (from->pair->silent) {
+		/* Even an end is swallowed. */
+		h2o_buffer_consume(&sock->input, sock->input->size);
+		if (err)
+			h2o_socket_read_stop(sock);
+		return;
+	}
+	if (err) {
+		h2o_socket_read_stop(sock);
+		close_pair(from->pair);
+		return;
+	}
+	h2o_socket_read_stop(sock);
+	bytes = h2o_iovec_init(sock->input->bytes, sock->input->size);
+	from->other->writing = true;
+	h2o_socket_write(from->other->sock, &bytes, 1, on_written);
+}
+
+static void on_connect(h2o_socket_t *sock, const char *err)
+{
+	struct side *far = sock->data;
+
+	if (err) {
+		close_pair(far->pair);
+		return;
+	}
+	h2o_socket_read_start(far->sock, on_read);
+	h2o_socket_read_start(far->other->sock, on_read);
+}
+
+static struct sockaddr_in to_sockaddr(const ks_address_t *address)
+{
+	struct sockaddr_in in = { .sin_family = AF_INET };
+
+	in.sin_port = htons(address->port);
+	inet_pton(AF_INET, address->ip, &in.sin_addr);
+	return in;
+}
+
+static void on_accept(h2o_socket_t *listener, const char *err)
+{
+	struct relay *relay = listener->data;
+	struct sockaddr_in target = to_sockaddr(&relay->target);
+	h2o_socket_t *sock;
+
+	if (err)
+		return;
+	while ((sock = h2o_evloop_socket_accept(listener))) {
+		struct pair *pair = g_new0(struct pair, 1);
+
+		ks_list_append(&relay->pairs, &pair->node);
+		pair->near = (struct side){ pair, &pair->far, sock, false };
+		pair->far = (struct side){ pair, &pair->near, NULL, false };
+		sock->data = &pair->near;
+		pair->far.sock = h2o_socket_connect(relay->loop.h2o,
+						    (struct sockaddr *)&target,
+						    sizeof(target), on_connect);
+		if (!pair->far.sock)
+			close_pair(pair);
+		else
+			pair->far.sock->data = &pair->far;
+	}
+}
+
+static void on_usr1(void *ctx)
+{
+	struct relay *relay = ctx;
+	struct signalfd_siginfo info;
+	unsigned count = 0;
+
+	while (read(relay->usr1_fd, &info, sizeof(info)) == sizeof(info))
+		;
+	KS_LIST_FOREACH (it, &relay->pairs) {
+		KS_CONTAINER_OF(it, struct pair, node)->silent = true;
+		count++;
+	}
+	fprintf(stderr, "%u connections are silent\n", count);
+}
+
+static bool watch_usr1(struct relay *relay)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGUSR1);
+	sigprocmask(SIG_BLOCK, &set, NULL);
+	relay->usr1_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	return ks_watch_init(&relay->usr1, &relay->loop, relay->usr1_fd,
+			     on_usr1, relay, NULL);
+}
+
+static bool listen_relay(struct relay *relay)
+{
+	struct sockaddr_in in = to_sockaddr(&relay->listen);
+	socklen_t len = sizeof(in);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return false;
+	if (bind(fd, (struct sockaddr *)&in, len) || listen(fd, BACKLOG) ||
+	    getsockname(fd, (struct sockaddr *)&in, &len)) {
+		close(fd);
+		return false;
+	}
+	relay->listener = h2o_evloop_socket_create(relay->loop.h2o, fd,
+						   H2O_SOCKET_FLAG_DONT_READ);
+	relay->listener->data = relay;
+	h2o_socket_read_start(relay->listener, on_accept);
+	fprintf(stderr, "listens on %s:%u\n", relay->listen.ip,
+		ntohs(in.sin_port));
+	return true;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_str *listen =
+		arg_str1(NULL, "listen", "IP:PORT", "where to listen");
+	struct arg_str *target =
+		arg_str1(NULL, "target", "IP:PORT", "where connections go");
+	struct arg_end *end = arg_end(10);
+	void *table[] = { listen, target, end };
+	struct relay relay = { 0 };
+	struct fake_signals signals;
+
+	if (arg_parse(argc, argv, table) > 0) {
+		arg_print_errors(stderr, end, "fake-relay");
+		return EXIT_USAGE;
+	}
+	if (!ks_address_parse(&relay.listen, ks_str_from(listen->sval[0]),
+			      NULL) ||
+	    !ks_address_parse(&relay.target, ks_str_from(target->sval[0]),
+			      NULL))
+		return EXIT_USAGE;
+	ks_list_init(&relay.pairs);
+	ks_loop_init(&relay.loop, ks_clock_monotonic());
+	if (!fake_signals_init(&signals, &relay.loop) || !watch_usr1(&relay) ||
+	    !listen_relay(&relay))
+		return EXIT_FAILURE;
+	ks_loop_run(&relay.loop);
+	/* Open connections end with the process. */
+	_exit(EXIT_SUCCESS);
+}
--- a/tests/system/test-race.sh
+++ b/tests/system/test-race.sh
@@ -9,9 +9,10 @@
 start_cluster 2
 for side in a b
 do
-	printf '%s\n' "base: 1" "note: from operator $side" "models:" "  add:" \
-		"    - {name: extra-$side, version: v1}" \
-		>"$WORK/release-$side.yaml"
+	printf '%s\n' "base: 1" "note: from operator $side" "upstreams:" \
+		"  change:" "    - {id: engine-$side, limit: 33}" |
+		sed 's/engine-a/engine1/; s/engine-b/engine2/' \
+			>"$WORK/release-$side.yaml"
 done
 publish "$WORK/release-a.yaml" >"$WORK/out-a" 2>&1 &
 pid_a=$!
@@ -27,8 +28,8 @@
 
 # A lost answer is resolved by reading back.
 control platform '{"lose_answers":1,"lose_matching":"release/"}'
-printf '%s\n' "base: 2" "note: answer lost" "models:" "  add:" \
-	"    - {name: extra-c, version: v1}" >"$WORK/release-c.yaml"
+printf '%s\n' "base: 2" "note: answer lost" "upstreams:" "  change:" \
+	"    - {id: service, limit: 65}" >"$WORK/release-c.yaml"
 publish "$WORK/release-c.yaml" || fail "a lost answer was not resolved"
 control platform '{"lose_answers":0}'
 wait_for_release 3
