--- a/packages/connection/src/link_client.c
+++ b/packages/connection/src/link_client.c
@@ -11,11 +11,13 @@
 #define REOPEN_DELAY_US (100 * KS_USEC_PER_MSEC)
 
 /*
- * Sessions that may fail in a row before idempotent attempts are given up, so
- * that they can be retried elsewhere. Others wait for their deadline, since
- * only this upstream process can tell what became of them.
+ * Sessions that may fail in a row before attempts are given up. Idempotent ones
+ * go early, so that they can be retried elsewhere. For others only this
+ * upstream process can tell what became of them, so they wait until it must be
+ * taken for lost.
  */
 #define MAX_FAILED_SESSIONS 2
+#define MAX_FAILED_SESSIONS_UNREPEATABLE 20
 
 /**
  * ks_link_client_send_frame() - send a frame on the current session
@@ -61,14 +63,17 @@
 	link->events->changed(link->ctx, link);
 }
 
-static void give_up_idempotent(ks_link_client_t *link)
+static void give_up_attempts(ks_link_client_t *link)
 {
 	GList *attempts = g_hash_table_get_values(link->attempts);
 
 	for (GList *it = attempts; it; it = it->next) {
 		ks_attempt_t *attempt = it->data;
+		unsigned limit = attempt->idempotent
+					 ? MAX_FAILED_SESSIONS
+					 : MAX_FAILED_SESSIONS_UNREPEATABLE;
 
-		if (attempt->idempotent || attempt->abandoned)
+		if (link->failed_sessions >= limit)
 			ks_attempt_finish(attempt, KS_ERROR_OUTCOME_UNKNOWN,
 					  KS_STR("the link is down"));
 	}
@@ -92,8 +97,7 @@
 		send_hello(link);
 	if (was_up)
 		notify(link);
-	if (link->failed_sessions >= MAX_FAILED_SESSIONS)
-		give_up_idempotent(link);
+	give_up_attempts(link);
 }
 
 static void on_reopen(void *ctx)
