--- a/packages/version/src/snapshot.c
+++ b/packages/version/src/snapshot.c
@@ -230,19 +230,55 @@
 	g_free(snapshot);
 }
 
+typedef const char *(*name_func_t)(const void *item);
+
+static const char *model_name(const void *item)
+{
+	return ((const ks_model_t *)item)->name;
+}
+
+static const char *upstream_id(const void *item)
+{
+	return ((const ks_upstream_t *)item)->id;
+}
+
+static int compare_names(ks_str_t a, ks_str_t b)
+{
+	size_t len = MIN(a.len, b.len);
+	int order = len ? memcmp(a.data, b.data, len) : 0;
+
+	return order ? order : (a.len > b.len) - (a.len < b.len);
+}
+
+/* Binary search: a fleet has thousands of upstreams, looked up by request. */
+static const void *find_by_name(const GPtrArray *items, ks_str_t name,
+				name_func_t name_of)
+{
+	guint low = 0;
+	guint high = items->len;
+
+	while (low < high) {
+		guint middle = low + (high - low) / 2;
+		const void *item = items->pdata[middle];
+		int order = compare_names(name, ks_str_from(name_of(item)));
+
+		if (!order)
+			return item;
+		if (order < 0)
+			high = middle;
+		else
+			low = middle + 1;
+	}
+	return NULL;
+}
+
 /**
  * ks_snapshot_find_model() - model by name, or NULL
  */
 const ks_model_t *ks_snapshot_find_model(const ks_snapshot_t *snapshot,
 					 ks_str_t name)
 {
-	for (guint i = 0; i < snapshot->models->len; i++) {
-		const ks_model_t *model = snapshot->models->pdata[i];
-
-		if (ks_str_equal(ks_str_from(model->name), name))
-			return model;
-	}
-	return NULL;
+	return find_by_name(snapshot->models, name, model_name);
 }
 
 /**
@@ -251,11 +287,5 @@
 const ks_upstream_t *ks_snapshot_find_upstream(const ks_snapshot_t *snapshot,
 					       ks_str_t id)
 {
-	for (guint i = 0; i < snapshot->upstreams->len; i++) {
-		const ks_upstream_t *upstream = snapshot->upstreams->pdata[i];
-
-		if (ks_str_equal(ks_str_from(upstream->id), id))
-			return upstream;
-	}
-	return NULL;
+	return find_by_name(snapshot->upstreams, id, upstream_id);
 }
--- a/packages/version/tests/test-release.c
+++ b/packages/version/tests/test-release.c
@@ -322,6 +322,42 @@
 	ks_snapshot_unref(first);
 }
 
+/* Guards against look-ups that miss an upstream of a large fleet. */
+static void test_snapshot_of_design_size(void)
+{
+	const unsigned n_upstreams = 2800;
+	ks_snapshot_t *empty = ks_snapshot_new_empty();
+	GString *yaml = g_string_new("base: 0\nupstreams:\n  add:\n");
+	GError *error = NULL;
+	ks_snapshot_t *fleet;
+	char id[32];
+
+	for (unsigned i = 0; i < n_upstreams; i++)
+		g_string_append_printf(yaml,
+				       "    - {id: u%u, process: "
+				       "'10.0.0.1:%u', endpoint: '10.0.0.1:1', "
+				       "host: h, domain: d, service: s, "
+				       "limit: 1}\n",
+				       i, i + 1);
+	fleet = apply(empty, yaml->str, &error);
+	g_assert_no_error(error);
+	for (unsigned i = 0; i < n_upstreams; i++) {
+		const ks_upstream_t *upstream;
+
+		g_snprintf(id, sizeof(id), "u%u", i);
+		upstream = ks_snapshot_find_upstream(fleet, ks_str_from(id));
+		g_assert_nonnull(upstream);
+		g_assert_cmpstr(upstream->id, ==, id);
+	}
+	g_assert_null(ks_snapshot_find_upstream(fleet, KS_STR("u")));
+	g_assert_null(ks_snapshot_find_upstream(fleet, KS_STR("u2800")));
+	g_assert_null(ks_snapshot_find_upstream(fleet, KS_STR("")));
+	g_assert_null(ks_snapshot_find_upstream(fleet, KS_STR("v")));
+	g_string_free(yaml, TRUE);
+	ks_snapshot_unref(fleet);
+	ks_snapshot_unref(empty);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -331,6 +367,8 @@
 	g_test_add_func("/snapshot/parse-checks-everything",
 			test_snapshot_parse_checks_everything);
 	g_test_add_func("/snapshot/is-canonical", test_snapshot_is_canonical);
+	g_test_add_func("/snapshot/of-design-size",
+			test_snapshot_of_design_size);
 	g_test_add_func("/release/changes-and-withdraws",
 			test_release_changes_and_withdraws);
 	g_test_add_func("/release/refuses-unserved-models",
