--- a/packages/process/tests/test-settings.c
+++ b/packages/process/tests/test-settings.c
@@ -99,6 +99,31 @@
 	ks_settings_free(settings);
 }
 
+/* Guards against levels of parts that do not reach the logs. */
+static void test_settings_init_logs(void)
+{
+	ks_settings_t *settings;
+
+	if (g_test_subprocess()) {
+		settings = parse(PLAIN_ENTRY
+				 "log_level: warn\n"
+				 "log_levels: {link: debug, plan: error}\n");
+		ks_settings_init_logs(settings);
+		ks_log(KS_LOG_LINK, KS_LOG_DEBUG, "link detail");
+		ks_log(KS_LOG_PLAN, KS_LOG_WARN, "plan warning");
+		ks_log(KS_LOG_HTTP, KS_LOG_INFO, "http news");
+		ks_log(KS_LOG_HTTP, KS_LOG_WARN, "http warning");
+		ks_log_deinit();
+		ks_settings_free(settings);
+		return;
+	}
+	g_test_trap_subprocess(NULL, 0, 0);
+	g_test_trap_assert_passed();
+	g_test_trap_assert_stderr("*link detail*http warning*");
+	g_test_trap_assert_stderr_unmatched("*plan warning*");
+	g_test_trap_assert_stderr_unmatched("*http news*");
+}
+
 struct refusal {
 	const char *yaml;
 	const char *where;
@@ -245,6 +270,7 @@
 	g_test_add_func("/settings/secrets-from-environment",
 			test_settings_secrets_from_environment);
 	g_test_add_func("/settings/log-levels", test_settings_log_levels);
+	g_test_add_func("/settings/init-logs", test_settings_init_logs);
 	g_test_add_func("/settings/refuse-what-is-wrong",
 			test_settings_refuse_what_is_wrong);
 	g_test_add_func("/settings/errors-hide-secrets",
--- a/packages/process/tests/test-store-http.c
+++ b/packages/process/tests/test-store-http.c
@@ -323,6 +323,125 @@
 	clear(&answer);
 }
 
+struct reply {
+	bool done;
+	int status;
+	char *body;
+};
+
+static void on_reply(void *ctx, const ks_http_answer_t *answer)
+{
+	struct reply *reply = ctx;
+
+	g_assert_cmpint(answer->result, ==, KS_HTTP_WHOLE);
+	reply->done = true;
+	reply->status = answer->status;
+	reply->body = ks_str_dup(answer->body);
+}
+
+/* Return: the status; @body may be NULL or is to be freed by the caller. */
+static int request(const char *method, const char *target, const char *content,
+		   char **body)
+{
+	struct reply reply = { 0 };
+	ks_http_request_t http = { .address = address,
+				   .method = ks_str_from(method),
+				   .target = ks_str_from(target),
+				   .body = ks_str_from(content) };
+
+	ks_http_fetch(&client, &http, 1 << 20, on_reply, &reply);
+	wait_for(&reply.done);
+	if (body)
+		*body = reply.body;
+	else
+		g_free(reply.body);
+	return reply.status;
+}
+
+/* Guards against a fault that a system test sets in vain. */
+static void test_platform_control(void)
+{
+	reset_faults();
+	g_assert_cmpint(request("POST", "/control",
+				"{\"down\":true,\"delay_ms\":5,"
+				"\"lose_answers\":2,\"stale_reads\":true,"
+				"\"lose_matching\":\"claim/\","
+				"\"hosts_down\":true,\"hosts\":[\"a\"],"
+				"\"leaving\":[\"b\",\"c\"]}",
+				NULL),
+			==, 200);
+	g_assert_true(platform.down);
+	g_assert_true(platform.stale_reads);
+	g_assert_true(platform.hosts_down);
+	g_assert_cmpint(platform.delay_us, ==, 5 * KS_USEC_PER_MSEC);
+	g_assert_cmpuint(platform.lose_answers, ==, 2);
+	g_assert_cmpstr(platform.lose_matching, ==, "claim/");
+	g_assert_cmpuint(platform.hosts->len, ==, 1);
+	g_assert_cmpuint(platform.leaving->len, ==, 2);
+	g_assert_cmpint(request("POST", "/control", "{\"dwn\":true}", NULL), ==,
+			400);
+	g_assert_cmpint(request("POST", "/control", "{\"down\":1}", NULL), ==,
+			400);
+	g_assert_cmpint(request("POST", "/control", "no JSON", NULL), ==, 400);
+	g_ptr_array_set_size(platform.hosts, 0);
+	g_ptr_array_set_size(platform.leaving, 0);
+	reset_faults();
+}
+
+/* A bucket with one token, which takes 1000 s to fill. */
+static fake_rate_t nearly_empty(void)
+{
+	return (fake_rate_t){ .per_s = 0.001,
+			      .tokens = 1,
+			      .refilled_us = ks_loop_now(&platform.loop) };
+}
+
+/* Guards against a limit that counts a transaction as one write. */
+static void test_platform_counts_and_limits(void)
+{
+	struct answer answer = { 0 };
+	ks_store_write_t writes[] = {
+		{ .key = KS_STR("plan/a"), .value = KS_STR("1") },
+		{ .key = KS_STR("plan/b"), .value = KS_STR("1") },
+	};
+	uint64_t n_writes = platform.writes;
+	char *stats = NULL;
+
+	reset_faults();
+	platform.write_rate = nearly_empty();
+	g_assert_cmpint(transact(&answer, writes, 2), ==, KS_STORE_DONE);
+	g_assert_cmpuint(platform.writes, ==, n_writes + 2);
+	g_assert_cmpfloat(platform.write_rate.tokens, <, 0);
+	g_assert_cmpint(transact(&answer, writes, 2), ==, KS_STORE_UNREACHABLE);
+	g_assert_cmpint(request("GET", "/v1/stats", "", &stats), ==, 200);
+	g_assert_nonnull(strstr(stats, "\"plan\":{\"reads\":"));
+	g_free(stats);
+	platform.weight_rate = nearly_empty();
+	g_assert_cmpint(request("GET", "/v1/weights/m/v1", "", NULL), ==, 200);
+	g_assert_cmpint(request("GET", "/v1/weights/m/v1", "", NULL), ==, 429);
+	clear(&answer);
+}
+
+/* Guards against a stale read that shows the newest value, or no old one. */
+static void test_platform_stale_reads(void)
+{
+	struct answer answer = { 0 };
+	ks_store_write_t write = { .key = KS_STR("release/head"),
+				   .value = KS_STR("1"),
+				   .unconditional = true };
+
+	reset_faults();
+	platform.stale_reads = true;
+	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_DONE);
+	g_assert_cmpint(get(&answer, "release/head"), ==, KS_STORE_DONE);
+	g_assert_cmpstr(answer.etag, ==, "");
+	write.value = KS_STR("2");
+	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_DONE);
+	g_assert_cmpint(get(&answer, "release/head"), ==, KS_STORE_DONE);
+	g_assert_cmpstr(answer.value, ==, "1");
+	clear(&answer);
+}
+
 struct hosts {
 	bool done;
 	bool ok;
@@ -415,6 +534,11 @@
 	g_test_add_func("/store-http/sends-its-token",
 			test_store_sends_its_token);
 	g_test_add_func("/platform-http/hosts", test_platform_hosts);
+	g_test_add_func("/fake-platform/control", test_platform_control);
+	g_test_add_func("/fake-platform/counts-and-limits",
+			test_platform_counts_and_limits);
+	g_test_add_func("/fake-platform/stale-reads",
+			test_platform_stale_reads);
 	status = g_test_run();
 	ks_store_http_deinit(&driver);
 	g_ptr_array_free(platform.hosts, TRUE);
