--- a/tests/system/test-operators.sh
+++ b/tests/system/test-operators.sh
@@ -118,10 +118,16 @@
 control '{"lose_answers":1,"lose_matching":"release/"}'
 expect 0 --platform "$platform" release publish "$work/fourth.yaml"
 output_has "version 4 is published"
+
+# So is the answer to the object, which is then put once more.
+note fifth 4 s5 7005
+control '{"lose_answers":1,"lose_matching":"snapshot/"}'
+expect 0 --platform "$platform" release publish "$work/fifth.yaml"
+output_has "version 5 is published"
 control '{"lose_answers":0,"lose_matching":null}'
 
 # A wrong note is refused with its line, and nothing is published.
-printf 'base: 4\nupstreams:\n  change:\n    - {id: s9, limit: 1}\n' \
+printf 'base: 5\nupstreams:\n  change:\n    - {id: s9, limit: 1}\n' \
 	>"$work/wrong.yaml"
 expect 1 --platform "$platform" release publish "$work/wrong.yaml"
 output_has "wrong.yaml:4: there is no upstream 's9'"
@@ -130,7 +136,7 @@
 racers=()
 for i in 1 2 3 4
 do
-	note "racer$i" 4 "r$i" "800$i"
+	note "racer$i" 5 "r$i" "800$i"
 	"$BIN/knapweedstair" --platform "$platform" release publish \
 		"$work/racer$i.yaml" >"$work/racer$i.out" 2>&1 &
 	racers+=($!)
@@ -178,6 +184,6 @@
 output_has "no status"
 expect 1 --platform "$platform" --entry 127.0.0.1:1 --timeout 1 \
 	release status --wait
-output_has "in force in 0 of 6 processes"
+output_has "in force in 0 of 7 processes"
 
 echo "operators: done"
