--- a/packages/process/tests/test-cli.c
+++ b/packages/process/tests/test-cli.c
@@ -99,22 +99,13 @@
 	g_assert_cmpuint(n_asked, ==, 1);
 }
 
-static int compare_keys(const void *a, const void *b, void *ctx G_GNUC_UNUSED)
-{
-	return g_strcmp0(a, b);
-}
-
 static void start(ks_address_t *entry_address)
 {
 	ks_address_t address = { "127.0.0.1", 0 };
 	GError *error = NULL;
 
-	fake_tables_init(&platform.tables);
-	platform.prefixes = g_tree_new_full(compare_keys, NULL, g_free, g_free);
 	ks_loop_init(&cli.loop, ks_clock_monotonic());
-	platform.loop = cli.loop;
-	ks_http_server_init(&platform.server, &cli.loop, &address, 1 << 20,
-			    fake_platform_handle, &platform, &error);
+	fake_platform_init(&platform, &cli.loop, &address, &error);
 	g_assert_no_error(error);
 	ks_http_server_init(&entry, &cli.loop, entry_address, 1 << 20,
 			    handle_status, NULL, &error);
@@ -148,7 +139,6 @@
 	status = g_test_run();
 	ks_store_http_deinit(&cli.store);
 	g_free(cli.operator_token);
-	g_tree_destroy(platform.prefixes);
-	fake_tables_deinit(&platform.tables);
+	fake_platform_deinit(&platform);
 	return status;
 }
--- a/packages/process/tests/test-store-http.c
+++ b/packages/process/tests/test-store-http.c
@@ -3,10 +3,10 @@
 #include "ks/process.h"
 
 #include <signal.h>
-#include <string.h>
 
 #define MAX_TURNS 10000
 
+static ks_loop_t loop;
 static fake_platform_t platform;
 static ks_http_client_t client;
 static ks_store_http_t driver;
@@ -25,7 +25,7 @@
 static void wait_for(const bool *done)
 {
 	for (int i = 0; i < MAX_TURNS && !*done; i++)
-		ks_loop_run_once(&platform.loop, 10 * KS_USEC_PER_MSEC);
+		ks_loop_run_once(&loop, 10 * KS_USEC_PER_MSEC);
 	g_assert_true(*done);
 }
 
@@ -83,19 +83,10 @@
 	return answer->outcome;
 }
 
-static void reset_faults(void)
+static void reset(void)
 {
-	platform.down = false;
-	platform.stale_reads = false;
-	platform.hosts_down = false;
-	platform.delay_us = 0;
-	platform.lose_answers = 0;
-	g_clear_pointer(&platform.lose_matching, g_free);
-	platform.write_rate = (fake_rate_t){ 0 };
-	platform.read_rate = (fake_rate_t){ 0 };
+	fake_platform_reset(&platform);
 	driver.timeout_us = 5 * KS_USEC_PER_SEC;
-	fake_tables_deinit(&platform.tables);
-	fake_tables_init(&platform.tables);
 }
 
 /* Guards against keys or values that change on the way, and against etags that
@@ -107,7 +98,7 @@
 				   .value = KS_STR("{\"a\":\"é\"}") };
 	char *etag;
 
-	reset_faults();
+	reset();
 	g_assert_cmpint(get(&answer, "claim/none"), ==, KS_STORE_DONE);
 	g_assert_cmpstr(answer.etag, ==, "");
 	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_DONE);
@@ -139,7 +130,7 @@
 	ks_store_write_t check = { .key = KS_STR("lease/a"),
 				   .check_only = true };
 
-	reset_faults();
+	reset();
 	g_assert_cmpint(write_row(&answer, &check), ==, KS_STORE_DONE);
 	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_DONE);
 	g_assert_cmpint(write_row(&answer, &check), ==, KS_STORE_REFUSED);
@@ -155,7 +146,7 @@
 		{ .key = KS_STR("release/head"), .value = KS_STR("head") },
 	};
 
-	reset_faults();
+	reset();
 	g_assert_cmpint(transact(&answer, &writes[1], 1), ==, KS_STORE_DONE);
 	g_assert_cmpint(transact(&answer, writes, 2), ==, KS_STORE_REFUSED);
 	g_assert_cmpint(answer.failed, ==, 1);
@@ -178,7 +169,7 @@
 		{ .key = KS_STR("claim/1/b"), .value = KS_STR("\xff\xfe") },
 	};
 
-	reset_faults();
+	reset();
 	g_assert_cmpint(transact(&answer, writes, 2), ==, KS_STORE_UNREACHABLE);
 	g_assert_cmpint(write_row(&answer, &writes[1]), ==,
 			KS_STORE_UNREACHABLE);
@@ -197,7 +188,7 @@
 		{ .key = KS_STR("claim/10/a"), .value = KS_STR("3") },
 	};
 
-	reset_faults();
+	reset();
 	g_assert_cmpint(transact(&answer, writes, 3), ==, KS_STORE_DONE);
 	clear(&answer);
 	driver.store.list(driver.store.impl, KS_STR("claim/1/"), on_rows,
@@ -224,7 +215,7 @@
 	struct answer answer = { 0 };
 	char *body = g_strnfill(200000, 'x');
 
-	reset_faults();
+	reset();
 	driver.store.object_put(driver.store.impl, KS_STR("snapshot/1/ab"),
 				ks_str_from(body), on_row, &answer);
 	wait_for(&answer.done);
@@ -246,7 +237,7 @@
 	ks_store_write_t write = { .key = KS_STR("claim/1/a"),
 				   .value = KS_STR("1") };
 
-	reset_faults();
+	reset();
 	platform.lose_answers = 1;
 	platform.lose_matching = g_strdup("claim/");
 	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_UNKNOWN);
@@ -265,7 +256,7 @@
 	ks_store_write_t write = { .key = KS_STR("plan/a"),
 				   .value = KS_STR("1") };
 
-	reset_faults();
+	reset();
 	platform.delay_us = 3600 * KS_USEC_PER_SEC;
 	driver.timeout_us = 50 * KS_USEC_PER_MSEC;
 	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_UNKNOWN);
@@ -280,11 +271,11 @@
 	ks_store_write_t write = { .key = KS_STR("plan/a"),
 				   .value = KS_STR("1") };
 
-	reset_faults();
+	reset();
 	platform.down = true;
 	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_UNREACHABLE);
 	g_assert_cmpint(get(&answer, "plan/a"), ==, KS_STORE_UNREACHABLE);
-	reset_faults();
+	reset();
 	platform.write_rate.per_s = 1e-9;
 	platform.write_rate.refilled_us = 1;
 	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_UNREACHABLE);
@@ -300,7 +291,7 @@
 	ks_store_write_t write = { .key = KS_STR("plan/a") };
 	ks_address_t good = driver.address;
 
-	reset_faults();
+	reset();
 	/* Nothing listens on port 1. */
 	driver.address.port = 1;
 	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_UNREACHABLE);
@@ -313,7 +304,7 @@
 {
 	struct answer answer = { 0 };
 
-	reset_faults();
+	reset();
 	platform.token = g_strdup("secret");
 	g_assert_cmpint(get(&answer, "plan/a"), ==, KS_STORE_UNREACHABLE);
 	ks_store_http_deinit(&driver);
@@ -323,125 +314,6 @@
 	clear(&answer);
 }
 
-struct reply {
-	bool done;
-	int status;
-	char *body;
-};
-
-static void on_reply(void *ctx, const ks_http_answer_t *answer)
-{
-	struct reply *reply = ctx;
-
-	g_assert_cmpint(answer->result, ==, KS_HTTP_WHOLE);
-	reply->done = true;
-	reply->status = answer->status;
-	reply->body = ks_str_dup(answer->body);
-}
-
-/* Return: the status; @body may be NULL or is to be freed by the caller. */
-static int request(const char *method, const char *target, const char *content,
-		   char **body)
-{
-	struct reply reply = { 0 };
-	ks_http_request_t http = { .address = address,
-				   .method = ks_str_from(method),
-				   .target = ks_str_from(target),
-				   .body = ks_str_from(content) };
-
-	ks_http_fetch(&client, &http, 1 << 20, on_reply, &reply);
-	wait_for(&reply.done);
-	if (body)
-		*body = reply.body;
-	else
-		g_free(reply.body);
-	return reply.status;
-}
-
-/* Guards against a fault that a system test sets in vain. */
-static void test_platform_control(void)
-{
-	reset_faults();
-	g_assert_cmpint(request("POST", "/control",
-				"{\"down\":true,\"delay_ms\":5,"
-				"\"lose_answers\":2,\"stale_reads\":true,"
-				"\"lose_matching\":\"claim/\","
-				"\"hosts_down\":true,\"hosts\":[\"a\"],"
-				"\"leaving\":[\"b\",\"c\"]}",
-				NULL),
-			==, 200);
-	g_assert_true(platform.down);
-	g_assert_true(platform.stale_reads);
-	g_assert_true(platform.hosts_down);
-	g_assert_cmpint(platform.delay_us, ==, 5 * KS_USEC_PER_MSEC);
-	g_assert_cmpuint(platform.lose_answers, ==, 2);
-	g_assert_cmpstr(platform.lose_matching, ==, "claim/");
-	g_assert_cmpuint(platform.hosts->len, ==, 1);
-	g_assert_cmpuint(platform.leaving->len, ==, 2);
-	g_assert_cmpint(request("POST", "/control", "{\"dwn\":true}", NULL), ==,
-			400);
-	g_assert_cmpint(request("POST", "/control", "{\"down\":1}", NULL), ==,
-			400);
-	g_assert_cmpint(request("POST", "/control", "no JSON", NULL), ==, 400);
-	g_ptr_array_set_size(platform.hosts, 0);
-	g_ptr_array_set_size(platform.leaving, 0);
-	reset_faults();
-}
-
-/* A bucket with one token, which takes 1000 s to fill. */
-static fake_rate_t nearly_empty(void)
-{
-	return (fake_rate_t){ .per_s = 0.001,
-			      .tokens = 1,
-			      .refilled_us = ks_loop_now(&platform.loop) };
-}
-
-/* Guards against a limit that counts a transaction as one write. */
-static void test_platform_counts_and_limits(void)
-{
-	struct answer answer = { 0 };
-	ks_store_write_t writes[] = {
-		{ .key = KS_STR("plan/a"), .value = KS_STR("1") },
-		{ .key = KS_STR("plan/b"), .value = KS_STR("1") },
-	};
-	uint64_t n_writes = platform.writes;
-	char *stats = NULL;
-
-	reset_faults();
-	platform.write_rate = nearly_empty();
-	g_assert_cmpint(transact(&answer, writes, 2), ==, KS_STORE_DONE);
-	g_assert_cmpuint(platform.writes, ==, n_writes + 2);
-	g_assert_cmpfloat(platform.write_rate.tokens, <, 0);
-	g_assert_cmpint(transact(&answer, writes, 2), ==, KS_STORE_UNREACHABLE);
-	g_assert_cmpint(request("GET", "/v1/stats", "", &stats), ==, 200);
-	g_assert_nonnull(strstr(stats, "\"plan\":{\"reads\":"));
-	g_free(stats);
-	platform.weight_rate = nearly_empty();
-	g_assert_cmpint(request("GET", "/v1/weights/m/v1", "", NULL), ==, 200);
-	g_assert_cmpint(request("GET", "/v1/weights/m/v1", "", NULL), ==, 429);
-	clear(&answer);
-}
-
-/* Guards against a stale read that shows the newest value, or no old one. */
-static void test_platform_stale_reads(void)
-{
-	struct answer answer = { 0 };
-	ks_store_write_t write = { .key = KS_STR("release/head"),
-				   .value = KS_STR("1"),
-				   .unconditional = true };
-
-	reset_faults();
-	platform.stale_reads = true;
-	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_DONE);
-	g_assert_cmpint(get(&answer, "release/head"), ==, KS_STORE_DONE);
-	g_assert_cmpstr(answer.etag, ==, "");
-	write.value = KS_STR("2");
-	g_assert_cmpint(write_row(&answer, &write), ==, KS_STORE_DONE);
-	g_assert_cmpint(get(&answer, "release/head"), ==, KS_STORE_DONE);
-	g_assert_cmpstr(answer.value, ==, "1");
-	clear(&answer);
-}
-
 struct hosts {
 	bool done;
 	bool ok;
@@ -467,7 +339,7 @@
 	ks_platform_http_t hosts_driver;
 	struct hosts hosts = { 0 };
 
-	reset_faults();
+	reset();
 	ks_platform_http_init(&hosts_driver, &client, &address, NULL);
 	g_ptr_array_add(platform.hosts, g_strdup("h1"));
 	g_ptr_array_add(platform.hosts, g_strdup("h2"));
@@ -488,25 +360,15 @@
 	ks_platform_http_deinit(&hosts_driver);
 }
 
-static int compare_keys(const void *a, const void *b, void *ctx G_GNUC_UNUSED)
-{
-	return strcmp(a, b);
-}
-
 static void start_platform(void)
 {
 	GError *error = NULL;
 
-	fake_tables_init(&platform.tables);
-	platform.hosts = g_ptr_array_new_with_free_func(g_free);
-	platform.leaving = g_ptr_array_new_with_free_func(g_free);
-	platform.prefixes = g_tree_new_full(compare_keys, NULL, g_free, g_free);
-	ks_loop_init(&platform.loop, ks_clock_monotonic());
-	ks_http_server_init(&platform.server, &platform.loop, &address, 1 << 20,
-			    fake_platform_handle, &platform, &error);
+	ks_loop_init(&loop, ks_clock_monotonic());
+	fake_platform_init(&platform, &loop, &address, &error);
 	g_assert_no_error(error);
 	address.port = ks_http_server_port(&platform.server);
-	ks_http_client_init(&client, &platform.loop);
+	ks_http_client_init(&client, &loop);
 	ks_store_http_init(&driver, &client, &address, NULL);
 }
 
@@ -534,16 +396,8 @@
 	g_test_add_func("/store-http/sends-its-token",
 			test_store_sends_its_token);
 	g_test_add_func("/platform-http/hosts", test_platform_hosts);
-	g_test_add_func("/fake-platform/control", test_platform_control);
-	g_test_add_func("/fake-platform/counts-and-limits",
-			test_platform_counts_and_limits);
-	g_test_add_func("/fake-platform/stale-reads",
-			test_platform_stale_reads);
 	status = g_test_run();
 	ks_store_http_deinit(&driver);
-	g_ptr_array_free(platform.hosts, TRUE);
-	g_ptr_array_free(platform.leaving, TRUE);
-	g_tree_destroy(platform.prefixes);
-	fake_tables_deinit(&platform.tables);
+	fake_platform_deinit(&platform);
 	return status;
 }
--- a/tests/fakes/fake-platform.c
+++ b/tests/fakes/fake-platform.c
@@ -8,42 +8,29 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 #define EXIT_USAGE 2
-#define MAX_BODY ((size_t)64 * 1024 * 1024)
 #define DEFAULT_WRITES_PER_S 500
 #define DEFAULT_READS_PER_S 2000
 #define DEFAULT_WEIGHTS_PER_S 4
 
-static int compare_keys(const void *a, const void *b, void *ctx G_GNUC_UNUSED)
-{
-	return strcmp(a, b);
-}
-
 static int serve(fake_platform_t *platform, const char *listen)
 {
 	char text[KS_ADDRESS_TEXT_SIZE];
 	ks_address_t address;
 	GError *error = NULL;
+	ks_loop_t loop;
 
-	fake_tables_init(&platform->tables);
-	platform->hosts = g_ptr_array_new_with_free_func(g_free);
-	platform->leaving = g_ptr_array_new_with_free_func(g_free);
-	platform->prefixes =
-		g_tree_new_full(compare_keys, NULL, g_free, g_free);
-	ks_loop_init(&platform->loop, ks_clock_monotonic());
+	ks_loop_init(&loop, ks_clock_monotonic());
 	if (!ks_address_parse(&address, ks_str_from(listen), &error) ||
-	    !ks_http_server_init(&platform->server, &platform->loop, &address,
-				 MAX_BODY, fake_platform_handle, platform,
-				 &error)) {
+	    !fake_platform_init(platform, &loop, &address, &error)) {
 		fprintf(stderr, "fake-platform: %s\n", error->message);
 		g_error_free(error);
 		return EXIT_FAILURE;
 	}
 	address.port = ks_http_server_port(&platform->server);
 	fprintf(stderr, "listens on %s\n", ks_address_format(&address, text));
-	ks_loop_run(&platform->loop);
+	ks_loop_run(&loop);
 	return EXIT_SUCCESS;
 }
 
--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -25,7 +25,7 @@
  * @stale_reads: reads return the value before the last write
  */
 typedef struct fake_platform {
-	ks_loop_t loop;
+	ks_loop_t *loop;
 	ks_http_server_t server;
 	fake_tables_t tables;
 	char *token;
@@ -46,6 +46,10 @@
 	GTree *prefixes;
 } fake_platform_t;
 
+bool fake_platform_init(fake_platform_t *platform, ks_loop_t *loop,
+			const ks_address_t *address, GError **error);
+void fake_platform_deinit(fake_platform_t *platform);
+void fake_platform_reset(fake_platform_t *platform);
 bool fake_rate_take(fake_rate_t *rate, double cost, int64_t now_us);
 void fake_platform_handle(void *ctx, struct st_h2o_req_t *req);
 void fake_platform_control(fake_platform_t *platform, struct st_h2o_req_t *req);
--- a/tests/fakes/fake_platform_control.c
+++ b/tests/fakes/fake_platform_control.c
@@ -6,12 +6,70 @@
 #include <stdlib.h>
 
 #define JSON_TYPE "application/json"
+#define MAX_BODY ((size_t)64 * 1024 * 1024)
 
 struct prefix_count {
 	unsigned reads;
 	unsigned writes;
 };
 
+static int compare_keys(const void *a, const void *b, void *ctx G_GNUC_UNUSED)
+{
+	return strcmp(a, b);
+}
+
+/**
+ * fake_platform_init() - set up an empty platform and listen
+ * @platform: all zero but for its rates and token
+ *
+ * Return: false if the address cannot be bound.
+ */
+bool fake_platform_init(fake_platform_t *platform, ks_loop_t *loop,
+			const ks_address_t *address, GError **error)
+{
+	platform->loop = loop;
+	fake_tables_init(&platform->tables);
+	platform->hosts = g_ptr_array_new_with_free_func(g_free);
+	platform->leaving = g_ptr_array_new_with_free_func(g_free);
+	platform->prefixes =
+		g_tree_new_full(compare_keys, NULL, g_free, g_free);
+	return ks_http_server_init(&platform->server, loop, address, MAX_BODY,
+				   fake_platform_handle, platform, error);
+}
+
+/**
+ * fake_platform_deinit() - free the state; the loop is not run again
+ */
+void fake_platform_deinit(fake_platform_t *platform)
+{
+	fake_tables_deinit(&platform->tables);
+	g_ptr_array_free(platform->hosts, TRUE);
+	g_ptr_array_free(platform->leaving, TRUE);
+	g_tree_destroy(platform->prefixes);
+	g_free(platform->lose_matching);
+	g_free(platform->token);
+}
+
+/**
+ * fake_platform_reset() - drop every row, object, fault and limit
+ */
+void fake_platform_reset(fake_platform_t *platform)
+{
+	platform->down = false;
+	platform->stale_reads = false;
+	platform->hosts_down = false;
+	platform->delay_us = 0;
+	platform->lose_answers = 0;
+	g_clear_pointer(&platform->lose_matching, g_free);
+	platform->write_rate = (fake_rate_t){ 0 };
+	platform->read_rate = (fake_rate_t){ 0 };
+	platform->weight_rate = (fake_rate_t){ 0 };
+	g_ptr_array_set_size(platform->hosts, 0);
+	g_ptr_array_set_size(platform->leaving, 0);
+	fake_tables_deinit(&platform->tables);
+	fake_tables_init(&platform->tables);
+}
+
 /**
  * fake_platform_count() - count accesses under the first part of a key
  */
--- a/tests/fakes/fake_platform_store.c
+++ b/tests/fakes/fake_platform_store.c
@@ -85,7 +85,7 @@
 	h2o_iovec_t copy =
 		h2o_strdup(&req->pool, body.data ? body.data : "", body.len);
 
-	ks_timer_init(&held->timer, &platform->loop, on_delay_over, held);
+	ks_timer_init(&held->timer, platform->loop, on_delay_over, held);
 	held->req = req;
 	held->lost = lost;
 	held->body = (ks_str_t){ copy.base, copy.len };
@@ -130,7 +130,7 @@
 static bool take_read(fake_platform_t *platform, h2o_req_t *req, ks_str_t key)
 {
 	if (!fake_rate_take(&platform->read_rate, 1,
-			    ks_loop_now(&platform->loop))) {
+			    ks_loop_now(platform->loop))) {
 		platform->limited++;
 		answer_no_effect(req, 429, "too many reads");
 		return false;
@@ -143,7 +143,7 @@
 			size_t n)
 {
 	if (!fake_rate_take(&platform->write_rate, (double)n,
-			    ks_loop_now(&platform->loop))) {
+			    ks_loop_now(platform->loop))) {
 		platform->limited++;
 		answer_no_effect(req, 429, "too many writes");
 		return false;
@@ -381,7 +381,7 @@
 			  ks_str_t name)
 {
 	if (fake_rate_take(&platform->weight_rate, 1,
-			   ks_loop_now(&platform->loop)))
+			   ks_loop_now(platform->loop)))
 		ks_http_reply(req, 200, "application/octet-stream", name);
 	else
 		answer_no_effect(req, 429, "too many loads of weights");
