--- a/packages/process/tests/test-fake-platform.c
+++ b/packages/process/tests/test-fake-platform.c
@@ -5,9 +5,6 @@
 #include <string.h>
 
 #define MAX_TURNS 10000
-#define BOTH_CONDITIONS                                        \
-	"[{\"op\":\"check\",\"key\":\"a\",\"if_match\":\"1\"," \
-	"\"if_none_match\":\"*\"}]"
 
 static ks_loop_t loop;
 static fake_platform_t platform;
@@ -117,13 +114,16 @@
 /* Guards against a transaction without a value that stores an empty one. */
 static void test_platform_refuses_malformed_writes(void)
 {
+	static const char both_conditions[] =
+		"[{\"op\":\"check\",\"key\":\"a\",\"if_match\":\"1\","
+		"\"if_none_match\":\"*\"}]";
 	static const char *const bodies[] = {
 		"",
 		"{}",
 		"[1]",
 		"[{\"op\":\"put\",\"key\":\"a\"}]",
 		"[{\"op\":\"add\",\"key\":\"a\",\"value\":\"1\"}]",
-		BOTH_CONDITIONS,
+		both_conditions,
 	};
 
 	fake_platform_reset(&platform);
