Refuse requests while the engine has no model

An engine that was restarted reports an empty model, which counted as not known. The request's text is now also freed once it is handed on, as a stream would hold it twice.

--- a/packages/process/src/upstream.c
+++ b/packages/process/src/upstream.c
@@ -65,6 +65,9 @@
 {
 	ks_upstream_process_t *process = ctx;
 
+	/* It accepts only once the engine has what the snapshot wants. */
+	if (accepting)
+		process->engine_seen = false;
 	ks_drain_set_changing(&process->drain, !accepting);
 	upstream_update_state(process);
 }
--- a/packages/process/src/upstream.h
+++ b/packages/process/src/upstream.h
@@ -24,7 +24,8 @@
  * @entry: this upstream in @snapshot, or NULL
  * @queue: jobs not yet handed on, by priority and then by arrival
  * @running: jobs handed on
- * @engine_model: model that the engine was last seen with; empty: not known
+ * @engine_model: model that the engine was last seen with; empty: none
+ * @engine_seen: @engine_model is newer than the last word of the order module
  */
 struct ks_upstream_process {
 	ks_loop_t *loop;
@@ -55,6 +56,7 @@
 	ks_timer_t load_timer;
 	int64_t load_sent_us;
 	char engine_model[64];
+	bool engine_seen;
 
 	ks_timer_t poll_timer;
 	int64_t hosts_asked_us;
@@ -65,7 +67,7 @@
  * struct upstream_job - a request that this process has taken
  * @link_job: where the answer goes; NULL once it was ended
  * @start_timer: refuses the job unless it was sent by its deadline
- * @request: with strings copied into @text and headers into @headers
+ * @request: with strings in @text and headers in @headers until it is handed on
  * @prompt_left: prompt tokens that count as pending
  * @output_left: output tokens that count as pending
  * @for_engine: as configured when it was taken
--- a/packages/process/src/upstream_job.c
+++ b/packages/process/src/upstream_job.c
@@ -51,6 +51,15 @@
 	job->request.headers = job->headers;
 }
 
+/* The call has its own copy, and a long stream should not hold two. */
+static void free_text(struct upstream_job *job)
+{
+	g_free(job->headers);
+	g_free(job->text);
+	job->headers = NULL;
+	job->text = NULL;
+}
+
 static void count_output(struct upstream_job *job, uint32_t tokens)
 {
 	tokens = MIN(tokens, job->output_left);
@@ -79,8 +88,7 @@
 	count_prompt_done(job);
 	count_output(job, job->output_left);
 	ks_drain_end(&process->drain);
-	g_free(job->headers);
-	g_free(job->text);
+	free_text(job);
 	g_free(job);
 	upstream_load_changed(process);
 	upstream_jobs_hand_on(process);
@@ -293,6 +301,7 @@
 	if (!job->request.idempotent)
 		timeout_us += NON_IDEMPOTENT_GRACE_US;
 	start_call(job, timeout_us);
+	free_text(job);
 }
 
 static void on_start_timer(void *ctx)
@@ -363,8 +372,7 @@
 			ks_list_remove(&job->node);
 			ks_timer_clear(&job->start_timer);
 			ks_http_call_cancel(&job->call);
-			g_free(job->headers);
-			g_free(job->text);
+			free_text(job);
 			g_free(job);
 		}
 }
--- a/packages/process/src/upstream_load.c
+++ b/packages/process/src/upstream_load.c
@@ -94,5 +94,6 @@
 		  sizeof(process->load.role));
 	g_strlcpy(process->engine_model, state->model,
 		  sizeof(process->engine_model));
+	process->engine_seen = true;
 	upstream_load_changed(process);
 }
--- a/packages/process/src/upstream_queue.c
+++ b/packages/process/src/upstream_queue.c
@@ -84,7 +84,7 @@
 
 	if (!model || name.len == 0)
 		return true;
-	if (process->engine_model[0] && strcmp(process->engine_model, model))
+	if (process->engine_seen && strcmp(process->engine_model, model))
 		return false;
 	return ks_str_equal(name, ks_str_from(model)) ||
 	       has_adapter(process, name);
--- a/packages/process/tests/test-upstream.c
+++ b/packages/process/tests/test-upstream.c
@@ -258,6 +258,21 @@
 	job = arrive(f, request);
 	g_assert_cmpint(job->kind, ==, KS_ERROR_UNKNOWN_MODEL);
 	job_free(job);
+
+	/* An engine that was restarted has no model. */
+	state.model[0] = '\0';
+	doubles.orders_events->observed(doubles.orders_ctx, &state);
+	job = arrive(f, request);
+	g_assert_cmpint(job->kind, ==, KS_ERROR_UNKNOWN_MODEL);
+	job_free(job);
+
+	/* An older observation does not outweigh the order module. */
+	doubles.orders_events->accepting(doubles.orders_ctx, false);
+	doubles.orders_events->accepting(doubles.orders_ctx, true);
+	job = arrive(f, request);
+	RUN_UNTIL(f, f->n_calls == 2);
+	cancel(job);
+	job_free(job);
 	fixture_free(f);
 }
 
