Announce the load together with a change of state

The heartbeat that tells of a change carried the load before queued requests were refused. The test of the graceful stop now checks each of its three conditions on its own.

--- a/packages/process/src/upstream.c
+++ b/packages/process/src/upstream.c
@@ -44,9 +44,10 @@
 	ks_log(KS_LOG_LINK, KS_LOG_INFO, "upstream %s is %s",
 	       process->settings->upstream,
 	       ks_drain_reason_name(ks_drain_reason(&process->drain)));
+	upstream_jobs_hand_on(process);
+	/* The heartbeat that is sent at once carries this load. */
 	upstream_load_send(process);
 	ks_link_server_set_state(process->link, state);
-	upstream_jobs_hand_on(process);
 }
 
 /**
--- a/packages/process/tests/test-upstream-queue.c
+++ b/packages/process/tests/test-upstream-queue.c
@@ -111,6 +111,8 @@
 	g_assert_cmpuint(doubles.orders_in_flight, ==, 2);
 	doubles.orders_events->accepting(doubles.orders_ctx, false);
 	g_assert_cmpint(doubles.state, ==, KS_UPSTREAM_CHANGING);
+	/* Not held back until the interval is over. */
+	g_assert_cmpuint(doubles.load_at_state.in_flight, ==, 1);
 	g_assert_cmpint(queued->kind, ==, KS_ERROR_NO_UPSTREAM);
 	late = arrive(f, example_request(true));
 	g_assert_cmpint(late->kind, ==, KS_ERROR_NO_UPSTREAM);
@@ -168,6 +170,16 @@
 	fixture_free(f);
 }
 
+/* Whether the loop is stopped when link and orders are idle, or are not. */
+static bool stops(struct fixture *f, bool link_idle, bool orders_idle)
+{
+	doubles.link_idle = link_idle;
+	doubles.orders_idle = orders_idle;
+	ks_test_clock_advance(&f->clock, SEC);
+	run_turns(f, 5);
+	return f->loop.stopping;
+}
+
 /* Guards against a stop that loses an answer or leaves an order half done. */
 static void test_stop_waits_for_answers_and_orders(void)
 {
@@ -175,28 +187,16 @@
 	ks_job_t *running = arrive(f, example_request(true));
 
 	RUN_UNTIL(f, f->n_calls == 1);
-	doubles.link_idle = false;
-	doubles.orders_idle = false;
 	ks_upstream_process_stop(f->process);
 	g_assert_cmpint(doubles.state, ==, KS_UPSTREAM_LEAVING);
 	g_assert_true(doubles.orders_stopped);
-	ks_test_clock_advance(&f->clock, 5 * SEC);
-	run_turns(f, 5);
-	g_assert_false(f->loop.stopping);
+	g_assert_false(stops(f, true, true));
 	reply_ok(f, 0);
 	RUN_UNTIL(f, running->ended);
 	g_assert_cmpint(running->kind, ==, KS_ERROR_NONE);
-	ks_test_clock_advance(&f->clock, SEC);
-	run_turns(f, 5);
-	g_assert_false(f->loop.stopping);
-	doubles.link_idle = true;
-	ks_test_clock_advance(&f->clock, SEC);
-	run_turns(f, 5);
-	g_assert_false(f->loop.stopping);
-	doubles.orders_idle = true;
-	ks_test_clock_advance(&f->clock, SEC);
-	run_turns(f, 5);
-	g_assert_true(f->loop.stopping);
+	g_assert_false(stops(f, false, true));
+	g_assert_false(stops(f, true, false));
+	g_assert_true(stops(f, true, true));
 	job_free(running);
 	fixture_free(f);
 }
--- a/packages/process/tests/upstream_doubles.h
+++ b/packages/process/tests/upstream_doubles.h
@@ -17,6 +17,7 @@
 	ks_upstream_state_t state;
 	ks_load_t load;
 	unsigned n_loads;
+	ks_load_t load_at_state;
 	uint64_t version;
 	bool link_idle;
 	ks_config_func_t config_func;
@@ -92,6 +93,7 @@
 			      ks_upstream_state_t state)
 {
 	doubles.state = state;
+	doubles.load_at_state = doubles.load;
 }
 
 void ks_link_server_set_load(ks_link_server_t *server G_GNUC_UNUSED,
