--- a/tests/fakes/engine_batch.c
+++ b/tests/fakes/engine_batch.c
@@ -7,7 +7,8 @@
 
 /* Longer steps for larger batches, as a share of a step of one sequence. */
 #define DECODE_GROWTH 0.02
-#define MAX_CATCH_UP 1000
+/* A process that was stopped goes on from here, without catching up. */
+#define MAX_BEHIND_US (50 * KS_USEC_PER_MSEC)
 
 /* A decode engine keeps its steps short, a prefill engine its chunks long. */
 static unsigned chunk_tokens(const struct fake_engine *engine)
@@ -202,7 +203,8 @@
 
 	drop_closed(engine, &batch->waiting);
 	drop_closed(engine, &batch->running);
-	for (int i = 0; i < MAX_CATCH_UP && batch->due_us <= now; i++) {
+	batch->due_us = MAX(batch->due_us, now - MAX_BEHIND_US);
+	while (batch->due_us <= now) {
 		run_iteration(engine);
 		start_iteration(engine);
 		if (batch->n_running == 0)
--- a/tests/fakes/fake-engine.c
+++ b/tests/fakes/fake-engine.c
@@ -157,76 +157,111 @@
 	.role = "both",
 };
 
-#define SET_IF_GIVEN(arg, target, value)    \
-	do {                                \
-		if ((arg)->count)           \
-			(target) = (value); \
-	} while (0)
+/* The arguments, in the order of argtable's table, which ends with @end. */
+struct engine_args {
+	struct arg_str *listen;
+	struct arg_dbl *prefill;
+	struct arg_dbl *decode;
+	struct arg_int *max_batch;
+	struct arg_int *kv_blocks;
+	struct arg_lit *fencing;
+	struct arg_int *change;
+	struct arg_int *load_lag;
+	struct arg_int *event_lag;
+	struct arg_int *block;
+	struct arg_int *seed;
+	struct arg_str *model;
+	struct arg_str *version;
+	struct arg_str *role;
+	struct arg_end *end;
+};
 
-int main(int argc, char **argv)
+static void init_args(struct engine_args *args)
 {
-	struct arg_str *listen =
-		arg_str0(NULL, "listen", "IP:PORT", "where to listen");
-	struct arg_dbl *prefill = arg_dbl0(NULL, "prefill-us-per-token", "US",
-					   "time for a prompt token");
-	struct arg_dbl *decode =
+	args->listen = arg_str0(NULL, "listen", "IP:PORT", "where to listen");
+	args->prefill = arg_dbl0(NULL, "prefill-us-per-token", "US",
+				 "time for a prompt token");
+	args->decode =
 		arg_dbl0(NULL, "decode-us", "US", "time of a decode step");
-	struct arg_int *max_batch =
+	args->max_batch =
 		arg_int0(NULL, "max-batch", "N", "most sequences at once");
-	struct arg_int *kv_blocks = arg_int0(
-		NULL, "kv-blocks", "N", "memory in blocks of 2,000 tokens");
-	struct arg_lit *fencing = arg_lit0(NULL, "checks-fencing",
-					   "refuse orders with an old fence");
-	struct arg_int *change =
-		arg_int0(NULL, "change-ms", "MS", "time of an order");
-	struct arg_int *load_lag =
+	args->kv_blocks = arg_int0(NULL, "kv-blocks", "N",
+				   "memory in blocks of 2,000 tokens");
+	args->fencing = arg_lit0(NULL, "checks-fencing",
+				 "refuse orders with an old fence");
+	args->change = arg_int0(NULL, "change-ms", "MS", "time of an order");
+	args->load_lag =
 		arg_int0(NULL, "load-lag-ms", "MS", "age of reported load");
-	struct arg_int *event_lag =
+	args->event_lag =
 		arg_int0(NULL, "event-lag-ms", "MS", "age of cache events");
-	struct arg_int *block = arg_int0(NULL, "kv-us-per-block", "US",
-					 "time to move one block");
-	struct arg_int *seed = arg_int0(NULL, "seed", "N", "random seed");
-	struct arg_str *model =
+	args->block = arg_int0(NULL, "kv-us-per-block", "US",
+			       "time to move one block");
+	args->seed = arg_int0(NULL, "seed", "N", "random seed");
+	args->model =
 		arg_str0(NULL, "model", "NAME", "model loaded at the start");
-	struct arg_str *version =
+	args->version =
 		arg_str0(NULL, "model-version", "VERSION", "its version");
-	struct arg_str *role =
-		arg_str0(NULL, "role", "ROLE", "both, prefill or decode");
-	struct arg_end *end = arg_end(10);
-	void *table[] = { listen,  prefill, decode,   max_batch, kv_blocks,
-			  fencing, change,  load_lag, event_lag, block,
-			  seed,	   model,   version,  role,	 end };
+	args->role = arg_str0(NULL, "role", "ROLE", "both, prefill or decode");
+	args->end = arg_end(10);
+}
+
+static int64_t msec_or(const struct arg_int *arg, int64_t fallback_us)
+{
+	return arg->count ? arg->ival[0] * KS_USEC_PER_MSEC : fallback_us;
+}
+
+static unsigned int_or(const struct arg_int *arg, unsigned fallback)
+{
+	return arg->count && arg->ival[0] >= 0 ? (unsigned)arg->ival[0]
+					       : fallback;
+}
+
+static double double_or(const struct arg_dbl *arg, double fallback)
+{
+	return arg->count ? arg->dval[0] : fallback;
+}
+
+static const char *text_or(const struct arg_str *arg, const char *fallback)
+{
+	return arg->count ? arg->sval[0] : fallback;
+}
+
+static bool read_args(const struct engine_args *args,
+		      struct engine_options *options)
+{
+	options->prefill_us = double_or(args->prefill, options->prefill_us);
+	options->decode_us = double_or(args->decode, options->decode_us);
+	options->max_batch = int_or(args->max_batch, options->max_batch);
+	options->kv_blocks = int_or(args->kv_blocks, options->kv_blocks);
+	options->checks_fencing = args->fencing->count > 0;
+	options->change_us = msec_or(args->change, options->change_us);
+	options->load_lag_us = msec_or(args->load_lag, 0);
+	options->event_lag_us = msec_or(args->event_lag, 0);
+	options->block_us = int_or(args->block, (unsigned)options->block_us);
+	options->seed = int_or(args->seed, options->seed);
+	options->model = text_or(args->model, options->model);
+	options->version = text_or(args->version, options->version);
+	options->role = text_or(args->role, options->role);
+	if (!args->listen->count ||
+	    ks_address_parse(&options->listen,
+			     ks_str_from(args->listen->sval[0]), NULL))
+		return true;
+	fprintf(stderr, "fake-engine: '%s' is not IP:PORT\n",
+		args->listen->sval[0]);
+	return false;
+}
+
+int main(int argc, char **argv)
+{
 	struct fake_engine engine = { .options = default_options };
-	struct engine_options *options = &engine.options;
+	struct engine_args args;
 
-	if (arg_parse(argc, argv, table) > 0) {
-		arg_print_errors(stderr, end, "fake-engine");
+	init_args(&args);
+	if (arg_parse(argc, argv, (void **)&args) > 0) {
+		arg_print_errors(stderr, args.end, "fake-engine");
 		return EXIT_USAGE;
 	}
-	if (listen->count &&
-	    !ks_address_parse(&options->listen, ks_str_from(listen->sval[0]),
-			      NULL)) {
-		fprintf(stderr, "fake-engine: '%s' is not IP:PORT\n",
-			listen->sval[0]);
+	if (!read_args(&args, &engine.options))
 		return EXIT_USAGE;
-	}
-	SET_IF_GIVEN(prefill, options->prefill_us, prefill->dval[0]);
-	SET_IF_GIVEN(decode, options->decode_us, decode->dval[0]);
-	SET_IF_GIVEN(max_batch, options->max_batch,
-		     (unsigned)max_batch->ival[0]);
-	SET_IF_GIVEN(kv_blocks, options->kv_blocks,
-		     (unsigned)kv_blocks->ival[0]);
-	SET_IF_GIVEN(change, options->change_us,
-		     change->ival[0] * KS_USEC_PER_MSEC);
-	SET_IF_GIVEN(load_lag, options->load_lag_us,
-		     load_lag->ival[0] * KS_USEC_PER_MSEC);
-	SET_IF_GIVEN(event_lag, options->event_lag_us,
-		     event_lag->ival[0] * KS_USEC_PER_MSEC);
-	SET_IF_GIVEN(block, options->block_us, block->ival[0]);
-	SET_IF_GIVEN(seed, options->seed, (uint32_t)seed->ival[0]);
-	SET_IF_GIVEN(model, options->model, model->sval[0]);
-	SET_IF_GIVEN(version, options->version, version->sval[0]);
-	SET_IF_GIVEN(role, options->role, role->sval[0]);
-	options->checks_fencing = fencing->count > 0;
 	return run_engine(&engine);
 }
