--- a/packages/process/tests/test-fakes.c
+++ b/packages/process/tests/test-fakes.c
@@ -237,6 +237,61 @@
 	fake_stop(&fake);
 }
 
+/* Guards against a lag without effect: with it, a busy engine looks idle. */
+static void test_reports_are_late(void)
+{
+	struct fake now = fake_start("fake-engine", ARGS);
+	struct fake late =
+		fake_start("fake-engine",
+			   ARGS "--load-lag-ms 600000 --event-lag-ms 600000");
+	const struct fake *fakes[] = { &now, &late };
+	char *prompt = g_strnfill(18000, 'a');
+
+	for (size_t i = 0; i < G_N_ELEMENTS(fakes); i++) {
+		struct reply reply = complete(fakes[i], prompt, 2);
+		ks_http_call_t running;
+		size_t n_bytes;
+
+		g_free(reply.body);
+		start_endless(fakes[i], &running, true, &n_bytes);
+		WAIT_FOR(n_bytes > 0);
+		reply = call(fakes[i], "GET", "/state", "");
+		assert_contains(&reply,
+				i == 0 ? "\"running\":1" : "\"running\":0");
+		g_free(reply.body);
+		reply = call(fakes[i], "GET", "/cache/events?since=0", "");
+		assert_contains(&reply,
+				i == 0 ? "\"stored\"" : "\"events\":[]");
+		g_free(reply.body);
+		ks_http_call_cancel(&running);
+	}
+	g_free(prompt);
+	fake_stop(&now);
+	fake_stop(&late);
+}
+
+/* Guards against a crash or silence that a test asks for without effect. */
+static void test_control(void)
+{
+	static const char *const programs[] = { "fake-engine", "fake-service" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(programs); i++) {
+		struct fake fake = fake_start(programs[i], "");
+		struct reply control, silent, crash;
+
+		control = call(&fake, "POST", "/control", "{\"silent\":true}");
+		call_start(&fake, "GET", "/state", NULL, "", &silent);
+		crash = call(&fake, "POST", "/control", "{\"crash\":true}");
+		g_assert_cmpint(crash.result, ==, KS_HTTP_LOST);
+		WAIT_FOR(silent.done);
+		g_assert_cmpint(silent.result, !=, KS_HTTP_WHOLE);
+		g_free(control.body);
+		g_free(silent.body);
+		g_free(crash.body);
+		fake_stop(&fake);
+	}
+}
+
 /* Guards against a change that drops what runs or lets new work in. */
 static void test_change_keeps_running_and_refuses_new(void)
 {
@@ -308,6 +363,8 @@
 	g_test_add_func("/fakes/resume", test_resume_continues_at_token);
 	g_test_add_func("/fakes/cache", test_prefix_cache_and_transfer);
 	g_test_add_func("/fakes/cancel", test_closed_connection_cancels);
+	g_test_add_func("/fakes/lag", test_reports_are_late);
+	g_test_add_func("/fakes/control", test_control);
 	g_test_add_func("/fakes/change",
 			test_change_keeps_running_and_refuses_new);
 	g_test_add_func("/fakes/service", test_service_counts_every_execution);
