--- a/cli/knapweedstaird.c
+++ b/cli/knapweedstaird.c
@@ -86,7 +86,6 @@
 static int run_with_settings(const char *file, bool check_only)
 {
 	struct daemon daemon = { 0 };
-	ks_log_level_t level = KS_LOG_INFO;
 	GError *error = NULL;
 	int status;
 
@@ -100,10 +99,7 @@
 		ks_settings_free(daemon.settings);
 		return EXIT_SUCCESS;
 	}
-	if (daemon.settings->log_level)
-		ks_log_level_parse(&level,
-				   ks_str_from(daemon.settings->log_level));
-	ks_log_init(daemon.settings->name, level);
+	ks_settings_init_logs(daemon.settings);
 	status = run_daemon(&daemon);
 	ks_log_deinit();
 	ks_settings_free(daemon.settings);
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -12,19 +12,40 @@
 export RC_PARAMS="seed=42 max_success=200"
 unset http_proxy https_proxy HTTP_PROXY HTTPS_PROXY all_proxy ALL_PROXY
 
-passed=0 failed=0 known=0
+# Tests run side by side, as most of them wait; the report keeps their order.
+JOBS=${JOBS:-6}
 logs=build/test-logs
+rm -rf "$logs"
 mkdir -p "$logs"
 
 is_known_red () {
 	test -f KNOWN-RED.txt && grep -q "^test: $1\$" KNOWN-RED.txt
 }
 
-run_one () {
-	local name=$1 log
+log_of () {
+	echo "$logs/$(echo "$1" | tr / _)"
+}
+
+# start_one NAME COMMAND...: runs a test in the background.
+start_one () {
+	local log
+	log=$(log_of "$1")
+	names+=("$1")
 	shift
-	log=$logs/$(echo "$name" | tr / _).log
-	if timeout -k 5 300 "$@" >"$log" 2>&1 </dev/null
+	while test "$(jobs -rp | wc -l)" -ge "$JOBS"
+	do
+		wait -n
+	done
+	{
+		timeout -k 5 300 "$@" >"$log.log" 2>&1 </dev/null
+		echo $? >"$log.status"
+	} &
+}
+
+report_one () {
+	local name=$1 log
+	log=$(log_of "$name")
+	if test "$(cat "$log.status")" = 0
 	then
 		echo "ok      $name"
 		passed=$((passed + 1))
@@ -34,24 +55,31 @@
 		known=$((known + 1))
 	else
 		echo "FAILED  $name"
-		tail -n 40 "$log" | sed 's/^/    /'
+		tail -n 60 "$log.log" | sed 's/^/    /'
 		failed=$((failed + 1))
 	fi
 }
 
+names=()
 for build in "$@"
 do
-	for source in packages/*/tests/test-*.c packages/*/tests/prop-*.cpp
-	do
-		test -f "$source" || continue
-		run_one "$build/${source%.*}" "build/$build/${source%.*}"
-	done
 	for script in tests/system/test-*.sh
 	do
 		test -f "$script" || continue
-		run_one "$build/${script%.sh}" env BIN="build/$build" "$script"
+		start_one "$build/${script%.sh}" env BIN="build/$build" "$script"
+	done
+	for source in packages/*/tests/test-*.c packages/*/tests/prop-*.cpp
+	do
+		test -f "$source" || continue
+		start_one "$build/${source%.*}" "build/$build/${source%.*}"
 	done
 done
+wait
 
+passed=0 failed=0 known=0
+for name in "${names[@]}"
+do
+	report_one "$name"
+done
 echo "$passed passed, $failed failed, $known skipped"
 test "$failed" = 0 && test "$passed" -gt 0
--- a/tests/system/test-withdraw.sh
+++ b/tests/system/test-withdraw.sh
@@ -32,7 +32,7 @@
 done
 
 control platform '{"leaving":["host-engine2"]}'
-wait_until "engine2 leaves" has_log up-engine2 "engine2 is leaving"
+wait_until "engine2 leaves" has_log up-engine2 "engine2 is on a leaving host"
 end_load
 for class in completions lookups charges
 do
