--- a/packages/process/src/ledger.c
+++ b/packages/process/src/ledger.c
@@ -276,17 +276,6 @@
 		withdraw_unsent(entry);
 }
 
-/* A request that starts past its deadline fails here, not in its caller. */
-static void on_start(void *ctx)
-{
-	ks_ledger_entry_t *entry = ctx;
-	ks_ledger_t *ledger = entry->ledger;
-
-	ks_timer_init(&entry->wait, ledger->loop, on_wait_over, entry);
-	run_step(entry,
-		 ks_claim_machine_start(&entry->machine, now_of(ledger)));
-}
-
 /**
  * ks_ledger_begin() - claim a key for a request
  * @fingerprint: of the request, KS_FINGERPRINT_SIZE bytes
@@ -319,9 +308,11 @@
 			      request, key->issued_us, timeout_us,
 			      now_of(ledger));
 	ks_timer_init(&entry->deadline, ledger->loop, on_deadline, entry);
-	ks_timer_init(&entry->wait, ledger->loop, on_start, entry);
-	ks_timer_set(&entry->wait, 0);
-	ks_timer_set(&entry->deadline, MAX(timeout_us, 1));
+	ks_timer_init(&entry->wait, ledger->loop, on_wait_over, entry);
+	ks_timer_set(&entry->deadline, MAX(timeout_us, 0));
+	/* Past the deadline nothing is started; its timer ends the request. */
+	if (timeout_us > 0)
+		run_step(entry, ks_claim_machine_start(&entry->machine));
 	return entry;
 }
 
--- a/packages/request/include/ks/request.h
+++ b/packages/request/include/ks/request.h
@@ -381,8 +381,7 @@
 			   int64_t issued_us, int64_t timeout_us,
 			   ks_claim_times_t now);
 void ks_claim_machine_deinit(ks_claim_machine_t *machine);
-ks_claim_step_t ks_claim_machine_start(ks_claim_machine_t *machine,
-				       ks_claim_times_t now);
+ks_claim_step_t ks_claim_machine_start(ks_claim_machine_t *machine);
 ks_claim_step_t ks_claim_machine_event(ks_claim_machine_t *machine,
 				       ks_claim_event_t event, ks_str_t etag,
 				       ks_claim_times_t now);
