Withdraw an unsent claim before its request is given up

A claim that waits for its group is taken back first, so that the step that follows may free the request. The conditions of an order get a property of their own, and the simulated loops stay reachable for the leak check.

--- a/packages/process/src/ledger.c
+++ b/packages/process/src/ledger.c
@@ -258,22 +258,21 @@
  */
 static void withdraw_unsent(ks_ledger_entry_t *entry)
 {
-	if (!ks_list_is_empty(&entry->waiting)) {
-		ks_list_remove(&entry->waiting);
-		ks_ledger_entry_event(entry, KS_STORE_UNREACHABLE, KS_STR(""));
-	}
+	if (ks_list_is_empty(&entry->waiting))
+		return;
+	ks_list_remove(&entry->waiting);
+	ks_claim_machine_event(&entry->machine, KS_CLAIM_EVENT_UNREACHABLE,
+			       KS_STR(""), now_of(entry->ledger));
 }
 
 static void on_deadline(void *ctx)
 {
 	ks_ledger_entry_t *entry = ctx;
-	bool unsent = !ks_list_is_empty(&entry->waiting);
 
 	ks_timer_clear(&entry->wait);
+	withdraw_unsent(entry);
 	run_step(entry, ks_claim_machine_deadline(&entry->machine,
 						  now_of(entry->ledger)));
-	if (unsent)
-		withdraw_unsent(entry);
 }
 
 /**
@@ -319,14 +318,11 @@
 /* How the attempt ended goes to the table; the owner is not told of it. */
 static void end_entry(ks_ledger_entry_t *entry, ks_claim_state_t state)
 {
-	bool unsent = !ks_list_is_empty(&entry->waiting);
-
 	release_owner(entry);
 	ks_timer_clear(&entry->wait);
+	withdraw_unsent(entry);
 	run_step(entry, ks_claim_machine_end(&entry->machine, state,
 					     now_of(entry->ledger)));
-	if (unsent)
-		withdraw_unsent(entry);
 }
 
 static void end_put(ks_ledger_entry_t *entry, ks_claim_state_t state)
--- /dev/null
+++ b/packages/process/tests/prop-order.cpp
@@ -0,0 +1,62 @@
+/* Properties of the decision on the next step for an engine. */
+#include "ks/process.h"
+
+#include <rapidcheck.h>
+
+namespace
+{
+/* Guards against an order that lacks one of its conditions. */
+bool check_conditions()
+{
+	return rc::check("an order is sent only when all of it holds", [] {
+		ks_order_target_t target;
+		ks_engine_state_t state = {};
+		ks_order_view_t view = {};
+		ks_order_t order = {};
+		auto flag = [] { return *rc::gen::arbitrary<bool>(); };
+		auto mostly = [] {
+			return *rc::gen::element(true, true, true, true, false);
+		};
+
+		ks_order_target_init(&target);
+		target.known = mostly();
+		g_strlcpy(target.model, "m", sizeof(target.model));
+		g_strlcpy(state.model, flag() ? "m" : "", sizeof(state.model));
+		state.role = flag() ? KS_ROLE_BOTH : KS_ROLE_DECODE;
+		state.busy_with_order = !mostly();
+		view.target = &target;
+		view.state = mostly() ? &state : nullptr;
+		view.fresh = mostly();
+		view.order_under_way = !mostly();
+		view.stopping = !mostly();
+		view.leased = mostly();
+		view.holding = view.leased || flag();
+		view.permitted = mostly();
+		view.accepting = !mostly();
+		view.changing = mostly();
+		view.abandoned = flag();
+		view.in_flight = mostly() ? 0 : 1;
+		view.order_timeout_us = 1000;
+		view.time_left_us = *rc::gen::element(999, 1000, 2000);
+		ks_order_step_t step = ks_order_next(&view, &order);
+
+		ks_order_target_deinit(&target);
+		RC_TAG(step == KS_ORDER_STEP_ORDER ? "order" : "other");
+		if (step != KS_ORDER_STEP_ORDER)
+			return;
+		RC_ASSERT(view.state && target.known);
+		RC_ASSERT(!view.order_under_way && !view.stopping);
+		RC_ASSERT(!state.busy_with_order);
+		RC_ASSERT(view.leased && view.fresh);
+		RC_ASSERT(view.changing && !view.accepting);
+		RC_ASSERT(view.in_flight == 0u);
+		RC_ASSERT(view.time_left_us >= view.order_timeout_us);
+		RC_ASSERT(order.kind != KS_ORDER_LOAD_MODEL || view.permitted);
+	});
+}
+} // namespace
+
+int main()
+{
+	return check_conditions() ? 0 : 1;
+}
--- a/packages/process/tests/sim.h
+++ b/packages/process/tests/sim.h
@@ -428,7 +428,7 @@
 /* The loops live as long as the test, as h2o cannot free them. */
 inline ks_loop_t *loop_at(size_t index, world *w)
 {
-	static std::vector<ks_loop_t *> loops;
+	static auto &loops = *new std::vector<ks_loop_t *>;
 
 	while (loops.size() <= index) {
 		loops.push_back(new ks_loop_t);
