Give up attempts on a link that stays down

A link reports the outcome of its attempts once it is up again, which may be never when a host has died. What may be repeated goes elsewhere after 2 s; other work waits until its deadline and is then recorded as unknown.

Answers carry their length, since h2o's inline reply sets none.

--- a/packages/process/src/entry.h
+++ b/packages/process/src/entry.h
@@ -47,6 +47,7 @@
  * @prompt_tokens: handed out by this entry and not yet prefilled
  * @output_tokens: still expected of what this entry handed out
  * @withdrawn: no longer in the snapshot; closed once nothing is in flight
+ * @lost: its link has been down for longer than a new session takes
  */
 struct entry_upstream {
 	ks_list_t node;
@@ -69,6 +70,8 @@
 	ks_prefix_belief_t *belief;
 	bool host_leaving;
 	bool withdrawn;
+	bool lost;
+	ks_timer_t lost_timer;
 };
 
 /**
@@ -301,6 +304,7 @@
 /* entry_attempt.c */
 void entry_attempt_dispatch(struct entry_request *request);
 void entry_attempt_drop(struct entry_request *request);
+void entry_attempt_lost(struct entry_attempt *attempt);
 void entry_attempt_consume(struct entry_request *request, size_t len);
 void entry_attempt_note_token(struct entry_request *request);
 void entry_attempt_note_cached(struct entry_request *request, uint32_t tokens);
--- a/packages/process/src/entry_answer.c
+++ b/packages/process/src/entry_answer.c
@@ -91,6 +91,7 @@
 		add_header(req, "retry-after", text);
 	}
 	entry_answer_add_id(req, id);
+	req->res.content_length = strlen(body);
 	ks_http_reply(req, answer->status, "application/json",
 		      ks_str_from(body));
 	free(body);
@@ -135,6 +136,7 @@
 			   g_ptr_array_index(request->headers, i + 1));
 	}
 	entry_answer_add_id(req, &request->id);
+	req->res.content_length = request->answer->len;
 	ks_http_reply(req, request->status,
 		      type && *type ? type : "application/octet-stream",
 		      (ks_str_t){ request->answer->str, request->answer->len });
@@ -150,6 +152,7 @@
 
 	add_header(request->req, "idempotency-replayed", "true");
 	entry_answer_add_id(request->req, &request->id);
+	request->req->res.content_length = body.len;
 	ks_http_reply(request->req, status,
 		      *type ? type : "application/octet-stream", body);
 	g_free(type);
--- a/packages/process/src/entry_attempt.c
+++ b/packages/process/src/entry_attempt.c
@@ -49,9 +49,10 @@
 }
 
 /**
- * entry_attempt_drop() - cancel the attempt in flight, if there is one
+ * entry_attempt_drop() - want no more of the attempt in flight, if there is one
  *
- * The attempt still counts as in flight until its last event.
+ * It is cancelled if it is idempotent, and counts as in flight until its last
+ * event.
  */
 void entry_attempt_drop(struct entry_request *request)
 {
@@ -62,7 +63,10 @@
 	request->attempt = NULL;
 	entry_stream_attempt_over(request);
 	attempt->request = NULL;
-	ks_attempt_cancel(attempt->attempt);
+	if (request->idempotent)
+		ks_attempt_cancel(attempt->attempt);
+	if (attempt->upstream->withdrawn && attempt->upstream->lost)
+		ks_timer_set(&request->entry->reap_timer, 0);
 }
 
 /**
@@ -203,8 +207,10 @@
 	struct entry_request *request = attempt->request;
 	size_t limit;
 
-	if (!request)
+	if (!request) {
+		ks_attempt_consume(attempt->attempt, data.len);
 		return;
+	}
 	limit = (size_t)request->entry->settings->max_answer_kib * 1024;
 	if (request->streaming) {
 		if (!entry_stream_receive(request, data))
@@ -281,14 +287,28 @@
 	       !request->stream.finish_seen;
 }
 
+/* An attempt that may have run has failed. */
+static void attempt_failed(struct entry_request *request,
+			   const struct entry_upstream *upstream,
+			   ks_error_kind_t kind, ks_str_t message)
+{
+	ks_attempt_failure_t failure = { .kind = kind };
+
+	request->failed_kind = kind;
+	note_failed_domain(request, upstream);
+	/* What was delivered is no obstacle where the stream can go on. */
+	failure.delivered = request->stream.delivered &&
+			    !(upstream->resumes && can_resume(request));
+	if (failure.delivered || !try_again(request, &failure))
+		give_up(request, kind, message);
+}
+
 static void on_end(void *ctx, ks_error_kind_t kind, ks_str_t message)
 {
 	struct entry_attempt *attempt = ctx;
 	struct entry_upstream *upstream = attempt->upstream;
 	int64_t took = ks_loop_now(upstream->entry->loop) - attempt->sent_us;
 	struct entry_request *request = attempt->request;
-	ks_attempt_failure_t failure = { .kind = kind };
-
 	if (request && request->is_completion && !request->streaming)
 		entry_stream_read_usage(request,
 					(ks_str_t){ request->answer->str,
@@ -298,7 +318,7 @@
 		return;
 	request->may_have_run = true;
 	if (kind == KS_ERROR_NONE && !is_whole(request))
-		kind = failure.kind = KS_ERROR_UPSTREAM_FAILED;
+		kind = KS_ERROR_UPSTREAM_FAILED;
 	judge_upstream(upstream, kind, request->status);
 	if (kind == KS_ERROR_NONE) {
 		average(&upstream->group->mean_service_us, (double)took);
@@ -311,13 +331,27 @@
 			finish_whole(request);
 		return;
 	}
-	request->failed_kind = kind;
-	note_failed_domain(request, upstream);
-	/* What was delivered is no obstacle where the stream can go on. */
-	failure.delivered = request->stream.delivered &&
-			    !(upstream->resumes && can_resume(request));
-	if (failure.delivered || !try_again(request, &failure))
-		give_up(request, kind, message);
+	attempt_failed(request, upstream, kind, message);
+}
+
+/**
+ * entry_attempt_lost() - the link of an attempt has been down for too long
+ *
+ * What may be repeated is sent elsewhere. Other work waits for the link until
+ * its deadline, since the upstream process keeps the answer.
+ */
+void entry_attempt_lost(struct entry_attempt *attempt)
+{
+	struct entry_upstream *upstream = attempt->upstream;
+	struct entry_request *request = attempt->request;
+
+	if (!request || (!request->idempotent && !request->answered))
+		return;
+	request->may_have_run = true;
+	judge_upstream(upstream, KS_ERROR_OUTCOME_UNKNOWN, 0);
+	entry_attempt_drop(request);
+	attempt_failed(request, upstream, KS_ERROR_OUTCOME_UNKNOWN,
+		       KS_STR("the link to the upstream is down"));
 }
 
 static const ks_attempt_events_t attempt_events = {
--- a/packages/process/src/entry_fleet.c
+++ b/packages/process/src/entry_fleet.c
@@ -4,15 +4,45 @@
 #define BELIEF_BLOCKS 4096
 #define BELIEF_HALF_LIFE_US (300 * KS_USEC_PER_SEC)
 #define POLL_JITTER 0.2
+/* A new session takes up to 1 s; one more keeps short outages from retries. */
+#define LOST_US (2 * KS_USEC_PER_SEC)
 
-static void on_link_changed(void *ctx, ks_link_client_t *link G_GNUC_UNUSED)
+static void on_link_changed(void *ctx, ks_link_client_t *link)
 {
 	struct entry_upstream *upstream = ctx;
 
+	if (ks_link_client_is_up(link)) {
+		upstream->lost = false;
+		ks_timer_clear(&upstream->lost_timer);
+	} else if (!upstream->lost && !ks_timer_is_set(&upstream->lost_timer)) {
+		ks_timer_set(&upstream->lost_timer, LOST_US);
+	}
 	if (upstream->group->queued)
 		entry_group_pump(upstream->group);
 }
 
+/*
+ * The link reports the outcome of its attempts once it is up again, which may
+ * be never.
+ */
+static void on_lost(void *ctx)
+{
+	struct entry_upstream *upstream = ctx;
+	ks_list_t *last = upstream->attempts.prev;
+
+	upstream->lost = true;
+	ks_log(KS_LOG_LINK, KS_LOG_WARN, "the link to %s stays down",
+	       upstream->id);
+	for (ks_list_t *it = upstream->attempts.next, *next;
+	     it != &upstream->attempts; it = next) {
+		next = it == last ? &upstream->attempts : it->next;
+		entry_attempt_lost(
+			KS_CONTAINER_OF(it, struct entry_attempt, node));
+	}
+	if (upstream->withdrawn)
+		ks_timer_set(&upstream->entry->reap_timer, 0);
+}
+
 static void on_link_config(void *ctx, uint64_t version, ks_str_t digest,
 			   ks_str_t body)
 {
@@ -72,6 +102,7 @@
 static void free_upstream(struct entry_upstream *upstream)
 {
 	ks_list_remove(&upstream->node);
+	ks_timer_clear(&upstream->lost_timer);
 	if (upstream->link)
 		ks_link_client_free(upstream->link);
 	KS_LIST_FOREACH_SAFE (it, tmp, &upstream->attempts) {
@@ -106,6 +137,7 @@
 	upstream->domain = g_strdup(from->domain);
 	upstream->prefill_us = ENTRY_PREFILL_US;
 	upstream->decode_us = ENTRY_DECODE_US;
+	ks_timer_init(&upstream->lost_timer, entry->loop, on_lost, upstream);
 	ks_list_init(&upstream->attempts);
 	ks_ejection_init(&upstream->ejection);
 	upstream->belief =
@@ -241,6 +273,17 @@
 			snapshot->version);
 }
 
+/* What was in flight on a lost link and is wanted by no request is given up. */
+static bool is_unused(const struct entry_upstream *upstream)
+{
+	if (!upstream->in_flight || !upstream->lost)
+		return !upstream->in_flight;
+	KS_LIST_FOREACH (it, &upstream->attempts)
+		if (KS_CONTAINER_OF(it, struct entry_attempt, node)->request)
+			return false;
+	return true;
+}
+
 /**
  * entry_fleet_reap() - close the links that are no longer needed
  */
@@ -252,7 +295,7 @@
 		struct entry_upstream *upstream =
 			KS_CONTAINER_OF(it, struct entry_upstream, node);
 
-		if (upstream->withdrawn && !upstream->in_flight)
+		if (upstream->withdrawn && is_unused(upstream))
 			free_upstream(upstream);
 	}
 }
--- a/packages/process/src/entry_request.c
+++ b/packages/process/src/entry_request.c
@@ -224,6 +224,11 @@
 				   NULL);
 		return;
 	}
+	if (request->attempt->upstream->lost) {
+		request->may_have_run = true;
+		entry_request_fail(request, KS_ERROR_OUTCOME_UNKNOWN, 0, NULL);
+		return;
+	}
 	if (!request->req || request->answered)
 		return;
 	request->answered = true;
--- a/packages/process/tests/test-entry.c
+++ b/packages/process/tests/test-entry.c
@@ -545,19 +545,29 @@
 	tear_down();
 }
 
-static struct call *start_payment(void)
+static struct call *start_payment_for(const char *timeout_ms)
 {
 	char *now = g_strdup_printf("%" G_GINT64_FORMAT,
 				    ks_clock_now(ks_clock_wall()) /
 					    KS_USEC_PER_SEC);
-	const char *fields[] = { "idempotency-key", "k1",
-				 "idempotency-key-date", now, NULL };
+	const char *fields[] = { "idempotency-key",
+				 "k1",
+				 "idempotency-key-date",
+				 now,
+				 "x-request-timeout-ms",
+				 timeout_ms,
+				 NULL };
 	struct call *call = start("POST", "/pay", "x", fields);
 
 	g_free(now);
 	return call;
 }
 
+static struct call *start_payment(void)
+{
+	return start_payment_for("1000");
+}
+
 /* Guards against dispatch before the claim is held, and against an answer that
  * is not stored. */
 static void test_payment_is_claimed_first(void)
@@ -866,6 +876,54 @@
 	tear_down();
 }
 
+static void lose_link(ks_link_client_t *link)
+{
+	link->up = false;
+	link->events->changed(link->ctx, link);
+	ks_test_clock_advance(&fx.clock, 2001 * KS_USEC_PER_MSEC);
+	turn();
+}
+
+/* Guards against work that waits until its deadline for an upstream whose host
+ * has died, and against a payment that is cancelled or sent again. */
+static void test_lost_link(void)
+{
+	struct call *stream, *payment;
+
+	set_up();
+	stream = start_completion(STREAM_BODY);
+	WAIT_FOR(double_attempts->len == 1);
+	double_head(double_attempt(0), 200, SSE);
+	double_body(double_attempt(0), EVENT("one"));
+	payment = start_payment_for("5000");
+	WAIT_FOR(double_ledger.begun == 1);
+	double_ledger.events->dispatch(double_ledger.ctx, 1);
+	lose_link(double_attempt(0)->link);
+	g_assert_cmpuint(double_attempts->len, ==, 3);
+	g_assert_true(double_attempt(0)->cancelled);
+	assert_has(double_attempt(2)->headers, "\nx-ks-resume-from: 1\n");
+	double_head(double_attempt(2), 200, SSE);
+	double_body(double_attempt(2), EVENT("two") DONE);
+	double_end(double_attempt(2), KS_ERROR_NONE);
+	finish(stream);
+	g_assert_cmpstr(stream->body->str, ==, EVENT("one") EVENT("two") DONE);
+	lose_link(double_attempt(1)->link);
+	g_assert_cmpuint(double_ledger.unknown, ==, 0);
+	ks_test_clock_advance(&fx.clock, 2000 * KS_USEC_PER_MSEC);
+	finish(payment);
+	assert_has(payment->body, "outcome_unknown");
+	g_assert_cmpuint(double_ledger.unknown, ==, 1);
+	g_assert_false(double_attempt(1)->cancelled);
+	g_assert_cmpuint(double_attempts->len, ==, 3);
+	/* Withdrawn, they are closed though their attempts never end. */
+	g_ptr_array_set_size(fx.snapshot.upstreams, 0);
+	apply_snapshot();
+	WAIT_FOR(double_links->len == 0);
+	free_call(stream);
+	free_call(payment);
+	tear_down();
+}
+
 /* Guards against new work for an upstream that leaves, and against a link that
  * closes under a request. */
 static void test_leaving_and_withdrawn(void)
@@ -1040,6 +1098,7 @@
 	{ "/entry/admission-refuses", test_admission_refuses_at_once },
 	{ "/entry/queue-moves", test_queue_moves_on },
 	{ "/entry/queue-refuses", test_queue_refuses_the_hopeless },
+	{ "/entry/lost-link", test_lost_link },
 	{ "/entry/leaving", test_leaving_and_withdrawn },
 	{ "/entry/tenant-limit", test_tenant_is_limited },
 	{ "/entry/usage", test_usage_is_learned_from },
