--- a/packages/process/src/entry_request.c
+++ b/packages/process/src/entry_request.c
@@ -46,6 +46,9 @@
 {
 	if (request->caller)
 		request->caller->request = NULL;
+	if (request->ticket_held)
+		ks_admission_leave(request->group->admission, &request->ticket,
+				   ks_loop_now(request->entry->loop));
 	ks_timer_clear(&request->deadline);
 	ks_list_remove(&request->node);
 	ks_completion_deinit(&request->completion);
