--- a/packages/process/src/entry.h
+++ b/packages/process/src/entry.h
@@ -302,13 +302,17 @@
 void entry_request_sweep(void *ctx);
 
 /* entry_attempt.c */
-void entry_attempt_dispatch(struct entry_request *request);
+extern const ks_attempt_events_t entry_attempt_events;
+
 void entry_attempt_drop(struct entry_request *request);
 void entry_attempt_lost(struct entry_attempt *attempt);
 void entry_attempt_consume(struct entry_request *request, size_t len);
 void entry_attempt_note_token(struct entry_request *request);
 void entry_attempt_note_cached(struct entry_request *request, uint32_t tokens);
 
+/* entry_send.c */
+void entry_attempt_dispatch(struct entry_request *request);
+
 /* entry_stream.c */
 void entry_stream_init(struct entry_stream *stream);
 void entry_stream_deinit(struct entry_stream *stream);
--- a/packages/process/src/entry_attempt.c
+++ b/packages/process/src/entry_attempt.c
@@ -1,4 +1,4 @@
-/* Attempts at a request: sending, events, retry and resumption. */
+/* Events of attempts: answers, retry and resumption. */
 #include "entry.h"
 
 /* Weight of the newest value in running averages. */
@@ -354,146 +354,10 @@
 		       KS_STR("the link to the upstream is down"));
 }
 
-static const ks_attempt_events_t attempt_events = {
+const ks_attempt_events_t entry_attempt_events = {
 	.accepted = on_accepted,
 	.not_started = on_not_started,
 	.head = on_head,
 	.body = on_body,
 	.end = on_end,
 };
-
-static struct entry_attempt *new_attempt(struct entry_request *request,
-					 struct entry_upstream *upstream)
-{
-	struct entry_attempt *attempt = g_new0(struct entry_attempt, 1);
-	const GArray *hashes = request->completion.prefix_hashes;
-	uint32_t prompt = request->completion.prompt_tokens;
-	uint32_t cached = 0;
-
-	attempt->request = request;
-	attempt->upstream = upstream;
-	attempt->sent_us = ks_loop_now(request->entry->loop);
-	attempt->alone = upstream->in_flight == 0;
-	if (hashes && hashes->len) {
-		const uint64_t *data =
-			(const uint64_t *)(const void *)hashes->data;
-
-		cached = ks_prefix_belief_tokens(upstream->belief, data,
-						 hashes->len, attempt->sent_us);
-		ks_prefix_belief_add(upstream->belief, data, hashes->len,
-				     attempt->sent_us);
-	}
-	attempt->uncached_tokens = prompt > cached ? prompt - cached : 0;
-	attempt->prompt_tokens = attempt->uncached_tokens;
-	attempt->output_tokens = request->completion.max_tokens;
-	upstream->prompt_tokens += attempt->prompt_tokens;
-	upstream->output_tokens += attempt->output_tokens;
-	upstream->in_flight++;
-	ks_list_append(&upstream->attempts, &attempt->node);
-	return attempt;
-}
-
-static void fill_request(const struct entry_request *request,
-			 ks_attempt_request_t *out, const GArray *headers)
-{
-	int64_t now = ks_loop_now(request->entry->loop);
-
-	out->key.id = request->id;
-	out->key.attempt = request->attempt_number;
-	out->method = ks_http_req_method(request->req);
-	out->path =
-		(ks_str_t){ request->req->path.base, request->req->path.len };
-	out->headers = (const ks_header_t *)(const void *)headers->data;
-	out->n_headers = headers->len;
-	out->body = ks_http_req_body(request->req);
-	out->timeout_us = request->deadline_us - now;
-	out->priority = request->priority;
-	out->idempotent = request->idempotent;
-	out->model = request->is_completion ? ks_str_from(request->group->name)
-					    : (ks_str_t){ NULL, 0 };
-	out->tenant = ks_str_from(request->tenant->name);
-	out->prompt_tokens = request->completion.prompt_tokens;
-	out->output_tokens = request->completion.max_tokens;
-}
-
-/*
- * Another upstream can go on with a stream only if it samples alike, so a
- * stream whose caller gave no seed gets one.
- */
-static bool needs_seed(const struct entry_request *request)
-{
-	return request->completion.stream && !request->completion.has_seed;
-}
-
-static GString *add_seed(const struct entry_request *request, ks_str_t body)
-{
-	/* The body has been parsed: it starts with a brace, and is not empty.
-	 */
-	const char *brace = memchr(body.data, '{', body.len);
-	size_t skip = (size_t)(brace + 1 - body.data);
-	GString *seeded = g_string_sized_new(body.len + 32);
-
-	g_string_append_printf(seeded, "{\"seed\":%u,",
-			       ks_id_hash(&request->id) & INT32_MAX);
-	g_string_append_len(seeded, body.data + skip,
-			    (gssize)(body.len - skip));
-	return seeded;
-}
-
-static void send_attempt(struct entry_request *request,
-			 struct entry_upstream *upstream)
-{
-	struct entry_attempt *attempt = new_attempt(request, upstream);
-	GArray *headers = entry_answer_forward_headers(request);
-	GString *seeded = NULL;
-	ks_attempt_request_t out;
-	char resume_from[16];
-
-	if (request->stream.delivered) {
-		ks_header_t header = { KS_STR("x-ks-resume-from"),
-				       { resume_from, 0 } };
-
-		header.value.len =
-			(size_t)g_snprintf(resume_from, sizeof(resume_from),
-					   "%u", request->stream.delivered);
-		g_array_append_val(headers, header);
-	}
-	fill_request(request, &out, headers);
-	if (upstream->resumes && needs_seed(request)) {
-		seeded = add_seed(request, out.body);
-		out.body = (ks_str_t){ seeded->str, seeded->len };
-	}
-	g_ptr_array_add(request->tried, g_strdup(upstream->id));
-	request->n_attempts++;
-	request->attempt_number++;
-	request->status = 0;
-	request->attempt = attempt;
-	attempt->attempt = ks_link_client_send(upstream->link, &out,
-					       &attempt_events, attempt);
-	g_array_unref(headers);
-	if (seeded)
-		g_string_free(seeded, TRUE);
-	if (!attempt->attempt)
-		on_not_started(attempt, KS_ERROR_NO_UPSTREAM, 0);
-}
-
-/**
- * entry_attempt_dispatch() - send a request to the best upstream left
- */
-void entry_attempt_dispatch(struct entry_request *request)
-{
-	int64_t now = ks_loop_now(request->entry->loop);
-	struct entry_upstream *upstream;
-
-	if (now >= request->deadline_us) {
-		entry_request_fail(request, KS_ERROR_DEADLINE_NOT_RUN, 0, NULL);
-		return;
-	}
-	upstream = entry_group_choose(request->group, request);
-	if (!upstream) {
-		entry_request_fail(request, KS_ERROR_NO_UPSTREAM, 0,
-				   "no upstream can take the request");
-		return;
-	}
-	send_attempt(request, upstream);
-}
