--- a/packages/process/include/ks/process.h
+++ b/packages/process/include/ks/process.h
@@ -176,7 +176,95 @@
 			const ks_address_t *address, const char *token);
 void ks_store_http_deinit(ks_store_http_t *driver);
 
-/* platform.c: host list and weight store */
+/* write_budget.c: share of the store's writes that this process may use */
+
+/**
+ * enum ks_write_priority - which writes go first when the budget is short
+ */
+typedef enum ks_write_priority {
+	KS_WRITE_LEDGER,
+	KS_WRITE_LEASE,
+	KS_WRITE_REST,
+	KS_WRITE_N_PRIORITIES
+} ks_write_priority_t;
+
+typedef struct ks_write_budget ks_write_budget_t;
+
+ks_write_budget_t *ks_write_budget_new(ks_loop_t *loop, ks_store_t *store,
+				       ks_rng_t *rng, double writes_per_s,
+				       unsigned burst);
+void ks_write_budget_free(ks_write_budget_t *budget);
+ks_store_t *ks_write_budget_store(ks_write_budget_t *budget,
+				  ks_write_priority_t priority);
+
+/* release_store.c: releases and snapshots as they are kept in the store */
+
+#define KS_RELEASE_PREFIX "release/"
+#define KS_RELEASE_HEAD_KEY "release/head"
+
+/**
+ * struct ks_release_record - row release/N, and row release/head
+ * @digest: of the snapshot
+ * @publisher: drawn for each publishing, so that two operators who publish the
+ *	same content can still tell who won
+ * @published_us: Unix time in microseconds
+ * @note: the operators' text; may be empty
+ */
+typedef struct ks_release_record {
+	uint64_t version;
+	ks_digest_t digest;
+	ks_id_t publisher;
+	int64_t published_us;
+	char *note;
+} ks_release_record_t;
+
+/**
+ * ks_release_fetch_func_t - a release read from the store
+ * @outcome: UNREACHABLE also when what was read is damaged
+ * @record: NULL when there is no such version, or for version 0
+ * @snapshot: valid during the call unless a reference is taken
+ */
+typedef void (*ks_release_fetch_func_t)(void *ctx, ks_store_outcome_t outcome,
+					const ks_release_record_t *record,
+					ks_snapshot_t *snapshot);
+
+bool ks_release_record_parse(ks_release_record_t *record, ks_str_t value);
+char *ks_release_record_format(const ks_release_record_t *record);
+void ks_release_record_deinit(ks_release_record_t *record);
+char *ks_release_row_key(uint64_t version);
+char *ks_release_object_name(uint64_t version, const ks_digest_t *digest);
+void ks_release_fetch(ks_store_t *store, uint64_t version,
+		      ks_release_fetch_func_t func, void *ctx);
+
+/* publish.c: publishes a release note */
+
+typedef struct ks_publish ks_publish_t;
+
+/**
+ * struct ks_publish_result - how publishing ended
+ * @kind: KS_ERROR_NONE: this note is version @version. KS_ERROR_CONFLICT:
+ *	another note is. KS_ERROR_OUTCOME_UNKNOWN: the store did not tell.
+ *	KS_ERROR_STORE_UNAVAILABLE: nothing was published and nothing will be.
+ *	KS_ERROR_BAD_REQUEST: the note does not fit its base.
+ * @message: short sentence; empty for KS_ERROR_NONE
+ * @difference: for a conflict, what changed since the note's base; may be empty
+ */
+typedef struct ks_publish_result {
+	ks_error_kind_t kind;
+	uint64_t version;
+	const char *message;
+	const char *difference;
+} ks_publish_result_t;
+
+typedef void (*ks_publish_func_t)(void *ctx, const ks_publish_result_t *result);
+
+ks_publish_t *ks_publish_new(ks_loop_t *loop, ks_store_t *store, ks_rng_t *rng,
+			     const ks_release_t *release,
+			     const ks_id_t *publisher, ks_publish_func_t func,
+			     void *ctx);
+void ks_publish_free(ks_publish_t *publish);
+
+/* platform_http.c: host list */
 
 /**
  * ks_hosts_func_t - the host list
@@ -269,26 +357,62 @@
 
 /* lease.c */
 
+/**
+ * struct ks_lease_row - a lease row
+ * @holder: incarnation of the holder; all zero once it has been released
+ * @fence: fencing number; each acquisition adds 1, so the row is never removed
+ * @serial: number of the write within its holder, to tell writes apart whose
+ *	outcome was unknown
+ */
+typedef struct ks_lease_row {
+	ks_id_t holder;
+	uint64_t fence;
+	uint64_t serial;
+	int64_t lifetime_us;
+} ks_lease_row_t;
+
+char *ks_lease_row_encode(const ks_lease_row_t *row);
+bool ks_lease_row_decode(ks_lease_row_t *row, ks_str_t value);
+
+/**
+ * enum ks_lease_step - what the keeper of a lease does next
+ */
+typedef enum ks_lease_step {
+	KS_LEASE_STEP_READ,
+	KS_LEASE_STEP_WRITE,
+	KS_LEASE_STEP_WAIT,
+	KS_LEASE_STEP_IDLE,
+} ks_lease_step_t;
+
 /**
  * struct ks_lease - a lease in the table, seen by one process
  *
- * Pure: see the functions for the writes it asks for. Times are on the
- * boot-time clock, which counts suspended time.
+ * Pure. Times are on the boot-time clock, which counts suspended time. The
+ * holder counts the lifetime from before its write was sent, an observer from
+ * after it saw the row change, so their clocks are never compared.
+ * @held_until_us: end of the lease by the holder's own reckoning
+ * @held: false at once after a write that was refused or is unknown
+ * @seen: @row and @etag show the row as last read or written
+ * @row_exists: false when there was no row
+ * @seen_since_us: when @etag was first seen
+ * @read_us: when the row was last read
+ * @writing: the row that was sent last
+ * @write_sent_us: before it was sent
  */
 typedef struct ks_lease {
 	ks_id_t holder;
 	int64_t lifetime_us;
-	uint64_t fence;
 	bool held;
 	int64_t held_until_us;
-	int64_t write_sent_us;
-	uint64_t write_fence;
-	bool write_pending;
+	uint64_t fence;
+	bool seen;
+	bool row_exists;
+	ks_lease_row_t row;
 	GString *etag;
-	ks_id_t seen_holder;
-	uint64_t seen_fence;
 	int64_t seen_since_us;
-	bool seen;
+	int64_t read_us;
+	ks_lease_row_t writing;
+	int64_t write_sent_us;
 } ks_lease_t;
 
 void ks_lease_init(ks_lease_t *lease, const ks_id_t *holder,
@@ -297,6 +421,14 @@
 bool ks_lease_is_held(const ks_lease_t *lease, int64_t now_us);
 int64_t ks_lease_remaining(const ks_lease_t *lease, int64_t now_us);
 uint64_t ks_lease_fence(const ks_lease_t *lease);
+ks_lease_step_t ks_lease_next(const ks_lease_t *lease, bool wanted,
+			      int64_t now_us, int64_t *wait_us);
+void ks_lease_observe(ks_lease_t *lease, const ks_lease_row_t *row,
+		      ks_str_t etag, int64_t now_us);
+const ks_lease_row_t *ks_lease_begin_write(ks_lease_t *lease, bool wanted,
+					   int64_t now_us);
+void ks_lease_end_write(ks_lease_t *lease, ks_store_outcome_t outcome,
+			ks_str_t etag, int64_t now_us);
 
 /* lease_keeper.c: keeps a lease in the table for its holder */
 
@@ -314,8 +446,93 @@
 bool ks_lease_keeper_is_held(const ks_lease_keeper_t *keeper);
 int64_t ks_lease_keeper_remaining(const ks_lease_keeper_t *keeper);
 uint64_t ks_lease_keeper_fence(const ks_lease_keeper_t *keeper);
+bool ks_lease_keeper_is_idle(const ks_lease_keeper_t *keeper);
 ks_store_write_t ks_lease_keeper_check(const ks_lease_keeper_t *keeper);
 
+/* order.c: from target, plan and observed state to the next step */
+
+/**
+ * struct ks_order_target - what an engine is to become
+ * @known: false when the snapshot has no engine of this name; no orders then
+ * @adapters: array of char *, owned
+ */
+typedef struct ks_order_target {
+	bool known;
+	char model[64];
+	char version[64];
+	char domain[64];
+	ks_engine_role_t role;
+	GPtrArray *adapters;
+} ks_order_target_t;
+
+/**
+ * enum ks_order_step - what the order driver does next
+ * @KS_ORDER_STEP_SETTLED: nothing; the engine is at its target
+ * @KS_ORDER_STEP_WAIT: nothing until something changes
+ * @KS_ORDER_STEP_OBSERVE: observe the engine
+ * @KS_ORDER_STEP_ACQUIRE: acquire the engine lease and the change slot
+ * @KS_ORDER_STEP_DRAIN: refuse new requests and wait for those in flight
+ * @KS_ORDER_STEP_PERMIT: acquire a load permit
+ * @KS_ORDER_STEP_ORDER: send the order
+ * @KS_ORDER_STEP_ACCEPT: take new requests again
+ * @KS_ORDER_STEP_RELEASE: release the permit, the slot and the engine lease
+ */
+typedef enum ks_order_step {
+	KS_ORDER_STEP_SETTLED,
+	KS_ORDER_STEP_WAIT,
+	KS_ORDER_STEP_OBSERVE,
+	KS_ORDER_STEP_ACQUIRE,
+	KS_ORDER_STEP_DRAIN,
+	KS_ORDER_STEP_PERMIT,
+	KS_ORDER_STEP_ORDER,
+	KS_ORDER_STEP_ACCEPT,
+	KS_ORDER_STEP_RELEASE,
+} ks_order_step_t;
+
+/**
+ * struct ks_order_view - what the next step depends on
+ * @target: what the engine is to become
+ * @state: as last observed; NULL when it was not reached
+ * @fresh: observed after the leases were acquired, after the last order ended,
+ *	and a moment ago
+ * @order_under_way: an order has been sent and has not ended
+ * @stopping: no more orders
+ * @leased: engine lease and change slot are held
+ * @permitted: a load permit is held
+ * @holding: some lease, slot or permit is wanted or held
+ * @accepting: new requests are taken
+ * @changing: the engine was drained for a change that has not ended
+ * @abandoned: the change has sent no order and lost its leases for a lifetime
+ * @in_flight: requests at the engine
+ * @time_left_us: of the leases that are held, the least
+ * @order_timeout_us: longest time that an order takes
+ */
+typedef struct ks_order_view {
+	const ks_order_target_t *target;
+	const ks_engine_state_t *state;
+	bool fresh;
+	bool order_under_way;
+	bool stopping;
+	bool leased;
+	bool permitted;
+	bool holding;
+	bool accepting;
+	bool changing;
+	bool abandoned;
+	unsigned in_flight;
+	int64_t time_left_us;
+	int64_t order_timeout_us;
+} ks_order_view_t;
+
+void ks_order_target_init(ks_order_target_t *target);
+void ks_order_target_deinit(ks_order_target_t *target);
+void ks_order_target_from_snapshot(ks_order_target_t *target,
+				   const ks_snapshot_t *snapshot,
+				   const char *upstream_id);
+bool ks_order_needed(const ks_order_target_t *target,
+		     const ks_engine_state_t *state, ks_order_t *order);
+ks_order_step_t ks_order_next(const ks_order_view_t *view, ks_order_t *order);
+
 /* orders.c: brings an engine to its target state by orders */
 
 typedef struct ks_orders ks_orders_t;
@@ -353,6 +570,54 @@
 			 const ks_address_t *address);
 void ks_engine_http_deinit(ks_engine_http_t *driver);
 
+/* drain.c: whether an upstream process takes requests, and why not */
+
+/**
+ * enum ks_drain_reason - why new requests are refused
+ *
+ * A later reason hides an earlier one.
+ */
+typedef enum ks_drain_reason {
+	KS_DRAIN_NONE,
+	KS_DRAIN_NO_SNAPSHOT,
+	KS_DRAIN_CHANGING,
+	KS_DRAIN_WITHDRAWN,
+	KS_DRAIN_HOST_LEAVING,
+	KS_DRAIN_STOPPING,
+} ks_drain_reason_t;
+
+/* An entry's report outweighs the host list, which lags, for this long. */
+#define KS_DRAIN_SEEN_HOLD_US (10 * KS_USEC_PER_SEC)
+
+/**
+ * struct ks_drain - what decides whether new requests are taken; pure
+ * @in_flight: requests taken and not yet ended
+ */
+typedef struct ks_drain {
+	bool has_snapshot;
+	bool listed;
+	bool changing;
+	bool host_leaving;
+	bool leaving_seen;
+	bool stopping;
+	int64_t leaving_seen_us;
+	unsigned in_flight;
+} ks_drain_t;
+
+void ks_drain_init(ks_drain_t *drain);
+void ks_drain_set_snapshot(ks_drain_t *drain, bool listed);
+void ks_drain_set_changing(ks_drain_t *drain, bool changing);
+void ks_drain_set_host_list(ks_drain_t *drain, bool leaving, int64_t asked_us);
+void ks_drain_note_leaving_seen(ks_drain_t *drain, int64_t now_us);
+void ks_drain_stop(ks_drain_t *drain);
+void ks_drain_begin(ks_drain_t *drain);
+void ks_drain_end(ks_drain_t *drain);
+ks_drain_reason_t ks_drain_reason(const ks_drain_t *drain);
+const char *ks_drain_reason_name(ks_drain_reason_t reason);
+ks_upstream_state_t ks_drain_state(const ks_drain_t *drain);
+bool ks_drain_is_accepting(const ks_drain_t *drain);
+bool ks_drain_is_drained(const ks_drain_t *drain);
+
 /* settings.c */
 
 /**
@@ -380,6 +645,22 @@
 	char *tenant;
 } ks_route_settings_t;
 
+/**
+ * struct ks_log_level_settings - levels of single parts; NULL for log_level
+ */
+typedef struct ks_log_level_settings {
+	char *main;
+	char *http;
+	char *link;
+	char *route;
+	char *ledger;
+	char *store;
+	char *config;
+	char *lease;
+	char *order;
+	char *plan;
+} ks_log_level_settings_t;
+
 /**
  * struct ks_settings - settings of a daemon, read from YAML
  *
@@ -396,6 +677,7 @@
 	char *platform;
 	char *platform_token;
 	char *log_level;
+	ks_log_level_settings_t log_levels;
 	bool link_plain;
 	char *link_public_key;
 	char *link_secret_key;
@@ -426,6 +708,7 @@
 bool ks_settings_parse(ks_settings_t **settings, ks_str_t yaml,
 		       const char *file, GError **error);
 void ks_settings_free(ks_settings_t *settings);
+void ks_settings_init_logs(const ks_settings_t *settings);
 
 /* config.c: keeps the snapshot in force up to date */
 
@@ -435,11 +718,113 @@
 ks_config_t *ks_config_new(ks_loop_t *loop, ks_store_t *store, ks_rng_t *rng,
 			   int64_t poll_us, ks_config_func_t func, void *ctx);
 void ks_config_free(ks_config_t *config);
+void ks_config_note_version(ks_config_t *config, uint64_t version);
 ks_snapshot_t *ks_config_current(const ks_config_t *config);
 uint64_t ks_config_version(const ks_config_t *config);
 void ks_config_offer(ks_config_t *config, uint64_t version, ks_str_t digest,
 		     ks_str_t body);
 
+/* planner.c: decides on role changes of one model's engines; pure */
+
+typedef struct ks_planner ks_planner_t;
+
+/**
+ * struct ks_planner_options - what a role change costs and how long it lasts
+ * @role_change_cost: engine-seconds of goodput that one engine-second out of
+ *	service must earn back
+ * @change_us: time that a role change takes an engine out of service
+ * @dwell_us: least time between two changes; also the payback time, since a
+ *	change is sure to last for no longer than that
+ * @stale_us: a view of the engines older than this is not acted on
+ */
+typedef struct ks_planner_options {
+	double role_change_cost;
+	int64_t change_us;
+	int64_t dwell_us;
+	int64_t stale_us;
+} ks_planner_options_t;
+
+/**
+ * struct ks_plan_engine - an engine of the model, as its heartbeat shows it
+ * @role: according to the plan
+ * @ready: its link is up and it takes requests
+ * @changing: its link is up, but an order is under way or it has not reached
+ *	@role yet
+ * @in_flight: requests, of all entries
+ */
+typedef struct ks_plan_engine {
+	ks_str_t id;
+	ks_str_t domain;
+	ks_engine_role_t role;
+	bool ready;
+	bool changing;
+	unsigned in_flight;
+} ks_plan_engine_t;
+
+/**
+ * struct ks_plan_change - one engine changes its role
+ * @engine: index of the engine
+ * @gain: engine-seconds of goodput gained over the payback time, less the cost
+ */
+typedef struct ks_plan_change {
+	size_t engine;
+	ks_engine_role_t from;
+	ks_engine_role_t to;
+	double gain;
+} ks_plan_change_t;
+
+/**
+ * struct ks_planner_report - what a planner has done
+ * @undone: changes that took an engine back to an earlier role within the dwell
+ *	time
+ */
+typedef struct ks_planner_report {
+	uint64_t changes;
+	uint64_t undone;
+} ks_planner_report_t;
+
+ks_planner_t *ks_planner_new(const ks_planner_options_t *options);
+void ks_planner_free(ks_planner_t *planner);
+void ks_planner_observe(ks_planner_t *planner, double prefill, double decode,
+			int64_t now_us);
+void ks_planner_hold(ks_planner_t *planner, int64_t now_us);
+bool ks_planner_decide(const ks_planner_t *planner,
+		       const ks_plan_engine_t *engines, size_t n_engines,
+		       int64_t view_us, bool lease_held, int64_t now_us,
+		       ks_plan_change_t *change);
+void ks_planner_changed(ks_planner_t *planner, ks_str_t engine,
+			ks_engine_role_t from, ks_engine_role_t to,
+			int64_t now_us);
+const ks_planner_report_t *ks_planner_report(const ks_planner_t *planner);
+
+/* planner_run.c: runs the planners of all models under the planner lease */
+
+typedef struct ks_planner_run ks_planner_run_t;
+
+/**
+ * struct ks_planner_run_options - see struct ks_planner_options
+ * @tick_us: time between two decisions
+ */
+typedef struct ks_planner_run_options {
+	ks_planner_options_t planner;
+	int64_t tick_us;
+	int64_t lease_us;
+} ks_planner_run_options_t;
+
+ks_planner_run_t *ks_planner_run_new(ks_loop_t *loop, ks_store_t *store,
+				     const ks_clock_t *boottime, ks_rng_t *rng,
+				     const ks_id_t *incarnation,
+				     const ks_planner_run_options_t *options);
+void ks_planner_run_free(ks_planner_run_t *run);
+void ks_planner_run_demand(ks_planner_run_t *run, const char *model,
+			   double prefill_us, double decode_us);
+void ks_planner_run_engines(ks_planner_run_t *run, const char *model,
+			    const ks_plan_engine_t *engines, size_t n_engines,
+			    double share);
+bool ks_planner_run_role(const ks_planner_run_t *run, const char *model,
+			 ks_str_t engine, ks_engine_role_t *role);
+ks_planner_report_t ks_planner_run_report(const ks_planner_run_t *run);
+
 /* ledger.c: at most once for non-idempotent requests with a key */
 
 typedef struct ks_ledger ks_ledger_t;
@@ -472,6 +857,19 @@
 void ks_ledger_not_run(ks_ledger_entry_t *entry);
 void ks_ledger_unknown(ks_ledger_entry_t *entry);
 void ks_ledger_abandon(ks_ledger_entry_t *entry);
+bool ks_ledger_is_idle(const ks_ledger_t *ledger);
+
+/* claim_sweep.c: removes claims that are past their retention */
+
+typedef struct ks_claim_sweep ks_claim_sweep_t;
+
+ks_claim_sweep_t *ks_claim_sweep_new(ks_loop_t *loop, ks_store_t *store,
+				     const ks_clock_t *wall, ks_rng_t *rng);
+void ks_claim_sweep_free(ks_claim_sweep_t *sweep);
+
+/* cli.c: the operators' command line */
+
+int ks_cli_main(int argc, char **argv);
 
 /* entry.c and upstream.c: the two roles */
 
