Use what the other parts have added for the entry

A stop waits until the ledger has stored every outcome. Ejections are capped by the ejection module, and an attempt after one counts as its probe.

--- a/packages/process/src/entry.c
+++ b/packages/process/src/entry.c
@@ -31,7 +31,9 @@
 		       "closed the listener with %u requests in flight",
 		       entry->n_active);
 	}
-	if (ks_list_is_empty(&entry->requests))
+	/* Outcomes that are not stored yet would become unknown. */
+	if (ks_list_is_empty(&entry->requests) &&
+	    ks_ledger_is_idle(entry->ledger))
 		ks_loop_stop(entry->loop);
 	else
 		ks_timer_set(&entry->stop_timer, STOP_CHECK_US);
--- a/packages/process/src/entry_group.c
+++ b/packages/process/src/entry_group.c
@@ -154,18 +154,21 @@
 static void exclude_ejected(const struct entry_group *group,
 			    ks_candidate_t *candidates)
 {
-	int64_t now = ks_loop_now(group->entry->loop);
-	unsigned left = group->members->len / 2;
+	size_t count = group->members->len;
+	const ks_ejection_t **health = g_new(const ks_ejection_t *, count);
+	bool *out = g_new0(bool, count);
 
-	for (unsigned i = 0; i < group->members->len && left; i++) {
+	for (size_t i = 0; i < count; i++) {
 		const struct entry_upstream *upstream =
 			g_ptr_array_index(group->members, i);
 
-		if (!ks_ejection_is_out(&upstream->ejection, now))
-			continue;
-		candidates[i].excluded = true;
-		left--;
+		health[i] = &upstream->ejection;
 	}
+	ks_ejection_cap(health, count, ks_loop_now(group->entry->loop), out);
+	for (size_t i = 0; i < count; i++)
+		candidates[i].excluded = candidates[i].excluded || out[i];
+	g_free(health);
+	g_free(out);
 }
 
 /**
--- a/packages/process/src/entry_send.c
+++ b/packages/process/src/entry_send.c
@@ -13,6 +13,7 @@
 	attempt->upstream = upstream;
 	attempt->sent_us = ks_loop_now(request->entry->loop);
 	attempt->alone = upstream->in_flight == 0;
+	ks_ejection_dispatch(&upstream->ejection, attempt->sent_us);
 	if (hashes && hashes->len) {
 		const uint64_t *data =
 			(const uint64_t *)(const void *)hashes->data;
--- a/packages/process/tests/entry-doubles.h
+++ b/packages/process/tests/entry-doubles.h
@@ -211,6 +211,12 @@
 	return double_config;
 }
 
+DOUBLE void ks_config_note_version(ks_config_t *config, uint64_t version)
+{
+	(void)config;
+	(void)version;
+}
+
 DOUBLE void ks_config_free(ks_config_t *config)
 {
 	g_free(config);
@@ -256,6 +262,7 @@
 	unsigned not_run;
 	unsigned unknown;
 	unsigned abandoned;
+	bool busy;
 	const ks_ledger_events_t *events;
 	void *ctx;
 	GString *answer;
@@ -282,6 +289,11 @@
 	return &double_ledger;
 }
 
+DOUBLE bool ks_ledger_is_idle(const ks_ledger_t *ledger)
+{
+	return !ledger->busy;
+}
+
 DOUBLE void ks_ledger_free(ks_ledger_t *ledger)
 {
 	g_string_free(ledger->answer, TRUE);
--- a/packages/process/tests/test-entry.c
+++ b/packages/process/tests/test-entry.c
@@ -1003,7 +1003,8 @@
 	tear_down();
 }
 
-/* Guards against a stop that cuts off requests or never ends. */
+/* Guards against a stop that cuts off requests, loses outcomes that are not
+ * stored yet, or never ends. */
 static void test_stop_is_graceful(void)
 {
 	struct call *call, *ready;
@@ -1025,6 +1026,13 @@
 	double_end(double_attempt(0), KS_ERROR_NONE);
 	finish(call);
 	g_assert_cmpstr(call->body->str, ==, EVENT("one") DONE);
+	double_ledger.busy = true;
+	for (int i = 0; i < 20; i++) {
+		ks_test_clock_advance(&fx.clock, 100 * KS_USEC_PER_MSEC);
+		turn();
+	}
+	g_assert_false(fx.loop.stopping);
+	double_ledger.busy = false;
 	for (int i = 0; i < MAX_TURNS && !fx.loop.stopping; i++) {
 		ks_test_clock_advance(&fx.clock, 100 * KS_USEC_PER_MSEC);
 		turn();
