--- a/packages/process/src/entry.h
+++ b/packages/process/src/entry.h
@@ -47,6 +47,7 @@
  * @prompt_tokens: handed out by this entry and not yet prefilled
  * @output_tokens: still expected of what this entry handed out
  * @withdrawn: no longer in the snapshot; closed once nothing is in flight
+ * @lost: its link has been down for longer than a new session takes
  */
 struct entry_upstream {
 	ks_list_t node;
@@ -69,6 +70,8 @@
 	ks_prefix_belief_t *belief;
 	bool host_leaving;
 	bool withdrawn;
+	bool lost;
+	ks_timer_t lost_timer;
 };
 
 /**
@@ -299,12 +302,17 @@
 void entry_request_sweep(void *ctx);
 
 /* entry_attempt.c */
-void entry_attempt_dispatch(struct entry_request *request);
+extern const ks_attempt_events_t entry_attempt_events;
+
 void entry_attempt_drop(struct entry_request *request);
+void entry_attempt_lost(struct entry_attempt *attempt);
 void entry_attempt_consume(struct entry_request *request, size_t len);
 void entry_attempt_note_token(struct entry_request *request);
 void entry_attempt_note_cached(struct entry_request *request, uint32_t tokens);
 
+/* entry_send.c */
+void entry_attempt_dispatch(struct entry_request *request);
+
 /* entry_stream.c */
 void entry_stream_init(struct entry_stream *stream);
 void entry_stream_deinit(struct entry_stream *stream);
--- a/packages/process/src/entry_request.c
+++ b/packages/process/src/entry_request.c
@@ -46,6 +46,9 @@
 {
 	if (request->caller)
 		request->caller->request = NULL;
+	if (request->ticket_held)
+		ks_admission_leave(request->group->admission, &request->ticket,
+				   ks_loop_now(request->entry->loop));
 	ks_timer_clear(&request->deadline);
 	ks_list_remove(&request->node);
 	ks_completion_deinit(&request->completion);
@@ -224,6 +227,11 @@
 				   NULL);
 		return;
 	}
+	if (request->attempt->upstream->lost) {
+		request->may_have_run = true;
+		entry_request_fail(request, KS_ERROR_OUTCOME_UNKNOWN, 0, NULL);
+		return;
+	}
 	if (!request->req || request->answered)
 		return;
 	request->answered = true;
