--- a/bench/load_verify.c
+++ b/bench/load_verify.c
@@ -184,6 +184,22 @@
 	return verdict;
 }
 
+/**
+ * load_ran_once() - whether a service that counts executions has run a call
+ * once
+ *
+ * Return: false when the answer is JSON and reports more than one execution.
+ */
+bool load_ran_once(ks_str_t body)
+{
+	json_t *root = json_loadb(body.len ? body.data : "", body.len, 0, NULL);
+	bool once =
+		json_integer_value(json_object_get(root, "executions")) <= 1;
+
+	json_decref(root);
+	return once;
+}
+
 /**
  * load_answers() - whether an answer is not visibly another request's
  * @member: member of the answer that names the request
--- a/packages/process/tests/test-load.c
+++ b/packages/process/tests/test-load.c
@@ -106,6 +106,16 @@
 			LOAD_FAILED);
 }
 
+/* Guards against an answer that itself tells of a fault being accepted. */
+static void test_services_are_checked(void)
+{
+	g_assert_true(load_answers(KS_STR("{\"order\":\"a\"}"), "order", "a"));
+	g_assert_false(load_answers(KS_STR("{\"order\":\"b\"}"), "order", "a"));
+	g_assert_true(load_answers(KS_STR("ok"), "order", "a"));
+	g_assert_true(load_ran_once(KS_STR("{\"executions\":1}")));
+	g_assert_false(load_ran_once(KS_STR("{\"executions\":2}")));
+}
+
 struct fake {
 	ks_http_server_t server;
 	unsigned n_requests;
@@ -218,6 +228,8 @@
 			test_error_event_is_a_failure);
 	g_test_add_func("/load/errors-are-told-apart",
 			test_errors_are_told_apart);
+	g_test_add_func("/load/services-are-checked",
+			test_services_are_checked);
 	g_test_add_func("/load/run-accounts-for-every-request",
 			test_run_accounts_for_every_request);
 	g_test_add_func("/load/run-finds-wrong-answers",
