--- a/Makefile
+++ b/Makefile
@@ -32,8 +32,8 @@
 LIBS = $(addprefix $(BUILD)/libks-,$(addsuffix .a,process version connection request core))
 
 # The daemon links once both of its roles are there.
-ROLES = $(wildcard packages/process/src/entry.c packages/process/src/upstream.c)
-PROGRAMS = $(patsubst cli/%.c,$(BUILD)/%,$(filter-out $(if $(filter 2,$(words $(ROLES))),,cli/knapweedstaird.c),$(wildcard cli/*.c)))
+ROLES = $(wildcard packages/process/src/entry.c packages/process/src/upstream.c packages/process/src/orders.c)
+PROGRAMS = $(patsubst cli/%.c,$(BUILD)/%,$(filter-out $(if $(filter 3,$(words $(ROLES))),,cli/knapweedstaird.c),$(wildcard cli/*.c)))
 FAKES = $(patsubst tests/fakes/%.c,$(BUILD)/%,$(wildcard tests/fakes/fake-*.c))
 FAKE_COMMON = $(patsubst %.c,$(BUILD)/%.o,$(filter-out $(wildcard tests/fakes/fake-*.c),$(wildcard tests/fakes/*.c)))
 BENCHES = $(patsubst bench/%.c,$(BUILD)/%,$(wildcard bench/bench-*.c))
@@ -91,7 +91,8 @@
 $(BUILD)/bench-%: $(BUILD)/bench/bench-%.o $(BENCH_COMMON) $(LIBS)
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/packages/%: $(BUILD)/packages/%.o $(LIBS)
+# Tests may use the test doubles beside the fakes.
+$(BUILD)/packages/%: $(BUILD)/packages/%.o $(FAKE_COMMON) $(LIBS)
 	$(Q)$(CXX) $(CXXFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) -lrapidcheck $(LDLIBS)
 
 # The parts of the load tool that this test covers.
