--- a/packages/process/src/planner.c
+++ b/packages/process/src/planner.c
@@ -292,12 +292,12 @@
 	for (size_t i = 0; i < n_engines; i++) {
 		const ks_plan_engine_t *engine = &engines[i];
 
-		if (!engine->ready || engine->changing ||
-		    engine->role != role ||
-		    domain_is_busy(engines, n_engines, engine->domain))
+		if (!engine->ready || engine->changing || engine->role != role)
 			continue;
-		if (best == n_engines ||
-		    engine->in_flight < engines[best].in_flight)
+		if (best != n_engines &&
+		    engine->in_flight >= engines[best].in_flight)
+			continue;
+		if (!domain_is_busy(engines, n_engines, engine->domain))
 			best = i;
 	}
 	return best;
