Let admission learn how many requests meet their deadline

The estimate learned under overload then refused every request and was never corrected. And the upstreams' limits admitted far more long prompts than they finish in time. Requests are now admitted to an idle group on the plain estimate, and the number admitted falls when requests miss their deadlines.

--- a/bench/bench-slopes.c
+++ b/bench/bench-slopes.c
@@ -3,6 +3,8 @@
  * sizes each, and the straight line through them. docs/CAPACITY.md works from
  * these lines.
  */
+#include "link.pb-c.h"
+
 #include "ks/process.h"
 
 #include <malloc.h>
@@ -466,8 +468,32 @@
 	print_slope(&slope);
 }
 
+/* Packed size of a heartbeat with every field of a busy engine set. */
+static void print_heartbeat(void)
+{
+	Ks__Link__Heartbeat heartbeat = KS__LINK__HEARTBEAT__INIT;
+	Ks__Link__Frame frame = KS__LINK__FRAME__INIT;
+	Ks__Link__Load load = KS__LINK__LOAD__INIT;
+
+	load.in_flight = load.limit = 256;
+	load.prompt_tokens_pending = load.output_tokens_pending = 1000000;
+	load.kv_blocks_free = load.kv_blocks_total = 4096;
+	load.role = (char *)"prefill";
+	heartbeat.session = heartbeat.config_version = 1000000;
+	heartbeat.state = KS__LINK__STATE__STATE_READY;
+	heartbeat.load = &load;
+	frame.kind_case = KS__LINK__FRAME__KIND_HEARTBEAT;
+	frame.heartbeat = &heartbeat;
+	printf("heartbeat of an upstream process: %zu bytes\n",
+	       ks__link__frame__get_packed_size(&frame));
+	heartbeat.load = NULL;
+	printf("heartbeat of an entry: %zu bytes\n\n",
+	       ks__link__frame__get_packed_size(&frame));
+}
+
 int main(void)
 {
+	print_heartbeat();
 	measure_route();
 	measure_admission();
 	measure_prefix();
--- a/bench/load.h
+++ b/bench/load.h
@@ -13,6 +13,21 @@
 	LOAD_N_CLASSES
 } load_class_t;
 
+/**
+ * enum load_policy - how a request's address is chosen among the entries
+ * @LOAD_PREFIX: prompts that share a prefix go to the same address
+ *
+ * Sent to the engines themselves, the load is that of a balancer in front of
+ * them which knows every request under way: the baselines of run-mix.sh.
+ */
+typedef enum load_policy {
+	LOAD_RANDOM,
+	LOAD_ROUND_ROBIN,
+	LOAD_LEAST_CONNECTIONS,
+	LOAD_PREFIX,
+	LOAD_N_POLICIES
+} load_policy_t;
+
 /**
  * struct load_options - what to send and where
  * @rates: requests a second for each class
@@ -22,6 +37,7 @@
 typedef struct load_options {
 	ks_address_t entries[LOAD_MAX_ENTRIES];
 	unsigned n_entries;
+	load_policy_t policy;
 	uint32_t seed;
 	double duration_s;
 	double rates[LOAD_N_CLASSES];
@@ -40,6 +56,7 @@
 
 /* load_options.c */
 
+const char *load_policy_name(load_policy_t policy);
 bool load_options_parse(load_options_t *options, int argc, char **argv,
 			int *status);
 void load_options_deinit(load_options_t *options);
--- a/bench/load_options.c
+++ b/bench/load_options.c
@@ -17,7 +17,7 @@
 
 struct args {
 	struct arg_str *entry, *prompt, *output_tokens;
-	struct arg_str *key, *model, *lookup, *charge, *output;
+	struct arg_str *key, *model, *lookup, *charge, *output, *policy;
 	struct arg_int *seed, *timeout, *in_flight;
 	struct arg_dbl *duration, *rates[LOAD_N_CLASSES];
 	struct arg_lit *help;
@@ -82,12 +82,36 @@
 	return false;
 }
 
+/**
+ * load_policy_name() - as given on the command line
+ */
+const char *load_policy_name(load_policy_t policy)
+{
+	static const char *const names[LOAD_N_POLICIES] = {
+		"random", "round-robin", "least-connections", "prefix"
+	};
+
+	return names[policy];
+}
+
+static bool read_policy(load_options_t *options, const char *name)
+{
+	for (int i = 0; i < LOAD_N_POLICIES; i++)
+		if (!strcmp(name, load_policy_name((load_policy_t)i))) {
+			options->policy = (load_policy_t)i;
+			return true;
+		}
+	fprintf(stderr, PROGRAM ": unknown policy '%s'\n", name);
+	return false;
+}
+
 static bool read_options(load_options_t *options, const struct args *args)
 {
 	const char *output = args->output->sval[0];
 
 	memset(options, 0, sizeof(*options));
-	if (!read_entries(options, args) || !read_ranges(options, args))
+	if (!read_entries(options, args) || !read_ranges(options, args) ||
+	    !read_policy(options, args->policy->sval[0]))
 		return false;
 	if (strcmp(output, "json") != 0 && strcmp(output, "text") != 0) {
 		fprintf(stderr, PROGRAM ": the output is text or json\n");
@@ -119,6 +143,7 @@
 	args->lookup->sval[0] = "/basket/size";
 	args->charge->sval[0] = "/checkout/charge";
 	args->output->sval[0] = "text";
+	args->policy->sval[0] = load_policy_name(LOAD_RANDOM);
 }
 
 static void create_args(struct args *args)
@@ -145,6 +170,9 @@
 	args->in_flight = arg_int0(NULL, "max-in-flight", "N",
 				   "requests under way at once");
 	args->output = arg_str0(NULL, "output", "text|json", "report format");
+	args->policy = arg_str0(NULL, "policy", "NAME",
+				"random, round-robin, least-connections or "
+				"prefix");
 	args->help = arg_lit0("h", "help", "print this help");
 	args->end = arg_end(10);
 }
@@ -163,15 +191,12 @@
 	int n_errors;
 
 	create_args(&args);
-	void *table[] = { args.entry,	 args.seed,
-			  args.duration, args.rates[0],
-			  args.rates[1], args.rates[2],
-			  args.prompt,	 args.output_tokens,
-			  args.key,	 args.model,
-			  args.lookup,	 args.charge,
-			  args.timeout,	 args.in_flight,
-			  args.output,	 args.help,
-			  args.end };
+	void *table[] = { args.entry,	 args.seed,	     args.duration,
+			  args.rates[0], args.rates[1],	     args.rates[2],
+			  args.prompt,	 args.output_tokens, args.key,
+			  args.model,	 args.lookup,	     args.charge,
+			  args.timeout,	 args.in_flight,     args.output,
+			  args.policy,	 args.help,	     args.end };
 	set_defaults(&args);
 	n_errors = arg_parse(argc, argv, table);
 	*status = EXIT_USAGE;
--- a/bench/load_run.c
+++ b/bench/load_run.c
@@ -39,6 +39,8 @@
 	struct arrivals arrivals[LOAD_N_CLASSES];
 	ks_list_t requests;
 	unsigned in_flight;
+	unsigned in_flight_at[LOAD_MAX_ENTRIES];
+	unsigned turn;
 	int64_t last_us;
 	uint64_t n_baskets;
 };
@@ -84,8 +86,10 @@
 	return min + ks_rng_below(rng, max - min + 1);
 }
 
-static void draw_prompt(struct run *run, load_request_t *request)
+/* Returns the number of the group, or a random one for a prompt of its own. */
+static unsigned draw_prompt(struct run *run, load_request_t *request)
 {
+	unsigned group = ks_rng_below(&run->rng, N_PREFIXES);
 	const load_options_t *options = run->options;
 	unsigned tokens = draw_between(&run->rng, options->prompt_min,
 				       options->prompt_max);
@@ -94,14 +98,14 @@
 
 	if (ks_rng_unit(&run->rng) < SHARED_PROMPTS) {
 		shared = (unsigned)(SHARED_PART * tokens);
-		ks_rng_init(&words, options->seed + ks_rng_below(&run->rng,
-								 N_PREFIXES));
+		ks_rng_init(&words, options->seed + group);
 		append_words(request->prompt, &words, shared);
 		ks_rng_deinit(&words);
 	}
 	append_words(request->prompt, &run->rng, tokens - shared);
 	request->max_tokens = draw_between(&run->rng, options->output_min,
 					   options->output_max);
+	return group;
 }
 
 /* A UUID of version 7: its time of issue is what the entry needs. */
@@ -133,6 +137,7 @@
 
 	ks_list_remove(&request->node);
 	run->in_flight--;
+	run->in_flight_at[request->entry]--;
 	load_request_free(request);
 	stop_if_idle(run);
 }
@@ -142,6 +147,31 @@
 	load_request_send(ctx);
 }
 
+static unsigned choose_entry(struct run *run, unsigned group)
+{
+	unsigned n = run->options->n_entries, best = run->turn++ % n;
+
+	switch (run->options->policy) {
+	case LOAD_ROUND_ROBIN:
+		return best;
+	case LOAD_LEAST_CONNECTIONS:
+		for (unsigned i = 0; i < n; i++)
+			if (run->in_flight_at[i] < run->in_flight_at[best])
+				best = i;
+		return best;
+	case LOAD_PREFIX:
+		return group % n;
+	default:
+		return ks_rng_below(&run->rng, n);
+	}
+}
+
+static void set_entry(struct run *run, load_request_t *request, unsigned entry)
+{
+	request->entry = entry;
+	run->in_flight_at[entry]++;
+}
+
 static load_request_t *create_request(struct run *run, load_class_t class)
 {
 	load_request_t *request = g_new0(load_request_t, 1);
@@ -150,7 +180,6 @@
 	request->client = &run->client;
 	request->stats = &run->stats[class];
 	request->class = class;
-	request->entry = ks_rng_below(&run->rng, run->options->n_entries);
 	request->prompt = g_string_new(NULL);
 	request->body = g_string_new(NULL);
 	request->finished = on_finished;
@@ -167,7 +196,7 @@
 	load_request_t *copy = create_request(run, LOAD_CHARGE);
 
 	g_strlcpy(copy->id, first->id, sizeof(copy->id));
-	copy->entry = (first->entry + 1) % run->options->n_entries;
+	set_entry(run, copy, (first->entry + 1) % run->options->n_entries);
 	copy->max_tokens = first->max_tokens;
 	copy->pair = first->pair = g_new0(load_pair_t, 1);
 	copy->pair->refs = 2;
@@ -178,9 +207,10 @@
 static void send_new(struct run *run, load_class_t class)
 {
 	load_request_t *request = create_request(run, class);
+	unsigned group = 0;
 
 	if (class == LOAD_COMPLETION) {
-		draw_prompt(run, request);
+		group = draw_prompt(run, request);
 		snprintf(request->id, sizeof(request->id), "completion");
 	} else if (class == LOAD_LOOKUP) {
 		snprintf(request->id, sizeof(request->id), "b%" PRIu64,
@@ -188,9 +218,10 @@
 	} else {
 		draw_key(run, request->id, sizeof(request->id));
 		request->max_tokens = draw_between(&run->rng, 1, 10000);
-		if (ks_rng_unit(&run->rng) < COPIED_CHARGES)
-			send_copy(run, request);
 	}
+	set_entry(run, request, choose_entry(run, group));
+	if (class == LOAD_CHARGE && ks_rng_unit(&run->rng) < COPIED_CHARGES)
+		send_copy(run, request);
 	load_request_send(request);
 }
 
--- a/packages/request/include/ks/request.h
+++ b/packages/request/include/ks/request.h
@@ -181,6 +181,7 @@
 void ks_limit_sample(ks_limit_t *limit, int64_t latency_us, int64_t expected_us,
 		     unsigned in_flight);
 void ks_limit_overload(ks_limit_t *limit);
+void ks_limit_deadline(ks_limit_t *limit, bool missed, double in_flight);
 unsigned ks_limit_value(const ks_limit_t *limit);
 
 /* retry.c */
--- a/packages/request/src/admission.c
+++ b/packages/request/src/admission.c
@@ -10,75 +10,10 @@
  */
 #include "ks/request.h"
 
-#include "ticket_heap.h"
+#include "admission.h"
 
 #include <math.h>
 
-#define N_CLASSES 4
-
-/* Each class is owed this many times the work of the class below it. */
-#define CLASS_RATIO 8.0
-
-/*
- * Share of the time left that a request may be expected to use. The rest
- * covers the error of the estimate: without it every queued request would be
- * answered just before or just after its deadline under overload.
- */
-#define DEADLINE_SHARE 0.8
-
-/*
- * Share of the capacity that only class 0 may use, while class 0 is in use, so
- * that short lookups need not wait for a long prompt to end.
- */
-#define RESERVED_SHARE 0.0625
-#define RESERVE_FOR_US (10 * KS_USEC_PER_SEC)
-
-/* Weight of one finished request in the ratio of real to expected work. */
-#define SCALE_WEIGHT 0.03
-#define SCALE_MIN 0.25
-#define SCALE_MAX 8.0
-
-#define RETRY_AFTER_MIN_US (1 * KS_USEC_PER_SEC)
-#define RETRY_AFTER_MAX_US (300 * KS_USEC_PER_SEC)
-
-struct tenant {
-	double weight;
-	double last_tag[N_CLASSES];
-	unsigned queued[N_CLASSES];
-};
-
-/**
- * struct service_class - tickets of one priority
- * @virtual_time: tag of the ticket admitted last
- * @weights: sum over the tenants with a queued ticket
- * @queued_us: expected work of the queued tickets
- * @running: number of admitted tickets
- * @running_us: their expected work
- * @given: work admitted, divided by the weight of the class
- */
-struct service_class {
-	ks_ticket_heap_t queue;
-	double virtual_time;
-	double weights;
-	double queued_us;
-	double running;
-	double running_us;
-	double weight;
-	double given;
-};
-
-struct ks_admission {
-	GHashTable *tenants;
-	struct service_class classes[N_CLASSES];
-	ks_ticket_heap_t deadlines;
-	ks_list_t missed;
-	double capacity;
-	double running;
-	double scale;
-	double class_time;
-	int64_t class0_seen_us;
-};
-
 static bool has_lesser_tag(const ks_ticket_t *a, const ks_ticket_t *b)
 {
 	if (a->finish_tag < b->finish_tag)
@@ -127,6 +62,8 @@
 	ks_list_init(&admission->missed);
 	admission->capacity = 1.0;
 	admission->scale = 1.0;
+	ks_limit_init(&admission->limit, MAX_SLOTS, 1.0, MAX_SLOTS);
+	admission->reduced_us = INT64_MIN;
 	admission->class0_seen_us = INT64_MIN / 2;
 	return admission;
 }
@@ -182,35 +119,23 @@
 	found->weight = weight;
 }
 
-static unsigned class_of(const ks_ticket_t *ticket)
-{
-	return MIN(ticket->priority, N_CLASSES - 1);
-}
-
-static double reserved_slots(const ks_admission_t *admission, int64_t now_us)
-{
-	if (now_us - admission->class0_seen_us > RESERVE_FOR_US)
-		return 0.0;
-	return floor(admission->capacity * RESERVED_SHARE);
-}
-
 static bool has_room(const ks_admission_t *admission, unsigned class,
 		     int64_t now_us)
 {
-	double low;
+	double slots = ks_admission_slots(admission), low;
 
-	if (admission->running + 1.0 > admission->capacity)
+	if (admission->running + 1.0 > slots)
 		return false;
 	if (class == 0)
 		return true;
-	low = admission->capacity - reserved_slots(admission, now_us);
+	low = slots - ks_admission_reserved(admission, now_us);
 	return admission->running - admission->classes[0].running + 1.0 <= low;
 }
 
 static void start(ks_admission_t *admission, ks_ticket_t *ticket,
 		  int64_t now_us)
 {
-	unsigned i = class_of(ticket);
+	unsigned i = ks_admission_class(ticket);
 	struct service_class *class = &admission->classes[i];
 
 	class->virtual_time = MAX(class->virtual_time, ticket->finish_tag);
@@ -227,7 +152,7 @@
 static void enqueue(ks_admission_t *admission, ks_ticket_t *ticket,
 		    struct tenant *tenant)
 {
-	unsigned i = class_of(ticket);
+	unsigned i = ks_admission_class(ticket);
 	struct service_class *class = &admission->classes[i];
 
 	if (tenant->queued[i]++ == 0)
@@ -240,7 +165,7 @@
 
 static void dequeue(ks_admission_t *admission, ks_ticket_t *ticket)
 {
-	unsigned i = class_of(ticket);
+	unsigned i = ks_admission_class(ticket);
 	struct service_class *class = &admission->classes[i];
 	struct tenant *tenant = find_tenant(admission, ticket->tenant);
 
@@ -257,78 +182,6 @@
 	ticket->queued = false;
 }
 
-static double backlog_us(const ks_admission_t *admission)
-{
-	double sum = 0.0;
-
-	for (int i = 0; i < N_CLASSES; i++)
-		sum += admission->classes[i].queued_us;
-	return sum;
-}
-
-static double running_us(const ks_admission_t *admission)
-{
-	double sum = 0.0;
-
-	for (int i = 0; i < N_CLASSES; i++)
-		sum += admission->classes[i].running_us;
-	return sum;
-}
-
-/* Work done before a ticket that is to be queued, at its tenant's fair share.
- */
-static double fair_work_ahead(const ks_admission_t *admission,
-			      const ks_ticket_t *ticket,
-			      const struct tenant *tenant)
-{
-	unsigned i = class_of(ticket);
-	const struct service_class *class = &admission->classes[i];
-	double weights = class->weights, shares = class->weight;
-
-	if (tenant->queued[i] == 0)
-		weights += tenant->weight;
-	for (unsigned j = 0; j < N_CLASSES; j++)
-		if (j != i &&
-		    ks_ticket_heap_first(&admission->classes[j].queue))
-			shares += admission->classes[j].weight;
-	return (ticket->finish_tag - class->virtual_time) * weights * shares /
-	       class->weight;
-}
-
-/* Time until a ticket that is to be queued would start. */
-static double expected_wait(const ks_admission_t *admission,
-			    const ks_ticket_t *ticket,
-			    const struct tenant *tenant, int64_t now_us)
-{
-	const struct service_class *first = &admission->classes[0];
-	double slots = MAX(admission->capacity, 1.0);
-	double reserved = reserved_slots(admission, now_us);
-	double wait;
-
-	/* A slot comes free after the mean running work over the slots. */
-	wait = (MIN(fair_work_ahead(admission, ticket, tenant),
-		    backlog_us(admission) + ticket->work_us) +
-		running_us(admission) / MAX(admission->running, 1.0)) /
-	       slots;
-	/* The reserved slots serve class 0 alone, whatever runs beside it. */
-	if (class_of(ticket) == 0 && reserved >= 1.0)
-		wait = MIN(wait,
-			   (first->queued_us +
-			    first->running_us / MAX(first->running, 1.0)) /
-				   reserved);
-	return wait * admission->scale;
-}
-
-static int64_t retry_after(const ks_admission_t *admission)
-{
-	double slots = MAX(admission->capacity, 1.0);
-	double left = (running_us(admission) + backlog_us(admission)) *
-		      admission->scale / slots;
-
-	return (int64_t)CLAMP(left, (double)RETRY_AFTER_MIN_US,
-			      (double)RETRY_AFTER_MAX_US);
-}
-
 static double next_tag(const struct tenant *tenant,
 		       const struct service_class *class, unsigned i,
 		       const ks_ticket_t *ticket)
@@ -337,11 +190,18 @@
 	       ticket->work_us / tenant->weight;
 }
 
+/*
+ * With nothing under way the estimate is not trusted to be above 1: no request
+ * would be admitted from which it could be corrected.
+ */
 static bool can_finish(const ks_admission_t *admission,
 		       const ks_ticket_t *ticket, double wait_us,
 		       int64_t now_us)
 {
-	return wait_us + ticket->work_us * admission->scale <=
+	double scale = admission->running > 0 ? admission->scale
+					      : MIN(admission->scale, 1.0);
+
+	return wait_us + ticket->work_us * scale <=
 	       DEADLINE_SHARE * (double)(ticket->deadline_us - now_us);
 }
 
@@ -361,7 +221,7 @@
 					   int64_t *retry_after_us)
 {
 	struct tenant *tenant = find_tenant(admission, ticket->tenant);
-	unsigned i = class_of(ticket);
+	unsigned i = ks_admission_class(ticket);
 	struct service_class *class = &admission->classes[i];
 	bool at_once;
 	double wait = 0.0;
@@ -375,9 +235,9 @@
 	at_once = has_room(admission, i, now_us) &&
 		  !ks_ticket_heap_first(&class->queue);
 	if (!at_once)
-		wait = expected_wait(admission, ticket, tenant, now_us);
+		wait = ks_admission_wait(admission, ticket, tenant, now_us);
 	if (!can_finish(admission, ticket, wait, now_us)) {
-		*retry_after_us = retry_after(admission);
+		*retry_after_us = ks_admission_retry_after(admission);
 		return KS_ADMIT_REFUSE;
 	}
 	tenant->last_tag[i] = ticket->finish_tag;
@@ -399,6 +259,26 @@
 					    admission->scale);
 }
 
+/*
+ * A request that was admitted and missed its deadline shows that the upstreams
+ * take longer for this many at once. Only those admitted after the limit was
+ * reduced tell whether it has to be reduced further.
+ */
+static void learn_limit(ks_admission_t *admission, const ks_ticket_t *ticket,
+			int64_t now_us)
+{
+	bool missed = now_us >= ticket->deadline_us;
+
+	admission->miss_share +=
+		MISS_WEIGHT * ((missed ? 1.0 : 0.0) - admission->miss_share);
+	if (missed && (admission->miss_share < MISS_SHARE ||
+		       ticket->admitted_us <= admission->reduced_us))
+		return;
+	if (missed)
+		admission->reduced_us = now_us;
+	ks_limit_deadline(&admission->limit, missed, admission->running);
+}
+
 /**
  * ks_admission_leave() - a request has ended, was cancelled or has been refused
  * @ticket: in any state after ks_admission_arrive(); harmless when repeated
@@ -408,7 +288,8 @@
 void ks_admission_leave(ks_admission_t *admission, ks_ticket_t *ticket,
 			int64_t now_us)
 {
-	struct service_class *class = &admission->classes[class_of(ticket)];
+	struct service_class *class =
+		&admission->classes[ks_admission_class(ticket)];
 
 	if (ticket->queued)
 		dequeue(admission, ticket);
@@ -416,7 +297,10 @@
 	if (!ticket->admitted)
 		return;
 	ticket->admitted = false;
-	learn_scale(admission, ticket, now_us);
+	/* A request cut off at its deadline does not tell its real work. */
+	if (now_us < ticket->deadline_us)
+		learn_scale(admission, ticket, now_us);
+	learn_limit(admission, ticket, now_us);
 	admission->running -= 1.0;
 	class->running -= 1.0;
 	class->running_us -= ticket->work_us;
@@ -492,6 +376,6 @@
 	} else {
 		return NULL;
 	}
-	*retry_after_us = retry_after(admission);
+	*retry_after_us = ks_admission_retry_after(admission);
 	return ticket;
 }
--- a/packages/request/src/limit.c
+++ b/packages/request/src/limit.c
@@ -21,6 +21,7 @@
 #define LEAST_GRADIENT 0.5
 #define SMOOTHING 0.05
 #define OVERLOAD_FACTOR 0.9
+#define MISS_FACTOR 0.5
 
 /**
  * ks_limit_init() - set up a limit
@@ -86,6 +87,23 @@
 	limit->value = MAX(limit->value * OVERLOAD_FACTOR, limit->min);
 }
 
+/**
+ * ks_limit_deadline() - learn from whether an attempt met its deadline
+ * @in_flight: attempts under way, itself included
+ *
+ * For uses in which latency has no meaningful baseline: the limit falls to a
+ * share of what was in flight at a miss, and grows by one for each limit's
+ * worth of attempts in time while it is in use.
+ */
+void ks_limit_deadline(ks_limit_t *limit, bool missed, double in_flight)
+{
+	if (missed)
+		limit->value = MIN(limit->value, in_flight) * MISS_FACTOR;
+	else if (in_flight + 1.0 >= limit->value)
+		limit->value += 1.0 / limit->value;
+	limit->value = CLAMP(limit->value, limit->min, limit->max);
+}
+
 /**
  * ks_limit_value() - attempts that may be under way at once
  */
--- a/packages/request/tests/prop-admission.cpp
+++ b/packages/request/tests/prop-admission.cpp
@@ -367,6 +367,72 @@
 	});
 }
 
+/*
+ * Guards against an estimate, learned while the upstreams were slow, that
+ * refuses every later request and so is never corrected.
+ */
+bool check_refusals_end()
+{
+	return rc::check("an idle group admits again", [] {
+		auto slow = *rc::gen::inRange(1, 100);
+		std::vector<ks_ticket_t> tickets(50);
+		int64_t now = 0, retry;
+		int admitted = 0;
+		Admission a;
+
+		ks_admission_set_capacity(a.ptr, 50);
+		for (auto &ticket : tickets) {
+			ticket = make_ticket("a", SEC, FAR, 1);
+			ks_admission_arrive(a.ptr, &ticket, now, &retry);
+		}
+		now += slow * SEC;
+		for (auto &ticket : tickets)
+			ks_admission_leave(a.ptr, &ticket, now);
+		/* From now on each takes as long as expected. */
+		for (int i = 0; i < 100; i++) {
+			ks_ticket_t ticket =
+				make_ticket("a", SEC, now + 2 * SEC, 1);
+
+			if (ks_admission_arrive(a.ptr, &ticket, now, &retry) ==
+			    KS_ADMIT)
+				admitted++;
+			now += SEC;
+			ks_admission_leave(a.ptr, &ticket, now);
+		}
+		RC_ASSERT(admitted == 100);
+	});
+}
+
+/* Guards against deadlines missed for as long as an overload lasts. */
+bool check_limit_follows_misses()
+{
+	return rc::check("missed deadlines reduce what is admitted", [] {
+		auto served = *rc::gen::inRange(2, 20);
+		std::vector<ks_ticket_t> tickets(100);
+		int64_t now = 0, retry;
+		size_t running = 0;
+		Admission a;
+
+		ks_admission_set_capacity(a.ptr, 100);
+		for (int round = 0; round < 200; round++) {
+			running = 0;
+			for (auto &ticket : tickets) {
+				ticket = make_ticket("a", SEC / 2,
+						     now + 4 * SEC, 1);
+				running +=
+					ks_admission_arrive(a.ptr, &ticket, now,
+							    &retry) == KS_ADMIT;
+			}
+			/* More at once than @served, and all are too late. */
+			now += running > (size_t)served ? 5 * SEC : SEC / 2;
+			for (auto &ticket : tickets)
+				ks_admission_leave(a.ptr, &ticket, now);
+		}
+		RC_ASSERT(running <= (size_t)served + 1);
+		RC_ASSERT(running >= (size_t)served / 3);
+	});
+}
+
 } // namespace
 
 int main()
@@ -375,6 +441,8 @@
 
 	ok = check_accounting() && ok;
 	ok = check_refused_at_once() && ok;
+	ok = check_refusals_end() && ok;
+	ok = check_limit_follows_misses() && ok;
 	ok = check_overload() && ok;
 	ok = check_lookups() && ok;
 	ok = check_no_starvation() && ok;
