Notice a broken connection at once

ZeroMQ signals the monitor's descriptor only after a first look for input, which never happened, so a killed upstream process was noticed after 3 s of silence: with its only replica killed, a lookup waited 5 s for its deadline. Ruled out: a missing event; the monitor reports it when polled. test-link fails without the change with an hour of allowed silence.

--- a/packages/connection/src/socket.c
+++ b/packages/connection/src/socket.c
@@ -256,8 +256,12 @@
 			     zmq_strerror(zmq_errno()));
 		return false;
 	}
-	return watch_zmq(&sock->monitor_watch, loop, sock->monitor,
-			 drain_monitor, sock, error);
+	if (!watch_zmq(&sock->monitor_watch, loop, sock->monitor, drain_monitor,
+		       sock, error))
+		return false;
+	/* ZeroMQ signals the descriptor only after a first look for input. */
+	drain_monitor(sock);
+	return true;
 }
 
 /**
--- a/packages/connection/tests/test-link.c
+++ b/packages/connection/tests/test-link.c
@@ -142,15 +142,17 @@
 			==, 0);
 }
 
-static void start_pair(struct pair *pair, const ks_socket_security_t *server,
-		       const ks_socket_security_t *client)
+static void start_pair_silent(struct pair *pair,
+			      const ks_socket_security_t *server,
+			      const ks_socket_security_t *client,
+			      int64_t silence_us)
 {
 	ks_link_server_options_t server_options = {
 		.upstream = "u1",
 		.address = { "127.0.0.1", 0 },
 		.security = *server,
 		.heartbeat_us = HEARTBEAT_US,
-		.silence_us = SILENCE_US,
+		.silence_us = silence_us,
 		.max_buffer = 1 << 20,
 	};
 	ks_link_client_options_t client_options = {
@@ -160,7 +162,7 @@
 		.address = { "127.0.0.1", 0 },
 		.security = *client,
 		.heartbeat_us = HEARTBEAT_US,
-		.silence_us = SILENCE_US,
+		.silence_us = silence_us,
 	};
 	GError *error = NULL;
 
@@ -178,6 +180,12 @@
 		&pair->loop, pair->zmq, &client_options, &client_events, pair);
 }
 
+static void start_pair(struct pair *pair, const ks_socket_security_t *server,
+		       const ks_socket_security_t *client)
+{
+	start_pair_silent(pair, server, client, SILENCE_US);
+}
+
 static void stop_pair(struct pair *pair)
 {
 	ks_link_client_free(pair->client);
@@ -412,6 +420,28 @@
 	end_when_peer_is_lost(false);
 }
 
+static bool is_down(struct pair *pair)
+{
+	return !is_up(pair);
+}
+
+/*
+ * Guards against requests that are sent on a broken connection until its
+ * silence is noticed. The silence is set too long to be what ends the link.
+ */
+static void test_link_notices_broken_connection(void)
+{
+	ks_socket_security_t security = plain;
+	struct pair pair;
+
+	start_pair_silent(&pair, &security, &security, 3600 * KS_USEC_PER_SEC);
+	g_assert_true(run_until(&pair, is_up));
+	ks_link_server_free(pair.server);
+	pair.server = NULL;
+	g_assert_true(run_until(&pair, is_down));
+	stop_pair(&pair);
+}
+
 /* Guards against a body that grows without bound for a caller that stalls. */
 static void test_link_bounds_unread_answer(void)
 {
@@ -445,6 +475,8 @@
 	g_test_add_func("/link/passes-leaving", test_link_passes_leaving);
 	g_test_add_func("/link/ends-attempts-of-lost-peer",
 			test_link_ends_attempts_of_lost_peer);
+	g_test_add_func("/link/notices-broken-connection",
+			test_link_notices_broken_connection);
 	g_test_add_func("/link/bounds-unread-answer",
 			test_link_bounds_unread_answer);
 	return g_test_run();
