Give an upstream a second attempt after its link was lost

A lookup on an idle link that had gone silent was refused as no_upstream once the link was replaced, because its only upstream counted as tried. Ruled out: the link, which reports not started as it should.

--- a/packages/process/src/entry.h
+++ b/packages/process/src/entry.h
@@ -165,6 +165,8 @@
  * @may_have_run: an attempt has started, so that "not run" is never true again
  * @failed_kind: how the attempt that started failed
  * @tried: struct entry_upstream ids that were given an attempt
+ * @repeatable: id of the upstream whose attempt was lost with its link, so that
+ *	it may be given another one when there is no other upstream; or NULL
  * @failed_domains: failure domains of attempts that failed
  * @output_tokens: tokens of the answer, as its usage says
  */
@@ -199,6 +201,7 @@
 	unsigned n_attempts;
 	struct entry_attempt *attempt;
 	GPtrArray *tried;
+	char *repeatable;
 	GPtrArray *failed_domains;
 	int status;
 	char *content_type;
--- a/packages/process/src/entry_attempt.c
+++ b/packages/process/src/entry_attempt.c
@@ -130,10 +130,15 @@
 			     hashes->len, now);
 }
 
-static void note_failed_domain(struct entry_request *request,
-			       const struct entry_upstream *upstream)
+static void note_failure(struct entry_request *request,
+			 const struct entry_upstream *upstream,
+			 ks_error_kind_t kind)
 {
 	g_ptr_array_add(request->failed_domains, g_strdup(upstream->domain));
+	g_clear_pointer(&request->repeatable, g_free);
+	/* A lost link says nothing against the upstream behind it. */
+	if (kind == KS_ERROR_NO_UPSTREAM || kind == KS_ERROR_OUTCOME_UNKNOWN)
+		request->repeatable = g_strdup(upstream->id);
 }
 
 /* Tries another upstream; false when the request is to be given up on. */
@@ -172,7 +177,7 @@
 
 	if (!request)
 		return;
-	note_failed_domain(request, upstream);
+	note_failure(request, upstream, kind);
 	if (try_again(request, &failure))
 		return;
 	if (!ks_error_answer(kind)->not_run)
@@ -295,7 +300,7 @@
 	ks_attempt_failure_t failure = { .kind = kind };
 
 	request->failed_kind = kind;
-	note_failed_domain(request, upstream);
+	note_failure(request, upstream, kind);
 	/* What was delivered is no obstacle where the stream can go on. */
 	failure.delivered = request->stream.delivered &&
 			    !(upstream->resumes && can_resume(request));
--- a/packages/process/src/entry_group.c
+++ b/packages/process/src/entry_group.c
@@ -123,8 +123,17 @@
 	candidate->decode_us_per_token = upstream->decode_us;
 }
 
+static bool was_tried(const struct entry_request *request, const char *id,
+		      bool repeat)
+{
+	if (repeat && !g_strcmp0(request->repeatable, id))
+		return false;
+	return contains(request->tried, id);
+}
+
+/* @repeat: the upstream whose attempt was lost with its link is a candidate. */
 static void fill_candidate(const struct entry_upstream *upstream,
-			   const struct entry_request *request,
+			   const struct entry_request *request, bool repeat,
 			   ks_candidate_t *candidate)
 {
 	const ks_entry_t *entry = upstream->entry;
@@ -144,7 +153,7 @@
 			hashes->len, ks_loop_now(entry->loop));
 	/* Only an upstream that resumes can go on with a stream. */
 	candidate->excluded = !entry_upstream_is_usable(upstream) ||
-			      contains(request->tried, upstream->id) ||
+			      was_tried(request, upstream->id, repeat) ||
 			      (request->stream.delivered && !upstream->resumes);
 	candidate->same_domain_failed =
 		contains(request->failed_domains, upstream->domain);
@@ -171,11 +180,8 @@
 	g_free(out);
 }
 
-/**
- * entry_group_choose() - the upstream that the next attempt goes to, or NULL
- */
-struct entry_upstream *entry_group_choose(struct entry_group *group,
-					  struct entry_request *request)
+static int choose_index(const struct entry_group *group,
+			const struct entry_request *request, bool repeat)
 {
 	ks_entry_t *entry = group->entry;
 	ks_route_request_t wanted = {
@@ -184,21 +190,35 @@
 		.time_left_us = request->deadline_us - ks_loop_now(entry->loop),
 	};
 	size_t count = group->members->len;
-	ks_candidate_t *candidates;
+	ks_candidate_t *candidates = g_new(ks_candidate_t, count);
 	ks_route_choice_t choice;
 
-	if (!count)
-		return NULL;
-	candidates = g_new(ks_candidate_t, count);
 	for (size_t i = 0; i < count; i++)
 		fill_candidate(g_ptr_array_index(group->members, i), request,
-			       &candidates[i]);
+			       repeat, &candidates[i]);
 	exclude_ejected(group, candidates);
 	choice = ks_route_choose(&wanted, candidates, count, &entry->rng);
 	g_free(candidates);
-	if (choice.index < 0)
+	return choice.index;
+}
+
+/**
+ * entry_group_choose() - the upstream that the next attempt goes to, or NULL
+ *
+ * An upstream is given a second attempt only when its first was lost with the
+ * link and no other upstream is left.
+ */
+struct entry_upstream *entry_group_choose(struct entry_group *group,
+					  struct entry_request *request)
+{
+	int index;
+
+	if (!group->members->len)
 		return NULL;
-	return g_ptr_array_index(group->members, choice.index);
+	index = choose_index(group, request, false);
+	if (index < 0 && request->repeatable)
+		index = choose_index(group, request, true);
+	return index < 0 ? NULL : g_ptr_array_index(group->members, index);
 }
 
 /**
--- a/packages/process/src/entry_request.c
+++ b/packages/process/src/entry_request.c
@@ -54,6 +54,7 @@
 	ks_completion_deinit(&request->completion);
 	entry_stream_deinit(&request->stream);
 	g_ptr_array_unref(request->tried);
+	g_free(request->repeatable);
 	g_ptr_array_unref(request->failed_domains);
 	g_ptr_array_unref(request->headers);
 	g_string_free(request->answer, TRUE);
