Admit one request to an idle group whatever the estimate

Estimates learned while the upstreams were slow, by the entry as well as here, refused every request of the next phase of the mix. The limit also grows faster once deadlines are met again.

--- a/packages/request/src/admission.c
+++ b/packages/request/src/admission.c
@@ -191,18 +191,20 @@
 }
 
 /*
- * With nothing under way the estimate is not trusted to be above 1: no request
- * would be admitted from which it could be corrected.
+ * With nothing under way no estimate is trusted. Estimates learned while the
+ * upstreams were slow could refuse every request, and only a request that runs
+ * can correct them.
  */
 static bool can_finish(const ks_admission_t *admission,
-		       const ks_ticket_t *ticket, double wait_us,
+		       const ks_ticket_t *ticket, double wait_us, double share,
 		       int64_t now_us)
 {
-	double scale = admission->running > 0 ? admission->scale
-					      : MIN(admission->scale, 1.0);
+	int64_t left = ticket->deadline_us - now_us;
 
-	return wait_us + ticket->work_us * scale <=
-	       DEADLINE_SHARE * (double)(ticket->deadline_us - now_us);
+	if (admission->running < 1.0)
+		return left > 0;
+	return wait_us + ticket->work_us * admission->scale <=
+	       share * (double)left;
 }
 
 /**
@@ -236,7 +238,7 @@
 		  !ks_ticket_heap_first(&class->queue);
 	if (!at_once)
 		wait = ks_admission_wait(admission, ticket, tenant, now_us);
-	if (!can_finish(admission, ticket, wait, now_us)) {
+	if (!can_finish(admission, ticket, wait, DEADLINE_SHARE, now_us)) {
 		*retry_after_us = ks_admission_retry_after(admission);
 		return KS_ADMIT_REFUSE;
 	}
@@ -343,8 +345,7 @@
 		ks_ticket_t *ticket = ks_ticket_heap_first(&class->queue);
 
 		dequeue(admission, ticket);
-		if ((double)(ticket->deadline_us - now_us) >=
-		    ticket->work_us * admission->scale) {
+		if (can_finish(admission, ticket, 0.0, 1.0, now_us)) {
 			start(admission, ticket, now_us);
 			return ticket;
 		}
--- a/packages/request/src/limit.c
+++ b/packages/request/src/limit.c
@@ -92,15 +92,16 @@
  * @in_flight: attempts under way, itself included
  *
  * For uses in which latency has no meaningful baseline: the limit falls to a
- * share of what was in flight at a miss, and grows by one for each limit's
- * worth of attempts in time while it is in use.
+ * share of what was in flight at a miss, and grows by one for each attempt in
+ * time while it is in use. It so doubles with each round, since the mix of
+ * requests that caused the misses may be over within seconds.
  */
 void ks_limit_deadline(ks_limit_t *limit, bool missed, double in_flight)
 {
 	if (missed)
 		limit->value = MIN(limit->value, in_flight) * MISS_FACTOR;
 	else if (in_flight + 1.0 >= limit->value)
-		limit->value += 1.0 / limit->value;
+		limit->value += 1.0;
 	limit->value = CLAMP(limit->value, limit->min, limit->max);
 }
 
