Name the row of a plan as the orders part reads it

The planner wrote plan/MODEL with the plain name, while the upstream process reads it with the name escaped, so a model such as m:1 never got its plan.

--- a/packages/process/include/ks/process.h
+++ b/packages/process/include/ks/process.h
@@ -698,6 +698,7 @@
 	unsigned drain_delay_ms;
 	unsigned subset;
 	unsigned lease_ms;
+	unsigned store_writes_per_s;
 	double role_change_cost;
 	unsigned role_dwell_ms;
 	char *operator_token_sha256;
@@ -823,6 +824,7 @@
 			    double share);
 bool ks_planner_run_role(const ks_planner_run_t *run, const char *model,
 			 ks_str_t engine, ks_engine_role_t *role);
+bool ks_planner_run_is_holder(const ks_planner_run_t *run);
 ks_planner_report_t ks_planner_run_report(const ks_planner_run_t *run);
 
 /* ledger.c: at most once for non-idempotent requests with a key */
--- a/packages/process/src/planner_run.c
+++ b/packages/process/src/planner_run.c
@@ -121,8 +121,10 @@
 
 	if (!ks_str_has_prefix(row->key, prefix))
 		return;
-	model = g_strndup(row->key.data + prefix.len,
-			  row->key.len - prefix.len);
+	model = g_uri_unescape_segment(row->key.data + prefix.len,
+				       row->key.data + row->key.len, NULL);
+	if (!model)
+		return;
 	plan = find_plan(run, model);
 	if (ks_planner_row_parse(row->value, &plan->number, plan->roles))
 		g_string_append_len(plan->etag, row->etag.data,
@@ -221,7 +223,8 @@
 
 static void write_plan(ks_planner_run_t *run, struct model_plan *plan)
 {
-	char *key = g_strconcat(PLAN_PREFIX, plan->model, NULL);
+	char *part = g_uri_escape_string(plan->model, NULL, FALSE);
+	char *key = g_strconcat(PLAN_PREFIX, part, NULL);
 	const ks_plan_engine_t *engines =
 		(const ks_plan_engine_t *)(void *)plan->engines->data;
 	char *value = ks_planner_row_format(
@@ -240,6 +243,7 @@
 	run->writing = plan;
 	run->store->transact(run->store->impl, writes, G_N_ELEMENTS(writes),
 			     on_written, run);
+	g_free(part);
 	g_free(key);
 	g_free(value);
 }
@@ -430,6 +434,14 @@
 	return known;
 }
 
+/**
+ * ks_planner_run_is_holder() - whether this process holds the planner lease
+ */
+bool ks_planner_run_is_holder(const ks_planner_run_t *run)
+{
+	return ks_lease_keeper_is_held(run->keeper);
+}
+
 /**
  * ks_planner_run_report() - sum of the changes of all models
  */
