--- a/packages/process/src/settings.c
+++ b/packages/process/src/settings.c
@@ -98,6 +98,7 @@
 	UINT(ks_settings_t, drain_delay_ms),
 	UINT(ks_settings_t, subset),
 	UINT(ks_settings_t, lease_ms),
+	UINT(ks_settings_t, store_writes_per_s),
 	CYAML_FIELD_FLOAT("role_change_cost", CYAML_FLAG_OPTIONAL,
 			  ks_settings_t, role_change_cost),
 	UINT(ks_settings_t, role_dwell_ms),
@@ -160,6 +161,8 @@
 	set_default(doc, "silence_ms", &settings->silence_ms, 3000);
 	set_default(doc, "subset", &settings->subset, 64);
 	set_default(doc, "lease_ms", &settings->lease_ms, 15000);
+	set_default(doc, "store_writes_per_s", &settings->store_writes_per_s,
+		    20);
 	set_default(doc, "role_dwell_ms", &settings->role_dwell_ms, 60000);
 	if (!ks_settings_document_line(doc, "role_change_cost", -1, NULL))
 		settings->role_change_cost = 1;
--- a/packages/process/src/settings_check.c
+++ b/packages/process/src/settings_check.c
@@ -35,6 +35,7 @@
 	RANGE(drain_delay_ms, 0, HOUR_MS),
 	RANGE(subset, 1, 10000),
 	RANGE(lease_ms, 100, HOUR_MS),
+	RANGE(store_writes_per_s, 1, 10000),
 	RANGE(role_dwell_ms, 1, DAY_MS),
 };
 
--- a/packages/process/src/upstream.c
+++ b/packages/process/src/upstream.c
@@ -91,9 +91,10 @@
 {
 	ks_drain_set_changing(&process->drain, true);
 	process->orders = ks_orders_new(
-		process->loop, &process->store.store, &process->engine.engine,
-		ks_clock_boottime(), &process->rng, &process->incarnation,
-		process->settings->upstream,
+		process->loop,
+		ks_write_budget_store(process->writes, KS_WRITE_LEASE),
+		&process->engine.engine, ks_clock_boottime(), &process->rng,
+		&process->incarnation, process->settings->upstream,
 		(int64_t)process->settings->lease_ms * KS_USEC_PER_MSEC,
 		&orders_events, process);
 }
@@ -251,6 +252,10 @@
 
 	ks_http_client_init(&process->client, process->loop);
 	ks_store_http_init(&process->store, &process->client, platform, token);
+	process->writes = ks_write_budget_new(
+		process->loop, &process->store.store, &process->rng,
+		process->settings->store_writes_per_s,
+		process->settings->store_writes_per_s);
 	ks_platform_http_init(&process->platform, &process->client, platform,
 			      token);
 	ks_engine_http_init(&process->engine, &process->client,
@@ -342,6 +347,7 @@
 		ks_link_server_free(process->link);
 	if (process->snapshot)
 		ks_snapshot_unref(process->snapshot);
+	ks_write_budget_free(process->writes);
 	ks_engine_http_deinit(&process->engine);
 	ks_platform_http_deinit(&process->platform);
 	ks_store_http_deinit(&process->store);
--- a/packages/process/src/upstream.h
+++ b/packages/process/src/upstream.h
@@ -35,6 +35,7 @@
 	ks_http_client_t client;
 	ks_address_t endpoint;
 	ks_store_http_t store;
+	ks_write_budget_t *writes;
 	ks_platform_http_t platform;
 	ks_engine_http_t engine;
 	void *zmq;
--- a/packages/process/tests/upstream_fixture.h
+++ b/packages/process/tests/upstream_fixture.h
@@ -117,6 +117,7 @@
 	f->settings.max_answer_kib = 1024;
 	f->settings.max_requests = 100;
 	f->settings.lease_ms = 15000;
+	f->settings.store_writes_per_s = 20;
 }
 
 /* Starts everything; the process has no snapshot yet. */
