Plan engine roles in every entry

Each entry feeds its planner with the demand that it sees and with its view of the engines; the holder of the planner lease writes the plan. The entry's store has the write budget too, the ledger first.

--- a/packages/process/src/entry.c
+++ b/packages/process/src/entry.c
@@ -18,6 +18,7 @@
 	ks_entry_t *entry = ctx;
 
 	entry_fleet_apply(entry, snapshot);
+	entry_plan_apply(entry, snapshot);
 }
 
 static void on_stop_timer(void *ctx)
@@ -70,9 +71,13 @@
 			   settings->platform_token);
 	ks_platform_http_init(&entry->platform, &entry->client, &address,
 			      settings->platform_token);
-	entry->ledger =
-		ks_ledger_new(entry->loop, &entry->store.store, ks_clock_wall(),
-			      &entry->rng, &entry->incarnation);
+	entry->writes = ks_write_budget_new(
+		entry->loop, &entry->store.store, &entry->rng,
+		settings->store_writes_per_s, settings->store_writes_per_s);
+	entry->ledger = ks_ledger_new(
+		entry->loop,
+		ks_write_budget_store(entry->writes, KS_WRITE_LEDGER),
+		ks_clock_wall(), &entry->rng, &entry->incarnation);
 	entry->config = ks_config_new(
 		entry->loop, &entry->store.store, &entry->rng,
 		settings->poll_ms * KS_USEC_PER_MSEC, on_snapshot, entry);
@@ -90,6 +95,7 @@
 	ks_timer_init(&entry->sweep_timer, entry->loop, entry_request_sweep,
 		      entry);
 	entry_fleet_init(entry);
+	entry_plan_init(entry);
 }
 
 /**
@@ -168,11 +174,13 @@
 	KS_LIST_FOREACH_SAFE (it, tmp, &entry->requests)
 		entry_request_free(
 			KS_CONTAINER_OF(it, struct entry_request, node));
+	entry_plan_deinit(entry);
 	entry_fleet_deinit(entry);
 	if (entry->config)
 		ks_config_free(entry->config);
 	if (entry->ledger)
 		ks_ledger_free(entry->ledger);
+	ks_write_budget_free(entry->writes);
 	if (entry->client.loop) {
 		ks_platform_http_deinit(&entry->platform);
 		ks_store_http_deinit(&entry->store);
--- a/packages/process/src/entry.h
+++ b/packages/process/src/entry.h
@@ -5,6 +5,7 @@
 #include "ks/process.h"
 
 #include <h2o.h>
+#include <jansson.h>
 
 /* Time of an engine for each token, assumed until it has been measured. */
 #define ENTRY_PREFILL_US 50.0
@@ -12,6 +13,7 @@
 
 struct entry_request;
 struct entry_group;
+struct entry_plan;
 
 /**
  * struct entry_tenant - a tenant and what it has in flight
@@ -225,9 +227,11 @@
 	ks_http_client_t client;
 	ks_http_server_t server;
 	ks_store_http_t store;
+	ks_write_budget_t *writes;
 	ks_platform_http_t platform;
 	ks_config_t *config;
 	ks_ledger_t *ledger;
+	struct entry_plan *plan;
 	ks_retry_budget_t retries;
 	GHashTable *groups;
 	ks_list_t upstreams;
@@ -287,6 +291,14 @@
 void entry_group_update_capacity(struct entry_group *group);
 void entry_group_pump(struct entry_group *group);
 
+/* entry_plan.c */
+void entry_plan_init(ks_entry_t *entry);
+void entry_plan_deinit(ks_entry_t *entry);
+void entry_plan_apply(ks_entry_t *entry, const ks_snapshot_t *snapshot);
+void entry_plan_note(const struct entry_request *request);
+json_t *entry_plan_status(const ks_entry_t *entry);
+void entry_plan_metrics(const ks_entry_t *entry);
+
 /* entry_read.c */
 bool entry_read_request(struct entry_request *request, bool chat,
 			GError **error);
--- a/packages/process/src/entry_request.c
+++ b/packages/process/src/entry_request.c
@@ -394,5 +394,6 @@
 		     request->deadline_us - request->start_us);
 	ks_admission_set_weight(request->group->admission,
 				request->tenant->name, request->tenant->weight);
+	entry_plan_note(request);
 	ask_admission(request);
 }
--- a/packages/process/src/entry_status.c
+++ b/packages/process/src/entry_status.c
@@ -90,13 +90,14 @@
 				    tenant_status(tenant));
 	}
 	reply_json(req,
-		   json_pack("{s:s, s:s, s:I, s:b, s:i, s:o, s:o}", "name",
+		   json_pack("{s:s, s:s, s:I, s:b, s:i, s:o, s:o, s:o}", "name",
 			     entry->settings->name, "incarnation",
 			     ks_id_format(&entry->incarnation, hex), "version",
 			     (json_int_t)ks_config_version(entry->config),
 			     "stopping", (int)entry->stopping, "requests",
 			     (int)entry->n_active, "in_flight", in_flight,
-			     "upstreams", upstreams));
+			     "upstreams", upstreams, "planner",
+			     entry_plan_status(entry)));
 }
 
 /**
@@ -134,6 +135,7 @@
 	ks_counter_set(ks_metrics_gauge(entry->metrics, "ks_requests_in_flight",
 					"Requests being served.", NULL),
 		       entry->n_active);
+	entry_plan_metrics(entry);
 	ks_metrics_format(entry->metrics, text);
 	ks_http_reply(req, 200, "text/plain; version=0.0.4",
 		      (ks_str_t){ text->str, text->len });
--- a/packages/process/tests/test-entry.c
+++ b/packages/process/tests/test-entry.c
@@ -207,6 +207,10 @@
 	settings->poll_ms = 5000;
 	settings->drain_delay_ms = 2000;
 	settings->subset = 64;
+	settings->lease_ms = 15000;
+	settings->store_writes_per_s = 20;
+	settings->role_change_cost = 1;
+	settings->role_dwell_ms = 60000;
 	settings->operator_token_sha256 = digest;
 }
 
