Prefill on one engine and decode on another when it is quicker

Engines of the role decode prefill slowly and those of the role prefill decode slowly, so a long prompt is done sooner when its KV is moved. The stand-in engine follows its role, and offers and fetches KV by handle. A step that fails leads to an ordinary attempt.

--- a/packages/process/src/entry.h
+++ b/packages/process/src/entry.h
@@ -48,6 +48,7 @@
  * @attempts: struct entry_attempt that have not ended
  * @prompt_tokens: handed out by this entry and not yet prefilled
  * @output_tokens: still expected of what this entry handed out
+ * @role: of the engine to which @prefill_us and @decode_us apply
  * @withdrawn: no longer in the snapshot; closed once nothing is in flight
  * @lost: its link has been down for longer than a new session takes
  */
@@ -66,6 +67,7 @@
 	unsigned in_flight;
 	uint64_t prompt_tokens;
 	uint64_t output_tokens;
+	char role[16];
 	double prefill_us;
 	double decode_us;
 	ks_ejection_t ejection;
@@ -160,6 +162,29 @@
 	ks_error_kind_t result;
 };
 
+enum entry_split_step {
+	ENTRY_SPLIT_UNDECIDED,
+	ENTRY_SPLIT_PREFILL,
+	ENTRY_SPLIT_DECODE,
+	ENTRY_SPLIT_OVER,
+};
+
+/**
+ * struct entry_split - a completion between two engines
+ * @step: of the attempt in flight
+ * @decoder: id of the upstream that is to decode
+ * @source: IP:PORT of the engine that has prefilled, for the other engine
+ * @handle: of its KV blocks
+ * @tokens: in these blocks
+ */
+struct entry_split {
+	enum entry_split_step step;
+	char *decoder;
+	char *source;
+	char *handle;
+	uint32_t tokens;
+};
+
 /**
  * struct entry_request - one request of a caller
  * @req: NULL once the caller's connection or its stream is gone
@@ -211,6 +236,7 @@
 	GString *answer;
 	bool streaming;
 	struct entry_stream stream;
+	struct entry_split split;
 	uint32_t output_tokens;
 };
 
@@ -284,6 +310,9 @@
 void entry_group_free(void *group);
 bool entry_upstream_is_usable(const struct entry_upstream *upstream);
 bool entry_group_is_served(const struct entry_group *group);
+void entry_group_fill_candidates(const struct entry_group *group,
+				 const struct entry_request *request,
+				 bool repeat, ks_candidate_t *candidates);
 struct entry_upstream *entry_group_choose(struct entry_group *group,
 					  struct entry_request *request);
 double entry_group_work(const struct entry_group *group,
@@ -325,7 +354,21 @@
 void entry_attempt_note_token(struct entry_request *request);
 void entry_attempt_note_cached(struct entry_request *request, uint32_t tokens);
 
+/* entry_split.c */
+void entry_split_note_role(struct entry_upstream *upstream);
+void entry_split_avoid_prefill(const struct entry_group *group,
+			       ks_candidate_t *candidates);
+bool entry_split_begin(struct entry_request *request);
+void entry_split_prefilled(struct entry_request *request, bool ok);
+void entry_split_go_on(struct entry_request *request);
+bool entry_split_import_failed(const struct entry_request *request);
+void entry_split_add_headers(const struct entry_request *request,
+			     GArray *headers);
+void entry_split_deinit(struct entry_split *split);
+
 /* entry_send.c */
+void entry_attempt_send(struct entry_request *request,
+			struct entry_upstream *upstream);
 void entry_attempt_dispatch(struct entry_request *request);
 
 /* entry_stream.c */
--- a/packages/process/src/entry_attempt.c
+++ b/packages/process/src/entry_attempt.c
@@ -9,6 +9,13 @@
 	*mean += AVERAGE_GAIN * (value - *mean);
 }
 
+static void note_prefill(const struct entry_attempt *attempt, int64_t took_us)
+{
+	if (attempt->alone && attempt->uncached_tokens)
+		average(&attempt->upstream->prefill_us,
+			(double)took_us / attempt->uncached_tokens);
+}
+
 static void take_output(struct entry_attempt *attempt, uint64_t tokens)
 {
 	tokens = MIN(tokens, attempt->output_tokens);
@@ -93,10 +100,7 @@
 	take_output(attempt, 1);
 	if (attempt->tokens++ == 0) {
 		take_prompt(attempt);
-		if (attempt->alone && attempt->uncached_tokens)
-			average(&upstream->prefill_us,
-				(double)(now - attempt->sent_us) /
-					attempt->uncached_tokens);
+		note_prefill(attempt, now - attempt->sent_us);
 		if (!request->stream.delivered)
 			ks_histogram_record(request->class->first_token,
 					    now - request->start_us);
@@ -177,6 +181,10 @@
 
 	if (!request)
 		return;
+	if (request->split.step == ENTRY_SPLIT_PREFILL) {
+		entry_split_go_on(request);
+		return;
+	}
 	note_failure(request, upstream, kind);
 	if (try_again(request, &failure))
 		return;
@@ -318,6 +326,9 @@
 		entry_stream_read_usage(request,
 					(ks_str_t){ request->answer->str,
 						    request->answer->len });
+	if (request && kind == KS_ERROR_NONE &&
+	    request->split.step == ENTRY_SPLIT_PREFILL)
+		note_prefill(attempt, took);
 	end_attempt(attempt);
 	if (!request)
 		return;
@@ -325,6 +336,14 @@
 	if (kind == KS_ERROR_NONE && !is_whole(request))
 		kind = KS_ERROR_UPSTREAM_FAILED;
 	judge_upstream(upstream, kind, request->status);
+	if (request->split.step == ENTRY_SPLIT_PREFILL) {
+		entry_split_prefilled(request, kind == KS_ERROR_NONE);
+		return;
+	}
+	if (kind == KS_ERROR_NONE && entry_split_import_failed(request)) {
+		entry_split_go_on(request);
+		return;
+	}
 	if (kind == KS_ERROR_NONE) {
 		average(&upstream->group->mean_service_us, (double)took);
 		if (request->output_tokens)
@@ -355,6 +374,10 @@
 	request->may_have_run = true;
 	judge_upstream(upstream, KS_ERROR_OUTCOME_UNKNOWN, 0);
 	entry_attempt_drop(request);
+	if (request->split.step == ENTRY_SPLIT_PREFILL) {
+		entry_split_go_on(request);
+		return;
+	}
 	attempt_failed(request, upstream, KS_ERROR_OUTCOME_UNKNOWN,
 		       KS_STR("the link to the upstream is down"));
 }
--- a/packages/process/src/entry_group.c
+++ b/packages/process/src/entry_group.c
@@ -180,6 +180,23 @@
 	g_free(out);
 }
 
+/**
+ * entry_group_fill_candidates() - what routing needs to know of each member
+ */
+void entry_group_fill_candidates(const struct entry_group *group,
+				 const struct entry_request *request,
+				 bool repeat, ks_candidate_t *candidates)
+{
+	for (unsigned i = 0; i < group->members->len; i++) {
+		struct entry_upstream *upstream =
+			g_ptr_array_index(group->members, i);
+
+		entry_split_note_role(upstream);
+		fill_candidate(upstream, request, repeat, &candidates[i]);
+	}
+	exclude_ejected(group, candidates);
+}
+
 static int choose_index(const struct entry_group *group,
 			const struct entry_request *request, bool repeat)
 {
@@ -193,10 +210,8 @@
 	ks_candidate_t *candidates = g_new(ks_candidate_t, count);
 	ks_route_choice_t choice;
 
-	for (size_t i = 0; i < count; i++)
-		fill_candidate(g_ptr_array_index(group->members, i), request,
-			       repeat, &candidates[i]);
-	exclude_ejected(group, candidates);
+	entry_group_fill_candidates(group, request, repeat, candidates);
+	entry_split_avoid_prefill(group, candidates);
 	choice = ks_route_choose(&wanted, candidates, count, &entry->rng);
 	g_free(candidates);
 	return choice.index;
--- a/packages/process/src/entry_request.c
+++ b/packages/process/src/entry_request.c
@@ -53,6 +53,7 @@
 	ks_list_remove(&request->node);
 	ks_completion_deinit(&request->completion);
 	entry_stream_deinit(&request->stream);
+	entry_split_deinit(&request->split);
 	g_ptr_array_unref(request->tried);
 	g_free(request->repeatable);
 	g_ptr_array_unref(request->failed_domains);
--- a/packages/process/src/entry_send.c
+++ b/packages/process/src/entry_send.c
@@ -1,6 +1,20 @@
 /* Sending of attempts. */
 #include "entry.h"
 
+/* A step of a split is a part of the work, and says less about the engine. */
+static void count_step(struct entry_attempt *attempt)
+{
+	const struct entry_request *request = attempt->request;
+
+	if (request->split.step == ENTRY_SPLIT_PREFILL)
+		attempt->output_tokens = 0;
+	if (request->split.step != ENTRY_SPLIT_DECODE)
+		return;
+	attempt->prompt_tokens =
+		request->completion.prompt_tokens - request->split.tokens;
+	attempt->uncached_tokens = 0;
+}
+
 static struct entry_attempt *new_attempt(struct entry_request *request,
 					 struct entry_upstream *upstream)
 {
@@ -26,6 +40,7 @@
 	attempt->uncached_tokens = prompt > cached ? prompt - cached : 0;
 	attempt->prompt_tokens = attempt->uncached_tokens;
 	attempt->output_tokens = request->completion.max_tokens;
+	count_step(attempt);
 	upstream->prompt_tokens += attempt->prompt_tokens;
 	upstream->output_tokens += attempt->output_tokens;
 	upstream->in_flight++;
@@ -54,6 +69,10 @@
 	out->tenant = ks_str_from(request->tenant->name);
 	out->prompt_tokens = request->completion.prompt_tokens;
 	out->output_tokens = request->completion.max_tokens;
+	if (request->split.step == ENTRY_SPLIT_PREFILL)
+		out->output_tokens = 0;
+	if (request->split.step == ENTRY_SPLIT_DECODE)
+		out->prompt_tokens -= request->split.tokens;
 }
 
 /*
@@ -80,8 +99,11 @@
 	return seeded;
 }
 
-static void send_attempt(struct entry_request *request,
-			 struct entry_upstream *upstream)
+/**
+ * entry_attempt_send() - send a request, or a step of its split, to an upstream
+ */
+void entry_attempt_send(struct entry_request *request,
+			struct entry_upstream *upstream)
 {
 	struct entry_attempt *attempt = new_attempt(request, upstream);
 	GArray *headers = entry_answer_forward_headers(request);
@@ -98,13 +120,17 @@
 					   "%u", request->stream.delivered);
 		g_array_append_val(headers, header);
 	}
+	entry_split_add_headers(request, headers);
 	fill_request(request, &out, headers);
 	if (upstream->resumes && needs_seed(request)) {
 		seeded = add_seed(request, out.body);
 		out.body = (ks_str_t){ seeded->str, seeded->len };
 	}
-	g_ptr_array_add(request->tried, g_strdup(upstream->id));
-	request->n_attempts++;
+	/* An engine that has prefilled can still serve the whole request. */
+	if (request->split.step != ENTRY_SPLIT_PREFILL) {
+		g_ptr_array_add(request->tried, g_strdup(upstream->id));
+		request->n_attempts++;
+	}
 	request->attempt_number++;
 	request->status = 0;
 	request->attempt = attempt;
@@ -130,11 +156,13 @@
 		entry_request_fail(request, KS_ERROR_DEADLINE_NOT_RUN, 0, NULL);
 		return;
 	}
+	if (entry_split_begin(request))
+		return;
 	upstream = entry_group_choose(request->group, request);
 	if (!upstream) {
 		entry_request_fail(request, KS_ERROR_NO_UPSTREAM, 0,
 				   "no upstream can take the request");
 		return;
 	}
-	send_attempt(request, upstream);
+	entry_attempt_send(request, upstream);
 }
--- a/packages/request/include/ks/request.h
+++ b/packages/request/include/ks/request.h
@@ -108,6 +108,35 @@
 				  const ks_candidate_t *candidates,
 				  size_t n_candidates, ks_rng_t *rng);
 
+/* split.c */
+
+/**
+ * struct ks_split_engine - an engine that may serve a completion
+ * @is_prefill: it has the role prefill
+ * @is_decode: it has the role decode
+ */
+typedef struct ks_split_engine {
+	ks_candidate_t candidate;
+	bool is_prefill;
+	bool is_decode;
+} ks_split_engine_t;
+
+/**
+ * struct ks_split_choice - the engines of a split
+ * @prefill: index of the engine that prefills, or -1
+ * @decode: index of the engine that decodes, or -1
+ * @saved_us: expected, against the best engine alone
+ */
+typedef struct ks_split_choice {
+	int prefill;
+	int decode;
+	int64_t saved_us;
+} ks_split_choice_t;
+
+ks_split_choice_t ks_split_choose(const ks_route_request_t *request,
+				  const ks_split_engine_t *engines,
+				  size_t n_engines, double block_us);
+
 /* admission.c */
 
 typedef struct ks_admission ks_admission_t;
--- a/tests/fakes/engine.h
+++ b/tests/fakes/engine.h
@@ -41,6 +41,8 @@
 /**
  * struct engine_stats - counts of GET /stats
  * @orders_while_running: orders accepted while completions were running
+ * @prefilled: prompts that were prefilled for another engine
+ * @kv_imports: completions that began with blocks of another engine
  */
 struct engine_stats {
 	unsigned requests;
@@ -52,6 +54,8 @@
 	unsigned orders_while_running;
 	unsigned conflicts;
 	unsigned max_running;
+	unsigned prefilled;
+	unsigned kv_imports;
 };
 
 /* engine_cache.c: blocks of prompts kept in memory, least recently used out */
@@ -95,6 +99,9 @@
  * @chunk: of @prefill_left, done in the current iteration
  * @pinned: blocks of @hashes that this sequence holds in the cache
  * @private_blocks: further blocks that it holds
+ * @prefill_only: the prompt is prefilled for another engine
+ * @source_cached_tokens: had in its cache by the engine that prefilled the
+ *	prompt, if @imported
  */
 struct engine_sequence {
 	ks_list_t node;
@@ -117,9 +124,17 @@
 	unsigned chunk;
 	unsigned pinned;
 	unsigned private_blocks;
+	bool prefill_only;
+	bool imported;
+	unsigned source_cached_tokens;
 	GString *text;
 };
 
+/**
+ * struct engine_batch - what runs and what waits
+ * @prefill_runs: iterations of prefill alone since the last decode step
+ * @steps: the current iteration has decode steps
+ */
 struct engine_batch {
 	ks_list_t running;
 	ks_list_t waiting;
@@ -127,6 +142,8 @@
 	unsigned n_waiting;
 	ks_timer_t timer;
 	int64_t due_us;
+	unsigned prefill_runs;
+	bool steps;
 };
 
 void engine_batch_init(struct fake_engine *engine);
@@ -148,6 +165,7 @@
 bool engine_reply_is_closed(const struct engine_reply *reply);
 void engine_reply_token(struct engine_sequence *seq, unsigned token, bool last);
 void engine_reply_finish(struct engine_sequence *seq);
+void engine_reply_whole(struct engine_sequence *seq, int status, json_t *root);
 void engine_reply_abort(struct engine_sequence *seq);
 void engine_reply_error(h2o_req_t *req, int status, const char *code,
 			const char *message);
@@ -175,6 +193,16 @@
 void engine_kv_handle_export(struct fake_engine *engine, h2o_req_t *req);
 void engine_kv_handle_import(struct fake_engine *engine, h2o_req_t *req);
 
+/* engine_transfer.c: prompts prefilled on one engine and decoded on another */
+
+void engine_kv_offer(struct engine_sequence *seq);
+const GArray *engine_kv_find_offer(struct fake_engine *engine, ks_str_t handle,
+				   unsigned *cached_tokens);
+void engine_kv_fetch(struct engine_sequence *seq, ks_str_t source,
+		     ks_str_t handle);
+json_t *engine_kv_hashes_to_json(const GArray *hashes);
+bool engine_kv_hashes_from_json(json_t *list, GArray *hashes);
+
 /* engine_state.c: GET /state */
 
 struct engine_load {
@@ -189,11 +217,14 @@
 
 /**
  * struct fake_engine - the whole engine
+ * @offers: prefilled prompts that other engines may fetch, newest last
  * @loads: array of struct engine_load, oldest first, back to the lag
  */
 struct fake_engine {
 	ks_loop_t loop;
 	ks_http_server_t server;
+	ks_http_client_t client;
+	GQueue offers;
 	struct engine_options options;
 	struct engine_stats stats;
 	struct engine_cache cache;
--- a/tests/fakes/engine_batch.c
+++ b/tests/fakes/engine_batch.c
@@ -1,7 +1,7 @@
 /*
  * Continuous batching: every iteration does one decode step for each sequence
- * that has its prompt prefilled, and a chunk of prefill for the others. Its
- * length depends on both, so that prefill slows decoding down.
+ * that has its prompt prefilled, and a chunk of prefill for the others. How the
+ * two share an iteration depends on the role.
  */
 #include "engine.h"
 
@@ -10,15 +10,17 @@
 /* A process that was stopped goes on from here, without catching up. */
 #define MAX_BEHIND_US (50 * KS_USEC_PER_MSEC)
 
-/* A decode engine keeps its steps short, a prefill engine its chunks long. */
-static unsigned chunk_tokens(const struct fake_engine *engine)
-{
-	if (g_str_equal(engine->orders.role, "prefill"))
-		return 8192;
-	if (g_str_equal(engine->orders.role, "decode"))
-		return 512;
-	return 2048;
-}
+/* Most prompt tokens in an iteration, by role. */
+#define CHUNK_BOTH 2048
+#define CHUNK_PREFILL 8192
+#define CHUNK_DECODE 512
+
+/* A decode step in the role prefill takes so much longer. */
+#define PREFILL_ROLE_DECODE_FACTOR 2.0
+/* Iterations of prefill alone after which sequences that decode get a step. */
+#define PREFILL_ROLE_RUNS 8
+/* Prefill in the role decode takes so much longer, beside the steps. */
+#define DECODE_ROLE_PREFILL_FACTOR 4.0
 
 static void insert_waiting(struct engine_batch *batch,
 			   struct engine_sequence *seq)
@@ -81,26 +83,85 @@
 	}
 }
 
-static double plan_iteration(struct fake_engine *engine)
+static unsigned assign_chunks(struct engine_batch *batch, unsigned budget)
 {
-	unsigned budget = chunk_tokens(engine);
-	unsigned n_decode = 0, n_prefill = 0;
-	double duration;
+	unsigned n_prefill = 0;
 
-	KS_LIST_FOREACH (it, &engine->batch.running) {
+	KS_LIST_FOREACH (it, &batch->running) {
 		struct engine_sequence *seq =
 			KS_CONTAINER_OF(it, struct engine_sequence, node);
 
-		seq->chunk = MIN(seq->prefill_left, budget);
-		budget -= seq->chunk;
+		seq->chunk = MIN(seq->prefill_left, budget - n_prefill);
 		n_prefill += seq->chunk;
-		if (seq->prefill_left == 0)
+	}
+	return n_prefill;
+}
+
+static double step_us(const struct fake_engine *engine, double factor)
+{
+	unsigned n_decode = 0;
+
+	KS_LIST_FOREACH (it, &engine->batch.running)
+		if (!KS_CONTAINER_OF(it, struct engine_sequence, node)
+			     ->prefill_left)
 			n_decode++;
+	if (n_decode == 0)
+		return 0;
+	return factor * engine->options.decode_us *
+	       (1 + DECODE_GROWTH * (n_decode - 1));
+}
+
+/* Interleaved: a chunk of prefill delays the step. */
+static double plan_both(struct fake_engine *engine)
+{
+	unsigned n_prefill = assign_chunks(&engine->batch, CHUNK_BOTH);
+
+	return n_prefill * engine->options.prefill_us + step_us(engine, 1);
+}
+
+/* The whole iteration goes to prefill while there is any. */
+static double plan_prefill(struct fake_engine *engine)
+{
+	struct engine_batch *batch = &engine->batch;
+	double step = step_us(engine, PREFILL_ROLE_DECODE_FACTOR);
+	unsigned n_prefill = assign_chunks(batch, CHUNK_PREFILL);
+
+	if (n_prefill > 0 &&
+	    (step <= 0 || batch->prefill_runs < PREFILL_ROLE_RUNS)) {
+		batch->prefill_runs++;
+		batch->steps = false;
+		return n_prefill * engine->options.prefill_us;
 	}
-	duration = n_prefill * engine->options.prefill_us;
-	if (n_decode > 0)
-		duration += engine->options.decode_us *
-			    (1 + DECODE_GROWTH * (n_decode - 1));
+	batch->prefill_runs = 0;
+	assign_chunks(batch, 0);
+	return step;
+}
+
+/* Steps are not delayed: prefill makes slow progress beside them. */
+static double plan_decode(struct fake_engine *engine)
+{
+	double prefill_us =
+		engine->options.prefill_us * DECODE_ROLE_PREFILL_FACTOR;
+	double step = step_us(engine, 1);
+	unsigned budget = CHUNK_DECODE;
+
+	if (step > 0 && step < budget * prefill_us)
+		budget = (unsigned)MAX(step / prefill_us, 1);
+	budget = assign_chunks(&engine->batch, budget);
+	return step > 0 ? step : budget * prefill_us;
+}
+
+static double plan_iteration(struct fake_engine *engine)
+{
+	double duration;
+
+	engine->batch.steps = true;
+	if (g_str_equal(engine->orders.role, "prefill"))
+		duration = plan_prefill(engine);
+	else if (g_str_equal(engine->orders.role, "decode"))
+		duration = plan_decode(engine);
+	else
+		duration = plan_both(engine);
 	return MAX(duration, 1);
 }
 
@@ -152,14 +213,21 @@
 static void step_sequence(struct engine_sequence *seq)
 {
 	if (seq->prefill_left == 0) {
-		generate_token(seq);
+		if (seq->engine->batch.steps)
+			generate_token(seq);
 		return;
 	}
 	seq->prefill_left -= seq->chunk;
-	if (seq->prefill_left == 0 && seq->chunk > 0) {
-		store_prompt(seq);
+	if (seq->prefill_left > 0)
+		return;
+	store_prompt(seq);
+	if (!seq->prefill_only) {
 		generate_token(seq);
+		return;
 	}
+	engine_kv_offer(seq);
+	seq->engine->stats.prefilled++;
+	remove_sequence(seq);
 }
 
 static void drop_closed(struct fake_engine *engine, ks_list_t *list)
--- a/tests/fakes/engine_kv.c
+++ b/tests/fakes/engine_kv.c
@@ -4,12 +4,14 @@
 /**
  * struct transfer - a transfer under way; lives as long as its request
  * @hashes: blocks that were exported, or are to be imported
+ * @cached_tokens: of an exported prompt, in the cache before it was prefilled
  */
 struct transfer {
 	struct fake_engine *engine;
 	h2o_req_t *req;
 	ks_timer_t timer;
 	GArray *hashes;
+	unsigned cached_tokens;
 };
 
 static void dispose_transfer(void *data)
@@ -21,7 +23,8 @@
 }
 
 static void start_transfer(struct fake_engine *engine, h2o_req_t *req,
-			   GArray *hashes, ks_timer_func_t done)
+			   GArray *hashes, unsigned cached_tokens,
+			   ks_timer_func_t done)
 {
 	struct transfer *transfer = h2o_mem_alloc_shared(
 		&req->pool, sizeof(*transfer), dispose_transfer);
@@ -29,12 +32,16 @@
 	transfer->engine = engine;
 	transfer->req = req;
 	transfer->hashes = hashes;
+	transfer->cached_tokens = cached_tokens;
 	ks_timer_init(&transfer->timer, &engine->loop, done, transfer);
 	ks_timer_set(&transfer->timer,
 		     engine->options.block_us * (int64_t)hashes->len);
 }
 
-static json_t *hashes_to_json(const GArray *hashes)
+/**
+ * engine_kv_hashes_to_json() - list of hexadecimal hashes
+ */
+json_t *engine_kv_hashes_to_json(const GArray *hashes)
 {
 	json_t *list = json_array();
 	char hex[17];
@@ -47,7 +54,10 @@
 	return list;
 }
 
-static bool hashes_from_json(json_t *list, GArray *hashes)
+/**
+ * engine_kv_hashes_from_json() - read a list of hexadecimal hashes
+ */
+bool engine_kv_hashes_from_json(json_t *list, GArray *hashes)
 {
 	json_t *item;
 	size_t i;
@@ -69,10 +79,12 @@
 {
 	struct transfer *transfer = ctx;
 
-	engine_reply_json(transfer->req, 200,
-			  json_pack("{s:o,s:i}", "blocks",
-				    hashes_to_json(transfer->hashes), "tokens",
-				    (int)transfer->hashes->len * BLOCK_TOKENS));
+	engine_reply_json(
+		transfer->req, 200,
+		json_pack("{s:o,s:i,s:i}", "blocks",
+			  engine_kv_hashes_to_json(transfer->hashes), "tokens",
+			  (int)transfer->hashes->len * BLOCK_TOKENS,
+			  "cached_tokens", (int)transfer->cached_tokens));
 }
 
 static void on_imported(void *ctx)
@@ -90,6 +102,30 @@
 			  json_pack("{s:i}", "imported", n));
 }
 
+static GArray *hashes_to_export(struct fake_engine *engine, json_t *root,
+				unsigned *cached_tokens)
+{
+	json_t *prompt = json_object_get(root, "prompt");
+	json_t *handle = json_object_get(root, "handle");
+	const GArray *offer;
+	GArray *copy;
+
+	*cached_tokens = 0;
+	if (json_is_string(prompt))
+		return engine_cache_hashes(
+			(ks_str_t){ json_string_value(prompt),
+				    json_string_length(prompt) });
+	if (!json_is_string(handle))
+		return NULL;
+	offer = engine_kv_find_offer(
+		engine, ks_str_from(json_string_value(handle)), cached_tokens);
+	if (!offer)
+		return NULL;
+	copy = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	g_array_append_vals(copy, offer->data, offer->len);
+	return copy;
+}
+
 /**
  * engine_kv_handle_export() - POST /kv/export
  */
@@ -98,24 +134,21 @@
 	ks_str_t body = ks_http_req_body(req);
 	json_t *root =
 		json_loadb(body.data ? body.data : "", body.len, 0, NULL);
-	json_t *prompt = json_object_get(root, "prompt");
-	GArray *hashes;
-	unsigned n;
+	unsigned cached_tokens, n;
+	GArray *hashes = hashes_to_export(engine, root, &cached_tokens);
 
-	if (!json_is_string(prompt)) {
-		engine_reply_error(req, 400, "bad_request", "no prompt");
-		json_decref(root);
+	json_decref(root);
+	if (!hashes) {
+		engine_reply_error(req, 400, "bad_request",
+				   "no prompt and no known handle");
 		return;
 	}
-	hashes = engine_cache_hashes((ks_str_t){ json_string_value(prompt),
-						 json_string_length(prompt) });
-	json_decref(root);
 	n = engine_cache_pin_prefix(&engine->cache, hashes);
 	for (unsigned i = 0; i < n; i++)
 		engine_cache_unpin(&engine->cache,
 				   g_array_index(hashes, uint64_t, i));
 	g_array_set_size(hashes, n);
-	start_transfer(engine, req, hashes, on_exported);
+	start_transfer(engine, req, hashes, cached_tokens, on_exported);
 }
 
 /**
@@ -128,8 +161,9 @@
 		json_loadb(body.data ? body.data : "", body.len, 0, NULL);
 	GArray *hashes = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 
-	if (hashes_from_json(json_object_get(root, "blocks"), hashes)) {
-		start_transfer(engine, req, hashes, on_imported);
+	if (engine_kv_hashes_from_json(json_object_get(root, "blocks"),
+				       hashes)) {
+		start_transfer(engine, req, hashes, 0, on_imported);
 	} else {
 		g_array_free(hashes, TRUE);
 		engine_reply_error(req, 400, "bad_request", "no blocks");
--- a/tests/fakes/engine_reply.c
+++ b/tests/fakes/engine_reply.c
@@ -141,7 +141,9 @@
 		"\"total_tokens\":%u,"
 		"\"prompt_tokens_details\":{\"cached_tokens\":%u}}",
 		seq->prompt_tokens, n_output, seq->prompt_tokens + n_output,
-		seq->cached_tokens);
+		seq->imported
+			? MIN(seq->source_cached_tokens, seq->cached_tokens)
+			: seq->cached_tokens);
 }
 
 static const char *stream_object(const struct engine_sequence *seq)
@@ -241,6 +243,22 @@
 		finish_whole(seq);
 }
 
+/**
+ * engine_reply_whole() - answer a sequence with a JSON value
+ * @root: released
+ */
+void engine_reply_whole(struct engine_sequence *seq, int status, json_t *root)
+{
+	struct engine_reply *reply = seq->reply;
+
+	if (!reply || reply->closed) {
+		json_decref(root);
+		return;
+	}
+	reply->seq = NULL;
+	engine_reply_json(reply->req, status, root);
+}
+
 /**
  * engine_reply_abort() - the caller has gone; let h2o notice
  */
--- a/tests/fakes/engine_request.c
+++ b/tests/fakes/engine_request.c
@@ -79,6 +79,7 @@
 		json_dumps(json_object_get(root, "model"), JSON_ENCODE_ANY);
 	seq->priority = read_header(req, "x-priority");
 	seq->resume_from = read_header(req, "x-ks-resume-from");
+	seq->prefill_only = read_header(req, "x-ks-prefill-only") == 1;
 	seq->prompt_hash = XXH64(prompt.data, prompt.len, 0);
 	seq->prompt_tokens = (unsigned)((prompt.len + BYTES_PER_TOKEN - 1) /
 					BYTES_PER_TOKEN);
--- a/tests/fakes/fake-engine.c
+++ b/tests/fakes/fake-engine.c
@@ -10,6 +10,18 @@
 #define EXIT_USAGE 2
 #define EXIT_CRASHED 3
 
+static void begin_sequence(struct engine_sequence *seq, h2o_req_t *req)
+{
+	ks_str_t source = ks_http_req_header(req, "x-ks-kv-source");
+
+	engine_reply_attach(seq, req);
+	if (source.len)
+		engine_kv_fetch(seq, source,
+				ks_http_req_header(req, "x-ks-kv-handle"));
+	else
+		engine_batch_add(seq->engine, seq);
+}
+
 static void handle_completion(struct fake_engine *engine, h2o_req_t *req,
 			      bool chat)
 {
@@ -33,8 +45,7 @@
 		engine_reply_error(req, 404, "model_not_found",
 				   "the model is not loaded");
 	} else {
-		engine_reply_attach(seq, req);
-		engine_batch_add(engine, seq);
+		begin_sequence(seq, req);
 		seq = NULL;
 	}
 	json_decref(model);
@@ -48,15 +59,17 @@
 
 	engine_reply_json(
 		req, 200,
-		json_pack("{s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i}", "requests",
-			  (int)stats->requests, "completed",
+		json_pack("{s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i}",
+			  "requests", (int)stats->requests, "completed",
 			  (int)stats->completed, "cancelled",
 			  (int)stats->cancelled, "refused", (int)stats->refused,
 			  "orders", (int)stats->orders, "stale_orders",
 			  (int)stats->stale_orders, "orders_while_running",
 			  (int)stats->orders_while_running, "conflicts",
 			  (int)stats->conflicts, "max_running",
-			  (int)stats->max_running));
+			  (int)stats->max_running, "prefilled",
+			  (int)stats->prefilled, "kv_imports",
+			  (int)stats->kv_imports));
 }
 
 static void handle_events(struct fake_engine *engine, h2o_req_t *req)
@@ -128,6 +141,8 @@
 
 	ks_loop_init(&engine->loop, ks_clock_monotonic());
 	fake_signals_init(&signals, &engine->loop);
+	ks_http_client_init(&engine->client, &engine->loop);
+	g_queue_init(&engine->offers);
 	engine->loads = g_array_new(FALSE, FALSE, sizeof(struct engine_load));
 	engine_cache_init(&engine->cache, &engine->loop, &engine->options);
 	engine_batch_init(engine);
