--- a/packages/process/src/entry_plan.c
+++ b/packages/process/src/entry_plan.c
@@ -7,8 +7,8 @@
 #define TICK_MAX_US (1 * KS_USEC_PER_SEC)
 /* Assumed; engines are out of service for seconds. */
 #define CHANGE_US (3 * KS_USEC_PER_SEC)
-/* Sequences that an engine decodes at once when it is busy; assumed. */
-#define FULL_BATCH 32.0
+/* Sequences that an engine decodes at once, if its limit allows; assumed. */
+#define FULL_BATCH 32
 /* Weight of the newest sample, since requests in flight are few. */
 #define SHARE_GAIN 0.1
 
@@ -252,6 +252,21 @@
 	return prefill ? ENTRY_PREFILL_US : ENTRY_DECODE_US;
 }
 
+/* Sequences in a full batch, as a mean over the members. */
+static double mean_batch(const struct entry_group *group)
+{
+	double sum = 0;
+
+	for (unsigned i = 0; i < group->members->len; i++) {
+		const struct entry_upstream *upstream =
+			g_ptr_array_index(group->members, i);
+
+		sum += upstream->limit ? MIN(upstream->limit, FULL_BATCH)
+				       : FULL_BATCH;
+	}
+	return sum > 0 ? sum / group->members->len : FULL_BATCH;
+}
+
 static uint32_t best_cached(const struct entry_request *request)
 {
 	const GArray *hashes = request->completion.prefix_hashes;
@@ -287,9 +302,9 @@
 		return;
 	prompt = request->completion.prompt_tokens - best_cached(request);
 	output = MIN(request->completion.max_tokens, group->mean_output);
-	ks_planner_run_demand(plan->run, group->name,
-			      prompt * mean_us(group, true),
-			      output * mean_us(group, false) / FULL_BATCH);
+	ks_planner_run_demand(
+		plan->run, group->name, prompt * mean_us(group, true),
+		output * mean_us(group, false) / mean_batch(group));
 }
 
 static ks_planner_report_t total_report(const struct entry_plan *plan)
