--- a/packages/process/tests/test-entry.c
+++ b/packages/process/tests/test-entry.c
@@ -1080,6 +1080,162 @@
 	tear_down();
 }
 
+#define OFFER \
+	"{\"kv\":{\"handle\":\"h7\",\"blocks\":5,\"endpoint\":\"127.0.0.1:9\"}}"
+
+static struct call *start_long_completion(void)
+{
+	GString *body =
+		g_string_new("{\"model\":\"m\",\"stream\":true,\"messages\":"
+			     "[{\"role\":\"user\",\"content\":\"");
+	struct call *call;
+
+	for (int i = 0; i < 40000; i++)
+		g_string_append_c(body, 'a');
+	g_string_append(body, "\"}]}");
+	call = start_completion(body->str);
+	g_string_free(body, TRUE);
+	return call;
+}
+
+static void set_role(const char *upstream, const char *role)
+{
+	for (unsigned i = 0; i < double_links->len; i++) {
+		ks_link_client_t *link = g_ptr_array_index(double_links, i);
+
+		if (!strcmp(link->upstream, upstream))
+			g_strlcpy(link->load.role, role,
+				  sizeof(link->load.role));
+	}
+}
+
+/* Sends a request that is split; its first step is attempt 0. */
+static struct call *start_split(void)
+{
+	struct call *call;
+
+	set_up();
+	set_role("e1", "prefill");
+	set_role("e2", "decode");
+	call = start_long_completion();
+	WAIT_FOR(double_attempts->len == 1);
+	g_assert_cmpstr(double_attempt(0)->link->upstream, ==, "e1");
+	assert_has(double_attempt(0)->headers, "\nx-ks-prefill-only: 1\n");
+	return call;
+}
+
+/* The second step, or an ordinary attempt, gives the whole answer. */
+static void finish_split(struct call *call, unsigned index)
+{
+	double_head(double_attempt(index), 200, SSE);
+	double_body(double_attempt(index), EVENT("one") DONE);
+	double_end(double_attempt(index), KS_ERROR_NONE);
+	finish(call);
+	g_assert_cmpint(call->status, ==, 200);
+	g_assert_cmpstr(call->body->str, ==, EVENT("one") DONE);
+	g_assert_cmpuint(double_attempts->len, ==, index + 1);
+	free_call(call);
+	tear_down();
+}
+
+static void offer_kv(void)
+{
+	double_head(double_attempt(0), 200, "application/json");
+	double_body(double_attempt(0), OFFER);
+	double_end(double_attempt(0), KS_ERROR_NONE);
+	WAIT_FOR(double_attempts->len == 2);
+}
+
+/* Guards against an answer of the first step that reaches the caller. */
+static void test_split(void)
+{
+	struct call *call = start_split();
+
+	offer_kv();
+	g_assert_cmpstr(double_attempt(1)->link->upstream, ==, "e2");
+	assert_has(double_attempt(1)->headers,
+		   "\nx-ks-kv-source: 127.0.0.1:9\n");
+	assert_has(double_attempt(1)->headers, "\nx-ks-kv-handle: h7\n");
+	assert_lacks(double_attempt(1)->headers, "x-ks-prefill-only");
+	finish_split(call, 1);
+}
+
+/* Guards against a request that fails because it could not be split. */
+static void test_split_prefill_fails(void)
+{
+	struct call *call = start_split();
+
+	double_head(double_attempt(0), 200, "application/json");
+	double_end(double_attempt(0), KS_ERROR_UPSTREAM_FAILED);
+	WAIT_FOR(double_attempts->len == 2);
+	assert_lacks(double_attempt(1)->headers, "x-ks-");
+	finish_split(call, 1);
+}
+
+/* Guards against a request that waits for a step that never started. */
+static void test_split_not_started(void)
+{
+	struct call *call = start_split();
+
+	double_not_started(double_attempt(0), KS_ERROR_NO_UPSTREAM, 0);
+	WAIT_FOR(double_attempts->len == 2);
+	assert_lacks(double_attempt(1)->headers, "x-ks-");
+	finish_split(call, 1);
+}
+
+/* Guards against the engine's refusal of an import reaching the caller. */
+static void test_split_import_fails(void)
+{
+	struct call *call = start_split();
+
+	offer_kv();
+	double_head(double_attempt(1), 424, "application/json");
+	double_body(double_attempt(1), "{}");
+	double_end(double_attempt(1), KS_ERROR_NONE);
+	WAIT_FOR(double_attempts->len == 3);
+	assert_lacks(double_attempt(2)->headers, "x-ks-");
+	finish_split(call, 2);
+}
+
+/* Guards against a second step that is sent to an engine that has left. */
+static void test_split_decoder_leaves(void)
+{
+	struct call *call = start_split();
+
+	for (unsigned i = 0; i < double_links->len; i++) {
+		ks_link_client_t *link = g_ptr_array_index(double_links, i);
+
+		if (!strcmp(link->upstream, "e2"))
+			link->state = KS_UPSTREAM_LEAVING;
+	}
+	offer_kv();
+	g_assert_cmpstr(double_attempt(1)->link->upstream, ==, "e1");
+	assert_lacks(double_attempt(1)->headers, "x-ks-");
+	finish_split(call, 1);
+}
+
+/* Guards against a stream that is started again when its decoder fails. */
+static void test_split_stream_resumes(void)
+{
+	struct call *call = start_split();
+
+	offer_kv();
+	double_head(double_attempt(1), 200, SSE);
+	double_body(double_attempt(1), EVENT("one"));
+	WAIT_FOR(strstr(call->body->str, "one"));
+	double_end(double_attempt(1), KS_ERROR_UPSTREAM_FAILED);
+	WAIT_FOR(double_attempts->len == 3);
+	assert_has(double_attempt(2)->headers, "\nx-ks-resume-from: 1\n");
+	assert_lacks(double_attempt(2)->headers, "x-ks-kv");
+	double_head(double_attempt(2), 200, SSE);
+	double_body(double_attempt(2), EVENT("two") DONE);
+	double_end(double_attempt(2), KS_ERROR_NONE);
+	finish(call);
+	g_assert_cmpstr(call->body->str, ==, EVENT("one") EVENT("two") DONE);
+	free_call(call);
+	tear_down();
+}
+
 static const struct {
 	const char *path;
 	void (*func)(void);
@@ -1117,6 +1273,12 @@
 	{ "/entry/stop", test_stop_is_graceful },
 	{ "/entry/operators-pages", test_operators_pages },
 	{ "/entry/not-ready", test_not_ready_without_snapshot },
+	{ "/entry/split", test_split },
+	{ "/entry/split-prefill-fails", test_split_prefill_fails },
+	{ "/entry/split-not-started", test_split_not_started },
+	{ "/entry/split-import-fails", test_split_import_fails },
+	{ "/entry/split-decoder-leaves", test_split_decoder_leaves },
+	{ "/entry/split-stream-resumes", test_split_stream_resumes },
 };
 
 int main(int argc, char **argv)
