--- a/packages/request/src/split.c
+++ b/packages/request/src/split.c
@@ -101,7 +101,7 @@
 {
 	ks_split_choice_t none = { .prefill = -1, .decode = -1 };
 	ks_split_choice_t choice = none;
-	double blocks = request->prompt_tokens / KS_PREFIX_BLOCK_TOKENS;
+	uint32_t blocks = request->prompt_tokens / KS_PREFIX_BLOCK_TOKENS;
 	double whole, first = 0, second = 0, saved;
 
 	for (size_t i = 0; i < n_engines; i++)
