--- a/packages/process/tests/test-entry.c
+++ b/packages/process/tests/test-entry.c
@@ -1047,6 +1047,24 @@
 	tear_down();
 }
 
+/* Guards against leases that are written for a fleet without roles. */
+static void test_no_planner_without_roles(void)
+{
+	struct call *call;
+
+	set_up();
+	call = start("GET", "/internal/status", "", key_fields);
+	finish(call);
+	assert_has(call->body, "\"planner\":{\"running\":false");
+	free_call(call);
+	call = start("GET", "/metrics", "", NULL);
+	finish(call);
+	assert_has(call->body, "ks_plan_changes_total 0\n");
+	assert_has(call->body, "ks_plan_changes_undone_total 0\n");
+	free_call(call);
+	tear_down();
+}
+
 /* Guards against operators' pages that fail to parse or leak a key. */
 static void test_operators_pages(void)
 {
@@ -1273,6 +1291,7 @@
 	{ "/entry/stop", test_stop_is_graceful },
 	{ "/entry/operators-pages", test_operators_pages },
 	{ "/entry/not-ready", test_not_ready_without_snapshot },
+	{ "/entry/no-planner-without-roles", test_no_planner_without_roles },
 	{ "/entry/split", test_split },
 	{ "/entry/split-prefill-fails", test_split_prefill_fails },
 	{ "/entry/split-not-started", test_split_not_started },
