--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 SAN ?=
 BUILD = build/$(if $(SAN),san,plain)
 
-PKGS = glib-2.0 jansson libcyaml yaml-0.1 libprotobuf-c libzmq libxxhash
+PKGS = glib-2.0 jansson libcyaml yaml-0.1 libprotobuf-c libzmq libxxhash zlib
 CPPFLAGS = -D_GNU_SOURCE -DH2O_USE_LIBUV=0 -MMD -MP \
 	$(addprefix -Ipackages/,$(addsuffix /include,$(PACKAGES))) \
 	-Ipackages/connection/src -Itests/fakes \
--- a/packages/process/src/config.c
+++ b/packages/process/src/config.c
@@ -64,11 +64,30 @@
 	ks_timer_set(&config->timer, delay);
 }
 
+static ks_spread_result_t unpack_and_offer(ks_config_t *config,
+					   uint64_t version, ks_str_t digest,
+					   ks_str_t packed)
+{
+	ks_spread_result_t result;
+	ks_str_t body;
+	GBytes *bytes;
+
+	if (version <= ks_config_version(config))
+		return KS_SPREAD_OLD;
+	bytes = ks_snapshot_unpack(packed);
+	if (!bytes)
+		return KS_SPREAD_DAMAGED;
+	body.data = g_bytes_get_data(bytes, &body.len);
+	result = ks_spread_offer(&config->spread, version, digest, body);
+	g_bytes_unref(bytes);
+	return result;
+}
+
 /* The owner may free the configuration from its callback. */
 static void offer(ks_config_t *config, uint64_t version, ks_str_t digest,
-		  ks_str_t body, const char *source)
+		  ks_str_t packed, const char *source)
 {
-	switch (ks_spread_offer(&config->spread, version, digest, body)) {
+	switch (unpack_and_offer(config, version, digest, packed)) {
 	case KS_SPREAD_APPLIED:
 		ks_log(KS_LOG_CONFIG, KS_LOG_INFO,
 		       "version %" G_GUINT64_FORMAT " from %s is in force",
--- a/packages/process/src/entry_fleet.c
+++ b/packages/process/src/entry_fleet.c
@@ -65,8 +65,7 @@
 static ks_str_t link_config_body(void *ctx, uint64_t *version, ks_str_t *digest)
 {
 	const struct entry_upstream *upstream = ctx;
-	const ks_snapshot_t *snapshot =
-		ks_config_current(upstream->entry->config);
+	ks_snapshot_t *snapshot = ks_config_current(upstream->entry->config);
 
 	if (!snapshot) {
 		*version = 0;
@@ -76,7 +75,7 @@
 	*version = snapshot->version;
 	*digest = (ks_str_t){ (const char *)snapshot->digest.bytes,
 			      KS_DIGEST_SIZE };
-	return (ks_str_t){ snapshot->body, snapshot->body_len };
+	return ks_snapshot_packed(snapshot);
 }
 
 static const ks_link_client_events_t link_events = {
--- a/packages/process/src/publish.c
+++ b/packages/process/src/publish.c
@@ -306,12 +306,12 @@
 
 static void step_put_object(ks_publish_t *publish)
 {
-	const ks_snapshot_t *target = publish->target;
+	ks_snapshot_t *target = publish->target;
 	char *name = ks_release_object_name(target->version, &target->digest);
 
 	publish->store->object_put(publish->store->impl, ks_str_from(name),
-				   (ks_str_t){ target->body, target->body_len },
-				   on_object_put, publish);
+				   ks_snapshot_packed(target), on_object_put,
+				   publish);
 	g_free(name);
 }
 
--- a/packages/process/src/release_store.c
+++ b/packages/process/src/release_store.c
@@ -111,6 +111,20 @@
 	g_free(fetch);
 }
 
+static ks_snapshot_t *parse_packed(ks_str_t packed)
+{
+	GBytes *bytes = ks_snapshot_unpack(packed);
+	ks_snapshot_t *snapshot;
+	ks_str_t body;
+
+	if (!bytes)
+		return NULL;
+	body.data = g_bytes_get_data(bytes, &body.len);
+	snapshot = ks_snapshot_parse(body, NULL);
+	g_bytes_unref(bytes);
+	return snapshot;
+}
+
 static void on_object(void *ctx, ks_store_outcome_t outcome,
 		      const ks_row_t *row)
 {
@@ -118,7 +132,7 @@
 	ks_snapshot_t *snapshot = NULL;
 
 	if (outcome == KS_STORE_DONE)
-		snapshot = ks_snapshot_parse(row->value, NULL);
+		snapshot = parse_packed(row->value);
 	if (snapshot && snapshot->version == fetch->record.version &&
 	    ks_digest_equal(&snapshot->digest, &fetch->record.digest)) {
 		finish(fetch, KS_STORE_DONE, true, snapshot);
--- a/packages/process/src/upstream.c
+++ b/packages/process/src/upstream.c
@@ -171,7 +171,7 @@
 static ks_str_t on_config_body(void *ctx, uint64_t *version, ks_str_t *digest)
 {
 	ks_upstream_process_t *process = ctx;
-	const ks_snapshot_t *snapshot = process->snapshot;
+	ks_snapshot_t *snapshot = process->snapshot;
 
 	if (!snapshot) {
 		*version = 0;
@@ -181,7 +181,7 @@
 	*version = snapshot->version;
 	*digest = (ks_str_t){ (const char *)snapshot->digest.bytes,
 			      KS_DIGEST_SIZE };
-	return (ks_str_t){ snapshot->body, snapshot->body_len };
+	return ks_snapshot_packed(snapshot);
 }
 
 static void on_leaving_seen(void *ctx)
--- a/packages/process/tests/prop-publish.cpp
+++ b/packages/process/tests/prop-publish.cpp
@@ -121,7 +121,14 @@
 
 	g_free(name);
 	RC_ASSERT(object != nullptr);
-	ks_digest_compute(&digest, { object->value->str, object->value->len });
+	GBytes *body =
+		ks_snapshot_unpack({ object->value->str, object->value->len });
+
+	RC_ASSERT(body != nullptr);
+	ks_digest_compute(&digest, { static_cast<const char *>(
+					     g_bytes_get_data(body, nullptr)),
+				     g_bytes_get_size(body) });
+	g_bytes_unref(body);
 	RC_ASSERT(ks_digest_equal(&digest, &record.digest));
 	ks_release_record_deinit(&record);
 	return service;
--- a/packages/process/tests/upstream_doubles.h
+++ b/packages/process/tests/upstream_doubles.h
@@ -318,6 +318,11 @@
 	snapshot->refs--;
 }
 
+ks_str_t ks_snapshot_packed(ks_snapshot_t *snapshot)
+{
+	return (ks_str_t){ snapshot->body, snapshot->body_len };
+}
+
 const ks_model_t *ks_snapshot_find_model(const ks_snapshot_t *snapshot,
 					 ks_str_t name)
 {
--- a/packages/version/include/ks/version.h
+++ b/packages/version/include/ks/version.h
@@ -28,6 +28,11 @@
 const char *ks_digest_format(const ks_digest_t *digest,
 			     char buf[KS_DIGEST_HEX_SIZE]);
 
+/* pack.c */
+
+GBytes *ks_snapshot_pack(ks_str_t body);
+GBytes *ks_snapshot_unpack(ks_str_t packed);
+
 /* snapshot.c */
 
 /**
@@ -90,6 +95,7 @@
  * @upstreams: array of ks_upstream_t *, by id
  * @body: canonical JSON
  * @digest: of @body
+ * @packed: see ks_snapshot_packed()
  */
 typedef struct ks_snapshot {
 	unsigned refs;
@@ -99,12 +105,14 @@
 	char *body;
 	size_t body_len;
 	ks_digest_t digest;
+	GBytes *packed;
 } ks_snapshot_t;
 
 ks_snapshot_t *ks_snapshot_new_empty(void);
 ks_snapshot_t *ks_snapshot_parse(ks_str_t body, GError **error);
 ks_snapshot_t *ks_snapshot_ref(ks_snapshot_t *snapshot);
 void ks_snapshot_unref(ks_snapshot_t *snapshot);
+ks_str_t ks_snapshot_packed(ks_snapshot_t *snapshot);
 const ks_model_t *ks_snapshot_find_model(const ks_snapshot_t *snapshot,
 					 ks_str_t name);
 const ks_upstream_t *ks_snapshot_find_upstream(const ks_snapshot_t *snapshot,
--- /dev/null
+++ b/packages/version/src/pack.c
@@ -0,0 +1,75 @@
+/*
+ * The packed form of a snapshot, in which it is stored and sent. Snapshots are
+ * repetitive JSON, and every process fetches every version.
+ */
+#include "ks/version.h"
+
+#include <string.h>
+#include <zlib.h>
+
+/* A longer snapshot is refused, so that a damaged one cannot exhaust memory. */
+#define MAX_BODY_BYTES ((size_t)64 * 1024 * 1024)
+#define CHUNK_BYTES 65536
+
+/**
+ * ks_snapshot_pack() - the packed form of a snapshot's canonical JSON
+ *
+ * Return: bytes to be released with g_bytes_unref().
+ */
+GBytes *ks_snapshot_pack(ks_str_t body)
+{
+	uLongf len = compressBound((uLong)body.len);
+	Bytef *data = g_malloc(len);
+
+	compress2(data, &len, (const Bytef *)body.data, (uLong)body.len,
+		  Z_BEST_COMPRESSION);
+	return g_bytes_new_take(data, len);
+}
+
+static bool inflate_all(z_stream *stream, GByteArray *out)
+{
+	Bytef chunk[CHUNK_BYTES];
+	int status;
+
+	do {
+		stream->next_out = chunk;
+		stream->avail_out = sizeof(chunk);
+		status = inflate(stream, Z_NO_FLUSH);
+		if (status != Z_OK && status != Z_STREAM_END)
+			return false;
+		g_byte_array_append(out, chunk,
+				    (guint)(sizeof(chunk) - stream->avail_out));
+		if (out->len > MAX_BODY_BYTES)
+			return false;
+	} while (status != Z_STREAM_END);
+	return stream->avail_in == 0;
+}
+
+/**
+ * ks_snapshot_unpack() - canonical JSON from its packed form
+ * @packed: packed form; JSON text that is not packed is taken as it is
+ *
+ * Return: bytes to be released with g_bytes_unref(), or NULL if @packed is
+ * damaged, cut short or too long.
+ */
+GBytes *ks_snapshot_unpack(ks_str_t packed)
+{
+	z_stream stream = { .next_in = (Bytef *)packed.data,
+			    .avail_in = (uInt)packed.len };
+	GByteArray *out;
+	bool ok;
+
+	if (packed.len > MAX_BODY_BYTES)
+		return NULL;
+	if (packed.len && packed.data[0] == '{')
+		return g_bytes_new(packed.data, packed.len);
+	if (inflateInit(&stream) != Z_OK)
+		return NULL;
+	out = g_byte_array_new();
+	ok = inflate_all(&stream, out);
+	inflateEnd(&stream);
+	if (ok)
+		return g_byte_array_free_to_bytes(out);
+	g_byte_array_unref(out);
+	return NULL;
+}
--- a/packages/version/src/snapshot.c
+++ b/packages/version/src/snapshot.c
@@ -226,6 +226,8 @@
 		return;
 	g_ptr_array_free(snapshot->models, TRUE);
 	g_ptr_array_free(snapshot->upstreams, TRUE);
+	if (snapshot->packed)
+		g_bytes_unref(snapshot->packed);
 	free(snapshot->body);
 	g_free(snapshot);
 }
@@ -289,3 +291,19 @@
 {
 	return find_by_name(snapshot->upstreams, id, upstream_id);
 }
+
+/**
+ * ks_snapshot_packed() - the form in which the snapshot is stored and sent
+ *
+ * Return: bytes that live as long as the snapshot.
+ */
+ks_str_t ks_snapshot_packed(ks_snapshot_t *snapshot)
+{
+	ks_str_t packed;
+
+	if (!snapshot->packed)
+		snapshot->packed = ks_snapshot_pack(
+			(ks_str_t){ snapshot->body, snapshot->body_len });
+	packed.data = g_bytes_get_data(snapshot->packed, &packed.len);
+	return packed;
+}
