Measure what the system adds to a direct connection

Latency, throughput, processor time and memory are measured against a direct connection to the same stand-ins in one run, so that a busy machine slows both sides.

--- /dev/null
+++ b/bench/bench-overhead.c
@@ -0,0 +1,423 @@
+/*
+ * What the system adds to a direct connection to the same upstream: latency,
+ * throughput, processor time and memory. Each measurement does both sides in
+ * one run, so that a busy machine slows both.
+ */
+#include "overhead.h"
+
+#include <argtable2.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PROGRAM "bench-overhead"
+#define EXIT_USAGE 2
+
+/* A stream that only shows when the engine emits a token. */
+#define KIND_REFERENCE 1
+/* Direct requests are few, so that this process does not become the limit. */
+#define DIRECT_EVERY 8
+#define WAIT_LIMIT_US (60 * KS_USEC_PER_SEC)
+
+struct sides {
+	GArray *us[2];
+};
+
+static void sides_init(struct sides *sides)
+{
+	for (int i = 0; i < 2; i++)
+		sides->us[i] = g_array_new(FALSE, FALSE, sizeof(double));
+}
+
+static void sides_deinit(struct sides *sides)
+{
+	for (int i = 0; i < 2; i++)
+		g_array_free(sides->us[i], TRUE);
+}
+
+static void sides_print(struct sides *sides, const char *name)
+{
+	static const double quantiles[] = { 0.5, 0.99 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(quantiles); i++) {
+		double direct = stats_quantile(sides->us[0], quantiles[i]);
+		double via = stats_quantile(sides->us[1], quantiles[i]);
+
+		printf("%s p%g: direct %.0f us, via %.0f us, added %.0f us, "
+		       "ratio %.2f\n",
+		       name, quantiles[i] * 100, direct, via, via - direct,
+		       direct > 0 ? via / direct : 0);
+	}
+	printf("%s samples: direct %u, via %u\n", name, sides->us[0]->len,
+	       sides->us[1]->len);
+}
+
+/* Latency of short requests, sent in turn to either side at a fixed rate. */
+
+static void note_latency(overhead_call_t *call)
+{
+	struct sides *sides = call->run->ctx;
+	double us = (double)(call->done_us - call->sent_us);
+
+	if (call->whole)
+		g_array_append_val(sides->us[call->via], us);
+}
+
+static void measure_latency(overhead_run_t *run)
+{
+	double interval = 1e6 / run->options->rate;
+	unsigned n = (unsigned)(run->options->rate * run->options->duration_s);
+	int64_t start = ks_loop_now(&run->loop);
+	struct sides sides;
+
+	sides_init(&sides);
+	run->ctx = &sides;
+	run->finished = note_latency;
+	for (unsigned i = 0; i < n; i++) {
+		overhead_turn_until(run, start + (int64_t)(interval * i));
+		overhead_lookup(run, true, 0);
+		if (i % DIRECT_EVERY > 0)
+			continue;
+		overhead_turn_until(run,
+				    start + (int64_t)(interval * (i + 0.5)));
+		overhead_lookup(run, false, 0);
+	}
+	overhead_wait(run, WAIT_LIMIT_US);
+	sides_print(&sides, "request latency");
+	sides_deinit(&sides);
+}
+
+/* Processor time of the two processes for each unit of work. */
+
+struct cpu_mark {
+	stats_process_t processes[2];
+	int64_t at_us;
+};
+
+static void mark_cpu(overhead_run_t *run, struct cpu_mark *mark)
+{
+	for (int i = 0; i < 2; i++)
+		stats_process_read(run->options->pids[i], &mark->processes[i]);
+	mark->at_us = ks_loop_now(&run->loop);
+}
+
+static void print_cpu(const struct cpu_mark *from, const struct cpu_mark *to,
+		      double work, const char *unit)
+{
+	static const char *const names[] = { "entry", "upstream process" };
+	double seconds = (double)(to->at_us - from->at_us) / 1e6;
+
+	printf("%s: %.0f a second\n", unit, work / seconds);
+	for (int i = 0; i < 2; i++) {
+		double cpu = to->processes[i].cpu_s - from->processes[i].cpu_s;
+
+		printf("%s: %s %.1f us of processor time each, %.0f a second "
+		       "on one core, %.0f%% of a core used\n",
+		       unit, names[i], 1e6 * cpu / work,
+		       cpu > 0 ? work / cpu : 0, 100 * cpu / seconds);
+	}
+}
+
+static void lookup_again(overhead_call_t *call)
+{
+	int64_t *end = call->run->ctx;
+
+	if (ks_loop_now(&call->run->loop) < *end)
+		overhead_lookup(call->run, true, 0);
+}
+
+static void measure_requests(overhead_run_t *run)
+{
+	struct cpu_mark from, to;
+	int64_t end = ks_loop_now(&run->loop) +
+		      (int64_t)(run->options->duration_s * 1e6);
+
+	run->ctx = &end;
+	run->finished = lookup_again;
+	mark_cpu(run, &from);
+	for (unsigned i = 0; i < run->options->concurrency; i++)
+		overhead_lookup(run, true, 0);
+	overhead_turn_until(run, end);
+	overhead_wait(run, WAIT_LIMIT_US);
+	mark_cpu(run, &to);
+	print_cpu(&from, &to, (double)run->whole, "requests");
+}
+
+/*
+ * Latency of each token. The engine emits the tokens of all its streams in one
+ * step, so the time from the arrival at a direct reference stream to that at
+ * another stream is what the other path adds.
+ */
+
+struct token_run {
+	struct sides sides;
+	int64_t step_us;
+	double interval_us;
+	int64_t end_us;
+};
+
+static void note_token(overhead_call_t *call, int64_t now)
+{
+	struct token_run *tokens = call->run->ctx;
+	double us = (double)(now - tokens->step_us);
+
+	if (call->kind == KIND_REFERENCE) {
+		tokens->interval_us = us;
+		tokens->step_us = now;
+		return;
+	}
+	/* Streams of the same step may be read before the reference. */
+	if (us > tokens->interval_us / 2)
+		us -= tokens->interval_us;
+	if (tokens->step_us && call->tokens > 1)
+		g_array_append_val(tokens->sides.us[call->via], us);
+}
+
+static void stream_again(overhead_call_t *call)
+{
+	struct token_run *tokens = call->run->ctx;
+
+	if (ks_loop_now(&call->run->loop) < tokens->end_us)
+		overhead_stream(call->run, call->via, call->kind,
+				call->run->options->output_tokens);
+}
+
+static void measure_tokens(overhead_run_t *run)
+{
+	struct token_run tokens = { .step_us = 0 };
+
+	sides_init(&tokens.sides);
+	tokens.end_us = ks_loop_now(&run->loop) +
+			(int64_t)(run->options->duration_s * 1e6);
+	run->ctx = &tokens;
+	run->token = note_token;
+	run->finished = stream_again;
+	overhead_stream(run, false, KIND_REFERENCE, 100000);
+	for (unsigned i = 0; i < run->options->concurrency; i++)
+		overhead_stream(run, i % 2 == 0, 0,
+				run->options->output_tokens);
+	overhead_turn_until(run, tokens.end_us);
+	sides_print(&tokens.sides, "token latency");
+	sides_deinit(&tokens.sides);
+}
+
+/* Tokens a second with every stream of the engine in use. */
+
+static void stream_until_end(overhead_call_t *call)
+{
+	int64_t *end = call->run->ctx;
+
+	if (ks_loop_now(&call->run->loop) < *end)
+		overhead_stream(call->run, call->via, 0,
+				call->run->options->output_tokens);
+}
+
+static double stream_phase(const overhead_options_t *options, bool via,
+			   struct cpu_mark *from, struct cpu_mark *to)
+{
+	overhead_run_t run;
+	int64_t end;
+	double rate;
+
+	overhead_run_init(&run, options);
+	end = ks_loop_now(&run.loop) + (int64_t)(options->duration_s * 1e6);
+	run.ctx = &end;
+	run.finished = stream_until_end;
+	mark_cpu(&run, from);
+	for (unsigned i = 0; i < options->concurrency; i++)
+		overhead_stream(&run, via, 0, options->output_tokens);
+	overhead_turn_until(&run, end);
+	overhead_wait(&run, WAIT_LIMIT_US);
+	mark_cpu(&run, to);
+	rate = (double)run.tokens * 1e6 / (double)(to->at_us - from->at_us);
+	if (run.failed > 0)
+		printf("%" PRIu64 " streams failed\n", run.failed);
+	overhead_run_deinit(&run);
+	return rate;
+}
+
+static void measure_throughput(overhead_run_t *run)
+{
+	struct cpu_mark from, to;
+	double sums[2] = { 0, 0 };
+
+	for (unsigned i = 0; i < run->options->rounds; i++) {
+		double direct = stream_phase(run->options, false, &from, &to);
+		double via = stream_phase(run->options, true, &from, &to);
+
+		sums[0] += direct;
+		sums[1] += via;
+		printf("streaming round %u: direct %.0f, via %.0f tokens/s, "
+		       "ratio %.4f\n",
+		       i + 1, direct, via, via / direct);
+	}
+	print_cpu(&from, &to,
+		  sums[1] / run->options->rounds *
+			  ((double)(to.at_us - from.at_us) / 1e6),
+		  "tokens");
+	printf("streaming throughput lost: %.2f%%\n",
+	       100 * (1 - sums[1] / sums[0]));
+}
+
+/* Resident memory against the number of open streams. */
+
+static bool all_streaming(overhead_run_t *run, unsigned tokens)
+{
+	KS_LIST_FOREACH (it, &run->calls) {
+		if (KS_CONTAINER_OF(it, overhead_call_t, node)->tokens < tokens)
+			return false;
+	}
+	return true;
+}
+
+static void open_streams(overhead_run_t *run, unsigned n)
+{
+	int64_t end = ks_loop_now(&run->loop) + WAIT_LIMIT_US;
+
+	while (run->active < n) {
+		overhead_stream(run, true, 0, run->options->output_tokens);
+		ks_loop_run_once(&run->loop, KS_USEC_PER_MSEC);
+	}
+	while (!all_streaming(run, 20) && ks_loop_now(&run->loop) < end)
+		ks_loop_run_once(&run->loop, KS_USEC_PER_MSEC);
+}
+
+static void measure_memory(overhead_run_t *run)
+{
+	stats_fit_t fits[3] = { { .n = 0 } };
+	stats_process_t process;
+
+	for (unsigned i = 0; i < run->options->n_sizes; i++) {
+		double sum = 0;
+
+		open_streams(run, run->options->sizes[i]);
+		for (int p = 0; p < 2; p++) {
+			if (!stats_process_read(run->options->pids[p],
+						&process))
+				continue;
+			stats_fit_add(&fits[p], run->active,
+				      process.rss_bytes / 1024);
+			sum += process.rss_bytes / 1024;
+		}
+		stats_fit_add(&fits[2], run->active, sum);
+	}
+	if (run->failed > 0)
+		printf("%" PRIu64 " streams failed\n", run->failed);
+	stats_fit_print(&fits[0], "memory of the entry", "KiB a stream");
+	stats_fit_print(&fits[1], "memory of the upstream process",
+			"KiB a stream");
+	stats_fit_print(&fits[2], "memory of both", "KiB a stream");
+}
+
+static const struct {
+	const char *name;
+	void (*measure)(overhead_run_t *run);
+} measurements[] = {
+	{ "latency", measure_latency },	      { "requests", measure_requests },
+	{ "tokens", measure_tokens },	      { "memory", measure_memory },
+	{ "throughput", measure_throughput },
+};
+
+/* The arguments, in the order of argtable's table, which ends with @end. */
+struct args {
+	struct arg_str *mode, *direct, *via, *key, *model;
+	struct arg_int *entry_pid, *upstream_pid, *concurrency, *rounds;
+	struct arg_int *prompt, *output, *sizes;
+	struct arg_dbl *rate, *duration;
+	struct arg_end *end;
+};
+
+static void create_args(struct args *args)
+{
+	args->mode = arg_str1(NULL, NULL, "MEASUREMENT",
+			      "latency, requests, tokens, throughput, memory");
+	args->direct = arg_str1(NULL, "direct", "IP:PORT", "the upstream");
+	args->via = arg_str1(NULL, "via", "IP:PORT", "the entry");
+	args->key = arg_str1(NULL, "api-key", "KEY", "API key");
+	args->model = arg_str0(NULL, "model", "NAME", "model to ask for");
+	args->entry_pid = arg_int0(NULL, "entry-pid", "PID", NULL);
+	args->upstream_pid = arg_int0(NULL, "upstream-pid", "PID", NULL);
+	args->concurrency = arg_int0(NULL, "concurrency", "N", "calls at once");
+	args->rounds = arg_int0(NULL, "rounds", "N", "rounds of throughput");
+	args->prompt = arg_int0(NULL, "prompt-tokens", "N", NULL);
+	args->output = arg_int0(NULL, "output-tokens", "N", NULL);
+	args->sizes = arg_intn(NULL, "streams", "N", 0, STATS_MAX_POINTS,
+			       "open streams at a point, rising; repeatable");
+	args->rate = arg_dbl0(NULL, "rate", "N", "requests a second");
+	args->duration = arg_dbl0(NULL, "duration-s", "N", NULL);
+	args->end = arg_end(10);
+	args->model->sval[0] = "";
+	args->entry_pid->ival[0] = args->upstream_pid->ival[0] = 0;
+	args->concurrency->ival[0] = 32;
+	args->rounds->ival[0] = 3;
+	args->prompt->ival[0] = 100;
+	args->output->ival[0] = 200;
+	args->rate->dval[0] = 100;
+	args->duration->dval[0] = 5;
+}
+
+static bool read_options(overhead_options_t *options, const struct args *args)
+{
+	memset(options, 0, sizeof(*options));
+	if (!ks_address_parse(&options->direct,
+			      ks_str_from(args->direct->sval[0]), NULL) ||
+	    !ks_address_parse(&options->via, ks_str_from(args->via->sval[0]),
+			      NULL))
+		return false;
+	options->pids[0] = args->entry_pid->ival[0];
+	options->pids[1] = args->upstream_pid->ival[0];
+	options->concurrency = (unsigned)args->concurrency->ival[0];
+	options->rounds = (unsigned)args->rounds->ival[0];
+	options->prompt_tokens = (unsigned)args->prompt->ival[0];
+	options->output_tokens = (unsigned)args->output->ival[0];
+	options->rate = args->rate->dval[0];
+	options->duration_s = args->duration->dval[0];
+	options->api_key = args->key->sval[0];
+	options->model = args->model->sval[0];
+	options->n_sizes = (unsigned)args->sizes->count;
+	for (unsigned i = 0; i < options->n_sizes; i++)
+		options->sizes[i] = (unsigned)args->sizes->ival[i];
+	return args->concurrency->ival[0] > 0 && args->rounds->ival[0] > 0 &&
+	       args->prompt->ival[0] > 0 && args->output->ival[0] > 0 &&
+	       options->rate > 0 && options->duration_s > 0;
+}
+
+static int measure(const overhead_options_t *options, const char *name)
+{
+	overhead_run_t run;
+	bool failed;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(measurements); i++) {
+		if (!g_str_equal(measurements[i].name, name))
+			continue;
+		overhead_run_init(&run, options);
+		measurements[i].measure(&run);
+		failed = run.failed > 0;
+		if (failed)
+			printf("%" PRIu64 " calls failed\n", run.failed);
+		overhead_run_deinit(&run);
+		return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	}
+	fprintf(stderr, PROGRAM ": no measurement is called %s\n", name);
+	return EXIT_USAGE;
+}
+
+int main(int argc, char **argv)
+{
+	overhead_options_t options;
+	struct args args;
+
+	signal(SIGPIPE, SIG_IGN);
+	create_args(&args);
+	if (arg_parse(argc, argv, (void **)&args) > 0) {
+		arg_print_errors(stderr, args.end, PROGRAM);
+		return EXIT_USAGE;
+	}
+	if (!read_options(&options, &args)) {
+		fprintf(stderr, PROGRAM ": an option is out of range\n");
+		return EXIT_USAGE;
+	}
+	return measure(&options, args.mode->sval[0]);
+}
--- /dev/null
+++ b/bench/overhead.h
@@ -0,0 +1,79 @@
+/* One call of the overhead benchmark; see overhead_call.c. */
+#ifndef OVERHEAD_H
+#define OVERHEAD_H
+
+#include "stats.h"
+
+#include "ks/connection.h"
+
+/**
+ * struct overhead_options - what to measure
+ * @direct: the upstream itself
+ * @via: the entry
+ * @pids: entry and upstream process
+ */
+typedef struct overhead_options {
+	ks_address_t direct;
+	ks_address_t via;
+	int pids[2];
+	double rate;
+	double duration_s;
+	unsigned concurrency;
+	unsigned rounds;
+	unsigned prompt_tokens;
+	unsigned output_tokens;
+	unsigned sizes[STATS_MAX_POINTS];
+	unsigned n_sizes;
+	const char *api_key;
+	const char *model;
+} overhead_options_t;
+
+typedef struct overhead_call overhead_call_t;
+
+/**
+ * struct overhead_run - what the calls of a measurement share
+ * @token: an event of a stream has arrived; may be NULL
+ * @finished: the last use of a call; it is freed on return
+ */
+typedef struct overhead_run {
+	ks_loop_t loop;
+	ks_http_client_t client;
+	const overhead_options_t *options;
+	unsigned active;
+	uint64_t whole;
+	uint64_t failed;
+	uint64_t tokens;
+	ks_list_t calls;
+	void (*token)(overhead_call_t *call, int64_t now);
+	void (*finished)(overhead_call_t *call);
+	void *ctx;
+} overhead_run_t;
+
+/**
+ * struct overhead_call - one request
+ * @tokens: events that have arrived
+ * @kind: for the measurement's own use
+ */
+struct overhead_call {
+	ks_list_t node;
+	overhead_run_t *run;
+	ks_http_call_t http;
+	bool via;
+	int kind;
+	int64_t sent_us;
+	int64_t done_us;
+	int status;
+	unsigned tokens;
+	char last;
+	bool whole;
+};
+
+void overhead_run_init(overhead_run_t *run, const overhead_options_t *options);
+void overhead_run_deinit(overhead_run_t *run);
+overhead_call_t *overhead_lookup(overhead_run_t *run, bool via, int kind);
+overhead_call_t *overhead_stream(overhead_run_t *run, bool via, int kind,
+				 unsigned output_tokens);
+void overhead_turn_until(overhead_run_t *run, int64_t until_us);
+void overhead_wait(overhead_run_t *run, int64_t limit_us);
+
+#endif
