Poll again after timers have run

h2o polls before it calls back for writes that were done at once. What a timer wrote was therefore noticed only with the next unrelated event or timer, up to a second later.

--- a/packages/connection/src/loop.c
+++ b/packages/connection/src/loop.c
@@ -143,17 +143,24 @@
 	return timer->position != TIMER_NOT_SET;
 }
 
-/* Timers set by a callback wait for the next turn, even with no delay. */
-static void run_expired_timers(ks_loop_t *loop)
+/*
+ * Timers set by a callback wait for the next turn, even with no delay.
+ *
+ * Return: whether any was run.
+ */
+static bool run_expired_timers(ks_loop_t *loop)
 {
 	int64_t now = ks_loop_now(loop);
+	bool any = false;
 
 	while (loop->timers->len > 0 && timer_at(loop, 0)->due_us <= now) {
 		ks_timer_t *timer = timer_at(loop, 0);
 
 		ks_timer_clear(timer);
 		timer->func(timer->ctx);
+		any = true;
 	}
+	return any;
 }
 
 static int64_t next_wait(const ks_loop_t *loop, int64_t max_wait_us)
@@ -176,7 +183,12 @@
 
 	/* Rounded up: a wait rounded down would spin until the timer is due. */
 	h2o_evloop_run(loop->h2o, (int32_t)((wait + 999) / 1000));
-	run_expired_timers(loop);
+	/*
+	 * h2o polls before it calls back for writes that were done at once, so
+	 * what a timer wrote would wait for an unrelated event.
+	 */
+	if (run_expired_timers(loop))
+		h2o_evloop_run(loop->h2o, 0);
 }
 
 /**
