--- a/packages/process/tests/prop-publish.cpp
+++ b/packages/process/tests/prop-publish.cpp
@@ -124,7 +124,9 @@
 	GBytes *body =
 		ks_snapshot_unpack({ object->value->str, object->value->len });
 
-	RC_ASSERT(body != nullptr);
+	bool unpacked = body != nullptr;
+
+	RC_ASSERT(unpacked);
 	ks_digest_compute(&digest, { static_cast<const char *>(
 					     g_bytes_get_data(body, nullptr)),
 				     g_bytes_get_size(body) });
