Fuzz every reader of outside input

It found two faults. libyaml takes time with the square of the nesting, so that 64 KiB of brackets in a release note or settings kept a process busy for minutes; nesting is now limited. A Head frame with a status outside of 100 to 599 was passed on; it now ends the attempt.

--- a/Makefile
+++ b/Makefile
@@ -2,16 +2,20 @@
 #   make            build the two programs
 #   make run        install what is needed, build, and run the example system
 #   make check      install what is needed, then lint and run every test
+#   make fuzz       run the fuzz targets with libFuzzer, FUZZ_SECONDS each
 #   make bench      figures against a direct connection to the stand-in engine
 #   make format     rewrite sources in the project's format
 #
 # SAN=1 builds with address and undefined-behaviour sanitizers into build/san.
+# FUZZ=1 builds the fuzz targets with clang's libFuzzer into build/fuzz.
 
 SHELL = /bin/bash
 CC = gcc
 CXX = g++
 SAN ?=
-BUILD = build/$(if $(SAN),san,plain)
+FUZZ ?=
+FUZZ_SECONDS ?= 60
+BUILD = build/$(if $(FUZZ),fuzz,$(if $(SAN),san,plain))
 
 PKGS = glib-2.0 jansson libcyaml yaml-0.1 libprotobuf-c libzmq libxxhash
 CPPFLAGS = -D_GNU_SOURCE -DH2O_USE_LIBUV=0 -MMD -MP \
@@ -22,6 +26,10 @@
 OPT = -O2 -g -fno-omit-frame-pointer
 SANFLAGS = $(if $(SAN),-fsanitize=address$(comma)undefined -fno-sanitize-recover=undefined)
 comma := ,
+ifneq ($(FUZZ),)
+CC = clang
+SANFLAGS = -fsanitize=fuzzer-no-link$(comma)address$(comma)undefined -fno-sanitize-recover=undefined
+endif
 CFLAGS = -std=gnu11 $(WARN) -Wshadow -Wstrict-prototypes -Wmissing-prototypes $(OPT) $(SANFLAGS)
 CXXFLAGS = -std=c++17 $(WARN) $(OPT) $(SANFLAGS)
 LDLIBS = $(shell pkg-config --libs $(PKGS)) -lh2o-evloop -lssl -lcrypto \
@@ -41,11 +49,13 @@
 PROP_SRCS = $(wildcard packages/*/tests/prop-*.cpp)
 UNIT_BINS = $(patsubst %.c,$(BUILD)/%,$(UNIT_SRCS))
 PROP_BINS = $(patsubst %.cpp,$(BUILD)/%,$(PROP_SRCS))
+FUZZ_SRCS = $(wildcard tests/fuzz/fuzz-*.c)
+FUZZ_BINS = $(patsubst %.c,$(BUILD)/%,$(FUZZ_SRCS))
 SYSTEM_TESTS = $(wildcard tests/system/test-*.sh)
 
-C_SRCS = $(wildcard packages/*/src/*.c cli/*.c tests/fakes/*.c tests/system/*.c bench/*.c packages/*/tests/*.c)
+C_SRCS = $(wildcard packages/*/src/*.c cli/*.c tests/fakes/*.c tests/fuzz/*.c tests/system/*.c bench/*.c packages/*/tests/*.c)
 CXX_SRCS = $(wildcard packages/*/tests/*.cpp tests/*.cpp)
-HDRS = $(wildcard packages/*/include/ks/*.h packages/*/src/*.h cli/*.h tests/fakes/*.h bench/*.h packages/*/tests/*.h)
+HDRS = $(wildcard packages/*/include/ks/*.h packages/*/src/*.h cli/*.h tests/fakes/*.h tests/fuzz/*.h bench/*.h packages/*/tests/*.h)
 FORMAT_SRCS = $(filter-out %.pb-c.c %.pb-c.h,$(C_SRCS) $(CXX_SRCS) $(HDRS))
 TIDY_SRCS = $(filter-out %.pb-c.c,$(C_SRCS))
 
@@ -57,7 +67,7 @@
 
 programs: $(PROGRAMS)
 fakes: $(FAKES)
-tests: $(UNIT_BINS) $(PROP_BINS)
+tests: $(UNIT_BINS) $(PROP_BINS) $(FUZZ_BINS)
 
 define package_template
 $(BUILD)/libks-$(1).a: $$(patsubst %.c,$$(BUILD)/%.o,$$(wildcard packages/$(1)/src/*.c))
@@ -96,6 +106,11 @@
 # The parts of the load tool that this test covers.
 $(BUILD)/packages/process/tests/test-load: $(patsubst %,$(BUILD)/bench/%.o,load_request load_run load_verify)
 
+# As a test, a fuzz target runs its corpus and a fixed number of mutations.
+$(BUILD)/tests/fuzz/fuzz-%: $(BUILD)/tests/fuzz/fuzz-%.o \
+		$(if $(FUZZ),,$(BUILD)/tests/fuzz/fuzz_driver.o) $(LIBS)
+	$(Q)$(CC) $(CFLAGS) $(if $(FUZZ),-fsanitize=fuzzer) -o $@ $^ $(LDLIBS)
+
 setup:
 	@.ci/setup
 
@@ -154,6 +169,14 @@
 	@$(MAKE) --no-print-directory -j all benches
 	@bench/run-mix.sh $(ARGS)
 
+# New inputs go to build/fuzz/corpus; one that fails is left in build/fuzz.
+fuzz:
+	@.ci/setup clang libclang-rt-14-dev
+	@$(MAKE) --no-print-directory -j FUZZ=1 fuzz-targets
+	@tests/fuzz/run.sh $(FUZZ_SECONDS)
+.PHONY: fuzz-targets
+fuzz-targets: $(FUZZ_BINS)
+
 proto:
 	protoc-c --c_out=packages/connection/src --proto_path=packages/connection packages/connection/link.proto
 
--- a/packages/connection/src/link_attempt.c
+++ b/packages/connection/src/link_attempt.c
@@ -1,6 +1,10 @@
 /* Attempts on a link, as the entry sees them. */
 #include "link_client.h"
 
+/* Range of HTTP status codes (RFC 9110, section 15). */
+#define MIN_STATUS 100
+#define MAX_STATUS 599
+
 static bool is_about_answer(const ks_frame_t *frame, uint64_t *seq,
 			    size_t *body_len)
 {
@@ -84,12 +88,29 @@
 				    message->retry_after_ms * KS_USEC_PER_MSEC);
 }
 
+/*
+ * Ends an answer that no caller can be given. The rest of its frames is
+ * received unobserved, so that the upstream process can drop them.
+ */
+static void refuse_answer(ks_attempt_t *attempt, ks_str_t message)
+{
+	const ks_attempt_events_t *events = attempt->events;
+	void *ctx = attempt->ctx;
+
+	ks_attempt_abandon(attempt);
+	events->end(ctx, KS_ERROR_UPSTREAM_FAILED, message);
+}
+
 static void on_head(ks_attempt_t *attempt, const Ks__Link__Head *head)
 {
 	ks_header_t *headers;
 
 	if (attempt->abandoned)
 		return;
+	if (head->status < MIN_STATUS || head->status > MAX_STATUS) {
+		refuse_answer(attempt, KS_STR("the answer has a wrong status"));
+		return;
+	}
 	headers = ks_frame_headers_view(head->headers, head->n_headers);
 	attempt->events->head(attempt->ctx, (int)head->status, headers,
 			      head->n_headers);
--- a/packages/process/src/settings_document.c
+++ b/packages/process/src/settings_document.c
@@ -45,10 +45,13 @@
 {
 	yaml_parser_t parser;
 	bool ok;
+	int line;
 
 	memset(doc, 0, sizeof(*doc));
 	doc->file = file;
 	doc->error = error;
+	if (!ks_yaml_check_depth(yaml, &line))
+		return ks_settings_fail(doc, line, "nested too deeply");
 	yaml_parser_initialize(&parser);
 	yaml_parser_set_input_string(
 		&parser, (const unsigned char *)(yaml.data ? yaml.data : ""),
--- a/packages/process/tests/test-settings.c
+++ b/packages/process/tests/test-settings.c
@@ -228,6 +228,23 @@
 	}
 }
 
+/* Guards against settings whose nesting keeps libyaml busy for minutes. */
+static void test_settings_refuse_deep_nesting(void)
+{
+	GString *yaml = g_string_new(PLAIN_ENTRY "tenants: ");
+	ks_settings_t *settings = NULL;
+	GError *error = NULL;
+
+	for (unsigned i = 0; i < 64 * 1024; i++)
+		g_string_append_c(yaml, '{');
+	g_assert_false(ks_settings_parse(&settings, ks_str_from(yaml->str),
+					 "s.yaml", &error));
+	g_assert_null(settings);
+	g_assert_cmpstr(error->message, ==, "s.yaml:7: nested too deeply");
+	g_error_free(error);
+	g_string_free(yaml, TRUE);
+}
+
 /* Guards against a secret that ends up in an error message. */
 static void test_settings_errors_hide_secrets(void)
 {
@@ -273,6 +290,8 @@
 	g_test_add_func("/settings/init-logs", test_settings_init_logs);
 	g_test_add_func("/settings/refuse-what-is-wrong",
 			test_settings_refuse_what_is_wrong);
+	g_test_add_func("/settings/refuse-deep-nesting",
+			test_settings_refuse_deep_nesting);
 	g_test_add_func("/settings/errors-hide-secrets",
 			test_settings_errors_hide_secrets);
 	g_test_add_func("/settings/examples-are-valid",
--- a/packages/version/include/ks/version.h
+++ b/packages/version/include/ks/version.h
@@ -28,6 +28,10 @@
 const char *ks_digest_format(const ks_digest_t *digest,
 			     char buf[KS_DIGEST_HEX_SIZE]);
 
+/* yaml_depth.c */
+
+bool ks_yaml_check_depth(ks_str_t yaml, int *line);
+
 /* snapshot.c */
 
 /**
--- a/packages/version/src/release_yaml.c
+++ b/packages/version/src/release_yaml.c
@@ -374,7 +374,10 @@
 {
 	yaml_parser_t parser;
 	bool ok = true;
+	int line;
 
+	if (!ks_yaml_check_depth(yaml, &line))
+		return fail(reader, line, "nested too deeply");
 	yaml_parser_initialize(&parser);
 	yaml_parser_set_input_string(
 		&parser, (const unsigned char *)(yaml.data ? yaml.data : ""),
--- a/packages/version/tests/test-release.c
+++ b/packages/version/tests/test-release.c
@@ -358,6 +358,19 @@
 	ks_snapshot_unref(empty);
 }
 
+/* Guards against a note whose nesting keeps libyaml busy for minutes. */
+static void test_release_refuses_deep_nesting(void)
+{
+	ks_snapshot_t *empty = ks_snapshot_new_empty();
+	GString *yaml = g_string_new("base: 0\nmodels: ");
+
+	for (unsigned i = 0; i < 64 * 1024; i++)
+		g_string_append_c(yaml, '[');
+	assert_refused(empty, yaml->str, "note.yaml:2:", "nested too deeply");
+	g_string_free(yaml, TRUE);
+	ks_snapshot_unref(empty);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -375,6 +388,8 @@
 			test_release_refuses_unserved_models);
 	g_test_add_func("/release/refuses-wrong-notes",
 			test_release_refuses_wrong_notes);
+	g_test_add_func("/release/refuses-deep-nesting",
+			test_release_refuses_deep_nesting);
 	g_test_add_func("/release/conflict-has-its-own-kind",
 			test_release_conflict_has_its_own_kind);
 	return g_test_run();
