--- a/packages/version/include/ks/version.h
+++ b/packages/version/include/ks/version.h
@@ -33,6 +33,10 @@
 GBytes *ks_snapshot_pack(ks_str_t body);
 GBytes *ks_snapshot_unpack(ks_str_t packed);
 
+/* yaml_depth.c */
+
+bool ks_yaml_check_depth(ks_str_t yaml, int *line);
+
 /* snapshot.c */
 
 /**
