Log the verdict of each charge; let the relay refuse connections

The load tool writes key and verdict of each charge, so that a test can compare refusals with what the service ran. cluster.sh counts refusals called not run that ran, and whole answers that never ran. SIGUSR2 lets the relay close connections at once, for a process cut off from the platform.

--- a/bench/load.h
+++ b/bench/load.h
@@ -4,6 +4,8 @@
 
 #include "ks/connection.h"
 
+#include <stdio.h>
+
 #define LOAD_MAX_ENTRIES 64
 
 typedef enum load_class {
@@ -33,6 +35,7 @@
  * @rates: requests a second for each class
  * @timeout_ms: deadline of each request, sent as X-Request-Timeout-Ms
  * @max_in_flight: requests beyond this are counted as skipped, not sent
+ * @key_log: gets a line with key and verdict for each charge, or NULL
  */
 typedef struct load_options {
 	ks_address_t entries[LOAD_MAX_ENTRIES];
@@ -51,6 +54,7 @@
 	char *model;
 	char *lookup_path;
 	char *charge_path;
+	FILE *key_log;
 	bool json;
 } load_options_t;
 
@@ -98,6 +102,7 @@
 	bool malformed;
 } load_stream_t;
 
+const char *load_verdict_name(load_verdict_t verdict);
 void load_stream_init(load_stream_t *stream);
 void load_stream_deinit(load_stream_t *stream);
 void load_stream_feed(load_stream_t *stream, ks_str_t data);
--- a/bench/load_options.c
+++ b/bench/load_options.c
@@ -18,6 +18,7 @@
 struct args {
 	struct arg_str *entry, *prompt, *output_tokens;
 	struct arg_str *key, *model, *lookup, *charge, *output, *policy;
+	struct arg_file *log_keys;
 	struct arg_int *seed, *timeout, *in_flight;
 	struct arg_dbl *duration, *rates[LOAD_N_CLASSES];
 	struct arg_lit *help;
@@ -113,6 +114,13 @@
 	if (!read_entries(options, args) || !read_ranges(options, args) ||
 	    !read_policy(options, args->policy->sval[0]))
 		return false;
+	if (args->log_keys->count) {
+		options->key_log = fopen(args->log_keys->filename[0], "w");
+		if (!options->key_log) {
+			perror(PROGRAM);
+			return false;
+		}
+	}
 	if (strcmp(output, "json") != 0 && strcmp(output, "text") != 0) {
 		fprintf(stderr, PROGRAM ": the output is text or json\n");
 		return false;
@@ -173,6 +181,8 @@
 	args->policy = arg_str0(NULL, "policy", "NAME",
 				"random, round-robin, least-connections or "
 				"prefix");
+	args->log_keys = arg_file0(NULL, "log-keys", "FILE",
+				   "write key and verdict of each charge");
 	args->help = arg_lit0("h", "help", "print this help");
 	args->end = arg_end(10);
 }
@@ -196,7 +206,8 @@
 			  args.prompt,	 args.output_tokens, args.key,
 			  args.model,	 args.lookup,	     args.charge,
 			  args.timeout,	 args.in_flight,     args.output,
-			  args.policy,	 args.help,	     args.end };
+			  args.policy,	 args.log_keys,	     args.help,
+			  args.end };
 	set_defaults(&args);
 	n_errors = arg_parse(argc, argv, table);
 	*status = EXIT_USAGE;
@@ -223,4 +234,6 @@
 	g_free(options->model);
 	g_free(options->lookup_path);
 	g_free(options->charge_path);
+	if (options->key_log)
+		fclose(options->key_log);
 }
--- a/bench/load_request.c
+++ b/bench/load_request.c
@@ -103,13 +103,21 @@
 		stats->tokens += (uint64_t)request->stream.completion_tokens;
 }
 
+static void count_verdict(load_request_t *request, load_verdict_t verdict)
+{
+	request->stats->verdicts[verdict]++;
+	if (request->class == LOAD_CHARGE && request->options->key_log)
+		fprintf(request->options->key_log, "%s %s\n", request->id,
+			load_verdict_name(verdict));
+}
+
 static void on_done(void *ctx, ks_http_result_t result)
 {
 	load_request_t *request = ctx;
 	const char *why = NULL;
 	load_verdict_t verdict = judge(request, result, &why);
 
-	request->stats->verdicts[verdict]++;
+	count_verdict(request, verdict);
 	if (verdict == LOAD_WHOLE)
 		record_times(request);
 	if (verdict == LOAD_WRONG)
@@ -205,8 +213,8 @@
 	if (!ks_http_call_is_active(&request->call))
 		return;
 	ks_http_call_cancel(&request->call);
-	request->stats->verdicts[request->class == LOAD_CHARGE ? LOAD_UNKNOWN
-							       : LOAD_FAILED]++;
+	count_verdict(request, request->class == LOAD_CHARGE ? LOAD_UNKNOWN
+							     : LOAD_FAILED);
 }
 
 /**
--- a/bench/load_verify.c
+++ b/bench/load_verify.c
@@ -22,6 +22,18 @@
 		g_string_append_printf(out, "t%u ", engine_token(hash, i));
 }
 
+/**
+ * load_verdict_name() - as written to the log of keys
+ */
+const char *load_verdict_name(load_verdict_t verdict)
+{
+	static const char *const names[LOAD_N_VERDICTS] = {
+		"whole", "refused", "unknown", "failed", "wrong"
+	};
+
+	return names[verdict];
+}
+
 /**
  * load_stream_init() - set up a stream of which nothing has arrived
  */
--- a/tests/fakes/fake-relay.c
+++ b/tests/fakes/fake-relay.c
@@ -2,7 +2,8 @@
  * Stand-in for a network device that loses track of connections. It relays TCP
  * connections to one address. On SIGUSR1 the connections open at that moment
  * go silent for good: their bytes are swallowed and they stay open. New ones
- * work.
+ * work. On SIGUSR2 the open connections are closed and new ones are closed at
+ * once; on the next SIGUSR2 new ones work again.
  */
 #include "fake_main.h"
 
@@ -25,8 +26,9 @@
 	ks_address_t target;
 	h2o_socket_t *listener;
 	ks_list_t pairs;
-	ks_watch_t usr1;
-	int usr1_fd;
+	ks_watch_t watch;
+	int signal_fd;
+	bool refusing;
 };
 
 struct pair;
@@ -132,8 +134,13 @@
 	if (err)
 		return;
 	while ((sock = h2o_evloop_socket_accept(listener))) {
-		struct pair *pair = g_new0(struct pair, 1);
+		struct pair *pair;
 
+		if (relay->refusing) {
+			h2o_socket_close(sock);
+			continue;
+		}
+		pair = g_new0(struct pair, 1);
 		ks_list_append(&relay->pairs, &pair->node);
 		pair->near = (struct side){ pair, &pair->far, sock, false };
 		pair->far = (struct side){ pair, &pair->near, NULL, false };
@@ -148,14 +155,10 @@
 	}
 }
 
-static void on_usr1(void *ctx)
+static void silence_all(struct relay *relay)
 {
-	struct relay *relay = ctx;
-	struct signalfd_siginfo info;
 	unsigned count = 0;
 
-	while (read(relay->usr1_fd, &info, sizeof(info)) == sizeof(info))
-		;
 	KS_LIST_FOREACH (it, &relay->pairs) {
 		KS_CONTAINER_OF(it, struct pair, node)->silent = true;
 		count++;
@@ -163,16 +166,43 @@
 	fprintf(stderr, "%u connections are silent\n", count);
 }
 
-static bool watch_usr1(struct relay *relay)
+static void toggle_refusing(struct relay *relay)
+{
+	ks_list_t *next;
+
+	relay->refusing = !relay->refusing;
+	for (ks_list_t *it = relay->pairs.next;
+	     relay->refusing && it != &relay->pairs; it = next) {
+		next = it->next;
+		close_pair(KS_CONTAINER_OF(it, struct pair, node));
+	}
+	fprintf(stderr, "new connections are %s\n",
+		relay->refusing ? "refused" : "accepted");
+}
+
+static void on_signal(void *ctx)
+{
+	struct relay *relay = ctx;
+	struct signalfd_siginfo info;
+
+	while (read(relay->signal_fd, &info, sizeof(info)) == sizeof(info))
+		if (info.ssi_signo == SIGUSR1)
+			silence_all(relay);
+		else
+			toggle_refusing(relay);
+}
+
+static bool watch_signals(struct relay *relay)
 {
 	sigset_t set;
 
 	sigemptyset(&set);
 	sigaddset(&set, SIGUSR1);
+	sigaddset(&set, SIGUSR2);
 	sigprocmask(SIG_BLOCK, &set, NULL);
-	relay->usr1_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
-	return ks_watch_init(&relay->usr1, &relay->loop, relay->usr1_fd,
-			     on_usr1, relay, NULL);
+	relay->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	return ks_watch_init(&relay->watch, &relay->loop, relay->signal_fd,
+			     on_signal, relay, NULL);
 }
 
 static bool listen_relay(struct relay *relay)
@@ -219,7 +249,7 @@
 		return EXIT_USAGE;
 	ks_list_init(&relay.pairs);
 	ks_loop_init(&relay.loop, ks_clock_monotonic());
-	if (!fake_signals_init(&signals, &relay.loop) || !watch_usr1(&relay) ||
+	if (!fake_signals_init(&signals, &relay.loop) || !watch_signals(&relay) ||
 	    !listen_relay(&relay))
 		return EXIT_FAILURE;
 	ks_loop_run(&relay.loop);
--- a/tests/system/cluster.sh
+++ b/tests/system/cluster.sh
@@ -93,16 +93,20 @@
 }
 
 # start_load SECONDS: a mixed load through both entries, in the background, at
-# the rates in COMPLETIONS, LOOKUPS and CHARGES; its report goes to load.log.
+# the rates in COMPLETIONS, LOOKUPS and CHARGES, with the deadline TIMEOUT_MS
+# and answers of OUTPUT_TOKENS; its report goes to load.log.
 start_load () {
 	"$BIN/bench-load" --entry "${ADDRESS[entry1]}" \
 		--entry "${ADDRESS[entry2]}" --seed 1 --duration-s "$1" \
 		--completions-per-s "${COMPLETIONS:-20}" \
 		--lookups-per-s "${LOOKUPS:-20}" \
 		--charges-per-s "${CHARGES:-10}" \
-		--prompt-tokens 200:2000 --output-tokens 20:100 \
+		--prompt-tokens 200:2000 \
 		--api-key $API_KEY --model fitting --lookup-path /basket/size \
-		--charge-path /checkout/charge >"$WORK/load.log" 2>&1 &
+		--charge-path /checkout/charge \
+		--timeout-ms "${TIMEOUT_MS:-30000}" \
+		--output-tokens "${OUTPUT_TOKENS:-20:100}" \
+		--log-keys "$WORK/charges.keys" >"$WORK/load.log" 2>&1 &
 	PID[load]=$!
 }
 
@@ -138,7 +142,56 @@
 	test "${most:-0}" -le 1 || fail "a charge ran $most times"
 }
 
+# charges_seen: the keys that ran at the service as "KEY executed", then
+# a line "KEY VERDICT" for each answer to a charge of the load.
+charges_seen () {
+	get_json service /stats | grep -o '"[0-9a-f-]* [0-9a-f]*": *[1-9]' |
+		sed 's/^"\([^ ]*\) .*/\1 executed/'
+	cat "$WORK/charges.keys"
+}
+
+# Prints how many charges of the load were refused as not run in every answer
+# and ran all the same ("false"), and how many were answered whole and never
+# ran ("lost"). A key whose copies got different answers is not judged by its
+# refusals: they are true if the other copy ran.
+count_untrue () {
+	charges_seen | awk '
+		$2 == "executed" { ran[$1] = 1; next }
+		{ answers[$1]++; if ($2 == "refused") refused[$1]++
+		  if ($2 == "whole") whole[$1] = 1 }
+		END {
+			for (key in answers) {
+				if (refused[key] == answers[key]) {
+					judged++
+					if (key in ran) untrue++
+				}
+				if (whole[key] && !(key in ran)) lost++
+			}
+			printf "refused keys %d, false not-run %d, lost %d\n",
+				judged, untrue, lost
+		}'
+}
+
+# Guards against a refusal that calls a charge not run although it has run or
+# runs later, and against an answer to a charge that never ran.
+expect_true_refusals () {
+	local counts
+	counts=$(count_untrue)
+	echo "charges: $counts"
+	case "$counts" in
+	*"false not-run 0, lost 0") ;;
+	*) fail "$counts" ;;
+	esac
+}
+
 expect_no_conflicts () {
+	local i
+	for i in $(seq "$N_ENGINES")
+	do
+		test "$(get_json "engine$i" /stats |
+			json_number conflicts)" = 0 ||
+			fail "engine$i counts conflicting orders"
+	done
 	! grep -l CONFLICT "$WORK"/engine*.log ||
 		fail "an engine got conflicting orders"
 }
