End active calls when an HTTP client is freed

A graceful stop aborted with status 134 in h2o_timeout_dispose when a read of the host list or of the release head was under way: the client required that no call was active, and nothing ended them. The client now ends them with their done event, which the drivers rely on to free their memory. Ruled out: the calls of requests, which are cancelled with their jobs.

--- a/packages/connection/include/ks/connection.h
+++ b/packages/connection/include/ks/connection.h
@@ -113,6 +113,7 @@
 typedef struct ks_http_client {
 	ks_loop_t *loop;
 	struct st_h2o_http1client_ctx_t *h2o;
+	ks_list_t calls;
 } ks_http_client_t;
 
 /**
@@ -172,6 +173,7 @@
  * struct ks_http_call - one request and its answer, on memory of its owner
  */
 typedef struct ks_http_call {
+	ks_list_t node; /* in the client's list while active */
 	ks_http_client_t *client;
 	struct st_h2o_http1client_t *h2o;
 	const ks_http_events_t *events;
--- a/packages/connection/src/http_client.c
+++ b/packages/connection/src/http_client.c
@@ -29,19 +29,7 @@
 	state->ctx.io_timeout = &state->io_timeout;
 	client->loop = loop;
 	client->h2o = &state->ctx;
-}
-
-/**
- * ks_http_client_deinit() - free it; no call may be active
- */
-void ks_http_client_deinit(ks_http_client_t *client)
-{
-	struct http_client_state *state = H2O_STRUCT_FROM_MEMBER(
-		struct http_client_state, ctx, client->h2o);
-
-	h2o_timeout_dispose(client->loop->h2o, &state->io_timeout);
-	g_free(state);
-	client->h2o = NULL;
+	ks_list_init(&client->calls);
 }
 
 static void free_request(ks_http_call_t *call)
@@ -65,6 +53,7 @@
 		return;
 	}
 	call->active = false;
+	ks_list_remove(&call->node);
 	free_request(call);
 	call->events->done(call->ctx, result);
 }
@@ -84,6 +73,38 @@
 	finish_call(call, sent ? KS_HTTP_TIMED_OUT : KS_HTTP_NOT_SENT);
 }
 
+/* A call whose end is already known waits for its timer only. */
+static void abandon_call(ks_http_call_t *call)
+{
+	ks_http_result_t result = call->sent ? KS_HTTP_LOST : KS_HTTP_NOT_SENT;
+
+	if (ks_timer_is_set(&call->deferred))
+		result = call->result;
+	ks_timer_clear(&call->deferred);
+	if (call->h2o)
+		h2o_http1client_cancel(call->h2o);
+	finish_call(call, result);
+}
+
+/**
+ * ks_http_client_deinit() - end the calls that are active, and free it
+ *
+ * Their done events come now, so that memory which waits for them is freed.
+ * They must not start a call.
+ */
+void ks_http_client_deinit(ks_http_client_t *client)
+{
+	struct http_client_state *state = H2O_STRUCT_FROM_MEMBER(
+		struct http_client_state, ctx, client->h2o);
+
+	while (!ks_list_is_empty(&client->calls))
+		abandon_call(KS_CONTAINER_OF(client->calls.next, ks_http_call_t,
+					     node));
+	h2o_timeout_dispose(client->loop->h2o, &state->io_timeout);
+	g_free(state);
+	client->h2o = NULL;
+}
+
 static void on_timeout(void *ctx)
 {
 	ks_http_call_t *call = ctx;
@@ -238,6 +259,7 @@
 	call->request = format_request(request);
 	call->idle_timeout_us = request->idle_timeout_us;
 	call->active = true;
+	ks_list_append(&client->calls, &call->node);
 	call->reqbuf = g_new(h2o_iovec_t, 1);
 	ks_timer_init(&call->deadline, client->loop, on_timeout, call);
 	ks_timer_init(&call->idle, client->loop, on_timeout, call);
@@ -268,6 +290,7 @@
 	if (!call->active)
 		return;
 	call->active = false;
+	ks_list_remove(&call->node);
 	call->h2o = NULL;
 	ks_timer_clear(&call->deadline);
 	ks_timer_clear(&call->idle);
--- a/packages/process/src/entry.c
+++ b/packages/process/src/entry.c
@@ -177,6 +177,8 @@
 		ks_platform_http_deinit(&entry->platform);
 		ks_store_http_deinit(&entry->store);
 		ks_http_client_deinit(&entry->client);
+		/* The end of a read of the host list has set it. */
+		ks_timer_clear(&entry->hosts_timer);
 	}
 	entry_auth_deinit(entry);
 	ks_metrics_free(entry->metrics);
