--- a/tests/system/cluster.sh
+++ b/tests/system/cluster.sh
@@ -208,3 +208,81 @@
 	expect_no_repeats
 	expect_no_conflicts
 }
+
+# platform_writes PREFIX: writes of rows under a prefix so far.
+platform_writes () {
+	get_json platform /v1/stats | grep -o "\"$1\":{[^}]*}" |
+		json_number writes
+}
+
+# writes_exceed PREFIX COUNT
+writes_exceed () {
+	local writes
+	writes=$(platform_writes "$1")
+	test "${writes:-0}" -gt "$2"
+}
+
+# charge ENTRY KEY VALUE [CURL-OPTION...]: one charge with a key issued now.
+charge () {
+	local entry=$1 key=$2 value=$3
+	shift 3
+	http -H "idempotency-key: $key" -H "idempotency-key-date: $KEY_DATE" \
+		-d "{\"value\":$value}" "$@" \
+		"http://${ADDRESS[$entry]}/checkout/charge"
+}
+KEY_DATE=$(date +%s)
+
+# executions KEY: how often the service has run a key.
+executions () {
+	local count
+	count=$(get_json service /stats | grep -o "\"$1 [0-9a-f]*\": *[0-9]*" |
+		sed 's/.*: *//' | sort -n | tail -n 1)
+	echo "${count:-0}"
+}
+
+has_executed () {
+	test "$(executions "$1")" -ge 1
+}
+
+# expect_answer FILE PATTERN
+expect_answer () {
+	grep -Eq "$2" "$1" || fail "$(basename "$1"): $(cat "$1")"
+}
+
+serves_charges () {
+	SERIAL=$((${SERIAL:-0} + 1))
+	charge "$1" "probe-$1-$SERIAL" 1 2>/dev/null |
+		grep -q '"executions": *1'
+}
+
+wait_until_serving () {
+	local entry
+	for entry in entry1 entry2
+	do
+		wait_until "$entry serves the model" serves_model $entry
+		wait_until "$entry serves the shop" serves_shop $entry
+		wait_until "$entry serves charges" serves_charges $entry
+	done
+}
+
+# stream_to FILE ENTRY PROMPT TOKENS: a stream in the background.
+stream_to () {
+	complete "$2" fitting "$3" "$4" true >"$WORK/$1" 2>&1 &
+	STREAMS+=($!)
+}
+
+has_bytes () {
+	test "$(stat -c %s "$WORK/$1" 2>/dev/null || echo 0)" -ge "$2"
+}
+
+# stream_text FILE: the tokens of a stream without their framing.
+stream_text () {
+	grep -o '"\(text\|content\)": *"[^"]*"' "$WORK/$1" |
+		sed 's/.*: *"//; s/"$//' | tr -d '\n'
+}
+
+is_whole_stream () {
+	grep -q '^data: \[DONE\]' "$WORK/$1" &&
+		! grep -q '"error"' "$WORK/$1" &&
+		test "$(stream_text "$1" | wc -w)" = "$2"
+}
--- /dev/null
+++ b/tests/system/test-streams.sh
@@ -0,0 +1,120 @@
+#!/bin/bash
+# Guards against streams that are cut by planned changes although they last
+# longer than every timeout of the links, and against streams that repeat or
+# lack tokens, or end as if whole, when an engine crashes.
+set -u
+cd "$(dirname "$0")/../.."
+. tests/system/lib.sh
+. tests/system/cluster.sh
+
+# Streams of 1500 tokens last longer than 12 s.
+ENGINE_OPTIONS="--decode-us 8000"
+LONG=1500
+start_cluster 3
+
+start_streams () {
+	local i
+	STREAMS=()
+	FILES=()
+	for i in $(seq 9)
+	do
+		FILES+=("$1-$i")
+		stream_to "$1-$i" "entry$((i % 2 + 1))" "$1 number $i" $LONG
+	done
+	for i in "${FILES[@]}"
+	do
+		wait_until "$i has begun" has_bytes "$i" 2000
+	done
+}
+
+end_streams () {
+	local i
+	for i in "${STREAMS[@]}"
+	do
+		wait "$i"
+	done
+	for i in "${FILES[@]}"
+	do
+		# Two engines may give different texts only if one is wrong.
+		is_whole_stream "$i" $LONG ||
+			fail "$i: $(stream_text "$i" | wc -w) of $LONG tokens," \
+				"ends with $(tail -n 3 "$WORK/$i")"
+	done
+}
+
+# Planned: new weights, a withdrawal, a host that leaves, and graceful stops.
+start_streams planned
+printf '%s\n' "base: 1" "note: new weights" "models:" "  change:" \
+	"    - {name: fitting, version: v2}" "upstreams:" \
+	"  withdraw: [engine3]" >"$WORK/release2.yaml"
+publish "$WORK/release2.yaml" || fail "release 2 was refused"
+wait_for_release 2
+control platform '{"leaving":["host-engine2"]}'
+wait_until "engine2 leaves" has_log up-engine2 "on a leaving host"
+kill -TERM "${PID[up-engine3]}"
+kill -TERM "${PID[entry2]}"
+end_streams
+for name in up-engine3 entry2
+do
+	wait_until "$name has stopped" is_gone $name
+	wait "${PID[$name]}" || fail "$name did not stop gracefully"
+	unset "PID[$name]"
+done
+control platform '{"leaving":[]}'
+wait_until "engine1 has version v2" engine_has 1 v2
+start_upstream up-engine3 engine3 engine3 domain-3
+start_entry entry2 domain-2
+{
+	printf '%s\n' "base: 2" "note: engine3 is back" "upstreams:" "  add:"
+	engine_line 3
+} >"$WORK/release3.yaml"
+publish "$WORK/release3.yaml" || fail "release 3 was refused"
+wait_for_release 3
+for i in 1 2 3
+do
+	wait_until "engine$i has version v2" engine_has $i v2
+done
+wait_until_serving
+
+# An engine crashes: its streams go on elsewhere, with the same tokens.
+start_streams crash
+kill_now engine1
+end_streams
+expect=$(complete entry1 fitting "crash number 1" $LONG false)
+test "$(stream_text crash-1)" = "$(printf %s "$expect" |
+	grep -o '"text": *"[^"]*"' | sed 's/.*: *"//; s/"$//')" ||
+	fail "a stream that went on has other tokens"
+start_engine engine1 --seed 1 --change-ms 300 --checks-fencing $ENGINE_OPTIONS
+wait_until "engine1 has its model again" engine_has 1 v2
+
+# Engines that cannot resume: the stream ends with an error and no [DONE].
+{
+	printf '%s\n' "base: 3" "note: no resume" "upstreams:" "  change:"
+	for i in 1 2 3
+	do
+		echo "    - {id: engine$i, resumes: false}"
+	done
+} >"$WORK/release4.yaml"
+publish "$WORK/release4.yaml" || fail "release 4 was refused"
+wait_for_release 4
+wait_until_serving
+start_streams noresume
+for i in 1 2 3
+do
+	kill_now engine$i
+done
+for i in "${STREAMS[@]}"
+do
+	wait "$i"
+done
+for i in "${FILES[@]}"
+do
+	grep -q '"error"' "$WORK/$i" || fail "$i has no error event"
+	! grep -q '\[DONE\]' "$WORK/$i" || fail "$i ended as if it were whole"
+done
+for i in 1 2 3
+do
+	start_engine engine$i --seed $i --change-ms 300 --checks-fencing
+done
+wait_until_serving
+stop_cluster
