--- a/packages/connection/src/http_client.c
+++ b/packages/connection/src/http_client.c
@@ -77,31 +77,30 @@
 	ks_list_init(&client->calls);
 }
 
-static void drop_calls(ks_http_client_t *client)
+static void abandon_call(ks_http_call_t *call)
 {
-	KS_LIST_FOREACH_SAFE (it, next, &client->calls) {
-		ks_http_call_t *call =
-			KS_CONTAINER_OF(it, ks_http_call_t, node);
-		const ks_http_events_t *events = call->events;
-		void *ctx = call->ctx;
-
-		ks_http_call_cancel(call);
-		if (events->dropped)
-			events->dropped(ctx);
-	}
+	const ks_http_events_t *events = call->events;
+	bool sent = call->sent;
+	void *ctx = call->ctx;
+
+	ks_http_call_cancel(call);
+	events->done(ctx, sent ? KS_HTTP_LOST : KS_HTTP_NOT_SENT);
 }
 
 /**
- * ks_http_client_deinit() - cancel the calls that are active and free it
+ * ks_http_client_deinit() - end the calls that are active, and free it
  *
- * May not be called from an event of a call.
+ * Their done events come now, so that memory which waits for them is freed.
+ * They must not start a call. May not be called from an event of a call.
  */
 void ks_http_client_deinit(ks_http_client_t *client)
 {
 	struct http_client_state *state = H2O_STRUCT_FROM_MEMBER(
 		struct http_client_state, ctx, client->h2o);
 
-	drop_calls(client);
+	while (!ks_list_is_empty(&client->calls))
+		abandon_call(KS_CONTAINER_OF(client->calls.next, ks_http_call_t,
+					     node));
 	g_hash_table_destroy(client->pools);
 	client->pools = NULL;
 	h2o_timeout_dispose(client->loop->h2o, &state->io_timeout);
@@ -396,6 +395,7 @@
 	if (!call->active)
 		return;
 	call->active = false;
+	ks_list_remove(&call->node);
 	call->h2o = NULL;
 	ks_timer_clear(&call->deadline);
 	ks_timer_clear(&call->idle);
--- a/packages/connection/src/http_fetch.c
+++ b/packages/connection/src/http_fetch.c
@@ -65,15 +65,14 @@
 	.head = on_head,
 	.body = on_body,
 	.done = on_done,
-	.dropped = free_fetch,
 };
 
 /**
  * ks_http_fetch() - send a request and collect its answer
  * @request: needed during the call only; its timeout bounds the fetch
  * @max_body: an answer longer than this counts as lost
- * @func: called once, after this function has returned, unless the client is
- *	freed before
+ * @func: called once, after this function has returned; at the latest when the
+ *	client is freed
  */
 void ks_http_fetch(ks_http_client_t *client, const ks_http_request_t *request,
 		   size_t max_body, ks_http_fetch_func_t func, void *ctx)
