--- a/packages/connection/src/http_server.c
+++ b/packages/connection/src/http_server.c
@@ -202,6 +202,11 @@
 
 	req->res.status = status;
 	req->res.reason = "";
+	/*
+	 * Without a length h2o marks the end of every response but a 200 by
+	 * closing the connection, which also drops pipelined requests.
+	 */
+	req->res.content_length = body.len;
 	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
 		       NULL, type.base, type.len);
 	h2o_send_inline(req, body.data ? body.data : "", body.len);
--- a/packages/process/src/entry_read.c
+++ b/packages/process/src/entry_read.c
@@ -4,6 +4,8 @@
 /* Longest deadline a caller may ask for. */
 #define MAX_TIMEOUT_MS (3600 * 1000)
 #define MAX_HEADERS 64
+/* h2o accepts over 400 KiB, which is passed on and kept with each request. */
+#define MAX_HEAD_BYTES (32 * 1024)
 
 static bool read_timeout(struct entry_request *request, unsigned fallback_ms,
 			 GError **error)
@@ -135,6 +137,33 @@
 	return true;
 }
 
+/* Bytes of the path, the query and the header fields. */
+static size_t head_bytes(const h2o_req_t *req)
+{
+	size_t bytes = req->path.len;
+
+	for (size_t i = 0; i < req->headers.size; i++)
+		bytes += req->headers.entries[i].name->len +
+			 req->headers.entries[i].value.len;
+	return bytes;
+}
+
+static bool check_head(const h2o_req_t *req, GError **error)
+{
+	if (req->headers.size > MAX_HEADERS) {
+		ks_error_set(error, KS_ERROR_BAD_REQUEST,
+			     "more than %d header fields", MAX_HEADERS);
+		return false;
+	}
+	if (head_bytes(req) > MAX_HEAD_BYTES) {
+		ks_error_set(error, KS_ERROR_BAD_REQUEST,
+			     "path and header fields have more than %d bytes",
+			     MAX_HEAD_BYTES);
+		return false;
+	}
+	return true;
+}
+
 static bool read_parts(struct entry_request *request, bool chat, GError **error)
 {
 	size_t max_body = (size_t)request->entry->settings->max_body_kib * 1024;
@@ -144,12 +173,7 @@
 			     "the body has more than %zu bytes", max_body);
 		return false;
 	}
-	if (request->req->headers.size > MAX_HEADERS) {
-		ks_error_set(error, KS_ERROR_BAD_REQUEST,
-			     "more than %d header fields", MAX_HEADERS);
-		return false;
-	}
-	if (!find_tenant(request, error))
+	if (!check_head(request->req, error) || !find_tenant(request, error))
 		return false;
 	if (!ks_config_current(request->entry->config)) {
 		ks_error_set(error, KS_ERROR_NOT_READY,
--- a/packages/version/src/snapshot_parse.c
+++ b/packages/version/src/snapshot_parse.c
@@ -20,13 +20,10 @@
 	ks_model_t *model;
 	size_t i;
 
-	if (json_unpack(item, "{s:s, s:s, s:O !}", "name", &name, "version",
-			&version, "adapters", &adapters))
+	if (json_unpack(item, "{s:s, s:s, s:o !}", "name", &name, "version",
+			&version, "adapters", &adapters) ||
+	    !ks_name_is_valid(name) || !ks_name_is_valid(version))
 		return NULL;
-	if (!ks_name_is_valid(name) || !ks_name_is_valid(version)) {
-		json_decref(adapters);
-		return NULL;
-	}
 	model = ks_model_new(name, version);
 	json_array_foreach(adapters, i, value)
 	{
@@ -39,7 +36,6 @@
 		ks_model_free(model);
 		model = NULL;
 	}
-	json_decref(adapters);
 	return model;
 }
 
--- a/tests/system/cluster.sh
+++ b/tests/system/cluster.sh
@@ -19,7 +19,8 @@
 	# shellcheck disable=SC2086 # an empty option must vanish
 	start_engine "engine$1" --seed "$1" --change-ms 300 $fencing \
 		$ENGINE_OPTIONS
-	start_upstream "up-engine$1" "engine$1" "engine$1" "domain-$1"
+	start_upstream "up-engine$1" "engine$1" "engine$1" "domain-$1" \
+		"${UPSTREAM_SETTINGS[@]}"
 }
 
 write_first_release () {
@@ -63,6 +64,10 @@
 	done
 }
 
+# More settings of the upstream processes and of the entries.
+UPSTREAM_SETTINGS=()
+ENTRY_SETTINGS=()
+
 # start_cluster ENGINES: all of it, serving.
 start_cluster () {
 	N_ENGINES=$1
@@ -74,9 +79,10 @@
 		start_engine_pair "$i"
 	done
 	start_service service
-	start_upstream up-service service service domain-1
-	start_entry entry1 domain-1
-	start_entry entry2 domain-2
+	start_upstream up-service service service domain-1 \
+		"${UPSTREAM_SETTINGS[@]}"
+	start_entry entry1 domain-1 "${ENTRY_SETTINGS[@]}"
+	start_entry entry2 domain-2 "${ENTRY_SETTINGS[@]}"
 	write_first_release >"$WORK/release1.yaml"
 	publish "$WORK/release1.yaml" || fail "the release note was refused"
 	wait_for_release 1
