Grant the credit of a dropped attempt, so that its end arrives

Bytes that a slow caller had not taken when it went away kept the window of 64 frames full. The End frame was never sent: the attempt counted as in flight at the entry for good, and the upstream process could not stop.

--- a/packages/process/src/entry_attempt.c
+++ b/packages/process/src/entry_attempt.c
@@ -62,6 +62,8 @@
 	request->attempt = NULL;
 	entry_stream_attempt_over(request);
 	attempt->request = NULL;
+	/* What the caller did not take would use up the credit for the end. */
+	ks_attempt_consume(attempt->attempt, SIZE_MAX);
 	ks_attempt_cancel(attempt->attempt);
 }
 
