--- a/packages/process/src/entry.h
+++ b/packages/process/src/entry.h
@@ -5,6 +5,7 @@
 #include "ks/process.h"
 
 #include <h2o.h>
+#include <jansson.h>
 
 /* Time of an engine for each token, assumed until it has been measured. */
 #define ENTRY_PREFILL_US 50.0
@@ -12,6 +13,7 @@
 
 struct entry_request;
 struct entry_group;
+struct entry_plan;
 
 /**
  * struct entry_tenant - a tenant and what it has in flight
@@ -46,6 +48,7 @@
  * @attempts: struct entry_attempt that have not ended
  * @prompt_tokens: handed out by this entry and not yet prefilled
  * @output_tokens: still expected of what this entry handed out
+ * @role: of the engine to which @prefill_us and @decode_us apply
  * @withdrawn: no longer in the snapshot; closed once nothing is in flight
  * @lost: its link has been down for longer than a new session takes
  */
@@ -64,6 +67,7 @@
 	unsigned in_flight;
 	uint64_t prompt_tokens;
 	uint64_t output_tokens;
+	char role[16];
 	double prefill_us;
 	double decode_us;
 	ks_ejection_t ejection;
@@ -158,6 +162,29 @@
 	ks_error_kind_t result;
 };
 
+enum entry_split_step {
+	ENTRY_SPLIT_UNDECIDED,
+	ENTRY_SPLIT_PREFILL,
+	ENTRY_SPLIT_DECODE,
+	ENTRY_SPLIT_OVER,
+};
+
+/**
+ * struct entry_split - a completion between two engines
+ * @step: of the attempt in flight
+ * @decoder: id of the upstream that is to decode
+ * @source: IP:PORT of the engine that has prefilled, for the other engine
+ * @handle: of its KV blocks
+ * @tokens: in these blocks
+ */
+struct entry_split {
+	enum entry_split_step step;
+	char *decoder;
+	char *source;
+	char *handle;
+	uint32_t tokens;
+};
+
 /**
  * struct entry_request - one request of a caller
  * @req: NULL once the caller's connection or its stream is gone
@@ -209,6 +236,7 @@
 	GString *answer;
 	bool streaming;
 	struct entry_stream stream;
+	struct entry_split split;
 	uint32_t output_tokens;
 };
 
@@ -225,9 +253,11 @@
 	ks_http_client_t client;
 	ks_http_server_t server;
 	ks_store_http_t store;
+	ks_write_budget_t *writes;
 	ks_platform_http_t platform;
 	ks_config_t *config;
 	ks_ledger_t *ledger;
+	struct entry_plan *plan;
 	ks_retry_budget_t retries;
 	GHashTable *groups;
 	ks_list_t upstreams;
@@ -280,6 +310,9 @@
 void entry_group_free(void *group);
 bool entry_upstream_is_usable(const struct entry_upstream *upstream);
 bool entry_group_is_served(const struct entry_group *group);
+void entry_group_fill_candidates(const struct entry_group *group,
+				 const struct entry_request *request,
+				 bool repeat, ks_candidate_t *candidates);
 struct entry_upstream *entry_group_choose(struct entry_group *group,
 					  struct entry_request *request);
 double entry_group_work(const struct entry_group *group,
@@ -287,6 +320,14 @@
 void entry_group_update_capacity(struct entry_group *group);
 void entry_group_pump(struct entry_group *group);
 
+/* entry_plan.c */
+void entry_plan_init(ks_entry_t *entry);
+void entry_plan_deinit(ks_entry_t *entry);
+void entry_plan_apply(ks_entry_t *entry, const ks_snapshot_t *snapshot);
+void entry_plan_note(const struct entry_request *request);
+json_t *entry_plan_status(const ks_entry_t *entry);
+void entry_plan_metrics(const ks_entry_t *entry);
+
 /* entry_read.c */
 bool entry_read_request(struct entry_request *request, bool chat,
 			GError **error);
@@ -313,7 +354,21 @@
 void entry_attempt_note_token(struct entry_request *request);
 void entry_attempt_note_cached(struct entry_request *request, uint32_t tokens);
 
+/* entry_split.c */
+void entry_split_note_role(struct entry_upstream *upstream);
+void entry_split_avoid_prefill(const struct entry_group *group,
+			       ks_candidate_t *candidates);
+bool entry_split_begin(struct entry_request *request);
+void entry_split_prefilled(struct entry_request *request, bool ok);
+void entry_split_go_on(struct entry_request *request);
+bool entry_split_import_failed(const struct entry_request *request);
+void entry_split_add_headers(const struct entry_request *request,
+			     GArray *headers);
+void entry_split_deinit(struct entry_split *split);
+
 /* entry_send.c */
+void entry_attempt_send(struct entry_request *request,
+			struct entry_upstream *upstream);
 void entry_attempt_dispatch(struct entry_request *request);
 
 /* entry_stream.c */
--- a/packages/process/src/entry_request.c
+++ b/packages/process/src/entry_request.c
@@ -53,6 +53,7 @@
 	ks_list_remove(&request->node);
 	ks_completion_deinit(&request->completion);
 	entry_stream_deinit(&request->stream);
+	entry_split_deinit(&request->split);
 	g_ptr_array_unref(request->tried);
 	g_free(request->repeatable);
 	g_ptr_array_unref(request->failed_domains);
@@ -394,5 +395,6 @@
 		     request->deadline_us - request->start_us);
 	ks_admission_set_weight(request->group->admission,
 				request->tenant->name, request->tenant->weight);
+	entry_plan_note(request);
 	ask_admission(request);
 }
