Look for input of a ZeroMQ socket once in each turn of the loop

Cause: every message sent and received asked for ZMQ_EVENTS, and each time ZeroMQ made a poll and a getpid system call. Receiving now goes on until nothing is left, and after sends one look in the turn is enough. The loop polls again after timers only when h2o has calls to make, so that the added timer costs no poll of its own.

--- a/packages/connection/src/loop.c
+++ b/packages/connection/src/loop.c
@@ -173,6 +173,11 @@
 	return CLAMP(wait, 0, max_wait_us);
 }
 
+static bool has_pending(const ks_loop_t *loop)
+{
+	return loop->h2o->_pending_as_client || loop->h2o->_pending_as_server;
+}
+
 /**
  * ks_loop_run_once() - wait for events once and handle them
  * @max_wait_us: longest wait
@@ -187,7 +192,7 @@
 	 * h2o polls before it calls back for writes that were done at once, so
 	 * what a timer wrote would wait for an unrelated event.
 	 */
-	if (run_expired_timers(loop))
+	if (run_expired_timers(loop) && has_pending(loop))
 		h2o_evloop_run(loop->h2o, 0);
 }
 
--- a/packages/connection/src/socket.c
+++ b/packages/connection/src/socket.c
@@ -81,7 +81,8 @@
 		return;
 	sock->draining = true;
 	sock->closed = &closed;
-	while (!closed && has_input(sock->zmq) && receive_one(sock))
+	/* An empty receive looks for new input like ZMQ_EVENTS does. */
+	while (!closed && receive_one(sock))
 		;
 	if (closed)
 		return;
@@ -317,9 +318,11 @@
 		return false;
 	sent = zmq_send(sock->zmq, message.data, message.len, ZMQ_DONTWAIT) >=
 	       0;
-	/* A send may swallow the edge that announces input. */
-	if (!sock->draining && has_input(sock->zmq) &&
-	    !ks_timer_is_set(&sock->again))
+	/*
+	 * A send may swallow the edge that announces input. One look in each
+	 * turn of the loop is enough, and costs a system call.
+	 */
+	if (!sock->draining && !ks_timer_is_set(&sock->again))
 		ks_timer_set(&sock->again, 0);
 	return sent;
 }
