--- a/bench/bench-overhead.c
+++ b/bench/bench-overhead.c
@@ -17,6 +17,7 @@
 
 /* A stream that only shows when the engine emits a token. */
 #define KIND_REFERENCE 1
+#define SAME_STEP_US (2 * KS_USEC_PER_MSEC)
 /* Direct requests are few, so that this process does not become the limit. */
 #define DIRECT_EVERY 8
 #define WAIT_LIMIT_US (60 * KS_USEC_PER_SEC)
@@ -151,28 +152,49 @@
  * another stream is what the other path adds.
  */
 
+struct token_arrival {
+	int64_t at_us;
+	bool via;
+};
+
 struct token_run {
-	struct sides sides;
-	int64_t step_us;
-	double interval_us;
+	GArray *references;
+	GArray *arrivals;
 	int64_t end_us;
 };
 
 static void note_token(overhead_call_t *call, int64_t now)
 {
 	struct token_run *tokens = call->run->ctx;
-	double us = (double)(now - tokens->step_us);
+	struct token_arrival arrival = { now, call->via };
+
+	if (call->kind == KIND_REFERENCE)
+		g_array_append_val(tokens->references, now);
+	else if (call->tokens > 1)
+		g_array_append_val(tokens->arrivals, arrival);
+}
 
-	if (call->kind == KIND_REFERENCE) {
-		tokens->interval_us = us;
-		tokens->step_us = now;
-		return;
+/* Streams of the same step may be read a little before the reference. */
+static void compare_tokens(const struct token_run *tokens, struct sides *sides)
+{
+	guint next = 0;
+
+	for (guint i = 0; i < tokens->arrivals->len; i++) {
+		struct token_arrival *arrival = &g_array_index(
+			tokens->arrivals, struct token_arrival, i);
+		double us;
+
+		while (next < tokens->references->len &&
+		       g_array_index(tokens->references, int64_t, next) <=
+			       arrival->at_us + SAME_STEP_US)
+			next++;
+		if (next == 0)
+			continue;
+		us = (double)(arrival->at_us - g_array_index(tokens->references,
+							     int64_t,
+							     next - 1));
+		g_array_append_val(sides->us[arrival->via], us);
 	}
-	/* Streams of the same step may be read before the reference. */
-	if (us > tokens->interval_us / 2)
-		us -= tokens->interval_us;
-	if (tokens->step_us && call->tokens > 1)
-		g_array_append_val(tokens->sides.us[call->via], us);
 }
 
 static void stream_again(overhead_call_t *call)
@@ -186,9 +208,14 @@
 
 static void measure_tokens(overhead_run_t *run)
 {
-	struct token_run tokens = { .step_us = 0 };
+	struct token_run tokens = {
+		.references = g_array_new(FALSE, FALSE, sizeof(int64_t)),
+		.arrivals =
+			g_array_new(FALSE, FALSE, sizeof(struct token_arrival)),
+	};
+	struct sides sides;
 
-	sides_init(&tokens.sides);
+	sides_init(&sides);
 	tokens.end_us = ks_loop_now(&run->loop) +
 			(int64_t)(run->options->duration_s * 1e6);
 	run->ctx = &tokens;
@@ -199,8 +226,11 @@
 		overhead_stream(run, i % 2 == 0, 0,
 				run->options->output_tokens);
 	overhead_turn_until(run, tokens.end_us);
-	sides_print(&tokens.sides, "token latency");
-	sides_deinit(&tokens.sides);
+	compare_tokens(&tokens, &sides);
+	sides_print(&sides, "token latency");
+	sides_deinit(&sides);
+	g_array_free(tokens.references, TRUE);
+	g_array_free(tokens.arrivals, TRUE);
 }
 
 /* Tokens a second with every stream of the engine in use. */
