--- a/bench/bench-overhead.c
+++ b/bench/bench-overhead.c
@@ -88,6 +88,7 @@
 	overhead_wait(run, WAIT_LIMIT_US);
 	sides_print(&sides, "request latency");
 	sides_deinit(&sides);
+	run->ctx = NULL;
 }
 
 /* Processor time of the two processes for each unit of work. */
@@ -131,7 +132,7 @@
 
 static void measure_requests(overhead_run_t *run)
 {
-	struct cpu_mark from, to;
+	struct cpu_mark from = { .at_us = 0 }, to = { .at_us = 0 };
 	int64_t end = ks_loop_now(&run->loop) +
 		      (int64_t)(run->options->duration_s * 1e6);
 
@@ -143,6 +144,7 @@
 	overhead_turn_until(run, end);
 	overhead_wait(run, WAIT_LIMIT_US);
 	mark_cpu(run, &to);
+	run->ctx = NULL;
 	print_cpu(&from, &to, (double)run->whole, "requests");
 }
 
@@ -229,6 +231,7 @@
 	compare_tokens(&tokens, &sides);
 	sides_print(&sides, "token latency");
 	sides_deinit(&sides);
+	run->ctx = NULL;
 	g_array_free(tokens.references, TRUE);
 	g_array_free(tokens.arrivals, TRUE);
 }
@@ -270,7 +273,7 @@
 
 static void measure_throughput(overhead_run_t *run)
 {
-	struct cpu_mark from, to;
+	struct cpu_mark from = { .at_us = 0 }, to = { .at_us = 0 };
 	double sums[2] = { 0, 0 };
 
 	for (unsigned i = 0; i < run->options->rounds; i++) {
