--- a/packages/connection/include/ks/connection.h
+++ b/packages/connection/include/ks/connection.h
@@ -166,6 +166,8 @@
  * @head: status and headers; the strings are valid during the call only
  * @body: next bytes of the body, valid during the call only
  * @done: last event; the call's memory may be used again
+ * @dropped: last event instead of @done when the client is freed; optional. It
+ *	may free the call's memory, and nothing else may be done in it.
  *
  * None is called before ks_http_call_start() has returned.
  */
@@ -175,6 +177,7 @@
 		     size_t n_headers);
 	void (*body)(void *ctx, ks_str_t data);
 	void (*done)(void *ctx, ks_http_result_t result);
+	void (*dropped)(void *ctx);
 } ks_http_events_t;
 
 /**
