--- a/tests/fuzz/fuzz.h
+++ b/tests/fuzz/fuzz.h
@@ -6,6 +6,7 @@
 
 G_BEGIN_DECLS
 
+/* NOLINTNEXTLINE(readability-identifier-naming): named by libFuzzer */
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 /**
