--- a/tests/fuzz/fuzz-link-frame.c
+++ b/tests/fuzz/fuzz-link-frame.c
@@ -13,6 +13,11 @@
 	if (!frame)
 		return 0;
 	ks_frame_key(frame, &key);
+	/* protobuf-c writes a field numbered 0 that it then refuses to read. */
+	if (frame->base.n_unknown_fields) {
+		ks_frame_free(frame);
+		return 0;
+	}
 	first = ks_frame_encode(frame);
 	message.data = g_bytes_get_data(first, &message.len);
 	again = ks_frame_decode(message);
