--- a/packages/process/src/entry_attempt.c
+++ b/packages/process/src/entry_attempt.c
@@ -70,6 +70,8 @@
 	request->attempt = NULL;
 	entry_stream_attempt_over(request);
 	attempt->request = NULL;
+	/* What the caller did not take would use up the credit for the end. */
+	ks_attempt_consume(attempt->attempt, SIZE_MAX);
 	if (request->idempotent)
 		ks_attempt_cancel(attempt->attempt);
 	if (attempt->upstream->withdrawn && attempt->upstream->lost)
