--- a/bench/load_verify.c
+++ b/bench/load_verify.c
@@ -27,9 +27,9 @@
  */
 const char *load_verdict_name(load_verdict_t verdict)
 {
-	static const char *const names[LOAD_N_VERDICTS] = {
-		"whole", "refused", "unknown", "failed", "wrong"
-	};
+	static const char *const names[LOAD_N_VERDICTS] = { "whole", "refused",
+							    "unknown", "failed",
+							    "wrong" };
 
 	return names[verdict];
 }
--- a/packages/process/tests/prop-orders.cpp
+++ b/packages/process/tests/prop-orders.cpp
@@ -131,14 +131,22 @@
 	});
 }
 
+/* One in so many observations does not reach its engine. */
+constexpr unsigned OBSERVE_LOST_ONE_IN = 8;
+
 void observe(void *impl, ks_observe_func_t func, void *ctx)
 {
 	auto *e = static_cast<engine *>(impl);
 	unsigned life = e->life;
+	bool lost = e->m->order_faults.draw(OBSERVE_LOST_ONE_IN) == 1;
 
-	respond(e, 2 * MS, [e, life, func, ctx] {
+	respond(e, 2 * MS, [e, life, lost, func, ctx] {
 		ks_engine_state_t state = {};
 
+		if (lost) {
+			func(ctx, nullptr);
+			return;
+		}
 		g_strlcpy(state.model, e->loaded.c_str(), sizeof(state.model));
 		g_strlcpy(state.version, e->version.c_str(),
 			  sizeof(state.version));
--- a/tests/system/cluster.sh
+++ b/tests/system/cluster.sh
@@ -191,6 +191,9 @@
 		test "$(get_json "engine$i" /stats |
 			json_number conflicts)" = 0 ||
 			fail "engine$i counts conflicting orders"
+		test "$(get_json "engine$i" /stats |
+			json_number orders_while_running)" = 0 ||
+			fail "engine$i got an order with requests running"
 	done
 	! grep -l CONFLICT "$WORK"/engine*.log ||
 		fail "an engine got conflicting orders"
