--- a/Makefile
+++ b/Makefile
@@ -122,7 +122,7 @@
 check: setup
 	@$(MAKE) --no-print-directory lint
 	@$(MAKE) --no-print-directory -j all tests benches
-	@$(MAKE) --no-print-directory -j SAN=1 all tests
+	@$(MAKE) --no-print-directory -j SAN=1 all tests benches
 	@tests/run.sh plain san
 
 check-quick:
