Forecast prefill and decode apart in admission; add routing policies

Admission of a model asks a forecast for each engine: queued prompts are prefilled one after the other, answers are decoded together, and a request starts only where neither it nor what is under way there gets late. Decode steps are measured only while no prompt is prefilled; before, one estimate took prefill for decoding after long prompts and refused most long answers.

--- a/bench/load.h
+++ b/bench/load.h
@@ -5,6 +5,7 @@
 #include "ks/connection.h"
 
 #define LOAD_MAX_ENTRIES 64
+#define LOAD_MAX_PHASES 64
 
 typedef enum load_class {
 	LOAD_COMPLETION,
@@ -28,9 +29,24 @@
 	LOAD_N_POLICIES
 } load_policy_t;
 
+/**
+ * struct load_phase - part of a run with a mix of completions of its own
+ * @rate: completions a second
+ */
+typedef struct load_phase {
+	double duration_s;
+	double rate;
+	unsigned prompt_min;
+	unsigned prompt_max;
+	unsigned output_min;
+	unsigned output_max;
+} load_phase_t;
+
 /**
  * struct load_options - what to send and where
  * @rates: requests a second for each class
+ * @phases: of the completions, one after the other; when there are any, they
+ *	give the duration of the run and replace the ranges and the rate
  * @timeout_ms: deadline of each request, sent as X-Request-Timeout-Ms
  * @max_in_flight: requests beyond this are counted as skipped, not sent
  */
@@ -39,6 +55,8 @@
 	unsigned n_entries;
 	load_policy_t policy;
 	uint32_t seed;
+	load_phase_t phases[LOAD_MAX_PHASES];
+	unsigned n_phases;
 	double duration_s;
 	double rates[LOAD_N_CLASSES];
 	unsigned prompt_min;
--- a/bench/load_options.c
+++ b/bench/load_options.c
@@ -16,7 +16,7 @@
 #define DEFAULT_IN_FLIGHT 4000
 
 struct args {
-	struct arg_str *entry, *prompt, *output_tokens;
+	struct arg_str *entry, *prompt, *output_tokens, *phase;
 	struct arg_str *key, *model, *lookup, *charge, *output, *policy;
 	struct arg_int *seed, *timeout, *in_flight;
 	struct arg_dbl *duration, *rates[LOAD_N_CLASSES];
@@ -56,6 +56,40 @@
 	return true;
 }
 
+/* DURATION:RATE:PROMPT_MIN:PROMPT_MAX:OUTPUT_MIN:OUTPUT_MAX */
+static bool parse_phase(const char *text, load_phase_t *phase)
+{
+	return sscanf(text, "%lf:%lf:%u:%u:%u:%u", &phase->duration_s,
+		      &phase->rate, &phase->prompt_min, &phase->prompt_max,
+		      &phase->output_min, &phase->output_max) == 6 &&
+	       phase->duration_s > 0 && phase->duration_s <= MAX_DURATION_S &&
+	       phase->rate > 0 && phase->rate <= MAX_RATE &&
+	       phase->prompt_min > 0 &&
+	       phase->prompt_min <= phase->prompt_max &&
+	       phase->prompt_max <= MAX_TOKENS && phase->output_min > 0 &&
+	       phase->output_min <= phase->output_max &&
+	       phase->output_max <= MAX_TOKENS;
+}
+
+static bool read_phases(load_options_t *options, const struct args *args)
+{
+	for (int i = 0; i < args->phase->count; i++) {
+		load_phase_t *phase = &options->phases[options->n_phases];
+
+		if (!parse_phase(args->phase->sval[i], phase)) {
+			fprintf(stderr, PROGRAM ": a phase is SECONDS:RATE:"
+						"PROMPT_MIN:PROMPT_MAX:"
+						"OUTPUT_MIN:OUTPUT_MAX\n");
+			return false;
+		}
+		if (options->n_phases++ == 0)
+			options->duration_s = 0;
+		options->duration_s += phase->duration_s;
+		options->rates[LOAD_COMPLETION] = phase->rate;
+	}
+	return true;
+}
+
 static bool read_ranges(load_options_t *options, const struct args *args)
 {
 	if (!parse_range(args->prompt->sval[0], &options->prompt_min,
@@ -111,6 +145,7 @@
 
 	memset(options, 0, sizeof(*options));
 	if (!read_entries(options, args) || !read_ranges(options, args) ||
+	    !read_phases(options, args) ||
 	    !read_policy(options, args->policy->sval[0]))
 		return false;
 	if (strcmp(output, "json") != 0 && strcmp(output, "text") != 0) {
@@ -162,6 +197,10 @@
 		arg_str0(NULL, "prompt-tokens", "MIN:MAX", "of a prompt");
 	args->output_tokens =
 		arg_str0(NULL, "output-tokens", "MIN:MAX", "of an answer");
+	args->phase = arg_strn(NULL, "phase", "S:RATE:MIN:MAX:MIN:MAX", 0,
+			       LOAD_MAX_PHASES,
+			       "seconds, rate, prompt and output tokens of "
+			       "a part of the run; may be repeated");
 	args->key = arg_str0(NULL, "api-key", "KEY", "API key");
 	args->model = arg_str0(NULL, "model", "NAME", "model to ask for");
 	args->lookup = arg_str0(NULL, "lookup-path", "PATH", "of lookups");
@@ -196,7 +235,8 @@
 			  args.prompt,	 args.output_tokens, args.key,
 			  args.model,	 args.lookup,	     args.charge,
 			  args.timeout,	 args.in_flight,     args.output,
-			  args.policy,	 args.help,	     args.end };
+			  args.policy,	 args.phase,	     args.help,
+			  args.end };
 	set_defaults(&args);
 	n_errors = arg_parse(argc, argv, table);
 	*status = EXIT_USAGE;
--- a/bench/load_report.c
+++ b/bench/load_report.c
@@ -47,7 +47,8 @@
 static json_t *stats_to_json(const load_stats_t *stats)
 {
 	return json_pack(
-		"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:f,s:f,s:f,s:f}", "sent",
+		"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:f,s:f,s:f,s:f,s:f}",
+		"sent",
 		(json_int_t)stats->sent, "whole",
 		(json_int_t)stats->verdicts[LOAD_WHOLE], "late",
 		(json_int_t)stats->late, "refused_not_run",
@@ -59,7 +60,8 @@
 		"first_token_p50_ms", quantile_ms(stats->first_us, 0.5),
 		"first_token_p95_ms", quantile_ms(stats->first_us, 0.95),
 		"whole_p50_ms", quantile_ms(stats->whole_us, 0.5),
-		"whole_p95_ms", quantile_ms(stats->whole_us, 0.95));
+		"whole_p95_ms", quantile_ms(stats->whole_us, 0.95),
+		"whole_p99_ms", quantile_ms(stats->whole_us, 0.99));
 }
 
 static void print_json(const load_options_t *options,
--- a/bench/load_run.c
+++ b/bench/load_run.c
@@ -26,6 +26,8 @@
 	struct run *run;
 	load_class_t class;
 	ks_timer_t timer;
+	ks_rng_t gaps;
+	uint32_t count;
 	int64_t due_us;
 };
 
@@ -35,6 +37,8 @@
 	load_stats_t *stats;
 	ks_http_client_t client;
 	ks_rng_t rng;
+	ks_rng_t places;
+	int64_t start_us;
 	ks_timer_t end;
 	struct arrivals arrivals[LOAD_N_CLASSES];
 	ks_list_t requests;
@@ -81,18 +85,41 @@
 	}
 }
 
+/* The mix at a time of the run; the last phase has no end. */
+static load_phase_t phase_at(const struct run *run, int64_t at_us)
+{
+	const load_options_t *options = run->options;
+	double at_s = (double)(at_us - run->start_us) / KS_USEC_PER_SEC;
+	load_phase_t phase = {
+		.rate = options->rates[LOAD_COMPLETION],
+		.prompt_min = options->prompt_min,
+		.prompt_max = options->prompt_max,
+		.output_min = options->output_min,
+		.output_max = options->output_max,
+	};
+
+	for (unsigned i = 0; i < options->n_phases; i++) {
+		phase = options->phases[i];
+		if (at_s < phase.duration_s)
+			break;
+		at_s -= phase.duration_s;
+	}
+	return phase;
+}
+
 static unsigned draw_between(ks_rng_t *rng, unsigned min, unsigned max)
 {
 	return min + ks_rng_below(rng, max - min + 1);
 }
 
 /* Returns the number of the group, or a random one for a prompt of its own. */
-static unsigned draw_prompt(struct run *run, load_request_t *request)
+static unsigned draw_prompt(struct run *run, const load_phase_t *phase,
+			    load_request_t *request)
 {
 	unsigned group = ks_rng_below(&run->rng, N_PREFIXES);
 	const load_options_t *options = run->options;
-	unsigned tokens = draw_between(&run->rng, options->prompt_min,
-				       options->prompt_max);
+	unsigned tokens =
+		draw_between(&run->rng, phase->prompt_min, phase->prompt_max);
 	unsigned shared = 0;
 	ks_rng_t words;
 
@@ -103,8 +130,8 @@
 		ks_rng_deinit(&words);
 	}
 	append_words(request->prompt, &run->rng, tokens - shared);
-	request->max_tokens = draw_between(&run->rng, options->output_min,
-					   options->output_max);
+	request->max_tokens =
+		draw_between(&run->rng, phase->output_min, phase->output_max);
 	return group;
 }
 
@@ -162,7 +189,7 @@
 	case LOAD_PREFIX:
 		return group % n;
 	default:
-		return ks_rng_below(&run->rng, n);
+		return ks_rng_below(&run->places, n);
 	}
 }
 
@@ -204,13 +231,27 @@
 		     (int64_t)(ks_rng_unit(&run->rng) * COPY_DELAY_US));
 }
 
-static void send_new(struct run *run, load_class_t class)
+/*
+ * Every request is drawn from a seed of its own, so that it is the same whatever
+ * the answers to earlier ones were and whenever they came.
+ */
+static void seed_request(struct run *run, struct arrivals *arrivals)
 {
+	uint32_t number = arrivals->count++ * LOAD_N_CLASSES + arrivals->class;
+
+	ks_rng_deinit(&run->rng);
+	ks_rng_init(&run->rng, run->options->seed * 2654435761U + number);
+}
+
+static void send_new(struct run *run, struct arrivals *arrivals, int64_t due_us)
+{
+	load_class_t class = arrivals->class;
 	load_request_t *request = create_request(run, class);
+	load_phase_t phase = phase_at(run, due_us);
 	unsigned group = 0;
 
 	if (class == LOAD_COMPLETION) {
-		group = draw_prompt(run, request);
+		group = draw_prompt(run, &phase, request);
 		snprintf(request->id, sizeof(request->id), "completion");
 	} else if (class == LOAD_LOOKUP) {
 		snprintf(request->id, sizeof(request->id), "b%" PRIu64,
@@ -229,8 +270,10 @@
 static void schedule(struct arrivals *arrivals)
 {
 	struct run *run = arrivals->run;
-	double rate = run->options->rates[arrivals->class];
-	double gap_s = -log(1.0 - ks_rng_unit(&run->rng)) / rate;
+	double rate = arrivals->class == LOAD_COMPLETION
+			      ? phase_at(run, arrivals->due_us).rate
+			      : run->options->rates[arrivals->class];
+	double gap_s = -log(1.0 - ks_rng_unit(&arrivals->gaps)) / rate;
 
 	arrivals->due_us += (int64_t)(gap_s * KS_USEC_PER_SEC);
 	if (arrivals->due_us < run->last_us)
@@ -242,10 +285,12 @@
 {
 	struct arrivals *arrivals = ctx;
 	struct run *run = arrivals->run;
+	int64_t due_us = arrivals->due_us;
 
 	schedule(arrivals);
+	seed_request(run, arrivals);
 	if (run->in_flight < run->options->max_in_flight)
-		send_new(run, arrivals->class);
+		send_new(run, arrivals, due_us);
 	else
 		run->stats[arrivals->class].skipped++;
 }
@@ -269,6 +314,7 @@
 {
 	int64_t now = ks_loop_now(run->loop);
 
+	run->start_us = now;
 	run->last_us =
 		now + (int64_t)(run->options->duration_s * KS_USEC_PER_SEC);
 	ks_timer_init(&run->end, run->loop, on_end, run);
@@ -279,6 +325,7 @@
 		arrivals->run = run;
 		arrivals->class = (load_class_t)i;
 		arrivals->due_us = now;
+		ks_rng_init(&arrivals->gaps, run->options->seed * 31U + (uint32_t)i);
 		ks_timer_init(&arrivals->timer, run->loop, on_arrival,
 			      arrivals);
 		if (run->options->rates[i] > 0)
@@ -299,6 +346,7 @@
 	struct run run = { .loop = loop, .options = options, .stats = stats };
 
 	ks_rng_init(&run.rng, options->seed);
+	ks_rng_init(&run.places, options->seed);
 	ks_http_client_init(&run.client, loop);
 	ks_list_init(&run.requests);
 	start_run(&run);
@@ -314,4 +362,7 @@
 	}
 	ks_http_client_deinit(&run.client);
 	ks_rng_deinit(&run.rng);
+	ks_rng_deinit(&run.places);
+	for (int i = 0; i < LOAD_N_CLASSES; i++)
+		ks_rng_deinit(&run.arrivals[i].gaps);
 }
--- a/packages/process/include/ks/process.h
+++ b/packages/process/include/ks/process.h
@@ -697,6 +697,7 @@
 	unsigned silence_ms;
 	unsigned drain_delay_ms;
 	unsigned subset;
+	char *routing_policy;
 	unsigned lease_ms;
 	double role_change_cost;
 	unsigned role_dwell_ms;
--- a/packages/process/src/entry.c
+++ b/packages/process/src/entry.c
@@ -85,6 +85,10 @@
 	entry->zmq = zmq_ctx_new();
 	entry->metrics = ks_metrics_new();
 	ks_retry_budget_init(&entry->retries, RETRY_RATIO, RETRY_MAX_TOKENS);
+	if (entry->settings->routing_policy)
+		ks_routing_policy_parse(
+			&entry->policy,
+			ks_str_from(entry->settings->routing_policy));
 	ks_list_init(&entry->requests);
 	ks_timer_init(&entry->stop_timer, entry->loop, on_stop_timer, entry);
 	ks_timer_init(&entry->sweep_timer, entry->loop, entry_request_sweep,
--- a/packages/process/src/entry.h
+++ b/packages/process/src/entry.h
@@ -66,6 +66,10 @@
 	uint64_t output_tokens;
 	double prefill_us;
 	double decode_us;
+	unsigned prefill_samples;
+	unsigned decode_samples;
+	int64_t prefill_since_us;
+	int64_t prefill_until_us;
 	ks_ejection_t ejection;
 	ks_prefix_belief_t *belief;
 	bool host_leaving;
@@ -77,7 +81,7 @@
 /**
  * struct entry_group - the upstreams of one model or service
  * @members: struct entry_upstream * that are not withdrawn
- * @mean_output: tokens that an answer has had on average
+ * @output_share: tokens of an answer over those asked for, on average
  * @mean_service_us: time that an answer has taken on average
  */
 struct entry_group {
@@ -87,9 +91,10 @@
 	GPtrArray *members;
 	ks_admission_t *admission;
 	unsigned queued;
+	unsigned turn;
 	ks_timer_t pump;
 	bool pumping;
-	double mean_output;
+	double output_share;
 	double mean_service_us;
 };
 
@@ -105,7 +110,8 @@
  * struct entry_attempt - one attempt, from sending to its last event
  * @request: NULL once the request wants no more of it
  * @tokens: events with a token that arrived
- * @alone: nothing else was in flight when it was sent
+ * @ahead_tokens: prompt tokens to be prefilled before its own
+ * @had_place: the batch had room when it was sent
  */
 struct entry_attempt {
 	ks_list_t node;
@@ -115,10 +121,11 @@
 	uint64_t prompt_tokens;
 	uint64_t output_tokens;
 	uint32_t uncached_tokens;
+	uint64_t ahead_tokens;
 	int64_t sent_us;
 	int64_t last_token_us;
 	unsigned tokens;
-	bool alone;
+	bool had_place;
 };
 
 /**
@@ -229,6 +236,7 @@
 	ks_config_t *config;
 	ks_ledger_t *ledger;
 	ks_retry_budget_t retries;
+	ks_routing_policy_t policy;
 	GHashTable *groups;
 	ks_list_t upstreams;
 	ks_list_t requests;
@@ -282,11 +290,26 @@
 bool entry_group_is_served(const struct entry_group *group);
 struct entry_upstream *entry_group_choose(struct entry_group *group,
 					  struct entry_request *request);
-double entry_group_work(const struct entry_group *group,
-			const struct entry_request *request);
+void entry_group_fill_ticket(const struct entry_group *group,
+			     const struct entry_request *request,
+			     ks_ticket_t *ticket);
 void entry_group_update_capacity(struct entry_group *group);
 void entry_group_pump(struct entry_group *group);
 
+/* entry_capacity.c */
+uint64_t entry_capacity_queued_prompt(const struct entry_upstream *upstream);
+void entry_capacity_note_first(const struct entry_attempt *attempt,
+			       int64_t now);
+void entry_capacity_note_step(const struct entry_attempt *attempt, int64_t now);
+double entry_capacity_wait(const struct entry_upstream *upstream,
+			   const struct entry_request *request, int64_t now);
+double entry_capacity_own_us(const struct entry_upstream *upstream,
+			     const struct entry_request *request, int64_t now);
+double entry_capacity_gate(void *ctx, const ks_ticket_t *ticket);
+void entry_capacity_fill_ticket(const struct entry_group *group,
+				const struct entry_request *request,
+				ks_ticket_t *ticket);
+
 /* entry_read.c */
 bool entry_read_request(struct entry_request *request, bool chat,
 			GError **error);
--- a/packages/process/src/entry_attempt.c
+++ b/packages/process/src/entry_attempt.c
@@ -85,24 +85,18 @@
 {
 	struct entry_attempt *attempt = request->attempt;
 	int64_t now = ks_loop_now(request->entry->loop);
-	struct entry_upstream *upstream;
 
 	if (!attempt)
 		return;
-	upstream = attempt->upstream;
 	take_output(attempt, 1);
 	if (attempt->tokens++ == 0) {
+		entry_capacity_note_first(attempt, now);
 		take_prompt(attempt);
-		if (attempt->alone && attempt->uncached_tokens)
-			average(&upstream->prefill_us,
-				(double)(now - attempt->sent_us) /
-					attempt->uncached_tokens);
 		if (!request->stream.delivered)
 			ks_histogram_record(request->class->first_token,
 					    now - request->start_us);
 	} else {
-		average(&upstream->decode_us,
-			(double)(now - attempt->last_token_us));
+		entry_capacity_note_step(attempt, now);
 		ks_histogram_record(request->class->between_tokens,
 				    now - attempt->last_token_us);
 	}
@@ -327,9 +321,10 @@
 	judge_upstream(upstream, kind, request->status);
 	if (kind == KS_ERROR_NONE) {
 		average(&upstream->group->mean_service_us, (double)took);
-		if (request->output_tokens)
-			average(&upstream->group->mean_output,
-				request->output_tokens);
+		if (request->output_tokens && request->completion.max_tokens)
+			average(&upstream->group->output_share,
+				(double)request->output_tokens /
+					request->completion.max_tokens);
 		if (request->streaming)
 			entry_stream_finish(request);
 		else
--- /dev/null
+++ b/packages/process/src/entry_capacity.c
@@ -0,0 +1,253 @@
+/*
+ * What an engine can still take. Prefill is serial: an engine does one prompt
+ * after the other. Decoding is shared: a step serves the whole batch. So a
+ * prompt delays everything under way by its prefill, and an answer hardly
+ * delays anything.
+ */
+#include "entry.h"
+
+#include <math.h>
+
+/*
+ * Share of the time left that a forecast may use. The rest covers what other
+ * entries have sent since the last load report, and errors of the estimates.
+ */
+#define DEADLINE_SHARE 0.9
+
+/* Shorter prompts say more of the network and the step than of prefill. */
+#define MIN_PREFILL_SAMPLE 512
+/* Rates may move by this factor with one sample; the rest is taken as noise. */
+#define MAX_SAMPLE_RATIO 4.0
+#define PREFILL_GAIN 0.2
+#define DECODE_GAIN 0.1
+
+/* The first samples count more, as the initial rates are only guesses. */
+static void learn(double *mean, unsigned *samples, double value, double gain)
+{
+	gain = MAX(gain, 1.0 / (1.0 + (*samples)++));
+	value = CLAMP(value, *mean / MAX_SAMPLE_RATIO,
+		      *mean * MAX_SAMPLE_RATIO);
+	*mean += gain * (value - *mean);
+}
+
+/**
+ * entry_capacity_queued_prompt() - prompt tokens that wait for prefill there
+ */
+uint64_t entry_capacity_queued_prompt(const struct entry_upstream *upstream)
+{
+	return MAX(upstream->prompt_tokens,
+		   ks_link_client_load(upstream->link)->prompt_tokens_pending);
+}
+
+/**
+ * entry_capacity_note_first() - the first token of an attempt has arrived
+ *
+ * Called before its prompt is taken off the upstream's count. The time since
+ * it was sent was spent on the prompts ahead of it and its own.
+ */
+void entry_capacity_note_first(const struct entry_attempt *attempt, int64_t now)
+{
+	struct entry_upstream *upstream = attempt->upstream;
+	uint64_t tokens = attempt->ahead_tokens + attempt->uncached_tokens;
+
+	upstream->prefill_since_us = now;
+	upstream->prefill_until_us = now;
+	if (attempt->had_place && tokens >= MIN_PREFILL_SAMPLE)
+		learn(&upstream->prefill_us, &upstream->prefill_samples,
+		      (double)(now - attempt->sent_us) / (double)tokens,
+		      PREFILL_GAIN);
+}
+
+/**
+ * entry_capacity_note_step() - a further token of an attempt has arrived
+ *
+ * A step during which a prompt was prefilled tells nothing about decoding: it
+ * may be forty times as long. Taken as the time of a token, it once made
+ * admission refuse most long answers after a time of long prompts.
+ */
+void entry_capacity_note_step(const struct entry_attempt *attempt, int64_t now)
+{
+	struct entry_upstream *upstream = attempt->upstream;
+
+	if (entry_capacity_queued_prompt(upstream) > 0)
+		upstream->prefill_until_us = now;
+	else if (attempt->last_token_us > upstream->prefill_until_us)
+		learn(&upstream->decode_us, &upstream->decode_samples,
+		      (double)(now - attempt->last_token_us), DECODE_GAIN);
+}
+
+/* Time to prefill what is queued, less what has been done of the first one. */
+static double queued_prefill_us(const struct entry_upstream *upstream,
+				int64_t now)
+{
+	double queued = (double)entry_capacity_queued_prompt(upstream) *
+			upstream->prefill_us;
+	double done = (double)(now - upstream->prefill_since_us);
+
+	KS_LIST_FOREACH (it, &upstream->attempts) {
+		const struct entry_attempt *attempt =
+			KS_CONTAINER_OF(it, struct entry_attempt, node);
+		double own = (double)attempt->prompt_tokens *
+			     upstream->prefill_us;
+
+		if (attempt->prompt_tokens)
+			return queued - MIN(done, own);
+	}
+	return queued;
+}
+
+static double output_us(const struct entry_upstream *upstream, double tokens)
+{
+	return tokens * upstream->group->output_share * upstream->decode_us;
+}
+
+static double uncached_prefill_us(const struct entry_upstream *upstream,
+				  const struct entry_request *request,
+				  int64_t now)
+{
+	const GArray *hashes = request->completion.prefix_hashes;
+	uint32_t prompt = request->completion.prompt_tokens;
+	uint32_t cached = 0;
+
+	if (hashes && hashes->len)
+		cached = ks_prefix_belief_tokens(
+			upstream->belief,
+			(const uint64_t *)(const void *)hashes->data,
+			hashes->len, now);
+	return (double)(prompt - MIN(cached, prompt)) * upstream->prefill_us;
+}
+
+/**
+ * entry_capacity_wait() - time until a request delays no other beyond its
+ * deadline at an upstream, and has a place in the batch
+ *
+ * What is under way ends when all queued prompts are prefilled and its output
+ * is decoded. A prompt added now puts that off by its own prefill. Requests
+ * that are late already are not considered.
+ *
+ * Return: microseconds.
+ */
+double entry_capacity_wait(const struct entry_upstream *upstream,
+			   const struct entry_request *request, int64_t now)
+{
+	const ks_load_t *load = ks_link_client_load(upstream->link);
+	uint32_t in_flight = MAX(upstream->in_flight, load->in_flight);
+	uint32_t limit = load->limit ? load->limit : MAX(upstream->limit, 1);
+	double queued = queued_prefill_us(upstream, now);
+	double own = uncached_prefill_us(upstream, request, now);
+	double wait = 0, place = queued;
+	bool first = true;
+
+	KS_LIST_FOREACH (it, &upstream->attempts) {
+		const struct entry_attempt *attempt =
+			KS_CONTAINER_OF(it, struct entry_attempt, node);
+		double end = queued + output_us(upstream,
+						(double)attempt->output_tokens);
+		double left;
+
+		if (!attempt->request)
+			continue;
+		left = DEADLINE_SHARE *
+		       (double)(attempt->request->deadline_us - now);
+		if (end <= left && end + own > left)
+			wait = MAX(wait, end);
+		if (first || end < place)
+			place = end;
+		first = false;
+	}
+	return in_flight >= limit ? MAX(wait, place) : wait;
+}
+
+/**
+ * entry_capacity_own_us() - time that a request takes at an upstream when it is
+ * the only one there
+ */
+double entry_capacity_own_us(const struct entry_upstream *upstream,
+			     const struct entry_request *request, int64_t now)
+{
+	return uncached_prefill_us(upstream, request, now) +
+	       output_us(upstream, request->completion.max_tokens);
+}
+
+/* Time until the request could be sent there; INFINITY when it would be late.
+ */
+static double usable_after(const struct entry_upstream *upstream,
+			   const struct entry_request *request, int64_t now)
+{
+	double wait = entry_capacity_wait(upstream, request, now);
+	double queued = queued_prefill_us(upstream, now);
+	double own = entry_capacity_own_us(upstream, request, now);
+	double left = (double)(request->deadline_us - now);
+
+	if (MAX(wait, queued) + own > DEADLINE_SHARE * left)
+		return INFINITY;
+	return wait;
+}
+
+/**
+ * entry_capacity_gate() - the gate of a model's admission
+ * @ctx: the group
+ */
+double entry_capacity_gate(void *ctx, const ks_ticket_t *ticket)
+{
+	const struct entry_group *group = ctx;
+	const struct entry_request *request = ticket->ctx;
+	int64_t now = ks_loop_now(group->entry->loop);
+	double least = INFINITY;
+	bool any = false;
+
+	for (unsigned i = 0; i < group->members->len; i++) {
+		const struct entry_upstream *upstream =
+			g_ptr_array_index(group->members, i);
+		double wait;
+
+		if (!entry_upstream_is_usable(upstream))
+			continue;
+		any = true;
+		wait = usable_after(upstream, request, now);
+		least = MIN(least, wait);
+	}
+	/* Without any upstream the dispatch finds the true error. */
+	return any ? least : 0;
+}
+
+/**
+ * entry_capacity_fill_ticket() - expected work of a completion
+ *
+ * The work is that at the best upstream. The cost counts prefill in full and
+ * decoding divided by the places in the batch.
+ */
+void entry_capacity_fill_ticket(const struct entry_group *group,
+				const struct entry_request *request,
+				ks_ticket_t *ticket)
+{
+	int64_t now = ks_loop_now(group->entry->loop);
+	double best = INFINITY;
+	unsigned usable = 0;
+
+	for (unsigned i = 0; i < group->members->len; i++) {
+		const struct entry_upstream *upstream =
+			g_ptr_array_index(group->members, i);
+		const ks_load_t *load = ks_link_client_load(upstream->link);
+		double own, prefill;
+
+		if (!entry_upstream_is_usable(upstream))
+			continue;
+		usable++;
+		own = entry_capacity_own_us(upstream, request, now);
+		if (own >= best)
+			continue;
+		best = own;
+		prefill = uncached_prefill_us(upstream, request, now);
+		ticket->work_us = own;
+		ticket->cost_us = prefill + (own - prefill) /
+						    MAX(load->limit, 1);
+	}
+	ks_admission_set_servers(group->admission, usable);
+	if (usable)
+		return;
+	ticket->work_us =
+		request->completion.prompt_tokens * ENTRY_PREFILL_US +
+		request->completion.max_tokens * ENTRY_DECODE_US;
+	ticket->cost_us = ticket->work_us;
+}
--- a/packages/process/src/entry_group.c
+++ b/packages/process/src/entry_group.c
@@ -3,7 +3,6 @@
 
 /* Assumed until answers have been measured. */
 #define SERVICE_US 10000.0
-#define OUTPUT_TOKENS 256.0
 /* One-way delay to another failure domain; the deployments have about 1 ms. */
 #define OTHER_DOMAIN_US 1000
 /* While requests queue, capacity and deadlines are looked at this often. */
@@ -49,7 +48,10 @@
 	group->is_model = is_model;
 	group->members = g_ptr_array_new();
 	group->admission = ks_admission_new();
-	group->mean_output = OUTPUT_TOKENS;
+	group->output_share = 1.0;
+	if (is_model)
+		ks_admission_set_gate(group->admission, entry_capacity_gate,
+				      group);
 	group->mean_service_us = SERVICE_US;
 	ks_timer_init(&group->pump, entry->loop, on_pump, group);
 	g_hash_table_insert(entry->groups, group_key(is_model, name), group);
@@ -157,6 +159,10 @@
 			      (request->stream.delivered && !upstream->resumes);
 	candidate->same_domain_failed =
 		contains(request->failed_domains, upstream->domain);
+	candidate->delays_others =
+		request->is_completion &&
+		entry_capacity_wait(upstream, request,
+				    ks_loop_now(entry->loop)) > 0;
 }
 
 /* At most half of a group is ejected, so that it is never without upstreams. */
@@ -180,7 +186,14 @@
 	g_free(out);
 }
 
-static int choose_index(const struct entry_group *group,
+static uint64_t first_prefix(const struct entry_request *request)
+{
+	const GArray *hashes = request->completion.prefix_hashes;
+
+	return hashes && hashes->len ? g_array_index(hashes, uint64_t, 0) : 0;
+}
+
+static int choose_index(struct entry_group *group,
 			const struct entry_request *request, bool repeat)
 {
 	ks_entry_t *entry = group->entry;
@@ -197,7 +210,13 @@
 		fill_candidate(g_ptr_array_index(group->members, i), request,
 			       repeat, &candidates[i]);
 	exclude_ejected(group, candidates);
-	choice = ks_route_choose(&wanted, candidates, count, &entry->rng);
+	if (entry->policy == KS_ROUTING_EXPECTED_FINISH)
+		choice = ks_route_choose(&wanted, candidates, count,
+					 &entry->rng);
+	else
+		choice.index = ks_route_choose_simply(
+			entry->policy, candidates, count, group->turn++,
+			first_prefix(request));
 	g_free(candidates);
 	return choice.index;
 }
@@ -222,28 +241,16 @@
 }
 
 /**
- * entry_group_work() - time an upstream is expected to spend on a request
- *
- * Return: microseconds.
+ * entry_group_fill_ticket() - what admission is to know of a request's work
  */
-double entry_group_work(const struct entry_group *group,
-			const struct entry_request *request)
+void entry_group_fill_ticket(const struct entry_group *group,
+			     const struct entry_request *request,
+			     ks_ticket_t *ticket)
 {
-	double prefill = ENTRY_PREFILL_US;
-	double decode = ENTRY_DECODE_US;
-	double output;
-
-	if (!group->is_model)
-		return group->mean_service_us;
-	if (group->members->len) {
-		const struct entry_upstream *upstream =
-			g_ptr_array_index(group->members, 0);
-
-		prefill = upstream->prefill_us;
-		decode = upstream->decode_us;
-	}
-	output = MIN(request->completion.max_tokens, group->mean_output);
-	return request->completion.prompt_tokens * prefill + output * decode;
+	if (group->is_model)
+		entry_capacity_fill_ticket(group, request, ticket);
+	else
+		ticket->work_us = group->mean_service_us;
 }
 
 /* Places left for this entry once the other entries' requests are counted. */
--- a/packages/process/src/entry_request.c
+++ b/packages/process/src/entry_request.c
@@ -340,11 +340,15 @@
 	int64_t retry_after_us = 0;
 
 	ticket->tenant = request->tenant->name;
-	ticket->work_us = entry_group_work(group, request);
 	ticket->deadline_us = request->deadline_us;
 	ticket->priority = request->priority;
 	ticket->ctx = request;
+	entry_group_fill_ticket(group, request, ticket);
 	ks_list_init(&ticket->node);
+	if (request->entry->policy != KS_ROUTING_EXPECTED_FINISH) {
+		entry_request_admitted(request);
+		return;
+	}
 	entry_group_update_capacity(group);
 	switch (ks_admission_arrive(group->admission, ticket,
 				    ks_loop_now(request->entry->loop),
--- a/packages/process/src/entry_send.c
+++ b/packages/process/src/entry_send.c
@@ -12,7 +12,10 @@
 	attempt->request = request;
 	attempt->upstream = upstream;
 	attempt->sent_us = ks_loop_now(request->entry->loop);
-	attempt->alone = upstream->in_flight == 0;
+	attempt->ahead_tokens = entry_capacity_queued_prompt(upstream);
+	attempt->had_place = upstream->in_flight < upstream->limit;
+	if (!attempt->ahead_tokens)
+		upstream->prefill_since_us = attempt->sent_us;
 	ks_ejection_dispatch(&upstream->ejection, attempt->sent_us);
 	if (hashes && hashes->len) {
 		const uint64_t *data =
--- a/packages/process/src/settings.c
+++ b/packages/process/src/settings.c
@@ -97,6 +97,7 @@
 	UINT(ks_settings_t, silence_ms),
 	UINT(ks_settings_t, drain_delay_ms),
 	UINT(ks_settings_t, subset),
+	STRING(ks_settings_t, routing_policy, CYAML_FLAG_OPTIONAL),
 	UINT(ks_settings_t, lease_ms),
 	CYAML_FIELD_FLOAT("role_change_cost", CYAML_FLAG_OPTIONAL,
 			  ks_settings_t, role_change_cost),
--- a/packages/process/src/settings_check.c
+++ b/packages/process/src/settings_check.c
@@ -310,6 +310,19 @@
 			     &endpoint);
 }
 
+static bool check_policy(ks_settings_document_t *doc,
+			 const ks_settings_t *settings)
+{
+	const char *name = settings->routing_policy;
+	ks_routing_policy_t policy;
+
+	return !name || ks_routing_policy_parse(&policy, ks_str_from(name)) ||
+	       ks_settings_fail(doc, line(doc, "routing_policy"),
+				"routing_policy: expected expected_finish, "
+				"round_robin, least_connections or "
+				"prefix_affinity");
+}
+
 static bool check_times(ks_settings_document_t *doc,
 			const ks_settings_t *settings)
 {
@@ -348,7 +361,7 @@
 	       check_address(doc, "platform", settings->platform, false,
 			     &platform) &&
 	       check_ranges(doc, settings) && check_times(doc, settings) &&
-	       check_levels(doc, settings) &&
+	       check_levels(doc, settings) && check_policy(doc, settings) &&
 	       check_token(doc, settings->platform_token) &&
 	       check_key_formats(doc, settings) &&
 	       check_link(doc, settings, is_entry, &listen) &&
--- a/packages/process/tests/entry-doubles.h
+++ b/packages/process/tests/entry-doubles.h
@@ -418,6 +418,24 @@
 	return choice;
 }
 
+DOUBLE int ks_route_choose_simply(ks_routing_policy_t policy,
+				  const ks_candidate_t *candidates,
+				  size_t n_candidates, unsigned turn,
+				  uint64_t prefix)
+{
+	(void)policy;
+	(void)turn;
+	(void)prefix;
+	return ks_route_choose(NULL, candidates, n_candidates, NULL).index;
+}
+
+DOUBLE bool ks_routing_policy_parse(ks_routing_policy_t *policy, ks_str_t name)
+{
+	(void)policy;
+	(void)name;
+	return true;
+}
+
 struct ks_admission {
 	ks_list_t queue;
 	double capacity;
@@ -446,6 +464,20 @@
 	admission->capacity = concurrency;
 }
 
+DOUBLE void ks_admission_set_gate(ks_admission_t *admission,
+				  ks_admission_gate_func_t gate, void *ctx)
+{
+	(void)admission;
+	(void)gate;
+	(void)ctx;
+}
+
+DOUBLE void ks_admission_set_servers(ks_admission_t *admission, double servers)
+{
+	(void)admission;
+	(void)servers;
+}
+
 DOUBLE void ks_admission_set_weight(ks_admission_t *admission,
 				    const char *tenant, double weight)
 {
--- a/packages/process/tests/test-settings.c
+++ b/packages/process/tests/test-settings.c
@@ -46,6 +46,7 @@
 	g_assert_cmpuint(settings->heartbeat_ms, ==, 1000);
 	g_assert_cmpuint(settings->silence_ms, ==, 3000);
 	g_assert_cmpuint(settings->drain_delay_ms, ==, 0);
+	g_assert_null(settings->routing_policy);
 	g_assert_cmpfloat(settings->role_change_cost, ==, 1);
 	g_assert_cmpfloat(settings->tenants[0].weight, ==, 1);
 	g_assert_cmpuint(settings->routes[0].timeout_ms, ==, 10000);
@@ -143,6 +144,8 @@
 	  "s.yaml:7:", "expected an integer" },
 	{ PLAIN_ENTRY "poll_ms: 0\n", "s.yaml:7:", "expected 10 to 60000" },
 	{ PLAIN_ENTRY "subset: 0\n", "s.yaml:7:", "expected 1 to" },
+	{ PLAIN_ENTRY "routing_policy: random\n", "s.yaml:7:",
+	  "expected expected_finish" },
 	{ PLAIN_ENTRY "role_change_cost: 0\n", "s.yaml:7:", "more than 0" },
 	{ PLAIN_ENTRY "role_change_cost: much\n",
 	  "s.yaml:7:", "expected a number" },
--- a/packages/request/include/ks/request.h
+++ b/packages/request/include/ks/request.h
@@ -70,6 +70,7 @@
  * @cached_tokens: tokens of this prompt believed to be in the prefix cache
  * @excluded: already tried, ejected, leaving or changing
  * @same_domain_failed: shares its failure domain with an attempt that failed
+ * @delays_others: requests under way there would miss their deadlines
  */
 typedef struct ks_candidate {
 	ks_str_t id;
@@ -81,6 +82,7 @@
 	uint32_t cached_tokens;
 	bool excluded;
 	bool same_domain_failed;
+	bool delays_others;
 	double prefill_us_per_token;
 	double decode_us_per_token;
 } ks_candidate_t;
@@ -108,6 +110,27 @@
 				  const ks_candidate_t *candidates,
 				  size_t n_candidates, ks_rng_t *rng);
 
+/* route_policy.c */
+
+/**
+ * enum ks_routing_policy - how an upstream is chosen
+ * @KS_ROUTING_EXPECTED_FINISH: ks_route_choose(), with admission by deadline
+ *
+ * The others are for comparison and go without admission.
+ */
+typedef enum ks_routing_policy {
+	KS_ROUTING_EXPECTED_FINISH,
+	KS_ROUTING_ROUND_ROBIN,
+	KS_ROUTING_LEAST_CONNECTIONS,
+	KS_ROUTING_PREFIX_AFFINITY,
+	KS_ROUTING_N_POLICIES
+} ks_routing_policy_t;
+
+bool ks_routing_policy_parse(ks_routing_policy_t *policy, ks_str_t name);
+int ks_route_choose_simply(ks_routing_policy_t policy,
+			   const ks_candidate_t *candidates,
+			   size_t n_candidates, unsigned turn, uint64_t prefix);
+
 /* admission.c */
 
 typedef struct ks_admission ks_admission_t;
@@ -125,16 +148,19 @@
  * struct ks_ticket - a request's place in admission, on memory of its owner
  * @tenant: terminated; valid until ks_admission_leave()
  * @work_us: expected time between admission and the end of the answer
+ * @cost_us: share of an upstream's time that this takes, by which tenants share
+ *	and the backlog is measured; 0 stands for @work_us
  * @deadline_us: on the monotonic clock
  * @priority: class; 0 is served first
  * @ctx: of the owner
  * @admitted: has started and not left
  *
- * The owner sets the first five members; the others belong to admission.
+ * The owner sets the members up to @ctx; the others belong to admission.
  */
 typedef struct ks_ticket {
 	const char *tenant;
 	double work_us;
+	double cost_us;
 	int64_t deadline_us;
 	unsigned priority;
 	void *ctx;
@@ -147,9 +173,22 @@
 	ks_list_t node;
 } ks_ticket_t;
 
+/**
+ * ks_admission_gate_func_t - time until an upstream can take a request so that
+ * neither it nor those under way there miss their deadlines
+ *
+ * Return: microseconds; 0 when one can take it now, INFINITY when none ever
+ * will.
+ */
+typedef double (*ks_admission_gate_func_t)(void *ctx,
+					   const ks_ticket_t *ticket);
+
 ks_admission_t *ks_admission_new(void);
 void ks_admission_free(ks_admission_t *admission);
 void ks_admission_set_capacity(ks_admission_t *admission, double concurrency);
+void ks_admission_set_gate(ks_admission_t *admission,
+			   ks_admission_gate_func_t gate, void *ctx);
+void ks_admission_set_servers(ks_admission_t *admission, double servers);
 void ks_admission_set_weight(ks_admission_t *admission, const char *tenant,
 			     double weight);
 ks_admission_verdict_t ks_admission_arrive(ks_admission_t *admission,
--- a/packages/request/src/admission.c
+++ b/packages/request/src/admission.c
@@ -61,6 +61,7 @@
 			    deadline_place);
 	ks_list_init(&admission->missed);
 	admission->capacity = 1.0;
+	admission->servers = 1.0;
 	admission->scale = 1.0;
 	ks_limit_init(&admission->limit, MAX_SLOTS, 1.0, MAX_SLOTS);
 	admission->reduced_us = INT64_MIN;
@@ -92,6 +93,29 @@
 	admission->capacity = MAX(concurrency, 0.0);
 }
 
+/**
+ * ks_admission_set_gate() - let the owner's forecast decide what may start
+ *
+ * The forecast then replaces the learned ratio of real to expected work: it
+ * knows prefill, which an upstream does one prompt after the other, from
+ * decoding, which it does for many requests at once.
+ */
+void ks_admission_set_gate(ks_admission_t *admission,
+			   ks_admission_gate_func_t gate, void *ctx)
+{
+	admission->gate = gate;
+	admission->gate_ctx = ctx;
+}
+
+/**
+ * ks_admission_set_servers() - set the number of upstreams behind a gate
+ * @servers: the backlog of tickets' @cost_us is worked off by this many
+ */
+void ks_admission_set_servers(ks_admission_t *admission, double servers)
+{
+	admission->servers = MAX(servers, 1.0);
+}
+
 static struct tenant *find_tenant(ks_admission_t *admission, const char *name)
 {
 	struct tenant *tenant = g_hash_table_lookup(admission->tenants, name);
@@ -132,6 +156,15 @@
 	return admission->running - admission->classes[0].running + 1.0 <= low;
 }
 
+/* With nothing under way no forecast is trusted; see can_finish(). */
+static double gate_wait(const ks_admission_t *admission,
+			const ks_ticket_t *ticket)
+{
+	if (!admission->gate || admission->running < 1.0)
+		return 0.0;
+	return admission->gate(admission->gate_ctx, ticket);
+}
+
 static void start(ks_admission_t *admission, ks_ticket_t *ticket,
 		  int64_t now_us)
 {
@@ -141,10 +174,10 @@
 	class->virtual_time = MAX(class->virtual_time, ticket->finish_tag);
 	class->given = MAX(class->given, admission->class_time);
 	admission->class_time = class->given;
-	class->given += ticket->work_us / class->weight;
+	class->given += ks_admission_cost(ticket) / class->weight;
 	admission->running += 1.0;
 	class->running += 1.0;
-	class->running_us += ticket->work_us;
+	class->running_us += ks_admission_cost(ticket);
 	ticket->admitted = true;
 	ticket->admitted_us = now_us;
 }
@@ -157,7 +190,7 @@
 
 	if (tenant->queued[i]++ == 0)
 		class->weights += tenant->weight;
-	class->queued_us += ticket->work_us;
+	class->queued_us += ks_admission_cost(ticket);
 	ks_ticket_heap_push(&class->queue, ticket);
 	ks_ticket_heap_push(&admission->deadlines, ticket);
 	ticket->queued = true;
@@ -171,7 +204,7 @@
 
 	ks_ticket_heap_remove(&class->queue, ticket);
 	ks_ticket_heap_remove(&admission->deadlines, ticket);
-	class->queued_us -= ticket->work_us;
+	class->queued_us -= ks_admission_cost(ticket);
 	if (--tenant->queued[i] == 0)
 		class->weights -= tenant->weight;
 	if (!ks_ticket_heap_first(&class->queue)) {
@@ -187,7 +220,7 @@
 		       const ks_ticket_t *ticket)
 {
 	return MAX(tenant->last_tag[i], class->virtual_time) +
-	       ticket->work_us / tenant->weight;
+	       ks_admission_cost(ticket) / tenant->weight;
 }
 
 /*
@@ -203,7 +236,7 @@
 
 	if (admission->running < 1.0)
 		return left > 0;
-	return wait_us + ticket->work_us * admission->scale <=
+	return wait_us + ticket->work_us * ks_admission_scale(admission) <=
 	       share * (double)left;
 }
 
@@ -226,7 +259,7 @@
 	unsigned i = ks_admission_class(ticket);
 	struct service_class *class = &admission->classes[i];
 	bool at_once;
-	double wait = 0.0;
+	double wait = 0.0, gate;
 
 	ticket->queued = false;
 	ticket->admitted = false;
@@ -234,10 +267,12 @@
 	if (i == 0)
 		admission->class0_seen_us = now_us;
 	ticket->finish_tag = next_tag(tenant, class, i, ticket);
-	at_once = has_room(admission, i, now_us) &&
+	gate = gate_wait(admission, ticket);
+	at_once = gate <= 0.0 && has_room(admission, i, now_us) &&
 		  !ks_ticket_heap_first(&class->queue);
 	if (!at_once)
-		wait = ks_admission_wait(admission, ticket, tenant, now_us);
+		wait = gate +
+		       ks_admission_wait(admission, ticket, tenant, now_us);
 	if (!can_finish(admission, ticket, wait, DEADLINE_SHARE, now_us)) {
 		*retry_after_us = ks_admission_retry_after(admission);
 		return KS_ADMIT_REFUSE;
@@ -305,7 +340,7 @@
 	learn_limit(admission, ticket, now_us);
 	admission->running -= 1.0;
 	class->running -= 1.0;
-	class->running_us -= ticket->work_us;
+	class->running_us -= ks_admission_cost(ticket);
 	if (class->running < 1.0)
 		class->running_us = 0.0; /* no sum of rounding errors */
 }
@@ -320,7 +355,9 @@
 		struct service_class *class = &admission->classes[i];
 
 		if (!ks_ticket_heap_first(&class->queue) ||
-		    !has_room(admission, i, now_us))
+		    !has_room(admission, i, now_us) ||
+		    gate_wait(admission, ks_ticket_heap_first(&class->queue)) >
+			    0.0)
 			continue;
 		class->given = MAX(class->given, admission->class_time);
 		if (!next || class->given < next->given)
--- a/packages/request/src/admission.h
+++ b/packages/request/src/admission.h
@@ -73,6 +73,9 @@
 	ks_ticket_heap_t deadlines;
 	ks_list_t missed;
 	double capacity;
+	double servers;
+	ks_admission_gate_func_t gate;
+	void *gate_ctx;
 	ks_limit_t limit;
 	double miss_share;
 	int64_t reduced_us;
@@ -87,6 +90,12 @@
 	return MIN(ticket->priority, N_CLASSES - 1);
 }
 
+static inline double ks_admission_cost(const ks_ticket_t *ticket)
+{
+	return ticket->cost_us > 0 ? ticket->cost_us : ticket->work_us;
+}
+
+double ks_admission_scale(const ks_admission_t *admission);
 double ks_admission_slots(const ks_admission_t *admission);
 double ks_admission_reserved(const ks_admission_t *admission, int64_t now_us);
 double ks_admission_wait(const ks_admission_t *admission,
--- a/packages/request/src/admission_wait.c
+++ b/packages/request/src/admission_wait.c
@@ -11,6 +11,22 @@
 	return MIN(admission->capacity, admission->limit.value);
 }
 
+/**
+ * ks_admission_scale() - real time over expected time
+ */
+double ks_admission_scale(const ks_admission_t *admission)
+{
+	return admission->gate ? 1.0 : admission->scale;
+}
+
+/* Tickets worked on at once, each taking its cost. */
+static double servers(const ks_admission_t *admission)
+{
+	if (admission->gate)
+		return admission->servers;
+	return MAX(ks_admission_slots(admission), 1.0);
+}
+
 /**
  * ks_admission_reserved() - slots that only class 0 may use now
  */
@@ -67,22 +83,27 @@
 			 int64_t now_us)
 {
 	const struct service_class *first = &admission->classes[0];
-	double slots = MAX(ks_admission_slots(admission), 1.0);
 	double reserved = ks_admission_reserved(admission, now_us);
 	double wait;
 
+	/* The gate tells when an upstream is free; this is the queue ahead. */
+	if (admission->gate)
+		return MIN(fair_work_ahead(admission, ticket, tenant) -
+				   ks_admission_cost(ticket),
+			   backlog_us(admission)) /
+		       servers(admission);
 	/* A slot comes free after the mean running work over the slots. */
 	wait = (MIN(fair_work_ahead(admission, ticket, tenant),
-		    backlog_us(admission) + ticket->work_us) +
+		    backlog_us(admission) + ks_admission_cost(ticket)) +
 		running_us(admission) / MAX(admission->running, 1.0)) /
-	       slots;
+	       servers(admission);
 	/* The reserved slots serve class 0 alone, whatever runs beside it. */
 	if (ks_admission_class(ticket) == 0 && reserved >= 1.0)
 		wait = MIN(wait,
 			   (first->queued_us +
 			    first->running_us / MAX(first->running, 1.0)) /
 				   reserved);
-	return wait * admission->scale;
+	return wait * ks_admission_scale(admission);
 }
 
 /**
@@ -90,9 +111,8 @@
  */
 int64_t ks_admission_retry_after(const ks_admission_t *admission)
 {
-	double slots = MAX(ks_admission_slots(admission), 1.0);
 	double left = (running_us(admission) + backlog_us(admission)) *
-		      admission->scale / slots;
+		      ks_admission_scale(admission) / servers(admission);
 
 	return (int64_t)CLAMP(left, (double)RETRY_AFTER_MIN_US,
 			      (double)RETRY_AFTER_MAX_US);
--- a/packages/request/src/route.c
+++ b/packages/request/src/route.c
@@ -15,6 +15,12 @@
  */
 #define REQUEST_US 1000
 
+/*
+ * A decode step takes longer by this share for each further sequence, since
+ * sequences are decoded together (engines differ; the stand-in has 2%).
+ */
+#define STEP_GROWTH 0.02
+
 /* Order of preference; a lower rank is always chosen first. */
 enum rank {
 	RANK_GOOD,
@@ -50,12 +56,11 @@
 	uint32_t cached = MIN(candidate->cached_tokens, request->prompt_tokens);
 	double prefill = (double)candidate->prompt_tokens +
 			 request->prompt_tokens - cached;
-	double slots = MAX(candidate->limit, 1);
 
 	return 2.0 * (double)candidate->domain_distance_us +
 	       prefill * candidate->prefill_us_per_token +
-	       (double)candidate->output_tokens / slots *
-		       candidate->decode_us_per_token +
+	       (double)candidate->in_flight * request->output_tokens *
+		       candidate->decode_us_per_token * STEP_GROWTH +
 	       (double)candidate->in_flight * REQUEST_US +
 	       wait_for_slot(candidate);
 }
@@ -73,7 +78,8 @@
 		option.rank = RANK_OVER_LIMIT;
 	else if (candidate->same_domain_failed)
 		option.rank = RANK_FAILED_DOMAIN;
-	else if (option.finish_us > (double)request->time_left_us)
+	else if (candidate->delays_others ||
+		 option.finish_us > (double)request->time_left_us)
 		option.rank = RANK_LATE;
 	return option;
 }
