--- a/bench/run-mix.sh
+++ b/bench/run-mix.sh
@@ -270,8 +270,9 @@
 		done | xargs printf '%.0f ')"
 }
 
-start_deployment
+start_deployment; test -n "${KEEP:-}" && cp -r "$WORK" "$KEEP" 2>/dev/null
 for workload in $WORKLOADS
 do
 	run "$workload"
 done
+test -n "${KEEP:-}" && cp "$WORK"/entry*.log "$KEEP"; true
--- a/packages/process/src/entry.h
+++ b/packages/process/src/entry.h
@@ -297,7 +297,8 @@
 void entry_group_pump(struct entry_group *group);
 
 /* entry_capacity.c */
-uint64_t entry_capacity_queued_prompt(const struct entry_upstream *upstream);
+uint64_t entry_capacity_queued_prompt(const struct entry_upstream *upstream,
+				      int64_t now);
 void entry_capacity_note_first(const struct entry_attempt *attempt,
 			       int64_t now);
 void entry_capacity_note_step(const struct entry_attempt *attempt, int64_t now);
--- a/packages/process/src/entry_attempt.c
+++ b/packages/process/src/entry_attempt.c
@@ -78,6 +78,21 @@
 		ks_attempt_consume(request->attempt->attempt, len);
 }
 
+/*
+ * An engine looks its cache up when a prompt joins the batch, so prompts that
+ * share a prefix and arrive together are all computed in full.
+ */
+static void note_prefilled(const struct entry_request *request, int64_t now)
+{
+	const GArray *hashes = request->completion.prefix_hashes;
+
+	if (hashes && hashes->len)
+		ks_prefix_belief_add(
+			request->attempt->upstream->belief,
+			(const uint64_t *)(const void *)hashes->data,
+			hashes->len, now);
+}
+
 /**
  * entry_attempt_note_token() - a token of a stream has arrived
  */
@@ -91,6 +106,7 @@
 	take_output(attempt, 1);
 	if (attempt->tokens++ == 0) {
 		entry_capacity_note_first(attempt, now);
+		note_prefilled(request, now);
 		take_prompt(attempt);
 		if (!request->stream.delivered)
 			ks_histogram_record(request->class->first_token,
@@ -119,9 +135,7 @@
 		upstream->belief, (const uint64_t *)(const void *)hashes->data,
 		hashes->len, tokens / KS_PREFIX_BLOCK_TOKENS, now);
 	/* The whole prompt has been prefilled by now. */
-	ks_prefix_belief_add(upstream->belief,
-			     (const uint64_t *)(const void *)hashes->data,
-			     hashes->len, now);
+	note_prefilled(request, now);
 }
 
 static void note_failure(struct entry_request *request,
--- a/packages/process/src/entry_capacity.c
+++ b/packages/process/src/entry_capacity.c
@@ -30,13 +30,35 @@
 	*mean += gain * (value - *mean);
 }
 
+static uint64_t pending_prompt(const struct entry_upstream *upstream)
+{
+	return MAX(upstream->prompt_tokens,
+		   ks_link_client_load(upstream->link)->prompt_tokens_pending);
+}
+
 /**
  * entry_capacity_queued_prompt() - prompt tokens that wait for prefill there
+ *
+ * Return: tokens, less what has been done of the first prompt.
  */
-uint64_t entry_capacity_queued_prompt(const struct entry_upstream *upstream)
+uint64_t entry_capacity_queued_prompt(const struct entry_upstream *upstream,
+				      int64_t now)
 {
-	return MAX(upstream->prompt_tokens,
-		   ks_link_client_load(upstream->link)->prompt_tokens_pending);
+	uint64_t queued = pending_prompt(upstream);
+	double done = (double)(now - upstream->prefill_since_us) /
+		      upstream->prefill_us;
+
+	KS_LIST_FOREACH (it, &upstream->attempts) {
+		const struct entry_attempt *attempt =
+			KS_CONTAINER_OF(it, struct entry_attempt, node);
+
+		if (!attempt->prompt_tokens)
+			continue;
+		if (done > (double)attempt->prompt_tokens)
+			return queued - attempt->prompt_tokens;
+		return queued - (uint64_t)done;
+	}
+	return queued;
 }
 
 /**
@@ -50,6 +72,8 @@
 	struct entry_upstream *upstream = attempt->upstream;
 	uint64_t tokens = attempt->ahead_tokens + attempt->uncached_tokens;
 
+	if (g_getenv("KS_TRACE"))
+		g_printerr("TRACE %s first %.0f ms tokens %lu c %.1f step %.0f\n", upstream->id, (now - attempt->sent_us) / 1000.0, (unsigned long)tokens, upstream->prefill_us, upstream->decode_us);
 	upstream->prefill_since_us = now;
 	upstream->prefill_until_us = now;
 	if (attempt->had_place && tokens >= MIN_PREFILL_SAMPLE)
@@ -69,31 +93,18 @@
 {
 	struct entry_upstream *upstream = attempt->upstream;
 
-	if (entry_capacity_queued_prompt(upstream) > 0)
+	if (pending_prompt(upstream) > 0)
 		upstream->prefill_until_us = now;
 	else if (attempt->last_token_us > upstream->prefill_until_us)
 		learn(&upstream->decode_us, &upstream->decode_samples,
 		      (double)(now - attempt->last_token_us), DECODE_GAIN);
 }
 
-/* Time to prefill what is queued, less what has been done of the first one. */
 static double queued_prefill_us(const struct entry_upstream *upstream,
 				int64_t now)
 {
-	double queued = (double)entry_capacity_queued_prompt(upstream) *
-			upstream->prefill_us;
-	double done = (double)(now - upstream->prefill_since_us);
-
-	KS_LIST_FOREACH (it, &upstream->attempts) {
-		const struct entry_attempt *attempt =
-			KS_CONTAINER_OF(it, struct entry_attempt, node);
-		double own = (double)attempt->prompt_tokens *
-			     upstream->prefill_us;
-
-		if (attempt->prompt_tokens)
-			return queued - MIN(done, own);
-	}
-	return queued;
+	return (double)entry_capacity_queued_prompt(upstream, now) *
+	       upstream->prefill_us;
 }
 
 static double output_us(const struct entry_upstream *upstream, double tokens)
--- a/packages/process/src/entry_send.c
+++ b/packages/process/src/entry_send.c
@@ -12,7 +12,8 @@
 	attempt->request = request;
 	attempt->upstream = upstream;
 	attempt->sent_us = ks_loop_now(request->entry->loop);
-	attempt->ahead_tokens = entry_capacity_queued_prompt(upstream);
+	attempt->ahead_tokens =
+		entry_capacity_queued_prompt(upstream, attempt->sent_us);
 	attempt->had_place = upstream->in_flight < upstream->limit;
 	if (!attempt->ahead_tokens)
 		upstream->prefill_since_us = attempt->sent_us;
@@ -23,8 +24,6 @@
 
 		cached = ks_prefix_belief_tokens(upstream->belief, data,
 						 hashes->len, attempt->sent_us);
-		ks_prefix_belief_add(upstream->belief, data, hashes->len,
-				     attempt->sent_us);
 	}
 	attempt->uncached_tokens = prompt > cached ? prompt - cached : 0;
 	attempt->prompt_tokens = attempt->uncached_tokens;
@@ -55,7 +54,8 @@
 	out->model = request->is_completion ? ks_str_from(request->group->name)
 					    : (ks_str_t){ NULL, 0 };
 	out->tenant = ks_str_from(request->tenant->name);
-	out->prompt_tokens = request->completion.prompt_tokens;
+	/* What is cached takes no time and does not count as pending. */
+	out->prompt_tokens = request->attempt->uncached_tokens;
 	out->output_tokens = request->completion.max_tokens;
 }
 
@@ -92,6 +92,7 @@
 	ks_attempt_request_t out;
 	char resume_from[16];
 
+	request->attempt = attempt;
 	if (request->stream.delivered) {
 		ks_header_t header = { KS_STR("x-ks-resume-from"),
 				       { resume_from, 0 } };
@@ -110,7 +111,6 @@
 	request->n_attempts++;
 	request->attempt_number++;
 	request->status = 0;
-	request->attempt = attempt;
 	attempt->attempt = ks_link_client_send(upstream->link, &out,
 					       &entry_attempt_events, attempt);
 	g_array_unref(headers);
