--- a/bench/run-mix.sh
+++ b/bench/run-mix.sh
@@ -270,9 +270,8 @@
 		done | xargs printf '%.0f ')"
 }
 
-start_deployment; test -n "${KEEP:-}" && cp -r "$WORK" "$KEEP" 2>/dev/null
+start_deployment
 for workload in $WORKLOADS
 do
 	run "$workload"
 done
-test -n "${KEEP:-}" && cp "$WORK"/entry*.log "$KEEP"; true
--- a/packages/connection/include/ks/connection.h
+++ b/packages/connection/include/ks/connection.h
@@ -400,6 +400,10 @@
 
 /**
  * struct ks_load - load of one upstream, counted by the process beside it
+ * @urgent_left_us: time to the deadline of the request that can least be
+ *	delayed; 0 when nothing is under way
+ * @urgent_output_tokens: still expected of that request
+ * @received_us: loop clock of the entry when it received the load
  */
 typedef struct ks_load {
 	uint32_t in_flight;
@@ -408,6 +412,9 @@
 	uint64_t output_tokens_pending;
 	uint32_t kv_blocks_free;
 	uint32_t kv_blocks_total;
+	uint64_t urgent_left_us;
+	uint32_t urgent_output_tokens;
+	int64_t received_us;
 	char role[16];
 } ks_load_t;
 
--- a/packages/connection/src/link.pb-c.c
+++ b/packages/connection/src/link.pb-c.c
@@ -772,7 +772,7 @@
   assert(message->base.descriptor == &ks__link__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ks__link__load__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ks__link__load__field_descriptors[9] =
 {
   {
     "in_flight",
@@ -858,6 +858,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "urgent_left_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ks__Link__Load, urgent_left_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "urgent_output_tokens",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ks__Link__Load, urgent_output_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ks__link__load__field_indices_by_name[] = {
   0,   /* field[0] = in_flight */
@@ -867,11 +891,13 @@
   3,   /* field[3] = output_tokens_pending */
   2,   /* field[2] = prompt_tokens_pending */
   6,   /* field[6] = role */
+  7,   /* field[7] = urgent_left_us */
+  8,   /* field[8] = urgent_output_tokens */
 };
 static const ProtobufCIntRange ks__link__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor ks__link__load__descriptor =
 {
@@ -881,7 +907,7 @@
   "Ks__Link__Load",
   "ks.link",
   sizeof(Ks__Link__Load),
-  7,
+  9,
   ks__link__load__field_descriptors,
   ks__link__load__field_indices_by_name,
   1,  ks__link__load__number_ranges,
--- a/packages/connection/src/link.pb-c.h
+++ b/packages/connection/src/link.pb-c.h
@@ -77,10 +77,16 @@
    * prefill, decode or both; engines only
    */
   char *role;
+  /*
+   * The request that can least be delayed: time to its deadline, and output
+   * still expected of it; absent when nothing is under way.
+   */
+  uint64_t urgent_left_us;
+  uint32_t urgent_output_tokens;
 };
 #define KS__LINK__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ks__link__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Ks__Link__Header
--- a/packages/connection/src/link_client.c
+++ b/packages/connection/src/link_client.c
@@ -172,6 +172,7 @@
 	link->failed_sessions = 0;
 	link->state = ks_frame_state_read(welcome->state);
 	ks_frame_load_read(&link->load, welcome->load);
+	link->load.received_us = ks_loop_now(link->loop);
 	if (ks_id_equal(&incarnation, &link->peer_incarnation)) {
 		resume_attempts(link);
 	} else {
@@ -191,6 +192,7 @@
 		return;
 	link->state = ks_frame_state_read(heartbeat->state);
 	ks_frame_load_read(&link->load, heartbeat->load);
+	link->load.received_us = ks_loop_now(link->loop);
 	note_peer_version(link, heartbeat->config_version);
 	notify(link);
 }
--- a/packages/connection/src/link_frame.c
+++ b/packages/connection/src/link_frame.c
@@ -198,6 +198,8 @@
 	to->output_tokens_pending = from->output_tokens_pending;
 	to->kv_blocks_free = from->kv_blocks_free;
 	to->kv_blocks_total = from->kv_blocks_total;
+	to->urgent_left_us = from->urgent_left_us;
+	to->urgent_output_tokens = from->urgent_output_tokens;
 	to->role = (char *)from->role;
 }
 
@@ -215,6 +217,8 @@
 	to->output_tokens_pending = from->output_tokens_pending;
 	to->kv_blocks_free = from->kv_blocks_free;
 	to->kv_blocks_total = from->kv_blocks_total;
+	to->urgent_left_us = from->urgent_left_us;
+	to->urgent_output_tokens = from->urgent_output_tokens;
 	g_strlcpy(to->role, from->role, sizeof(to->role));
 }
 
--- a/packages/process/src/entry_attempt.c
+++ b/packages/process/src/entry_attempt.c
@@ -3,6 +3,11 @@
 
 /* Weight of the newest value in running averages. */
 #define AVERAGE_GAIN 0.1
+/*
+ * With less time left no attempt can end in time: the upstream process ends one
+ * at its deadline, slightly before the entry does.
+ */
+#define MIN_RETRY_US (20 * KS_USEC_PER_MSEC)
 
 static void average(double *mean, double value)
 {
@@ -156,7 +161,7 @@
 	ks_entry_t *entry = request->entry;
 	int64_t left = request->deadline_us - ks_loop_now(entry->loop);
 
-	if (!request->req || request->answered)
+	if (!request->req || request->answered || left < MIN_RETRY_US)
 		return false;
 	if (!ks_retry_allowed(&entry->retries, failure, request->idempotent,
 			      request->n_attempts, left))
--- a/packages/process/src/entry_capacity.c
+++ b/packages/process/src/entry_capacity.c
@@ -30,10 +30,25 @@
 	*mean += gain * (value - *mean);
 }
 
+/*
+ * The report holds what every entry had sent by then; this entry's own later
+ * prompts come on top of it.
+ */
 static uint64_t pending_prompt(const struct entry_upstream *upstream)
 {
-	return MAX(upstream->prompt_tokens,
-		   ks_link_client_load(upstream->link)->prompt_tokens_pending);
+	const ks_load_t *load = ks_link_client_load(upstream->link);
+	uint64_t reported = 0;
+
+	KS_LIST_FOREACH (it, &upstream->attempts) {
+		const struct entry_attempt *attempt =
+			KS_CONTAINER_OF(it, struct entry_attempt, node);
+
+		if (attempt->sent_us < load->received_us)
+			reported += attempt->prompt_tokens;
+	}
+	if (load->prompt_tokens_pending <= reported)
+		return upstream->prompt_tokens;
+	return upstream->prompt_tokens + load->prompt_tokens_pending - reported;
 }
 
 /**
@@ -72,8 +87,6 @@
 	struct entry_upstream *upstream = attempt->upstream;
 	uint64_t tokens = attempt->ahead_tokens + attempt->uncached_tokens;
 
-	if (g_getenv("KS_TRACE"))
-		g_printerr("TRACE %s first %.0f ms tokens %lu c %.1f step %.0f\n", upstream->id, (now - attempt->sent_us) / 1000.0, (unsigned long)tokens, upstream->prefill_us, upstream->decode_us);
 	upstream->prefill_since_us = now;
 	upstream->prefill_until_us = now;
 	if (attempt->had_place && tokens >= MIN_PREFILL_SAMPLE)
@@ -107,9 +120,13 @@
 	       upstream->prefill_us;
 }
 
+/* Steps get longer when the batch fills up after an answer has begun. */
+#define BATCH_MARGIN 1.15
+
 static double output_us(const struct entry_upstream *upstream, double tokens)
 {
-	return tokens * upstream->group->output_share * upstream->decode_us;
+	return tokens * upstream->group->output_share * upstream->decode_us *
+	       BATCH_MARGIN;
 }
 
 static double uncached_prefill_us(const struct entry_upstream *upstream,
@@ -128,6 +145,29 @@
 	return (double)(prompt - MIN(cached, prompt)) * upstream->prefill_us;
 }
 
+/* Time until a prompt of @own_us no longer delays what ends at @end_us. */
+static double wait_for_end(double end_us, double own_us, double left_us)
+{
+	if (end_us > left_us)
+		return 0;
+	return end_us + own_us > DEADLINE_SHARE * left_us ? end_us : 0;
+}
+
+/* The most urgent request there may be another entry's. */
+static double wait_for_urgent(const struct entry_upstream *upstream,
+			      double queued, double own, int64_t now)
+{
+	const ks_load_t *load = ks_link_client_load(upstream->link);
+	double left = (double)load->urgent_left_us -
+		      (double)(now - load->received_us);
+
+	if (!load->urgent_left_us)
+		return 0;
+	return wait_for_end(
+		queued + output_us(upstream, load->urgent_output_tokens), own,
+		left);
+}
+
 /**
  * entry_capacity_wait() - time until a request delays no other beyond its
  * deadline at an upstream, and has a place in the batch
@@ -146,27 +186,25 @@
 	uint32_t limit = load->limit ? load->limit : MAX(upstream->limit, 1);
 	double queued = queued_prefill_us(upstream, now);
 	double own = uncached_prefill_us(upstream, request, now);
-	double wait = 0, place = queued;
-	bool first = true;
+	double wait, place = INFINITY;
 
+	wait = wait_for_urgent(upstream, queued, own, now);
 	KS_LIST_FOREACH (it, &upstream->attempts) {
 		const struct entry_attempt *attempt =
 			KS_CONTAINER_OF(it, struct entry_attempt, node);
 		double end = queued + output_us(upstream,
 						(double)attempt->output_tokens);
-		double left;
+		int64_t left;
 
+		place = MIN(place, end);
 		if (!attempt->request)
 			continue;
-		left = DEADLINE_SHARE *
-		       (double)(attempt->request->deadline_us - now);
-		if (end <= left && end + own > left)
-			wait = MAX(wait, end);
-		if (first || end < place)
-			place = end;
-		first = false;
+		left = attempt->request->deadline_us - now;
+		wait = MAX(wait, wait_for_end(end, own, (double)left));
 	}
-	return in_flight >= limit ? MAX(wait, place) : wait;
+	if (in_flight < limit)
+		return wait;
+	return MAX(wait, place < INFINITY ? place : queued);
 }
 
 /**
--- a/packages/process/src/entry_group.c
+++ b/packages/process/src/entry_group.c
@@ -5,6 +5,8 @@
 #define SERVICE_US 10000.0
 /* One-way delay to another failure domain; the deployments have about 1 ms. */
 #define OTHER_DOMAIN_US 1000
+/* Share of a prompt's prefill that its prefix's home is preferred by. */
+#define HOME_SHARE 0.5
 /* While requests queue, capacity and deadlines are looked at this often. */
 #define PUMP_US (10 * KS_USEC_PER_MSEC)
 
@@ -193,6 +195,27 @@
 	return hashes && hashes->len ? g_array_index(hashes, uint64_t, 0) : 0;
 }
 
+/*
+ * A prefix has a home that all entries agree on, so that its prompts meet where
+ * it is cached. The home is preferred by half of the prefill that is shared at
+ * most; a longer queue there sends them elsewhere.
+ */
+static void prefer_home(const struct entry_request *request,
+			ks_candidate_t *candidates, size_t count)
+{
+	int home;
+
+	if (!first_prefix(request))
+		return;
+	home = ks_route_choose_simply(KS_ROUTING_PREFIX_AFFINITY, candidates,
+				      count, 0, first_prefix(request));
+	if (home >= 0)
+		candidates[home].affinity_us =
+			HOME_SHARE * request->completion.prefix_hashes->len *
+			KS_PREFIX_BLOCK_TOKENS *
+			candidates[home].prefill_us_per_token;
+}
+
 static int choose_index(struct entry_group *group,
 			const struct entry_request *request, bool repeat)
 {
@@ -210,6 +233,7 @@
 		fill_candidate(g_ptr_array_index(group->members, i), request,
 			       repeat, &candidates[i]);
 	exclude_ejected(group, candidates);
+	prefer_home(request, candidates, count);
 	if (entry->policy == KS_ROUTING_EXPECTED_FINISH)
 		choice = ks_route_choose(&wanted, candidates, count,
 					 &entry->rng);
--- a/packages/process/src/upstream_load.c
+++ b/packages/process/src/upstream_load.c
@@ -34,17 +34,47 @@
 	return CLAMP(wait, MIN_RETRY_AFTER_US, MAX_RETRY_AFTER_US);
 }
 
+/*
+ * Weight of a token of output against time left, in choosing the most urgent
+ * request. The entries know the real rates; this only ranks.
+ */
+#define URGENT_TOKEN_US (20 * KS_USEC_PER_MSEC)
+
+static void find_urgent(ks_upstream_process_t *process, const ks_list_t *jobs,
+			int64_t *least_us)
+{
+	int64_t now = ks_loop_now(process->loop);
+
+	KS_LIST_FOREACH (it, jobs) {
+		const struct upstream_job *job =
+			KS_CONTAINER_OF(it, struct upstream_job, node);
+		int64_t left = job->deadline_us - now;
+		int64_t spare = left - job->output_left * URGENT_TOKEN_US;
+
+		/* A request that is late already is not to be protected. */
+		if (spare <= 0 || spare >= *least_us)
+			continue;
+		*least_us = spare;
+		process->load.urgent_left_us = (uint64_t)left;
+		process->load.urgent_output_tokens = job->output_left;
+	}
+}
+
 /**
  * upstream_load_send() - announce the load now
  */
 void upstream_load_send(ks_upstream_process_t *process)
 {
 	const ks_upstream_t *entry = process->entry;
+	int64_t least_us = INT64_MAX;
 
 	ks_timer_clear(&process->load_timer);
 	process->load_sent_us = ks_loop_now(process->loop);
 	process->load.in_flight = process->n_running + process->n_queued;
 	process->load.limit = upstream_limit(process);
+	process->load.urgent_left_us = 0;
+	find_urgent(process, &process->running, &least_us);
+	find_urgent(process, &process->queue, &least_us);
 	if (entry && entry->model && !process->load.role[0])
 		g_strlcpy(process->load.role, ks_engine_role_name(entry->role),
 			  sizeof(process->load.role));
--- a/packages/request/include/ks/request.h
+++ b/packages/request/include/ks/request.h
@@ -71,6 +71,8 @@
  * @excluded: already tried, ejected, leaving or changing
  * @same_domain_failed: shares its failure domain with an attempt that failed
  * @delays_others: requests under way there would miss their deadlines
+ * @affinity_us: prefill that later requests are expected to save when this one
+ *	goes there
  */
 typedef struct ks_candidate {
 	ks_str_t id;
@@ -83,6 +85,7 @@
 	bool excluded;
 	bool same_domain_failed;
 	bool delays_others;
+	double affinity_us;
 	double prefill_us_per_token;
 	double decode_us_per_token;
 } ks_candidate_t;
--- a/packages/request/src/route.c
+++ b/packages/request/src/route.c
@@ -34,6 +34,7 @@
 	enum rank rank;
 	double wait_us;
 	double finish_us;
+	double cost_us;
 };
 
 static double wait_for_slot(const ks_candidate_t *candidate)
@@ -74,6 +75,7 @@
 	option.finish_us =
 		option.wait_us +
 		request->output_tokens * candidate->decode_us_per_token;
+	option.cost_us = option.finish_us - candidate->affinity_us;
 	if (candidate->limit > 0 && candidate->in_flight >= candidate->limit)
 		option.rank = RANK_OVER_LIMIT;
 	else if (candidate->same_domain_failed)
@@ -88,7 +90,7 @@
 {
 	if (a->rank != b->rank)
 		return a->rank < b->rank;
-	return a->finish_us < b->finish_us;
+	return a->cost_us < b->cost_us;
 }
 
 static struct option find_best(const ks_route_request_t *request,
@@ -114,7 +116,7 @@
 	double spare = MAX(best->wait_us * NEAR_SHARE, NEAR_MIN_US);
 
 	return option->rank == best->rank &&
-	       option->finish_us <= best->finish_us + spare;
+	       option->cost_us <= best->cost_us + spare;
 }
 
 /*
@@ -179,7 +181,7 @@
 		scan_near(request, candidates, n_candidates, &best,
 			  ks_rng_below(rng, n_near), &second);
 	}
-	if (second.finish_us < first.finish_us)
+	if (second.cost_us < first.cost_us)
 		first = second;
 	return (ks_route_choice_t){ first.index, (int64_t)first.finish_us };
 }
