Leave the learned limit out behind a gate

Each miss above 30% halved the admitted number for the whole group, though the forecast had become right again.

--- a/packages/request/src/admission_wait.c
+++ b/packages/request/src/admission_wait.c
@@ -8,6 +8,9 @@
  */
 double ks_admission_slots(const ks_admission_t *admission)
 {
+	/* Behind a gate the forecast of each upstream does this better. */
+	if (admission->gate)
+		return admission->capacity;
 	return MIN(admission->capacity, admission->limit.value);
 }
 
