--- a/packages/process/src/entry_capacity.c
+++ b/packages/process/src/entry_capacity.c
@@ -12,7 +12,7 @@
  * Share of the time left that a forecast may use. The rest covers what other
  * entries have sent since the last load report, and errors of the estimates.
  */
-#define DEADLINE_SHARE 0.9
+#define DEADLINE_SHARE 0.8
 
 /* Shorter prompts say more of the network and the step than of prefill. */
 #define MIN_PREFILL_SAMPLE 512
@@ -24,7 +24,10 @@
 /* The first samples count more, as the initial rates are only guesses. */
 static void learn(double *mean, unsigned *samples, double value, double gain)
 {
-	gain = MAX(gain, 1.0 / (1.0 + (*samples)++));
+	double first = 1.0 / (1.0 + *samples);
+
+	(*samples)++;
+	gain = MAX(gain, first);
 	value = CLAMP(value, *mean / MAX_SAMPLE_RATIO,
 		      *mean * MAX_SAMPLE_RATIO);
 	*mean += gain * (value - *mean);
