--- a/packages/process/src/entry_group.c
+++ b/packages/process/src/entry_group.c
@@ -6,7 +6,7 @@
 /* One-way delay to another failure domain; the deployments have about 1 ms. */
 #define OTHER_DOMAIN_US 1000
 /* Share of a prompt's prefill that its prefix's home is preferred by. */
-#define HOME_SHARE 0.5
+#define HOME_SHARE 2.0
 /* While requests queue, capacity and deadlines are looked at this often. */
 #define PUMP_US (10 * KS_USEC_PER_MSEC)
 
