--- a/bench/load_report.c
+++ b/bench/load_report.c
@@ -48,8 +48,7 @@
 {
 	return json_pack(
 		"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:f,s:f,s:f,s:f,s:f}",
-		"sent",
-		(json_int_t)stats->sent, "whole",
+		"sent", (json_int_t)stats->sent, "whole",
 		(json_int_t)stats->verdicts[LOAD_WHOLE], "late",
 		(json_int_t)stats->late, "refused_not_run",
 		(json_int_t)stats->verdicts[LOAD_REFUSED], "unknown",
--- a/bench/load_run.c
+++ b/bench/load_run.c
@@ -232,8 +232,8 @@
 }
 
 /*
- * Every request is drawn from a seed of its own, so that it is the same whatever
- * the answers to earlier ones were and whenever they came.
+ * Every request is drawn from a seed of its own, so that it is the same
+ * whatever the answers to earlier ones were and whenever they came.
  */
 static void seed_request(struct run *run, struct arrivals *arrivals)
 {
@@ -325,7 +325,8 @@
 		arrivals->run = run;
 		arrivals->class = (load_class_t)i;
 		arrivals->due_us = now;
-		ks_rng_init(&arrivals->gaps, run->options->seed * 31U + (uint32_t)i);
+		ks_rng_init(&arrivals->gaps,
+			    run->options->seed * 31U + (uint32_t)i);
 		ks_timer_init(&arrivals->timer, run->loop, on_arrival,
 			      arrivals);
 		if (run->options->rates[i] > 0)
--- a/packages/process/src/entry_capacity.c
+++ b/packages/process/src/entry_capacity.c
@@ -111,9 +111,10 @@
 
 	if (pending_prompt(upstream) > 0)
 		upstream->prefill_until_us = now;
-	else if (attempt->last_token_us > upstream->prefill_until_us)
-		learn(&upstream->decode_us, &upstream->decode_samples,
-		      (double)(now - attempt->last_token_us), DECODE_GAIN);
+	if (upstream->prefill_until_us >= attempt->last_token_us)
+		return;
+	learn(&upstream->decode_us, &upstream->decode_samples,
+	      (double)(now - attempt->last_token_us), DECODE_GAIN);
 }
 
 static double queued_prefill_us(const struct entry_upstream *upstream,
@@ -292,14 +293,13 @@
 		best = own;
 		prefill = uncached_prefill_us(upstream, request, now);
 		ticket->work_us = own;
-		ticket->cost_us = prefill + (own - prefill) /
-						    MAX(load->limit, 1);
+		ticket->cost_us =
+			prefill + (own - prefill) / MAX(load->limit, 1);
 	}
 	ks_admission_set_servers(group->admission, usable);
 	if (usable)
 		return;
-	ticket->work_us =
-		request->completion.prompt_tokens * ENTRY_PREFILL_US +
-		request->completion.max_tokens * ENTRY_DECODE_US;
+	ticket->work_us = request->completion.prompt_tokens * ENTRY_PREFILL_US +
+			  request->completion.max_tokens * ENTRY_DECODE_US;
 	ticket->cost_us = ticket->work_us;
 }
--- a/packages/process/src/entry_group.c
+++ b/packages/process/src/entry_group.c
@@ -5,7 +5,7 @@
 #define SERVICE_US 10000.0
 /* One-way delay to another failure domain; the deployments have about 1 ms. */
 #define OTHER_DOMAIN_US 1000
-/* Share of a prompt's prefill that its prefix's home is preferred by. */
+/* The home of a prefix is preferred by this many times the prompt's prefill. */
 #define HOME_SHARE 2.0
 /* While requests queue, capacity and deadlines are looked at this often. */
 #define PUMP_US (10 * KS_USEC_PER_MSEC)
@@ -197,8 +197,7 @@
 
 /*
  * A prefix has a home that all entries agree on, so that its prompts meet where
- * it is cached. The home is preferred by half of the prefill that is shared at
- * most; a longer queue there sends them elsewhere.
+ * it is cached. A long queue there sends them elsewhere.
  */
 static void prefer_home(const struct entry_request *request,
 			ks_candidate_t *candidates, size_t count)
@@ -238,9 +237,9 @@
 		choice = ks_route_choose(&wanted, candidates, count,
 					 &entry->rng);
 	else
-		choice.index = ks_route_choose_simply(
-			entry->policy, candidates, count, group->turn++,
-			first_prefix(request));
+		choice.index = ks_route_choose_simply(entry->policy, candidates,
+						      count, group->turn++,
+						      first_prefix(request));
 	g_free(candidates);
 	return choice.index;
 }
--- a/packages/request/tests/prop-admission.cpp
+++ b/packages/request/tests/prop-admission.cpp
@@ -2,6 +2,7 @@
 #include "ks/request.h"
 
 #include <algorithm>
+#include <cmath>
 #include <memory>
 #include <queue>
 #include <random>
@@ -434,6 +435,53 @@
 	});
 }
 
+double read_gate(void *ctx, const ks_ticket_t *)
+{
+	return *static_cast<double *>(ctx);
+}
+
+/*
+ * Guards against a learned ratio or limit that refuses, after a time of slow
+ * answers, what the forecast says can finish.
+ */
+bool check_gate()
+{
+	return rc::check("the forecast decides behind a gate", [] {
+		auto slow = *rc::gen::inRange(2, 100);
+		std::vector<ks_ticket_t> tickets(20);
+		double wait_us = 0;
+		int64_t now = 0, retry = 0;
+		ks_ticket_t held = make_ticket("a", SEC, FAR, 1);
+		Admission a;
+
+		ks_admission_set_capacity(a.ptr, 50);
+		ks_admission_set_gate(a.ptr, read_gate, &wait_us);
+		RC_ASSERT(ks_admission_arrive(a.ptr, &held, 0, &retry) ==
+			  KS_ADMIT);
+		for (auto &ticket : tickets) {
+			ticket = make_ticket("a", SEC, 10 * SEC, 1);
+			RC_ASSERT(ks_admission_arrive(a.ptr, &ticket, now,
+						      &retry) == KS_ADMIT);
+		}
+		now += slow * SEC;
+		for (auto &ticket : tickets)
+			ks_admission_leave(a.ptr, &ticket, now);
+		for (auto &ticket : tickets) {
+			ticket = make_ticket("a", SEC, now + 2 * SEC, 1);
+			RC_ASSERT(ks_admission_arrive(a.ptr, &ticket, now,
+						      &retry) == KS_ADMIT);
+		}
+		wait_us = INFINITY;
+		ks_ticket_t late = make_ticket("a", SEC, now + 9 * SEC, 1);
+		RC_ASSERT(ks_admission_arrive(a.ptr, &late, now, &retry) ==
+			  KS_ADMIT_REFUSE);
+		RC_ASSERT(retry > 0);
+		for (auto &ticket : tickets)
+			ks_admission_leave(a.ptr, &ticket, now);
+		ks_admission_leave(a.ptr, &held, now);
+	});
+}
+
 } // namespace
 
 int main()
@@ -444,6 +492,7 @@
 	ok = check_refused_at_once() && ok;
 	ok = check_refusals_end() && ok;
 	ok = check_limit_follows_misses() && ok;
+	ok = check_gate() && ok;
 	ok = check_overload() && ok;
 	ok = check_lookups() && ok;
 	ok = check_no_starvation() && ok;
