--- a/packages/process/src/entry_attempt.c
+++ b/packages/process/src/entry_attempt.c
@@ -3,19 +3,17 @@
 
 /* Weight of the newest value in running averages. */
 #define AVERAGE_GAIN 0.1
+/*
+ * With less time left no attempt can end in time: the upstream process ends one
+ * at its deadline, slightly before the entry does.
+ */
+#define MIN_RETRY_US (20 * KS_USEC_PER_MSEC)
 
 static void average(double *mean, double value)
 {
 	*mean += AVERAGE_GAIN * (value - *mean);
 }
 
-static void note_prefill(const struct entry_attempt *attempt, int64_t took_us)
-{
-	if (attempt->alone && attempt->uncached_tokens)
-		average(&attempt->upstream->prefill_us,
-			(double)took_us / attempt->uncached_tokens);
-}
-
 static void take_output(struct entry_attempt *attempt, uint64_t tokens)
 {
 	tokens = MIN(tokens, attempt->output_tokens);
@@ -87,6 +85,21 @@
 		ks_attempt_consume(request->attempt->attempt, len);
 }
 
+/*
+ * An engine looks its cache up when a prompt joins the batch, so prompts that
+ * share a prefix and arrive together are all computed in full.
+ */
+static void note_prefilled(const struct entry_request *request, int64_t now)
+{
+	const GArray *hashes = request->completion.prefix_hashes;
+
+	if (hashes && hashes->len)
+		ks_prefix_belief_add(
+			request->attempt->upstream->belief,
+			(const uint64_t *)(const void *)hashes->data,
+			hashes->len, now);
+}
+
 /**
  * entry_attempt_note_token() - a token of a stream has arrived
  */
@@ -94,21 +107,19 @@
 {
 	struct entry_attempt *attempt = request->attempt;
 	int64_t now = ks_loop_now(request->entry->loop);
-	struct entry_upstream *upstream;
 
 	if (!attempt)
 		return;
-	upstream = attempt->upstream;
 	take_output(attempt, 1);
 	if (attempt->tokens++ == 0) {
+		entry_capacity_note_first(attempt, now);
+		note_prefilled(request, now);
 		take_prompt(attempt);
-		note_prefill(attempt, now - attempt->sent_us);
 		if (!request->stream.delivered)
 			ks_histogram_record(request->class->first_token,
 					    now - request->start_us);
 	} else {
-		average(&upstream->decode_us,
-			(double)(now - attempt->last_token_us));
+		entry_capacity_note_step(attempt, now);
 		ks_histogram_record(request->class->between_tokens,
 				    now - attempt->last_token_us);
 	}
@@ -131,9 +142,7 @@
 		upstream->belief, (const uint64_t *)(const void *)hashes->data,
 		hashes->len, tokens / KS_PREFIX_BLOCK_TOKENS, now);
 	/* The whole prompt has been prefilled by now. */
-	ks_prefix_belief_add(upstream->belief,
-			     (const uint64_t *)(const void *)hashes->data,
-			     hashes->len, now);
+	note_prefilled(request, now);
 }
 
 static void note_failure(struct entry_request *request,
@@ -154,7 +163,7 @@
 	ks_entry_t *entry = request->entry;
 	int64_t left = request->deadline_us - ks_loop_now(entry->loop);
 
-	if (!request->req || request->answered)
+	if (!request->req || request->answered || left < MIN_RETRY_US)
 		return false;
 	if (!ks_retry_allowed(&entry->retries, failure, request->idempotent,
 			      request->n_attempts, left))
@@ -330,7 +339,8 @@
 						    request->answer->len });
 	if (request && kind == KS_ERROR_NONE &&
 	    request->split.step == ENTRY_SPLIT_PREFILL)
-		note_prefill(attempt, took);
+		entry_capacity_note_first(attempt,
+					  ks_loop_now(upstream->entry->loop));
 	end_attempt(attempt);
 	if (!request)
 		return;
@@ -348,9 +358,10 @@
 	}
 	if (kind == KS_ERROR_NONE) {
 		average(&upstream->group->mean_service_us, (double)took);
-		if (request->output_tokens)
-			average(&upstream->group->mean_output,
-				request->output_tokens);
+		if (request->output_tokens && request->completion.max_tokens)
+			average(&upstream->group->output_share,
+				(double)request->output_tokens /
+					request->completion.max_tokens);
 		if (request->streaming)
 			entry_stream_finish(request);
 		else
--- a/packages/process/src/entry_plan.c
+++ b/packages/process/src/entry_plan.c
@@ -301,7 +301,7 @@
 	    !g_hash_table_contains(plan->models, group->name))
 		return;
 	prompt = request->completion.prompt_tokens - best_cached(request);
-	output = MIN(request->completion.max_tokens, group->mean_output);
+	output = request->completion.max_tokens * group->output_share;
 	ks_planner_run_demand(
 		plan->run, group->name, prompt * mean_us(group, true),
 		output * mean_us(group, false) / mean_batch(group));
--- a/packages/request/src/route.c
+++ b/packages/request/src/route.c
@@ -15,6 +15,12 @@
  */
 #define REQUEST_US 1000
 
+/*
+ * A decode step takes longer by this share for each further sequence, since
+ * sequences are decoded together (engines differ; the stand-in has 2%).
+ */
+#define STEP_GROWTH 0.02
+
 /* Order of preference; a lower rank is always chosen first. */
 enum rank {
 	RANK_GOOD,
@@ -28,6 +34,7 @@
 	enum rank rank;
 	double wait_us;
 	double finish_us;
+	double cost_us;
 };
 
 static double wait_for_slot(const ks_candidate_t *candidate)
@@ -50,12 +57,11 @@
 	uint32_t cached = MIN(candidate->cached_tokens, request->prompt_tokens);
 	double prefill = (double)candidate->prompt_tokens +
 			 request->prompt_tokens - cached;
-	double slots = MAX(candidate->limit, 1);
 
 	return 2.0 * (double)candidate->domain_distance_us +
 	       prefill * candidate->prefill_us_per_token +
-	       (double)candidate->output_tokens / slots *
-		       candidate->decode_us_per_token +
+	       (double)candidate->in_flight * request->output_tokens *
+		       candidate->decode_us_per_token * STEP_GROWTH +
 	       (double)candidate->in_flight * REQUEST_US +
 	       wait_for_slot(candidate);
 }
@@ -69,11 +75,13 @@
 	option.finish_us =
 		option.wait_us +
 		request->output_tokens * candidate->decode_us_per_token;
+	option.cost_us = option.finish_us - candidate->affinity_us;
 	if (candidate->limit > 0 && candidate->in_flight >= candidate->limit)
 		option.rank = RANK_OVER_LIMIT;
 	else if (candidate->same_domain_failed)
 		option.rank = RANK_FAILED_DOMAIN;
-	else if (option.finish_us > (double)request->time_left_us)
+	else if (candidate->delays_others ||
+		 option.finish_us > (double)request->time_left_us)
 		option.rank = RANK_LATE;
 	return option;
 }
@@ -82,7 +90,7 @@
 {
 	if (a->rank != b->rank)
 		return a->rank < b->rank;
-	return a->finish_us < b->finish_us;
+	return a->cost_us < b->cost_us;
 }
 
 static struct option find_best(const ks_route_request_t *request,
@@ -108,7 +116,7 @@
 	double spare = MAX(best->wait_us * NEAR_SHARE, NEAR_MIN_US);
 
 	return option->rank == best->rank &&
-	       option->finish_us <= best->finish_us + spare;
+	       option->cost_us <= best->cost_us + spare;
 }
 
 /*
@@ -173,7 +181,7 @@
 		scan_near(request, candidates, n_candidates, &best,
 			  ks_rng_below(rng, n_near), &second);
 	}
-	if (second.finish_us < first.finish_us)
+	if (second.cost_us < first.cost_us)
 		first = second;
 	return (ks_route_choice_t){ first.index, (int64_t)first.finish_us };
 }
