--- a/packages/process/src/entry_request.c
+++ b/packages/process/src/entry_request.c
@@ -259,13 +259,15 @@
 	}
 }
 
+static void ask_admission(struct entry_request *request);
+
 static void on_claim_dispatch(void *ctx, uint32_t attempt)
 {
 	struct entry_request *request = ctx;
 
 	request->attempt_number = attempt;
-	request->phase = ENTRY_SENT;
-	entry_attempt_dispatch(request);
+	request->phase = ENTRY_NEW;
+	ask_admission(request);
 }
 
 static void on_claim_replay(void *ctx, int status, ks_str_t content_type,
@@ -316,10 +318,6 @@
 {
 	if (request->phase == ENTRY_QUEUED)
 		request->group->queued--;
-	if (request->key.text.len) {
-		begin_claim(request);
-		return;
-	}
 	request->phase = ENTRY_SENT;
 	entry_attempt_dispatch(request);
 }
@@ -400,5 +398,9 @@
 	ks_admission_set_weight(request->group->admission,
 				request->tenant->name, request->tenant->weight);
 	entry_plan_note(request);
-	ask_admission(request);
+	/* A claim that waits for the store must not hold a place. */
+	if (request->key.text.len)
+		begin_claim(request);
+	else
+		ask_admission(request);
 }
--- a/packages/process/tests/test-entry.c
+++ b/packages/process/tests/test-entry.c
@@ -854,6 +854,30 @@
 	tear_down();
 }
 
+/* Guards against claims that wait for the store and keep lookups waiting. */
+static void test_waiting_claim_holds_no_place(void)
+{
+	struct call *payment, *lookup;
+
+	set_up();
+	limit_to_one("s1");
+	payment = start_payment();
+	WAIT_FOR(double_ledger.begun == 1);
+	lookup = start("GET", "/basket", "", NULL);
+	WAIT_FOR(double_attempts->len == 1);
+	double_head(double_attempt(0), 200, "text/plain");
+	double_end(double_attempt(0), KS_ERROR_NONE);
+	finish(lookup);
+	g_assert_cmpint(lookup->status, ==, 200);
+	double_ledger.events->fail(double_ledger.ctx,
+				   KS_ERROR_STORE_UNAVAILABLE);
+	finish(payment);
+	assert_has(payment->body, "store_unavailable");
+	free_call(payment);
+	free_call(lookup);
+	tear_down();
+}
+
 /* Guards against a queued request that is held until its deadline. */
 static void test_queue_refuses_the_hopeless(void)
 {
@@ -1283,6 +1307,7 @@
 	{ "/entry/wrong-requests", test_wrong_requests_are_refused },
 	{ "/entry/admission-refuses", test_admission_refuses_at_once },
 	{ "/entry/queue-moves", test_queue_moves_on },
+	{ "/entry/claim-holds-no-place", test_waiting_claim_holds_no_place },
 	{ "/entry/queue-refuses", test_queue_refuses_the_hopeless },
 	{ "/entry/lost-link", test_lost_link },
 	{ "/entry/leaving", test_leaving_and_withdrawn },
