--- a/packages/connection/src/link_frame.c
+++ b/packages/connection/src/link_frame.c
@@ -7,8 +7,11 @@
  * ks_frame_decode() - read a frame
  * @message: one ZeroMQ message
  *
+ * A frame of a kind that this version does not know is returned as one without
+ * a kind, which both sides ignore.
+ *
  * Return: a frame to be freed with ks_frame_free(), or NULL if the message is
- * malformed, of an unknown kind, or names a malformed request id.
+ * malformed or names a malformed request id.
  */
 ks_frame_t *ks_frame_decode(ks_str_t message)
 {
