Tell a whole answer from one cut after a full chunk

Cause: h2o's HTTP/1 client reports the end of a chunked body and the close of the connection after a full chunk with the same value, so an answer whose sender was killed between two chunks was handed on as complete.

Ruled out: the entry ending its chunked answer when it is killed; a second client sees the same stream as cut.

The client now reads from h2o's sockets and frames answers with http_parser.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 CFLAGS = -std=gnu11 $(WARN) -Wshadow -Wstrict-prototypes -Wmissing-prototypes $(OPT) $(SANFLAGS)
 CXXFLAGS = -std=c++17 $(WARN) $(OPT) $(SANFLAGS)
 LDLIBS = $(shell pkg-config --libs $(PKGS)) -lh2o-evloop -lssl -lcrypto \
-	-llog4c -largtable2 -lm -lpthread
+	-lhttp_parser -llog4c -largtable2 -lm -lpthread
 
 PACKAGES = core request connection version process
 # Libraries in link order: a package may use those after it.
--- a/packages/connection/include/ks/connection.h
+++ b/packages/connection/include/ks/connection.h
@@ -104,20 +104,23 @@
 
 /* http_client.c */
 
-struct st_h2o_http1client_t;
-struct st_h2o_http1client_ctx_t;
-struct ks_http_pool;
+struct ks_http_conn;
 
 /**
  * struct ks_http_client - what the calls of a process share
- * @pools: idle connections by the address of their peer
+ * @peers: idle connections by the address of their peer
  * @calls: active calls
+ * @conns: connections that are not idle
+ * @keep_us: longest time that a connection stays idle, in microseconds
+ * @connect_timeout_us: for a new connection, in microseconds; 0 for no limit
  */
 typedef struct ks_http_client {
 	ks_loop_t *loop;
-	struct st_h2o_http1client_ctx_t *h2o;
-	GHashTable *pools;
+	GHashTable *peers;
 	ks_list_t calls;
+	ks_list_t conns;
+	int64_t keep_us;
+	int64_t connect_timeout_us;
 } ks_http_client_t;
 
 /**
@@ -140,24 +143,34 @@
  * @address: peer
  * @method: e.g. "GET"
  * @target: path and query
+ * @host: value of the Host field; empty for @address
  * @headers: without Host, Content-Length and Connection
  * @body: may be empty
+ * @answer_id_name: field, in lower case, in which the peer echoes an id; empty
+ *	if it does not. An answer that echoes another id is skipped.
+ * @answer_id: the id expected in it
  * @timeout_us: time for the whole call; 0 for no limit
  * @idle_timeout_us: longest wait for the next bytes; 0 for no limit
- * @reuse: may use a connection that served another call. Only for requests that
- *	may be repeated: one that ends on such a connection before any byte of
- *	the answer is sent once more, on a new connection.
+ * @reuse: may use a connection that served another call. Unless @once is set,
+ *	only for requests that may be repeated: one that ends on such a
+ *	connection before any byte of the answer is sent once more, on a new
+ *	connection.
+ * @once: never send it a second time
  */
 typedef struct ks_http_request {
 	ks_address_t address;
 	ks_str_t method;
 	ks_str_t target;
+	ks_str_t host;
 	const ks_header_t *headers;
 	size_t n_headers;
 	ks_str_t body;
+	ks_str_t answer_id_name;
+	ks_str_t answer_id;
 	int64_t timeout_us;
 	int64_t idle_timeout_us;
 	bool reuse;
+	bool once;
 } ks_http_request_t;
 
 /**
@@ -182,35 +195,35 @@
 
 /**
  * struct ks_http_call - one request and its answer, on memory of its owner
+ * @conn: NULL until the call has been started, and after it has ended
  * @sent: on this connection or an earlier one
  * @reused: the connection served another call before
- * @pool: to connect through, or NULL for a new connection
- * @connected: set by a connection that is ready at once
- * @cancelled: set while an event runs inside h2o
- * @deferred: runs @next, which may not happen inside the current call
+ * @repeat: may be sent again if a reused connection ends
+ * @answer_begun: a byte of the answer has come
+ * @deferred: starts the call, since no event may come before
+ *	ks_http_call_start() returns
  */
 typedef struct ks_http_call {
 	ks_list_t node;
 	ks_http_client_t *client;
-	struct st_h2o_http1client_t *h2o;
+	struct ks_http_conn *conn;
 	const ks_http_events_t *events;
 	void *ctx;
 	GString *request;
-	void *reqbuf;
+	ks_str_t answer_id_name;
+	GString *answer_id;
 	ks_timer_t deadline;
 	ks_timer_t idle;
+	ks_timer_t deferred;
 	int64_t idle_timeout_us;
+	ks_address_t address;
 	bool active;
-	bool starting;
+	bool is_head;
 	bool sent;
+	bool reuse;
 	bool reused;
-	ks_address_t address;
-	struct ks_http_pool *pool;
-	bool *connected;
-	bool *cancelled;
-	ks_http_result_t result;
-	ks_timer_t deferred;
-	void (*next)(struct ks_http_call *call);
+	bool repeat;
+	bool answer_begun;
 } ks_http_call_t;
 
 void ks_http_client_init(ks_http_client_t *client, ks_loop_t *loop);
@@ -219,6 +232,8 @@
 			const ks_http_request_t *request,
 			const ks_http_events_t *events, void *ctx);
 void ks_http_call_cancel(ks_http_call_t *call);
+void ks_http_call_pause(ks_http_call_t *call);
+void ks_http_call_resume(ks_http_call_t *call);
 bool ks_http_call_is_active(const ks_http_call_t *call);
 
 /* http_fetch.c */
--- a/packages/connection/src/http_client.c
+++ b/packages/connection/src/http_client.c
@@ -1,80 +1,26 @@
 /*
- * HTTP/1.1 calls over h2o's client. A call has a connection of its own, unless
- * its request may be repeated and so may use one that is kept for reuse.
+ * HTTP/1.1 calls. A call has a connection of its own, unless its request may
+ * use one that is kept for reuse.
  */
-#include "ks/connection.h"
-
-#include <arpa/inet.h>
-#include <h2o.h>
-#include <h2o/http1client.h>
-
-/*
- * h2o wants a timeout for each wait. Waits are bounded by the call's own
- * timers instead, since a healthy stream may be quiet for long.
- */
-#define H2O_IO_TIMEOUT_MS (24 * 3600 * 1000)
-
-#define MAX_HEADERS 100
+#include "http_conn.h"
 
 /*
  * Idle connections are closed before a usual server does so itself, as a
  * request sent meanwhile would be lost and repeated.
  */
-#define POOL_IDLE_MS 2000
-
-struct ks_http_pool {
-	h2o_socketpool_t h2o;
-};
-
-struct http_client_state {
-	h2o_http1client_ctx_t ctx;
-	h2o_timeout_t io_timeout;
-};
-
-static void free_pool(gpointer data)
-{
-	struct ks_http_pool *pool = data;
-
-	h2o_socketpool_dispose(&pool->h2o);
-	g_free(pool);
-}
-
-/* h2o takes the host by number for IPv4 only; others are not pooled. */
-static struct ks_http_pool *find_pool(ks_http_client_t *client,
-				      const ks_address_t *address)
-{
-	char text[KS_ADDRESS_TEXT_SIZE];
-	struct ks_http_pool *pool;
-	struct in_addr v4;
-
-	ks_address_format(address, text);
-	pool = g_hash_table_lookup(client->pools, text);
-	if (pool || inet_pton(AF_INET, address->ip, &v4) != 1)
-		return pool;
-	pool = g_new0(struct ks_http_pool, 1);
-	h2o_socketpool_init_by_hostport(
-		&pool->h2o, h2o_iovec_init(address->ip, strlen(address->ip)),
-		address->port, 0, SIZE_MAX);
-	h2o_socketpool_set_timeout(&pool->h2o, client->loop->h2o, POOL_IDLE_MS);
-	g_hash_table_insert(client->pools, g_strdup(text), pool);
-	return pool;
-}
+#define KEEP_IDLE_US (2 * KS_USEC_PER_SEC)
 
 /**
  * ks_http_client_init() - set up what the calls of a process share
  */
 void ks_http_client_init(ks_http_client_t *client, ks_loop_t *loop)
 {
-	struct http_client_state *state = g_new0(struct http_client_state, 1);
-
-	h2o_timeout_init(loop->h2o, &state->io_timeout, H2O_IO_TIMEOUT_MS);
-	state->ctx.loop = loop->h2o;
-	state->ctx.io_timeout = &state->io_timeout;
 	client->loop = loop;
-	client->h2o = &state->ctx;
-	client->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					      free_pool);
+	client->keep_us = KEEP_IDLE_US;
+	client->connect_timeout_us = 0;
 	ks_list_init(&client->calls);
+	ks_list_init(&client->conns);
+	http_peers_init(client);
 }
 
 static void abandon_call(ks_http_call_t *call)
@@ -95,77 +41,40 @@
  */
 void ks_http_client_deinit(ks_http_client_t *client)
 {
-	struct http_client_state *state = H2O_STRUCT_FROM_MEMBER(
-		struct http_client_state, ctx, client->h2o);
-
 	while (!ks_list_is_empty(&client->calls))
 		abandon_call(KS_CONTAINER_OF(client->calls.next, ks_http_call_t,
 					     node));
-	g_hash_table_destroy(client->pools);
-	client->pools = NULL;
-	h2o_timeout_dispose(client->loop->h2o, &state->io_timeout);
-	g_free(state);
-	client->h2o = NULL;
+	http_peers_deinit(client);
 }
 
 /* Frees what an active call holds. */
-static void free_request(ks_http_call_t *call)
-{
-	ks_list_remove(&call->node);
-	g_string_free(call->request, TRUE);
-	call->request = NULL;
-	g_free(call->reqbuf);
-	call->reqbuf = NULL;
-}
-
-static void defer(ks_http_call_t *call, void (*next)(ks_http_call_t *call))
-{
-	call->next = next;
-	ks_timer_set(&call->deferred, 0);
-}
-
-static void on_deferred(void *ctx)
-{
-	ks_http_call_t *call = ctx;
-
-	call->next(call);
-}
-
-static void report_result(ks_http_call_t *call)
+static void end_call(ks_http_call_t *call)
 {
 	call->active = false;
-	free_request(call);
-	call->events->done(call->ctx, call->result);
-}
-
-static void finish_call(ks_http_call_t *call, ks_http_result_t result)
-{
-	call->h2o = NULL;
-	call->result = result;
+	call->conn = NULL;
+	ks_list_remove(&call->node);
 	ks_timer_clear(&call->deadline);
 	ks_timer_clear(&call->idle);
 	ks_timer_clear(&call->deferred);
-	/* Keeps the promise that no event comes before start returns. */
-	if (call->starting)
-		defer(call, report_result);
-	else
-		report_result(call);
+	g_string_free(call->request, TRUE);
+	g_string_free(call->answer_id, TRUE);
+	call->request = NULL;
+	call->answer_id = NULL;
 }
 
-static void stop_waiting(ks_http_call_t *call)
+static void finish_call(ks_http_call_t *call, ks_http_result_t result)
 {
-	bool sent = call->sent;
-
-	if (call->h2o)
-		h2o_http1client_cancel(call->h2o);
-	finish_call(call, sent ? KS_HTTP_TIMED_OUT : KS_HTTP_NOT_SENT);
+	end_call(call);
+	call->events->done(call->ctx, result);
 }
 
 static void on_timeout(void *ctx)
 {
 	ks_http_call_t *call = ctx;
 
-	stop_waiting(call);
+	if (call->conn)
+		http_conn_close(call->conn);
+	finish_call(call, call->sent ? KS_HTTP_TIMED_OUT : KS_HTTP_NOT_SENT);
 }
 
 static void note_progress(ks_http_call_t *call)
@@ -174,147 +83,78 @@
 		ks_timer_set(&call->idle, call->idle_timeout_us);
 }
 
-static int on_body(h2o_http1client_t *h2o, const char *errstr)
+void http_call_head(ks_http_call_t *call, int status,
+		    const ks_header_t *headers, size_t n_headers)
 {
-	ks_http_call_t *call = h2o->data;
-	h2o_buffer_t *input = h2o->sock->input;
-	bool cancelled = false;
-
+	call->answer_begun = true;
 	note_progress(call);
-	if (input->size > 0) {
-		ks_str_t data = { input->bytes, input->size };
-
-		call->cancelled = &cancelled;
-		call->events->body(call->ctx, data);
-		if (cancelled)
-			return 1;
-		call->cancelled = NULL;
-		h2o_buffer_consume(&h2o->sock->input, h2o->sock->input->size);
-	}
-	if (errstr)
-		finish_call(call, errstr == h2o_http1client_error_is_eos
-					  ? KS_HTTP_WHOLE
-					  : KS_HTTP_LOST);
-	return 0;
+	call->events->head(call->ctx, status, headers, n_headers);
 }
 
-static size_t copy_headers(ks_header_t *to, const h2o_header_t *from, size_t n)
+void http_call_body(ks_http_call_t *call, ks_str_t data)
 {
-	n = MIN(n, MAX_HEADERS);
-	for (size_t i = 0; i < n; i++) {
-		to[i].name =
-			(ks_str_t){ from[i].name->base, from[i].name->len };
-		to[i].value =
-			(ks_str_t){ from[i].value.base, from[i].value.len };
-	}
-	return n;
+	note_progress(call);
+	call->events->body(call->ctx, data);
 }
 
-static void connect_new(ks_http_call_t *call);
-
-/* The peer may have closed the connection while it was idle. */
-static void repeat_call(ks_http_call_t *call)
+void http_call_whole(ks_http_call_t *call)
 {
-	call->h2o = NULL;
-	call->reused = false;
-	defer(call, connect_new);
+	finish_call(call, KS_HTTP_WHOLE);
 }
 
-static h2o_http1client_body_cb
-on_head(h2o_http1client_t *h2o, const char *errstr,
-	int minor_version G_GNUC_UNUSED, int status,
-	h2o_iovec_t msg G_GNUC_UNUSED, h2o_header_t *headers, size_t n_headers,
-	int rlen G_GNUC_UNUSED)
+static void send_request(ks_http_call_t *call)
 {
-	ks_http_call_t *call = h2o->data;
-	ks_header_t copies[MAX_HEADERS];
-	bool cancelled = false;
+	bool first = !call->sent;
 
-	if (errstr && errstr != h2o_http1client_error_is_eos) {
-		if (call->reused)
-			repeat_call(call);
-		else
-			finish_call(call, KS_HTTP_LOST);
-		return NULL;
-	}
-	note_progress(call);
-	call->cancelled = &cancelled;
-	call->events->head(call->ctx, status, copies,
-			   copy_headers(copies, headers, n_headers));
-	if (cancelled)
-		return NULL;
-	call->cancelled = NULL;
-	if (errstr) {
-		finish_call(call, KS_HTTP_WHOLE);
-		return NULL;
+	call->sent = true;
+	if (first && call->events->sent) {
+		call->events->sent(call->ctx);
+		/* The owner may have cancelled it. */
+		if (!call->active)
+			return;
 	}
-	return on_body;
+	http_conn_send(call->conn, call);
 }
 
-static h2o_http1client_head_cb
-on_connect(h2o_http1client_t *h2o, const char *errstr, h2o_iovec_t **reqbufs,
-	   size_t *n_reqbufs, int *method_is_head)
+void http_call_connected(ks_http_call_t *call)
 {
-	ks_http_call_t *call = h2o->data;
-	h2o_iovec_t *buf = call->reqbuf;
-	bool cancelled = false;
+	send_request(call);
+}
 
-	if (call->connected) {
-		*call->connected = true;
-		call->connected = NULL;
-		call->reused = !errstr;
-	}
-	if (errstr) {
+static void connect_new(ks_http_call_t *call)
+{
+	call->reused = false;
+	call->conn = http_conn_open(call->client, &call->address);
+	if (!call->conn) {
 		finish_call(call, call->sent ? KS_HTTP_LOST : KS_HTTP_NOT_SENT);
-		return NULL;
-	}
-	call->starting = false;
-	if (!call->sent && call->events->sent) {
-		call->sent = true;
-		call->cancelled = &cancelled;
-		call->events->sent(call->ctx);
-		if (cancelled)
-			return NULL;
-		call->cancelled = NULL;
+		return;
 	}
-	call->sent = true;
-	*buf = h2o_iovec_init(call->request->str, call->request->len);
-	*reqbufs = buf;
-	*n_reqbufs = 1;
-	*method_is_head = 0;
-	return on_head;
+	call->conn->call = call;
 }
 
-static void connect_new(ks_http_call_t *call)
+/* The connection has been closed. */
+void http_call_failed(ks_http_call_t *call)
 {
-	const ks_address_t *address = &call->address;
-	h2o_http1client_t *h2o = NULL;
-
-	call->starting = true;
-	h2o_http1client_connect(
-		&h2o, call, call->client->h2o,
-		h2o_iovec_init(address->ip, strlen(address->ip)), address->port,
-		0, on_connect);
-	call->starting = false;
-	if (!ks_timer_is_set(&call->deferred))
-		call->h2o = h2o;
+	call->conn = NULL;
+	/* The peer may have closed the connection while it was idle. */
+	if (call->reused && call->repeat && !call->answer_begun)
+		connect_new(call);
+	else
+		finish_call(call, call->sent ? KS_HTTP_LOST : KS_HTTP_NOT_SENT);
 }
 
-/*
- * A pooled connection is ready at once, so that events may come, and the owner
- * may free the call, before h2o returns.
- */
-static void connect_pooled(ks_http_call_t *call)
+static void on_deferred(void *ctx)
 {
-	bool connected = false;
+	ks_http_call_t *call = ctx;
 
-	/* on_connect() clears it before this function returns. */
-	/* cppcheck-suppress autoVariables */
-	call->connected = &connected;
-	h2o_http1client_connect_with_pool(&call->h2o, call, call->client->h2o,
-					  &call->pool->h2o, on_connect);
-	if (!connected)
-		call->connected = NULL;
+	if (call->reuse)
+		call->conn = http_conn_take_idle(call->client, &call->address);
+	if (!call->conn) {
+		connect_new(call);
+		return;
+	}
+	call->reused = true;
+	send_request(call);
 }
 
 static void append_field(GString *out, ks_str_t name, ks_str_t value)
@@ -325,26 +165,36 @@
 	g_string_append(out, "\r\n");
 }
 
+static bool implies_no_body(ks_str_t method)
+{
+	return ks_str_equal(method, KS_STR("GET")) ||
+	       ks_str_equal(method, KS_STR("HEAD")) ||
+	       ks_str_equal(method, KS_STR("DELETE"));
+}
+
 static GString *format_request(const ks_http_request_t *request)
 {
-	GString *out = g_string_sized_new(256 + request->body.len);
-	char host[KS_ADDRESS_TEXT_SIZE];
+	GString *out = g_string_sized_new(512 + request->body.len);
+	char address[KS_ADDRESS_TEXT_SIZE];
+	ks_str_t host = request->host;
 
+	if (!host.len)
+		host = ks_str_from(
+			ks_address_format(&request->address, address));
 	g_string_append_len(out, request->method.data,
 			    (gssize)request->method.len);
 	g_string_append_c(out, ' ');
 	g_string_append_len(out, request->target.data,
 			    (gssize)request->target.len);
 	g_string_append(out, " HTTP/1.1\r\n");
-	append_field(out, KS_STR("host"),
-		     ks_str_from(ks_address_format(&request->address, host)));
+	append_field(out, KS_STR("host"), host);
 	for (size_t i = 0; i < request->n_headers; i++)
 		append_field(out, request->headers[i].name,
 			     request->headers[i].value);
-	g_string_append_printf(out,
-			       "content-length: %zu\r\n"
-			       "connection: %s\r\n\r\n",
-			       request->body.len,
+	if (request->body.len || !implies_no_body(request->method))
+		g_string_append_printf(out, "content-length: %zu\r\n",
+				       request->body.len);
+	g_string_append_printf(out, "connection: %s\r\n\r\n",
 			       request->reuse ? "keep-alive" : "close");
 	g_string_append_len(out, request->body.data, (gssize)request->body.len);
 	return out;
@@ -353,7 +203,8 @@
 /**
  * ks_http_call_start() - send a request
  * @call: memory of the caller's, in use until the done event or a cancel
- * @request: needed during the call only
+ * @request: needed during the call only, but for the name of the answer's id,
+ *	which must outlive @call
  * @events: must outlive @call
  */
 void ks_http_call_start(ks_http_call_t *call, ks_http_client_t *client,
@@ -366,23 +217,22 @@
 	call->events = events;
 	call->ctx = ctx;
 	call->request = format_request(request);
+	call->answer_id_name = request->answer_id_name;
+	call->answer_id = g_string_new_len(request->answer_id.data,
+					   (gssize)request->answer_id.len);
 	call->idle_timeout_us = request->idle_timeout_us;
+	call->is_head = ks_str_equal(request->method, KS_STR("HEAD"));
+	call->reuse = request->reuse;
+	call->repeat = !request->once;
 	call->active = true;
 	ks_list_append(&client->calls, &call->node);
-	call->reqbuf = g_new(h2o_iovec_t, 1);
 	ks_timer_init(&call->deadline, client->loop, on_timeout, call);
 	ks_timer_init(&call->idle, client->loop, on_timeout, call);
 	ks_timer_init(&call->deferred, client->loop, on_deferred, call);
 	if (request->timeout_us > 0)
 		ks_timer_set(&call->deadline, request->timeout_us);
 	note_progress(call);
-
-	if (request->reuse)
-		call->pool = find_pool(client, &request->address);
-	if (call->pool)
-		defer(call, connect_pooled);
-	else
-		connect_new(call);
+	ks_timer_set(&call->deferred, 0);
 }
 
 /**
@@ -392,21 +242,29 @@
  */
 void ks_http_call_cancel(ks_http_call_t *call)
 {
-	h2o_http1client_t *h2o = call->h2o;
-
 	if (!call->active)
 		return;
-	call->active = false;
-	ks_list_remove(&call->node);
-	call->h2o = NULL;
-	ks_timer_clear(&call->deadline);
-	ks_timer_clear(&call->idle);
-	ks_timer_clear(&call->deferred);
-	free_request(call);
-	if (call->cancelled)
-		*call->cancelled = true; /* h2o closes it on return */
-	else if (h2o)
-		h2o_http1client_cancel(h2o);
+	if (call->conn)
+		http_conn_close(call->conn);
+	end_call(call);
+}
+
+/**
+ * ks_http_call_pause() - read no more of the answer until it is resumed
+ */
+void ks_http_call_pause(ks_http_call_t *call)
+{
+	if (call->active && call->conn && call->sent)
+		http_conn_pause(call->conn);
+}
+
+/**
+ * ks_http_call_resume() - read on; harmless when the call is not paused
+ */
+void ks_http_call_resume(ks_http_call_t *call)
+{
+	if (call->active && call->conn && call->sent)
+		http_conn_resume(call->conn);
 }
 
 /**
--- /dev/null
+++ b/packages/connection/src/http_conn.c
@@ -0,0 +1,411 @@
+/*
+ * Connections of the HTTP client on h2o's sockets. The answer is framed by
+ * http_parser, because h2o's own client reports a chunked answer that was cut
+ * after a full chunk as complete.
+ */
+#include "http_conn.h"
+
+#include <netinet/in.h>
+
+#define MAX_HEAD_BYTES (256 * 1024)
+
+/* Unacknowledged data ends a connection after this, as RFC 9293 allows. */
+#define DEAD_PEER_MS 1500
+
+/*
+ * A server that states an idle timeout closes at that time; the margin covers
+ * a request that is under way then.
+ */
+#define KEEP_ALIVE_MARGIN_US (1 * KS_USEC_PER_SEC)
+
+/**
+ * struct ks_http_peer - idle connections to one address, last used first out
+ */
+struct ks_http_peer {
+	ks_list_t idle;
+};
+
+void http_peers_init(ks_http_client_t *client)
+{
+	client->peers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+static struct ks_http_peer *find_peer(ks_http_client_t *client,
+				      const ks_address_t *address)
+{
+	char text[KS_ADDRESS_TEXT_SIZE];
+	struct ks_http_peer *peer;
+
+	ks_address_format(address, text);
+	peer = g_hash_table_lookup(client->peers, text);
+	if (peer)
+		return peer;
+	peer = g_new0(struct ks_http_peer, 1);
+	ks_list_init(&peer->idle);
+	g_hash_table_insert(client->peers, g_strdup(text), peer);
+	return peer;
+}
+
+static void free_conn(struct ks_http_conn *conn)
+{
+	ks_list_remove(&conn->node);
+	ks_timer_clear(&conn->timer);
+	if (conn->sock)
+		h2o_socket_close(conn->sock);
+	http_fields_deinit(&conn->fields);
+	g_string_free(conn->request, TRUE);
+	g_free(conn);
+}
+
+/**
+ * http_conn_close() - close a connection whose call, if any, is over
+ */
+void http_conn_close(struct ks_http_conn *conn)
+{
+	conn->call = NULL;
+	conn->closing = true;
+	if (!conn->parsing)
+		free_conn(conn);
+}
+
+void http_peers_deinit(ks_http_client_t *client)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	while (!ks_list_is_empty(&client->conns))
+		free_conn(KS_CONTAINER_OF(client->conns.next,
+					  struct ks_http_conn, node));
+	g_hash_table_iter_init(&iter, client->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct ks_http_peer *peer = value;
+
+		while (!ks_list_is_empty(&peer->idle))
+			free_conn(KS_CONTAINER_OF(peer->idle.next,
+						  struct ks_http_conn, node));
+	}
+	g_hash_table_destroy(client->peers);
+	client->peers = NULL;
+}
+
+static void fail(struct ks_http_conn *conn)
+{
+	ks_http_call_t *call = conn->call;
+
+	http_conn_close(conn);
+	if (call)
+		http_call_failed(call);
+}
+
+static int on_message_begin(http_parser *parser)
+{
+	struct ks_http_conn *conn = parser->data;
+
+	http_fields_clear(&conn->fields);
+	return 0;
+}
+
+static int on_field(http_parser *parser, const char *at, size_t len)
+{
+	struct ks_http_conn *conn = parser->data;
+
+	http_fields_add_name(&conn->fields, at, len);
+	return conn->fields.text->len > MAX_HEAD_BYTES;
+}
+
+static int on_value(http_parser *parser, const char *at, size_t len)
+{
+	struct ks_http_conn *conn = parser->data;
+
+	http_fields_add_value(&conn->fields, at, len);
+	return conn->fields.text->len > MAX_HEAD_BYTES;
+}
+
+static void note_keep_alive(struct ks_http_conn *conn,
+			    const ks_header_t *headers, size_t n)
+{
+	ks_str_t text = ks_header_value(headers, n, "keep-alive");
+	ks_str_t seconds = text;
+	int64_t value;
+
+	conn->keep_us = conn->client->keep_us;
+	if (ks_str_has_prefix(text, KS_STR("timeout="))) {
+		seconds.data += strlen("timeout=");
+		seconds.len -= strlen("timeout=");
+	}
+	for (size_t i = 0; i < seconds.len; i++)
+		if (!g_ascii_isdigit(seconds.data[i]))
+			seconds.len = i;
+	if (ks_str_parse_int(seconds, 0, G_MAXINT32, &value)) {
+		int64_t stated = value * KS_USEC_PER_SEC;
+
+		stated -= MIN(KEEP_ALIVE_MARGIN_US, stated / 2);
+		conn->keep_us = MIN(conn->keep_us, stated);
+	}
+}
+
+/* An answer that names another request is late and belongs to no one. */
+static bool is_for_call(const struct ks_http_conn *conn,
+			const ks_header_t *headers, size_t n)
+{
+	const ks_http_call_t *call = conn->call;
+	const ks_header_t *echo;
+
+	if (!call || !call->answer_id->len)
+		return true;
+	for (size_t i = 0; i < n; i++) {
+		echo = &headers[i];
+		if (echo->name.len == call->answer_id_name.len &&
+		    !memcmp(echo->name.data, call->answer_id_name.data,
+			    echo->name.len))
+			return ks_str_equal(echo->value,
+					    (ks_str_t){ call->answer_id->str,
+							call->answer_id->len });
+	}
+	return true;
+}
+
+static int on_head(http_parser *parser)
+{
+	struct ks_http_conn *conn = parser->data;
+	ks_header_t *headers;
+	size_t n;
+
+	if (parser->status_code / 100 == 1)
+		return 0;
+	headers = http_fields_list(&conn->fields, &n);
+	note_keep_alive(conn, headers, n);
+	conn->skipping = !is_for_call(conn, headers, n);
+	if (!conn->skipping && conn->call) {
+		conn->answer_begun = true;
+		http_call_head(conn->call, (int)parser->status_code, headers,
+			       n);
+	}
+	g_free(headers);
+	return conn->call && conn->call->is_head ? 1 : 0;
+}
+
+static int on_body(http_parser *parser, const char *at, size_t len)
+{
+	struct ks_http_conn *conn = parser->data;
+
+	if (conn->call && !conn->skipping)
+		http_call_body(conn->call, (ks_str_t){ at, len });
+	return conn->closing;
+}
+
+static int on_complete(http_parser *parser)
+{
+	struct ks_http_conn *conn = parser->data;
+
+	if (parser->status_code / 100 == 1 || conn->skipping)
+		return 0;
+	conn->answer_done = true;
+	conn->reusable = http_should_keep_alive(parser);
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = on_message_begin,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_head,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+static void on_idle_end(void *ctx)
+{
+	http_conn_close(ctx);
+}
+
+/* Bytes on an idle connection belong to no request. */
+static void on_idle_input(h2o_socket_t *sock, const char *err G_GNUC_UNUSED)
+{
+	http_conn_close(sock->data);
+}
+
+/* Bytes after the answer would be taken for the next one. */
+static void release(struct ks_http_conn *conn, bool clean)
+{
+	ks_http_call_t *call = conn->call;
+
+	conn->call = NULL;
+	if (!clean || !conn->reusable || conn->writing || conn->keep_us <= 0) {
+		http_conn_close(conn);
+	} else {
+		conn->served++;
+		ks_list_remove(&conn->node);
+		conn->node.next = conn->peer->idle.next;
+		conn->node.prev = &conn->peer->idle;
+		conn->node.next->prev = &conn->node;
+		conn->peer->idle.next = &conn->node;
+		h2o_socket_read_start(conn->sock, on_idle_input);
+		ks_timer_init(&conn->timer, conn->client->loop, on_idle_end,
+			      conn);
+		ks_timer_set(&conn->timer, conn->keep_us);
+	}
+	http_call_whole(call);
+}
+
+static bool parse(struct ks_http_conn *conn, const char *data, size_t len,
+		  size_t *used)
+{
+	conn->parsing = true;
+	*used = http_parser_execute(&conn->parser, &parser_settings, data, len);
+	conn->parsing = false;
+	return HTTP_PARSER_ERRNO(&conn->parser) == HPE_OK ||
+	       HTTP_PARSER_ERRNO(&conn->parser) == HPE_PAUSED;
+}
+
+static void on_input(h2o_socket_t *sock, const char *err)
+{
+	struct ks_http_conn *conn = sock->data;
+	size_t len = sock->input->size, used = 0;
+	bool ok = true;
+
+	if (len)
+		ok = parse(conn, sock->input->bytes, len, &used);
+	if (conn->closing) {
+		free_conn(conn);
+		return;
+	}
+	h2o_buffer_consume(&sock->input, len);
+	/*
+	 * An answer without a length ends with its connection, but only with
+	 * an orderly close: a reset may have cut it.
+	 */
+	if (ok && !conn->answer_done && err == h2o_socket_error_closed)
+		ok = parse(conn, NULL, 0, &used);
+	if (conn->closing)
+		free_conn(conn);
+	else if (conn->answer_done)
+		release(conn, used == len && !err);
+	else if (!ok || err)
+		fail(conn);
+}
+
+static void on_written(h2o_socket_t *sock, const char *err)
+{
+	struct ks_http_conn *conn = sock->data;
+
+	conn->writing = false;
+	/* The answer may already be here; reading finds out. */
+	if (err && conn->call && !h2o_socket_is_reading(sock))
+		fail(conn);
+}
+
+static void start_answer(struct ks_http_conn *conn)
+{
+	http_parser_init(&conn->parser, HTTP_RESPONSE);
+	conn->parser.data = conn;
+	conn->skipping = false;
+	conn->answer_begun = false;
+	conn->answer_done = false;
+	conn->reusable = false;
+}
+
+/**
+ * http_conn_send() - write the request of a call on a connected connection
+ */
+void http_conn_send(struct ks_http_conn *conn, ks_http_call_t *call)
+{
+	h2o_iovec_t buf;
+
+	conn->call = call;
+	ks_timer_clear(&conn->timer);
+	start_answer(conn);
+	g_string_assign(conn->request, "");
+	g_string_append_len(conn->request, call->request->str,
+			    (gssize)call->request->len);
+	buf = h2o_iovec_init(conn->request->str, conn->request->len);
+	conn->writing = true;
+	h2o_socket_read_start(conn->sock, on_input);
+	h2o_socket_write(conn->sock, &buf, 1, on_written);
+}
+
+static void on_connect(h2o_socket_t *sock, const char *err)
+{
+	struct ks_http_conn *conn = sock->data;
+
+	ks_timer_clear(&conn->timer);
+	if (err) {
+		fail(conn);
+		return;
+	}
+	conn->connected = true;
+	http_call_connected(conn->call);
+}
+
+static void on_connect_timeout(void *ctx)
+{
+	fail(ctx);
+}
+
+/**
+ * http_conn_open() - start to connect; http_call_connected() follows
+ *
+ * Return: NULL if the kernel refuses a socket.
+ */
+struct ks_http_conn *http_conn_open(ks_http_client_t *client,
+				    const ks_address_t *address)
+{
+	struct ks_http_conn *conn;
+	struct sockaddr_storage storage;
+	socklen_t len = http_sockaddr(address, &storage);
+	h2o_socket_t *sock = h2o_socket_connect(client->loop->h2o,
+						(struct sockaddr *)&storage,
+						len, on_connect);
+
+	if (!sock)
+		return NULL;
+	conn = g_new0(struct ks_http_conn, 1);
+	conn->client = client;
+	conn->peer = find_peer(client, address);
+	conn->sock = sock;
+	conn->sock->data = conn;
+	conn->request = g_string_new(NULL);
+	http_fields_init(&conn->fields);
+	http_detect_dead_peer(h2o_socket_get_fd(sock), DEAD_PEER_MS);
+	ks_timer_init(&conn->timer, client->loop, on_connect_timeout, conn);
+	if (client->connect_timeout_us > 0)
+		ks_timer_set(&conn->timer, client->connect_timeout_us);
+	ks_list_append(&client->conns, &conn->node);
+	return conn;
+}
+
+/**
+ * http_conn_take_idle() - the idle connection that was used last
+ *
+ * Return: NULL if there is none.
+ */
+struct ks_http_conn *http_conn_take_idle(ks_http_client_t *client,
+					 const ks_address_t *address)
+{
+	struct ks_http_peer *peer = find_peer(client, address);
+	struct ks_http_conn *conn;
+
+	if (ks_list_is_empty(&peer->idle))
+		return NULL;
+	conn = KS_CONTAINER_OF(peer->idle.next, struct ks_http_conn, node);
+	ks_list_remove(&conn->node);
+	ks_list_append(&client->conns, &conn->node);
+	ks_timer_clear(&conn->timer);
+	h2o_socket_read_stop(conn->sock);
+	return conn;
+}
+
+/**
+ * http_conn_pause() - read no more until http_conn_resume()
+ */
+void http_conn_pause(struct ks_http_conn *conn)
+{
+	h2o_socket_read_stop(conn->sock);
+}
+
+void http_conn_resume(struct ks_http_conn *conn)
+{
+	h2o_socket_read_start(conn->sock, on_input);
+}
--- /dev/null
+++ b/packages/connection/src/http_conn.h
@@ -0,0 +1,62 @@
+/* Connections of the HTTP client, and those kept for reuse. */
+#ifndef KS_CONNECTION_HTTP_CONN_H
+#define KS_CONNECTION_HTTP_CONN_H
+
+#include "http_message.h"
+
+#include <h2o.h>
+
+struct ks_http_peer;
+
+/**
+ * struct ks_http_conn - one connection; serves one call at a time
+ * @node: in the client's list, or among the idle ones of @peer
+ * @call: NULL when idle, or once the call has been cancelled
+ * @request: bytes being written
+ * @served: answers that were complete, before the current call
+ * @keep_us: how long it may stay idle after this answer
+ * @skipping: the answer belongs to an earlier request
+ * @parsing: inside the parser, so that closing waits
+ */
+struct ks_http_conn {
+	ks_list_t node;
+	ks_http_client_t *client;
+	struct ks_http_peer *peer;
+	h2o_socket_t *sock;
+	ks_http_call_t *call;
+	GString *request;
+	http_parser parser;
+	struct http_fields fields;
+	ks_timer_t timer;
+	int64_t keep_us;
+	unsigned served;
+	bool connected;
+	bool writing;
+	bool parsing;
+	bool skipping;
+	bool answer_begun;
+	bool answer_done;
+	bool reusable;
+	bool closing;
+};
+
+struct ks_http_conn *http_conn_take_idle(ks_http_client_t *client,
+					 const ks_address_t *address);
+struct ks_http_conn *http_conn_open(ks_http_client_t *client,
+				    const ks_address_t *address);
+void http_conn_send(struct ks_http_conn *conn, ks_http_call_t *call);
+void http_conn_close(struct ks_http_conn *conn);
+void http_conn_pause(struct ks_http_conn *conn);
+void http_conn_resume(struct ks_http_conn *conn);
+void http_peers_init(ks_http_client_t *client);
+void http_peers_deinit(ks_http_client_t *client);
+
+/* Implemented by http_client.c. */
+void http_call_connected(ks_http_call_t *call);
+void http_call_failed(ks_http_call_t *call);
+void http_call_head(ks_http_call_t *call, int status,
+		    const ks_header_t *headers, size_t n_headers);
+void http_call_body(ks_http_call_t *call, ks_str_t data);
+void http_call_whole(ks_http_call_t *call);
+
+#endif
--- /dev/null
+++ b/packages/connection/src/http_message.c
@@ -0,0 +1,114 @@
+/* Header fields and socket options that the HTTP client and servers share. */
+#include "http_message.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+void http_fields_init(struct http_fields *fields)
+{
+	fields->text = g_string_new(NULL);
+	fields->spans = g_array_new(FALSE, TRUE, sizeof(struct http_span));
+	fields->in_value = true;
+}
+
+void http_fields_deinit(struct http_fields *fields)
+{
+	g_string_free(fields->text, TRUE);
+	g_array_free(fields->spans, TRUE);
+}
+
+void http_fields_clear(struct http_fields *fields)
+{
+	g_string_truncate(fields->text, 0);
+	g_array_set_size(fields->spans, 0);
+	fields->in_value = true;
+}
+
+static struct http_span *last_span(struct http_fields *fields)
+{
+	return &g_array_index(fields->spans, struct http_span,
+			      fields->spans->len - 1);
+}
+
+/* The parser hands out names and values in pieces of any size. */
+void http_fields_add_name(struct http_fields *fields, const char *at,
+			  size_t len)
+{
+	if (fields->in_value) {
+		g_array_set_size(fields->spans, fields->spans->len + 1);
+		last_span(fields)->name = fields->text->len;
+		fields->in_value = false;
+	}
+	for (size_t i = 0; i < len; i++)
+		g_string_append_c(fields->text, g_ascii_tolower(at[i]));
+	last_span(fields)->name_len += len;
+}
+
+void http_fields_add_value(struct http_fields *fields, const char *at,
+			   size_t len)
+{
+	if (!fields->spans->len)
+		return;
+	if (!fields->in_value) {
+		last_span(fields)->value = fields->text->len;
+		fields->in_value = true;
+	}
+	g_string_append_len(fields->text, at, (gssize)len);
+	last_span(fields)->value_len += len;
+}
+
+/**
+ * http_fields_list() - the fields as views into @fields
+ *
+ * Return: an array to be freed with g_free().
+ */
+ks_header_t *http_fields_list(const struct http_fields *fields, size_t *count)
+{
+	ks_header_t *list = g_new(ks_header_t, fields->spans->len + 1);
+	const char *text = fields->text->str;
+
+	*count = fields->spans->len;
+	for (size_t i = 0; i < *count; i++) {
+		const struct http_span *span =
+			&g_array_index(fields->spans, struct http_span, i);
+
+		list[i].name = (ks_str_t){ text + span->name, span->name_len };
+		list[i].value =
+			(ks_str_t){ text + span->value, span->value_len };
+	}
+	return list;
+}
+
+/**
+ * http_sockaddr() - an address as the kernel takes it
+ */
+socklen_t http_sockaddr(const ks_address_t *address,
+			struct sockaddr_storage *storage)
+{
+	struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)storage;
+	struct sockaddr_in *v4 = (struct sockaddr_in *)storage;
+
+	memset(storage, 0, sizeof(*storage));
+	if (inet_pton(AF_INET, address->ip, &v4->sin_addr) == 1) {
+		v4->sin_family = AF_INET;
+		v4->sin_port = htons(address->port);
+		return sizeof(*v4);
+	}
+	inet_pton(AF_INET6, address->ip, &v6->sin6_addr);
+	v6->sin6_family = AF_INET6;
+	v6->sin6_port = htons(address->port);
+	return sizeof(*v6);
+}
+
+/**
+ * http_detect_dead_peer() - end a connection whose data stays unacknowledged
+ *
+ * A peer without power or behind a partition never resets the connection.
+ */
+void http_detect_dead_peer(int fd, unsigned timeout_ms)
+{
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+		   sizeof(timeout_ms));
+}
--- /dev/null
+++ b/packages/connection/src/http_message.h
@@ -0,0 +1,39 @@
+/* Parsing of HTTP/1.1 messages, shared by the client and the edge server. */
+#ifndef KS_CONNECTION_HTTP_MESSAGE_H
+#define KS_CONNECTION_HTTP_MESSAGE_H
+
+#include "ks/connection.h"
+
+#include <http_parser.h>
+#include <sys/socket.h>
+
+/**
+ * struct http_fields - header fields of the message being parsed
+ * @text: names, in lower case, and values, one after the other
+ * @spans: struct http_span of each field
+ */
+struct http_fields {
+	GString *text;
+	GArray *spans;
+	bool in_value;
+};
+
+struct http_span {
+	size_t name, name_len;
+	size_t value, value_len;
+};
+
+void http_fields_init(struct http_fields *fields);
+void http_fields_deinit(struct http_fields *fields);
+void http_fields_clear(struct http_fields *fields);
+void http_fields_add_name(struct http_fields *fields, const char *at,
+			  size_t len);
+void http_fields_add_value(struct http_fields *fields, const char *at,
+			   size_t len);
+ks_header_t *http_fields_list(const struct http_fields *fields, size_t *count);
+
+socklen_t http_sockaddr(const ks_address_t *address,
+			struct sockaddr_storage *storage);
+void http_detect_dead_peer(int fd, unsigned timeout_ms);
+
+#endif
--- a/packages/connection/src/http_server.c
+++ b/packages/connection/src/http_server.c
@@ -1,7 +1,6 @@
 /* HTTP server on h2o: one listener, one handler for every path. */
-#include "ks/connection.h"
+#include "http_message.h"
 
-#include <arpa/inet.h>
 #include <h2o.h>
 #include <h2o/http1.h>
 #include <h2o/http2.h>
@@ -43,28 +42,10 @@
 		h2o_accept(&server->state->accept, sock);
 }
 
-static socklen_t fill_sockaddr(const ks_address_t *address,
-			       struct sockaddr_storage *storage)
-{
-	struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)storage;
-	struct sockaddr_in *v4 = (struct sockaddr_in *)storage;
-
-	memset(storage, 0, sizeof(*storage));
-	if (inet_pton(AF_INET, address->ip, &v4->sin_addr) == 1) {
-		v4->sin_family = AF_INET;
-		v4->sin_port = htons(address->port);
-		return sizeof(*v4);
-	}
-	inet_pton(AF_INET6, address->ip, &v6->sin6_addr);
-	v6->sin6_family = AF_INET6;
-	v6->sin6_port = htons(address->port);
-	return sizeof(*v6);
-}
-
 static int open_listener(const ks_address_t *address, uint16_t *port)
 {
 	struct sockaddr_storage storage;
-	socklen_t len = fill_sockaddr(address, &storage);
+	socklen_t len = http_sockaddr(address, &storage);
 	int reuse = 1;
 	int fd = socket(storage.ss_family,
 			SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
