--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 PKGS = glib-2.0 jansson libcyaml yaml-0.1 libprotobuf-c libzmq libxxhash zlib
 CPPFLAGS = -D_GNU_SOURCE -DH2O_USE_LIBUV=0 -MMD -MP \
 	$(addprefix -Ipackages/,$(addsuffix /include,$(PACKAGES))) \
-	-Ipackages/connection/src -Itests/fakes \
+	-Ipackages/connection/src -Itests/fakes -Iplatform \
 	$(shell pkg-config --cflags $(PKGS))
 WARN = -Wall -Wextra -Werror -Wpointer-arith -Wvla
 OPT = -O2 -g -fno-omit-frame-pointer
@@ -35,9 +35,9 @@
 LDLIBS = $(shell pkg-config --libs $(PKGS)) -lh2o-evloop -lssl -lcrypto \
 	-lhttp_parser -llog4c -largtable2 -lm -lpthread
 
-PACKAGES = core request connection version process
+PACKAGES = core request connection version process gateway
 # Libraries in link order: a package may use those after it.
-LIBS = $(addprefix $(BUILD)/libks-,$(addsuffix .a,process version connection request core))
+LIBS = $(BUILD)/libks-platform.a $(addprefix $(BUILD)/libks-,$(addsuffix .a,gateway process version connection request core))
 
 PROGRAMS = $(patsubst cli/%.c,$(BUILD)/%,$(wildcard cli/*.c))
 FAKES = $(patsubst tests/fakes/%.c,$(BUILD)/%,$(wildcard tests/fakes/fake-*.c))
@@ -53,9 +53,9 @@
 FUZZ_BINS = $(patsubst %.c,$(BUILD)/%,$(FUZZ_SRCS))
 SYSTEM_TESTS = $(wildcard tests/system/test-*.sh)
 
-C_SRCS = $(wildcard packages/*/src/*.c cli/*.c tests/fakes/*.c tests/fuzz/*.c tests/system/*.c bench/*.c packages/*/tests/*.c)
+C_SRCS = $(wildcard packages/*/src/*.c platform/*.c cli/*.c tests/fakes/*.c tests/fuzz/*.c tests/system/*.c bench/*.c packages/*/tests/*.c)
 CXX_SRCS = $(wildcard packages/*/tests/*.cpp tests/*.cpp)
-HDRS = $(wildcard packages/*/include/ks/*.h packages/*/src/*.h cli/*.h tests/fakes/*.h tests/fuzz/*.h bench/*.h packages/*/tests/*.h)
+HDRS = $(wildcard packages/*/include/ks/*.h packages/*/src/*.h platform/*.h cli/*.h tests/fakes/*.h tests/fuzz/*.h bench/*.h packages/*/tests/*.h)
 FORMAT_SRCS = $(filter-out %.pb-c.c %.pb-c.h,$(C_SRCS) $(CXX_SRCS) $(HDRS))
 TIDY_SRCS = $(filter-out %.pb-c.c,$(C_SRCS))
 
@@ -74,6 +74,10 @@
 	@rm -f $$@
 	$$(Q)ar rcs $$@ $$^
 endef
+$(BUILD)/libks-platform.a: $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/*.c))
+	@rm -f $@
+	$(Q)ar rcs $@ $^
+
 $(foreach p,$(PACKAGES),$(eval $(call package_template,$(p))))
 
 Q = $(if $(V),,@)
@@ -183,4 +187,4 @@
 clean:
 	rm -rf build
 
--include $(shell find build -name '*.d' 2>/dev/null)
+-include $(shell find build target -name '*.d' 2>/dev/null)
--- a/cli/knapweedstaird.c
+++ b/cli/knapweedstaird.c
@@ -1,5 +1,7 @@
 /* The daemon: reads its settings, runs its role, stops gracefully. */
+#include "ks/gateway.h"
 #include "ks/process.h"
+#include "platform.h"
 
 #include <argtable2.h>
 #include <signal.h>
@@ -13,24 +15,51 @@
 
 struct daemon {
 	ks_loop_t loop;
+	const char *settings_file;
 	ks_settings_t *settings;
 	ks_entry_t *entry;
 	ks_upstream_process_t *upstream;
+	ks_gateway_t *gateway;
+	ks_platform_source_t *source;
 	ks_watch_t signals;
 	int signal_fd;
 };
 
+/* Everything that may change while a process runs comes from the platform. */
+static void check_settings(struct daemon *daemon)
+{
+	ks_settings_t *settings;
+	GError *error = NULL;
+
+	if (!ks_settings_load(&settings, daemon->settings_file, &error)) {
+		ks_log(KS_LOG_MAIN, KS_LOG_WARN,
+		       "the changed settings are not valid: %s",
+		       error->message);
+		g_error_free(error);
+		return;
+	}
+	ks_log(KS_LOG_MAIN, KS_LOG_INFO,
+	       "the changed settings are valid and used at the next start");
+	ks_settings_free(settings);
+}
+
 static void on_signal(void *ctx)
 {
 	struct daemon *daemon = ctx;
 	struct signalfd_siginfo info;
 
 	while (read(daemon->signal_fd, &info, sizeof(info)) == sizeof(info)) {
+		if (info.ssi_signo == SIGHUP) {
+			check_settings(daemon);
+			continue;
+		}
 		ks_log(KS_LOG_MAIN, KS_LOG_INFO, "graceful stop begins");
 		if (daemon->entry)
 			ks_entry_stop(daemon->entry);
 		if (daemon->upstream)
 			ks_upstream_process_stop(daemon->upstream);
+		if (daemon->gateway)
+			ks_gateway_stop(daemon->gateway);
 	}
 }
 
@@ -41,6 +70,7 @@
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
 	sigprocmask(SIG_BLOCK, &set, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	daemon->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
@@ -48,6 +78,35 @@
 			     on_signal, daemon, error);
 }
 
+static bool start_gateway(struct daemon *daemon, GError **error)
+{
+	const ks_settings_t *s = daemon->settings;
+	ks_gateway_settings_t gateway = {
+		.domain = s->domain,
+		.drain_delay_us = s->drain_delay_ms * KS_USEC_PER_MSEC,
+		.grace_us = (int64_t)(s->stop_grace_s * KS_USEC_PER_SEC),
+		.retry_ratio = s->retry_ratio,
+		.retry_slack = s->retry_slack,
+		.retry_window_us =
+			(int64_t)(s->retry_window_s * KS_USEC_PER_SEC),
+	};
+	ks_address_t store;
+
+	if (!ks_address_parse(&gateway.listen, ks_str_from(s->listen), error) ||
+	    !ks_address_parse(&gateway.ready, ks_str_from(s->ready), error) ||
+	    !ks_address_parse(&store, ks_str_from(s->platform), error) ||
+	    (s->metrics && !ks_address_parse(&gateway.metrics,
+					     ks_str_from(s->metrics), error)))
+		return false;
+	daemon->gateway = ks_gateway_new(&daemon->loop, ks_platform_dialect(),
+					 &gateway, error);
+	if (!daemon->gateway)
+		return false;
+	daemon->source =
+		ks_platform_source_new(&daemon->loop, daemon->gateway, &store);
+	return true;
+}
+
 static bool start_role(struct daemon *daemon, GError **error)
 {
 	if (!g_strcmp0(daemon->settings->role, "entry")) {
@@ -55,6 +114,8 @@
 			ks_entry_new(&daemon->loop, daemon->settings, error);
 		return daemon->entry != NULL;
 	}
+	if (!g_strcmp0(daemon->settings->role, "gateway"))
+		return start_gateway(daemon, error);
 	daemon->upstream =
 		ks_upstream_process_new(&daemon->loop, daemon->settings, error);
 	return daemon->upstream != NULL;
@@ -77,6 +138,10 @@
 		ks_entry_free(daemon->entry);
 	if (daemon->upstream)
 		ks_upstream_process_free(daemon->upstream);
+	if (daemon->source)
+		ks_platform_source_free(daemon->source);
+	if (daemon->gateway)
+		ks_gateway_free(daemon->gateway);
 	ks_watch_deinit(&daemon->signals);
 	close(daemon->signal_fd);
 	ks_loop_deinit(&daemon->loop);
@@ -85,7 +150,7 @@
 
 static int run_with_settings(const char *file, bool check_only)
 {
-	struct daemon daemon = { 0 };
+	struct daemon daemon = { .settings_file = file };
 	GError *error = NULL;
 	int status;
 
--- a/packages/connection/include/ks/connection.h
+++ b/packages/connection/include/ks/connection.h
@@ -289,6 +289,78 @@
 ks_str_t ks_http_req_query(struct st_h2o_req_t *req);
 ks_str_t ks_http_req_body(struct st_h2o_req_t *req);
 
+/* http1_server.c */
+
+/* Defaults of the limits, used until a configuration states its own. */
+#define KS_HTTP1_MAX_HEADER_BYTES (16 * 1024)
+#define KS_HTTP1_MAX_BODY_BYTES (4 * 1024 * 1024)
+#define KS_HTTP1_HEADER_TIMEOUT_US (3 * KS_USEC_PER_SEC)
+#define KS_HTTP1_IDLE_TIMEOUT_US (15 * KS_USEC_PER_SEC)
+
+/**
+ * struct ks_http1_request - a request, valid until its answer has ended
+ * @target: path and query as sent
+ * @headers: with names in lower case
+ * @ctx: the handler's, passed to @gone and @drained
+ * @gone: the caller has closed its connection; the request must still be ended
+ * @drained: everything has been written, so that more may be
+ */
+typedef struct ks_http1_request {
+	ks_str_t method;
+	ks_str_t target;
+	const ks_header_t *headers;
+	size_t n_headers;
+	ks_str_t body;
+	void *ctx;
+	void (*gone)(void *ctx);
+	void (*drained)(void *ctx);
+} ks_http1_request_t;
+
+typedef void (*ks_http1_handler_func_t)(void *ctx, ks_http1_request_t *request);
+
+/**
+ * struct ks_http1_server - HTTP/1.1 server whose answers may be streamed
+ * @malformed: told why a request could not be read; optional
+ * @conns: open connections
+ * @max_header_bytes: more is answered 431
+ * @max_body_bytes: more is answered 413
+ * @header_timeout_us: for a whole request; then 408
+ * @idle_timeout_us: between requests
+ * @stopping: answers ask callers to close their connection
+ */
+typedef struct ks_http1_server {
+	ks_loop_t *loop;
+	ks_http1_handler_func_t handler;
+	void (*malformed)(void *ctx, const char *why);
+	void *ctx;
+	struct st_h2o_socket_t *listener;
+	uint16_t port;
+	ks_list_t conns;
+	size_t max_header_bytes;
+	size_t max_body_bytes;
+	int64_t header_timeout_us;
+	int64_t idle_timeout_us;
+	bool stopping;
+} ks_http1_server_t;
+
+bool ks_http1_server_init(ks_http1_server_t *server, ks_loop_t *loop,
+			  const ks_address_t *address,
+			  ks_http1_handler_func_t handler, void *ctx,
+			  GError **error);
+void ks_http1_server_deinit(ks_http1_server_t *server);
+void ks_http1_server_close_listener(ks_http1_server_t *server);
+void ks_http1_server_close_idle(ks_http1_server_t *server);
+size_t ks_http1_server_n_serving(const ks_http1_server_t *server);
+
+void ks_http1_start(ks_http1_request_t *request, int status,
+		    const ks_header_t *headers, size_t n_headers,
+		    int64_t length);
+void ks_http1_body(ks_http1_request_t *request, ks_str_t data);
+void ks_http1_end(ks_http1_request_t *request);
+void ks_http1_cut(ks_http1_request_t *request);
+void ks_http1_refuse(ks_http1_request_t *request, int status);
+size_t ks_http1_pending(ks_http1_request_t *request);
+
 /* socket.c */
 
 /**
--- /dev/null
+++ b/packages/connection/src/http1_server.c
@@ -0,0 +1,600 @@
+/*
+ * HTTP/1.1 server for requests that are forwarded. It reads on while a request
+ * is being served, so that the close of a caller is seen at once, and it can
+ * cut an answer; h2o's own HTTP/1 server stops reading until it has answered.
+ */
+#include "http_message.h"
+
+#include <h2o.h>
+#include <string.h>
+
+/* Input beyond the current request is left to the kernel above this. */
+#define MAX_PIPELINED_BYTES (64 * 1024)
+
+/* A caller that is gone without a word does not acknowledge for this long. */
+#define DEAD_CALLER_MS 10000
+
+/**
+ * struct http1_conn - a connection of a caller
+ * @node: in the server's list
+ * @request: the one being read or served
+ * @out: bytes to write after @sending
+ * @sending: bytes handed to the kernel, in part
+ * @timer: header or idle timeout
+ * @serving: the handler has the request, until the answer has ended
+ * @chunked: the answer is sent in chunks
+ * @close_after: close once everything is written
+ */
+struct http1_conn {
+	ks_list_t node;
+	ks_http1_server_t *server;
+	h2o_socket_t *sock;
+	ks_http1_request_t request;
+	http_parser parser;
+	struct http_fields fields;
+	GString *target;
+	GString *body;
+	GString *out;
+	GString *sending;
+	ks_timer_t timer;
+	unsigned refuse_status;
+	bool begun;
+	bool whole;
+	bool serving;
+	bool started;
+	bool chunked;
+	bool no_body;
+	bool keep_alive;
+	bool close_after;
+	bool writing;
+	bool parsing;
+	bool closing;
+};
+
+static struct http1_conn *conn_of(ks_http1_request_t *request)
+{
+	return KS_CONTAINER_OF(request, struct http1_conn, request);
+}
+
+static void free_conn(struct http1_conn *conn)
+{
+	ks_list_remove(&conn->node);
+	http_fields_deinit(&conn->fields);
+	g_free((gpointer)conn->request.headers);
+	g_string_free(conn->target, TRUE);
+	g_string_free(conn->body, TRUE);
+	g_string_free(conn->out, TRUE);
+	g_string_free(conn->sending, TRUE);
+	g_free(conn);
+}
+
+static void close_socket(struct http1_conn *conn)
+{
+	ks_timer_clear(&conn->timer);
+	if (conn->sock)
+		h2o_socket_close(conn->sock);
+	conn->sock = NULL;
+	conn->writing = false;
+	conn->closing = true;
+}
+
+/* The request of a closed connection lives until its handler has ended it. */
+static void close_conn(struct http1_conn *conn)
+{
+	ks_http1_request_t *request = &conn->request;
+
+	if (conn->closing)
+		return;
+	close_socket(conn);
+	if (conn->serving) {
+		if (request->gone)
+			request->gone(request->ctx);
+	} else if (!conn->parsing) {
+		free_conn(conn);
+	}
+}
+
+static void on_input(h2o_socket_t *sock, const char *err);
+static void read_next(struct http1_conn *conn);
+
+static void on_timer(void *ctx)
+{
+	struct http1_conn *conn = ctx;
+
+	if (conn->begun && !conn->close_after) {
+		ks_http1_refuse(&conn->request, 408);
+		return;
+	}
+	close_conn(conn);
+}
+
+static void on_written(h2o_socket_t *sock, const char *err);
+
+static void flush(struct http1_conn *conn)
+{
+	GString *next = conn->out;
+	h2o_iovec_t buf;
+
+	if (conn->writing || !conn->sock || !next->len)
+		return;
+	conn->out = conn->sending;
+	conn->sending = next;
+	g_string_truncate(conn->out, 0);
+	buf = h2o_iovec_init(next->str, next->len);
+	conn->writing = true;
+	h2o_socket_write(conn->sock, &buf, 1, on_written);
+}
+
+static void on_written(h2o_socket_t *sock, const char *err)
+{
+	struct http1_conn *conn = sock->data;
+
+	conn->writing = false;
+	g_string_truncate(conn->sending, 0);
+	if (err) {
+		close_conn(conn);
+		return;
+	}
+	if (conn->out->len) {
+		flush(conn);
+		return;
+	}
+	if (conn->serving) {
+		if (conn->request.drained)
+			conn->request.drained(conn->request.ctx);
+		return;
+	}
+	if (conn->close_after)
+		close_conn(conn);
+}
+
+static int on_message_begin(http_parser *parser)
+{
+	struct http1_conn *conn = parser->data;
+
+	conn->begun = true;
+	http_fields_clear(&conn->fields);
+	g_string_truncate(conn->target, 0);
+	g_string_truncate(conn->body, 0);
+	return 0;
+}
+
+static bool head_fits(struct http1_conn *conn)
+{
+	if (conn->target->len + conn->fields.text->len <=
+	    conn->server->max_header_bytes)
+		return true;
+	conn->refuse_status = 431;
+	return false;
+}
+
+static int on_url(http_parser *parser, const char *at, size_t len)
+{
+	struct http1_conn *conn = parser->data;
+
+	g_string_append_len(conn->target, at, (gssize)len);
+	return !head_fits(conn);
+}
+
+static int on_field(http_parser *parser, const char *at, size_t len)
+{
+	struct http1_conn *conn = parser->data;
+
+	http_fields_add_name(&conn->fields, at, len);
+	return !head_fits(conn);
+}
+
+static int on_value(http_parser *parser, const char *at, size_t len)
+{
+	struct http1_conn *conn = parser->data;
+
+	http_fields_add_value(&conn->fields, at, len);
+	return !head_fits(conn);
+}
+
+static int on_head(http_parser *parser)
+{
+	struct http1_conn *conn = parser->data;
+	const ks_header_t *expect;
+
+	g_free((gpointer)conn->request.headers);
+	conn->request.headers =
+		http_fields_list(&conn->fields, &conn->request.n_headers);
+	if (parser->content_length != ULLONG_MAX &&
+	    parser->content_length > conn->server->max_body_bytes) {
+		conn->refuse_status = 413;
+		return -1;
+	}
+	expect = ks_header_find(conn->request.headers, conn->request.n_headers,
+				"expect");
+	if (expect &&
+	    ks_str_equal_nocase(expect->value, KS_STR("100-continue"))) {
+		g_string_append(conn->out, "HTTP/1.1 100 Continue\r\n\r\n");
+		flush(conn);
+	}
+	return 0;
+}
+
+static int on_body(http_parser *parser, const char *at, size_t len)
+{
+	struct http1_conn *conn = parser->data;
+
+	if (conn->body->len + len > conn->server->max_body_bytes) {
+		conn->refuse_status = 413;
+		return -1;
+	}
+	g_string_append_len(conn->body, at, (gssize)len);
+	return 0;
+}
+
+static int on_complete(http_parser *parser)
+{
+	struct http1_conn *conn = parser->data;
+
+	conn->whole = true;
+	conn->keep_alive = http_should_keep_alive(parser);
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = on_message_begin,
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_head,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+static void serve(struct http1_conn *conn)
+{
+	ks_http1_request_t *request = &conn->request;
+
+	ks_timer_clear(&conn->timer);
+	conn->serving = true;
+	conn->started = false;
+	conn->no_body = conn->parser.method == HTTP_HEAD;
+	request->ctx = NULL;
+	request->gone = NULL;
+	request->drained = NULL;
+	request->method = ks_str_from(
+		http_method_str((enum http_method)conn->parser.method));
+	request->target = (ks_str_t){ conn->target->str, conn->target->len };
+	request->body = (ks_str_t){ conn->body->str, conn->body->len };
+	conn->server->handler(conn->server->ctx, request);
+}
+
+static void refuse_input(struct http1_conn *conn)
+{
+	enum http_errno error = HTTP_PARSER_ERRNO(&conn->parser);
+
+	if (conn->server->malformed)
+		conn->server->malformed(conn->server->ctx,
+					http_errno_description(error));
+	h2o_buffer_consume(&conn->sock->input, conn->sock->input->size);
+	ks_http1_refuse(&conn->request,
+			conn->refuse_status ? conn->refuse_status : 400);
+}
+
+/* Parses what has been read, up to the end of one request. */
+static void parse_input(struct http1_conn *conn)
+{
+	h2o_buffer_t *input = conn->sock->input;
+	size_t used;
+	enum http_errno error;
+
+	if (!input->size || conn->close_after)
+		return;
+	if (!conn->begun)
+		ks_timer_set(&conn->timer, conn->server->header_timeout_us);
+	conn->parsing = true;
+	used = http_parser_execute(&conn->parser, &parser_settings,
+				   input->bytes, input->size);
+	conn->parsing = false;
+	error = HTTP_PARSER_ERRNO(&conn->parser);
+	if (conn->whole) {
+		h2o_buffer_consume(&conn->sock->input, used);
+		serve(conn);
+	} else if (error != HPE_OK || conn->parser.upgrade) {
+		refuse_input(conn);
+	} else {
+		h2o_buffer_consume(&conn->sock->input, used);
+	}
+}
+
+static void on_input(h2o_socket_t *sock, const char *err)
+{
+	struct http1_conn *conn = sock->data;
+
+	if (!conn->serving && !conn->close_after)
+		parse_input(conn);
+	if (conn->closing)
+		return;
+	if (err)
+		close_conn(conn);
+	else if (conn->close_after)
+		h2o_buffer_consume(&sock->input, sock->input->size);
+	else if (sock->input->size > MAX_PIPELINED_BYTES)
+		h2o_socket_read_stop(sock);
+}
+
+/* The next request may have been read while the last one was served. */
+static void on_next(void *ctx)
+{
+	read_next(ctx);
+}
+
+static void read_next(struct http1_conn *conn)
+{
+	ks_timer_clear(&conn->timer);
+	ks_timer_init(&conn->timer, conn->server->loop, on_timer, conn);
+	ks_timer_set(&conn->timer, conn->server->idle_timeout_us);
+	h2o_socket_read_start(conn->sock, on_input);
+	parse_input(conn);
+}
+
+static void await_request(struct http1_conn *conn)
+{
+	http_parser_init(&conn->parser, HTTP_REQUEST);
+	conn->parser.data = conn;
+	conn->begun = false;
+	conn->whole = false;
+	conn->refuse_status = 0;
+	/* A turn later, since the handler may still be on the stack. */
+	ks_timer_clear(&conn->timer);
+	ks_timer_init(&conn->timer, conn->server->loop, on_next, conn);
+	ks_timer_set(&conn->timer, 0);
+}
+
+static void on_accept(h2o_socket_t *listener, const char *err)
+{
+	ks_http1_server_t *server = listener->data;
+	h2o_socket_t *sock;
+
+	if (err)
+		return;
+	while ((sock = h2o_evloop_socket_accept(listener))) {
+		struct http1_conn *conn = g_new0(struct http1_conn, 1);
+
+		http_detect_dead_peer(h2o_socket_get_fd(sock), DEAD_CALLER_MS);
+		conn->server = server;
+		conn->sock = sock;
+		sock->data = conn;
+		conn->target = g_string_new(NULL);
+		conn->body = g_string_new(NULL);
+		conn->out = g_string_new(NULL);
+		conn->sending = g_string_new(NULL);
+		http_fields_init(&conn->fields);
+		ks_list_append(&server->conns, &conn->node);
+		ks_timer_init(&conn->timer, server->loop, on_timer, conn);
+		await_request(conn);
+	}
+}
+
+/**
+ * ks_http1_server_init() - listen and serve
+ * @address: port 0 lets the kernel choose; see ks_http1_server_port()
+ * @handler: called for each request, whose body is complete; must end it with
+ *	ks_http1_end() or ks_http1_cut()
+ *
+ * The limits in @server have defaults and may be changed at any time.
+ *
+ * Return: false, with KS_ERROR_INTERNAL, if the address cannot be bound.
+ */
+bool ks_http1_server_init(ks_http1_server_t *server, ks_loop_t *loop,
+			  const ks_address_t *address,
+			  ks_http1_handler_func_t handler, void *ctx,
+			  GError **error)
+{
+	memset(server, 0, sizeof(*server));
+	server->loop = loop;
+	server->handler = handler;
+	server->ctx = ctx;
+	server->max_header_bytes = KS_HTTP1_MAX_HEADER_BYTES;
+	server->max_body_bytes = KS_HTTP1_MAX_BODY_BYTES;
+	server->header_timeout_us = KS_HTTP1_HEADER_TIMEOUT_US;
+	server->idle_timeout_us = KS_HTTP1_IDLE_TIMEOUT_US;
+	ks_list_init(&server->conns);
+	server->listener =
+		http_listen(loop, address, &server->port, on_accept, error);
+	if (!server->listener)
+		return false;
+	server->listener->data = server;
+	return true;
+}
+
+/**
+ * ks_http1_server_close_listener() - take no new connections
+ */
+void ks_http1_server_close_listener(ks_http1_server_t *server)
+{
+	if (!server->listener)
+		return;
+	h2o_socket_read_stop(server->listener);
+	h2o_socket_close(server->listener);
+	server->listener = NULL;
+}
+
+/**
+ * ks_http1_server_close_idle() - close connections on which no request has
+ * begun
+ */
+void ks_http1_server_close_idle(ks_http1_server_t *server)
+{
+	KS_LIST_FOREACH_SAFE (it, tmp, &server->conns) {
+		struct http1_conn *conn =
+			KS_CONTAINER_OF(it, struct http1_conn, node);
+
+		if (!conn->serving && !conn->begun && !conn->writing &&
+		    conn->sock && !conn->sock->input->size)
+			close_conn(conn);
+	}
+}
+
+/**
+ * ks_http1_server_deinit() - close every connection and free the server
+ *
+ * Requests that are being served are told that their caller is gone, and must
+ * be ended in that call.
+ */
+void ks_http1_server_deinit(ks_http1_server_t *server)
+{
+	ks_http1_server_close_listener(server);
+	KS_LIST_FOREACH_SAFE (it, tmp, &server->conns)
+		close_conn(KS_CONTAINER_OF(it, struct http1_conn, node));
+}
+
+static void end_answer(struct http1_conn *conn, bool keep)
+{
+	conn->serving = false;
+	conn->request.ctx = NULL;
+	if (conn->closing) {
+		free_conn(conn);
+		return;
+	}
+	if (keep && conn->keep_alive && !conn->server->stopping) {
+		await_request(conn);
+		return;
+	}
+	conn->close_after = true;
+	if (!conn->writing)
+		close_conn(conn);
+}
+
+static const char *reason_of(int status)
+{
+	const char *reason = http_status_str((enum http_status)status);
+
+	return reason[0] == '<' ? "Unknown" : reason;
+}
+
+/**
+ * ks_http1_start() - begin the answer
+ * @headers: without Content-Length, Transfer-Encoding and Connection
+ * @length: of the body in bytes, or -1 if it is not known
+ */
+void ks_http1_start(ks_http1_request_t *request, int status,
+		    const ks_header_t *headers, size_t n_headers,
+		    int64_t length)
+{
+	struct http1_conn *conn = conn_of(request);
+	GString *out = conn->out;
+
+	if (conn->closing)
+		return;
+	conn->started = true;
+	conn->chunked = length < 0 && conn->parser.http_minor > 0;
+	if (length < 0 && !conn->chunked)
+		conn->keep_alive = false;
+	g_string_append_printf(out, "HTTP/1.1 %d %s\r\n", status,
+			       reason_of(status));
+	for (size_t i = 0; i < n_headers; i++) {
+		g_string_append_len(out, headers[i].name.data,
+				    (gssize)headers[i].name.len);
+		g_string_append(out, ": ");
+		g_string_append_len(out, headers[i].value.data,
+				    (gssize)headers[i].value.len);
+		g_string_append(out, "\r\n");
+	}
+	if (conn->chunked)
+		g_string_append(out, "transfer-encoding: chunked\r\n");
+	else if (length >= 0)
+		g_string_append_printf(out, "content-length: %" PRId64 "\r\n",
+				       length);
+	if (!conn->keep_alive || conn->server->stopping) {
+		conn->keep_alive = false;
+		g_string_append(out, "connection: close\r\n");
+	}
+	g_string_append(out, "\r\n");
+}
+
+/**
+ * ks_http1_body() - send the next bytes of the answer
+ */
+void ks_http1_body(ks_http1_request_t *request, ks_str_t data)
+{
+	struct http1_conn *conn = conn_of(request);
+
+	if (conn->closing || conn->no_body || !data.len)
+		return;
+	if (conn->chunked)
+		g_string_append_printf(conn->out, "%zx\r\n", data.len);
+	g_string_append_len(conn->out, data.data, (gssize)data.len);
+	if (conn->chunked)
+		g_string_append(conn->out, "\r\n");
+	flush(conn);
+}
+
+/**
+ * ks_http1_end() - the answer is complete
+ *
+ * @request is not valid afterwards.
+ */
+void ks_http1_end(ks_http1_request_t *request)
+{
+	struct http1_conn *conn = conn_of(request);
+
+	if (!conn->closing) {
+		if (conn->chunked && !conn->no_body)
+			g_string_append(conn->out, "0\r\n\r\n");
+		flush(conn);
+	}
+	end_answer(conn, true);
+}
+
+/**
+ * ks_http1_cut() - close the connection, so that the answer is not complete
+ *
+ * @request is not valid afterwards.
+ */
+void ks_http1_cut(ks_http1_request_t *request)
+{
+	struct http1_conn *conn = conn_of(request);
+
+	if (!conn->closing)
+		close_socket(conn);
+	end_answer(conn, false);
+}
+
+/**
+ * ks_http1_refuse() - answer without a body and close the connection
+ *
+ * @request is not valid afterwards.
+ */
+void ks_http1_refuse(ks_http1_request_t *request, int status)
+{
+	struct http1_conn *conn = conn_of(request);
+
+	conn->serving = true;
+	conn->keep_alive = false;
+	conn->parser.http_minor = 1;
+	ks_http1_start(request, status, NULL, 0, 0);
+	ks_http1_end(request);
+}
+
+/**
+ * ks_http1_pending() - bytes of the answer that the caller has yet to take
+ */
+size_t ks_http1_pending(ks_http1_request_t *request)
+{
+	const struct http1_conn *conn = conn_of(request);
+
+	return conn->out->len + conn->sending->len;
+}
+
+/**
+ * ks_http1_server_n_serving() - requests that have not been answered
+ */
+size_t ks_http1_server_n_serving(const ks_http1_server_t *server)
+{
+	size_t n = 0;
+
+	KS_LIST_FOREACH (it, &server->conns) {
+		const struct http1_conn *conn =
+			KS_CONTAINER_OF(it, struct http1_conn, node);
+
+		n += conn->serving || conn->writing;
+	}
+	return n;
+}
--- a/packages/connection/src/http_message.c
+++ b/packages/connection/src/http_message.c
@@ -2,9 +2,13 @@
 #include "http_message.h"
 
 #include <arpa/inet.h>
+#include <h2o.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <unistd.h>
+
+#define LISTEN_BACKLOG 1024
 
 void http_fields_init(struct http_fields *fields)
 {
@@ -112,3 +116,55 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
 		   sizeof(timeout_ms));
 }
+
+static int open_listener(const ks_address_t *address, uint16_t *port)
+{
+	struct sockaddr_storage storage;
+	socklen_t len = http_sockaddr(address, &storage);
+	int reuse = 1;
+	int fd = socket(storage.ss_family,
+			SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+	if (bind(fd, (struct sockaddr *)&storage, len) ||
+	    listen(fd, LISTEN_BACKLOG) ||
+	    getsockname(fd, (struct sockaddr *)&storage, &len)) {
+		int saved = errno;
+
+		close(fd);
+		errno = saved;
+		return -1;
+	}
+	/* The port stands at the same place for IPv4 and IPv6. */
+	*port = ntohs(((struct sockaddr_in *)&storage)->sin_port);
+	return fd;
+}
+
+/**
+ * http_listen() - listen on an address
+ * @port: set to the port that is listened on
+ *
+ * Return: NULL, with KS_ERROR_INTERNAL, if the address cannot be bound.
+ */
+h2o_socket_t *http_listen(ks_loop_t *loop, const ks_address_t *address,
+			  uint16_t *port,
+			  void (*on_accept)(h2o_socket_t *, const char *),
+			  GError **error)
+{
+	char text[KS_ADDRESS_TEXT_SIZE];
+	int fd = open_listener(address, port);
+	h2o_socket_t *sock;
+
+	if (fd < 0) {
+		ks_error_set(
+			error, KS_ERROR_INTERNAL, "cannot listen on %s: %s",
+			ks_address_format(address, text), g_strerror(errno));
+		return NULL;
+	}
+	sock = h2o_evloop_socket_create(loop->h2o, fd,
+					H2O_SOCKET_FLAG_DONT_READ);
+	h2o_socket_read_start(sock, on_accept);
+	return sock;
+}
--- a/packages/connection/src/http_message.h
+++ b/packages/connection/src/http_message.h
@@ -34,6 +34,10 @@
 
 socklen_t http_sockaddr(const ks_address_t *address,
 			struct sockaddr_storage *storage);
+struct st_h2o_socket_t *
+http_listen(ks_loop_t *loop, const ks_address_t *address, uint16_t *port,
+	    void (*on_accept)(struct st_h2o_socket_t *, const char *),
+	    GError **error);
 void http_detect_dead_peer(int fd, unsigned timeout_ms);
 
 #endif
--- a/packages/connection/src/http_server.c
+++ b/packages/connection/src/http_server.c
@@ -8,8 +8,6 @@
 #include <netinet/tcp.h>
 #include <unistd.h>
 
-#define LISTEN_BACKLOG 1024
-
 struct ks_http_server_state {
 	h2o_globalconf_t config;
 	h2o_context_t context;
@@ -42,31 +40,6 @@
 		h2o_accept(&server->state->accept, sock);
 }
 
-static int open_listener(const ks_address_t *address, uint16_t *port)
-{
-	struct sockaddr_storage storage;
-	socklen_t len = http_sockaddr(address, &storage);
-	int reuse = 1;
-	int fd = socket(storage.ss_family,
-			SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-
-	if (fd < 0)
-		return -1;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
-	if (bind(fd, (struct sockaddr *)&storage, len) ||
-	    listen(fd, LISTEN_BACKLOG) ||
-	    getsockname(fd, (struct sockaddr *)&storage, &len)) {
-		int saved = errno;
-
-		close(fd);
-		errno = saved;
-		return -1;
-	}
-	/* The port stands at the same place for IPv4 and IPv6. */
-	*port = ntohs(((struct sockaddr_in *)&storage)->sin_port);
-	return fd;
-}
-
 /**
  * ks_http_server_init() - listen and serve
  * @address: port 0 lets the kernel choose; see ks_http_server_port()
@@ -81,23 +54,19 @@
 			 GError **error)
 {
 	struct ks_http_server_state *state;
-	char text[KS_ADDRESS_TEXT_SIZE];
 	struct server_handler *entry;
+	h2o_socket_t *listener;
 	h2o_hostconf_t *host;
 	h2o_pathconf_t *path;
 	uint16_t port;
-	int fd = open_listener(address, &port);
 
 	server->loop = loop;
 	server->handler = handler;
 	server->ctx = ctx;
 	server->state = NULL;
-	if (fd < 0) {
-		ks_error_set(
-			error, KS_ERROR_INTERNAL, "cannot listen on %s: %s",
-			ks_address_format(address, text), g_strerror(errno));
+	listener = http_listen(loop, address, &port, on_accept, error);
+	if (!listener)
 		return false;
-	}
 	state = g_new0(struct ks_http_server_state, 1);
 	server->state = state;
 	state->port = port;
@@ -114,10 +83,8 @@
 	h2o_context_init(&state->context, loop->h2o, &state->config);
 	state->accept.ctx = &state->context;
 	state->accept.hosts = state->config.hosts;
-	state->listener = h2o_evloop_socket_create(loop->h2o, fd,
-						   H2O_SOCKET_FLAG_DONT_READ);
+	state->listener = listener;
 	state->listener->data = server;
-	h2o_socket_read_start(state->listener, on_accept);
 	return true;
 }
 
--- a/packages/core/include/ks/core.h
+++ b/packages/core/include/ks/core.h
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 #include <stdbool.h>
+#include <inttypes.h>
 #include <stddef.h>
 #include <stdint.h>
 
--- /dev/null
+++ b/packages/gateway/include/ks/gateway.h
@@ -0,0 +1,364 @@
+/*
+ * gateway: an entry that forwards requests unchanged and straight to upstreams,
+ * by routes, and the decisions that it takes.
+ */
+#ifndef KS_GATEWAY_H
+#define KS_GATEWAY_H
+
+#include "ks/connection.h"
+#include "ks/core.h"
+#include "ks/process.h"
+#include "ks/request.h"
+
+G_BEGIN_DECLS
+
+/* dialect.c */
+
+/**
+ * struct ks_dialect - the header fields and paths of a deployment
+ *
+ * Names are in lower case. The gateway attaches meaning to these only; every
+ * other field of a request is forwarded as it is.
+ *
+ * @request_id: names the request; echoed in its answer
+ * @time_left_ms: how long the caller will wait, in milliseconds
+ * @expected_upstream: an upstream with another id refuses the request
+ * @not_run: present in an answer that says that the request did not run
+ * @signature: the upstream's proof of its answer
+ * @retry_after: seconds after which to ask again
+ * @last_event_id: the event after which a stream goes on
+ * @prompt_parts: chain of the prompt's parts, ID:TOKENS separated by commas
+ * @priority: rank of a request at an engine
+ * @stage, @stage_prefill: field and value that ask for the prompt to be read
+ * @kv_source: address and handle of the KV cache to take over
+ * @handle_path: path prefix of a handle, for DELETE
+ * @handle_member: member of the prefill answer that holds the handle
+ * @ready_path: asked by the load balancer
+ * @system_fields: set by the system; dropped when a caller sends them
+ */
+typedef struct ks_dialect {
+	ks_str_t request_id;
+	ks_str_t time_left_ms;
+	ks_str_t expected_upstream;
+	ks_str_t not_run;
+	ks_str_t signature;
+	ks_str_t retry_after;
+	ks_str_t last_event_id;
+	ks_str_t prompt_parts;
+	ks_str_t priority;
+	ks_str_t stage;
+	ks_str_t stage_prefill;
+	ks_str_t kv_source;
+	ks_str_t handle_path;
+	const char *handle_member;
+	ks_str_t ready_path;
+	const ks_str_t *system_fields;
+	size_t n_system_fields;
+} ks_dialect_t;
+
+/* traffic.c */
+
+/**
+ * enum ks_call_kind - what may be repeated
+ * @KS_CALL_IDEMPOTENT: may run more than once
+ * @KS_CALL_ONCE: may run at most once
+ * @KS_CALL_STREAM: a stream; may run at most once unless it can be resumed
+ */
+typedef enum ks_call_kind {
+	KS_CALL_IDEMPOTENT,
+	KS_CALL_ONCE,
+	KS_CALL_STREAM,
+} ks_call_kind_t;
+
+/**
+ * struct ks_split - share of a route's requests that a service gets
+ */
+typedef struct ks_split {
+	char *service;
+	unsigned weight;
+} ks_split_t;
+
+/**
+ * struct ks_route - a rule that sends requests to services
+ * @prefix: begins and ends with a slash
+ * @timeout_us: longest time to the final answer
+ * @objective_us: time within which an answer, or its first event, is on time
+ * @max_attempts: upstreams that one request may be sent to
+ * @priority: 0 is the most urgent
+ */
+typedef struct ks_route {
+	char *name;
+	char *host;
+	char *prefix;
+	ks_call_kind_t kind;
+	bool resumable;
+	int64_t timeout_us;
+	int64_t objective_us;
+	unsigned max_attempts;
+	unsigned priority;
+	GArray *splits;
+} ks_route_t;
+
+/**
+ * struct ks_service - a group of upstreams that serve the same
+ * @max_connections: that one upstream accepts from all callers together
+ * @is_engine: language model engines, as opposed to a plain service
+ * @kv_token_bytes: size of a prompt token in the KV cache
+ * @link_bytes_per_s: at which one upstream sends KV cache to another
+ * @moves_kv: prefill and decode may run on different upstreams
+ */
+typedef struct ks_service {
+	char *name;
+	unsigned max_connections;
+	bool is_engine;
+	bool moves_kv;
+	unsigned slots;
+	double kv_token_bytes;
+	double link_bytes_per_s;
+} ks_service_t;
+
+/**
+ * struct ks_limits - what callers may send, and how long they may take
+ */
+typedef struct ks_limits {
+	size_t max_header_bytes;
+	size_t max_body_bytes;
+	int64_t header_timeout_us;
+	int64_t idle_timeout_us;
+} ks_limits_t;
+
+/**
+ * struct ks_traffic - one version of the configuration; not changed once used
+ */
+typedef struct ks_traffic {
+	unsigned refs;
+	int64_t version;
+	GPtrArray *routes;
+	GHashTable *by_host;
+	GHashTable *services;
+	ks_limits_t limits;
+} ks_traffic_t;
+
+ks_traffic_t *ks_traffic_new(int64_t version);
+ks_traffic_t *ks_traffic_ref(ks_traffic_t *traffic);
+void ks_traffic_unref(ks_traffic_t *traffic);
+ks_route_t *ks_traffic_add_route(ks_traffic_t *traffic, ks_str_t name,
+				 ks_str_t host, ks_str_t prefix);
+void ks_route_add_split(ks_route_t *route, ks_str_t service, unsigned weight);
+ks_service_t *ks_traffic_add_service(ks_traffic_t *traffic, ks_str_t name);
+const ks_route_t *ks_traffic_match(const ks_traffic_t *traffic, ks_str_t host,
+				   ks_str_t path);
+const ks_service_t *ks_traffic_service(const ks_traffic_t *traffic,
+				       const char *name);
+const char *ks_route_pick(const ks_route_t *route, uint32_t draw);
+
+/* prompt.c */
+
+#define KS_PROMPT_MAX_PARTS 16
+
+/**
+ * struct ks_prompt - the parts of a prompt, in order
+ * @ids: hash of each part with all parts before it
+ * @total_tokens: of all parts, including those beyond @n_parts
+ */
+typedef struct ks_prompt {
+	size_t n_parts;
+	uint64_t ids[KS_PROMPT_MAX_PARTS];
+	int64_t tokens[KS_PROMPT_MAX_PARTS];
+	int64_t total_tokens;
+} ks_prompt_t;
+
+bool ks_prompt_parse(ks_prompt_t *prompt, ks_str_t text);
+uint64_t ks_prompt_shared_id(const ks_prompt_t *prompt);
+int64_t ks_prompt_own_tokens(const ks_prompt_t *prompt);
+
+/* fleet.c */
+
+typedef enum ks_stage {
+	KS_STAGE_ANY,
+	KS_STAGE_PREFILL,
+	KS_STAGE_DECODE,
+} ks_stage_t;
+
+/**
+ * struct ks_member_spec - what is announced about an upstream
+ * @born_ms: start of its process in Unix milliseconds, 0 if not told. Another
+ *	value means that it has lost everything that it held.
+ * @accepting: false once it is leaving
+ */
+typedef struct ks_member_spec {
+	ks_str_t id;
+	ks_str_t service;
+	ks_address_t address;
+	ks_str_t domain;
+	ks_stage_t stage;
+	int64_t born_ms;
+	unsigned slots;
+	bool accepting;
+} ks_member_spec_t;
+
+/**
+ * struct ks_member - an upstream that requests are sent straight to
+ * @listed: still announced; a member that is not is kept while it is in use
+ * @withdrawn_us: when a pending removal takes effect, 0 if there is none
+ * @running: requests of this entry that are under way
+ * @reading_tokens: prompt tokens of this entry that have yet to be read
+ * @cached: time of the last use by the id of the prompt part
+ */
+typedef struct ks_member {
+	unsigned refs;
+	char *id;
+	char *service;
+	char *domain;
+	ks_address_t address;
+	ks_stage_t stage;
+	int64_t born_ms;
+	unsigned slots;
+	bool accepting;
+	bool listed;
+	int64_t withdrawn_us;
+	unsigned running;
+	int64_t reading_tokens;
+	ks_ejection_t health;
+	GHashTable *cached;
+} ks_member_t;
+
+/**
+ * struct ks_fleet - the upstreams that are known
+ */
+typedef struct ks_fleet {
+	GHashTable *by_id;
+} ks_fleet_t;
+
+void ks_fleet_init(ks_fleet_t *fleet);
+void ks_fleet_deinit(ks_fleet_t *fleet);
+ks_member_t *ks_fleet_put(ks_fleet_t *fleet, const ks_member_spec_t *spec);
+void ks_fleet_remove(ks_fleet_t *fleet, ks_str_t id);
+void ks_fleet_withdraw(ks_fleet_t *fleet, ks_str_t id, int64_t at_us);
+size_t ks_fleet_expire(ks_fleet_t *fleet, int64_t now_us);
+ks_member_t *ks_fleet_find(const ks_fleet_t *fleet, ks_str_t id);
+GPtrArray *ks_fleet_members(const ks_fleet_t *fleet, const char *service);
+ks_member_t *ks_member_ref(ks_member_t *member);
+void ks_member_unref(ks_member_t *member);
+void ks_member_note_cached(ks_member_t *member, const ks_prompt_t *prompt,
+			   int64_t now_us);
+int64_t ks_member_cached_tokens(const ks_member_t *member,
+				const ks_prompt_t *prompt, int64_t now_us);
+
+/* budget.c */
+
+#define KS_BUDGET_BUCKETS 10
+
+/**
+ * struct ks_budget - how many sends beyond the first a service may get
+ * @ratio: of the requests of a window
+ * @slack: further sends of a window, this entry's share
+ */
+typedef struct ks_budget {
+	double ratio;
+	double slack;
+	int64_t window_us;
+	int64_t epoch;
+	unsigned requests[KS_BUDGET_BUCKETS + 1];
+	unsigned extra[KS_BUDGET_BUCKETS + 1];
+} ks_budget_t;
+
+void ks_budget_init(ks_budget_t *budget, double ratio, double slack,
+		    int64_t window_us);
+void ks_budget_request(ks_budget_t *budget, int64_t now_us);
+bool ks_budget_take(ks_budget_t *budget, int64_t now_us);
+
+/* placement.c */
+
+/**
+ * struct ks_placement - where a request is sent
+ * @prefill: reads the prompt first; NULL if @run reads it itself
+ * @run: NULL if no upstream can take the request
+ * @prefill_tokens, @run_tokens: prompt tokens expected to be read there
+ */
+typedef struct ks_placement {
+	ks_member_t *prefill;
+	ks_member_t *run;
+	int64_t prefill_tokens;
+	int64_t run_tokens;
+} ks_placement_t;
+
+/**
+ * struct ks_placement_query - a request to be placed
+ * @prompt: NULL for a plain service
+ * @avoid: upstreams that have failed this request
+ * @may_split: prefill may run on an upstream of its own
+ * @draw: random number that breaks ties
+ */
+typedef struct ks_placement_query {
+	const ks_service_t *service;
+	const ks_prompt_t *prompt;
+	const char *domain;
+	const GPtrArray *avoid;
+	bool may_split;
+	int64_t now_us;
+	uint32_t draw;
+} ks_placement_query_t;
+
+ks_placement_t ks_placement_choose(const GPtrArray *members,
+				   const ks_placement_query_t *query);
+
+/* events.c */
+
+/**
+ * struct ks_events - splits a stream into whole events
+ * @partial: bytes of the event that is not complete
+ * @last_id: of the last whole event
+ */
+typedef struct ks_events {
+	GString *partial;
+	GString *last_id;
+} ks_events_t;
+
+void ks_events_init(ks_events_t *events);
+void ks_events_deinit(ks_events_t *events);
+void ks_events_reset(ks_events_t *events);
+void ks_events_feed(ks_events_t *events, ks_str_t data, GString *whole);
+
+/* gateway.c */
+
+typedef struct ks_gateway ks_gateway_t;
+
+/**
+ * struct ks_gateway_settings - settings of a gateway
+ * @listen: for callers
+ * @ready: for the load balancer
+ * @metrics: for metrics; port 0 and empty for none
+ * @domain: failure domain of this host
+ * @drain_delay_us: from a stop until new connections are refused
+ * @grace_us: from a stop until the process ends at the latest
+ * @retry_ratio, @retry_slack, @retry_window_us: see struct ks_budget; the slack
+ *	is that of all entries together
+ */
+typedef struct ks_gateway_settings {
+	ks_address_t listen;
+	ks_address_t ready;
+	ks_address_t metrics;
+	const char *domain;
+	int64_t drain_delay_us;
+	int64_t grace_us;
+	double retry_ratio;
+	double retry_slack;
+	int64_t retry_window_us;
+} ks_gateway_settings_t;
+
+ks_gateway_t *ks_gateway_new(ks_loop_t *loop, const ks_dialect_t *dialect,
+			     const ks_gateway_settings_t *settings,
+			     GError **error);
+void ks_gateway_free(ks_gateway_t *gateway);
+void ks_gateway_stop(ks_gateway_t *gateway);
+void ks_gateway_apply(ks_gateway_t *gateway, ks_traffic_t *traffic);
+void ks_gateway_confirm(ks_gateway_t *gateway);
+ks_fleet_t *ks_gateway_fleet(ks_gateway_t *gateway);
+ks_http_client_t *ks_gateway_client(ks_gateway_t *gateway);
+uint16_t ks_gateway_port(const ks_gateway_t *gateway);
+uint16_t ks_gateway_ready_port(const ks_gateway_t *gateway);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/packages/gateway/src/events.c
@@ -0,0 +1,85 @@
+/*
+ * Whole events of a stream. A stream that may go on at another upstream is
+ * handed on event by event, because the upstream may stop in the middle of one
+ * and the next would send that event again.
+ */
+#include "ks/gateway.h"
+
+#include <string.h>
+
+void ks_events_init(ks_events_t *events)
+{
+	events->partial = g_string_new(NULL);
+	events->last_id = g_string_new(NULL);
+}
+
+void ks_events_deinit(ks_events_t *events)
+{
+	g_string_free(events->partial, TRUE);
+	g_string_free(events->last_id, TRUE);
+}
+
+/**
+ * ks_events_reset() - drop the event that is not complete
+ */
+void ks_events_reset(ks_events_t *events)
+{
+	g_string_truncate(events->partial, 0);
+}
+
+static void note_line(ks_events_t *events, ks_str_t line)
+{
+	if (!ks_str_has_prefix(line, KS_STR("id:")))
+		return;
+	line.data += 3;
+	line.len -= 3;
+	if (line.len && line.data[0] == ' ') {
+		line.data++;
+		line.len--;
+	}
+	g_string_truncate(events->last_id, 0);
+	g_string_append_len(events->last_id, line.data, (gssize)line.len);
+}
+
+static void note_event(ks_events_t *events, ks_str_t event)
+{
+	while (event.len) {
+		const char *end = memchr(event.data, '\n', event.len);
+		ks_str_t line = event;
+
+		if (end)
+			line.len = (size_t)(end - event.data);
+		event.data += line.len + (end ? 1 : 0);
+		event.len -= line.len + (end ? 1 : 0);
+		if (line.len && line.data[line.len - 1] == '\r')
+			line.len--;
+		note_line(events, line);
+	}
+}
+
+/* Length of the first whole event with its empty line, or 0. */
+static size_t event_length(const GString *text)
+{
+	const char *lf = strstr(text->str, "\n\n");
+	const char *crlf = strstr(text->str, "\n\r\n");
+
+	if (crlf && (!lf || crlf < lf))
+		return (size_t)(crlf - text->str) + 3;
+	return lf ? (size_t)(lf - text->str) + 2 : 0;
+}
+
+/**
+ * ks_events_feed() - take the next bytes of the stream
+ * @whole: the events that are now complete are appended
+ */
+void ks_events_feed(ks_events_t *events, ks_str_t data, GString *whole)
+{
+	size_t len;
+
+	g_string_append_len(events->partial, data.data, (gssize)data.len);
+	while ((len = event_length(events->partial))) {
+		note_event(events, (ks_str_t){ events->partial->str, len });
+		g_string_append_len(whole, events->partial->str, (gssize)len);
+		g_string_erase(events->partial, 0, (gssize)len);
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/exchange_send.c
@@ -0,0 +1,205 @@
+/* The request as it is sent to an upstream. */
+#include "gateway_internal.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Fields that concern one connection only (RFC 9110, 7.6.1), or the framing. */
+static const char *const hop_fields[] = {
+	"connection",
+	"keep-alive",
+	"proxy-connection",
+	"transfer-encoding",
+	"te",
+	"trailer",
+	"upgrade",
+	"expect",
+	"content-length",
+	"host",
+	"proxy-authorization",
+};
+
+/* Time for a handle to be freed; an engine frees it by itself later. */
+#define FREE_HANDLE_US (500 * KS_USEC_PER_MSEC)
+
+static bool is_hop_field(ks_str_t name, ks_str_t connection)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(hop_fields); i++)
+		if (ks_str_equal(name, ks_str_from(hop_fields[i])))
+			return true;
+	/* Further names are listed in Connection. */
+	for (size_t at = 0; at < connection.len;) {
+		size_t end = at;
+
+		while (end < connection.len && connection.data[end] != ',')
+			end++;
+		while (at < end && connection.data[at] == ' ')
+			at++;
+		ks_str_t listed = { connection.data + at, end - at };
+
+		while (listed.len && listed.data[listed.len - 1] == ' ')
+			listed.len--;
+		if (ks_str_equal_nocase(listed, name))
+			return true;
+		at = end + 1;
+	}
+	return false;
+}
+
+static bool is_system_field(const ks_dialect_t *dialect, ks_str_t name)
+{
+	for (size_t i = 0; i < dialect->n_system_fields; i++)
+		if (ks_str_equal(name, dialect->system_fields[i]))
+			return true;
+	return false;
+}
+
+static ks_str_t keep(struct exchange *x, ks_str_t text)
+{
+	char *copy = ks_str_dup(text);
+
+	g_ptr_array_add(x->field_texts, copy);
+	return (ks_str_t){ copy, text.len };
+}
+
+/**
+ * exchange_keep_request() - copy what is forwarded, since the caller may leave
+ */
+void exchange_keep_request(struct exchange *x,
+			   const ks_http1_request_t *request)
+{
+	const ks_dialect_t *dialect = x->gateway->dialect;
+	ks_str_t connection = ks_header_value(request->headers,
+					      request->n_headers, "connection");
+	ks_str_t host =
+		ks_header_value(request->headers, request->n_headers, "host");
+
+	x->method = g_string_new_len(request->method.data,
+				     (gssize)request->method.len);
+	x->target = g_string_new_len(request->target.data,
+				     (gssize)request->target.len);
+	x->request_body =
+		g_string_new_len(request->body.data, (gssize)request->body.len);
+	x->host = g_string_new_len(host.data, (gssize)host.len);
+	for (size_t i = 0; i < request->n_headers; i++) {
+		const ks_header_t *field = &request->headers[i];
+		ks_header_t copy;
+
+		if (is_hop_field(field->name, connection) ||
+		    is_system_field(dialect, field->name))
+			continue;
+		copy.name = keep(x, field->name);
+		copy.value = keep(x, field->value);
+		g_array_append_val(x->request_fields, copy);
+	}
+}
+
+static bool is_field(const ks_header_t *field, ks_str_t name)
+{
+	return ks_str_equal(field->name, name);
+}
+
+static void add_field(GArray *list, ks_str_t name, ks_str_t value)
+{
+	ks_header_t field = { name, value };
+
+	g_array_append_val(list, field);
+}
+
+/**
+ * exchange_send() - send the request to an upstream
+ * @is_prefill: only have its prompt read
+ */
+void exchange_send(struct exchange *x, ks_member_t *member, bool is_prefill,
+		   const ks_http_events_t *events)
+{
+	const ks_dialect_t *dialect = x->gateway->dialect;
+	int64_t now = ks_loop_now(x->gateway->loop);
+	int64_t left_ms = MAX((x->left_us - now) / KS_USEC_PER_MSEC, 1);
+	GArray *fields = g_array_new(FALSE, FALSE, sizeof(ks_header_t));
+	bool resumes = x->has_events && x->events.last_id->len;
+	char left[24], priority[8];
+	ks_http_request_t request = {
+		.address = member->address,
+		.method = { x->method->str, x->method->len },
+		.target = { x->target->str, x->target->len },
+		.host = { x->host->str, x->host->len },
+		.body = { x->request_body->str, x->request_body->len },
+		.answer_id_name = dialect->request_id,
+		.answer_id = ks_str_from(x->id),
+		.timeout_us = 0,
+		.reuse = true,
+		.once = true,
+	};
+
+	for (guint i = 0; i < x->request_fields->len; i++) {
+		const ks_header_t *field =
+			&g_array_index(x->request_fields, ks_header_t, i);
+
+		if (is_field(field, dialect->time_left_ms) ||
+		    (resumes && is_field(field, dialect->last_event_id)))
+			continue;
+		g_array_append_val(fields, *field);
+	}
+	snprintf(left, sizeof(left), "%" PRId64, left_ms);
+	add_field(fields, dialect->time_left_ms, ks_str_from(left));
+	add_field(fields, dialect->expected_upstream, ks_str_from(member->id));
+	if (x->has_prompt) {
+		snprintf(priority, sizeof(priority), "%u",
+			 MIN(x->route->priority, 9));
+		add_field(fields, dialect->priority, ks_str_from(priority));
+	}
+	if (is_prefill)
+		add_field(fields, dialect->stage, dialect->stage_prefill);
+	else if (x->kv_source->len)
+		add_field(fields, dialect->kv_source,
+			  (ks_str_t){ x->kv_source->str, x->kv_source->len });
+	if (resumes)
+		add_field(fields, dialect->last_event_id,
+			  (ks_str_t){ x->events.last_id->str,
+				      x->events.last_id->len });
+	request.headers = (const ks_header_t *)(void *)fields->data;
+	request.n_headers = fields->len;
+	ks_http_call_start(&x->call, &x->gateway->client, &request, events, x);
+	g_array_free(fields, TRUE);
+}
+
+static void on_freed(void *ctx G_GNUC_UNUSED, const ks_http_answer_t *answer)
+{
+	if (answer->result != KS_HTTP_WHOLE || answer->status / 100 != 2)
+		ks_log(KS_LOG_ROUTE, KS_LOG_DEBUG,
+		       "a handle could not be freed status=%d; it lapses",
+		       answer->status);
+}
+
+/**
+ * exchange_free_handle() - give up a KV cache that no run will take
+ */
+void exchange_free_handle(struct exchange *x)
+{
+	const ks_dialect_t *dialect = x->gateway->dialect;
+	ks_header_t expect = { dialect->expected_upstream, { NULL, 0 } };
+	ks_http_request_t request = {
+		.method = KS_STR("DELETE"),
+		.headers = &expect,
+		.n_headers = 1,
+		.timeout_us = FREE_HANDLE_US,
+		.reuse = true,
+		.once = true,
+	};
+	GString *target;
+
+	if (!x->handle || !x->prefill_member)
+		return;
+	target = g_string_new_len(dialect->handle_path.data,
+				  (gssize)dialect->handle_path.len);
+	g_string_append(target, x->handle);
+	expect.value = ks_str_from(x->prefill_member->id);
+	request.address = x->prefill_member->address;
+	request.target = (ks_str_t){ target->str, target->len };
+	ks_http_fetch(&x->gateway->client, &request, 4096, on_freed, NULL);
+	g_string_free(target, TRUE);
+	g_free(x->handle);
+	x->handle = NULL;
+	g_string_truncate(x->kv_source, 0);
+}
--- /dev/null
+++ b/packages/gateway/src/fleet.c
@@ -0,0 +1,226 @@
+/* The upstreams that requests are sent straight to. */
+#include "ks/gateway.h"
+
+#include <string.h>
+
+/*
+ * Parts remembered for each upstream; more than an engine's memory holds of
+ * the sizes seen in production, and 160 KB of this process at most.
+ */
+#define MAX_CACHED_PARTS 2048
+
+/* An engine evicts a part that has not been used for longer. */
+#define CACHED_US (60 * KS_USEC_PER_SEC)
+
+ks_member_t *ks_member_ref(ks_member_t *member)
+{
+	member->refs++;
+	return member;
+}
+
+void ks_member_unref(ks_member_t *member)
+{
+	if (!member || --member->refs)
+		return;
+	g_free(member->id);
+	g_free(member->service);
+	g_free(member->domain);
+	g_hash_table_destroy(member->cached);
+	g_free(member);
+}
+
+static void unlist(gpointer data)
+{
+	ks_member_t *member = data;
+
+	member->listed = false;
+	member->accepting = false;
+	ks_member_unref(member);
+}
+
+void ks_fleet_init(ks_fleet_t *fleet)
+{
+	fleet->by_id =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unlist);
+}
+
+void ks_fleet_deinit(ks_fleet_t *fleet)
+{
+	g_hash_table_destroy(fleet->by_id);
+}
+
+static ks_member_t *new_member(ks_str_t id)
+{
+	ks_member_t *member = g_new0(ks_member_t, 1);
+
+	member->refs = 1;
+	member->id = ks_str_dup(id);
+	member->listed = true;
+	member->cached = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       g_free, g_free);
+	ks_ejection_init(&member->health);
+	return member;
+}
+
+static void replace_text(char **field, ks_str_t text)
+{
+	if (*field && ks_str_equal(ks_str_from(*field), text))
+		return;
+	g_free(*field);
+	*field = ks_str_dup(text);
+}
+
+static bool is_same_process(const ks_member_t *member,
+			    const ks_member_spec_t *spec)
+{
+	return member->born_ms == spec->born_ms &&
+	       member->address.port == spec->address.port &&
+	       !strcmp(member->address.ip, spec->address.ip) &&
+	       ks_str_equal(ks_str_from(member->service), spec->service);
+}
+
+ks_member_t *ks_fleet_find(const ks_fleet_t *fleet, ks_str_t id)
+{
+	char *key = ks_str_dup(id);
+	ks_member_t *member = g_hash_table_lookup(fleet->by_id, key);
+
+	g_free(key);
+	return member;
+}
+
+/**
+ * ks_fleet_put() - add an upstream or take over what is announced about it
+ *
+ * One that was started anew under its id has lost its cache, so it counts as
+ * another upstream.
+ */
+ks_member_t *ks_fleet_put(ks_fleet_t *fleet, const ks_member_spec_t *spec)
+{
+	ks_member_t *member = ks_fleet_find(fleet, spec->id);
+
+	if (member && !is_same_process(member, spec)) {
+		g_hash_table_remove(fleet->by_id, member->id);
+		member = NULL;
+	}
+	if (!member) {
+		member = new_member(spec->id);
+		g_hash_table_insert(fleet->by_id, member->id, member);
+	}
+	replace_text(&member->service, spec->service);
+	replace_text(&member->domain, spec->domain);
+	member->address = spec->address;
+	member->stage = spec->stage;
+	member->born_ms = spec->born_ms;
+	member->slots = spec->slots;
+	member->accepting = spec->accepting;
+	member->withdrawn_us = 0;
+	return member;
+}
+
+void ks_fleet_remove(ks_fleet_t *fleet, ks_str_t id)
+{
+	ks_member_t *member = ks_fleet_find(fleet, id);
+
+	if (member)
+		g_hash_table_remove(fleet->by_id, member->id);
+}
+
+/**
+ * ks_fleet_withdraw() - remove an upstream at a time to come
+ *
+ * For an entry that may only have lapsed while the list was not available: the
+ * removal is dropped if the upstream is announced again in the meantime.
+ */
+void ks_fleet_withdraw(ks_fleet_t *fleet, ks_str_t id, int64_t at_us)
+{
+	ks_member_t *member = ks_fleet_find(fleet, id);
+
+	if (member && !member->withdrawn_us)
+		member->withdrawn_us = at_us;
+}
+
+/**
+ * ks_fleet_expire() - carry out the removals that are due
+ *
+ * Return: how many there were.
+ */
+size_t ks_fleet_expire(ks_fleet_t *fleet, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+	size_t n = 0;
+
+	g_hash_table_iter_init(&iter, fleet->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const ks_member_t *member = value;
+
+		if (!member->withdrawn_us || member->withdrawn_us > now_us)
+			continue;
+		g_hash_table_iter_remove(&iter);
+		n++;
+	}
+	return n;
+}
+
+/**
+ * ks_fleet_members() - the upstreams of a service that accept requests
+ *
+ * Return: an array without ownership, to be freed with g_ptr_array_free().
+ */
+GPtrArray *ks_fleet_members(const ks_fleet_t *fleet, const char *service)
+{
+	GPtrArray *members = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, fleet->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		ks_member_t *member = value;
+
+		if (member->accepting && !strcmp(member->service, service))
+			g_ptr_array_add(members, member);
+	}
+	return members;
+}
+
+/**
+ * ks_member_note_cached() - the upstream has read the parts of a prompt
+ */
+void ks_member_note_cached(ks_member_t *member, const ks_prompt_t *prompt,
+			   int64_t now_us)
+{
+	if (g_hash_table_size(member->cached) > MAX_CACHED_PARTS)
+		g_hash_table_remove_all(member->cached);
+	for (size_t i = 0; i < prompt->n_parts; i++) {
+		int64_t *used =
+			g_hash_table_lookup(member->cached, &prompt->ids[i]);
+
+		if (used) {
+			*used = now_us;
+			continue;
+		}
+		g_hash_table_insert(
+			member->cached,
+			g_memdup2(&prompt->ids[i], sizeof(prompt->ids[i])),
+			g_memdup2(&now_us, sizeof(now_us)));
+	}
+}
+
+/**
+ * ks_member_cached_tokens() - tokens of a prompt that need not be read again
+ */
+int64_t ks_member_cached_tokens(const ks_member_t *member,
+				const ks_prompt_t *prompt, int64_t now_us)
+{
+	int64_t tokens = 0;
+
+	for (size_t i = 0; i < prompt->n_parts; i++) {
+		const int64_t *used =
+			g_hash_table_lookup(member->cached, &prompt->ids[i]);
+
+		if (!used || now_us - *used > CACHED_US)
+			break;
+		tokens += prompt->tokens[i];
+	}
+	return tokens;
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.c
@@ -0,0 +1,273 @@
+/* The gateway as a process part: listeners, configuration in force, stop. */
+#include "gateway_internal.h"
+
+#include <string.h>
+
+/* How long an idle connection to an upstream that states no limit is kept. */
+#define KEEP_IDLE_US (30 * KS_USEC_PER_SEC)
+
+/*
+ * A new connection is up after a few milliseconds between failure domains; a
+ * lost packet is sent again after 1 s, and trying elsewhere is faster.
+ */
+#define CONNECT_TIMEOUT_US (400 * KS_USEC_PER_MSEC)
+
+/* Of the slack of the retry budget, which all entries share. */
+#define ASSUMED_ENTRIES 16
+
+#define STOP_POLL_US (50 * KS_USEC_PER_MSEC)
+
+/* Before the platform would kill the process. */
+#define GRACE_MARGIN_US (300 * KS_USEC_PER_MSEC)
+
+/**
+ * gateway_budget() - the retry budget of a service
+ */
+ks_budget_t *gateway_budget(ks_gateway_t *gateway, const char *service)
+{
+	const ks_gateway_settings_t *settings = &gateway->settings;
+	ks_budget_t *budget = g_hash_table_lookup(gateway->budgets, service);
+
+	if (budget)
+		return budget;
+	budget = g_new0(ks_budget_t, 1);
+	ks_budget_init(budget, settings->retry_ratio,
+		       settings->retry_slack / ASSUMED_ENTRIES,
+		       settings->retry_window_us);
+	g_hash_table_insert(gateway->budgets, g_strdup(service), budget);
+	return budget;
+}
+
+void gateway_serve(void *ctx, ks_http1_request_t *request)
+{
+	exchange_start(ctx, request);
+}
+
+static void on_malformed(void *ctx G_GNUC_UNUSED, const char *why)
+{
+	ks_log(KS_LOG_HTTP, KS_LOG_WARN, "a request could not be read: %s",
+	       why);
+}
+
+static void on_ready(void *ctx, ks_http1_request_t *request)
+{
+	ks_gateway_t *gateway = ctx;
+	bool ready = gateway->traffic && !gateway->stopping;
+	int status = ready ? 200 : 503;
+
+	if (!ks_str_equal(request->target, gateway->dialect->ready_path))
+		status = 404;
+	ks_http1_start(request, status, NULL, 0, 0);
+	ks_http1_end(request);
+}
+
+static void on_metrics(void *ctx, ks_http1_request_t *request)
+{
+	ks_gateway_t *gateway = ctx;
+	ks_header_t type = { KS_STR("content-type"),
+			     KS_STR("text/plain; version=0.0.4") };
+	GString *text = g_string_new(NULL);
+
+	ks_metrics_format(gateway->metrics, text);
+	ks_http1_start(request, 200, &type, 1, (int64_t)text->len);
+	ks_http1_body(request, (ks_str_t){ text->str, text->len });
+	ks_http1_end(request);
+	g_string_free(text, TRUE);
+}
+
+static void make_counters(ks_gateway_t *gateway)
+{
+	ks_metrics_t *m = gateway->metrics;
+	struct gateway_metrics *c = &gateway->counters;
+
+	c->requests = ks_metrics_counter(m, "ks_gateway_requests_total",
+					 "Requests that were read", NULL);
+	c->answered =
+		ks_metrics_counter(m, "ks_gateway_answered_total",
+				   "Answers of upstreams passed on", NULL);
+	c->refused = ks_metrics_counter(m, "ks_gateway_refused_total",
+					"Requests refused as not run", NULL);
+	c->failed =
+		ks_metrics_counter(m, "ks_gateway_failed_total",
+				   "Requests answered with a failure", NULL);
+	c->cut = ks_metrics_counter(m, "ks_gateway_cut_total",
+				    "Answers that were cut", NULL);
+	c->gone = ks_metrics_counter(m, "ks_gateway_gone_total",
+				     "Callers that left", NULL);
+	c->retries = ks_metrics_counter(m, "ks_gateway_retries_total",
+					"Sends beyond the first", NULL);
+	c->splits =
+		ks_metrics_counter(m, "ks_gateway_splits_total",
+				   "Prompts read by another upstream", NULL);
+	c->first_byte =
+		ks_metrics_histogram(m, "ks_gateway_first_byte_us",
+				     "Time to the head of the answer", NULL);
+	c->whole = ks_metrics_histogram(m, "ks_gateway_whole_us",
+					"Time to the end of the answer", NULL);
+}
+
+static bool listen_all(ks_gateway_t *gateway, GError **error)
+{
+	const ks_gateway_settings_t *s = &gateway->settings;
+
+	if (!ks_http1_server_init(&gateway->server, gateway->loop, &s->listen,
+				  gateway_serve, gateway, error) ||
+	    !ks_http1_server_init(&gateway->ready, gateway->loop, &s->ready,
+				  on_ready, gateway, error))
+		return false;
+	gateway->server.malformed = on_malformed;
+	return !*s->metrics.ip ||
+	       ks_http1_server_init(&gateway->metrics_server, gateway->loop,
+				    &s->metrics, on_metrics, gateway, error);
+}
+
+static void on_stop_timer(void *ctx);
+
+/**
+ * ks_gateway_new() - listen and serve; refuses until a configuration is applied
+ * @dialect: must outlive the gateway
+ *
+ * Return: NULL, with KS_ERROR_INTERNAL, if an address cannot be bound.
+ */
+ks_gateway_t *ks_gateway_new(ks_loop_t *loop, const ks_dialect_t *dialect,
+			     const ks_gateway_settings_t *settings,
+			     GError **error)
+{
+	ks_gateway_t *gateway = g_new0(ks_gateway_t, 1);
+
+	gateway->loop = loop;
+	gateway->dialect = dialect;
+	gateway->settings = *settings;
+	gateway->domain = g_strdup(settings->domain);
+	gateway->budgets =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	gateway->metrics = ks_metrics_new();
+	make_counters(gateway);
+	ks_list_init(&gateway->exchanges);
+	ks_list_init(&gateway->server.conns);
+	ks_list_init(&gateway->ready.conns);
+	ks_list_init(&gateway->metrics_server.conns);
+	ks_fleet_init(&gateway->fleet);
+	ks_rng_init_random(&gateway->rng);
+	ks_http_client_init(&gateway->client, loop);
+	gateway->client.keep_us = KEEP_IDLE_US;
+	gateway->client.connect_timeout_us = CONNECT_TIMEOUT_US;
+	ks_timer_init(&gateway->stop_timer, loop, on_stop_timer, gateway);
+	if (listen_all(gateway, error))
+		return gateway;
+	ks_gateway_free(gateway);
+	return NULL;
+}
+
+/**
+ * ks_gateway_free() - end every request and free the gateway
+ */
+void ks_gateway_free(ks_gateway_t *gateway)
+{
+	ks_timer_clear(&gateway->stop_timer);
+	while (!ks_list_is_empty(&gateway->exchanges))
+		exchange_abandon(KS_CONTAINER_OF(gateway->exchanges.next,
+						 struct exchange, node));
+	ks_http1_server_deinit(&gateway->server);
+	ks_http1_server_deinit(&gateway->ready);
+	ks_http1_server_deinit(&gateway->metrics_server);
+	ks_http_client_deinit(&gateway->client);
+	ks_fleet_deinit(&gateway->fleet);
+	ks_traffic_unref(gateway->traffic);
+	ks_rng_deinit(&gateway->rng);
+	g_hash_table_destroy(gateway->budgets);
+	ks_metrics_free(gateway->metrics);
+	g_free(gateway->domain);
+	g_free(gateway);
+}
+
+/* New connections are refused once the load balancer sends none any more. */
+static void on_stop_timer(void *ctx)
+{
+	ks_gateway_t *gateway = ctx;
+	int64_t spent = ks_loop_now(gateway->loop) - gateway->stop_began_us;
+	const ks_gateway_settings_t *settings = &gateway->settings;
+
+	if (spent >= settings->drain_delay_us) {
+		ks_http1_server_close_listener(&gateway->server);
+		ks_http1_server_close_idle(&gateway->server);
+		if (!ks_http1_server_n_serving(&gateway->server)) {
+			ks_loop_stop(gateway->loop);
+			return;
+		}
+	}
+	if (spent >= settings->grace_us - GRACE_MARGIN_US) {
+		ks_log(KS_LOG_MAIN, KS_LOG_WARN,
+		       "the grace period is over serving=%zu",
+		       ks_http1_server_n_serving(&gateway->server));
+		ks_loop_stop(gateway->loop);
+		return;
+	}
+	ks_timer_set(&gateway->stop_timer, STOP_POLL_US);
+}
+
+/**
+ * ks_gateway_stop() - stop gracefully; the loop is stopped at the end
+ */
+void ks_gateway_stop(ks_gateway_t *gateway)
+{
+	if (gateway->stopping)
+		return;
+	gateway->stopping = true;
+	gateway->server.stopping = true;
+	gateway->stop_began_us = ks_loop_now(gateway->loop);
+	ks_timer_set(&gateway->stop_timer, STOP_POLL_US);
+}
+
+/**
+ * ks_gateway_apply() - put a configuration in force
+ * @traffic: a reference is taken; ignored unless its version is newer
+ */
+void ks_gateway_apply(ks_gateway_t *gateway, ks_traffic_t *traffic)
+{
+	const ks_limits_t *limits = &traffic->limits;
+	int64_t before = gateway->traffic ? gateway->traffic->version : 0;
+
+	if (gateway->traffic && traffic->version <= before)
+		return;
+	ks_traffic_ref(traffic);
+	ks_traffic_unref(gateway->traffic);
+	gateway->traffic = traffic;
+	gateway->server.max_header_bytes = limits->max_header_bytes;
+	gateway->server.max_body_bytes = limits->max_body_bytes;
+	gateway->server.header_timeout_us = limits->header_timeout_us;
+	gateway->server.idle_timeout_us = limits->idle_timeout_us;
+	ks_log(KS_LOG_CONFIG, KS_LOG_INFO,
+	       "configuration in force version=%" PRId64 " before=%" PRId64
+	       " routes=%u services=%u",
+	       traffic->version, before, traffic->routes->len,
+	       g_hash_table_size(traffic->services));
+}
+
+/**
+ * ks_gateway_confirm() - the configuration in force is still the newest
+ */
+void ks_gateway_confirm(ks_gateway_t *gateway)
+{
+	gateway->confirmed_us = ks_loop_now(gateway->loop);
+}
+
+ks_fleet_t *ks_gateway_fleet(ks_gateway_t *gateway)
+{
+	return &gateway->fleet;
+}
+
+ks_http_client_t *ks_gateway_client(ks_gateway_t *gateway)
+{
+	return &gateway->client;
+}
+
+uint16_t ks_gateway_port(const ks_gateway_t *gateway)
+{
+	return gateway->server.port;
+}
+
+uint16_t ks_gateway_ready_port(const ks_gateway_t *gateway)
+{
+	return gateway->ready.port;
+}
--- /dev/null
+++ b/packages/gateway/src/gateway_internal.h
@@ -0,0 +1,137 @@
+/* Internals of the gateway. */
+#ifndef KS_GATEWAY_INTERNAL_H
+#define KS_GATEWAY_INTERNAL_H
+
+#include "ks/gateway.h"
+
+/**
+ * struct gateway_metrics - counters that the exchanges share
+ */
+struct gateway_metrics {
+	ks_counter_t *requests;
+	ks_counter_t *answered;
+	ks_counter_t *refused;
+	ks_counter_t *failed;
+	ks_counter_t *cut;
+	ks_counter_t *gone;
+	ks_counter_t *retries;
+	ks_counter_t *resumed;
+	ks_counter_t *splits;
+	ks_histogram_t *first_byte;
+	ks_histogram_t *whole;
+};
+
+struct ks_gateway {
+	ks_loop_t *loop;
+	const ks_dialect_t *dialect;
+	ks_gateway_settings_t settings;
+	char *domain;
+	ks_http1_server_t server;
+	ks_http1_server_t ready;
+	ks_http1_server_t metrics_server;
+	ks_http_client_t client;
+	ks_traffic_t *traffic;
+	int64_t confirmed_us;
+	ks_fleet_t fleet;
+	GHashTable *budgets;
+	ks_list_t exchanges;
+	ks_rng_t rng;
+	ks_metrics_t *metrics;
+	struct gateway_metrics counters;
+	ks_timer_t stop_timer;
+	int64_t stop_began_us;
+	bool stopping;
+};
+
+ks_budget_t *gateway_budget(ks_gateway_t *gateway, const char *service);
+void gateway_serve(void *ctx, ks_http1_request_t *request);
+
+/* exchange.c */
+
+/**
+ * enum exchange_step - what an exchange waits for
+ * @EXCHANGE_PREFILL: the handle of a prompt that is being read
+ * @EXCHANGE_RUN: the answer
+ * @EXCHANGE_DETACHED: the answer of a request whose caller has been answered or
+ *	has left, and that must not be cancelled
+ */
+enum exchange_step {
+	EXCHANGE_IDLE,
+	EXCHANGE_PREFILL,
+	EXCHANGE_RUN,
+	EXCHANGE_DETACHED,
+};
+
+/**
+ * struct exchange - a request of a caller, until its final answer
+ * @caller: NULL once it is gone
+ * @left_us: when the caller stops waiting, or the route's timeout
+ * @final_us: when the exchange is ended whatever happens
+ * @sends: to upstreams, without the first prefill
+ * @runs: sends that may have run
+ * @kv_source: value of the field of the same name, empty without a handle
+ * @status, @fields, @body: the answer that is being received
+ * @started: the caller has been sent the head of the answer
+ * @events: set for a stream that can be resumed
+ */
+struct exchange {
+	ks_list_t node;
+	ks_gateway_t *gateway;
+	ks_http1_request_t *caller;
+	ks_traffic_t *traffic;
+	const ks_route_t *route;
+	const ks_service_t *service;
+	const char *service_name;
+	char *id;
+	GString *method;
+	GString *target;
+	GString *request_body;
+	GArray *request_fields;
+	GPtrArray *field_texts;
+	GString *host;
+	ks_prompt_t prompt;
+	bool has_prompt;
+	int64_t arrived_us;
+	int64_t left_us;
+	int64_t final_us;
+	ks_timer_t timer;
+	enum exchange_step step;
+	bool may_split;
+	unsigned sends;
+	unsigned prefills;
+	unsigned runs;
+	bool unanswered_run;
+	bool refused_by_upstream;
+	GPtrArray *avoid;
+	ks_member_t *member;
+	ks_member_t *prefill_member;
+	int64_t reading_tokens;
+	int64_t run_tokens;
+	GString *kv_source;
+	char *handle;
+	ks_http_call_t call;
+	int status;
+	bool answer_not_run;
+	GArray *fields;
+	GString *fields_text;
+	GString *body;
+	bool is_stream_answer;
+	bool started;
+	bool body_overflow;
+	bool first_event_seen;
+	ks_events_t events;
+	bool has_events;
+};
+
+void exchange_start(ks_gateway_t *gateway, ks_http1_request_t *request);
+void exchange_abandon(struct exchange *exchange);
+
+/* exchange_send.c */
+
+void exchange_send(struct exchange *exchange, ks_member_t *member,
+		   bool is_prefill, const ks_http_events_t *events);
+void exchange_keep_request(struct exchange *exchange,
+			   const ks_http1_request_t *request);
+void exchange_free_handle(struct exchange *exchange);
+
+#endif
--- /dev/null
+++ b/packages/gateway/src/prompt.c
@@ -0,0 +1,79 @@
+/* The chain of parts that a prompt consists of. */
+#include "ks/gateway.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Keeps sums of tokens far from overflow. */
+#define MAX_PART_TOKENS (INT64_C(1) << 32)
+
+static ks_str_t next_entry(ks_str_t *text)
+{
+	const char *comma = memchr(text->data, ',', text->len);
+	ks_str_t entry = *text;
+
+	if (comma)
+		entry.len = (size_t)(comma - text->data);
+	text->data += entry.len;
+	text->len -= entry.len;
+	if (text->len) {
+		text->data++;
+		text->len--;
+	}
+	return entry;
+}
+
+/**
+ * ks_prompt_parse() - read "ID:TOKENS,ID:TOKENS,..."
+ *
+ * A part is cached only together with all parts before it, so its id covers
+ * them.
+ *
+ * Return: false if the text is empty or malformed.
+ */
+bool ks_prompt_parse(ks_prompt_t *prompt, ks_str_t text)
+{
+	uint64_t chain = 0;
+
+	memset(prompt, 0, sizeof(*prompt));
+	while (text.len) {
+		ks_str_t entry = next_entry(&text);
+		const char *colon =
+			entry.len ? memchr(entry.data, ':', entry.len) : NULL;
+		ks_str_t tokens;
+		int64_t n;
+
+		if (!colon)
+			return false;
+		tokens.data = colon + 1;
+		tokens.len = entry.len - (size_t)(tokens.data - entry.data);
+		if (!ks_str_parse_int(tokens, 0, MAX_PART_TOKENS, &n))
+			return false;
+		chain = XXH64(entry.data, (size_t)(colon - entry.data), chain);
+		prompt->total_tokens += n;
+		if (prompt->n_parts == KS_PROMPT_MAX_PARTS)
+			continue;
+		prompt->ids[prompt->n_parts] = chain;
+		prompt->tokens[prompt->n_parts] = n;
+		prompt->n_parts++;
+	}
+	return prompt->n_parts > 0;
+}
+
+/**
+ * ks_prompt_shared_id() - id of the longest chain that other requests share
+ *
+ * The last part belongs to the request or its session alone.
+ */
+uint64_t ks_prompt_shared_id(const ks_prompt_t *prompt)
+{
+	return prompt->ids[prompt->n_parts > 1 ? prompt->n_parts - 2 : 0];
+}
+
+/**
+ * ks_prompt_own_tokens() - tokens that no other request shares
+ */
+int64_t ks_prompt_own_tokens(const ks_prompt_t *prompt)
+{
+	return prompt->tokens[prompt->n_parts - 1];
+}
--- a/packages/process/include/ks/process.h
+++ b/packages/process/include/ks/process.h
@@ -676,6 +676,8 @@
 	char *endpoint;
 	char *platform;
 	char *platform_token;
+	char *ready;
+	char *metrics;
 	char *log_level;
 	ks_log_level_settings_t log_levels;
 	bool link_plain;
@@ -703,6 +705,10 @@
 	double role_change_cost;
 	unsigned role_dwell_ms;
 	char *operator_token_sha256;
+	double stop_grace_s;
+	double retry_ratio;
+	double retry_slack;
+	double retry_window_s;
 } ks_settings_t;
 
 bool ks_settings_load(ks_settings_t **settings, const char *file,
--- a/packages/process/src/settings.c
+++ b/packages/process/src/settings.c
@@ -15,6 +15,8 @@
 			       name, 0, CYAML_UNLIMITED)
 #define UINT(type, name) \
 	CYAML_FIELD_UINT(#name, CYAML_FLAG_OPTIONAL, type, name)
+#define FLOAT(type, name) \
+	CYAML_FIELD_FLOAT(#name, CYAML_FLAG_OPTIONAL, type, name)
 
 static const cyaml_schema_field_t tenant_fields[] = {
 	STRING(ks_tenant_settings_t, name, 0),
@@ -72,6 +74,8 @@
 	STRING(ks_settings_t, endpoint, CYAML_FLAG_OPTIONAL),
 	STRING(ks_settings_t, platform, 0),
 	STRING(ks_settings_t, platform_token, CYAML_FLAG_OPTIONAL),
+	STRING(ks_settings_t, ready, CYAML_FLAG_OPTIONAL),
+	STRING(ks_settings_t, metrics, CYAML_FLAG_OPTIONAL),
 	STRING(ks_settings_t, log_level, CYAML_FLAG_OPTIONAL),
 	CYAML_FIELD_MAPPING("log_levels", CYAML_FLAG_OPTIONAL, ks_settings_t,
 			    log_levels, level_fields),
@@ -104,6 +108,10 @@
 			  ks_settings_t, role_change_cost),
 	UINT(ks_settings_t, role_dwell_ms),
 	STRING(ks_settings_t, operator_token_sha256, CYAML_FLAG_OPTIONAL),
+	FLOAT(ks_settings_t, stop_grace_s),
+	FLOAT(ks_settings_t, retry_ratio),
+	FLOAT(ks_settings_t, retry_slack),
+	FLOAT(ks_settings_t, retry_window_s),
 	CYAML_FIELD_END,
 };
 
@@ -133,6 +141,13 @@
 		*value = fallback;
 }
 
+static void set_default_float(ks_settings_document_t *doc, const char *field,
+			      double *value, double fallback)
+{
+	if (!ks_settings_document_line(doc, field, -1, NULL))
+		*value = fallback;
+}
+
 static bool is_given(ks_settings_document_t *doc, const char *list, unsigned i,
 		     const char *field)
 {
@@ -167,6 +182,10 @@
 	set_default(doc, "role_dwell_ms", &settings->role_dwell_ms, 60000);
 	if (!ks_settings_document_line(doc, "role_change_cost", -1, NULL))
 		settings->role_change_cost = 1;
+	set_default_float(doc, "stop_grace_s", &settings->stop_grace_s, 30);
+	set_default_float(doc, "retry_ratio", &settings->retry_ratio, 0.1);
+	set_default_float(doc, "retry_slack", &settings->retry_slack, 10);
+	set_default_float(doc, "retry_window_s", &settings->retry_window_s, 10);
 	fill_list_defaults(doc, settings);
 }
 
--- a/packages/process/src/settings_check.c
+++ b/packages/process/src/settings_check.c
@@ -293,16 +293,48 @@
 	return true;
 }
 
+static bool check_float(ks_settings_document_t *doc, const char *field,
+			double value, double min, double max)
+{
+	return (value >= min && value <= max) ||
+	       ks_settings_fail(doc, line(doc, field), "%s: expected %g to %g",
+				field, min, max);
+}
+
+/* A gateway opens no links, so it needs no keys. */
+static bool check_gateway(ks_settings_document_t *doc,
+			  const ks_settings_t *settings)
+{
+	ks_address_t address;
+
+	if (!settings->ready)
+		return ks_settings_fail(doc, line(doc, "role"),
+					"role gateway: expected 'ready'");
+	return check_address(doc, "ready", settings->ready, true, &address) &&
+	       (!settings->metrics ||
+		check_address(doc, "metrics", settings->metrics, true,
+			      &address)) &&
+	       check_float(doc, "stop_grace_s", settings->stop_grace_s, 1,
+			   DAY_MS / 1000.0) &&
+	       check_float(doc, "retry_ratio", settings->retry_ratio, 0, 10) &&
+	       check_float(doc, "retry_slack", settings->retry_slack, 0, 1e6) &&
+	       check_float(doc, "retry_window_s", settings->retry_window_s, 1,
+			   3600);
+}
+
 static bool check_role(ks_settings_document_t *doc,
 		       const ks_settings_t *settings, bool is_entry)
 {
 	ks_address_t endpoint;
 
-	if (!is_entry && strcmp(settings->role, "upstream"))
-		return ks_settings_fail(doc, line(doc, "role"),
-					"role: expected entry or upstream");
 	if (is_entry)
 		return true;
+	if (!strcmp(settings->role, "gateway"))
+		return check_gateway(doc, settings);
+	if (strcmp(settings->role, "upstream"))
+		return ks_settings_fail(doc, line(doc, "role"),
+					"role: expected entry, upstream or "
+					"gateway");
 	if (!settings->upstream || !settings->endpoint)
 		return ks_settings_fail(doc, line(doc, "role"),
 					"role upstream: expected 'upstream' "
@@ -365,7 +397,8 @@
 	       check_levels(doc, settings) && check_policy(doc, settings) &&
 	       check_token(doc, settings->platform_token) &&
 	       check_key_formats(doc, settings) &&
-	       check_link(doc, settings, is_entry, &listen) &&
+	       (!strcmp(settings->role, "gateway") ||
+		check_link(doc, settings, is_entry, &listen)) &&
 	       check_hash(doc, "operator_token_sha256",
 			  settings->operator_token_sha256,
 			  line(doc, "operator_token_sha256")) &&
