--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 PKGS = glib-2.0 jansson libcyaml yaml-0.1 libprotobuf-c libzmq libxxhash zlib
 CPPFLAGS = -D_GNU_SOURCE -DH2O_USE_LIBUV=0 -MMD -MP \
 	$(addprefix -Ipackages/,$(addsuffix /include,$(PACKAGES))) \
-	-Ipackages/connection/src -Itests/fakes -Iplatform \
+	-Ipackages/connection/src -Ipackages/gateway/src -Itests/fakes -Iplatform \
 	$(shell pkg-config --cflags $(PKGS))
 WARN = -Wall -Wextra -Werror -Wpointer-arith -Wvla
 OPT = -O2 -g -fno-omit-frame-pointer
@@ -183,6 +183,7 @@
 
 proto:
 	protoc-c --c_out=packages/connection/src --proto_path=packages/connection packages/connection/link.proto
+	protoc-c --c_out=packages/gateway/src --proto_path=packages/gateway packages/gateway/peer.proto
 
 clean:
 	rm -rf build
--- a/cli/knapweedstaird.c
+++ b/cli/knapweedstaird.c
@@ -82,6 +82,7 @@
 {
 	const ks_settings_t *s = daemon->settings;
 	ks_gateway_settings_t gateway = {
+		.name = s->name,
 		.domain = s->domain,
 		.drain_delay_us = s->drain_delay_ms * KS_USEC_PER_MSEC,
 		.grace_us = (int64_t)(s->stop_grace_s * KS_USEC_PER_SEC),
@@ -96,14 +97,17 @@
 	    !ks_address_parse(&gateway.ready, ks_str_from(s->ready), error) ||
 	    !ks_address_parse(&store, ks_str_from(s->platform), error) ||
 	    (s->metrics && !ks_address_parse(&gateway.metrics,
-					     ks_str_from(s->metrics), error)))
+					     ks_str_from(s->metrics), error)) ||
+	    (s->peer &&
+	     !ks_address_parse(&gateway.peer, ks_str_from(s->peer), error)))
 		return false;
 	daemon->gateway = ks_gateway_new(&daemon->loop, ks_platform_dialect(),
 					 &gateway, error);
 	if (!daemon->gateway)
 		return false;
 	daemon->source =
-		ks_platform_source_new(&daemon->loop, daemon->gateway, &store);
+		ks_platform_source_new(&daemon->loop, daemon->gateway, s->name,
+				       s->peer ? &gateway.peer : NULL, &store);
 	return true;
 }
 
--- a/packages/connection/src/socket.c
+++ b/packages/connection/src/socket.c
@@ -9,6 +9,13 @@
 #define RECONNECT_MIN_MS 50
 #define RECONNECT_MAX_MS 1000
 
+/* Broadcasts replace each other, so old ones are not worth keeping. */
+#define BROADCAST_HWM 64
+
+/* A broadcast connection that has gone silent is replaced after this. */
+#define BROADCAST_HEARTBEAT_MS 1000
+#define BROADCAST_TIMEOUT_MS 2000
+
 static bool set_int(void *zmq, int option, int value)
 {
 	return !zmq_setsockopt(zmq, option, &value, sizeof(value));
@@ -307,6 +314,90 @@
 	return false;
 }
 
+static bool open_plain(ks_socket_t *sock, ks_loop_t *loop, void *context,
+		       int type, GError **error)
+{
+	sock->zmq = zmq_socket(context, type);
+	if (sock->zmq && set_int(sock->zmq, ZMQ_LINGER, 0) &&
+	    set_int(sock->zmq, ZMQ_SNDHWM, BROADCAST_HWM) &&
+	    set_int(sock->zmq, ZMQ_RCVHWM, BROADCAST_HWM) &&
+	    set_int(sock->zmq, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS) &&
+	    set_int(sock->zmq, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS) &&
+	    set_int(sock->zmq, ZMQ_HEARTBEAT_IVL, BROADCAST_HEARTBEAT_MS) &&
+	    set_int(sock->zmq, ZMQ_HEARTBEAT_TIMEOUT, BROADCAST_TIMEOUT_MS))
+		return watch_zmq(&sock->watch, loop, sock->zmq, drain_socket,
+				 sock, error);
+	ks_error_set(error, KS_ERROR_INTERNAL,
+		     "cannot open a ZeroMQ socket: %s",
+		     zmq_strerror(zmq_errno()));
+	return false;
+}
+
+/**
+ * ks_socket_bind_pub() - listen with a PUB socket, without encryption
+ *
+ * For hints only: a subscriber that does not keep up misses messages, and
+ * nothing that a request depends on may travel here.
+ *
+ * Return: false if the address is taken.
+ */
+bool ks_socket_bind_pub(ks_socket_t *sock, ks_loop_t *loop, void *context,
+			const ks_address_t *address, uint16_t *port,
+			GError **error)
+{
+	set_up(sock, loop, NULL, NULL);
+	if (open_plain(sock, loop, context, ZMQ_PUB, error) &&
+	    bind_address(sock, address, port, error))
+		return true;
+	ks_socket_deinit(sock);
+	return false;
+}
+
+/**
+ * ks_socket_init_sub() - open a SUB socket, to be connected to publishers
+ */
+bool ks_socket_init_sub(ks_socket_t *sock, ks_loop_t *loop, void *context,
+			ks_socket_receive_func_t receive, void *ctx,
+			GError **error)
+{
+	set_up(sock, loop, receive, ctx);
+	if (open_plain(sock, loop, context, ZMQ_SUB, error) &&
+	    !zmq_setsockopt(sock->zmq, ZMQ_SUBSCRIBE, "", 0)) {
+		ks_timer_set(&sock->again, 0);
+		return true;
+	}
+	ks_socket_deinit(sock);
+	return false;
+}
+
+static bool change_publisher(ks_socket_t *sock, const ks_address_t *address,
+			     int (*change)(void *, const char *))
+{
+	char text[KS_ADDRESS_TEXT_SIZE], endpoint[KS_ADDRESS_TEXT_SIZE + 8];
+
+	g_snprintf(endpoint, sizeof(endpoint), "tcp://%s",
+		   ks_address_format(address, text));
+	return !change(sock->zmq, endpoint);
+}
+
+/**
+ * ks_socket_add_publisher() - connect a SUB socket to a publisher
+ *
+ * Return: false if the address cannot be used.
+ */
+bool ks_socket_add_publisher(ks_socket_t *sock, const ks_address_t *address)
+{
+	return change_publisher(sock, address, zmq_connect);
+}
+
+/**
+ * ks_socket_remove_publisher() - no longer connect to a publisher
+ */
+bool ks_socket_remove_publisher(ks_socket_t *sock, const ks_address_t *address)
+{
+	return change_publisher(sock, address, zmq_disconnect);
+}
+
 /**
  * ks_socket_send() - send one message without blocking
  * @peer: identity of the receiver on a ROUTER; ignored on a DEALER
--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -199,14 +199,18 @@
 
 /**
  * struct ks_member - an upstream that requests are sent straight to
+ * @tag: hash of @id, by which entries name it to each other
  * @listed: still announced; a member that is not is kept while it is in use
  * @withdrawn_us: when a pending removal takes effect, 0 if there is none
  * @running: requests of this entry that are under way
  * @reading_tokens: prompt tokens of this entry that have yet to be read
+ * @others_running, @others_reading_tokens: the same of the other entries, as
+ *	they last told
  * @cached: time of the last use by the id of the prompt part
  */
 typedef struct ks_member {
 	unsigned refs;
+	uint32_t tag;
 	char *id;
 	char *service;
 	char *domain;
@@ -219,6 +223,8 @@
 	int64_t withdrawn_us;
 	unsigned running;
 	int64_t reading_tokens;
+	unsigned others_running;
+	int64_t others_reading_tokens;
 	ks_ejection_t health;
 	GHashTable *cached;
 } ks_member_t;
@@ -228,6 +234,7 @@
  */
 typedef struct ks_fleet {
 	GHashTable *by_id;
+	GHashTable *by_tag;
 } ks_fleet_t;
 
 void ks_fleet_init(ks_fleet_t *fleet);
@@ -237,6 +244,7 @@
 void ks_fleet_withdraw(ks_fleet_t *fleet, ks_str_t id, int64_t at_us);
 size_t ks_fleet_expire(ks_fleet_t *fleet, int64_t now_us);
 ks_member_t *ks_fleet_find(const ks_fleet_t *fleet, ks_str_t id);
+ks_member_t *ks_fleet_find_tag(const ks_fleet_t *fleet, uint32_t tag);
 GPtrArray *ks_fleet_members(const ks_fleet_t *fleet, const char *service);
 ks_member_t *ks_member_ref(ks_member_t *member);
 void ks_member_unref(ks_member_t *member);
@@ -320,6 +328,46 @@
 void ks_events_reset(ks_events_t *events);
 void ks_events_feed(ks_events_t *events, ks_str_t data, GString *whole);
 
+/* peers.c */
+
+/**
+ * struct ks_peers - the other entries and the work that they have sent
+ * @name: of this entry
+ * @table: struct peer by name
+ * @addresses: of the publishers that are connected to, by name
+ * @bytes_per_s: that this entry may send
+ * @changed: something is to be told
+ * @next_us: when the next message may be sent
+ */
+typedef struct ks_peers {
+	ks_loop_t *loop;
+	ks_fleet_t *fleet;
+	void *context;
+	ks_socket_t pub;
+	ks_socket_t sub;
+	uint16_t port;
+	char *name;
+	ks_id_t incarnation;
+	uint64_t number;
+	int64_t version;
+	int64_t bytes_per_s;
+	GHashTable *table;
+	GHashTable *addresses;
+	ks_timer_t timer;
+	int64_t next_us;
+} ks_peers_t;
+
+bool ks_peers_init(ks_peers_t *peers, ks_loop_t *loop, ks_fleet_t *fleet,
+		   const char *name, const ks_address_t *address,
+		   GError **error);
+void ks_peers_deinit(ks_peers_t *peers);
+void ks_peers_add(ks_peers_t *peers, const char *name,
+		  const ks_address_t *address);
+void ks_peers_remove(ks_peers_t *peers, const char *name);
+void ks_peers_note_change(ks_peers_t *peers);
+void ks_peers_receive(ks_peers_t *peers, ks_str_t message);
+size_t ks_peers_count(const ks_peers_t *peers);
+
 /* gateway.c */
 
 typedef struct ks_gateway ks_gateway_t;
@@ -329,6 +377,8 @@
  * @listen: for callers
  * @ready: for the load balancer
  * @metrics: for metrics; port 0 and empty for none
+ * @peer: for the other entries; empty for none
+ * @name: of this entry
  * @domain: failure domain of this host
  * @drain_delay_us: from a stop until new connections are refused
  * @grace_us: from a stop until the process ends at the latest
@@ -339,6 +389,8 @@
 	ks_address_t listen;
 	ks_address_t ready;
 	ks_address_t metrics;
+	ks_address_t peer;
+	const char *name;
 	const char *domain;
 	int64_t drain_delay_us;
 	int64_t grace_us;
@@ -355,7 +407,7 @@
 void ks_gateway_apply(ks_gateway_t *gateway, ks_traffic_t *traffic);
 void ks_gateway_confirm(ks_gateway_t *gateway);
 ks_fleet_t *ks_gateway_fleet(ks_gateway_t *gateway);
-ks_http_client_t *ks_gateway_client(ks_gateway_t *gateway);
+ks_peers_t *ks_gateway_peers(ks_gateway_t *gateway);
 uint16_t ks_gateway_port(const ks_gateway_t *gateway);
 uint16_t ks_gateway_ready_port(const ks_gateway_t *gateway);
 
--- a/packages/gateway/src/exchange.c
+++ b/packages/gateway/src/exchange.c
@@ -58,6 +58,7 @@
 		x->member->running--;
 		x->member->reading_tokens -= x->run_tokens;
 		ks_member_unref(x->member);
+		ks_peers_note_change(&x->gateway->peers);
 	}
 	x->member = NULL;
 	x->run_tokens = 0;
@@ -304,6 +305,7 @@
 	x->first_event_seen = true;
 	x->member->reading_tokens -= x->run_tokens;
 	x->run_tokens = 0;
+	ks_peers_note_change(&x->gateway->peers);
 	if (x->has_prompt)
 		ks_member_note_cached(x->member, &x->prompt, now_of(x));
 }
@@ -527,6 +529,7 @@
 
 	reader->reading_tokens -= x->reading_tokens;
 	x->reading_tokens = 0;
+	ks_peers_note_change(&x->gateway->peers);
 	if (result == KS_HTTP_WHOLE && x->status == 200)
 		x->handle = parse_handle(x);
 	if (x->handle) {
@@ -594,6 +597,7 @@
 	x->run_tokens = placement.run_tokens;
 	x->member->reading_tokens += x->run_tokens;
 	ks_ejection_dispatch(&x->member->health, now_of(x));
+	ks_peers_note_change(&gateway->peers);
 	if (!placement.prefill) {
 		start_run(x);
 		return;
--- a/packages/gateway/src/fleet.c
+++ b/packages/gateway/src/fleet.c
@@ -2,6 +2,7 @@
 #include "ks/gateway.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /*
  * Parts remembered for each upstream; more than an engine's memory holds of
@@ -42,11 +43,13 @@
 {
 	fleet->by_id =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unlist);
+	fleet->by_tag = g_hash_table_new(NULL, NULL);
 }
 
 void ks_fleet_deinit(ks_fleet_t *fleet)
 {
 	g_hash_table_destroy(fleet->by_id);
+	g_hash_table_destroy(fleet->by_tag);
 }
 
 static ks_member_t *new_member(ks_str_t id)
@@ -55,6 +58,7 @@
 
 	member->refs = 1;
 	member->id = ks_str_dup(id);
+	member->tag = XXH32(id.data, id.len, 0);
 	member->listed = true;
 	member->cached = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       g_free, g_free);
@@ -88,6 +92,20 @@
 	return member;
 }
 
+/**
+ * ks_fleet_find_tag() - the upstream that an entry names by the hash of its id
+ */
+ks_member_t *ks_fleet_find_tag(const ks_fleet_t *fleet, uint32_t tag)
+{
+	return g_hash_table_lookup(fleet->by_tag, GUINT_TO_POINTER(tag));
+}
+
+static void drop_member(ks_fleet_t *fleet, ks_member_t *member)
+{
+	g_hash_table_remove(fleet->by_tag, GUINT_TO_POINTER(member->tag));
+	g_hash_table_remove(fleet->by_id, member->id);
+}
+
 /**
  * ks_fleet_put() - add an upstream or take over what is announced about it
  *
@@ -99,12 +117,14 @@
 	ks_member_t *member = ks_fleet_find(fleet, spec->id);
 
 	if (member && !is_same_process(member, spec)) {
-		g_hash_table_remove(fleet->by_id, member->id);
+		drop_member(fleet, member);
 		member = NULL;
 	}
 	if (!member) {
 		member = new_member(spec->id);
 		g_hash_table_insert(fleet->by_id, member->id, member);
+		g_hash_table_insert(fleet->by_tag,
+				    GUINT_TO_POINTER(member->tag), member);
 	}
 	replace_text(&member->service, spec->service);
 	replace_text(&member->domain, spec->domain);
@@ -122,7 +142,7 @@
 	ks_member_t *member = ks_fleet_find(fleet, id);
 
 	if (member)
-		g_hash_table_remove(fleet->by_id, member->id);
+		drop_member(fleet, member);
 }
 
 /**
@@ -156,6 +176,8 @@
 
 		if (!member->withdrawn_us || member->withdrawn_us > now_us)
 			continue;
+		g_hash_table_remove(fleet->by_tag,
+				    GUINT_TO_POINTER(member->tag));
 		g_hash_table_iter_remove(&iter);
 		n++;
 	}
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -153,7 +153,10 @@
 	gateway->client.keep_us = KEEP_IDLE_US;
 	gateway->client.connect_timeout_us = CONNECT_TIMEOUT_US;
 	ks_timer_init(&gateway->stop_timer, loop, on_stop_timer, gateway);
-	if (listen_all(gateway, error))
+	if (listen_all(gateway, error) &&
+	    (!*settings->peer.ip ||
+	     ks_peers_init(&gateway->peers, loop, &gateway->fleet,
+			   settings->name, &settings->peer, error)))
 		return gateway;
 	ks_gateway_free(gateway);
 	return NULL;
@@ -172,6 +175,7 @@
 	ks_http1_server_deinit(&gateway->ready);
 	ks_http1_server_deinit(&gateway->metrics_server);
 	ks_http_client_deinit(&gateway->client);
+	ks_peers_deinit(&gateway->peers);
 	ks_fleet_deinit(&gateway->fleet);
 	ks_traffic_unref(gateway->traffic);
 	ks_rng_deinit(&gateway->rng);
@@ -233,6 +237,7 @@
 	ks_traffic_ref(traffic);
 	ks_traffic_unref(gateway->traffic);
 	gateway->traffic = traffic;
+	gateway->peers.version = traffic->version;
 	gateway->server.max_header_bytes = limits->max_header_bytes;
 	gateway->server.max_body_bytes = limits->max_body_bytes;
 	gateway->server.header_timeout_us = limits->header_timeout_us;
@@ -257,9 +262,9 @@
 	return &gateway->fleet;
 }
 
-ks_http_client_t *ks_gateway_client(ks_gateway_t *gateway)
+ks_peers_t *ks_gateway_peers(ks_gateway_t *gateway)
 {
-	return &gateway->client;
+	return &gateway->peers;
 }
 
 uint16_t ks_gateway_port(const ks_gateway_t *gateway)
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -33,6 +33,7 @@
 	ks_traffic_t *traffic;
 	int64_t confirmed_us;
 	ks_fleet_t fleet;
+	ks_peers_t peers;
 	GHashTable *budgets;
 	ks_list_t exchanges;
 	ks_rng_t rng;
--- /dev/null
+++ b/packages/gateway/src/peers.c
@@ -0,0 +1,365 @@
+/*
+ * What entries tell each other about the work that they have sent to each
+ * upstream. Answers placement by several entries: each sees only its own share
+ * of an upstream's queue, and the upstream's own report is late.
+ *
+ * A message holds the whole state, so that a lost one is made good by the next.
+ * No rule depends on it: an entry that hears nothing counts its own work only.
+ */
+#include "ks/gateway.h"
+#include "peer.pb-c.h"
+
+#include <string.h>
+#include <zmq.h>
+
+/* Load reports lose their worth after some prompts have been read. */
+#define MIN_PERIOD_US (20 * KS_USEC_PER_MSEC)
+
+/* An entry with no work says so at this pace, so that others keep it. */
+#define IDLE_PERIOD_US (500 * KS_USEC_PER_MSEC)
+
+/* An entry that is silent for longer is stopped or cut off. */
+#define SILENT_US (1500 * KS_USEC_PER_MSEC)
+
+/* Of the 9 KB/s that a node may spend on control. */
+#define BYTES_PER_S 9000
+
+/**
+ * struct load - the work of a peer at one upstream
+ */
+struct load {
+	ks_member_t *member;
+	unsigned running;
+	int64_t reading_tokens;
+	uint64_t number;
+};
+
+/**
+ * struct peer - another entry, as it last told
+ * @loads: struct load by the upstream's tag
+ */
+struct peer {
+	ks_id_t incarnation;
+	uint64_t number;
+	int64_t seen_us;
+	GHashTable *loads;
+};
+
+static void take_off(struct load *load)
+{
+	load->member->others_running -= load->running;
+	load->member->others_reading_tokens -= load->reading_tokens;
+	load->running = 0;
+	load->reading_tokens = 0;
+}
+
+static void free_load(gpointer data)
+{
+	struct load *load = data;
+
+	take_off(load);
+	ks_member_unref(load->member);
+	g_free(load);
+}
+
+static void free_peer(gpointer data)
+{
+	struct peer *peer = data;
+
+	g_hash_table_destroy(peer->loads);
+	g_free(peer);
+}
+
+static struct peer *find_peer(ks_peers_t *peers, const char *name)
+{
+	struct peer *peer = g_hash_table_lookup(peers->table, name);
+
+	if (peer)
+		return peer;
+	peer = g_new0(struct peer, 1);
+	peer->loads = g_hash_table_new_full(NULL, NULL, NULL, free_load);
+	g_hash_table_insert(peers->table, g_strdup(name), peer);
+	return peer;
+}
+
+static void take_load(ks_peers_t *peers, struct peer *peer, uint32_t tag,
+		      unsigned running, int64_t reading_tokens)
+{
+	ks_member_t *member = ks_fleet_find_tag(peers->fleet, tag);
+	struct load *load =
+		g_hash_table_lookup(peer->loads, GUINT_TO_POINTER(tag));
+
+	if (load && load->member != member) {
+		g_hash_table_remove(peer->loads, GUINT_TO_POINTER(tag));
+		load = NULL;
+	}
+	if (!member)
+		return;
+	if (!load) {
+		load = g_new0(struct load, 1);
+		load->member = ks_member_ref(member);
+		g_hash_table_insert(peer->loads, GUINT_TO_POINTER(tag), load);
+	}
+	take_off(load);
+	load->running = running;
+	load->reading_tokens = reading_tokens;
+	load->number = peer->number;
+	member->others_running += running;
+	member->others_reading_tokens += reading_tokens;
+}
+
+static gboolean is_old(gpointer tag G_GNUC_UNUSED, gpointer value,
+		       gpointer data)
+{
+	const struct load *load = value;
+	const struct peer *peer = data;
+
+	return load->number != peer->number;
+}
+
+static bool is_usable(const ks_peers_t *peers, const Ks__PeerState *state)
+{
+	return state && state->incarnation.len == KS_ID_SIZE &&
+	       state->n_running == state->n_upstream &&
+	       state->n_reading_tokens == state->n_upstream && *state->name &&
+	       strcmp(state->name, peers->name) != 0;
+}
+
+/**
+ * ks_peers_receive() - take over what another entry tells
+ *
+ * A message that cannot be read, or is older than the last one, is dropped.
+ */
+void ks_peers_receive(ks_peers_t *peers, ks_str_t message)
+{
+	Ks__PeerState *state = ks__peer_state__unpack(
+		NULL, message.len, (const uint8_t *)message.data);
+	struct peer *peer;
+	ks_id_t incarnation;
+
+	if (!is_usable(peers, state)) {
+		if (!state)
+			ks_log(KS_LOG_LINK, KS_LOG_WARN,
+			       "a message of an entry cannot be read bytes=%zu",
+			       message.len);
+		ks__peer_state__free_unpacked(state, NULL);
+		return;
+	}
+	peer = find_peer(peers, state->name);
+	ks_id_from_bytes(&incarnation, state->incarnation.data,
+			 state->incarnation.len);
+	if (!ks_id_equal(&incarnation, &peer->incarnation)) {
+		peer->incarnation = incarnation;
+		peer->number = 0;
+	}
+	if (state->number > peer->number) {
+		peer->number = state->number;
+		peer->seen_us = ks_loop_now(peers->loop);
+		for (size_t i = 0; i < state->n_upstream; i++)
+			take_load(peers, peer, state->upstream[i],
+				  state->running[i], state->reading_tokens[i]);
+		g_hash_table_foreach_remove(peer->loads, is_old, peer);
+	}
+	ks__peer_state__free_unpacked(state, NULL);
+}
+
+static void on_message(void *ctx, ks_str_t sender G_GNUC_UNUSED,
+		       ks_str_t message)
+{
+	ks_peers_receive(ctx, message);
+}
+
+static void drop_silent(ks_peers_t *peers)
+{
+	int64_t now = ks_loop_now(peers->loop);
+	GHashTableIter iter;
+	gpointer name, value;
+
+	g_hash_table_iter_init(&iter, peers->table);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const struct peer *peer = value;
+
+		if (now - peer->seen_us <= SILENT_US)
+			continue;
+		ks_log(KS_LOG_LINK, KS_LOG_INFO,
+		       "an entry is silent, its load is forgotten entry=%s "
+		       "age_ms=%" PRId64,
+		       (const char *)name,
+		       (now - peer->seen_us) / KS_USEC_PER_MSEC);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+static size_t send_state(ks_peers_t *peers)
+{
+	guint n = g_hash_table_size(peers->fleet->by_id), used = 0;
+	uint32_t *tags = g_new(uint32_t, n + 1);
+	uint32_t *running = g_new(uint32_t, n + 1);
+	uint32_t *reading = g_new(uint32_t, n + 1);
+	Ks__PeerState state = KS__PEER_STATE__INIT;
+	GHashTableIter iter;
+	gpointer value;
+	uint8_t *buf;
+	size_t len;
+
+	g_hash_table_iter_init(&iter, peers->fleet->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const ks_member_t *member = value;
+
+		if (!member->running && !member->reading_tokens)
+			continue;
+		tags[used] = member->tag;
+		running[used] = member->running;
+		reading[used++] =
+			(uint32_t)CLAMP(member->reading_tokens, 0, G_MAXINT32);
+	}
+	state.name = peers->name;
+	state.incarnation.data = peers->incarnation.bytes;
+	state.incarnation.len = KS_ID_SIZE;
+	state.number = ++peers->number;
+	state.version = peers->version;
+	state.upstream = tags;
+	state.running = running;
+	state.reading_tokens = reading;
+	state.n_upstream = state.n_running = state.n_reading_tokens = used;
+	len = ks__peer_state__get_packed_size(&state);
+	buf = g_malloc(len);
+	ks__peer_state__pack(&state, buf);
+	ks_socket_send(&peers->pub, (ks_str_t){ NULL, 0 },
+		       (ks_str_t){ (const char *)buf, len });
+	g_free(buf);
+	g_free(tags);
+	g_free(running);
+	g_free(reading);
+	return len;
+}
+
+static void on_timer(void *ctx)
+{
+	ks_peers_t *peers = ctx;
+	int64_t sent = (int64_t)send_state(peers) *
+		       (int64_t)MAX(g_hash_table_size(peers->addresses), 1);
+	int64_t period = sent * KS_USEC_PER_SEC / peers->bytes_per_s;
+
+	drop_silent(peers);
+	peers->next_us = ks_loop_now(peers->loop) + MAX(period, MIN_PERIOD_US);
+	ks_timer_set(&peers->timer, IDLE_PERIOD_US);
+}
+
+/**
+ * ks_peers_note_change() - tell the others soon
+ */
+void ks_peers_note_change(ks_peers_t *peers)
+{
+	int64_t now = ks_loop_now(peers->loop);
+	int64_t due = MAX(peers->next_us, now);
+
+	if (!peers->context ||
+	    (ks_timer_is_set(&peers->timer) && peers->timer.due_us <= due))
+		return;
+	ks_timer_set(&peers->timer, due - now);
+}
+
+/**
+ * ks_peers_init() - listen for other entries, none of which is known yet
+ * @address: of this entry's publisher; port 0 lets the kernel choose
+ *
+ * Return: false if the address cannot be bound.
+ */
+bool ks_peers_init(ks_peers_t *peers, ks_loop_t *loop, ks_fleet_t *fleet,
+		   const char *name, const ks_address_t *address,
+		   GError **error)
+{
+	memset(peers, 0, sizeof(*peers));
+	peers->loop = loop;
+	peers->fleet = fleet;
+	peers->name = g_strdup(name);
+	peers->bytes_per_s = BYTES_PER_S;
+	peers->table = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     free_peer);
+	peers->addresses =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	ks_timer_init(&peers->timer, loop, on_timer, peers);
+	if (!ks_id_generate(&peers->incarnation)) {
+		ks_error_set(error, KS_ERROR_INTERNAL,
+			     "no random numbers for an incarnation");
+		return false;
+	}
+	peers->context = zmq_ctx_new();
+	if (!ks_socket_bind_pub(&peers->pub, loop, peers->context, address,
+				&peers->port, error) ||
+	    !ks_socket_init_sub(&peers->sub, loop, peers->context, on_message,
+				peers, error))
+		return false;
+	ks_timer_set(&peers->timer, IDLE_PERIOD_US);
+	return true;
+}
+
+/**
+ * ks_peers_deinit() - leave the other entries; harmless after a failed init
+ */
+void ks_peers_deinit(ks_peers_t *peers)
+{
+	if (!peers->table)
+		return;
+	ks_timer_clear(&peers->timer);
+	if (peers->pub.zmq)
+		ks_socket_deinit(&peers->pub);
+	if (peers->sub.zmq)
+		ks_socket_deinit(&peers->sub);
+	if (peers->context)
+		zmq_ctx_term(peers->context);
+	g_hash_table_destroy(peers->table);
+	g_hash_table_destroy(peers->addresses);
+	g_free(peers->name);
+	memset(peers, 0, sizeof(*peers));
+}
+
+/**
+ * ks_peers_add() - listen to another entry
+ */
+void ks_peers_add(ks_peers_t *peers, const char *name,
+		  const ks_address_t *address)
+{
+	const ks_address_t *known;
+
+	if (!peers->context || !strcmp(name, peers->name))
+		return;
+	known = g_hash_table_lookup(peers->addresses, name);
+	if (known && known->port == address->port &&
+	    !strcmp(known->ip, address->ip))
+		return;
+	ks_peers_remove(peers, name);
+	if (!ks_socket_add_publisher(&peers->sub, address)) {
+		ks_log(KS_LOG_LINK, KS_LOG_WARN,
+		       "cannot listen to an entry entry=%s ip=%s", name,
+		       address->ip);
+		return;
+	}
+	g_hash_table_insert(peers->addresses, g_strdup(name),
+			    g_memdup2(address, sizeof(*address)));
+}
+
+/**
+ * ks_peers_remove() - stop listening to an entry
+ */
+void ks_peers_remove(ks_peers_t *peers, const char *name)
+{
+	const ks_address_t *known =
+		peers->context ? g_hash_table_lookup(peers->addresses, name)
+			       : NULL;
+
+	if (!known)
+		return;
+	ks_socket_remove_publisher(&peers->sub, known);
+	g_hash_table_remove(peers->addresses, name);
+	g_hash_table_remove(peers->table, name);
+}
+
+/**
+ * ks_peers_count() - entries that have been heard of lately
+ */
+size_t ks_peers_count(const ks_peers_t *peers)
+{
+	return peers->table ? g_hash_table_size(peers->table) : 0;
+}
--- a/packages/gateway/src/placement.c
+++ b/packages/gateway/src/placement.c
@@ -112,8 +112,9 @@
 
 static int64_t work_ahead(const ks_member_t *member)
 {
-	return member->reading_tokens +
-	       (int64_t)member->running * RUNNING_COST_TOKENS;
+	return member->reading_tokens + member->others_reading_tokens +
+	       (int64_t)(member->running + member->others_running) *
+		       RUNNING_COST_TOKENS;
 }
 
 static ks_member_t *cheapest(GPtrArray *members, guint n,
--- a/packages/process/include/ks/process.h
+++ b/packages/process/include/ks/process.h
@@ -678,6 +678,7 @@
 	char *platform_token;
 	char *ready;
 	char *metrics;
+	char *peer;
 	char *log_level;
 	ks_log_level_settings_t log_levels;
 	bool link_plain;
--- a/packages/process/src/settings.c
+++ b/packages/process/src/settings.c
@@ -76,6 +76,7 @@
 	STRING(ks_settings_t, platform_token, CYAML_FLAG_OPTIONAL),
 	STRING(ks_settings_t, ready, CYAML_FLAG_OPTIONAL),
 	STRING(ks_settings_t, metrics, CYAML_FLAG_OPTIONAL),
+	STRING(ks_settings_t, peer, CYAML_FLAG_OPTIONAL),
 	STRING(ks_settings_t, log_level, CYAML_FLAG_OPTIONAL),
 	CYAML_FIELD_MAPPING("log_levels", CYAML_FLAG_OPTIONAL, ks_settings_t,
 			    log_levels, level_fields),
--- a/packages/process/src/settings_check.c
+++ b/packages/process/src/settings_check.c
@@ -314,6 +314,8 @@
 	       (!settings->metrics ||
 		check_address(doc, "metrics", settings->metrics, true,
 			      &address)) &&
+	       (!settings->peer ||
+		check_address(doc, "peer", settings->peer, true, &address)) &&
 	       check_float(doc, "stop_grace_s", settings->stop_grace_s, 1,
 			   DAY_MS / 1000.0) &&
 	       check_float(doc, "retry_ratio", settings->retry_ratio, 0, 10) &&
