Order engines to read or to generate, under a lease

Cause: engines of the stage decode read prompts slowly and every stream on them waits meanwhile. Their reports showed 20 to 25 streams and up to 14 waiting requests on some, while engines of the stage prefill had none.

--- a/cli/knapweedstaird.c
+++ b/cli/knapweedstaird.c
@@ -60,6 +60,8 @@
 			ks_upstream_process_stop(daemon->upstream);
 		if (daemon->gateway)
 			ks_gateway_stop(daemon->gateway);
+		if (daemon->source)
+			ks_platform_source_stop(daemon->source);
 	}
 }
 
@@ -91,11 +93,17 @@
 		.retry_window_us =
 			(int64_t)(s->retry_window_s * KS_USEC_PER_SEC),
 	};
-	ks_address_t store;
+	ks_platform_settings_t platform = {
+		.name = s->name,
+		.peer = s->peer ? &gateway.peer : NULL,
+		.order_turns_us = s->order_turns_ms * KS_USEC_PER_MSEC,
+		.prefill_share = s->prefill_share,
+	};
 
 	if (!ks_address_parse(&gateway.listen, ks_str_from(s->listen), error) ||
 	    !ks_address_parse(&gateway.ready, ks_str_from(s->ready), error) ||
-	    !ks_address_parse(&store, ks_str_from(s->platform), error) ||
+	    !ks_address_parse(&platform.store, ks_str_from(s->platform),
+			      error) ||
 	    (s->metrics && !ks_address_parse(&gateway.metrics,
 					     ks_str_from(s->metrics), error)) ||
 	    (s->peer &&
@@ -105,9 +113,8 @@
 					 &gateway, error);
 	if (!daemon->gateway)
 		return false;
-	daemon->source =
-		ks_platform_source_new(&daemon->loop, daemon->gateway, s->name,
-				       s->peer ? &gateway.peer : NULL, &store);
+	daemon->source = ks_platform_source_new(&daemon->loop, daemon->gateway,
+						&platform);
 	return true;
 }
 
--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -206,6 +206,10 @@
  * @reading_tokens: prompt tokens of this entry that have yet to be read
  * @others_running, @others_reading_tokens: the same of the other entries, as
  *	they last told
+ * @changing_to: the stage that it has been ordered to take on, KS_STAGE_ANY if
+ *it is not changing; it refuses requests meanwhile
+ * @changed_us: when it was ordered
+ * @order_after_us: no earlier than this is it ordered again
  * @cached: time of the last use by the id of the prompt part
  */
 typedef struct ks_member {
@@ -225,6 +229,9 @@
 	int64_t reading_tokens;
 	unsigned others_running;
 	int64_t others_reading_tokens;
+	ks_stage_t changing_to;
+	int64_t changed_us;
+	int64_t order_after_us;
 	ks_ejection_t health;
 	GHashTable *cached;
 } ks_member_t;
@@ -368,6 +375,73 @@
 void ks_peers_receive(ks_peers_t *peers, ks_str_t message);
 size_t ks_peers_count(const ks_peers_t *peers);
 
+/* stages.c */
+
+ks_member_t *ks_stages_next(const GPtrArray *members, double prefill_share,
+			    ks_stage_t *stage);
+
+/* stage_run.c */
+
+/**
+ * enum ks_stage_outcome - how an order ended
+ * @KS_STAGE_ORDERED: it is carried out, or the stage is the one ordered
+ * @KS_STAGE_NOT_ORDERED: it was refused, or not sent
+ * @KS_STAGE_UNKNOWN: the answer was lost; it may be carried out later
+ */
+typedef enum ks_stage_outcome {
+	KS_STAGE_ORDERED,
+	KS_STAGE_NOT_ORDERED,
+	KS_STAGE_UNKNOWN,
+} ks_stage_outcome_t;
+
+typedef void (*ks_stage_func_t)(void *ctx, ks_member_t *member,
+				ks_stage_outcome_t outcome);
+/* Whether an order may be sent now, and the fencing number that it carries. */
+typedef bool (*ks_stage_permit_func_t)(void *ctx, uint64_t *fence);
+
+/**
+ * struct ks_stage_driver - the way to an engine
+ * @order: observe the engine, ask for the permit, and order the stage
+ */
+typedef struct ks_stage_driver {
+	void (*order)(void *impl, ks_member_t *member, ks_stage_t stage,
+		      ks_stage_permit_func_t permit, ks_stage_func_t func,
+		      void *ctx);
+	void *impl;
+} ks_stage_driver_t;
+
+/**
+ * struct ks_stage_run - orders changes of stage while it holds the lease
+ * @services: names of those whose engines have stages
+ * @settle_us: for which the lease has to be held before the first order
+ * @held_since_us: on the boot-time clock
+ * @wanted_us: when a change was last found to be due
+ * @under_way: orders without an outcome
+ */
+typedef struct ks_stage_run {
+	ks_loop_t *loop;
+	ks_fleet_t *fleet;
+	const ks_stage_driver_t *driver;
+	const ks_clock_t *boottime;
+	ks_lease_keeper_t *keeper;
+	GPtrArray *services;
+	double prefill_share;
+	int64_t settle_us;
+	int64_t held_since_us;
+	int64_t wanted_us;
+	unsigned under_way;
+	ks_timer_t timer;
+	bool stopping;
+} ks_stage_run_t;
+
+void ks_stage_run_init(ks_stage_run_t *run, ks_loop_t *loop, ks_fleet_t *fleet,
+		       ks_store_t *store, const ks_stage_driver_t *driver,
+		       ks_rng_t *rng, int64_t turns_us, double prefill_share);
+void ks_stage_run_deinit(ks_stage_run_t *run);
+void ks_stage_run_stop(ks_stage_run_t *run);
+void ks_stage_run_set_services(ks_stage_run_t *run,
+			       const ks_traffic_t *traffic);
+
 /* gateway.c */
 
 typedef struct ks_gateway ks_gateway_t;
@@ -408,6 +482,7 @@
 void ks_gateway_confirm(ks_gateway_t *gateway);
 ks_fleet_t *ks_gateway_fleet(ks_gateway_t *gateway);
 ks_peers_t *ks_gateway_peers(ks_gateway_t *gateway);
+bool ks_gateway_is_stopping(const ks_gateway_t *gateway);
 uint16_t ks_gateway_port(const ks_gateway_t *gateway);
 uint16_t ks_gateway_ready_port(const ks_gateway_t *gateway);
 
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -262,6 +262,11 @@
 	return &gateway->fleet;
 }
 
+bool ks_gateway_is_stopping(const ks_gateway_t *gateway)
+{
+	return gateway->stopping;
+}
+
 ks_peers_t *ks_gateway_peers(ks_gateway_t *gateway)
 {
 	return &gateway->peers;
--- a/packages/gateway/src/placement.c
+++ b/packages/gateway/src/placement.c
@@ -18,7 +18,7 @@
 #define HOMES 2
 
 /* A decode engine reads at half the speed, in the platform's terms. */
-#define DECODE_READ_COST 2
+#define DECODE_READ_COST 8
 
 /*
  * A split costs a request more, the wait for the handle and the transfer of the
@@ -63,7 +63,8 @@
 	for (guint i = 0; i < members->len; i++) {
 		ks_member_t *member = g_ptr_array_index(members, i);
 
-		if (!serves(member, stage) || is_avoided(query, member))
+		if (!serves(member, stage) || member->changing_to ||
+		    is_avoided(query, member))
 			continue;
 		g_ptr_array_add(all, member);
 		if (!ks_ejection_is_out(&member->health, query->now_us))
--- /dev/null
+++ b/packages/gateway/src/stage_run.c
@@ -0,0 +1,189 @@
+/*
+ * Orders changes of stage under a lease. One entry orders at a time, and only
+ * after it has held the lease for so long that no order of an earlier holder
+ * can still arrive between its own.
+ */
+#include "ks/gateway.h"
+
+#include <string.h>
+
+#define PERIOD_US (500 * KS_USEC_PER_MSEC)
+#define LEASE_KEY "lease/stages"
+
+/* Beyond the time for which two holders count as taking turns. */
+#define SETTLE_MARGIN_US (700 * KS_USEC_PER_MSEC)
+
+/* An order is sent only if the lease lasts for at least this long. */
+#define ORDER_LEFT_US (1000 * KS_USEC_PER_MSEC)
+
+/*
+ * An engine that was ordered and does not show the new stage: it may have
+ * restarted, or the order was lost or is carried out late.
+ */
+#define CHANGE_US (6 * KS_USEC_PER_SEC)
+#define RETRY_US (15 * KS_USEC_PER_SEC)
+
+static bool is_settled(const ks_stage_run_t *run)
+{
+	return ks_lease_keeper_is_held(run->keeper) &&
+	       ks_clock_now(run->boottime) - run->held_since_us >=
+		       run->settle_us;
+}
+
+/* Asked again right before an order is sent. */
+static bool permit(void *ctx, uint64_t *fence)
+{
+	ks_stage_run_t *run = ctx;
+
+	if (!is_settled(run) ||
+	    ks_lease_keeper_remaining(run->keeper) < ORDER_LEFT_US)
+		return false;
+	*fence = ks_lease_keeper_fence(run->keeper);
+	return true;
+}
+
+static void on_ordered(void *ctx, ks_member_t *member,
+		       ks_stage_outcome_t outcome)
+{
+	ks_stage_run_t *run = ctx;
+	int64_t now = ks_loop_now(run->loop);
+
+	run->under_way--;
+	if (outcome == KS_STAGE_NOT_ORDERED) {
+		member->changing_to = KS_STAGE_ANY;
+		member->order_after_us = now + PERIOD_US;
+		return;
+	}
+	member->changed_us = now;
+	member->order_after_us =
+		now + (outcome == KS_STAGE_UNKNOWN ? RETRY_US : CHANGE_US);
+}
+
+static void order(ks_stage_run_t *run, ks_member_t *member, ks_stage_t stage)
+{
+	member->changing_to = stage;
+	member->changed_us = ks_loop_now(run->loop);
+	run->under_way++;
+	run->driver->order(run->driver->impl, member, stage, permit, on_ordered,
+			   run);
+}
+
+/* A change is over once the engine shows it, or after a while. */
+static void end_changes(const GPtrArray *members, int64_t now)
+{
+	for (guint i = 0; i < members->len; i++) {
+		ks_member_t *member = members->pdata[i];
+
+		if (member->changing_to &&
+		    (member->stage == member->changing_to ||
+		     now - member->changed_us > CHANGE_US))
+			member->changing_to = KS_STAGE_ANY;
+	}
+}
+
+static ks_member_t *next_change(ks_stage_run_t *run, const char *service,
+				ks_stage_t *stage)
+{
+	GPtrArray *members = ks_fleet_members(run->fleet, service);
+	int64_t now = ks_loop_now(run->loop);
+	ks_member_t *next;
+
+	end_changes(members, now);
+	next = ks_stages_next(members, run->prefill_share, stage);
+	g_ptr_array_free(members, TRUE);
+	return next && next->order_after_us <= now ? next : NULL;
+}
+
+static void on_timer(void *ctx)
+{
+	ks_stage_run_t *run = ctx;
+	bool wanted = false;
+
+	for (guint i = 0; i < run->services->len; i++) {
+		const char *service = run->services->pdata[i];
+		ks_stage_t stage;
+		ks_member_t *member = next_change(run, service, &stage);
+
+		wanted |= member != NULL;
+		while (member && is_settled(run) && !run->stopping) {
+			order(run, member, stage);
+			member = next_change(run, service, &stage);
+		}
+	}
+	if (wanted)
+		run->wanted_us = ks_loop_now(run->loop);
+	/* The holder waits for what it has ordered to show. */
+	wanted |= run->under_way ||
+		  (ks_lease_keeper_is_held(run->keeper) &&
+		   ks_loop_now(run->loop) - run->wanted_us < CHANGE_US);
+	ks_lease_keeper_want(run->keeper, wanted && !run->stopping);
+	ks_timer_set(&run->timer, PERIOD_US);
+}
+
+static void on_held(void *ctx, bool held)
+{
+	ks_stage_run_t *run = ctx;
+
+	if (held)
+		run->held_since_us = ks_clock_now(run->boottime);
+}
+
+/**
+ * ks_stage_run_init() - watch the stages of the engines
+ * @turns_us: within which orders of two holders count as taking turns
+ * @prefill_share: of the engines that should read prompts
+ */
+void ks_stage_run_init(ks_stage_run_t *run, ks_loop_t *loop, ks_fleet_t *fleet,
+		       ks_store_t *store, const ks_stage_driver_t *driver,
+		       ks_rng_t *rng, int64_t turns_us, double prefill_share)
+{
+	ks_id_t holder;
+
+	memset(run, 0, sizeof(*run));
+	run->loop = loop;
+	run->fleet = fleet;
+	run->driver = driver;
+	run->prefill_share = prefill_share;
+	run->settle_us = turns_us + SETTLE_MARGIN_US;
+	run->boottime = ks_clock_boottime();
+	run->services = g_ptr_array_new_with_free_func(g_free);
+	ks_id_generate_seeded(&holder, rng);
+	run->keeper =
+		ks_lease_keeper_new(loop, store, run->boottime, rng, LEASE_KEY,
+				    &holder, turns_us, on_held, run);
+	ks_timer_init(&run->timer, loop, on_timer, run);
+	ks_timer_set(&run->timer, PERIOD_US);
+}
+
+/**
+ * ks_stage_run_set_services() - the services whose engines have stages
+ */
+void ks_stage_run_set_services(ks_stage_run_t *run, const ks_traffic_t *traffic)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_ptr_array_set_size(run->services, 0);
+	g_hash_table_iter_init(&iter, traffic->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const ks_service_t *service = value;
+
+		if (service->moves_kv)
+			g_ptr_array_add(run->services, g_strdup(service->name));
+	}
+}
+
+/**
+ * ks_stage_run_stop() - order no more and release the lease
+ */
+void ks_stage_run_stop(ks_stage_run_t *run)
+{
+	run->stopping = true;
+}
+
+void ks_stage_run_deinit(ks_stage_run_t *run)
+{
+	ks_timer_clear(&run->timer);
+	ks_lease_keeper_free(run->keeper);
+	g_ptr_array_free(run->services, TRUE);
+}
--- a/packages/process/include/ks/process.h
+++ b/packages/process/include/ks/process.h
@@ -710,6 +710,8 @@
 	double retry_ratio;
 	double retry_slack;
 	double retry_window_s;
+	unsigned order_turns_ms;
+	double prefill_share;
 } ks_settings_t;
 
 bool ks_settings_load(ks_settings_t **settings, const char *file,
