--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -152,6 +152,9 @@
 	ks_http_client_init(&gateway->client, loop);
 	gateway->client.keep_us = KEEP_IDLE_US;
 	gateway->client.connect_timeout_us = CONNECT_TIMEOUT_US;
+	/* Without an address for it, the part that talks to peers stays idle.
+	 */
+	gateway->peers.loop = loop;
 	ks_timer_init(&gateway->stop_timer, loop, on_stop_timer, gateway);
 	if (listen_all(gateway, error) &&
 	    (!*settings->peer.ip ||
--- a/packages/gateway/src/peers.c
+++ b/packages/gateway/src/peers.c
@@ -251,11 +251,13 @@
  */
 void ks_peers_note_change(ks_peers_t *peers)
 {
-	int64_t now = ks_loop_now(peers->loop);
-	int64_t due = MAX(peers->next_us, now);
+	int64_t now, due;
 
-	if (!peers->context ||
-	    (ks_timer_is_set(&peers->timer) && peers->timer.due_us <= due))
+	if (!peers->context)
+		return;
+	now = ks_loop_now(peers->loop);
+	due = MAX(peers->next_us, now);
+	if (ks_timer_is_set(&peers->timer) && peers->timer.due_us <= due)
 		return;
 	ks_timer_set(&peers->timer, due - now);
 }
--- /dev/null
+++ b/packages/gateway/tests/test-gateway.c
@@ -0,0 +1,648 @@
+/* Tests of requests on their way through the gateway. */
+#include "gateway_fixture.h"
+
+/* Guards against a request or an answer that is changed on the way. */
+static void test_pass_through(void)
+{
+	static const char *const methods[] = { "GET", "POST", "PUT", "PATCH",
+					       "DELETE" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(methods); i++) {
+		ks_header_t extra = { KS_STR("x-other"), KS_STR("kept") };
+		struct fixture_upstream *upstream;
+		struct fixture_caller caller;
+		struct fixture f;
+		char *expected = g_strdup_printf("%s /read/a%%20b?c=d&e body",
+						 methods[i]);
+
+		fixture_init(&f);
+		fixture_call_with(&f, &caller, methods[i], "/read/a%20b?c=d&e",
+				  "body", &extra, 1);
+		upstream = fixture_await(&f);
+		g_assert_cmpstr(upstream->arrivals->pdata[0], ==, expected);
+		g_assert_true(ks_str_equal(
+			ks_header_value(upstream->request->headers,
+					upstream->request->n_headers,
+					"x-other"),
+			KS_STR("kept")));
+		g_assert_true(ks_str_equal(
+			ks_header_value(upstream->request->headers,
+					upstream->request->n_headers, "host"),
+			KS_STR("shop.example")));
+		fixture_answer(upstream, 200, false, "answer");
+		FIXTURE_WAIT(&f, caller.done);
+		g_assert_cmpint(caller.status, ==, 200);
+		g_assert_cmpint(caller.result, ==, KS_HTTP_WHOLE);
+		g_assert_cmpstr(caller.body->str, ==, "answer");
+		g_assert_cmpstr(caller.seal->str, ==, "s");
+		fixture_end_call(&caller);
+		fixture_deinit(&f);
+		g_free(expected);
+	}
+}
+
+/* Guards against bodies that outgrow a buffer on the way. */
+static void test_large_bodies(void)
+{
+	size_t size = 4 * 1024 * 1024;
+	char *body = g_malloc(size + 1);
+	struct fixture_upstream *upstream;
+	struct fixture_caller caller;
+	struct fixture f;
+
+	memset(body, 'x', size);
+	body[size] = '\0';
+	fixture_init(&f);
+	fixture_call_with(&f, &caller, "POST", "/read/", body, NULL, 0);
+	upstream = fixture_await(&f);
+	g_assert_cmpuint(upstream->request->body.len, ==, size);
+	fixture_answer(upstream, 200, false, body);
+	FIXTURE_WAIT(&f, caller.done);
+	g_assert_cmpint(caller.result, ==, KS_HTTP_WHOLE);
+	g_assert_cmpuint(caller.body->len, ==, size);
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+	g_free(body);
+}
+
+/* Guards against a caller that sets what only the system may set. */
+static void test_system_fields(void)
+{
+	ks_header_t extra[] = { { KS_STR("x-kv"), KS_STR("forged") },
+				{ KS_STR("x-stage"), KS_STR("prefill") },
+				{ KS_STR("x-expect"), KS_STR("other") } };
+	struct fixture_upstream *upstream;
+	struct fixture_caller caller;
+	struct fixture f;
+	ks_str_t expect;
+
+	fixture_init(&f);
+	fixture_call_with(&f, &caller, "GET", "/read/", "", extra, 3);
+	upstream = fixture_await(&f);
+	g_assert_null(ks_header_find(upstream->request->headers,
+				     upstream->request->n_headers, "x-kv"));
+	g_assert_null(ks_header_find(upstream->request->headers,
+				     upstream->request->n_headers, "x-stage"));
+	expect = ks_header_value(upstream->request->headers,
+				 upstream->request->n_headers, "x-expect");
+	g_assert_true(ks_str_equal(expect, upstream == &f.upstreams[0]
+						   ? KS_STR("u0")
+						   : KS_STR("u1")));
+	fixture_answer(upstream, 200, false, "");
+	FIXTURE_WAIT(&f, caller.done);
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+}
+
+/* Sends a request, lets its upstream fail, and returns the arrivals. */
+static unsigned fail_once(const char *target, int status, bool not_run,
+			  bool cut, int *final_status)
+{
+	struct fixture_upstream *upstream;
+	struct fixture_caller caller;
+	struct fixture f;
+	unsigned arrivals;
+
+	fixture_init(&f);
+	fixture_call(&f, &caller, "POST", target);
+	upstream = fixture_await(&f);
+	if (cut) {
+		fixture_start_answer(upstream, 200, false, 100);
+		fixture_send(upstream, "part");
+		fixture_settle(&f);
+		fixture_cut_answer(upstream);
+	} else {
+		fixture_answer(upstream, status, not_run, "");
+	}
+	FIXTURE_WAIT(&f, caller.done || fixture_busy(&f));
+	if (fixture_busy(&f))
+		fixture_answer(fixture_busy(&f), 200, false, "second");
+	FIXTURE_WAIT(&f, caller.done);
+	*final_status = caller.status;
+	arrivals = fixture_arrivals(&f);
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+	return arrivals;
+}
+
+/* Guards against a payment that runs twice after its answer was lost. */
+static void test_once_is_not_repeated(void)
+{
+	int status;
+
+	g_assert_cmpuint(fail_once("/book/", 0, false, true, &status), ==, 1);
+	g_assert_cmpint(status, ==, 502);
+	g_assert_cmpuint(fail_once("/book/", 500, false, false, &status), ==,
+			 1);
+	g_assert_cmpint(status, ==, 500);
+}
+
+/* Guards against a status that says "not run" for a payment that ran. */
+static void test_no_false_promise(void)
+{
+	static const int promises[] = { 408, 421, 429, 503 };
+	int status;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(promises); i++) {
+		g_assert_cmpuint(
+			fail_once("/book/", promises[i], false, false, &status),
+			==, 1);
+		g_assert_cmpint(status, ==, 502);
+	}
+}
+
+/* Guards against giving up on what an upstream says it did not run. */
+static void test_not_run_is_sent_again(void)
+{
+	static const int refusals[] = { 421, 429, 503 };
+	int status;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(refusals); i++) {
+		g_assert_cmpuint(
+			fail_once("/book/", refusals[i], true, false, &status),
+			==, 2);
+		g_assert_cmpint(status, ==, 200);
+	}
+}
+
+/* Guards against failing a lookup that another upstream can serve. */
+static void test_idempotent_is_repeated(void)
+{
+	int status;
+
+	g_assert_cmpuint(fail_once("/read/", 0, false, true, &status), ==, 2);
+	g_assert_cmpint(status, ==, 200);
+	g_assert_cmpuint(fail_once("/read/", 500, false, false, &status), ==,
+			 2);
+	g_assert_cmpint(status, ==, 200);
+}
+
+/* Guards against more runs than the route allows. */
+static void test_max_attempts(void)
+{
+	struct fixture_caller caller;
+	struct fixture f;
+
+	fixture_init(&f);
+	fixture_put_upstream(&f, 2, "app", KS_STAGE_ANY);
+	fixture_call(&f, &caller, "GET", "/read/");
+	for (int i = 0; i < 2; i++)
+		fixture_answer(fixture_await(&f), 500, false, "no");
+	FIXTURE_WAIT(&f, caller.done);
+	g_assert_cmpint(caller.status, ==, 500);
+	g_assert_cmpstr(caller.seal->str, ==, "s");
+	g_assert_cmpuint(fixture_arrivals(&f), ==, 2);
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+}
+
+/* Guards against a cut stream that looks complete. */
+static void test_cut_stream(void)
+{
+	struct fixture_upstream *upstream;
+	struct fixture_caller caller;
+	struct fixture f;
+
+	fixture_init(&f);
+	fixture_call(&f, &caller, "POST", "/tell/");
+	upstream = fixture_await(&f);
+	fixture_start_answer(upstream, 200, false, -1);
+	fixture_send(upstream, "id: 1\ndata: a\n\n");
+	FIXTURE_WAIT(&f, caller.body->len > 0);
+	fixture_cut_answer(upstream);
+	FIXTURE_WAIT(&f, caller.done);
+	g_assert_cmpint(caller.result, ==, KS_HTTP_LOST);
+	g_assert_cmpuint(fixture_arrivals(&f), ==, 1);
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+}
+
+/* Guards against events that are lost, repeated or joined in a resumed stream.
+ */
+static void test_resume(void)
+{
+	struct fixture_upstream *upstream;
+	struct fixture_caller caller;
+	struct fixture f;
+
+	fixture_init(&f);
+	fixture_call(&f, &caller, "POST", "/resume/");
+	upstream = fixture_await(&f);
+	fixture_start_answer(upstream, 200, false, -1);
+	fixture_send(upstream, "id: 1\ndata: a\n\nid: 2\nda");
+	FIXTURE_WAIT(&f, caller.body->len > 0);
+	fixture_cut_answer(upstream);
+	upstream = fixture_await(&f);
+	g_assert_true(ks_str_equal(ks_header_value(upstream->request->headers,
+						   upstream->request->n_headers,
+						   "last-event-id"),
+				   KS_STR("1")));
+	fixture_start_answer(upstream, 200, false, -1);
+	fixture_send(upstream, "id: 2\ndata: b\n\n");
+	fixture_end_answer(upstream);
+	FIXTURE_WAIT(&f, caller.done);
+	g_assert_cmpint(caller.result, ==, KS_HTTP_WHOLE);
+	g_assert_cmpstr(caller.body->str, ==,
+			"id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+}
+
+/* Guards against a refusal that ends a resumed stream as complete. */
+static void test_resume_refused(void)
+{
+	struct fixture_upstream *upstream;
+	struct fixture_caller caller;
+	struct fixture f;
+
+	fixture_init(&f);
+	fixture_call(&f, &caller, "POST", "/resume/");
+	upstream = fixture_await(&f);
+	fixture_start_answer(upstream, 200, false, -1);
+	fixture_send(upstream, "id: 1\ndata: a\n\n");
+	FIXTURE_WAIT(&f, caller.body->len > 0);
+	fixture_cut_answer(upstream);
+	fixture_answer(fixture_await(&f), 404, false, "no such stream");
+	FIXTURE_WAIT(&f, caller.done);
+	g_assert_cmpint(caller.result, ==, KS_HTTP_LOST);
+	g_assert_cmpstr(caller.body->str, ==, "id: 1\ndata: a\n\n");
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+}
+
+/* Guards against events that wait for the end of the stream. */
+static void test_events_come_at_once(void)
+{
+	struct fixture_upstream *upstream;
+	struct fixture_caller caller;
+	struct fixture f;
+
+	fixture_init(&f);
+	fixture_call(&f, &caller, "POST", "/tell/");
+	upstream = fixture_await(&f);
+	fixture_start_answer(upstream, 200, false, -1);
+	for (int i = 1; i <= 3; i++) {
+		fixture_send(upstream, "data: x\n\n");
+		FIXTURE_WAIT(&f, caller.body->len == (size_t)i * 9);
+	}
+	fixture_end_answer(upstream);
+	FIXTURE_WAIT(&f, caller.done);
+	g_assert_cmpint(caller.result, ==, KS_HTTP_WHOLE);
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+}
+
+/* Guards against upstreams at work for callers that have left. */
+static void test_caller_leaves(void)
+{
+	struct fixture_upstream *upstream;
+	struct fixture_caller caller;
+	struct fixture f;
+
+	fixture_init(&f);
+	fixture_call(&f, &caller, "POST", "/tell/");
+	upstream = fixture_await(&f);
+	ks_http_call_cancel(&caller.call);
+	FIXTURE_WAIT(&f, upstream->left);
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+}
+
+/* Guards against a payment that is cut in the middle because its caller left.
+ */
+static void test_caller_leaves_payment(void)
+{
+	struct fixture_upstream *upstream;
+	struct fixture_caller caller;
+	struct fixture f;
+
+	fixture_init(&f);
+	fixture_call(&f, &caller, "POST", "/book/");
+	upstream = fixture_await(&f);
+	ks_http_call_cancel(&caller.call);
+	fixture_settle(&f);
+	g_assert_false(upstream->left);
+	fixture_answer(upstream, 200, false, "paid");
+	fixture_settle(&f);
+	g_assert_cmpuint(fixture_arrivals(&f), ==, 1);
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+}
+
+/* Guards against callers that wait beyond their time, and a false "not run". */
+static void test_timeout(void)
+{
+	struct fixture_caller caller;
+	struct fixture f;
+
+	fixture_init(&f);
+	fixture_call(&f, &caller, "POST", "/book/");
+	fixture_await(&f);
+	fixture_advance(&f, 1400);
+	g_assert_false(caller.done);
+	fixture_advance(&f, 300);
+	FIXTURE_WAIT(&f, caller.done);
+	g_assert_cmpint(caller.status, ==, 504);
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+}
+
+/* Guards against an upstream that is given more time than is left. */
+static void test_time_left(void)
+{
+	struct fixture_upstream *upstream;
+	struct fixture_caller caller;
+	struct fixture f;
+	ks_str_t left;
+	int64_t ms;
+
+	fixture_init(&f);
+	fixture_call(&f, &caller, "POST", "/read/");
+	upstream = fixture_await(&f);
+	left = ks_header_value(upstream->request->headers,
+			       upstream->request->n_headers, "x-left");
+	g_assert_true(ks_str_parse_int(left, 0, 1500, &ms));
+	fixture_advance(&f, 500);
+	fixture_answer(upstream, 500, false, "");
+	upstream = fixture_await(&f);
+	left = ks_header_value(upstream->request->headers,
+			       upstream->request->n_headers, "x-left");
+	g_assert_true(ks_str_parse_int(left, 0, 1000, &ms));
+	fixture_answer(upstream, 200, false, "");
+	FIXTURE_WAIT(&f, caller.done);
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+}
+
+static void expect_refusal(struct fixture *f, const char *target, int status)
+{
+	struct fixture_caller caller;
+
+	fixture_call(f, &caller, "POST", target);
+	FIXTURE_WAIT(f, caller.done);
+	g_assert_cmpint(caller.status, ==, status);
+	g_assert_cmpuint(fixture_arrivals(f), ==, 0);
+	if (status == 503)
+		g_assert_cmpuint(caller.retry_after->len, >, 0);
+	fixture_end_call(&caller);
+}
+
+/* Guards against a 404 from an entry that does not know the routes. */
+static void test_unknown_routes(void)
+{
+	struct fixture f;
+
+	fixture_init_bare(&f);
+	expect_refusal(&f, "/read/", 503);
+	fixture_apply(&f, 1);
+	expect_refusal(&f, "/nowhere/", 404);
+	expect_refusal(&f, "/read/", 503);
+	ks_test_clock_advance(&f.clock, 5 * KS_USEC_PER_SEC);
+	expect_refusal(&f, "/nowhere/", 503);
+	fixture_deinit(&f);
+}
+
+/* Guards against an older configuration that replaces a newer one. */
+static void test_no_reversal(void)
+{
+	ks_traffic_t *older = ks_traffic_new(1);
+	struct fixture_caller caller;
+	struct fixture f;
+
+	fixture_init(&f);
+	fixture_apply(&f, 5);
+	ks_gateway_apply(f.gateway, older);
+	ks_traffic_unref(older);
+	fixture_call(&f, &caller, "GET", "/read/");
+	fixture_answer(fixture_await(&f), 200, false, "");
+	FIXTURE_WAIT(&f, caller.done);
+	g_assert_cmpint(caller.status, ==, 200);
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+}
+
+/* Guards against requests to an upstream that is leaving. */
+static void test_leaving_upstream(void)
+{
+	struct fixture_caller caller;
+	struct fixture f;
+
+	fixture_init(&f);
+	ks_fleet_remove(ks_gateway_fleet(f.gateway), KS_STR("u0"));
+	for (int i = 0; i < 6; i++) {
+		fixture_call(&f, &caller, "GET", "/read/");
+		fixture_answer(fixture_await(&f), 200, false, "");
+		FIXTURE_WAIT(&f, caller.done);
+		fixture_end_call(&caller);
+	}
+	g_assert_cmpuint(f.upstreams[0].arrivals->len, ==, 0);
+	fixture_deinit(&f);
+}
+
+/* Guards against a stop that cuts streams or refuses callers too early. */
+static void test_stop(void)
+{
+	struct fixture_upstream *upstream;
+	struct fixture_caller stream, late;
+	struct fixture f;
+
+	fixture_init(&f);
+	fixture_call(&f, &stream, "POST", "/tell/");
+	upstream = fixture_await(&f);
+	fixture_start_answer(upstream, 200, false, -1);
+	fixture_send(upstream, "data: a\n\n");
+	FIXTURE_WAIT(&f, stream.body->len > 0);
+	ks_gateway_stop(f.gateway);
+	fixture_advance(&f, 1000);
+	fixture_call(&f, &late, "GET", "/read/");
+	FIXTURE_WAIT(&f, f.upstreams[0].request && f.upstreams[1].request);
+	fixture_answer(upstream == &f.upstreams[0] ? &f.upstreams[1]
+						   : &f.upstreams[0],
+		       200, false, "late");
+	FIXTURE_WAIT(&f, late.done);
+	g_assert_cmpint(late.status, ==, 200);
+	fixture_advance(&f, 3000);
+	g_assert_false(f.loop.stopping);
+	fixture_send(upstream, "data: b\n\n");
+	fixture_end_answer(upstream);
+	FIXTURE_WAIT(&f, stream.done);
+	g_assert_cmpint(stream.result, ==, KS_HTTP_WHOLE);
+	fixture_advance(&f, 200);
+	g_assert_true(f.loop.stopping);
+	fixture_end_call(&stream);
+	fixture_end_call(&late);
+	fixture_deinit(&f);
+}
+
+/* Guards against the retry budget being spent beyond its bound. */
+static void test_retry_budget(void)
+{
+	struct fixture_caller caller;
+	unsigned extra;
+	struct fixture f;
+
+	fixture_init(&f);
+	for (int i = 0; i < 40; i++) {
+		fixture_call(&f, &caller, "GET", "/read/");
+		while (!caller.done) {
+			if (fixture_busy(&f))
+				fixture_answer(fixture_busy(&f), 500, false,
+					       "");
+			fixture_turn(&f);
+		}
+		fixture_end_call(&caller);
+	}
+	extra = fixture_arrivals(&f) - 40;
+	g_assert_cmpuint(extra, >, 0);
+	/* 0.2 of 40 requests, and this entry's share of the slack. */
+	g_assert_cmpuint(extra, <=, 8 + 160);
+	g_assert_cmpuint(extra, <=, 8 + 10);
+	fixture_deinit(&f);
+}
+
+/* Guards against an answer that ends up with another caller. */
+static void test_late_answer(void)
+{
+	ks_header_t other = { KS_STR("x-id"), KS_STR("other") };
+	struct fixture_upstream *upstream;
+	struct fixture_caller caller;
+	struct fixture f;
+
+	fixture_init(&f);
+	fixture_call(&f, &caller, "POST", "/book/");
+	upstream = fixture_await(&f);
+	ks_http1_start(upstream->request, 200, &other, 1, 5);
+	fixture_send(upstream, "wrong");
+	fixture_settle(&f);
+	g_assert_false(caller.done);
+	g_assert_cmpuint(caller.body->len, ==, 0);
+	fixture_start_answer(upstream, 200, false, 5);
+	fixture_send(upstream, "right");
+	fixture_end_answer(upstream);
+	FIXTURE_WAIT(&f, caller.done);
+	g_assert_cmpstr(caller.body->str, ==, "right");
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+}
+
+static void init_engines(struct fixture *f)
+{
+	fixture_init_bare(f);
+	fixture_apply(f, 1);
+	fixture_put_upstream(f, 0, "llm", KS_STAGE_PREFILL);
+	fixture_put_upstream(f, 1, "llm", KS_STAGE_DECODE);
+}
+
+static void call_engine(struct fixture *f, struct fixture_caller *caller)
+{
+	ks_header_t parts = { KS_STR("x-parts"), KS_STR("aa:9000,bb:7000") };
+
+	fixture_call_with(f, caller, "POST", "/advise/", "prompt", &parts, 1);
+}
+
+/* Guards against a run that takes the memory of another request. */
+static void test_prefill_elsewhere(void)
+{
+	struct fixture_upstream *reader, *runner;
+	struct fixture_caller caller;
+	struct fixture f;
+	char *expected;
+
+	init_engines(&f);
+	reader = &f.upstreams[0];
+	runner = &f.upstreams[1];
+	call_engine(&f, &caller);
+	FIXTURE_WAIT(&f, reader->request);
+	g_assert_true(ks_str_equal(ks_header_value(reader->request->headers,
+						   reader->request->n_headers,
+						   "x-stage"),
+				   KS_STR("prefill")));
+	fixture_answer(reader, 200, false, "{\"handle\":\"h7\"}");
+	FIXTURE_WAIT(&f, runner->request);
+	expected = g_strdup_printf("127.0.0.1:%u/h7", reader->server.port);
+	g_assert_true(ks_str_equal(ks_header_value(runner->request->headers,
+						   runner->request->n_headers,
+						   "x-kv"),
+				   ks_str_from(expected)));
+	fixture_answer(runner, 200, false, "data: a\n\n");
+	FIXTURE_WAIT(&f, caller.done);
+	g_assert_cmpstr(caller.body->str, ==, "data: a\n\n");
+	g_assert_cmpuint(fixture_arrivals(&f), ==, 2);
+	g_free(expected);
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+}
+
+/* Guards against a request lost with the engine that read its prompt. */
+static void test_prefill_fails(void)
+{
+	struct fixture_caller caller;
+	struct fixture f;
+
+	init_engines(&f);
+	call_engine(&f, &caller);
+	FIXTURE_WAIT(&f, f.upstreams[0].request);
+	fixture_cut_answer(&f.upstreams[0]);
+	FIXTURE_WAIT(&f, f.upstreams[1].request);
+	g_assert_null(ks_header_find(f.upstreams[1].request->headers,
+				     f.upstreams[1].request->n_headers,
+				     "x-kv"));
+	fixture_answer(&f.upstreams[1], 200, false, "data: a\n\n");
+	FIXTURE_WAIT(&f, caller.done);
+	g_assert_cmpint(caller.status, ==, 200);
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+}
+
+/* Guards against memory that stays taken for a caller that has left. */
+static void test_handle_is_freed(void)
+{
+	struct fixture_caller caller;
+	struct fixture f;
+
+	init_engines(&f);
+	call_engine(&f, &caller);
+	FIXTURE_WAIT(&f, f.upstreams[0].request);
+	fixture_answer(&f.upstreams[0], 200, false, "{\"handle\":\"h7\"}");
+	FIXTURE_WAIT(&f, f.upstreams[1].request);
+	ks_http_call_cancel(&caller.call);
+	FIXTURE_WAIT(&f, f.upstreams[0].request);
+	g_assert_cmpstr(f.upstreams[0].arrivals->pdata[1], ==,
+			"DELETE /handle/h7 ");
+	fixture_answer(&f.upstreams[0], 200, false, "");
+	fixture_settle(&f);
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/gateway/pass-through", test_pass_through);
+	g_test_add_func("/gateway/large-bodies", test_large_bodies);
+	g_test_add_func("/gateway/system-fields", test_system_fields);
+	g_test_add_func("/gateway/once", test_once_is_not_repeated);
+	g_test_add_func("/gateway/no-false-promise", test_no_false_promise);
+	g_test_add_func("/gateway/not-run", test_not_run_is_sent_again);
+	g_test_add_func("/gateway/idempotent", test_idempotent_is_repeated);
+	g_test_add_func("/gateway/max-attempts", test_max_attempts);
+	g_test_add_func("/gateway/cut-stream", test_cut_stream);
+	g_test_add_func("/gateway/resume", test_resume);
+	g_test_add_func("/gateway/resume-refused", test_resume_refused);
+	g_test_add_func("/gateway/events-at-once", test_events_come_at_once);
+	g_test_add_func("/gateway/caller-leaves", test_caller_leaves);
+	g_test_add_func("/gateway/caller-leaves-payment",
+			test_caller_leaves_payment);
+	g_test_add_func("/gateway/timeout", test_timeout);
+	g_test_add_func("/gateway/time-left", test_time_left);
+	g_test_add_func("/gateway/unknown-routes", test_unknown_routes);
+	g_test_add_func("/gateway/no-reversal", test_no_reversal);
+	g_test_add_func("/gateway/leaving-upstream", test_leaving_upstream);
+	g_test_add_func("/gateway/stop", test_stop);
+	g_test_add_func("/gateway/retry-budget", test_retry_budget);
+	g_test_add_func("/gateway/late-answer", test_late_answer);
+	g_test_add_func("/gateway/prefill-elsewhere", test_prefill_elsewhere);
+	g_test_add_func("/gateway/prefill-fails", test_prefill_fails);
+	g_test_add_func("/gateway/handle-is-freed", test_handle_is_freed);
+	return g_test_run();
+}
