--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 BENCHES = $(patsubst bench/%.c,$(BUILD)/%,$(wildcard bench/bench-*.c))
 BENCH_COMMON = $(patsubst %.c,$(BUILD)/%.o,$(filter-out $(wildcard bench/bench-*.c),$(wildcard bench/*.c)))
 
-UNIT_SRCS = $(wildcard packages/*/tests/test-*.c)
+UNIT_SRCS = $(wildcard packages/*/tests/test-*.c platform/tests/test-*.c)
 PROP_SRCS = $(wildcard packages/*/tests/prop-*.cpp)
 UNIT_BINS = $(patsubst %.c,$(BUILD)/%,$(UNIT_SRCS))
 PROP_BINS = $(patsubst %.cpp,$(BUILD)/%,$(PROP_SRCS))
@@ -53,9 +53,9 @@
 FUZZ_BINS = $(patsubst %.c,$(BUILD)/%,$(FUZZ_SRCS))
 SYSTEM_TESTS = $(wildcard tests/system/test-*.sh)
 
-C_SRCS = $(wildcard packages/*/src/*.c platform/*.c cli/*.c tests/fakes/*.c tests/fuzz/*.c tests/system/*.c bench/*.c packages/*/tests/*.c)
+C_SRCS = $(wildcard packages/*/src/*.c platform/*.c cli/*.c tests/fakes/*.c tests/fuzz/*.c tests/system/*.c bench/*.c packages/*/tests/*.c platform/tests/*.c)
 CXX_SRCS = $(wildcard packages/*/tests/*.cpp tests/*.cpp)
-HDRS = $(wildcard packages/*/include/ks/*.h packages/*/src/*.h platform/*.h cli/*.h tests/fakes/*.h tests/fuzz/*.h bench/*.h packages/*/tests/*.h)
+HDRS = $(wildcard packages/*/include/ks/*.h packages/*/src/*.h platform/*.h cli/*.h tests/fakes/*.h tests/fuzz/*.h bench/*.h packages/*/tests/*.h platform/tests/*.h)
 FORMAT_SRCS = $(filter-out %.pb-c.c %.pb-c.h,$(C_SRCS) $(CXX_SRCS) $(HDRS))
 TIDY_SRCS = $(filter-out %.pb-c.c,$(C_SRCS))
 
@@ -107,6 +107,9 @@
 $(BUILD)/packages/%: $(BUILD)/packages/%.o $(FAKE_COMMON) $(LIBS)
 	$(Q)$(CXX) $(CXXFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) -lrapidcheck $(LDLIBS)
 
+$(BUILD)/platform/tests/%: $(BUILD)/platform/tests/%.o $(FAKE_COMMON) $(LIBS)
+	$(Q)$(CXX) $(CXXFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
+
 # The parts of the load tool that this test covers.
 $(BUILD)/packages/process/tests/test-load: $(patsubst %,$(BUILD)/bench/%.o,load_request load_run load_verify)
 
--- /dev/null
+++ b/packages/gateway/tests/test-decisions.c
@@ -0,0 +1,434 @@
+/* Tests of the gateway's decisions, without input or output. */
+#include "ks/gateway.h"
+
+#include <string.h>
+
+#define SECOND KS_USEC_PER_SEC
+
+static ks_member_t *put(ks_fleet_t *fleet, const char *id, ks_stage_t stage,
+			int64_t born_ms)
+{
+	ks_member_spec_t spec = { .id = ks_str_from(id),
+				  .service = KS_STR("llm"),
+				  .domain = KS_STR("d1"),
+				  .address = { "10.0.0.1", 80 },
+				  .stage = stage,
+				  .born_ms = born_ms,
+				  .accepting = true };
+
+	return ks_fleet_put(fleet, &spec);
+}
+
+static const ks_route_t *match(const ks_traffic_t *traffic, const char *host,
+			       const char *path)
+{
+	return ks_traffic_match(traffic, ks_str_from(host), ks_str_from(path));
+}
+
+/* Guards against a request that a shorter prefix or another host takes. */
+static void test_routes(void)
+{
+	ks_traffic_t *traffic = ks_traffic_new(1);
+
+	ks_traffic_add_route(traffic, KS_STR("all"), KS_STR("a.example"),
+			     KS_STR("/"));
+	ks_traffic_add_route(traffic, KS_STR("long"), KS_STR("a.example"),
+			     KS_STR("/x/y/"));
+	ks_traffic_add_route(traffic, KS_STR("short"), KS_STR("a.example"),
+			     KS_STR("/x/"));
+	g_assert_cmpstr(match(traffic, "a.example", "/x/y/z")->name, ==,
+			"long");
+	g_assert_cmpstr(match(traffic, "A.Example:80", "/x/yy")->name, ==,
+			"short");
+	g_assert_cmpstr(match(traffic, "a.example", "/xx")->name, ==, "all");
+	g_assert_null(match(traffic, "b.example", "/x/"));
+	g_assert_null(match(traffic, "", "/x/"));
+	ks_traffic_unref(traffic);
+}
+
+/* Guards against a split that sends requests to a service without weight. */
+static void test_split(void)
+{
+	ks_traffic_t *traffic = ks_traffic_new(1);
+	ks_route_t *route = ks_traffic_add_route(
+		traffic, KS_STR("r"), KS_STR("a"), KS_STR("/"));
+	unsigned counts[2] = { 0, 0 };
+
+	g_assert_null(ks_route_pick(route, 7));
+	ks_route_add_split(route, KS_STR("zero"), 0);
+	g_assert_null(ks_route_pick(route, 7));
+	ks_route_add_split(route, KS_STR("one"), 90);
+	ks_route_add_split(route, KS_STR("two"), 10);
+	for (uint32_t draw = 0; draw < 1000; draw++) {
+		const char *service = ks_route_pick(route, draw);
+
+		g_assert_cmpstr(service, !=, "zero");
+		counts[strcmp(service, "one") != 0]++;
+	}
+	g_assert_cmpuint(counts[0], ==, 900);
+	g_assert_cmpuint(counts[1], ==, 100);
+	ks_traffic_unref(traffic);
+}
+
+/* Guards against prompts that share a part only in name. */
+static void test_prompt(void)
+{
+	ks_prompt_t a, b;
+
+	g_assert_true(ks_prompt_parse(&a, KS_STR("aa:10,bb:20,cc:30")));
+	g_assert_true(ks_prompt_parse(&b, KS_STR("xx:10,bb:20,cc:30")));
+	g_assert_cmpint(a.total_tokens, ==, 60);
+	g_assert_cmpint(ks_prompt_own_tokens(&a), ==, 30);
+	g_assert_cmpuint(ks_prompt_shared_id(&a), !=, ks_prompt_shared_id(&b));
+	g_assert_true(ks_prompt_parse(&b, KS_STR("aa:10,bb:20,dd:5")));
+	g_assert_cmpuint(ks_prompt_shared_id(&a), ==, ks_prompt_shared_id(&b));
+	g_assert_false(ks_prompt_parse(&a, KS_STR("")));
+	g_assert_false(ks_prompt_parse(&a, KS_STR("aa")));
+	g_assert_false(ks_prompt_parse(&a, KS_STR("aa:x")));
+	g_assert_false(ks_prompt_parse(&a, KS_STR("aa:-1")));
+	g_assert_false(ks_prompt_parse(&a, KS_STR("aa:1,,bb:2")));
+}
+
+/* Guards against more parts than there is room for. */
+static void test_long_prompt(void)
+{
+	GString *text = g_string_new("p0:1");
+	ks_prompt_t prompt;
+
+	for (int i = 1; i < 100; i++)
+		g_string_append_printf(text, ",p%d:1", i);
+	g_assert_true(ks_prompt_parse(&prompt,
+				      (ks_str_t){ text->str, text->len }));
+	g_assert_cmpuint(prompt.n_parts, ==, KS_PROMPT_MAX_PARTS);
+	g_assert_cmpint(prompt.total_tokens, ==, 100);
+	g_string_free(text, TRUE);
+}
+
+/* Guards against events that are cut or joined where the bytes are split. */
+static void test_events(void)
+{
+	static const char stream[] = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n"
+				     "data: c\n\nid: 4\ndata";
+
+	for (size_t cut = 0; cut < sizeof(stream); cut++) {
+		GString *whole = g_string_new(NULL);
+		ks_events_t events;
+
+		ks_events_init(&events);
+		ks_events_feed(&events, (ks_str_t){ stream, cut }, whole);
+		ks_events_feed(&events,
+			       (ks_str_t){ stream + cut,
+					   sizeof(stream) - 1 - cut },
+			       whole);
+		g_assert_cmpstr(whole->str, ==,
+				"id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n"
+				"data: c\n\n");
+		g_assert_cmpstr(events.last_id->str, ==, "2");
+		g_assert_cmpstr(events.partial->str, ==, "id: 4\ndata");
+		ks_events_deinit(&events);
+		g_string_free(whole, TRUE);
+	}
+}
+
+/* Guards against an upstream that is still trusted with what it has lost. */
+static void test_reborn(void)
+{
+	ks_prompt_t prompt;
+	ks_member_t *member;
+	ks_fleet_t fleet;
+
+	ks_prompt_parse(&prompt, KS_STR("aa:100,bb:50"));
+	ks_fleet_init(&fleet);
+	member = put(&fleet, "u1", KS_STAGE_DECODE, 1);
+	ks_member_note_part(member, prompt.ids[0], SECOND);
+	g_assert_cmpint(ks_member_cached_tokens(member, &prompt, SECOND), ==,
+			100);
+	g_assert_true(put(&fleet, "u1", KS_STAGE_DECODE, 1) == member);
+	member = put(&fleet, "u1", KS_STAGE_DECODE, 2);
+	g_assert_cmpint(ks_member_cached_tokens(member, &prompt, SECOND), ==,
+			0);
+	ks_fleet_deinit(&fleet);
+}
+
+/* Guards against a part that counts as kept long after its last use. */
+static void test_part_ages(void)
+{
+	ks_prompt_t prompt;
+	ks_member_t *member;
+	ks_fleet_t fleet;
+
+	ks_prompt_parse(&prompt, KS_STR("aa:100,bb:50"));
+	ks_fleet_init(&fleet);
+	member = put(&fleet, "u1", KS_STAGE_DECODE, 1);
+	g_assert_true(ks_member_note_part(member, prompt.ids[0], SECOND));
+	g_assert_false(ks_member_note_part(member, prompt.ids[0], SECOND + 1));
+	g_assert_cmpint(
+		ks_member_cached_tokens(member, &prompt, 3600 * SECOND), ==,
+		0);
+	ks_fleet_deinit(&fleet);
+}
+
+/* Guards against losing upstreams whose entries only lapsed in an outage. */
+static void test_withdrawal(void)
+{
+	ks_fleet_t fleet;
+
+	ks_fleet_init(&fleet);
+	put(&fleet, "back", KS_STAGE_ANY, 1);
+	put(&fleet, "gone", KS_STAGE_ANY, 1);
+	ks_fleet_withdraw(&fleet, KS_STR("back"), 2 * SECOND);
+	ks_fleet_withdraw(&fleet, KS_STR("gone"), 2 * SECOND);
+	put(&fleet, "back", KS_STAGE_ANY, 1);
+	g_assert_cmpuint(ks_fleet_expire(&fleet, 1 * SECOND), ==, 0);
+	g_assert_cmpuint(ks_fleet_expire(&fleet, 2 * SECOND), ==, 1);
+	g_assert_nonnull(ks_fleet_find(&fleet, KS_STR("back")));
+	g_assert_null(ks_fleet_find(&fleet, KS_STR("gone")));
+	ks_fleet_deinit(&fleet);
+}
+
+struct placed {
+	ks_fleet_t fleet;
+	ks_member_t *reader;
+	ks_member_t *generators[2];
+	ks_service_t service;
+	ks_prompt_t prompt;
+	ks_placement_query_t query;
+	GPtrArray *avoid;
+};
+
+static void init_placed(struct placed *p, const char *parts)
+{
+	memset(p, 0, sizeof(*p));
+	ks_fleet_init(&p->fleet);
+	p->reader = put(&p->fleet, "reader", KS_STAGE_PREFILL, 1);
+	p->generators[0] = put(&p->fleet, "gen0", KS_STAGE_DECODE, 1);
+	p->generators[1] = put(&p->fleet, "gen1", KS_STAGE_DECODE, 1);
+	p->avoid = g_ptr_array_new();
+	g_assert_true(ks_prompt_parse(&p->prompt, ks_str_from(parts)));
+	p->query = (ks_placement_query_t){ .service = &p->service,
+					   .prompt = &p->prompt,
+					   .domain = "d1",
+					   .avoid = p->avoid,
+					   .may_split = true,
+					   .now_us = SECOND };
+}
+
+static ks_placement_t place(const struct placed *p)
+{
+	GPtrArray *members = ks_fleet_members(&p->fleet, "llm");
+	ks_placement_t placement = ks_placement_choose(members, &p->query);
+
+	g_ptr_array_free(members, TRUE);
+	return placement;
+}
+
+static void deinit_placed(struct placed *p)
+{
+	g_ptr_array_free(p->avoid, TRUE);
+	ks_fleet_deinit(&p->fleet);
+}
+
+/* Guards against long prompts read between the tokens of other streams. */
+static void test_long_prompt_is_split(void)
+{
+	struct placed p;
+
+	init_placed(&p, "aa:13000,bb:4000");
+	g_assert_true(place(&p).prefill == p.reader);
+	g_assert_nonnull(place(&p).run);
+	p.query.may_split = false;
+	g_assert_null(place(&p).prefill);
+	g_assert_nonnull(place(&p).run);
+	deinit_placed(&p);
+}
+
+/* Guards against the detour for a prompt that is nearly all cached. */
+static void test_cached_prompt_runs_where_it_is(void)
+{
+	struct placed p;
+
+	init_placed(&p, "aa:13000,bb:50");
+	ks_member_note_part(p.generators[1], p.prompt.ids[0], SECOND);
+	g_assert_null(place(&p).prefill);
+	g_assert_true(place(&p).run == p.generators[1]);
+	g_assert_cmpint(place(&p).run_tokens, ==, 50);
+	deinit_placed(&p);
+}
+
+/* Guards against a queue at one engine that other entries have filled. */
+static void test_others_load_counts(void)
+{
+	struct placed p;
+
+	init_placed(&p, "aa:1000,bb:50");
+	ks_member_note_part(p.generators[1], p.prompt.ids[0], SECOND);
+	p.generators[1]->others_reading_tokens = 100000;
+	p.generators[1]->others_running = 60;
+	g_assert_true(place(&p).run == p.generators[0]);
+	deinit_placed(&p);
+}
+
+/* Guards against sending to engines that refuse, fail or change. */
+static void test_unusable_engines(void)
+{
+	struct placed p;
+
+	init_placed(&p, "aa:1000,bb:50");
+	g_ptr_array_add(p.avoid, p.generators[0]);
+	g_assert_true(place(&p).run == p.generators[1]);
+	p.generators[1]->changing_to = KS_STAGE_PREFILL;
+	g_assert_null(place(&p).run);
+	g_ptr_array_set_size(p.avoid, 0);
+	g_assert_true(place(&p).run == p.generators[0]);
+	p.generators[0]->accepting = false;
+	g_assert_null(place(&p).run);
+	deinit_placed(&p);
+}
+
+/* Guards against an outage in which every upstream is left out. */
+static void test_most_failing(void)
+{
+	struct placed p;
+	ks_rng_t rng;
+
+	init_placed(&p, "aa:1000,bb:50");
+	ks_rng_init(&rng, 1);
+	for (int i = 0; i < 5; i++)
+		ks_ejection_failure(&p.generators[0]->health, SECOND, &rng);
+	for (int i = 0; i < 20; i++)
+		g_assert_true(place(&p).run == p.generators[1]);
+	for (int i = 0; i < 5; i++)
+		ks_ejection_failure(&p.generators[1]->health, SECOND, &rng);
+	g_assert_nonnull(place(&p).run);
+	ks_rng_deinit(&rng);
+	deinit_placed(&p);
+}
+
+static void put_engines(ks_fleet_t *fleet, int prefill, int decode)
+{
+	char id[16];
+
+	for (int i = 0; i < prefill + decode; i++) {
+		g_snprintf(id, sizeof(id), "e%d", i);
+		put(fleet, id, i < prefill ? KS_STAGE_PREFILL : KS_STAGE_DECODE,
+		    1);
+	}
+}
+
+static ks_member_t *next_stage(const ks_fleet_t *fleet, double share,
+			       ks_stage_t *stage)
+{
+	GPtrArray *members = ks_fleet_members(fleet, "llm");
+	ks_member_t *next = ks_stages_next(members, share, stage);
+
+	g_ptr_array_free(members, TRUE);
+	return next;
+}
+
+/* Guards against engines that change their stage by turns. */
+static void test_stages_settle(void)
+{
+	for (int prefill = 0; prefill <= 12; prefill++) {
+		ks_fleet_t fleet;
+		ks_member_t *next;
+		ks_stage_t stage;
+		int changes = 0;
+
+		ks_fleet_init(&fleet);
+		put_engines(&fleet, prefill, 12 - prefill);
+		while ((next = next_stage(&fleet, 0.6, &stage))) {
+			next->stage = stage;
+			g_assert_cmpint(++changes, <=, 12);
+		}
+		g_assert_null(next_stage(&fleet, 0.6, &stage));
+		/* One engine that comes or goes changes nothing. */
+		put(&fleet, "one-more", KS_STAGE_DECODE, 1);
+		if (changes > 1)
+			g_assert_null(next_stage(&fleet, 0.6, &stage));
+		ks_fleet_deinit(&fleet);
+	}
+}
+
+/* Guards against a fleet in which every engine changes at once. */
+static void test_stages_change_few_at_once(void)
+{
+	ks_fleet_t fleet;
+	ks_member_t *next;
+	ks_stage_t stage;
+	int changing = 0;
+
+	ks_fleet_init(&fleet);
+	put_engines(&fleet, 0, 12);
+	while ((next = next_stage(&fleet, 0.6, &stage))) {
+		next->changing_to = stage;
+		changing++;
+	}
+	g_assert_cmpint(changing, ==, 3);
+	ks_fleet_deinit(&fleet);
+}
+
+/* Guards against a stage that is left without any engine. */
+static void test_stages_keep_one(void)
+{
+	static const double shares[] = { 0, 1 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(shares); i++) {
+		ks_fleet_t fleet;
+		ks_member_t *next;
+		ks_stage_t stage;
+		int prefill = 0;
+
+		ks_fleet_init(&fleet);
+		put_engines(&fleet, 2, 2);
+		while ((next = next_stage(&fleet, shares[i], &stage)))
+			next->stage = stage;
+		for (int e = 0; e < 4; e++) {
+			char id[16];
+
+			g_snprintf(id, sizeof(id), "e%d", e);
+			prefill += ks_fleet_find(&fleet, ks_str_from(id))
+					   ->stage == KS_STAGE_PREFILL;
+		}
+		g_assert_cmpint(prefill, ==, shares[i] > 0 ? 3 : 1);
+		ks_fleet_deinit(&fleet);
+	}
+}
+
+/* Guards against orders to engines that have no stages. */
+static void test_plain_services_have_no_stages(void)
+{
+	ks_fleet_t fleet;
+	ks_stage_t stage;
+
+	ks_fleet_init(&fleet);
+	put(&fleet, "a", KS_STAGE_ANY, 1);
+	put(&fleet, "b", KS_STAGE_ANY, 1);
+	g_assert_null(next_stage(&fleet, 0.6, &stage));
+	ks_fleet_deinit(&fleet);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/decisions/routes", test_routes);
+	g_test_add_func("/decisions/split", test_split);
+	g_test_add_func("/decisions/prompt", test_prompt);
+	g_test_add_func("/decisions/long-prompt", test_long_prompt);
+	g_test_add_func("/decisions/events", test_events);
+	g_test_add_func("/decisions/reborn", test_reborn);
+	g_test_add_func("/decisions/part-ages", test_part_ages);
+	g_test_add_func("/decisions/withdrawal", test_withdrawal);
+	g_test_add_func("/decisions/long-prompt-split",
+			test_long_prompt_is_split);
+	g_test_add_func("/decisions/cached-prompt",
+			test_cached_prompt_runs_where_it_is);
+	g_test_add_func("/decisions/others-load", test_others_load_counts);
+	g_test_add_func("/decisions/unusable", test_unusable_engines);
+	g_test_add_func("/decisions/most-failing", test_most_failing);
+	g_test_add_func("/decisions/stages-settle", test_stages_settle);
+	g_test_add_func("/decisions/stages-few", test_stages_change_few_at_once);
+	g_test_add_func("/decisions/stages-keep-one", test_stages_keep_one);
+	g_test_add_func("/decisions/no-stages",
+			test_plain_services_have_no_stages);
+	return g_test_run();
+}
--- /dev/null
+++ b/packages/gateway/tests/test-peers.c
@@ -0,0 +1,189 @@
+/* Tests of what entries tell each other, without a network between them. */
+#include "ks/gateway.h"
+#include "peer.pb-c.h"
+
+#include <string.h>
+
+struct world {
+	ks_test_clock_t clock;
+	ks_loop_t loop;
+	ks_fleet_t fleet;
+	ks_peers_t peers;
+	ks_member_t *member;
+};
+
+static ks_member_t *put(ks_fleet_t *fleet, int64_t born_ms)
+{
+	ks_member_spec_t spec = { .id = KS_STR("u1"),
+				  .service = KS_STR("llm"),
+				  .domain = KS_STR("d1"),
+				  .address = { "10.0.0.1", 80 },
+				  .born_ms = born_ms,
+				  .accepting = true };
+
+	return ks_fleet_put(fleet, &spec);
+}
+
+static void init_world(struct world *w)
+{
+	ks_address_t address = { "127.0.0.1", 0 };
+
+	ks_test_clock_init(&w->clock, 100 * KS_USEC_PER_SEC);
+	ks_loop_init(&w->loop, &w->clock.clock);
+	ks_fleet_init(&w->fleet);
+	w->member = put(&w->fleet, 1);
+	g_assert_true(ks_peers_init(&w->peers, &w->loop, &w->fleet, "self",
+				    &address, NULL));
+}
+
+static void deinit_world(struct world *w)
+{
+	ks_peers_deinit(&w->peers);
+	ks_fleet_deinit(&w->fleet);
+	ks_loop_deinit(&w->loop);
+}
+
+static void hear(struct world *w, const char *name, uint8_t incarnation,
+		 uint64_t number, size_t n, uint32_t running, uint32_t reading)
+{
+	uint8_t id[KS_ID_SIZE], buf[512];
+	uint32_t tag = w->member->tag;
+	Ks__PeerState state = KS__PEER_STATE__INIT;
+	size_t len;
+
+	memset(id, incarnation, sizeof(id));
+	state.name = (char *)name;
+	state.incarnation.data = id;
+	state.incarnation.len = sizeof(id);
+	state.number = number;
+	state.upstream = &tag;
+	state.running = &running;
+	state.reading_tokens = &reading;
+	state.n_upstream = state.n_running = state.n_reading_tokens = n;
+	len = ks__peer_state__pack(&state, buf);
+	ks_peers_receive(&w->peers, (ks_str_t){ (const char *)buf, len });
+}
+
+/* Guards against load that is counted twice or kept after it has ended. */
+static void test_state_replaces(void)
+{
+	struct world w;
+
+	init_world(&w);
+	hear(&w, "a", 1, 1, 1, 3, 500);
+	hear(&w, "b", 1, 1, 1, 2, 100);
+	g_assert_cmpuint(w.member->others_running, ==, 5);
+	g_assert_cmpint(w.member->others_reading_tokens, ==, 600);
+	hear(&w, "a", 1, 2, 1, 1, 50);
+	g_assert_cmpuint(w.member->others_running, ==, 3);
+	g_assert_cmpint(w.member->others_reading_tokens, ==, 150);
+	hear(&w, "a", 1, 3, 0, 0, 0);
+	hear(&w, "b", 1, 2, 0, 0, 0);
+	g_assert_cmpuint(w.member->others_running, ==, 0);
+	g_assert_cmpint(w.member->others_reading_tokens, ==, 0);
+	deinit_world(&w);
+}
+
+/* Guards against an old message that replaces a newer one. */
+static void test_old_message(void)
+{
+	struct world w;
+
+	init_world(&w);
+	hear(&w, "a", 1, 5, 1, 1, 0);
+	hear(&w, "a", 1, 4, 1, 9, 0);
+	g_assert_cmpuint(w.member->others_running, ==, 1);
+	/* A restarted entry counts from 1 again. */
+	hear(&w, "a", 2, 1, 1, 7, 0);
+	g_assert_cmpuint(w.member->others_running, ==, 7);
+	deinit_world(&w);
+}
+
+/* Guards against the work of a dead entry that counts for ever. */
+static void test_silent_entry(void)
+{
+	struct world w;
+
+	init_world(&w);
+	hear(&w, "a", 1, 1, 1, 3, 500);
+	g_assert_cmpuint(ks_peers_count(&w.peers), ==, 1);
+	ks_test_clock_advance(&w.clock, 3 * KS_USEC_PER_SEC);
+	ks_loop_run_once(&w.loop, 0);
+	g_assert_cmpuint(ks_peers_count(&w.peers), ==, 0);
+	g_assert_cmpuint(w.member->others_running, ==, 0);
+	deinit_world(&w);
+}
+
+/* Guards against load of an upstream's earlier process that it is charged. */
+static void test_reborn_upstream(void)
+{
+	struct world w;
+
+	init_world(&w);
+	hear(&w, "a", 1, 1, 1, 3, 500);
+	w.member = put(&w.fleet, 2);
+	g_assert_cmpuint(w.member->others_running, ==, 0);
+	hear(&w, "a", 1, 2, 1, 2, 10);
+	g_assert_cmpuint(w.member->others_running, ==, 2);
+	hear(&w, "a", 1, 3, 0, 0, 0);
+	g_assert_cmpuint(w.member->others_running, ==, 0);
+	deinit_world(&w);
+}
+
+/* Guards against messages that cannot be read, and against one's own. */
+static void test_unreadable(void)
+{
+	struct world w;
+
+	init_world(&w);
+	ks_peers_receive(&w.peers, KS_STR("\xff\xff\xff"));
+	ks_peers_receive(&w.peers, KS_STR(""));
+	hear(&w, "self", 1, 1, 1, 3, 500);
+	g_assert_cmpuint(w.member->others_running, ==, 0);
+	g_assert_cmpuint(ks_peers_count(&w.peers), ==, 0);
+	deinit_world(&w);
+}
+
+/* Guards against two entries that never hear of each other. */
+static void test_two_entries(void)
+{
+	ks_address_t address = { "127.0.0.1", 0 };
+	ks_fleet_t other_fleet;
+	ks_member_t *other;
+	ks_peers_t peer;
+	struct world w;
+
+	init_world(&w);
+	ks_fleet_init(&other_fleet);
+	other = put(&other_fleet, 1);
+	g_assert_true(ks_peers_init(&peer, &w.loop, &other_fleet, "other",
+				    &address, NULL));
+	address.port = peer.port;
+	ks_peers_add(&w.peers, "other", &address);
+	other->running = 4;
+	other->reading_tokens = 77;
+	for (int i = 0; i < 4000 && !w.member->others_running; i++) {
+		ks_peers_note_change(&peer);
+		ks_test_clock_advance(&w.clock, 10 * KS_USEC_PER_MSEC);
+		ks_loop_run_once(&w.loop, 2000);
+	}
+	g_assert_cmpuint(w.member->others_running, ==, 4);
+	g_assert_cmpint(w.member->others_reading_tokens, ==, 77);
+	ks_peers_remove(&w.peers, "other");
+	g_assert_cmpuint(w.member->others_running, ==, 0);
+	ks_peers_deinit(&peer);
+	ks_fleet_deinit(&other_fleet);
+	deinit_world(&w);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/peers/state-replaces", test_state_replaces);
+	g_test_add_func("/peers/old-message", test_old_message);
+	g_test_add_func("/peers/silent-entry", test_silent_entry);
+	g_test_add_func("/peers/reborn-upstream", test_reborn_upstream);
+	g_test_add_func("/peers/unreadable", test_unreadable);
+	g_test_add_func("/peers/two-entries", test_two_entries);
+	return g_test_run();
+}
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -69,7 +69,7 @@
 		start_one "$build/${script%.sh}" env BIN="build/$build" "$script"
 	done
 	for source in packages/*/tests/test-*.c packages/*/tests/prop-*.cpp \
-		tests/fuzz/fuzz-*.c
+		platform/tests/test-*.c tests/fuzz/fuzz-*.c
 	do
 		test -f "$source" || continue
 		start_one "$build/${source%.*}" "build/$build/${source%.*}"
