Keep a flapping engine from changing the stages of others

Cause: with a hysteresis of 0.75 engines the targets of a fleet with and without one engine have no number in common, so each coming and going ordered another engine. Found by a test that lets one engine flap ten times: 20 changes before, at most one after. Hysteresis is now 1.1.

Tried and reverted: least work over all engines with the parts that other entries had read told between entries, in place of two homes for each shared part.

--- a/packages/gateway/src/stages.c
+++ b/packages/gateway/src/stages.c
@@ -4,15 +4,19 @@
  * while it reads, every stream on it waits, so most of the reading belongs on
  * engines that do nothing else.
  *
- * Hysteresis keeps the stages as they are while the fleet's size changes by one
- * engine, as each change takes an engine away for seconds.
+ * Hysteresis keeps an engine that comes and goes from changing the stages of
+ * others each time, as a change takes an engine away for seconds.
  */
 #include "ks/gateway.h"
 
 #include <string.h>
 
-/* Engines by which the number of readers may miss its target. */
-#define HYSTERESIS 0.75
+/*
+ * Engines by which the number of readers may miss its target. More than one, so
+ * that the targets for a fleet with and without one engine have a number in
+ * common.
+ */
+#define HYSTERESIS 1.1
 
 /* Share of the engines of a service that may be changing at once. */
 #define CHANGING_SHARE 0.25
