Let a change of stages back wait, in place of a wide hysteresis

Cause: a hysteresis of 1.1 engines leaves a fleet of nine one reader short after losses. A change in the other direction now waits 20 s, which bounds what a flapping engine can cause, and the tolerance is 0.75 again.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -377,8 +377,21 @@
 
 /* stages.c */
 
-ks_member_t *ks_stages_next(const GPtrArray *members, double prefill_share,
-			    ks_stage_t *stage);
+/**
+ * struct ks_stages - how the stages of a service are divided
+ * @prefill_share: of the engines that should read prompts
+ * @last: stage of the last change, KS_STAGE_ANY before the first
+ * @changed_us: when it was ordered
+ */
+typedef struct ks_stages {
+	double prefill_share;
+	ks_stage_t last;
+	int64_t changed_us;
+} ks_stages_t;
+
+ks_member_t *ks_stages_next(const ks_stages_t *stages, const GPtrArray *members,
+			    int64_t now_us, ks_stage_t *stage);
+void ks_stages_changed(ks_stages_t *stages, ks_stage_t stage, int64_t now_us);
 
 /* stage_run.c */
 
@@ -412,7 +425,7 @@
 
 /**
  * struct ks_stage_run - orders changes of stage while it holds the lease
- * @services: names of those whose engines have stages
+ * @services: struct ks_stages by the name of each that has engines with stages
  * @settle_us: for which the lease has to be held before the first order
  * @held_since_us: on the boot-time clock
  * @wanted_us: when a change was last found to be due
@@ -424,7 +437,7 @@
 	const ks_stage_driver_t *driver;
 	const ks_clock_t *boottime;
 	ks_lease_keeper_t *keeper;
-	GPtrArray *services;
+	GHashTable *services;
 	double prefill_share;
 	int64_t settle_us;
 	int64_t held_since_us;
--- a/packages/gateway/src/stage_run.c
+++ b/packages/gateway/src/stage_run.c
@@ -59,8 +59,10 @@
 		now + (outcome == KS_STAGE_UNKNOWN ? RETRY_US : CHANGE_US);
 }
 
-static void order(ks_stage_run_t *run, ks_member_t *member, ks_stage_t stage)
+static void order(ks_stage_run_t *run, ks_stages_t *stages, ks_member_t *member,
+		  ks_stage_t stage)
 {
+	ks_stages_changed(stages, stage, ks_loop_now(run->loop));
 	member->changing_to = stage;
 	member->changed_us = ks_loop_now(run->loop);
 	run->under_way++;
@@ -82,14 +84,14 @@
 }
 
 static ks_member_t *next_change(ks_stage_run_t *run, const char *service,
-				ks_stage_t *stage)
+				const ks_stages_t *stages, ks_stage_t *stage)
 {
 	GPtrArray *members = ks_fleet_members(run->fleet, service);
 	int64_t now = ks_loop_now(run->loop);
 	ks_member_t *next;
 
 	end_changes(members, now);
-	next = ks_stages_next(members, run->prefill_share, stage);
+	next = ks_stages_next(stages, members, now, stage);
 	g_ptr_array_free(members, TRUE);
 	return next && next->order_after_us <= now ? next : NULL;
 }
@@ -97,17 +99,19 @@
 static void on_timer(void *ctx)
 {
 	ks_stage_run_t *run = ctx;
+	gpointer service, stages;
+	GHashTableIter iter;
 	bool wanted = false;
 
-	for (guint i = 0; i < run->services->len; i++) {
-		const char *service = run->services->pdata[i];
+	g_hash_table_iter_init(&iter, run->services);
+	while (g_hash_table_iter_next(&iter, &service, &stages)) {
 		ks_stage_t stage;
-		ks_member_t *member = next_change(run, service, &stage);
+		ks_member_t *member = next_change(run, service, stages, &stage);
 
 		wanted |= member != NULL;
 		while (member && is_settled(run) && !run->stopping) {
-			order(run, member, stage);
-			member = next_change(run, service, &stage);
+			order(run, stages, member, stage);
+			member = next_change(run, service, stages, &stage);
 		}
 	}
 	if (wanted)
@@ -146,7 +150,8 @@
 	run->prefill_share = prefill_share;
 	run->settle_us = turns_us + SETTLE_MARGIN_US;
 	run->boottime = ks_clock_boottime();
-	run->services = g_ptr_array_new_with_free_func(g_free);
+	run->services =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	ks_id_generate_seeded(&holder, rng);
 	run->keeper =
 		ks_lease_keeper_new(loop, store, run->boottime, rng, LEASE_KEY,
@@ -156,20 +161,27 @@
 }
 
 /**
- * ks_stage_run_set_services() - the services whose engines have stages
+ * ks_stage_run_set_services() - watch the services whose engines have stages
+ *
+ * One that is no longer configured has no engines left and costs nothing.
  */
 void ks_stage_run_set_services(ks_stage_run_t *run, const ks_traffic_t *traffic)
 {
 	GHashTableIter iter;
 	gpointer value;
 
-	g_ptr_array_set_size(run->services, 0);
 	g_hash_table_iter_init(&iter, traffic->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const ks_service_t *service = value;
-
-		if (service->moves_kv)
-			g_ptr_array_add(run->services, g_strdup(service->name));
+		ks_stages_t *stages;
+
+		if (!service->moves_kv ||
+		    g_hash_table_contains(run->services, service->name))
+			continue;
+		stages = g_new0(ks_stages_t, 1);
+		stages->prefill_share = run->prefill_share;
+		g_hash_table_insert(run->services, g_strdup(service->name),
+				    stages);
 	}
 }
 
@@ -185,5 +197,5 @@
 {
 	ks_timer_clear(&run->timer);
 	ks_lease_keeper_free(run->keeper);
-	g_ptr_array_free(run->services, TRUE);
+	g_hash_table_destroy(run->services);
 }
--- a/packages/gateway/src/stages.c
+++ b/packages/gateway/src/stages.c
@@ -4,19 +4,18 @@
  * while it reads, every stream on it waits, so most of the reading belongs on
  * engines that do nothing else.
  *
- * Hysteresis keeps an engine that comes and goes from changing the stages of
- * others each time, as a change takes an engine away for seconds.
+ * A change takes an engine away for seconds, so an engine that comes and goes
+ * may not change the stages of others each time: a change back waits.
  */
 #include "ks/gateway.h"
 
 #include <string.h>
 
-/*
- * Engines by which the number of readers may miss its target. More than one, so
- * that the targets for a fleet with and without one engine have a number in
- * common.
- */
-#define HYSTERESIS 1.1
+/* Engines by which the number of readers may miss its target. */
+#define TOLERANCE 0.75
+
+/* Between a change and one in the other direction. */
+#define BACK_US (20 * KS_USEC_PER_SEC)
 
 /* Share of the engines of a service that may be changing at once. */
 #define CHANGING_SHARE 0.25
@@ -43,16 +42,22 @@
 	return best;
 }
 
+static bool may_change(const ks_stages_t *stages, ks_stage_t stage,
+		       int64_t now_us)
+{
+	return !stages->last || stages->last == stage ||
+	       now_us - stages->changed_us >= BACK_US;
+}
+
 /**
  * ks_stages_next() - the next engine whose stage should change
  * @members: engines of one service that accept requests
- * @prefill_share: of the engines that should read prompts
  * @stage: set to the stage that it should have
  *
  * Return: NULL if none should, or enough are changing.
  */
-ks_member_t *ks_stages_next(const GPtrArray *members, double prefill_share,
-			    ks_stage_t *stage)
+ks_member_t *ks_stages_next(const ks_stages_t *stages, const GPtrArray *members,
+			    int64_t now_us, ks_stage_t *stage)
 {
 	double target, prefill = 0;
 	guint n = 0, changing = 0;
@@ -70,14 +75,25 @@
 	}
 	if (n < 2 || changing >= MAX(1, CHANGING_SHARE * n))
 		return NULL;
-	target = CLAMP(prefill_share * n, 1, n - 1);
-	if (target - prefill > HYSTERESIS) {
+	target = CLAMP(stages->prefill_share * n, 1, n - 1);
+	if (target - prefill > TOLERANCE)
 		*stage = KS_STAGE_PREFILL;
-		return least_busy(members, KS_STAGE_DECODE);
-	}
-	if (prefill - target > HYSTERESIS) {
+	else if (prefill - target > TOLERANCE)
 		*stage = KS_STAGE_DECODE;
-		return least_busy(members, KS_STAGE_PREFILL);
-	}
-	return NULL;
+	else
+		return NULL;
+	if (!may_change(stages, *stage, now_us))
+		return NULL;
+	return least_busy(members, *stage == KS_STAGE_PREFILL
+					   ? KS_STAGE_DECODE
+					   : KS_STAGE_PREFILL);
+}
+
+/**
+ * ks_stages_changed() - a change has been ordered
+ */
+void ks_stages_changed(ks_stages_t *stages, ks_stage_t stage, int64_t now_us)
+{
+	stages->last = stage;
+	stages->changed_us = now_us;
 }
--- a/packages/gateway/tests/test-decisions.c
+++ b/packages/gateway/tests/test-decisions.c
@@ -324,66 +324,83 @@
 	}
 }
 
-static ks_member_t *next_stage(const ks_fleet_t *fleet, double share,
-			       ks_stage_t *stage)
+/* Carries out every change that is due; returns how many there were. */
+static int change_stages(ks_stages_t *stages, const ks_fleet_t *fleet,
+			 int64_t now, bool at_once)
 {
 	GPtrArray *members = ks_fleet_members(fleet, "llm");
-	ks_member_t *next = ks_stages_next(members, share, stage);
+	ks_member_t *next;
+	ks_stage_t stage;
+	int changes = 0;
+
+	while ((next = ks_stages_next(stages, members, now, &stage))) {
+		ks_stages_changed(stages, stage, now);
+		if (at_once)
+			next->stage = stage;
+		else
+			next->changing_to = stage;
+		g_assert_cmpint(++changes, <=, 12);
+	}
+	g_ptr_array_free(members, TRUE);
+	return changes;
+}
+
+static int count_readers(const ks_fleet_t *fleet)
+{
+	GPtrArray *members = ks_fleet_members(fleet, "llm");
+	int readers = 0;
 
+	for (guint i = 0; i < members->len; i++)
+		readers += ((ks_member_t *)members->pdata[i])->stage ==
+			   KS_STAGE_PREFILL;
 	g_ptr_array_free(members, TRUE);
-	return next;
+	return readers;
 }
 
-/* Guards against engines that change their stage by turns. */
+/* Guards against a fleet that stays far from its share of readers. */
 static void test_stages_settle(void)
 {
 	for (int prefill = 0; prefill <= 12; prefill++) {
+		ks_stages_t stages = { .prefill_share = 0.6 };
 		ks_fleet_t fleet;
-		ks_member_t *next;
-		ks_stage_t stage;
-		int changes = 0;
 
 		ks_fleet_init(&fleet);
 		put_engines(&fleet, prefill, 12 - prefill);
-		while ((next = next_stage(&fleet, 0.6, &stage))) {
-			next->stage = stage;
-			g_assert_cmpint(++changes, <=, 12);
-		}
-		g_assert_null(next_stage(&fleet, 0.6, &stage));
-		/* One engine that comes and goes causes one change at most. */
-		changes = 0;
-		for (int i = 0; i < 10; i++) {
-			put(&fleet, "flaps", KS_STAGE_DECODE, 1);
-			while ((next = next_stage(&fleet, 0.6, &stage))) {
-				next->stage = stage;
-				changes++;
-			}
-			ks_fleet_remove(&fleet, KS_STR("flaps"));
-			while ((next = next_stage(&fleet, 0.6, &stage))) {
-				next->stage = stage;
-				changes++;
-			}
-		}
-		g_assert_cmpint(changes, <=, 1);
+		change_stages(&stages, &fleet, SECOND, true);
+		g_assert_cmpint(count_readers(&fleet), ==, 7);
 		ks_fleet_deinit(&fleet);
 	}
 }
 
+/* Guards against engines that change each time that another comes or goes. */
+static void test_stages_bear_flapping(void)
+{
+	ks_stages_t stages = { .prefill_share = 0.6 };
+	ks_fleet_t fleet;
+	int changes = 0;
+
+	ks_fleet_init(&fleet);
+	put_engines(&fleet, 7, 5);
+	for (int i = 1; i <= 9; i++) {
+		put(&fleet, "flaps", KS_STAGE_DECODE, 1);
+		changes += change_stages(&stages, &fleet, 2 * i * SECOND, true);
+		ks_fleet_remove(&fleet, KS_STR("flaps"));
+		changes += change_stages(&stages, &fleet, (2 * i + 1) * SECOND,
+					 true);
+	}
+	g_assert_cmpint(changes, <=, 1);
+	ks_fleet_deinit(&fleet);
+}
+
 /* Guards against a fleet in which every engine changes at once. */
 static void test_stages_change_few_at_once(void)
 {
+	ks_stages_t stages = { .prefill_share = 0.6 };
 	ks_fleet_t fleet;
-	ks_member_t *next;
-	ks_stage_t stage;
-	int changing = 0;
 
 	ks_fleet_init(&fleet);
 	put_engines(&fleet, 0, 12);
-	while ((next = next_stage(&fleet, 0.6, &stage))) {
-		next->changing_to = stage;
-		changing++;
-	}
-	g_assert_cmpint(changing, ==, 3);
+	g_assert_cmpint(change_stages(&stages, &fleet, SECOND, false), ==, 3);
 	ks_fleet_deinit(&fleet);
 }
 
@@ -393,24 +410,13 @@
 	static const double shares[] = { 0, 1 };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(shares); i++) {
+		ks_stages_t stages = { .prefill_share = shares[i] };
 		ks_fleet_t fleet;
-		ks_member_t *next;
-		ks_stage_t stage;
-		int prefill = 0;
 
 		ks_fleet_init(&fleet);
 		put_engines(&fleet, 2, 2);
-		while ((next = next_stage(&fleet, shares[i], &stage)))
-			next->stage = stage;
-		for (int e = 0; e < 4; e++) {
-			char id[16];
-
-			g_snprintf(id, sizeof(id), "e%d", e);
-			prefill +=
-				ks_fleet_find(&fleet, ks_str_from(id))->stage ==
-				KS_STAGE_PREFILL;
-		}
-		g_assert_cmpint(prefill, ==, shares[i] > 0 ? 3 : 1);
+		change_stages(&stages, &fleet, SECOND, true);
+		g_assert_cmpint(count_readers(&fleet), ==, i ? 3 : 1);
 		ks_fleet_deinit(&fleet);
 	}
 }
@@ -418,13 +424,13 @@
 /* Guards against orders to engines that have no stages. */
 static void test_plain_services_have_no_stages(void)
 {
+	ks_stages_t stages = { .prefill_share = 0.6 };
 	ks_fleet_t fleet;
-	ks_stage_t stage;
 
 	ks_fleet_init(&fleet);
 	put(&fleet, "a", KS_STAGE_ANY, 1);
 	put(&fleet, "b", KS_STAGE_ANY, 1);
-	g_assert_null(next_stage(&fleet, 0.6, &stage));
+	g_assert_cmpint(change_stages(&stages, &fleet, SECOND, true), ==, 0);
 	ks_fleet_deinit(&fleet);
 }
 
@@ -447,6 +453,8 @@
 	g_test_add_func("/decisions/unusable", test_unusable_engines);
 	g_test_add_func("/decisions/most-failing", test_most_failing);
 	g_test_add_func("/decisions/stages-settle", test_stages_settle);
+	g_test_add_func("/decisions/stages-flapping",
+			test_stages_bear_flapping);
 	g_test_add_func("/decisions/stages-few",
 			test_stages_change_few_at_once);
 	g_test_add_func("/decisions/stages-keep-one", test_stages_keep_one);
