Free a connection only after its input has been handled

Cause: a handler that cut its request at once freed the connection that the reading function went on to use.

--- a/packages/connection/src/http1_server.c
+++ b/packages/connection/src/http1_server.c
@@ -24,6 +24,8 @@
  * @serving: the handler has the request, until the answer has ended
  * @chunked: the answer is sent in chunks
  * @close_after: close once everything is written
+ * @reading: input is being handled, so that freeing waits
+ * @dead: to be freed when that is done
  */
 struct http1_conn {
 	ks_list_t node;
@@ -47,7 +49,8 @@
 	bool keep_alive;
 	bool close_after;
 	bool writing;
-	bool parsing;
+	bool reading;
+	bool dead;
 	bool closing;
 };
 
@@ -68,6 +71,13 @@
 	g_free(conn);
 }
 
+static void discard_conn(struct http1_conn *conn)
+{
+	conn->dead = true;
+	if (!conn->reading)
+		free_conn(conn);
+}
+
 static void close_socket(struct http1_conn *conn)
 {
 	ks_timer_clear(&conn->timer);
@@ -89,13 +99,12 @@
 	if (conn->serving) {
 		if (request->gone)
 			request->gone(request->ctx);
-	} else if (!conn->parsing) {
-		free_conn(conn);
+	} else {
+		discard_conn(conn);
 	}
 }
 
 static void on_input(h2o_socket_t *sock, const char *err);
-static void read_next(struct http1_conn *conn);
 
 static void on_timer(void *ctx)
 {
@@ -288,10 +297,8 @@
 		return;
 	if (!conn->begun)
 		ks_timer_set(&conn->timer, conn->server->header_timeout_us);
-	conn->parsing = true;
 	used = http_parser_execute(&conn->parser, &parser_settings,
 				   input->bytes, input->size);
-	conn->parsing = false;
 	error = HTTP_PARSER_ERRNO(&conn->parser);
 	if (conn->whole) {
 		h2o_buffer_consume(&conn->sock->input, used);
@@ -303,10 +310,8 @@
 	}
 }
 
-static void on_input(h2o_socket_t *sock, const char *err)
+static void handle_input(struct http1_conn *conn, const char *err)
 {
-	struct http1_conn *conn = sock->data;
-
 	if (!conn->serving && !conn->close_after)
 		parse_input(conn);
 	if (conn->closing)
@@ -314,24 +319,33 @@
 	if (err)
 		close_conn(conn);
 	else if (conn->close_after)
-		h2o_buffer_consume(&sock->input, sock->input->size);
-	else if (sock->input->size > MAX_PIPELINED_BYTES)
-		h2o_socket_read_stop(sock);
+		h2o_buffer_consume(&conn->sock->input, conn->sock->input->size);
+	else if (conn->sock->input->size > MAX_PIPELINED_BYTES)
+		h2o_socket_read_stop(conn->sock);
 }
 
-/* The next request may have been read while the last one was served. */
-static void on_next(void *ctx)
+/* The handler may end its request, and with it the connection, at once. */
+static void on_input(h2o_socket_t *sock, const char *err)
 {
-	read_next(ctx);
+	struct http1_conn *conn = sock->data;
+
+	conn->reading = true;
+	handle_input(conn, err);
+	conn->reading = false;
+	if (conn->dead)
+		free_conn(conn);
 }
 
-static void read_next(struct http1_conn *conn)
+/* The next request may have been read while the last one was served. */
+static void on_next(void *ctx)
 {
+	struct http1_conn *conn = ctx;
+
 	ks_timer_clear(&conn->timer);
 	ks_timer_init(&conn->timer, conn->server->loop, on_timer, conn);
 	ks_timer_set(&conn->timer, conn->server->idle_timeout_us);
 	h2o_socket_read_start(conn->sock, on_input);
-	parse_input(conn);
+	on_input(conn->sock, NULL);
 }
 
 static void await_request(struct http1_conn *conn)
@@ -450,7 +464,7 @@
 	conn->serving = false;
 	conn->request.ctx = NULL;
 	if (conn->closing) {
-		free_conn(conn);
+		discard_conn(conn);
 		return;
 	}
 	if (keep && conn->keep_alive && !conn->server->stopping) {
--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -495,7 +495,7 @@
 void ks_gateway_confirm(ks_gateway_t *gateway);
 ks_fleet_t *ks_gateway_fleet(ks_gateway_t *gateway);
 ks_peers_t *ks_gateway_peers(ks_gateway_t *gateway);
-bool ks_gateway_is_stopping(const ks_gateway_t *gateway);
+int64_t ks_gateway_version(const ks_gateway_t *gateway);
 uint16_t ks_gateway_port(const ks_gateway_t *gateway);
 uint16_t ks_gateway_ready_port(const ks_gateway_t *gateway);
 
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -265,9 +265,12 @@
 	return &gateway->fleet;
 }
 
-bool ks_gateway_is_stopping(const ks_gateway_t *gateway)
+/**
+ * ks_gateway_version() - version of the configuration in force, 0 without one
+ */
+int64_t ks_gateway_version(const ks_gateway_t *gateway)
 {
-	return gateway->stopping;
+	return gateway->traffic ? gateway->traffic->version : 0;
 }
 
 ks_peers_t *ks_gateway_peers(ks_gateway_t *gateway)
