--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -69,22 +69,21 @@
 		free_conn(conn);
 }
 
+static void free_conns(ks_list_t *conns)
+{
+	KS_LIST_FOREACH_SAFE (it, tmp, conns)
+		free_conn(KS_CONTAINER_OF(it, struct ks_http_conn, node));
+}
+
 void http_peers_deinit(ks_http_client_t *client)
 {
 	GHashTableIter iter;
 	gpointer value;
 
-	while (!ks_list_is_empty(&client->conns))
-		free_conn(KS_CONTAINER_OF(client->conns.next,
-					  struct ks_http_conn, node));
+	free_conns(&client->conns);
 	g_hash_table_iter_init(&iter, client->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct ks_http_peer *peer = value;
-
-		while (!ks_list_is_empty(&peer->idle))
-			free_conn(KS_CONTAINER_OF(peer->idle.next,
-						  struct ks_http_conn, node));
-	}
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		free_conns(&((struct ks_http_peer *)value)->idle);
 	g_hash_table_destroy(client->peers);
 	client->peers = NULL;
 }
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -123,6 +123,17 @@
 
 static void on_stop_timer(void *ctx);
 
+static void log_start(const ks_gateway_t *gateway)
+{
+	const ks_gateway_settings_t *settings = &gateway->settings;
+
+	ks_log(KS_LOG_MAIN, KS_LOG_INFO,
+	       "the gateway listens on %s:%u ready_port=%u metrics_port=%u "
+	       "peer_port=%u",
+	       settings->listen.ip, gateway->server.port, gateway->ready.port,
+	       gateway->metrics_server.port, gateway->peers.port);
+}
+
 /**
  * ks_gateway_new() - listen and serve; refuses until a configuration is applied
  * @dialect: must outlive the gateway
@@ -159,8 +170,10 @@
 	if (listen_all(gateway, error) &&
 	    (!*settings->peer.ip ||
 	     ks_peers_init(&gateway->peers, loop, &gateway->fleet,
-			   settings->name, &settings->peer, error)))
+			   settings->name, &settings->peer, error))) {
+		log_start(gateway);
 		return gateway;
+	}
 	ks_gateway_free(gateway);
 	return NULL;
 }
@@ -171,9 +184,8 @@
 void ks_gateway_free(ks_gateway_t *gateway)
 {
 	ks_timer_clear(&gateway->stop_timer);
-	while (!ks_list_is_empty(&gateway->exchanges))
-		exchange_abandon(KS_CONTAINER_OF(gateway->exchanges.next,
-						 struct exchange, node));
+	KS_LIST_FOREACH_SAFE (it, tmp, &gateway->exchanges)
+		exchange_abandon(KS_CONTAINER_OF(it, struct exchange, node));
 	ks_http1_server_deinit(&gateway->server);
 	ks_http1_server_deinit(&gateway->ready);
 	ks_http1_server_deinit(&gateway->metrics_server);
--- a/packages/process/tests/test-settings.c
+++ b/packages/process/tests/test-settings.c
@@ -120,9 +120,33 @@
 	}
 	g_test_trap_subprocess(NULL, 0, 0);
 	g_test_trap_assert_passed();
-	g_test_trap_assert_stderr("*link detail*http warning*");
-	g_test_trap_assert_stderr_unmatched("*plan warning*");
-	g_test_trap_assert_stderr_unmatched("*http news*");
+	g_test_trap_assert_stdout("*link detail*http warning*");
+	g_test_trap_assert_stdout_unmatched("*plan warning*");
+	g_test_trap_assert_stdout_unmatched("*http news*");
+	g_test_trap_assert_stderr("");
+}
+
+#define BURST 5000
+
+/* Guards against logs that fill a disk, or a reader that stops the process. */
+static void test_log_bounds(void)
+{
+	char *last;
+
+	if (g_test_subprocess()) {
+		ks_log_init("e", KS_LOG_INFO);
+		for (int i = 0; i < BURST; i++)
+			ks_log(KS_LOG_ROUTE, KS_LOG_INFO, "news number=%d", i);
+		ks_log(KS_LOG_ROUTE, KS_LOG_ERROR, "an error");
+		ks_log_deinit();
+		return;
+	}
+	g_test_trap_subprocess(NULL, 0, 0);
+	g_test_trap_assert_passed();
+	g_test_trap_assert_stdout("*msg=\"news\" number=0\n*an error*");
+	last = g_strdup_printf("*number=%d\n*", BURST - 1);
+	g_test_trap_assert_stdout_unmatched(last);
+	g_free(last);
 }
 
 struct refusal {
@@ -199,7 +223,7 @@
 	  "s.yaml:5:", "expected IP:PORT" },
 	{ "role: router\nname: e\ndomain: a\nlisten: '127.0.0.1:80'\n"
 	  "platform: '127.0.0.1:1'\n",
-	  "s.yaml:1:", "expected entry or upstream" },
+	  "s.yaml:1:", "expected entry, upstream or gateway" },
 	{ "role: entry\nname: 'a/b'\ndomain: a\nlisten: '127.0.0.1:80'\n"
 	  "platform: '127.0.0.1:1'\n",
 	  "s.yaml:2:", "letters, digits" },
@@ -291,6 +315,7 @@
 			test_settings_secrets_from_environment);
 	g_test_add_func("/settings/log-levels", test_settings_log_levels);
 	g_test_add_func("/settings/init-logs", test_settings_init_logs);
+	g_test_add_func("/settings/log-bounds", test_log_bounds);
 	g_test_add_func("/settings/refuse-what-is-wrong",
 			test_settings_refuse_what_is_wrong);
 	g_test_add_func("/settings/refuse-deep-nesting",
