Avoid upstreams that fail a part of their requests

Found from the log lines 'lost' by upstream and second.

Change: each upstream has a fading share of failures. It costs in placement, and above 0.45 the upstream is left out while others serve.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -206,6 +206,7 @@
  * @reading_tokens: prompt tokens of this entry that have yet to be read
  * @others_running, @others_reading_tokens: the same of the other entries, as
  *	they last told
+ * @failing: share of its requests that failed lately, as of @failing_us
  * @changing_to: the stage that it has been ordered to take on, KS_STAGE_ANY if
  *it is not changing; it refuses requests meanwhile
  * @changed_us: when it was ordered
@@ -233,6 +234,8 @@
 	int64_t changed_us;
 	int64_t order_after_us;
 	ks_ejection_t health;
+	double failing;
+	int64_t failing_us;
 	GHashTable *cached;
 } ks_member_t;
 
@@ -255,6 +258,8 @@
 GPtrArray *ks_fleet_members(const ks_fleet_t *fleet, const char *service);
 ks_member_t *ks_member_ref(ks_member_t *member);
 void ks_member_unref(ks_member_t *member);
+void ks_member_note_outcome(ks_member_t *member, bool failed, int64_t now_us);
+double ks_member_failing(const ks_member_t *member, int64_t now_us);
 void ks_member_note_cached(ks_member_t *member, const ks_prompt_t *prompt,
 			   int64_t now_us);
 int64_t ks_member_cached_tokens(const ks_member_t *member,
--- a/packages/gateway/src/exchange.c
+++ b/packages/gateway/src/exchange.c
@@ -411,11 +411,14 @@
 static void note_health(struct exchange *x, ks_http_result_t result)
 {
 	int64_t now = now_of(x);
+	bool failed = result != KS_HTTP_WHOLE ||
+		      (x->status >= 500 && !x->answer_not_run);
 
-	if (result == KS_HTTP_WHOLE && (x->status < 500 || x->answer_not_run))
-		ks_ejection_success(&x->member->health);
-	else
+	ks_member_note_outcome(x->member, failed, now);
+	if (failed)
 		ks_ejection_failure(&x->member->health, now, &x->gateway->rng);
+	else
+		ks_ejection_success(&x->member->health);
 }
 
 /* An answer has come to its end. */
@@ -534,8 +537,10 @@
 		x->handle = parse_handle(x);
 	if (x->handle) {
 		ks_ejection_success(&reader->health);
+		ks_member_note_outcome(reader, false, now_of(x));
 		take_handle(x);
 	} else {
+		ks_member_note_outcome(reader, !x->answer_not_run, now_of(x));
 		if (!x->answer_not_run)
 			ks_ejection_failure(&reader->health, now_of(x),
 					    &x->gateway->rng);
--- a/packages/gateway/src/fleet.c
+++ b/packages/gateway/src/fleet.c
@@ -1,6 +1,7 @@
 /* The upstreams that requests are sent straight to. */
 #include "ks/gateway.h"
 
+#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -13,6 +14,12 @@
 /* An engine evicts a part that has not been used for longer. */
 #define CACHED_US (60 * KS_USEC_PER_SEC)
 
+/* What one outcome weighs against those before it. */
+#define OUTCOME_WEIGHT 0.2
+
+/* An upstream that is avoided is tried again after a few of these. */
+#define FAILING_HALF_LIFE_US (3 * KS_USEC_PER_SEC)
+
 ks_member_t *ks_member_ref(ks_member_t *member)
 {
 	member->refs++;
@@ -205,6 +212,30 @@
 	return members;
 }
 
+/**
+ * ks_member_failing() - share of the requests that failed lately, 0 to 1
+ *
+ * It fades with time, as an upstream that gets no requests shows nothing.
+ */
+double ks_member_failing(const ks_member_t *member, int64_t now_us)
+{
+	double age = (double)(now_us - member->failing_us) /
+		     (double)FAILING_HALF_LIFE_US;
+
+	return member->failing > 0 ? member->failing * exp2(-age) : 0;
+}
+
+/**
+ * ks_member_note_outcome() - a request has ended at the upstream
+ */
+void ks_member_note_outcome(ks_member_t *member, bool failed, int64_t now_us)
+{
+	double before = ks_member_failing(member, now_us);
+
+	member->failing = before + OUTCOME_WEIGHT * ((failed ? 1 : 0) - before);
+	member->failing_us = now_us;
+}
+
 /**
  * ks_member_note_cached() - the upstream has read the parts of a prompt
  */
--- a/packages/gateway/src/placement.c
+++ b/packages/gateway/src/placement.c
@@ -26,6 +26,19 @@
  */
 #define SPLIT_OVERHEAD_TOKENS 1500
 
+/*
+ * An upstream of which more than this share of requests failed lately is left
+ * out. Three failures in a row reach it, as single ones are common.
+ */
+#define FAILING_LIMIT 0.45
+
+/* What certain failure costs, in prompt tokens and in running requests. */
+#define FAILING_COST_TOKENS 20000
+#define FAILING_COST 4.0
+
+/* What another failure domain costs, in running requests. */
+#define FAR_COST 0.5
+
 /* What one running request adds to the next one's wait, in prompt tokens. */
 #define RUNNING_COST_TOKENS 60
 
@@ -67,7 +80,8 @@
 		    is_avoided(query, member))
 			continue;
 		g_ptr_array_add(all, member);
-		if (!ks_ejection_is_out(&member->health, query->now_us))
+		if (!ks_ejection_is_out(&member->health, query->now_us) &&
+		    ks_member_failing(member, query->now_us) < FAILING_LIMIT)
 			g_ptr_array_add(good, member);
 	}
 	if (good->len * 2 < all->len) {
@@ -118,6 +132,13 @@
 		       RUNNING_COST_TOKENS;
 }
 
+static int64_t failing_cost(const ks_member_t *member,
+			    const ks_placement_query_t *query)
+{
+	return (int64_t)(ks_member_failing(member, query->now_us) *
+			 FAILING_COST_TOKENS);
+}
+
 static ks_member_t *cheapest(GPtrArray *members, guint n,
 			     const ks_placement_query_t *query, int64_t *unread,
 			     int64_t *cost)
@@ -129,7 +150,8 @@
 	for (guint i = 0; i < n; i++) {
 		ks_member_t *member = members->pdata[i];
 		int64_t tokens = unread_tokens(member, i == 0, query);
-		int64_t sum = tokens + work_ahead(member);
+		int64_t sum = tokens + work_ahead(member) +
+			      failing_cost(member, query);
 
 		if (sum < *cost) {
 			*cost = sum;
@@ -140,6 +162,17 @@
 	return best;
 }
 
+/* Requests that a plain upstream's running ones, failures and distance equal.
+ */
+static double plain_cost(const ks_member_t *member,
+			 const ks_placement_query_t *query)
+{
+	bool is_far = query->domain && strcmp(member->domain, query->domain);
+
+	return member->running + (is_far ? FAR_COST : 0) +
+	       FAILING_COST * ks_member_failing(member, query->now_us);
+}
+
 static ks_member_t *least_running(const GPtrArray *members,
 				  const ks_placement_query_t *query)
 {
@@ -150,10 +183,8 @@
 		ks_member_t *member =
 			members->pdata[(start + i) % members->len];
 
-		if (!best || member->running < best->running ||
-		    (member->running == best->running && query->domain &&
-		     !strcmp(member->domain, query->domain) &&
-		     strcmp(best->domain, query->domain) != 0))
+		if (!best ||
+		    plain_cost(member, query) < plain_cost(best, query))
 			best = member;
 	}
 	return best;
--- a/packages/gateway/tests/test-decisions.c
+++ b/packages/gateway/tests/test-decisions.c
@@ -313,6 +313,28 @@
 	deinit_placed(&p);
 }
 
+/* Guards against requests to an upstream that loses some of its answers. */
+static void test_partly_failing(void)
+{
+	struct placed p;
+
+	init_placed(&p, "aa:1000,bb:50");
+	for (int i = 0; i < 20; i++) {
+		ks_member_note_outcome(p.generators[0], i % 2, SECOND);
+		ks_member_note_outcome(p.generators[1], false, SECOND);
+	}
+	g_assert_true(place(&p).run == p.generators[1]);
+	p.query.prompt = NULL;
+	for (uint32_t draw = 0; draw < 4; draw++) {
+		p.query.draw = draw;
+		g_assert_true(place(&p).run == p.generators[1]);
+	}
+	/* It is tried again after a while. */
+	g_assert_cmpfloat(ks_member_failing(p.generators[0], 60 * SECOND), <,
+			  0.01);
+	deinit_placed(&p);
+}
+
 static void put_engines(ks_fleet_t *fleet, int prefill, int decode)
 {
 	char id[16];
@@ -452,6 +474,7 @@
 	g_test_add_func("/decisions/others-load", test_others_load_counts);
 	g_test_add_func("/decisions/unusable", test_unusable_engines);
 	g_test_add_func("/decisions/most-failing", test_most_failing);
+	g_test_add_func("/decisions/partly-failing", test_partly_failing);
 	g_test_add_func("/decisions/stages-settle", test_stages_settle);
 	g_test_add_func("/decisions/stages-flapping",
 			test_stages_bear_flapping);
