Rank requests by what has to be read; keep a shared part at its home

Ruled out: waiting on the engines that generate (22 ms at the median after the prompt had been read), and more homes (worse with each).

Change: a request's rank at the engine falls with the tokens to be read, and the second home costs 20,000 tokens more.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -322,6 +322,7 @@
 
 ks_placement_t ks_placement_choose(const GPtrArray *members,
 				   const ks_placement_query_t *query);
+unsigned ks_placement_rank(unsigned priority, int64_t unread_tokens);
 
 /* events.c */
 
--- a/packages/gateway/src/exchange_send.c
+++ b/packages/gateway/src/exchange_send.c
@@ -146,7 +146,9 @@
 	add_field(fields, dialect->expected_upstream, ks_str_from(member->id));
 	if (x->has_prompt) {
 		snprintf(priority, sizeof(priority), "%u",
-			 MIN(x->route->priority, 9));
+			 ks_placement_rank(x->route->priority,
+					   is_prefill ? x->reading_tokens
+						      : x->run_tokens));
 		add_field(fields, dialect->priority, ks_str_from(priority));
 	}
 	if (is_prefill)
--- a/packages/gateway/src/placement.c
+++ b/packages/gateway/src/placement.c
@@ -17,6 +17,16 @@
 /* Upstreams that keep a shared part: its home and one to spread to. */
 #define HOMES 2
 
+/*
+ * What it costs to use another home than the first, in prompt tokens: the part
+ * is read once more there, and displaces others that are then read again.
+ */
+#define SPREAD_COST_TOKENS 20000
+
+/* Prompt tokens that move a request back by one rank. */
+#define TOKENS_PER_RANK 4000
+#define LAST_RANK 9
+
 /* A decode engine reads at half the speed, in the platform's terms. */
 #define DECODE_READ_COST 8
 
@@ -151,7 +161,8 @@
 		ks_member_t *member = members->pdata[i];
 		int64_t tokens = unread_tokens(member, i == 0, query);
 		int64_t sum = tokens + work_ahead(member) +
-			      failing_cost(member, query);
+			      failing_cost(member, query) +
+			      (i ? SPREAD_COST_TOKENS : 0);
 
 		if (sum < *cost) {
 			*cost = sum;
@@ -228,3 +239,19 @@
 	g_ptr_array_free(prefill, TRUE);
 	return placement;
 }
+
+/**
+ * ks_placement_rank() - rank of a request at an engine, 0 is the first
+ * @priority: of its route
+ * @unread_tokens: of its prompt at that engine
+ *
+ * Answers a queue of prompts of very different lengths: a long one in front
+ * makes many short ones late, and is itself late by little if it waits for
+ * them.
+ */
+unsigned ks_placement_rank(unsigned priority, int64_t unread_tokens)
+{
+	int64_t rank = priority + MAX(unread_tokens, 0) / TOKENS_PER_RANK;
+
+	return (unsigned)MIN(rank, LAST_RANK);
+}
--- a/packages/gateway/tests/test-decisions.c
+++ b/packages/gateway/tests/test-decisions.c
@@ -335,6 +335,34 @@
 	deinit_placed(&p);
 }
 
+/* Guards against short prompts that wait for long ones of their own route. */
+static void test_rank(void)
+{
+	g_assert_cmpuint(ks_placement_rank(0, 0), ==, 0);
+	g_assert_cmpuint(ks_placement_rank(2, 100), ==, 2);
+	g_assert_cmpuint(ks_placement_rank(2, 20000), >,
+			 ks_placement_rank(2, 1000));
+	g_assert_cmpuint(ks_placement_rank(0, 1000), <,
+			 ks_placement_rank(1, 1000));
+	g_assert_cmpuint(ks_placement_rank(9, G_MAXINT64 / 2), ==, 9);
+	g_assert_cmpuint(ks_placement_rank(0, -5), ==, 0);
+}
+
+/* Guards against a shared part that is read again at each busy moment. */
+static void test_home_is_kept_when_busy(void)
+{
+	struct placed p;
+	ks_member_t *home;
+
+	init_placed(&p, "aa:3000,bb:50");
+	home = place(&p).run;
+	home->others_reading_tokens = 10000;
+	g_assert_true(place(&p).run == home);
+	home->others_reading_tokens = 100000;
+	g_assert_true(place(&p).run != home);
+	deinit_placed(&p);
+}
+
 static void put_engines(ks_fleet_t *fleet, int prefill, int decode)
 {
 	char id[16];
@@ -475,6 +503,8 @@
 	g_test_add_func("/decisions/unusable", test_unusable_engines);
 	g_test_add_func("/decisions/most-failing", test_most_failing);
 	g_test_add_func("/decisions/partly-failing", test_partly_failing);
+	g_test_add_func("/decisions/rank", test_rank);
+	g_test_add_func("/decisions/home-is-kept", test_home_is_kept_when_busy);
 	g_test_add_func("/decisions/stages-settle", test_stages_settle);
 	g_test_add_func("/decisions/stages-flapping",
 			test_stages_bear_flapping);
