Run gateways before a stand-in for the users' platform

make run ARGS=--platform and test-gateway.sh start the stand-in (store, two plain replicas, three engines) and two gateways with the settings that deploy/ renders: lookups, bookings, an order of a stage, streams through a graceful stop, and a gateway that is killed and started again.

--- /dev/null
+++ b/tests/fakes/fake-site.c
@@ -0,0 +1,254 @@
+/*
+ * Stand-in for the users' platform: its store and a few replicas, in one
+ * process. Says at its end how many requests ran, and whether one that may run
+ * once ran twice.
+ */
+#include "fake_main.h"
+#include "fake_rows.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PLAIN_REPLICAS 2
+#define ENGINES 3
+#define REPLICAS (PLAIN_REPLICAS + ENGINES)
+#define EVENTS 20
+#define EVENT_US (50 * KS_USEC_PER_MSEC)
+
+#define CONFIG                                                                \
+	"{\"version\":1,\"services\":[{\"name\":\"app\"},{\"name\":\"llm\","  \
+	"\"engine\":{\"slots\":8,\"kv-token-bytes\":1000,\"link-mbps\":"      \
+	"1000.0,\"handle-ttl-s\":5.0}}],\"routes\":["                         \
+	"{\"name\":\"read\",\"host\":\"shop.example\",\"prefix\":\"/read/\"," \
+	"\"kind\":\"idempotent\",\"timeout-ms\":5000,\"max-attempts\":2,"     \
+	"\"service\":\"app\"},"                                               \
+	"{\"name\":\"book\",\"host\":\"shop.example\",\"prefix\":\"/book/\"," \
+	"\"kind\":\"non_idempotent\",\"timeout-ms\":5000,"                    \
+	"\"max-attempts\":1,\"service\":\"app\"},"                            \
+	"{\"name\":\"advise\",\"host\":\"shop.example\",\"prefix\":"          \
+	"\"/advise/\",\"kind\":\"streaming\",\"timeout-ms\":20000,"           \
+	"\"max-attempts\":1,\"service\":\"llm\"}]}"
+
+struct site;
+
+/**
+ * struct replica - answers requests and counts them
+ */
+struct replica {
+	struct site *site;
+	ks_http1_server_t server;
+	char id[16];
+	const char *stage;
+	unsigned orders;
+};
+
+struct site {
+	ks_loop_t loop;
+	struct fake_rows store;
+	struct replica replicas[REPLICAS];
+	GHashTable *ran;
+	unsigned runs;
+	unsigned twice;
+	unsigned handles;
+};
+
+/**
+ * struct stream - an answer of several events
+ */
+struct stream {
+	ks_http1_request_t *request;
+	ks_timer_t timer;
+	int sent;
+};
+
+static ks_str_t field(const ks_http1_request_t *request, const char *name)
+{
+	return ks_header_value(request->headers, request->n_headers, name);
+}
+
+static void reply(ks_http1_request_t *request, int status, bool not_run,
+		  const char *body)
+{
+	ks_header_t headers[] = { { KS_STR("request-id"),
+				    field(request, "request-id") },
+				  { KS_STR("response-seal"), KS_STR("seal") },
+				  { KS_STR("not-executed"), KS_STR("1") } };
+
+	ks_http1_start(request, status, headers, not_run ? 3 : 2,
+		       (int64_t)strlen(body));
+	ks_http1_body(request, ks_str_from(body));
+	ks_http1_end(request);
+}
+
+static void end_stream(struct stream *stream)
+{
+	ks_timer_clear(&stream->timer);
+	g_free(stream);
+}
+
+static void on_gone(void *ctx)
+{
+	struct stream *stream = ctx;
+
+	ks_http1_cut(stream->request);
+	end_stream(stream);
+}
+
+static void on_event(void *ctx)
+{
+	struct stream *stream = ctx;
+	char event[64];
+
+	g_snprintf(event, sizeof(event), "id: %d\ndata: piece %d\n\n",
+		   stream->sent, stream->sent);
+	ks_http1_body(stream->request, ks_str_from(event));
+	if (++stream->sent < EVENTS) {
+		ks_timer_set(&stream->timer, EVENT_US);
+		return;
+	}
+	ks_http1_end(stream->request);
+	end_stream(stream);
+}
+
+static void start_stream(struct replica *replica, ks_http1_request_t *request)
+{
+	struct stream *stream = g_new0(struct stream, 1);
+	ks_header_t headers[] = {
+		{ KS_STR("request-id"), field(request, "request-id") },
+		{ KS_STR("response-seal"), KS_STR("seal") },
+		{ KS_STR("content-type"), KS_STR("text/event-stream") },
+	};
+
+	stream->request = request;
+	request->ctx = stream;
+	request->gone = on_gone;
+	ks_http1_start(request, 200, headers, G_N_ELEMENTS(headers), -1);
+	ks_timer_init(&stream->timer, &replica->site->loop, on_event, stream);
+	ks_timer_set(&stream->timer, EVENT_US);
+}
+
+static void count_run(struct site *site, const ks_http1_request_t *request)
+{
+	char *id = ks_str_dup(field(request, "request-id"));
+
+	site->runs++;
+	if (!g_hash_table_add(site->ran, id) &&
+	    ks_str_has_prefix(request->target, KS_STR("/book/")))
+		site->twice++;
+}
+
+static void read_prompt(struct site *site, ks_http1_request_t *request)
+{
+	char body[64];
+
+	g_snprintf(body, sizeof(body), "{\"handle\":\"h%u\"}", ++site->handles);
+	reply(request, 200, false, body);
+}
+
+static void put_replica(struct replica *replica)
+{
+	char *row = g_strdup_printf(
+		"{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\","
+		"\"zone\":\"domain-1\",\"state\":\"ready\",\"slots\":8%s%s%s}",
+		replica->stage ? "llm" : "app", replica->server.port,
+		replica->stage ? ",\"stage\":\"" : "",
+		replica->stage ? replica->stage : "",
+		replica->stage ? "\"" : "");
+
+	fake_put(&replica->site->store, "servers", replica->id, row);
+	g_free(row);
+}
+
+static void take_order(struct replica *replica, ks_http1_request_t *request)
+{
+	json_t *json =
+		json_loadb(request->body.data, request->body.len, 0, NULL);
+	const char *stage = json_string_value(json_object_get(json, "stage"));
+
+	replica->stage = !g_strcmp0(stage, "prefill") ? "prefill" : "decode";
+	replica->orders++;
+	json_decref(json);
+	reply(request, 202, false, "");
+	put_replica(replica);
+}
+
+static void report(const struct replica *replica, ks_http1_request_t *request)
+{
+	char body[64];
+
+	g_snprintf(body, sizeof(body), "{\"busy\":false,\"seq\":%u}",
+		   replica->orders);
+	reply(request, 200, false, body);
+}
+
+static void on_request(void *ctx, ks_http1_request_t *request)
+{
+	struct replica *replica = ctx;
+	ks_str_t expected = field(request, "expect-instance");
+
+	if (expected.len && !ks_str_equal(expected, ks_str_from(replica->id))) {
+		reply(request, 421, true, "");
+	} else if (ks_str_equal(request->target, KS_STR("/-/order"))) {
+		take_order(replica, request);
+	} else if (ks_str_equal(request->target, KS_STR("/-/report"))) {
+		report(replica, request);
+	} else if (ks_str_has_prefix(request->target, KS_STR("/-/"))) {
+		reply(request, 200, false, "");
+	} else if (field(request, "stage").len) {
+		read_prompt(replica->site, request);
+	} else {
+		count_run(replica->site, request);
+		if (ks_str_has_prefix(request->target, KS_STR("/advise/")))
+			start_stream(replica, request);
+		else
+			reply(request, 200, false, "done\n");
+	}
+}
+
+static void start_replicas(struct site *site)
+{
+	ks_address_t address = { "127.0.0.1", 0 };
+
+	for (int i = 0; i < REPLICAS; i++) {
+		struct replica *replica = &site->replicas[i];
+
+		replica->site = site;
+		g_snprintf(replica->id, sizeof(replica->id), "i-%d", i);
+		if (i >= PLAIN_REPLICAS)
+			replica->stage = "decode";
+		g_assert_true(ks_http1_server_init(&replica->server,
+						   &site->loop, &address,
+						   on_request, replica, NULL));
+		put_replica(replica);
+	}
+}
+
+int main(void)
+{
+	struct fake_signals signals;
+	struct site site = { .runs = 0 };
+
+	ks_loop_init(&site.loop, ks_clock_monotonic());
+	if (!fake_signals_init(&signals, &site.loop))
+		return EXIT_FAILURE;
+	site.ran = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	fake_rows_init(&site.store, &site.loop);
+	fake_put(&site.store, "op", "config", CONFIG);
+	start_replicas(&site);
+	fprintf(stderr, "listens on 127.0.0.1:%u\n", site.store.server.port);
+	ks_loop_run(&site.loop);
+	fprintf(stderr, "runs=%u twice=%u orders=%u handles=%u\n", site.runs,
+		site.twice,
+		site.replicas[PLAIN_REPLICAS].orders +
+			site.replicas[PLAIN_REPLICAS + 1].orders +
+			site.replicas[PLAIN_REPLICAS + 2].orders,
+		site.handles);
+	for (int i = 0; i < REPLICAS; i++)
+		ks_http1_server_deinit(&site.replicas[i].server);
+	fake_rows_deinit(&site.store);
+	g_hash_table_destroy(site.ran);
+	fake_signals_deinit(&signals);
+	ks_loop_deinit(&site.loop);
+	return site.twice ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/tests/run-example.sh
+++ b/tests/run-example.sh
@@ -1,11 +1,13 @@
 #!/bin/bash
 # Starts the example system, publishes a release note, runs a mixed load
 # through both entries and stops everything gracefully. With --keep the system
-# stays up until the script is interrupted.
+# stays up until the script is interrupted. With --platform the example is two
+# gateways before a stand-in for the users' platform.
 set -u
 cd "$(dirname "$0")/.."
 keep=
 test "${1:-}" = --keep && keep=1
+test "${1:-}" = --platform && exec tests/run-platform-example.sh
 # shellcheck source=tests/system/lib.sh
 . tests/system/lib.sh
 # shellcheck source=tests/system/cluster.sh
--- /dev/null
+++ b/tests/system/site.sh
@@ -0,0 +1,42 @@
+# Starts gateways before a stand-in for the users' platform, as deploy/ runs
+# them there. Sourced after lib.sh by test-gateway.sh and run-example.sh.
+
+start_site () {
+	launch site "$BIN/fake-site"
+}
+
+# start_gateway NAME: renders the settings that the platform would render from
+# deploy/settings.yaml.in, with ports that the kernel chooses.
+start_gateway () {
+	sed -e "s/{{node-name}}/$1/" -e "s/{{zone}}/domain-1/" \
+		-e "s/{{listen.front}}/${ADDRESS[$1]:-127.0.0.1:0}/" \
+		-e "s/{{listen.ready}}/127.0.0.1:0/" \
+		-e "s/{{ip}}:{{port-range.0}}/127.0.0.1:0/" \
+		-e "s/{{ip}}:9180/127.0.0.1:0/" \
+		-e "s/{{platform.address}}/${ADDRESS[site]}/" \
+		-e "s/{{bounds.grace-s}}/8/" \
+		-e "s/{{bounds.retry-budget-ratio}}/0.2/" \
+		-e "s/{{bounds.retry-budget-slack}}/50/" \
+		-e "s/{{bounds.budget-window-s}}/10/" \
+		-e "s/{{bounds.lease-ms}}/1000/" \
+		deploy/settings.yaml.in >"$WORK/$1.yaml"
+	launch "$1" "$BIN/knapweedstaird" --config "$WORK/$1.yaml"
+	wait_until "$1 has a configuration" has_log "$1" "configuration in force"
+}
+
+# ask GATEWAY ID METHOD PATH [CURL-OPTION...]
+ask () {
+	local gateway=$1 id=$2 method=$3 path=$4
+	shift 4
+	curl -sS -N --noproxy '*' -X "$method" -H 'host: shop.example' \
+		-H "request-id: $id" -H 'deadline-ms: 20000' \
+		-H 'prompt-prefix: aa:9000,bb:7000' "$@" \
+		"http://${ADDRESS[$gateway]}$path"
+}
+
+# check_stream FILE: a whole stream has each event once and in order.
+check_stream () {
+	test "$(grep -c '^id: ' "$1")" = 20 &&
+		test "$(sed -n 's/^id: //p' "$1" | tr '\n' ' ')" = \
+			"$(seq -s ' ' 0 19) "
+}
