Share the retry budget among the entries that are known; call the store less

Cause: the slack was divided by 16 whatever the number of entries, so that 31 entries of a grown deployment could together go beyond it. It is now divided by twice the entries that have announced themselves, and by 16 at least.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -380,6 +380,7 @@
 void ks_peers_note_change(ks_peers_t *peers);
 void ks_peers_receive(ks_peers_t *peers, ks_str_t message);
 size_t ks_peers_count(const ks_peers_t *peers);
+size_t ks_peers_known(const ks_peers_t *peers);
 
 /* stages.c */
 
@@ -455,7 +456,8 @@
 
 void ks_stage_run_init(ks_stage_run_t *run, ks_loop_t *loop, ks_fleet_t *fleet,
 		       ks_store_t *store, const ks_stage_driver_t *driver,
-		       ks_rng_t *rng, int64_t turns_us, double prefill_share);
+		       const ks_clock_t *boottime, ks_rng_t *rng,
+		       int64_t turns_us, double prefill_share);
 void ks_stage_run_deinit(ks_stage_run_t *run);
 void ks_stage_run_stop(ks_stage_run_t *run);
 void ks_stage_run_set_services(ks_stage_run_t *run,
--- a/packages/gateway/src/exchange.c
+++ b/packages/gateway/src/exchange.c
@@ -685,8 +685,11 @@
 	return target;
 }
 
-/* A configuration that was confirmed this recently knows every route. */
-#define FRESH_US (1500 * KS_USEC_PER_MSEC)
+/*
+ * A configuration that was confirmed this recently knows every route: the store
+ * holds a call for changes for 2 s at most.
+ */
+#define FRESH_US (2500 * KS_USEC_PER_MSEC)
 
 static void refuse_unrouted(struct exchange *x)
 {
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -12,14 +12,26 @@
  */
 #define CONNECT_TIMEOUT_US (400 * KS_USEC_PER_MSEC)
 
-/* Of the slack of the retry budget, which all entries share. */
-#define ASSUMED_ENTRIES 16
+/*
+ * Among at least so many entries is the slack of the retry budget shared, and
+ * among twice as many as are known: some may be about to start.
+ */
+#define MIN_SHARES 16
+#define SHARES_PER_ENTRY 2
 
 #define STOP_POLL_US (50 * KS_USEC_PER_MSEC)
 
 /* Before the platform would kill the process. */
 #define GRACE_MARGIN_US (300 * KS_USEC_PER_MSEC)
 
+static double slack_share(const ks_gateway_t *gateway)
+{
+	size_t entries = 1 + ks_peers_known(&gateway->peers);
+
+	return gateway->settings.retry_slack /
+	       (double)MAX(MIN_SHARES, SHARES_PER_ENTRY * entries);
+}
+
 /**
  * gateway_budget() - the retry budget of a service
  */
@@ -28,13 +40,14 @@
 	const ks_gateway_settings_t *settings = &gateway->settings;
 	ks_budget_t *budget = g_hash_table_lookup(gateway->budgets, service);
 
-	if (budget)
-		return budget;
-	budget = g_new0(ks_budget_t, 1);
-	ks_budget_init(budget, settings->retry_ratio,
-		       settings->retry_slack / ASSUMED_ENTRIES,
-		       settings->retry_window_us);
-	g_hash_table_insert(gateway->budgets, g_strdup(service), budget);
+	if (!budget) {
+		budget = g_new0(ks_budget_t, 1);
+		ks_budget_init(budget, settings->retry_ratio, 0,
+			       settings->retry_window_us);
+		g_hash_table_insert(gateway->budgets, g_strdup(service),
+				    budget);
+	}
+	budget->slack = slack_share(gateway);
 	return budget;
 }
 
--- a/packages/gateway/src/peers.c
+++ b/packages/gateway/src/peers.c
@@ -365,3 +365,11 @@
 {
 	return peers->table ? g_hash_table_size(peers->table) : 0;
 }
+
+/**
+ * ks_peers_known() - entries that have announced themselves, silent ones too
+ */
+size_t ks_peers_known(const ks_peers_t *peers)
+{
+	return peers->addresses ? g_hash_table_size(peers->addresses) : 0;
+}
--- a/packages/gateway/src/stage_run.c
+++ b/packages/gateway/src/stage_run.c
@@ -134,12 +134,14 @@
 
 /**
  * ks_stage_run_init() - watch the stages of the engines
+ * @boottime: clock that counts suspended time
  * @turns_us: within which orders of two holders count as taking turns
  * @prefill_share: of the engines that should read prompts
  */
 void ks_stage_run_init(ks_stage_run_t *run, ks_loop_t *loop, ks_fleet_t *fleet,
 		       ks_store_t *store, const ks_stage_driver_t *driver,
-		       ks_rng_t *rng, int64_t turns_us, double prefill_share)
+		       const ks_clock_t *boottime, ks_rng_t *rng,
+		       int64_t turns_us, double prefill_share)
 {
 	ks_id_t holder;
 
@@ -149,7 +151,7 @@
 	run->driver = driver;
 	run->prefill_share = prefill_share;
 	run->settle_us = turns_us + SETTLE_MARGIN_US;
-	run->boottime = ks_clock_boottime();
+	run->boottime = boottime;
 	run->services =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	ks_id_generate_seeded(&holder, rng);
