--- /dev/null
+++ b/packages/connection/src/http1_answer.c
@@ -0,0 +1,140 @@
+/* Answers of the HTTP/1.1 server: whole, streamed or cut. */
+#include "http1_conn.h"
+
+static void end_answer(struct http1_conn *conn, bool keep)
+{
+	conn->serving = false;
+	conn->request.ctx = NULL;
+	if (conn->closing) {
+		http1_conn_discard(conn);
+		return;
+	}
+	if (keep && conn->keep_alive && !conn->server->stopping) {
+		http1_conn_await_request(conn);
+		return;
+	}
+	conn->close_after = true;
+	if (!conn->writing)
+		http1_conn_close(conn);
+}
+
+static const char *reason_of(int status)
+{
+	const char *reason = http_status_str((enum http_status)status);
+
+	return reason[0] == '<' ? "Unknown" : reason;
+}
+
+/**
+ * ks_http1_start() - begin the answer
+ * @headers: without Content-Length, Transfer-Encoding and Connection
+ * @length: of the body in bytes, or -1 if it is not known
+ */
+void ks_http1_start(ks_http1_request_t *request, int status,
+		    const ks_header_t *headers, size_t n_headers,
+		    int64_t length)
+{
+	struct http1_conn *conn = http1_conn_of(request);
+	GString *out = conn->out;
+
+	if (conn->closing)
+		return;
+	conn->started = true;
+	conn->chunked = length < 0 && conn->parser.http_minor > 0;
+	if (length < 0 && !conn->chunked)
+		conn->keep_alive = false;
+	g_string_append_printf(out, "HTTP/1.1 %d %s\r\n", status,
+			       reason_of(status));
+	for (size_t i = 0; i < n_headers; i++) {
+		g_string_append_len(out, headers[i].name.data,
+				    (gssize)headers[i].name.len);
+		g_string_append(out, ": ");
+		g_string_append_len(out, headers[i].value.data,
+				    (gssize)headers[i].value.len);
+		g_string_append(out, "\r\n");
+	}
+	if (conn->chunked)
+		g_string_append(out, "transfer-encoding: chunked\r\n");
+	else if (length >= 0)
+		g_string_append_printf(out, "content-length: %" PRId64 "\r\n",
+				       length);
+	if (!conn->keep_alive || conn->server->stopping) {
+		conn->keep_alive = false;
+		g_string_append(out, "connection: close\r\n");
+	}
+	g_string_append(out, "\r\n");
+}
+
+/**
+ * ks_http1_body() - send the next bytes of the answer
+ */
+void ks_http1_body(ks_http1_request_t *request, ks_str_t data)
+{
+	struct http1_conn *conn = http1_conn_of(request);
+
+	if (conn->closing || conn->no_body || !data.len)
+		return;
+	if (conn->chunked)
+		g_string_append_printf(conn->out, "%zx\r\n", data.len);
+	g_string_append_len(conn->out, data.data, (gssize)data.len);
+	if (conn->chunked)
+		g_string_append(conn->out, "\r\n");
+	http1_conn_flush(conn);
+}
+
+/**
+ * ks_http1_end() - the answer is complete
+ *
+ * @request is not valid afterwards.
+ */
+void ks_http1_end(ks_http1_request_t *request)
+{
+	struct http1_conn *conn = http1_conn_of(request);
+
+	if (!conn->closing) {
+		if (conn->chunked && !conn->no_body)
+			g_string_append(conn->out, "0\r\n\r\n");
+		http1_conn_flush(conn);
+	}
+	end_answer(conn, true);
+}
+
+/**
+ * ks_http1_cut() - close the connection, so that the answer is not complete
+ *
+ * @request is not valid afterwards.
+ */
+void ks_http1_cut(ks_http1_request_t *request)
+{
+	struct http1_conn *conn = http1_conn_of(request);
+
+	if (!conn->closing)
+		http1_conn_close_socket(conn);
+	end_answer(conn, false);
+}
+
+/**
+ * ks_http1_refuse() - answer without a body and close the connection
+ *
+ * @request is not valid afterwards.
+ */
+void ks_http1_refuse(ks_http1_request_t *request, int status)
+{
+	struct http1_conn *conn = http1_conn_of(request);
+
+	conn->serving = true;
+	conn->keep_alive = false;
+	conn->parser.http_minor = 1;
+	ks_http1_start(request, status, NULL, 0, 0);
+	ks_http1_end(request);
+}
+
+/**
+ * ks_http1_pending() - bytes of the answer that the caller has yet to take
+ */
+size_t ks_http1_pending(ks_http1_request_t *request)
+{
+	const struct http1_conn *conn = http1_conn_of(request);
+
+	return conn->out->len + conn->sending->len;
+}
--- a/packages/connection/src/http1_server.c
+++ b/packages/connection/src/http1_server.c
@@ -3,9 +3,8 @@
  * is being served, so that the close of a caller is seen at once, and it can
  * cut an answer; h2o's own HTTP/1 server stops reading until it has answered.
  */
-#include "http_message.h"
+#include "http1_conn.h"
 
-#include <h2o.h>
 #include <string.h>
 
 /* Input beyond the current request is left to the kernel above this. */
@@ -14,51 +13,6 @@
 /* A caller that is gone without a word does not acknowledge for this long. */
 #define DEAD_CALLER_MS 10000
 
-/**
- * struct http1_conn - a connection of a caller
- * @node: in the server's list
- * @request: the one being read or served
- * @out: bytes to write after @sending
- * @sending: bytes handed to the kernel, in part
- * @timer: header or idle timeout
- * @serving: the handler has the request, until the answer has ended
- * @chunked: the answer is sent in chunks
- * @close_after: close once everything is written
- * @reading: input is being handled, so that freeing waits
- * @dead: to be freed when that is done
- */
-struct http1_conn {
-	ks_list_t node;
-	ks_http1_server_t *server;
-	h2o_socket_t *sock;
-	ks_http1_request_t request;
-	http_parser parser;
-	struct http_fields fields;
-	GString *target;
-	GString *body;
-	GString *out;
-	GString *sending;
-	ks_timer_t timer;
-	unsigned refuse_status;
-	bool begun;
-	bool whole;
-	bool serving;
-	bool started;
-	bool chunked;
-	bool no_body;
-	bool keep_alive;
-	bool close_after;
-	bool writing;
-	bool reading;
-	bool dead;
-	bool closing;
-};
-
-static struct http1_conn *conn_of(ks_http1_request_t *request)
-{
-	return KS_CONTAINER_OF(request, struct http1_conn, request);
-}
-
 static void free_conn(struct http1_conn *conn)
 {
 	ks_list_remove(&conn->node);
@@ -71,14 +25,14 @@
 	g_free(conn);
 }
 
-static void discard_conn(struct http1_conn *conn)
+void http1_conn_discard(struct http1_conn *conn)
 {
 	conn->dead = true;
 	if (!conn->reading)
 		free_conn(conn);
 }
 
-static void close_socket(struct http1_conn *conn)
+void http1_conn_close_socket(struct http1_conn *conn)
 {
 	ks_timer_clear(&conn->timer);
 	if (conn->sock)
@@ -89,18 +43,18 @@
 }
 
 /* The request of a closed connection lives until its handler has ended it. */
-static void close_conn(struct http1_conn *conn)
+void http1_conn_close(struct http1_conn *conn)
 {
 	ks_http1_request_t *request = &conn->request;
 
 	if (conn->closing)
 		return;
-	close_socket(conn);
+	http1_conn_close_socket(conn);
 	if (conn->serving) {
 		if (request->gone)
 			request->gone(request->ctx);
 	} else {
-		discard_conn(conn);
+		http1_conn_discard(conn);
 	}
 }
 
@@ -114,12 +68,12 @@
 		ks_http1_refuse(&conn->request, 408);
 		return;
 	}
-	close_conn(conn);
+	http1_conn_close(conn);
 }
 
 static void on_written(h2o_socket_t *sock, const char *err);
 
-static void flush(struct http1_conn *conn)
+void http1_conn_flush(struct http1_conn *conn)
 {
 	GString *next = conn->out;
 	h2o_iovec_t buf;
@@ -141,11 +95,11 @@
 	conn->writing = false;
 	g_string_truncate(conn->sending, 0);
 	if (err) {
-		close_conn(conn);
+		http1_conn_close(conn);
 		return;
 	}
 	if (conn->out->len) {
-		flush(conn);
+		http1_conn_flush(conn);
 		return;
 	}
 	if (conn->serving) {
@@ -154,7 +108,7 @@
 		return;
 	}
 	if (conn->close_after)
-		close_conn(conn);
+		http1_conn_close(conn);
 }
 
 static int on_message_begin(http_parser *parser)
@@ -219,7 +173,7 @@
 	if (expect &&
 	    ks_str_equal_nocase(expect->value, KS_STR("100-continue"))) {
 		g_string_append(conn->out, "HTTP/1.1 100 Continue\r\n\r\n");
-		flush(conn);
+		http1_conn_flush(conn);
 	}
 	return 0;
 }
@@ -317,7 +271,7 @@
 	if (conn->closing)
 		return;
 	if (err)
-		close_conn(conn);
+		http1_conn_close(conn);
 	else if (conn->close_after)
 		h2o_buffer_consume(&conn->sock->input, conn->sock->input->size);
 	else if (conn->sock->input->size > MAX_PIPELINED_BYTES)
@@ -348,7 +302,7 @@
 	on_input(conn->sock, NULL);
 }
 
-static void await_request(struct http1_conn *conn)
+void http1_conn_await_request(struct http1_conn *conn)
 {
 	http_parser_init(&conn->parser, HTTP_REQUEST);
 	conn->parser.data = conn;
@@ -382,7 +336,7 @@
 		http_fields_init(&conn->fields);
 		ks_list_append(&server->conns, &conn->node);
 		ks_timer_init(&conn->timer, server->loop, on_timer, conn);
-		await_request(conn);
+		http1_conn_await_request(conn);
 	}
 }
 
@@ -442,7 +396,7 @@
 
 		if (!conn->serving && !conn->begun && !conn->writing &&
 		    conn->sock && !conn->sock->input->size)
-			close_conn(conn);
+			http1_conn_close(conn);
 	}
 }
 
@@ -456,145 +410,7 @@
 {
 	ks_http1_server_close_listener(server);
 	KS_LIST_FOREACH_SAFE (it, tmp, &server->conns)
-		close_conn(KS_CONTAINER_OF(it, struct http1_conn, node));
-}
-
-static void end_answer(struct http1_conn *conn, bool keep)
-{
-	conn->serving = false;
-	conn->request.ctx = NULL;
-	if (conn->closing) {
-		discard_conn(conn);
-		return;
-	}
-	if (keep && conn->keep_alive && !conn->server->stopping) {
-		await_request(conn);
-		return;
-	}
-	conn->close_after = true;
-	if (!conn->writing)
-		close_conn(conn);
-}
-
-static const char *reason_of(int status)
-{
-	const char *reason = http_status_str((enum http_status)status);
-
-	return reason[0] == '<' ? "Unknown" : reason;
-}
-
-/**
- * ks_http1_start() - begin the answer
- * @headers: without Content-Length, Transfer-Encoding and Connection
- * @length: of the body in bytes, or -1 if it is not known
- */
-void ks_http1_start(ks_http1_request_t *request, int status,
-		    const ks_header_t *headers, size_t n_headers,
-		    int64_t length)
-{
-	struct http1_conn *conn = conn_of(request);
-	GString *out = conn->out;
-
-	if (conn->closing)
-		return;
-	conn->started = true;
-	conn->chunked = length < 0 && conn->parser.http_minor > 0;
-	if (length < 0 && !conn->chunked)
-		conn->keep_alive = false;
-	g_string_append_printf(out, "HTTP/1.1 %d %s\r\n", status,
-			       reason_of(status));
-	for (size_t i = 0; i < n_headers; i++) {
-		g_string_append_len(out, headers[i].name.data,
-				    (gssize)headers[i].name.len);
-		g_string_append(out, ": ");
-		g_string_append_len(out, headers[i].value.data,
-				    (gssize)headers[i].value.len);
-		g_string_append(out, "\r\n");
-	}
-	if (conn->chunked)
-		g_string_append(out, "transfer-encoding: chunked\r\n");
-	else if (length >= 0)
-		g_string_append_printf(out, "content-length: %" PRId64 "\r\n",
-				       length);
-	if (!conn->keep_alive || conn->server->stopping) {
-		conn->keep_alive = false;
-		g_string_append(out, "connection: close\r\n");
-	}
-	g_string_append(out, "\r\n");
-}
-
-/**
- * ks_http1_body() - send the next bytes of the answer
- */
-void ks_http1_body(ks_http1_request_t *request, ks_str_t data)
-{
-	struct http1_conn *conn = conn_of(request);
-
-	if (conn->closing || conn->no_body || !data.len)
-		return;
-	if (conn->chunked)
-		g_string_append_printf(conn->out, "%zx\r\n", data.len);
-	g_string_append_len(conn->out, data.data, (gssize)data.len);
-	if (conn->chunked)
-		g_string_append(conn->out, "\r\n");
-	flush(conn);
-}
-
-/**
- * ks_http1_end() - the answer is complete
- *
- * @request is not valid afterwards.
- */
-void ks_http1_end(ks_http1_request_t *request)
-{
-	struct http1_conn *conn = conn_of(request);
-
-	if (!conn->closing) {
-		if (conn->chunked && !conn->no_body)
-			g_string_append(conn->out, "0\r\n\r\n");
-		flush(conn);
-	}
-	end_answer(conn, true);
-}
-
-/**
- * ks_http1_cut() - close the connection, so that the answer is not complete
- *
- * @request is not valid afterwards.
- */
-void ks_http1_cut(ks_http1_request_t *request)
-{
-	struct http1_conn *conn = conn_of(request);
-
-	if (!conn->closing)
-		close_socket(conn);
-	end_answer(conn, false);
-}
-
-/**
- * ks_http1_refuse() - answer without a body and close the connection
- *
- * @request is not valid afterwards.
- */
-void ks_http1_refuse(ks_http1_request_t *request, int status)
-{
-	struct http1_conn *conn = conn_of(request);
-
-	conn->serving = true;
-	conn->keep_alive = false;
-	conn->parser.http_minor = 1;
-	ks_http1_start(request, status, NULL, 0, 0);
-	ks_http1_end(request);
-}
-
-/**
- * ks_http1_pending() - bytes of the answer that the caller has yet to take
- */
-size_t ks_http1_pending(ks_http1_request_t *request)
-{
-	const struct http1_conn *conn = conn_of(request);
-
-	return conn->out->len + conn->sending->len;
+		http1_conn_close(KS_CONTAINER_OF(it, struct http1_conn, node));
 }
 
 /**
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -124,9 +124,43 @@
 	bool has_events;
 };
 
+static inline int64_t exchange_now(const struct exchange *exchange)
+{
+	return ks_loop_now(exchange->gateway->loop);
+}
+
 void exchange_start(ks_gateway_t *gateway, ks_http1_request_t *request);
 void exchange_abandon(struct exchange *exchange);
 
+/* exchange_end.c */
+
+/* When to come back after a refusal, in seconds, by cause. */
+#define RETRY_NOT_READY_S 0.5
+#define RETRY_OVERLOADED_S 0.3
+
+void exchange_log(const struct exchange *exchange, ks_log_level_t level,
+		  const char *outcome, int status);
+bool exchange_may_have_run(const struct exchange *exchange);
+void exchange_answer_own(struct exchange *exchange, int status,
+			 double retry_after_s, const char *why);
+void exchange_give_up(struct exchange *exchange, double retry_after_s,
+		      const char *why);
+void exchange_release(struct exchange *exchange);
+void exchange_release_prefill(struct exchange *exchange);
+void exchange_free(struct exchange *exchange);
+
+/* exchange_dispatch.c */
+
+void exchange_dispatch(struct exchange *exchange);
+bool exchange_try_again(struct exchange *exchange, const char *why);
+void exchange_avoid_member(struct exchange *exchange);
+
+/* exchange_answer.c */
+
+void exchange_run(struct exchange *exchange);
+void exchange_clear_answer(struct exchange *exchange);
+void exchange_resume_answer(void *ctx);
+
 /* exchange_send.c */
 
 void exchange_send(struct exchange *exchange, ks_member_t *member,
