--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -24,7 +24,6 @@
  * @time_left_ms: how long the caller will wait, in milliseconds
  * @expected_upstream: an upstream with another id refuses the request
  * @not_run: present in an answer that says that the request did not run
- * @signature: the upstream's proof of its answer
  * @retry_after: seconds after which to ask again
  * @last_event_id: the event after which a stream goes on
  * @prompt_parts: chain of the prompt's parts, ID:TOKENS separated by commas
@@ -41,7 +40,6 @@
 	ks_str_t time_left_ms;
 	ks_str_t expected_upstream;
 	ks_str_t not_run;
-	ks_str_t signature;
 	ks_str_t retry_after;
 	ks_str_t last_event_id;
 	ks_str_t prompt_parts;
@@ -82,7 +80,6 @@
  * struct ks_route - a rule that sends requests to services
  * @prefix: begins and ends with a slash
  * @timeout_us: longest time to the final answer
- * @objective_us: time within which an answer, or its first event, is on time
  * @max_attempts: upstreams that one request may be sent to
  * @priority: 0 is the most urgent
  */
@@ -93,7 +90,6 @@
 	ks_call_kind_t kind;
 	bool resumable;
 	int64_t timeout_us;
-	int64_t objective_us;
 	unsigned max_attempts;
 	unsigned priority;
 	GArray *splits;
@@ -101,10 +97,9 @@
 
 /**
  * struct ks_service - a group of upstreams that serve the same
- * @max_connections: that one upstream accepts from all callers together
+ * @max_connections: that one upstream accepts from all callers together; not
+ *	enforced yet
  * @is_engine: language model engines, as opposed to a plain service
- * @kv_token_bytes: size of a prompt token in the KV cache
- * @link_bytes_per_s: at which one upstream sends KV cache to another
  * @moves_kv: prefill and decode may run on different upstreams
  */
 typedef struct ks_service {
@@ -112,9 +107,6 @@
 	unsigned max_connections;
 	bool is_engine;
 	bool moves_kv;
-	unsigned slots;
-	double kv_token_bytes;
-	double link_bytes_per_s;
 } ks_service_t;
 
 /**
@@ -193,7 +185,6 @@
 	ks_str_t domain;
 	ks_stage_t stage;
 	int64_t born_ms;
-	unsigned slots;
 	bool accepting;
 } ks_member_spec_t;
 
@@ -222,7 +213,6 @@
 	ks_address_t address;
 	ks_stage_t stage;
 	int64_t born_ms;
-	unsigned slots;
 	bool accepting;
 	bool listed;
 	int64_t withdrawn_us;
--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -17,7 +17,6 @@
 	x->status = 0;
 	x->answer_not_run = false;
 	x->is_stream_answer = false;
-	x->body_overflow = false;
 	g_array_set_size(x->fields, 0);
 	g_string_truncate(x->fields_text, 0);
 	g_string_truncate(x->body, 0);
@@ -226,7 +225,6 @@
 static void on_run_whole(struct exchange *x)
 {
 	if (x->answer_not_run) {
-		x->refused_by_upstream = true;
 		exchange_avoid_member(x);
 		if (exchange_try_again(x, "sent again after a refusal"))
 			return;
--- a/packages/gateway/src/fleet.c
+++ b/packages/gateway/src/fleet.c
@@ -138,7 +138,6 @@
 	member->address = spec->address;
 	member->stage = spec->stage;
 	member->born_ms = spec->born_ms;
-	member->slots = spec->slots;
 	member->accepting = spec->accepting;
 	member->withdrawn_us = 0;
 	return member;
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -15,7 +15,6 @@
 	ks_counter_t *cut;
 	ks_counter_t *gone;
 	ks_counter_t *retries;
-	ks_counter_t *resumed;
 	ks_counter_t *splits;
 	ks_histogram_t *first_byte;
 	ks_histogram_t *whole;
@@ -101,8 +100,6 @@
 	unsigned sends;
 	unsigned prefills;
 	unsigned runs;
-	bool unanswered_run;
-	bool refused_by_upstream;
 	GPtrArray *avoid;
 	ks_member_t *member;
 	ks_member_t *prefill_member;
@@ -118,7 +115,6 @@
 	GString *body;
 	bool is_stream_answer;
 	bool started;
-	bool body_overflow;
 	bool first_event_seen;
 	ks_events_t events;
 	bool has_events;
--- a/packages/gateway/tests/gateway_fixture.h
+++ b/packages/gateway/tests/gateway_fixture.h
@@ -22,7 +22,6 @@
 	.time_left_ms = { "x-left", 6 },
 	.expected_upstream = { "x-expect", 8 },
 	.not_run = { "x-not-run", 9 },
-	.signature = { "x-seal", 6 },
 	.retry_after = { "retry-after", 11 },
 	.last_event_id = { "last-event-id", 13 },
 	.prompt_parts = { "x-parts", 7 },
@@ -137,7 +136,6 @@
 	ks_member_spec_t spec = { .service = ks_str_from(service),
 				  .domain = KS_STR("d1"),
 				  .stage = stage,
-				  .slots = 8,
 				  .accepting = true };
 
 	g_snprintf(id, sizeof(id), "u%d", i);
