Keep a paused entry from aborting inside ZeroMQ

Cause: a subscriber whose input had stopped at its limit of received messages, because the process was paused or busy, aborts in ZeroMQ 4.3.4 ('Assertion failed: !_io_error', stream_engine_base.cpp) when the publisher has closed the connection meanwhile and a heartbeat is due. Ruled out: heartbeats alone (without them it does not happen either, but silent connections would stay).

--- a/packages/connection/src/socket.c
+++ b/packages/connection/src/socket.c
@@ -320,7 +320,11 @@
 	sock->zmq = zmq_socket(context, type);
 	if (sock->zmq && set_int(sock->zmq, ZMQ_LINGER, 0) &&
 	    set_int(sock->zmq, ZMQ_SNDHWM, BROADCAST_HWM) &&
-	    set_int(sock->zmq, ZMQ_RCVHWM, BROADCAST_HWM) &&
+	    /*
+	     * Unlimited: ZeroMQ 4.3.4 aborts when a connection whose input has
+	     * stopped at the limit is closed by its peer.
+	     */
+	    set_int(sock->zmq, ZMQ_RCVHWM, 0) &&
 	    set_int(sock->zmq, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS) &&
 	    set_int(sock->zmq, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS) &&
 	    set_int(sock->zmq, ZMQ_HEARTBEAT_IVL, BROADCAST_HEARTBEAT_MS) &&
--- a/packages/gateway/tests/test-peers.c
+++ b/packages/gateway/tests/test-peers.c
@@ -3,6 +3,7 @@
 #include "peer.pb-c.h"
 
 #include <string.h>
+#include <zmq.h>
 
 struct world {
 	ks_test_clock_t clock;
@@ -176,6 +177,57 @@
 	deinit_world(&w);
 }
 
+#define FLOOD 20000
+
+/* Long enough for a heartbeat of the subscriber to meet the closed connection.
+ */
+#define PAUSE_US (4500 * KS_USEC_PER_MSEC)
+
+static void count_message(void *ctx, ks_str_t sender G_GNUC_UNUSED,
+			  ks_str_t message G_GNUC_UNUSED)
+{
+	(*(unsigned *)ctx)++;
+}
+
+/*
+ * Guards against a process that aborts inside ZeroMQ when it wakes from a
+ * pause: its input had stopped at a limit when the other side closed the
+ * connection.
+ */
+static void test_reset_while_paused(void)
+{
+	ks_address_t address = { "127.0.0.1", 0 };
+	void *context = zmq_ctx_new();
+	char bytes[200] = { 0 };
+	ks_str_t payload = { bytes, sizeof(bytes) };
+	ks_str_t nobody = { NULL, 0 };
+	ks_socket_t pub, sub;
+	unsigned received = 0;
+	ks_loop_t loop;
+
+	ks_loop_init(&loop, ks_clock_monotonic());
+	g_assert_true(ks_socket_bind_pub(&pub, &loop, context, &address,
+					 &address.port, NULL));
+	g_assert_true(ks_socket_init_sub(&sub, &loop, context, count_message,
+					 &received, NULL));
+	g_assert_true(ks_socket_add_publisher(&sub, &address));
+	while (!received) {
+		ks_socket_send(&pub, nobody, payload);
+		ks_loop_run_once(&loop, 1000);
+	}
+	/* The loop stands still, as in a pause; ZeroMQ's thread reads on. */
+	for (int i = 0; i < FLOOD; i++)
+		ks_socket_send(&pub, nobody, payload);
+	ks_socket_deinit(&pub);
+	g_usleep(PAUSE_US);
+	for (int i = 0; i < 20; i++)
+		ks_loop_run_once(&loop, 1000);
+	g_assert_cmpuint(received, >, 1);
+	ks_socket_deinit(&sub);
+	zmq_ctx_term(context);
+	ks_loop_deinit(&loop);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -185,5 +237,6 @@
 	g_test_add_func("/peers/reborn-upstream", test_reborn_upstream);
 	g_test_add_func("/peers/unreadable", test_unreadable);
 	g_test_add_func("/peers/two-entries", test_two_entries);
+	g_test_add_func("/peers/reset-while-paused", test_reset_while_paused);
 	return g_test_run();
 }
