--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -177,7 +177,6 @@
 	note_keep_alive(conn, headers, n);
 	conn->skipping = !is_for_call(conn, headers, n);
 	if (!conn->skipping && conn->call) {
-		conn->answer_begun = true;
 		http_call_head(conn->call, (int)parser->status_code, headers,
 			       n);
 	}
@@ -235,7 +234,6 @@
 	if (!clean || !conn->reusable || conn->writing || conn->keep_us <= 0) {
 		http_conn_close(conn);
 	} else {
-		conn->served++;
 		ks_list_remove(&conn->node);
 		conn->node.next = conn->peer->idle.next;
 		conn->node.prev = &conn->peer->idle;
@@ -301,7 +299,6 @@
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
 	conn->skipping = false;
-	conn->answer_begun = false;
 	conn->answer_done = false;
 	conn->reusable = false;
 }
@@ -334,7 +331,6 @@
 		fail(conn);
 		return;
 	}
-	conn->connected = true;
 	http_call_connected(conn->call);
 }
 
--- a/packages/connection/src/http_conn.h
+++ b/packages/connection/src/http_conn.h
@@ -13,7 +13,6 @@
  * @node: in the client's list, or among the idle ones of @peer
  * @call: NULL when idle, or once the call has been cancelled
  * @request: bytes being written
- * @served: answers that were complete, before the current call
  * @keep_us: how long it may stay idle after this answer
  * @skipping: the answer belongs to an earlier request
  * @parsing: inside the parser, so that closing waits
@@ -29,12 +28,9 @@
 	struct http_fields fields;
 	ks_timer_t timer;
 	int64_t keep_us;
-	unsigned served;
-	bool connected;
 	bool writing;
 	bool parsing;
 	bool skipping;
-	bool answer_begun;
 	bool answer_done;
 	bool reusable;
 	bool closing;
--- a/packages/gateway/src/placement.c
+++ b/packages/gateway/src/placement.c
@@ -2,10 +2,11 @@
  * Where a request is sent. Answers a mix of long prompts with shared parts and
  * long answers, placed by several entries that see each other's load late:
  *
- * - The shared part of a prompt names a few upstreams by rendezvous hashing,
- * the same ones at every entry, so that the part is read on few of them.
- * - Among those the one with the least work ahead wins, in prompt tokens, so a
- *   part that is asked for often spreads to its next upstream.
+ * - The shared part of a prompt has a home and a second one by rendezvous
+ * hashing, the same ones at every entry, so that the part is read on few
+ * upstreams.
+ * - Work is counted in prompt tokens, and a part moves to its second home only
+ *   when the first has so much more to do that reading the part again pays.
  * - An engine of the stage decode reads prompts at half the speed, so a prompt
  *   of which much has to be read is read by an engine of the stage prefill.
  */
@@ -27,7 +28,11 @@
 #define TOKENS_PER_RANK 4000
 #define LAST_RANK 9
 
-/* A decode engine reads at half the speed, in the platform's terms. */
+/*
+ * Time of a decode engine for a prompt token, against a prefill engine's. It
+ * reads at half the speed, and each stream on it waits meanwhile; 2, 4, 8 and
+ * 16 were compared (docs/decisions.md).
+ */
 #define DECODE_READ_COST 8
 
 /*
