--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -30,6 +30,7 @@
  * @priority: rank of a request at an engine
  * @stage, @stage_prefill: field and value that ask for the prompt to be read
  * @kv_source: address and handle of the KV cache to take over
+ * @kv_fetch: address of an upstream that keeps parts of the prompt
  * @handle_path: path prefix of a handle, for DELETE
  * @handle_member: member of the prefill answer that holds the handle
  * @ready_path: asked by the load balancer
@@ -47,6 +48,7 @@
 	ks_str_t stage;
 	ks_str_t stage_prefill;
 	ks_str_t kv_source;
+	ks_str_t kv_fetch;
 	ks_str_t handle_path;
 	const char *handle_member;
 	ks_str_t ready_path;
@@ -80,6 +82,10 @@
  * struct ks_route - a rule that sends requests to services
  * @prefix: begins and ends with a slash
  * @timeout_us: longest time to the final answer
+ * @objective_us: an answer, or the first event of a stream, that takes longer
+ *	is late; 0 if not told
+ * @max_pause_us: a stream with a longer pause between events is late; 0 if not
+ *	told
  * @max_attempts: upstreams that one request may be sent to
  * @priority: 0 is the most urgent
  */
@@ -90,6 +96,8 @@
 	ks_call_kind_t kind;
 	bool resumable;
 	int64_t timeout_us;
+	int64_t objective_us;
+	int64_t max_pause_us;
 	unsigned max_attempts;
 	unsigned priority;
 	GArray *splits;
@@ -101,12 +109,16 @@
  *	enforced yet
  * @is_engine: language model engines, as opposed to a plain service
  * @moves_kv: prefill and decode may run on different upstreams
+ * @fetches_kv: an upstream can fetch the parts of a prompt that another keeps
+ * @memory_tokens: of one upstream, for running requests and kept parts
  */
 typedef struct ks_service {
 	char *name;
 	unsigned max_connections;
 	bool is_engine;
 	bool moves_kv;
+	bool fetches_kv;
+	int64_t memory_tokens;
 } ks_service_t;
 
 /**
@@ -202,7 +214,9 @@
  *it is not changing; it refuses requests meanwhile
  * @changed_us: when it was ordered
  * @order_after_us: no earlier than this is it ordered again
- * @cached: time of the last use by the id of the prompt part
+ * @stored_tokens: prompt tokens of this entry that were stored in its memory
+ *	since it is known
+ * @cached: struct part_use by the id of the prompt part
  */
 typedef struct ks_member {
 	unsigned refs;
@@ -226,6 +240,7 @@
 	ks_ejection_t health;
 	double failing;
 	int64_t failing_us;
+	int64_t stored_tokens;
 	GHashTable *cached;
 } ks_member_t;
 
@@ -251,9 +266,11 @@
 void ks_member_note_outcome(ks_member_t *member, bool failed, int64_t now_us);
 double ks_member_failing(const ks_member_t *member, int64_t now_us);
 void ks_member_note_cached(ks_member_t *member, const ks_prompt_t *prompt,
-			   int64_t now_us);
+			   int64_t kept_tokens, int64_t now_us);
+void ks_member_note_part(ks_member_t *member, uint64_t part, int64_t now_us);
 int64_t ks_member_cached_tokens(const ks_member_t *member,
-				const ks_prompt_t *prompt, int64_t now_us);
+				const ks_prompt_t *prompt, int64_t kept_tokens,
+				int64_t now_us);
 
 /* budget.c */
 
@@ -284,11 +301,14 @@
  * struct ks_placement - where a request is sent
  * @prefill: reads the prompt first; NULL if @run reads it itself
  * @run: NULL if no upstream can take the request
+ * @source: keeps parts of the prompt that the reading one should fetch; NULL if
+ *	there is none
  * @prefill_tokens, @run_tokens: prompt tokens expected to be read there
  */
 typedef struct ks_placement {
 	ks_member_t *prefill;
 	ks_member_t *run;
+	ks_member_t *source;
 	int64_t prefill_tokens;
 	int64_t run_tokens;
 } ks_placement_t;
@@ -298,6 +318,7 @@
  * @prompt: NULL for a plain service
  * @avoid: upstreams that have failed this request
  * @may_split: prefill may run on an upstream of its own
+ * @kept_tokens: of the prompts of this entry that an engine keeps at a time
  * @draw: random number that breaks ties
  */
 typedef struct ks_placement_query {
@@ -306,6 +327,7 @@
 	const char *domain;
 	const GPtrArray *avoid;
 	bool may_split;
+	int64_t kept_tokens;
 	int64_t now_us;
 	uint32_t draw;
 } ks_placement_query_t;
@@ -339,7 +361,8 @@
  * @table: struct peer by name
  * @addresses: of the publishers that are connected to, by name
  * @bytes_per_s: that this entry may send
- * @changed: something is to be told
+ * @told: time at which a part was last told to be kept, by the hash of both
+ * @kept_parts, @kept_by: parts to tell, and the tags of the upstreams
  * @next_us: when the next message may be sent
  */
 typedef struct ks_peers {
@@ -355,6 +378,9 @@
 	int64_t version;
 	int64_t bytes_per_s;
 	GHashTable *table;
+	GHashTable *told;
+	GArray *kept_parts;
+	GArray *kept_by;
 	GHashTable *addresses;
 	ks_timer_t timer;
 	int64_t next_us;
@@ -368,6 +394,8 @@
 		  const ks_address_t *address);
 void ks_peers_remove(ks_peers_t *peers, const char *name);
 void ks_peers_note_change(ks_peers_t *peers);
+void ks_peers_note_cached(ks_peers_t *peers, const ks_member_t *member,
+			  const ks_prompt_t *prompt);
 void ks_peers_receive(ks_peers_t *peers, ks_str_t message);
 size_t ks_peers_count(const ks_peers_t *peers);
 size_t ks_peers_known(const ks_peers_t *peers);
@@ -493,6 +521,7 @@
 void ks_gateway_confirm(ks_gateway_t *gateway);
 ks_fleet_t *ks_gateway_fleet(ks_gateway_t *gateway);
 ks_peers_t *ks_gateway_peers(ks_gateway_t *gateway);
+ks_metrics_t *ks_gateway_metrics(ks_gateway_t *gateway);
 int64_t ks_gateway_version(const ks_gateway_t *gateway);
 uint16_t ks_gateway_port(const ks_gateway_t *gateway);
 uint16_t ks_gateway_ready_port(const ks_gateway_t *gateway);
--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -97,8 +97,21 @@
 		start_answer(x, -1);
 }
 
+static void note_part(struct exchange *x)
+{
+	int64_t now = exchange_now(x);
+
+	if (x->first_us)
+		x->longest_pause_us =
+			MAX(x->longest_pause_us, now - x->latest_us);
+	else
+		x->first_us = now;
+	x->latest_us = now;
+}
+
 static void note_read(struct exchange *x)
 {
+	note_part(x);
 	if (x->first_event_seen)
 		return;
 	x->first_event_seen = true;
@@ -106,7 +119,7 @@
 	x->run_tokens = 0;
 	ks_peers_note_change(&x->gateway->peers);
 	if (x->has_prompt)
-		ks_member_note_cached(x->member, &x->prompt, exchange_now(x));
+		exchange_note_cached(x, x->member);
 }
 
 static void forward(struct exchange *x, ks_str_t data)
@@ -162,16 +175,43 @@
 	ks_http_call_resume(&x->call);
 }
 
+static bool is_late(const struct exchange *x)
+{
+	int64_t first = x->first_us ? x->first_us : exchange_now(x);
+
+	return (x->route->objective_us &&
+		first - x->arrived_us > x->route->objective_us) ||
+	       (x->route->max_pause_us &&
+		x->longest_pause_us > x->route->max_pause_us);
+}
+
+/* Says which wait made an answer late. */
+static void note_times(const struct exchange *x)
+{
+	const struct gateway_metrics *counters = &x->gateway->counters;
+	bool late = is_late(x);
+
+	ks_counter_add(counters->answered, 1);
+	ks_counter_add(counters->late, late);
+	ks_histogram_record(counters->whole, exchange_now(x) - x->arrived_us);
+	if (x->prefills)
+		ks_histogram_record(counters->prefill, x->prefill_us);
+	if (x->first_us) {
+		ks_histogram_record(counters->run_wait,
+				    x->first_us - x->sent_us);
+		ks_histogram_record(counters->pause, x->longest_pause_us);
+	}
+	exchange_log_times(x, late ? KS_LOG_INFO : KS_LOG_DEBUG,
+			   late ? "answered late" : "answered");
+}
+
 static void end_answered(struct exchange *x)
 {
 	ks_http1_request_t *caller = x->caller;
 
 	x->caller = NULL;
 	ks_http1_end(caller);
-	ks_counter_add(x->gateway->counters.answered, 1);
-	ks_histogram_record(x->gateway->counters.whole,
-			    exchange_now(x) - x->arrived_us);
-	exchange_log(x, KS_LOG_DEBUG, "answered", x->status);
+	note_times(x);
 	exchange_free(x);
 }
 
@@ -279,5 +319,6 @@
 	x->step = EXCHANGE_RUN;
 	x->first_event_seen = false;
 	x->sends++;
+	x->sent_us = exchange_now(x);
 	exchange_send(x, x->member, false, &run_events);
 }
--- a/packages/gateway/src/exchange_dispatch.c
+++ b/packages/gateway/src/exchange_dispatch.c
@@ -58,6 +58,17 @@
 	return true;
 }
 
+/**
+ * exchange_note_cached() - an upstream keeps the prompt from now on
+ */
+void exchange_note_cached(struct exchange *x, ks_member_t *member)
+{
+	ks_member_note_cached(member, &x->prompt,
+			      gateway_kept_tokens(x->gateway, x->service),
+			      exchange_now(x));
+	ks_peers_note_cached(&x->gateway->peers, member, &x->prompt);
+}
+
 static void on_prefill_head(void *ctx, int status, const ks_header_t *headers,
 			    size_t n)
 {
@@ -94,7 +105,7 @@
 
 	ks_address_format(&x->prefill_member->address, address);
 	g_string_printf(x->kv_source, "%s/%s", address, x->handle);
-	ks_member_note_cached(x->prefill_member, &x->prompt, exchange_now(x));
+	exchange_note_cached(x, x->prefill_member);
 }
 
 /*
@@ -106,6 +117,7 @@
 	struct exchange *x = ctx;
 	ks_member_t *reader = x->prefill_member;
 
+	x->prefill_us += exchange_now(x) - x->sent_us;
 	reader->reading_tokens -= x->reading_tokens;
 	x->reading_tokens = 0;
 	ks_peers_note_change(&x->gateway->peers);
@@ -144,6 +156,7 @@
 {
 	exchange_clear_answer(x);
 	x->step = EXCHANGE_PREFILL;
+	x->sent_us = exchange_now(x);
 	x->prefills++;
 	ks_counter_add(x->gateway->counters.splits, 1);
 	exchange_send(x, x->prefill_member, true, &prefill_events);
@@ -160,6 +173,7 @@
 		.avoid = x->avoid,
 		/* Only the first prefill is free of the retry budget. */
 		.may_split = x->may_split && !x->prefills,
+		.kept_tokens = gateway_kept_tokens(gateway, x->service),
 		.now_us = exchange_now(x),
 		.draw = ks_rng_below(&gateway->rng, G_MAXINT32),
 	};
@@ -177,6 +191,12 @@
 	x->member = ks_member_ref(placement.run);
 	x->member->running++;
 	x->run_tokens = placement.run_tokens;
+	x->unread_tokens = placement.prefill ? placement.prefill_tokens
+					     : placement.run_tokens;
+	if (placement.source)
+		ks_address_format(&placement.source->address, x->fetch_from);
+	else
+		*x->fetch_from = '\0';
 	x->member->reading_tokens += x->run_tokens;
 	ks_ejection_dispatch(&x->member->health, exchange_now(x));
 	ks_peers_note_change(&gateway->peers);
--- a/packages/gateway/src/exchange_end.c
+++ b/packages/gateway/src/exchange_end.c
@@ -19,6 +19,29 @@
 	       (exchange_now(x) - x->arrived_us) / KS_USEC_PER_MSEC);
 }
 
+/**
+ * exchange_log_times() - log the end of an answer with the waits before it
+ */
+void exchange_log_times(const struct exchange *x, ks_log_level_t level,
+			const char *outcome)
+{
+	int64_t first = x->first_us ? x->first_us : exchange_now(x);
+
+	ks_log(KS_LOG_ROUTE, level,
+	       "%s request=%s status=%d route=%s upstream=%s reader=%s "
+	       "fetch=%s tokens=%" PRId64 " unread=%" PRId64 " sends=%u "
+	       "prefill_ms=%" PRId64 " run_wait_ms=%" PRId64
+	       " first_ms=%" PRId64 " pause_ms=%" PRId64 " age_ms=%" PRId64,
+	       outcome, x->id, x->status, x->route->name, x->member->id,
+	       x->prefill_member ? x->prefill_member->id : "-",
+	       *x->fetch_from ? x->fetch_from : "-", x->prompt.total_tokens,
+	       x->unread_tokens, x->sends, x->prefill_us / KS_USEC_PER_MSEC,
+	       (first - x->sent_us) / KS_USEC_PER_MSEC,
+	       (first - x->arrived_us) / KS_USEC_PER_MSEC,
+	       x->longest_pause_us / KS_USEC_PER_MSEC,
+	       (exchange_now(x) - x->arrived_us) / KS_USEC_PER_MSEC);
+}
+
 void exchange_release(struct exchange *x)
 {
 	if (x->member) {
--- a/packages/gateway/src/exchange_send.c
+++ b/packages/gateway/src/exchange_send.c
@@ -156,6 +156,9 @@
 	else if (x->kv_source->len)
 		add_field(fields, dialect->kv_source,
 			  (ks_str_t){ x->kv_source->str, x->kv_source->len });
+	if (*x->fetch_from && !x->kv_source->len)
+		add_field(fields, dialect->kv_fetch,
+			  ks_str_from(x->fetch_from));
 	if (resumes)
 		add_field(fields, dialect->last_event_id,
 			  (ks_str_t){ x->events.last_id->str,
--- a/packages/gateway/src/fleet.c
+++ b/packages/gateway/src/fleet.c
@@ -20,6 +20,15 @@
 /* An upstream that is avoided is tried again after a few of these. */
 #define FAILING_HALF_LIFE_US (3 * KS_USEC_PER_SEC)
 
+/**
+ * struct part_use - the last use of a prompt part at an upstream
+ * @stored_tokens: that this entry had stored there in all by then
+ */
+struct part_use {
+	int64_t used_us;
+	int64_t stored_tokens;
+};
+
 ks_member_t *ks_member_ref(ks_member_t *member)
 {
 	member->refs++;
@@ -235,42 +244,53 @@
 	member->failing_us = now_us;
 }
 
+/**
+ * ks_member_note_part() - the upstream keeps a part and all parts before it
+ */
+void ks_member_note_part(ks_member_t *member, uint64_t part, int64_t now_us)
+{
+	struct part_use *use = g_hash_table_lookup(member->cached, &part);
+
+	if (!use) {
+		if (g_hash_table_size(member->cached) >= MAX_CACHED_PARTS)
+			g_hash_table_remove_all(member->cached);
+		use = g_new0(struct part_use, 1);
+		g_hash_table_insert(member->cached,
+				    g_memdup2(&part, sizeof(part)), use);
+	}
+	use->used_us = now_us;
+	use->stored_tokens = member->stored_tokens;
+}
+
 /**
  * ks_member_note_cached() - the upstream has read the parts of a prompt
  */
 void ks_member_note_cached(ks_member_t *member, const ks_prompt_t *prompt,
-			   int64_t now_us)
+			   int64_t kept_tokens, int64_t now_us)
 {
-	if (g_hash_table_size(member->cached) > MAX_CACHED_PARTS)
-		g_hash_table_remove_all(member->cached);
-	for (size_t i = 0; i < prompt->n_parts; i++) {
-		int64_t *used =
-			g_hash_table_lookup(member->cached, &prompt->ids[i]);
+	int64_t present =
+		ks_member_cached_tokens(member, prompt, kept_tokens, now_us);
 
-		if (used) {
-			*used = now_us;
-			continue;
-		}
-		g_hash_table_insert(
-			member->cached,
-			g_memdup2(&prompt->ids[i], sizeof(prompt->ids[i])),
-			g_memdup2(&now_us, sizeof(now_us)));
-	}
+	member->stored_tokens += prompt->total_tokens - present;
+	for (size_t i = 0; i < prompt->n_parts; i++)
+		ks_member_note_part(member, prompt->ids[i], now_us);
 }
 
 /**
  * ks_member_cached_tokens() - tokens of a prompt that need not be read again
  */
 int64_t ks_member_cached_tokens(const ks_member_t *member,
-				const ks_prompt_t *prompt, int64_t now_us)
+				const ks_prompt_t *prompt, int64_t kept_tokens,
+				int64_t now_us)
 {
 	int64_t tokens = 0;
 
 	for (size_t i = 0; i < prompt->n_parts; i++) {
-		const int64_t *used =
+		const struct part_use *use =
 			g_hash_table_lookup(member->cached, &prompt->ids[i]);
 
-		if (!used || now_us - *used > CACHED_US)
+		if (!use || now_us - use->used_us > CACHED_US ||
+		    member->stored_tokens - use->stored_tokens >= kept_tokens)
 			break;
 		tokens += prompt->tokens[i];
 	}
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -51,6 +51,19 @@
 	return budget;
 }
 
+/**
+ * gateway_kept_tokens() - how much of its own work an entry finds kept
+ *
+ * The entries share the memory of an engine, which evicts what was used least
+ * recently.
+ */
+int64_t gateway_kept_tokens(const ks_gateway_t *gateway,
+			    const ks_service_t *service)
+{
+	return service->memory_tokens /
+	       (int64_t)(1 + ks_peers_known(&gateway->peers));
+}
+
 void gateway_serve(void *ctx, ks_http1_request_t *request)
 {
 	exchange_start(ctx, request);
@@ -115,6 +128,19 @@
 	c->first_byte =
 		ks_metrics_histogram(m, "ks_gateway_first_byte_us",
 				     "Time to the head of the answer", NULL);
+	c->late = ks_metrics_counter(m, "ks_gateway_late_total",
+				     "Answers passed on after their objective, "
+				     "or with too long a pause",
+				     NULL);
+	c->prefill = ks_metrics_histogram(
+		m, "ks_gateway_prefill_us",
+		"Time to have a prompt read by another upstream", NULL);
+	c->run_wait = ks_metrics_histogram(
+		m, "ks_gateway_run_wait_us",
+		"Time from the send of a request to its first event", NULL);
+	c->pause = ks_metrics_histogram(
+		m, "ks_gateway_longest_pause_us",
+		"Longest pause between two events of a stream", NULL);
 	c->whole = ks_metrics_histogram(m, "ks_gateway_whole_us",
 					"Time to the end of the answer", NULL);
 }
@@ -298,6 +324,11 @@
 	return gateway->traffic ? gateway->traffic->version : 0;
 }
 
+ks_metrics_t *ks_gateway_metrics(ks_gateway_t *gateway)
+{
+	return gateway->metrics;
+}
+
 ks_peers_t *ks_gateway_peers(ks_gateway_t *gateway)
 {
 	return &gateway->peers;
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -16,7 +16,11 @@
 	ks_counter_t *gone;
 	ks_counter_t *retries;
 	ks_counter_t *splits;
+	ks_counter_t *late;
 	ks_histogram_t *first_byte;
+	ks_histogram_t *prefill;
+	ks_histogram_t *run_wait;
+	ks_histogram_t *pause;
 	ks_histogram_t *whole;
 };
 
@@ -44,6 +48,8 @@
 };
 
 ks_budget_t *gateway_budget(ks_gateway_t *gateway, const char *service);
+int64_t gateway_kept_tokens(const ks_gateway_t *gateway,
+			    const ks_service_t *service);
 void gateway_serve(void *ctx, ks_http1_request_t *request);
 
 /* exchange.c */
@@ -70,8 +76,15 @@
  * @sends: to upstreams, without the first prefill
  * @runs: sends that may have run
  * @kv_source: value of the field of the same name, empty without a handle
+ * @fetch_from: address of an upstream that keeps parts of the prompt, or empty
+ * @unread_tokens: of the prompt, expected when it was placed
  * @status, @fields, @body: the answer that is being received
  * @started: the caller has been sent the head of the answer
+ * @sent_us: when the request was last sent to be run
+ * @prefill_us: spent on having the prompt read by another upstream
+ * @first_us: when the first part of the answer came
+ * @latest_us: when the latest part of it came
+ * @longest_pause_us: between two parts of it
  * @events: set for a stream that can be resumed
  */
 struct exchange {
@@ -106,6 +119,8 @@
 	int64_t reading_tokens;
 	int64_t run_tokens;
 	GString *kv_source;
+	char fetch_from[KS_ADDRESS_TEXT_SIZE];
+	int64_t unread_tokens;
 	char *handle;
 	ks_http_call_t call;
 	int status;
@@ -116,6 +131,11 @@
 	bool is_stream_answer;
 	bool started;
 	bool first_event_seen;
+	int64_t sent_us;
+	int64_t prefill_us;
+	int64_t first_us;
+	int64_t latest_us;
+	int64_t longest_pause_us;
 	ks_events_t events;
 	bool has_events;
 };
@@ -136,6 +156,8 @@
 
 void exchange_log(const struct exchange *exchange, ks_log_level_t level,
 		  const char *outcome, int status);
+void exchange_log_times(const struct exchange *exchange, ks_log_level_t level,
+			const char *outcome);
 bool exchange_may_have_run(const struct exchange *exchange);
 void exchange_answer_own(struct exchange *exchange, int status,
 			 double retry_after_s, const char *why);
@@ -149,6 +171,7 @@
 
 void exchange_dispatch(struct exchange *exchange);
 bool exchange_try_again(struct exchange *exchange, const char *why);
+void exchange_note_cached(struct exchange *exchange, ks_member_t *member);
 void exchange_avoid_member(struct exchange *exchange);
 
 /* exchange_answer.c */
--- a/packages/gateway/src/peer.pb-c.c
+++ b/packages/gateway/src/peer.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &ks__peer_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ks__peer_state__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ks__peer_state__field_descriptors[9] =
 {
   {
     "name",
@@ -138,9 +138,35 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kept_part",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ks__PeerState, n_kept_part),
+    offsetof(Ks__PeerState, kept_part),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kept_by",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Ks__PeerState, n_kept_by),
+    offsetof(Ks__PeerState, kept_by),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ks__peer_state__field_indices_by_name[] = {
   1,   /* field[1] = incarnation */
+  8,   /* field[8] = kept_by */
+  7,   /* field[7] = kept_part */
   0,   /* field[0] = name */
   2,   /* field[2] = number */
   6,   /* field[6] = reading_tokens */
@@ -151,7 +177,7 @@
 static const ProtobufCIntRange ks__peer_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor ks__peer_state__descriptor =
 {
@@ -161,7 +187,7 @@
   "Ks__PeerState",
   "ks",
   sizeof(Ks__PeerState),
-  7,
+  9,
   ks__peer_state__field_descriptors,
   ks__peer_state__field_indices_by_name,
   1,  ks__peer_state__number_ranges,
--- a/packages/gateway/src/peer.pb-c.h
+++ b/packages/gateway/src/peer.pb-c.h
@@ -53,10 +53,18 @@
   uint32_t *running;
   size_t n_reading_tokens;
   uint32_t *reading_tokens;
+  /*
+   * Shared parts of prompts that upstreams have come to keep since the last
+   * message, and the hash of the upstream's id for each.
+   */
+  size_t n_kept_part;
+  uint64_t *kept_part;
+  size_t n_kept_by;
+  uint32_t *kept_by;
 };
 #define KS__PEER_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ks__peer_state__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Ks__PeerState methods */
--- a/packages/gateway/src/peers.c
+++ b/packages/gateway/src/peers.c
@@ -10,6 +10,7 @@
 #include "peer.pb-c.h"
 
 #include <string.h>
+#include <xxhash.h>
 #include <zmq.h>
 
 /* Load reports lose their worth after some prompts have been read. */
@@ -24,6 +25,18 @@
 /* Of the 9 KB/s that a node may spend on control. */
 #define BYTES_PER_S 9000
 
+/*
+ * A part that stays in use is told again at this pace, so that others do not
+ * take it for evicted.
+ */
+#define TELL_AGAIN_US (5 * KS_USEC_PER_SEC)
+
+/* Parts remembered as told, 24 bytes each; older ones may be told again. */
+#define MAX_TOLD 8192
+
+/* Parts in one message, so that it stays within a few packets. */
+#define MAX_PARTS 200
+
 /**
  * struct load - the work of a peer at one upstream
  */
@@ -117,11 +130,24 @@
 	return load->number != peer->number;
 }
 
+static void take_parts(const ks_peers_t *peers, const Ks__PeerState *state)
+{
+	for (size_t i = 0; i < state->n_kept_part; i++) {
+		ks_member_t *member =
+			ks_fleet_find_tag(peers->fleet, state->kept_by[i]);
+
+		if (member)
+			ks_member_note_part(member, state->kept_part[i],
+					    ks_loop_now(peers->loop));
+	}
+}
+
 static bool is_usable(const ks_peers_t *peers, const Ks__PeerState *state)
 {
 	return state && state->incarnation.len == KS_ID_SIZE &&
 	       state->n_running == state->n_upstream &&
-	       state->n_reading_tokens == state->n_upstream && *state->name &&
+	       state->n_reading_tokens == state->n_upstream &&
+	       state->n_kept_by == state->n_kept_part && *state->name &&
 	       strcmp(state->name, peers->name) != 0;
 }
 
@@ -159,6 +185,7 @@
 			take_load(peers, peer, state->upstream[i],
 				  state->running[i], state->reading_tokens[i]);
 		g_hash_table_foreach_remove(peer->loads, is_old, peer);
+		take_parts(peers, state);
 	}
 	ks__peer_state__free_unpacked(state, NULL);
 }
@@ -222,11 +249,16 @@
 	state.running = running;
 	state.reading_tokens = reading;
 	state.n_upstream = state.n_running = state.n_reading_tokens = used;
+	state.kept_part = (uint64_t *)(void *)peers->kept_parts->data;
+	state.kept_by = (uint32_t *)(void *)peers->kept_by->data;
+	state.n_kept_part = state.n_kept_by = peers->kept_parts->len;
 	len = ks__peer_state__get_packed_size(&state);
 	buf = g_malloc(len);
 	ks__peer_state__pack(&state, buf);
 	ks_socket_send(&peers->pub, (ks_str_t){ NULL, 0 },
 		       (ks_str_t){ (const char *)buf, len });
+	g_array_set_size(peers->kept_parts, 0);
+	g_array_set_size(peers->kept_by, 0);
 	g_free(buf);
 	g_free(tags);
 	g_free(running);
@@ -262,6 +294,38 @@
 	ks_timer_set(&peers->timer, due - now);
 }
 
+static void note_part(ks_peers_t *peers, const ks_member_t *member,
+		      uint64_t part)
+{
+	int64_t now = ks_loop_now(peers->loop);
+	uint64_t key = XXH64(&part, sizeof(part), member->tag);
+	int64_t *told = g_hash_table_lookup(peers->told, &key);
+
+	if (told && now - *told < TELL_AGAIN_US)
+		return;
+	if (peers->kept_parts->len >= MAX_PARTS)
+		return;
+	if (g_hash_table_size(peers->told) >= MAX_TOLD)
+		g_hash_table_remove_all(peers->told);
+	g_hash_table_replace(peers->told, g_memdup2(&key, sizeof(key)),
+			     g_memdup2(&now, sizeof(now)));
+	g_array_append_val(peers->kept_parts, part);
+	g_array_append_val(peers->kept_by, member->tag);
+}
+
+/**
+ * ks_peers_note_cached() - an upstream keeps the shared parts of a prompt
+ */
+void ks_peers_note_cached(ks_peers_t *peers, const ks_member_t *member,
+			  const ks_prompt_t *prompt)
+{
+	if (!peers->context)
+		return;
+	for (size_t i = 0; i + 1 < prompt->n_parts; i++)
+		note_part(peers, member, prompt->ids[i]);
+	ks_peers_note_change(peers);
+}
+
 /**
  * ks_peers_init() - listen for other entries, none of which is known yet
  * @address: of this entry's publisher; port 0 lets the kernel choose
@@ -279,6 +343,10 @@
 	peers->bytes_per_s = BYTES_PER_S;
 	peers->table = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     free_peer);
+	peers->told = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					    g_free);
+	peers->kept_parts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	peers->kept_by = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	peers->addresses =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	ks_timer_init(&peers->timer, loop, on_timer, peers);
@@ -313,6 +381,9 @@
 		zmq_ctx_term(peers->context);
 	g_hash_table_destroy(peers->table);
 	g_hash_table_destroy(peers->addresses);
+	g_hash_table_destroy(peers->told);
+	g_array_free(peers->kept_parts, TRUE);
+	g_array_free(peers->kept_by, TRUE);
 	g_free(peers->name);
 	memset(peers, 0, sizeof(*peers));
 }
--- a/packages/gateway/src/placement.c
+++ b/packages/gateway/src/placement.c
@@ -6,7 +6,9 @@
  * hashing, the same ones at every entry, so that the part is read on few
  * upstreams.
  * - Work is counted in prompt tokens, and a part moves to its second home only
- *   when the first has so much more to do that reading the part again pays.
+ *   when the first has so much more to do that keeping it twice pays. The parts
+ *   are fetched from an engine that is known to keep them, which takes a small
+ *   part of the time to read them.
  * - An engine of the stage decode reads prompts at half the speed, so a prompt
  *   of which much has to be read is read by an engine of the stage prefill.
  */
@@ -15,14 +17,24 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Upstreams that keep a shared part: its home and one to spread to. */
+/* Engines that read a shared part: its home and one to spread to. */
 #define HOMES 2
 
 /*
- * What it costs to use another home than the first, in prompt tokens: the part
- * is read once more there, and displaces others that are then read again.
+ * What it costs to use the second one, in prompt tokens: the part is kept there
+ * too, and displaces others that are then read again. 500 to 20,000 were
+ * compared (docs/decisions.md).
  */
-#define SPREAD_COST_TOKENS 20000
+#define SPREAD_COST_TOKENS 6000
+
+/* Tokens whose KV cache is fetched in the time in which one is read. */
+#define FETCHED_PER_READ 16
+
+/*
+ * A KV cache takes twice as long to another failure domain, and its bytes cost
+ * more there. 0 to 3,000 were compared.
+ */
+#define FAR_MOVE_TOKENS 1000
 
 /* Prompt tokens that move a request back by one rank. */
 #define TOKENS_PER_RANK 4000
@@ -78,6 +90,14 @@
 	return member->stage != KS_STAGE_PREFILL;
 }
 
+static bool is_good(const ks_member_t *member,
+		    const ks_placement_query_t *query)
+{
+	return !member->changing_to && !is_avoided(query, member) &&
+	       !ks_ejection_is_out(&member->health, query->now_us) &&
+	       ks_member_failing(member, query->now_us) < FAILING_LIMIT;
+}
+
 /*
  * The upstreams of a stage that may be used. Those that keep failing are left
  * out while they are the smaller part; with more of them, the cause is likely
@@ -95,8 +115,7 @@
 		    is_avoided(query, member))
 			continue;
 		g_ptr_array_add(all, member);
-		if (!ks_ejection_is_out(&member->health, query->now_us) &&
-		    ks_member_failing(member, query->now_us) < FAILING_LIMIT)
+		if (is_good(member, query))
 			g_ptr_array_add(good, member);
 	}
 	if (good->len * 2 < all->len) {
@@ -127,17 +146,41 @@
 	return n;
 }
 
-static int64_t unread_tokens(const ks_member_t *member, bool is_home,
-			     const ks_placement_query_t *query)
+/**
+ * struct keeper - the upstream that is known to keep most of a prompt
+ * @member: NULL if none is known
+ */
+struct keeper {
+	ks_member_t *member;
+	int64_t tokens;
+};
+
+static int64_t known_tokens(const ks_member_t *member,
+			    const ks_placement_query_t *query)
 {
-	const ks_prompt_t *prompt = query->prompt;
-	int64_t cached = ks_member_cached_tokens(member, prompt, query->now_us);
+	int64_t known = ks_member_cached_tokens(
+		member, query->prompt, query->kept_tokens, query->now_us);
+
+	return MIN(known, query->prompt->total_tokens);
+}
+
+static struct keeper find_keeper(const GPtrArray *members,
+				 const ks_placement_query_t *query)
+{
+	struct keeper keeper = { NULL, 0 };
+
+	if (!query->service->fetches_kv)
+		return keeper;
+	for (guint i = 0; i < members->len; i++) {
+		ks_member_t *member = members->pdata[i];
+		int64_t known = known_tokens(member, query);
 
-	/* Other entries send the same part to its home. */
-	if (is_home && prompt->n_parts > 1)
-		cached = MAX(cached, prompt->total_tokens -
-					     ks_prompt_own_tokens(prompt));
-	return prompt->total_tokens - MIN(cached, prompt->total_tokens);
+		if (known <= keeper.tokens || !is_good(member, query))
+			continue;
+		keeper.tokens = known;
+		keeper.member = member;
+	}
+	return keeper;
 }
 
 static int64_t work_ahead(const ks_member_t *member)
@@ -154,30 +197,129 @@
 			 FAILING_COST_TOKENS);
 }
 
-static ks_member_t *cheapest(GPtrArray *members, guint n,
-			     const ks_placement_query_t *query, int64_t *unread,
-			     int64_t *cost)
+/**
+ * struct option - an upstream that may read a prompt
+ * @source: that it should fetch kept parts from, or NULL
+ * @unread: prompt tokens that it has to read
+ */
+struct option {
+	ks_member_t *member;
+	ks_member_t *source;
+	int64_t unread;
+	int64_t cost;
+};
+
+/*
+ * What reading the prompt costs at an upstream. If nobody is known to keep it,
+ * the home of its shared part is taken to: other entries send it there.
+ */
+static struct option reading_option(ks_member_t *member, bool is_home,
+				    const struct keeper *keeper,
+				    const ks_placement_query_t *query)
+{
+	const ks_prompt_t *prompt = query->prompt;
+	struct option option = { .member = member };
+	int64_t kept = known_tokens(member, query), fetched;
+
+	if (is_home && !keeper->member && prompt->n_parts > 1)
+		kept = prompt->total_tokens - ks_prompt_own_tokens(prompt);
+	fetched = MAX(keeper->tokens - kept, 0);
+	if (fetched)
+		option.source = keeper->member;
+	option.unread = prompt->total_tokens - kept - fetched;
+	option.cost = option.unread + fetched / FETCHED_PER_READ +
+		      work_ahead(member) + failing_cost(member, query);
+	return option;
+}
+
+/* Of an upstream that does nothing but read. */
+static struct option choose_reader(GPtrArray *members,
+				   const struct keeper *keeper,
+				   const ks_placement_query_t *query)
+{
+	struct option best = { .cost = INT64_MAX };
+	guint n = rank(members, ks_prompt_shared_id(query->prompt));
+
+	for (guint i = 0; i < n; i++) {
+		struct option option = reading_option(members->pdata[i], i == 0,
+						      keeper, query);
+
+		if (i)
+			option.cost += SPREAD_COST_TOKENS;
+		if (option.cost < best.cost)
+			best = option;
+	}
+	return best;
+}
+
+/* Of one that generates, and reads the prompt itself. */
+static struct option choose_direct(const GPtrArray *members,
+				   const struct keeper *keeper,
+				   const ks_placement_query_t *query)
+{
+	struct option best = { .cost = INT64_MAX };
+
+	for (guint i = 0; i < members->len; i++) {
+		struct option option =
+			reading_option(members->pdata[i], false, keeper, query);
+
+		if (option.cost < best.cost)
+			best = option;
+	}
+	return best;
+}
+
+/* Of one that generates from a KV cache that another upstream hands over. */
+static ks_member_t *choose_generator(const GPtrArray *members,
+				     const ks_member_t *reader,
+				     const ks_placement_query_t *query,
+				     int64_t *cost)
 {
 	ks_member_t *best = NULL;
 
 	*cost = INT64_MAX;
-	*unread = 0;
-	for (guint i = 0; i < n; i++) {
+	for (guint i = 0; i < members->len; i++) {
 		ks_member_t *member = members->pdata[i];
-		int64_t tokens = unread_tokens(member, i == 0, query);
-		int64_t sum = tokens + work_ahead(member) +
-			      failing_cost(member, query) +
-			      (i ? SPREAD_COST_TOKENS : 0);
+		int64_t sum = work_ahead(member) + failing_cost(member, query);
 
+		if (strcmp(member->domain, reader->domain) != 0)
+			sum += FAR_MOVE_TOKENS;
 		if (sum < *cost) {
 			*cost = sum;
-			*unread = tokens;
 			best = member;
 		}
 	}
 	return best;
 }
 
+static ks_placement_t place_prompt(GPtrArray *decode, GPtrArray *prefill,
+				   const struct keeper *keeper,
+				   const ks_placement_query_t *query)
+{
+	struct option direct = choose_direct(decode, keeper, query), read;
+	ks_placement_t placement = {
+		.run = direct.member,
+		.run_tokens = direct.unread,
+		.source = direct.source,
+	};
+	ks_member_t *generator;
+	int64_t cost;
+
+	if (!direct.member || !query->may_split || !prefill->len)
+		return placement;
+	read = choose_reader(prefill, keeper, query);
+	generator = choose_generator(decode, read.member, query, &cost);
+	if (read.cost + SPLIT_OVERHEAD_TOKENS + cost >=
+	    DECODE_READ_COST * direct.cost)
+		return placement;
+	placement.run = generator;
+	placement.run_tokens = 0;
+	placement.prefill = read.member;
+	placement.prefill_tokens = read.unread;
+	placement.source = read.source;
+	return placement;
+}
+
 /* Requests that a plain upstream's running ones, failures and distance equal.
  */
 static double plain_cost(const ks_member_t *member,
@@ -213,32 +355,16 @@
 ks_placement_t ks_placement_choose(const GPtrArray *members,
 				   const ks_placement_query_t *query)
 {
-	ks_placement_t placement = { NULL, NULL, 0, 0 };
+	ks_placement_t placement = { 0 };
 	GPtrArray *decode = usable(members, KS_STAGE_DECODE, query);
 	GPtrArray *prefill = usable(members, KS_STAGE_PREFILL, query);
-	int64_t direct_cost, split_cost, prefill_unread;
 
-	if (!query->prompt) {
-		placement.run = least_running(decode, query);
+	if (query->prompt) {
+		struct keeper keeper = find_keeper(members, query);
+
+		placement = place_prompt(decode, prefill, &keeper, query);
 	} else {
-		uint64_t key = ks_prompt_shared_id(query->prompt);
-		guint n = rank(decode, key);
-
-		placement.run = cheapest(decode, n, query,
-					 &placement.run_tokens, &direct_cost);
-		if (placement.run && query->may_split && prefill->len) {
-			ks_member_t *reader =
-				cheapest(prefill, rank(prefill, key), query,
-					 &prefill_unread, &split_cost);
-
-			split_cost += SPLIT_OVERHEAD_TOKENS +
-				      work_ahead(placement.run);
-			if (split_cost < DECODE_READ_COST * direct_cost) {
-				placement.prefill = reader;
-				placement.prefill_tokens = prefill_unread;
-				placement.run_tokens = 0;
-			}
-		}
+		placement.run = least_running(decode, query);
 	}
 	g_ptr_array_free(decode, TRUE);
 	g_ptr_array_free(prefill, TRUE);
--- /dev/null
+++ b/packages/gateway/tests/fleet_fixture.h
@@ -0,0 +1,32 @@
+/* A fleet of engines for tests of decisions. */
+#ifndef KS_FLEET_FIXTURE_H
+#define KS_FLEET_FIXTURE_H
+
+#include "ks/gateway.h"
+
+#include <string.h>
+
+#define SECOND KS_USEC_PER_SEC
+
+static inline ks_member_t *put_in(ks_fleet_t *fleet, const char *id,
+				  const char *domain, ks_stage_t stage,
+				  int64_t born_ms)
+{
+	ks_member_spec_t spec = { .id = ks_str_from(id),
+				  .service = KS_STR("llm"),
+				  .domain = ks_str_from(domain),
+				  .address = { "10.0.0.1", 80 },
+				  .stage = stage,
+				  .born_ms = born_ms,
+				  .accepting = true };
+
+	return ks_fleet_put(fleet, &spec);
+}
+
+static inline ks_member_t *put(ks_fleet_t *fleet, const char *id,
+			       ks_stage_t stage, int64_t born_ms)
+{
+	return put_in(fleet, id, "d1", stage, born_ms);
+}
+
+#endif
--- a/packages/gateway/tests/gateway_fixture.h
+++ b/packages/gateway/tests/gateway_fixture.h
@@ -13,9 +13,14 @@
 #define FIXTURE_TURNS 4000
 #define FIXTURE_TURN_US (2 * KS_USEC_PER_MSEC)
 
-static const ks_str_t fixture_system_fields[] = { { "x-expect", 8 },
-						  { "x-stage", 7 },
-						  { "x-kv", 4 } };
+/* Of the engines, and of the routes. */
+#define FIXTURE_MEMORY_TOKENS 400000
+#define FIXTURE_OBJECTIVE_MS 400
+#define FIXTURE_MAX_PAUSE_MS 200
+
+static const ks_str_t fixture_system_fields[] = {
+	{ "x-expect", 8 }, { "x-stage", 7 }, { "x-kv", 4 }, { "x-fetch", 7 }
+};
 
 static const ks_dialect_t fixture_dialect = {
 	.request_id = { "x-id", 4 },
@@ -29,6 +34,7 @@
 	.stage = { "x-stage", 7 },
 	.stage_prefill = { "prefill", 7 },
 	.kv_source = { "x-kv", 4 },
+	.kv_fetch = { "x-fetch", 7 },
 	.handle_path = { "/handle/", 8 },
 	.handle_member = "handle",
 	.ready_path = { "/ready", 6 },
@@ -157,6 +163,8 @@
 	route->resumable = resumable;
 	route->timeout_us = (kind == KS_CALL_STREAM ? 10 : 2) * KS_USEC_PER_SEC;
 	route->max_attempts = 2;
+	route->objective_us = FIXTURE_OBJECTIVE_MS * KS_USEC_PER_MSEC;
+	route->max_pause_us = FIXTURE_MAX_PAUSE_MS * KS_USEC_PER_MSEC;
 	ks_route_add_split(route, ks_str_from(service), 1);
 }
 
@@ -169,6 +177,8 @@
 	llm = ks_traffic_add_service(traffic, KS_STR("llm"));
 	llm->is_engine = true;
 	llm->moves_kv = true;
+	llm->fetches_kv = true;
+	llm->memory_tokens = FIXTURE_MEMORY_TOKENS;
 	fixture_add_route(traffic, "/read/", KS_CALL_IDEMPOTENT, false, "app");
 	fixture_add_route(traffic, "/book/", KS_CALL_ONCE, false, "app");
 	fixture_add_route(traffic, "/tell/", KS_CALL_STREAM, false, "app");
--- a/packages/gateway/tests/test-decisions.c
+++ b/packages/gateway/tests/test-decisions.c
@@ -1,23 +1,5 @@
 /* Tests of the gateway's decisions, without input or output. */
-#include "ks/gateway.h"
-
-#include <string.h>
-
-#define SECOND KS_USEC_PER_SEC
-
-static ks_member_t *put(ks_fleet_t *fleet, const char *id, ks_stage_t stage,
-			int64_t born_ms)
-{
-	ks_member_spec_t spec = { .id = ks_str_from(id),
-				  .service = KS_STR("llm"),
-				  .domain = KS_STR("d1"),
-				  .address = { "10.0.0.1", 80 },
-				  .stage = stage,
-				  .born_ms = born_ms,
-				  .accepting = true };
-
-	return ks_fleet_put(fleet, &spec);
-}
+#include "fleet_fixture.h"
 
 static const ks_route_t *match(const ks_traffic_t *traffic, const char *host,
 			       const char *path)
@@ -130,6 +112,9 @@
 	}
 }
 
+/* Tokens of this entry's requests that an engine keeps. */
+#define KEPT 1000
+
 /* Guards against an upstream that is still trusted with what it has lost. */
 static void test_reborn(void)
 {
@@ -140,13 +125,13 @@
 	ks_prompt_parse(&prompt, KS_STR("aa:100,bb:50"));
 	ks_fleet_init(&fleet);
 	member = put(&fleet, "u1", KS_STAGE_DECODE, 1);
-	ks_member_note_cached(member, &prompt, SECOND);
-	g_assert_cmpint(ks_member_cached_tokens(member, &prompt, SECOND), ==,
-			150);
+	ks_member_note_cached(member, &prompt, KEPT, SECOND);
+	g_assert_cmpint(ks_member_cached_tokens(member, &prompt, KEPT, SECOND),
+			==, 150);
 	g_assert_true(put(&fleet, "u1", KS_STAGE_DECODE, 1) == member);
 	member = put(&fleet, "u1", KS_STAGE_DECODE, 2);
-	g_assert_cmpint(ks_member_cached_tokens(member, &prompt, SECOND), ==,
-			0);
+	g_assert_cmpint(ks_member_cached_tokens(member, &prompt, KEPT, SECOND),
+			==, 0);
 	ks_fleet_deinit(&fleet);
 }
 
@@ -160,9 +145,38 @@
 	ks_prompt_parse(&prompt, KS_STR("aa:100,bb:50"));
 	ks_fleet_init(&fleet);
 	member = put(&fleet, "u1", KS_STAGE_DECODE, 1);
-	ks_member_note_cached(member, &prompt, SECOND);
-	g_assert_cmpint(ks_member_cached_tokens(member, &prompt, 3600 * SECOND),
+	ks_member_note_cached(member, &prompt, KEPT, SECOND);
+	g_assert_cmpint(
+		ks_member_cached_tokens(member, &prompt, KEPT, 3600 * SECOND),
+		==, 0);
+	ks_fleet_deinit(&fleet);
+}
+
+/* Guards against a part that counts as kept though others have displaced it. */
+static void test_part_is_displaced(void)
+{
+	ks_prompt_t first, other;
+	ks_member_t *member;
+	ks_fleet_t fleet;
+
+	ks_prompt_parse(&first, KS_STR("aa:100,bb:50"));
+	ks_prompt_parse(&other, KS_STR("cc:900,dd:40"));
+	ks_fleet_init(&fleet);
+	member = put(&fleet, "u1", KS_STAGE_DECODE, 1);
+	ks_member_note_cached(member, &first, KEPT, SECOND);
+	ks_member_note_cached(member, &other, KEPT, SECOND);
+	g_assert_cmpint(ks_member_cached_tokens(member, &first, KEPT, SECOND),
+			==, 150);
+	/* Reading what is kept displaces nothing. */
+	ks_member_note_cached(member, &other, KEPT, SECOND);
+	g_assert_cmpint(ks_member_cached_tokens(member, &first, KEPT, SECOND),
+			==, 150);
+	ks_prompt_parse(&other, KS_STR("ee:60"));
+	ks_member_note_cached(member, &other, KEPT, SECOND);
+	g_assert_cmpint(ks_member_cached_tokens(member, &first, KEPT, SECOND),
 			==, 0);
+	g_assert_cmpint(ks_member_cached_tokens(member, &other, KEPT, SECOND),
+			==, 60);
 	ks_fleet_deinit(&fleet);
 }
 
@@ -184,185 +198,6 @@
 	ks_fleet_deinit(&fleet);
 }
 
-/* The shared part only, as another request with it leaves it behind. */
-static void note_shared(ks_member_t *member, const ks_prompt_t *prompt)
-{
-	ks_prompt_t shared = *prompt;
-
-	shared.n_parts--;
-	ks_member_note_cached(member, &shared, SECOND);
-}
-
-struct placed {
-	ks_fleet_t fleet;
-	ks_member_t *reader;
-	ks_member_t *generators[2];
-	ks_service_t service;
-	ks_prompt_t prompt;
-	ks_placement_query_t query;
-	GPtrArray *avoid;
-};
-
-static void init_placed(struct placed *p, const char *parts)
-{
-	memset(p, 0, sizeof(*p));
-	ks_fleet_init(&p->fleet);
-	p->reader = put(&p->fleet, "reader", KS_STAGE_PREFILL, 1);
-	p->generators[0] = put(&p->fleet, "gen0", KS_STAGE_DECODE, 1);
-	p->generators[1] = put(&p->fleet, "gen1", KS_STAGE_DECODE, 1);
-	p->avoid = g_ptr_array_new();
-	g_assert_true(ks_prompt_parse(&p->prompt, ks_str_from(parts)));
-	p->query = (ks_placement_query_t){ .service = &p->service,
-					   .prompt = &p->prompt,
-					   .domain = "d1",
-					   .avoid = p->avoid,
-					   .may_split = true,
-					   .now_us = SECOND };
-}
-
-static ks_placement_t place(const struct placed *p)
-{
-	GPtrArray *members = ks_fleet_members(&p->fleet, "llm");
-	ks_placement_t placement = ks_placement_choose(members, &p->query);
-
-	g_ptr_array_free(members, TRUE);
-	return placement;
-}
-
-static void deinit_placed(struct placed *p)
-{
-	g_ptr_array_free(p->avoid, TRUE);
-	ks_fleet_deinit(&p->fleet);
-}
-
-/* Guards against long prompts read between the tokens of other streams. */
-static void test_long_prompt_is_split(void)
-{
-	struct placed p;
-
-	init_placed(&p, "aa:13000,bb:4000");
-	g_assert_true(place(&p).prefill == p.reader);
-	g_assert_nonnull(place(&p).run);
-	p.query.may_split = false;
-	g_assert_null(place(&p).prefill);
-	g_assert_nonnull(place(&p).run);
-	deinit_placed(&p);
-}
-
-/* Guards against the detour for a prompt that is nearly all cached. */
-static void test_cached_prompt_runs_where_it_is(void)
-{
-	struct placed p;
-
-	init_placed(&p, "aa:13000,bb:50");
-	note_shared(p.generators[0], &p.prompt);
-	note_shared(p.generators[1], &p.prompt);
-	g_assert_null(place(&p).prefill);
-	g_assert_cmpint(place(&p).run_tokens, ==, 50);
-	deinit_placed(&p);
-}
-
-/* Guards against a queue at one engine that other entries have filled. */
-static void test_others_load_counts(void)
-{
-	struct placed p;
-	ks_member_t *home;
-
-	init_placed(&p, "aa:1000,bb:50");
-	home = place(&p).run;
-	home->others_reading_tokens = 100000;
-	home->others_running = 60;
-	g_assert_nonnull(place(&p).run);
-	g_assert_true(place(&p).run != home);
-	deinit_placed(&p);
-}
-
-/* Guards against sending to engines that refuse, fail or change. */
-static void test_unusable_engines(void)
-{
-	struct placed p;
-
-	init_placed(&p, "aa:1000,bb:50");
-	g_ptr_array_add(p.avoid, p.generators[0]);
-	g_assert_true(place(&p).run == p.generators[1]);
-	p.generators[1]->changing_to = KS_STAGE_PREFILL;
-	g_assert_null(place(&p).run);
-	g_ptr_array_set_size(p.avoid, 0);
-	g_assert_true(place(&p).run == p.generators[0]);
-	p.generators[0]->accepting = false;
-	g_assert_null(place(&p).run);
-	deinit_placed(&p);
-}
-
-/* Guards against an outage in which every upstream is left out. */
-static void test_most_failing(void)
-{
-	struct placed p;
-	ks_rng_t rng;
-
-	init_placed(&p, "aa:1000,bb:50");
-	ks_rng_init(&rng, 1);
-	for (int i = 0; i < 5; i++)
-		ks_ejection_failure(&p.generators[0]->health, SECOND, &rng);
-	for (int i = 0; i < 20; i++)
-		g_assert_true(place(&p).run == p.generators[1]);
-	for (int i = 0; i < 5; i++)
-		ks_ejection_failure(&p.generators[1]->health, SECOND, &rng);
-	g_assert_nonnull(place(&p).run);
-	ks_rng_deinit(&rng);
-	deinit_placed(&p);
-}
-
-/* Guards against requests to an upstream that loses some of its answers. */
-static void test_partly_failing(void)
-{
-	struct placed p;
-
-	init_placed(&p, "aa:1000,bb:50");
-	for (int i = 0; i < 20; i++) {
-		ks_member_note_outcome(p.generators[0], i % 2, SECOND);
-		ks_member_note_outcome(p.generators[1], false, SECOND);
-	}
-	g_assert_true(place(&p).run == p.generators[1]);
-	p.query.prompt = NULL;
-	for (uint32_t draw = 0; draw < 4; draw++) {
-		p.query.draw = draw;
-		g_assert_true(place(&p).run == p.generators[1]);
-	}
-	/* It is tried again after a while. */
-	g_assert_cmpfloat(ks_member_failing(p.generators[0], 60 * SECOND), <,
-			  0.01);
-	deinit_placed(&p);
-}
-
-/* Guards against short prompts that wait for long ones of their own route. */
-static void test_rank(void)
-{
-	g_assert_cmpuint(ks_placement_rank(0, 0), ==, 0);
-	g_assert_cmpuint(ks_placement_rank(2, 100), ==, 2);
-	g_assert_cmpuint(ks_placement_rank(2, 20000), >,
-			 ks_placement_rank(2, 1000));
-	g_assert_cmpuint(ks_placement_rank(0, 1000), <,
-			 ks_placement_rank(1, 1000));
-	g_assert_cmpuint(ks_placement_rank(9, G_MAXINT64 / 2), ==, 9);
-	g_assert_cmpuint(ks_placement_rank(0, -5), ==, 0);
-}
-
-/* Guards against a shared part that is read again at each busy moment. */
-static void test_home_is_kept_when_busy(void)
-{
-	struct placed p;
-	ks_member_t *home;
-
-	init_placed(&p, "aa:3000,bb:50");
-	home = place(&p).run;
-	home->others_reading_tokens = 10000;
-	g_assert_true(place(&p).run == home);
-	home->others_reading_tokens = 100000;
-	g_assert_true(place(&p).run != home);
-	deinit_placed(&p);
-}
-
 static void put_engines(ks_fleet_t *fleet, int prefill, int decode)
 {
 	char id[16];
@@ -494,17 +329,8 @@
 	g_test_add_func("/decisions/events", test_events);
 	g_test_add_func("/decisions/reborn", test_reborn);
 	g_test_add_func("/decisions/part-ages", test_part_ages);
+	g_test_add_func("/decisions/part-displaced", test_part_is_displaced);
 	g_test_add_func("/decisions/withdrawal", test_withdrawal);
-	g_test_add_func("/decisions/long-prompt-split",
-			test_long_prompt_is_split);
-	g_test_add_func("/decisions/cached-prompt",
-			test_cached_prompt_runs_where_it_is);
-	g_test_add_func("/decisions/others-load", test_others_load_counts);
-	g_test_add_func("/decisions/unusable", test_unusable_engines);
-	g_test_add_func("/decisions/most-failing", test_most_failing);
-	g_test_add_func("/decisions/partly-failing", test_partly_failing);
-	g_test_add_func("/decisions/rank", test_rank);
-	g_test_add_func("/decisions/home-is-kept", test_home_is_kept_when_busy);
 	g_test_add_func("/decisions/stages-settle", test_stages_settle);
 	g_test_add_func("/decisions/stages-flapping",
 			test_stages_bear_flapping);
--- /dev/null
+++ b/packages/gateway/tests/test-engines.c
@@ -0,0 +1,186 @@
+/* Tests of requests that engines serve, on their way through the gateway. */
+#include "gateway_fixture.h"
+
+static bool has_field(const struct fixture_upstream *upstream, const char *name,
+		      const char *value)
+{
+	return ks_str_equal(ks_header_value(upstream->request->headers,
+					    upstream->request->n_headers, name),
+			    ks_str_from(value));
+}
+
+static void init_engines(struct fixture *f)
+{
+	fixture_init_bare(f);
+	fixture_apply(f, 1);
+	fixture_put_upstream(f, 0, "llm", KS_STAGE_PREFILL);
+	fixture_put_upstream(f, 1, "llm", KS_STAGE_DECODE);
+}
+
+static void call_engine(struct fixture *f, struct fixture_caller *caller)
+{
+	ks_header_t parts = { KS_STR("x-parts"), KS_STR("aa:9000,bb:7000") };
+
+	fixture_call_with(f, caller, "POST", "/advise/", "prompt", &parts, 1);
+}
+
+/* Guards against a run that takes the memory of another request. */
+static void test_prefill_elsewhere(void)
+{
+	struct fixture_upstream *reader, *runner;
+	struct fixture_caller caller;
+	struct fixture f;
+	char *expected;
+
+	init_engines(&f);
+	reader = &f.upstreams[0];
+	runner = &f.upstreams[1];
+	call_engine(&f, &caller);
+	FIXTURE_WAIT(&f, reader->request);
+	g_assert_true(has_field(reader, "x-stage", "prefill"));
+	fixture_answer(reader, 200, false, "{\"handle\":\"h7\"}");
+	FIXTURE_WAIT(&f, runner->request);
+	expected = g_strdup_printf("127.0.0.1:%u/h7", reader->server.port);
+	g_assert_true(has_field(runner, "x-kv", expected));
+	fixture_answer(runner, 200, false, "data: a\n\n");
+	FIXTURE_WAIT(&f, caller.done);
+	g_assert_cmpstr(caller.body->str, ==, "data: a\n\n");
+	g_assert_cmpuint(fixture_arrivals(&f), ==, 2);
+	g_free(expected);
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+}
+
+/* Guards against a request lost with the engine that read its prompt. */
+static void test_prefill_fails(void)
+{
+	struct fixture_caller caller;
+	struct fixture f;
+
+	init_engines(&f);
+	call_engine(&f, &caller);
+	FIXTURE_WAIT(&f, f.upstreams[0].request);
+	fixture_cut_answer(&f.upstreams[0]);
+	FIXTURE_WAIT(&f, f.upstreams[1].request);
+	g_assert_null(ks_header_find(f.upstreams[1].request->headers,
+				     f.upstreams[1].request->n_headers,
+				     "x-kv"));
+	fixture_answer(&f.upstreams[1], 200, false, "data: a\n\n");
+	FIXTURE_WAIT(&f, caller.done);
+	g_assert_cmpint(caller.status, ==, 200);
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+}
+
+/* Guards against memory that stays taken for a caller that has left. */
+static void test_handle_is_freed(void)
+{
+	struct fixture_caller caller;
+	struct fixture f;
+
+	init_engines(&f);
+	call_engine(&f, &caller);
+	FIXTURE_WAIT(&f, f.upstreams[0].request);
+	fixture_answer(&f.upstreams[0], 200, false, "{\"handle\":\"h7\"}");
+	FIXTURE_WAIT(&f, f.upstreams[1].request);
+	ks_http_call_cancel(&caller.call);
+	FIXTURE_WAIT(&f, f.upstreams[0].request);
+	g_assert_cmpstr(f.upstreams[0].arrivals->pdata[1], ==,
+			"DELETE /handle/h7 ");
+	fixture_answer(&f.upstreams[0], 200, false, "");
+	fixture_settle(&f);
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+}
+
+/* Guards against reading again what another engine keeps. */
+static void test_kept_part_is_fetched(void)
+{
+	struct fixture_upstream *reader, *keeper;
+	struct fixture_caller caller;
+	ks_prompt_t prompt;
+	struct fixture f;
+	char *expected;
+
+	init_engines(&f);
+	reader = &f.upstreams[0];
+	keeper = &f.upstreams[2];
+	fixture_put_upstream(&f, 2, "llm", KS_STAGE_DECODE);
+	ks_prompt_parse(&prompt, KS_STR("aa:9000"));
+	ks_member_note_cached(
+		ks_fleet_find(ks_gateway_fleet(f.gateway), KS_STR("u2")),
+		&prompt, FIXTURE_MEMORY_TOKENS, ks_loop_now(&f.loop));
+	call_engine(&f, &caller);
+	FIXTURE_WAIT(&f, reader->request);
+	expected = g_strdup_printf("127.0.0.1:%u", keeper->server.port);
+	g_assert_true(has_field(reader, "x-stage", "prefill"));
+	g_assert_true(has_field(reader, "x-fetch", expected));
+	ks_http_call_cancel(&caller.call);
+	fixture_settle(&f);
+	g_free(expected);
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+}
+
+static int64_t late_answers(const struct fixture *f)
+{
+	GString *text = g_string_new(NULL);
+	const char *line;
+	int64_t n = -1;
+
+	ks_metrics_format(ks_gateway_metrics(f->gateway), text);
+	line = strstr(text->str, "\nks_gateway_late_total ");
+	g_assert_nonnull(line);
+	n = g_ascii_strtoll(strchr(line, ' '), NULL, 10);
+	g_string_free(text, TRUE);
+	return n;
+}
+
+/* Guards against slow answers that no metric shows. */
+static void test_late_answers_count(void)
+{
+	struct fixture_upstream *runner;
+	struct fixture_caller caller;
+	struct fixture f;
+
+	init_engines(&f);
+	runner = &f.upstreams[1];
+	for (int i = 0; i < 3; i++) {
+		static const char *const parts[] = { "aa:9000", "bb:9000",
+						     "cc:9000" };
+		ks_header_t field = { KS_STR("x-parts"),
+				      ks_str_from(parts[i]) };
+
+		fixture_call_with(&f, &caller, "POST", "/advise/", "", &field,
+				  1);
+		FIXTURE_WAIT(&f, f.upstreams[0].request);
+		fixture_answer(&f.upstreams[0], 200, false,
+			       "{\"handle\":\"h\"}");
+		FIXTURE_WAIT(&f, runner->request);
+		if (i == 1)
+			fixture_advance(&f, 2 * FIXTURE_OBJECTIVE_MS);
+		fixture_start_answer(runner, 200, false, -1);
+		fixture_send(runner, "data: a\n\n");
+		fixture_settle(&f);
+		if (i == 2)
+			fixture_advance(&f, 2 * FIXTURE_MAX_PAUSE_MS);
+		fixture_send(runner, "data: b\n\n");
+		fixture_settle(&f);
+		fixture_end_answer(runner);
+		FIXTURE_WAIT(&f, caller.done);
+		g_assert_cmpint(late_answers(&f), ==, i);
+		fixture_end_call(&caller);
+	}
+	fixture_deinit(&f);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/engines/prefill-elsewhere", test_prefill_elsewhere);
+	g_test_add_func("/engines/prefill-fails", test_prefill_fails);
+	g_test_add_func("/engines/handle-is-freed", test_handle_is_freed);
+	g_test_add_func("/engines/fetch", test_kept_part_is_fetched);
+	g_test_add_func("/engines/late", test_late_answers_count);
+	return g_test_run();
+}
--- a/packages/gateway/tests/test-gateway.c
+++ b/packages/gateway/tests/test-gateway.c
@@ -69,6 +69,7 @@
 static void test_system_fields(void)
 {
 	ks_header_t extra[] = { { KS_STR("x-kv"), KS_STR("forged") },
+				{ KS_STR("x-fetch"), KS_STR("forged") },
 				{ KS_STR("x-stage"), KS_STR("prefill") },
 				{ KS_STR("x-expect"), KS_STR("other") } };
 	struct fixture_upstream *upstream;
@@ -77,12 +78,14 @@
 	ks_str_t expect;
 
 	fixture_init(&f);
-	fixture_call_with(&f, &caller, "GET", "/read/", "", extra, 3);
+	fixture_call_with(&f, &caller, "GET", "/read/", "", extra, 4);
 	upstream = fixture_await(&f);
 	g_assert_null(ks_header_find(upstream->request->headers,
 				     upstream->request->n_headers, "x-kv"));
 	g_assert_null(ks_header_find(upstream->request->headers,
 				     upstream->request->n_headers, "x-stage"));
+	g_assert_null(ks_header_find(upstream->request->headers,
+				     upstream->request->n_headers, "x-fetch"));
 	expect = ks_header_value(upstream->request->headers,
 				 upstream->request->n_headers, "x-expect");
 	g_assert_true(ks_str_equal(expect, upstream == &f.upstreams[0]
@@ -525,96 +528,6 @@
 	fixture_deinit(&f);
 }
 
-static void init_engines(struct fixture *f)
-{
-	fixture_init_bare(f);
-	fixture_apply(f, 1);
-	fixture_put_upstream(f, 0, "llm", KS_STAGE_PREFILL);
-	fixture_put_upstream(f, 1, "llm", KS_STAGE_DECODE);
-}
-
-static void call_engine(struct fixture *f, struct fixture_caller *caller)
-{
-	ks_header_t parts = { KS_STR("x-parts"), KS_STR("aa:9000,bb:7000") };
-
-	fixture_call_with(f, caller, "POST", "/advise/", "prompt", &parts, 1);
-}
-
-/* Guards against a run that takes the memory of another request. */
-static void test_prefill_elsewhere(void)
-{
-	struct fixture_upstream *reader, *runner;
-	struct fixture_caller caller;
-	struct fixture f;
-	char *expected;
-
-	init_engines(&f);
-	reader = &f.upstreams[0];
-	runner = &f.upstreams[1];
-	call_engine(&f, &caller);
-	FIXTURE_WAIT(&f, reader->request);
-	g_assert_true(ks_str_equal(ks_header_value(reader->request->headers,
-						   reader->request->n_headers,
-						   "x-stage"),
-				   KS_STR("prefill")));
-	fixture_answer(reader, 200, false, "{\"handle\":\"h7\"}");
-	FIXTURE_WAIT(&f, runner->request);
-	expected = g_strdup_printf("127.0.0.1:%u/h7", reader->server.port);
-	g_assert_true(ks_str_equal(ks_header_value(runner->request->headers,
-						   runner->request->n_headers,
-						   "x-kv"),
-				   ks_str_from(expected)));
-	fixture_answer(runner, 200, false, "data: a\n\n");
-	FIXTURE_WAIT(&f, caller.done);
-	g_assert_cmpstr(caller.body->str, ==, "data: a\n\n");
-	g_assert_cmpuint(fixture_arrivals(&f), ==, 2);
-	g_free(expected);
-	fixture_end_call(&caller);
-	fixture_deinit(&f);
-}
-
-/* Guards against a request lost with the engine that read its prompt. */
-static void test_prefill_fails(void)
-{
-	struct fixture_caller caller;
-	struct fixture f;
-
-	init_engines(&f);
-	call_engine(&f, &caller);
-	FIXTURE_WAIT(&f, f.upstreams[0].request);
-	fixture_cut_answer(&f.upstreams[0]);
-	FIXTURE_WAIT(&f, f.upstreams[1].request);
-	g_assert_null(ks_header_find(f.upstreams[1].request->headers,
-				     f.upstreams[1].request->n_headers,
-				     "x-kv"));
-	fixture_answer(&f.upstreams[1], 200, false, "data: a\n\n");
-	FIXTURE_WAIT(&f, caller.done);
-	g_assert_cmpint(caller.status, ==, 200);
-	fixture_end_call(&caller);
-	fixture_deinit(&f);
-}
-
-/* Guards against memory that stays taken for a caller that has left. */
-static void test_handle_is_freed(void)
-{
-	struct fixture_caller caller;
-	struct fixture f;
-
-	init_engines(&f);
-	call_engine(&f, &caller);
-	FIXTURE_WAIT(&f, f.upstreams[0].request);
-	fixture_answer(&f.upstreams[0], 200, false, "{\"handle\":\"h7\"}");
-	FIXTURE_WAIT(&f, f.upstreams[1].request);
-	ks_http_call_cancel(&caller.call);
-	FIXTURE_WAIT(&f, f.upstreams[0].request);
-	g_assert_cmpstr(f.upstreams[0].arrivals->pdata[1], ==,
-			"DELETE /handle/h7 ");
-	fixture_answer(&f.upstreams[0], 200, false, "");
-	fixture_settle(&f);
-	fixture_end_call(&caller);
-	fixture_deinit(&f);
-}
-
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -641,8 +554,5 @@
 	g_test_add_func("/gateway/stop", test_stop);
 	g_test_add_func("/gateway/retry-budget", test_retry_budget);
 	g_test_add_func("/gateway/late-answer", test_late_answer);
-	g_test_add_func("/gateway/prefill-elsewhere", test_prefill_elsewhere);
-	g_test_add_func("/gateway/prefill-fails", test_prefill_fails);
-	g_test_add_func("/gateway/handle-is-freed", test_handle_is_freed);
 	return g_test_run();
 }
--- a/packages/gateway/tests/test-peers.c
+++ b/packages/gateway/tests/test-peers.c
@@ -131,6 +131,68 @@
 	deinit_world(&w);
 }
 
+/* Guards against a part that is read again because another entry sent it. */
+static void test_parts_are_told(void)
+{
+	ks_address_t address = { "127.0.0.1", 0 };
+	ks_prompt_t prompt, shared;
+	ks_fleet_t other_fleet;
+	ks_member_t *other;
+	ks_peers_t peer;
+	struct world w;
+
+	init_world(&w);
+	ks_fleet_init(&other_fleet);
+	other = put(&other_fleet, 1);
+	ks_prompt_parse(&prompt, KS_STR("aa:100,bb:50,cc:20"));
+	ks_prompt_parse(&shared, KS_STR("aa:100,bb:50"));
+	g_assert_true(ks_peers_init(&peer, &w.loop, &other_fleet, "other",
+				    &address, NULL));
+	address.port = peer.port;
+	ks_peers_add(&w.peers, "other", &address);
+	for (int i = 0;
+	     i < 4000 && !ks_member_cached_tokens(w.member, &shared, 1000,
+						  ks_loop_now(&w.loop));
+	     i++) {
+		ks_peers_note_cached(&peer, other, &prompt);
+		ks_test_clock_advance(&w.clock, 10 * KS_USEC_PER_MSEC);
+		ks_loop_run_once(&w.loop, 2000);
+	}
+	/* The last part is the request's own and of no use to others. */
+	g_assert_cmpint(ks_member_cached_tokens(w.member, &prompt, 1000,
+						ks_loop_now(&w.loop)),
+			==, 150);
+	ks_peers_deinit(&peer);
+	ks_fleet_deinit(&other_fleet);
+	deinit_world(&w);
+}
+
+/* Guards against a message that names more parts than keepers. */
+static void test_uneven_parts(void)
+{
+	uint8_t id[KS_ID_SIZE] = { 1 }, buf[512];
+	Ks__PeerState state = KS__PEER_STATE__INIT;
+	uint64_t parts[] = { 1, 2 };
+	struct world w;
+	uint32_t tag;
+	size_t len;
+
+	init_world(&w);
+	tag = w.member->tag;
+	state.name = (char *)"a";
+	state.incarnation.data = id;
+	state.incarnation.len = sizeof(id);
+	state.number = 1;
+	state.kept_part = parts;
+	state.n_kept_part = 2;
+	state.kept_by = &tag;
+	state.n_kept_by = 1;
+	len = ks__peer_state__pack(&state, buf);
+	ks_peers_receive(&w.peers, (ks_str_t){ (const char *)buf, len });
+	g_assert_cmpuint(ks_peers_count(&w.peers), ==, 0);
+	deinit_world(&w);
+}
+
 /* Guards against messages that cannot be read, and against one's own. */
 static void test_unreadable(void)
 {
@@ -237,6 +299,8 @@
 	g_test_add_func("/peers/reborn-upstream", test_reborn_upstream);
 	g_test_add_func("/peers/unreadable", test_unreadable);
 	g_test_add_func("/peers/two-entries", test_two_entries);
+	g_test_add_func("/peers/parts-told", test_parts_are_told);
+	g_test_add_func("/peers/uneven-parts", test_uneven_parts);
 	g_test_add_func("/peers/reset-while-paused", test_reset_while_paused);
 	return g_test_run();
 }
