--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -251,13 +251,13 @@
 static void note_health(struct exchange *x, ks_http_result_t result)
 {
 	int64_t now = exchange_now(x);
-	bool failed = result != KS_HTTP_WHOLE ||
-		      (x->status >= 500 && !x->answer_not_run);
+	bool refused = result == KS_HTTP_WHOLE && x->answer_not_run;
+	bool failed = !refused && (result != KS_HTTP_WHOLE || x->status >= 500);
 
-	ks_member_note_outcome(x->member, failed, now);
+	ks_member_note_outcome(x->member, failed || refused, now);
 	if (failed)
 		ks_ejection_failure(&x->member->health, now, &x->gateway->rng);
-	else
+	else if (!refused)
 		ks_ejection_success(&x->member->health);
 }
 
--- a/packages/gateway/tests/test-gateway.c
+++ b/packages/gateway/tests/test-gateway.c
@@ -97,6 +97,35 @@
 	fixture_deinit(&f);
 }
 
+/*
+ * Guards against a full upstream that attracts requests: it refuses at once, so
+ * it always has the fewest under way.
+ */
+static void test_refusing_is_avoided(void)
+{
+	struct fixture_upstream *full, *other;
+	struct fixture_caller caller;
+	struct fixture f;
+
+	fixture_init(&f);
+	fixture_call(&f, &caller, "GET", "/read/");
+	full = fixture_await(&f);
+	fixture_answer(full, 503, true, "");
+	other = fixture_await(&f);
+	g_assert_true(other != full);
+	fixture_answer(other, 200, false, "");
+	FIXTURE_WAIT(&f, caller.done);
+	fixture_end_call(&caller);
+	for (int i = 0; i < 10; i++) {
+		fixture_call(&f, &caller, "GET", "/read/");
+		g_assert_true(fixture_await(&f) == other);
+		fixture_answer(other, 200, false, "");
+		FIXTURE_WAIT(&f, caller.done);
+		fixture_end_call(&caller);
+	}
+	fixture_deinit(&f);
+}
+
 /* Sends a request, lets its upstream fail, and returns the arrivals. */
 static unsigned fail_once(const char *target, int status, bool not_run,
 			  bool cut, int *final_status)
@@ -537,6 +566,7 @@
 	g_test_add_func("/gateway/once", test_once_is_not_repeated);
 	g_test_add_func("/gateway/no-false-promise", test_no_false_promise);
 	g_test_add_func("/gateway/not-run", test_not_run_is_sent_again);
+	g_test_add_func("/gateway/refusing", test_refusing_is_avoided);
 	g_test_add_func("/gateway/idempotent", test_idempotent_is_repeated);
 	g_test_add_func("/gateway/max-attempts", test_max_attempts);
 	g_test_add_func("/gateway/cut-stream", test_cut_stream);
