--- a/packages/process/include/ks/process.h
+++ b/packages/process/include/ks/process.h
@@ -712,6 +712,7 @@
 	double retry_window_s;
 	unsigned order_turns_ms;
 	double prefill_share;
+	unsigned leaving_notice_ms;
 } ks_settings_t;
 
 bool ks_settings_load(ks_settings_t **settings, const char *file,
--- a/packages/process/src/settings_check.c
+++ b/packages/process/src/settings_check.c
@@ -322,6 +322,8 @@
 	       check_float(doc, "retry_slack", settings->retry_slack, 0, 1e6) &&
 	       check_float(doc, "prefill_share", settings->prefill_share, 0,
 			   1) &&
+	       check_float(doc, "leaving_notice_ms",
+			   settings->leaving_notice_ms, 500, 60000) &&
 	       check_float(doc, "retry_window_s", settings->retry_window_s, 1,
 			   3600);
 }
--- a/tests/fakes/fake_rows.h
+++ b/tests/fakes/fake_rows.h
@@ -141,10 +141,12 @@
 
 /**
  * struct fake_wait - a call without an answer yet
+ * @lost: never answered, since it came while the store was silent
  */
 struct fake_wait {
 	struct fake_rows *store;
 	ks_http1_request_t *request;
+	bool lost;
 };
 
 static inline void fake_on_gone(void *ctx)
@@ -162,6 +164,7 @@
 
 	wait->store = store;
 	wait->request = request;
+	wait->lost = store->mode == FAKE_SILENT;
 	request->ctx = wait;
 	request->gone = fake_on_gone;
 	g_ptr_array_add(store->waiting, wait);
@@ -278,7 +281,7 @@
 
 		if (ks_str_has_prefix(wait->request->target,
 				      KS_STR("/-/rows-feed")) &&
-		    store->mode == FAKE_UP &&
+		    store->mode == FAKE_UP && !wait->lost &&
 		    fake_answer_feed(store, wait->request))
 			g_ptr_array_remove_index(store->waiting, i);
 	}
