Count a prompt's first reading whole instead of guessing its home

A prompt of 42,000 tokens counted as 2,800, so the queue at a home was thought short and grew to 2 s. The guess dates from when entries did not tell each other what engines keep.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -174,7 +174,6 @@
 
 bool ks_prompt_parse(ks_prompt_t *prompt, ks_str_t text);
 uint64_t ks_prompt_shared_id(const ks_prompt_t *prompt);
-int64_t ks_prompt_own_tokens(const ks_prompt_t *prompt);
 
 /* fleet.c */
 
--- a/packages/gateway/src/placement.c
+++ b/packages/gateway/src/placement.c
@@ -209,11 +209,8 @@
 	int64_t cost;
 };
 
-/*
- * What reading the prompt costs at an upstream. If nobody is known to keep it,
- * the home of its shared part is taken to: other entries send it there.
- */
-static struct option reading_option(ks_member_t *member, bool is_home,
+/* What reading the prompt costs at an upstream. */
+static struct option reading_option(ks_member_t *member,
 				    const struct keeper *keeper,
 				    const ks_placement_query_t *query)
 {
@@ -221,8 +218,6 @@
 	struct option option = { .member = member };
 	int64_t kept = known_tokens(member, query), fetched;
 
-	if (is_home && !keeper->member && prompt->n_parts > 1)
-		kept = prompt->total_tokens - ks_prompt_own_tokens(prompt);
 	fetched = MAX(keeper->tokens - kept, 0);
 	if (fetched)
 		option.source = keeper->member;
@@ -241,8 +236,8 @@
 	guint n = rank(members, ks_prompt_shared_id(query->prompt));
 
 	for (guint i = 0; i < n; i++) {
-		struct option option = reading_option(members->pdata[i], i == 0,
-						      keeper, query);
+		struct option option =
+			reading_option(members->pdata[i], keeper, query);
 
 		if (i)
 			option.cost += SPREAD_COST_TOKENS;
@@ -261,7 +256,7 @@
 
 	for (guint i = 0; i < members->len; i++) {
 		struct option option =
-			reading_option(members->pdata[i], false, keeper, query);
+			reading_option(members->pdata[i], keeper, query);
 
 		if (option.cost < best.cost)
 			best = option;
--- a/packages/gateway/src/prompt.c
+++ b/packages/gateway/src/prompt.c
@@ -69,11 +69,3 @@
 {
 	return prompt->ids[prompt->n_parts > 1 ? prompt->n_parts - 2 : 0];
 }
-
-/**
- * ks_prompt_own_tokens() - tokens that no other request shares
- */
-int64_t ks_prompt_own_tokens(const ks_prompt_t *prompt)
-{
-	return prompt->tokens[prompt->n_parts - 1];
-}
