Render the notice of a leaving upstream in the tests' site too

Cause: test-gateway fills in the template of the settings itself and did not know the new field, so the gateway did not start. It passes again.

--- a/tests/system/site.sh
+++ b/tests/system/site.sh
@@ -19,6 +19,7 @@
 		-e "s/{{bounds.retry-budget-slack}}/50/" \
 		-e "s/{{bounds.budget-window-s}}/10/" \
 		-e "s/{{bounds.lease-ms}}/1000/" \
+		-e "s/{{bounds.drain-ms}}/2000/" \
 		deploy/settings.yaml.in >"$WORK/$1.yaml"
 	launch "$1" "$BIN/knapweedstaird" --config "$WORK/$1.yaml"
 	wait_until "$1 has a configuration" has_log "$1" "configuration in force"
