Divide the process package by noun

Cause: one package held 45 files and one header of 906 lines, from logs to both roles, so any part could use any other. Telemetry, settings, store, control, upstream, entry and operators are now packages of their own, each with one header; the link order allows a package only those after it, and the symbols of the objects show no use against it.

Files move unchanged but for their includes. The tests of stand-ins and of the load tool stand with the operators' tools; the simulator of stores and entries and the fake process stand with the fakes. Plain tests pass.

--- a/Makefile
+++ b/Makefile
@@ -35,9 +35,10 @@
 LDLIBS = $(shell pkg-config --libs $(PKGS)) -lh2o-evloop -lssl -lcrypto \
 	-lhttp_parser -llog4c -largtable2 -lm -lpthread
 
-PACKAGES = core request connection version process gateway
+PACKAGES = core request connection version telemetry settings store control \
+	upstream entry operators gateway
 # Libraries in link order: a package may use those after it.
-LIBS = $(BUILD)/libks-platform.a $(addprefix $(BUILD)/libks-,$(addsuffix .a,gateway process version connection request core))
+LIBS = $(BUILD)/libks-platform.a $(addprefix $(BUILD)/libks-,$(addsuffix .a,gateway operators entry upstream control store settings telemetry version connection request core))
 
 PROGRAMS = $(patsubst cli/%.c,$(BUILD)/%,$(wildcard cli/*.c))
 FAKES = $(patsubst tests/fakes/%.c,$(BUILD)/%,$(wildcard tests/fakes/fake-*.c))
@@ -111,7 +112,7 @@
 	$(Q)$(CXX) $(CXXFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 
 # The parts of the load tool that this test covers.
-$(BUILD)/packages/process/tests/test-load: $(patsubst %,$(BUILD)/bench/%.o,load_request load_run load_verify)
+$(BUILD)/packages/operators/tests/test-load: $(patsubst %,$(BUILD)/bench/%.o,load_request load_run load_verify)
 
 # As a test, a fuzz target runs its corpus and a fixed number of mutations.
 $(BUILD)/tests/fuzz/fuzz-%: $(BUILD)/tests/fuzz/fuzz-%.o \
--- a/bench/bench-slopes.c
+++ b/bench/bench-slopes.c
@@ -5,7 +5,8 @@
  */
 #include "link.pb-c.h"
 
-#include "ks/process.h"
+#include "ks/entry.h"
+#include "ks/upstream.h"
 
 #include <malloc.h>
 #include <math.h>
--- a/bench/links.h
+++ b/bench/links.h
@@ -4,7 +4,8 @@
 
 #include "stats.h"
 
-#include "ks/process.h"
+#include "ks/settings.h"
+#include "ks/store.h"
 
 bool links_measure_snapshots(void);
 bool links_measure_claims(const ks_address_t *platform, const char *token);
--- a/cli/knapweedstair.c
+++ b/cli/knapweedstair.c
@@ -1,5 +1,5 @@
 /* The operators' command line; see knapweedstair(1). */
-#include "ks/process.h"
+#include "ks/operators.h"
 
 int main(int argc, char **argv)
 {
--- a/cli/knapweedstaird.c
+++ b/cli/knapweedstaird.c
@@ -1,6 +1,8 @@
 /* The daemon: reads its settings, runs its role, stops gracefully. */
 #include "ks/gateway.h"
-#include "ks/process.h"
+#include "ks/entry.h"
+#include "ks/settings.h"
+#include "ks/upstream.h"
 #include "platform.h"
 
 #include <argtable2.h>
--- a/packages/process/src/engine_http.c
+++ b/packages/control/src/engine_http.c
@@ -1,5 +1,5 @@
 /* Driver of an engine's order endpoint; docs/engine.md has the interface. */
-#include "ks/process.h"
+#include "ks/control.h"
 
 #include <jansson.h>
 #include <string.h>
--- a/packages/process/src/order.c
+++ b/packages/control/src/order.c
@@ -1,5 +1,5 @@
 /* Decides the next step on the way of an engine to its target state. */
-#include "ks/process.h"
+#include "ks/control.h"
 
 #include <string.h>
 
--- a/packages/process/src/orders.h
+++ b/packages/control/src/orders.h
@@ -2,7 +2,7 @@
 #ifndef KS_PROCESS_ORDERS_H
 #define KS_PROCESS_ORDERS_H
 
-#include "ks/process.h"
+#include "ks/control.h"
 
 /**
  * struct ks_orders - the orders to one engine
--- a/packages/process/src/planner.c
+++ b/packages/control/src/planner.c
@@ -13,7 +13,7 @@
  * all its phases in the buckets. Since undoing a change gains what the change
  * itself loses, such an oscillation cannot justify both.
  */
-#include "ks/process.h"
+#include "ks/control.h"
 
 #include <string.h>
 
--- a/packages/process/src/planner_row.h
+++ b/packages/control/src/planner_row.h
@@ -2,7 +2,7 @@
 #ifndef KS_PLANNER_ROW_H
 #define KS_PLANNER_ROW_H
 
-#include "ks/process.h"
+#include "ks/control.h"
 
 bool ks_planner_row_parse(ks_str_t value, uint64_t *number, GHashTable *roles);
 char *ks_planner_row_format(uint64_t number, uint64_t fence,
--- a/packages/process/src/planner_run.c
+++ b/packages/control/src/planner_run.c
@@ -5,7 +5,7 @@
  * A plan is written in one transaction with a check of the lease row, so the
  * table refuses a planner that has lost its lease without knowing it.
  */
-#include "ks/process.h"
+#include "ks/control.h"
 
 #include "planner_row.h"
 
--- a/packages/process/src/publish.c
+++ b/packages/control/src/publish.c
@@ -4,7 +4,7 @@
  * operators exactly one wins. When the answer to the transaction is lost, the
  * rows are read back: the outcome is never guessed.
  */
-#include "ks/process.h"
+#include "ks/control.h"
 
 #define RETRY_BASE_US (100 * KS_USEC_PER_MSEC)
 #define RETRY_MAX_US (2 * KS_USEC_PER_SEC)
--- a/packages/process/tests/prop-order.cpp
+++ b/packages/control/tests/prop-order.cpp
@@ -1,5 +1,5 @@
 /* Properties of the decision on the next step for an engine. */
-#include "ks/process.h"
+#include "ks/control.h"
 
 #include <rapidcheck.h>
 
--- a/packages/process/tests/prop-planner.cpp
+++ b/packages/control/tests/prop-planner.cpp
@@ -1,5 +1,5 @@
 /* Properties of the planner, in a simulation with its own time. */
-#include "ks/process.h"
+#include "ks/control.h"
 
 #include <functional>
 #include <rapidcheck.h>
--- a/packages/process/tests/prop-publish.cpp
+++ b/packages/control/tests/prop-publish.cpp
@@ -1,5 +1,5 @@
 /* Properties of publishing with two operators who race. */
-#include "ks/process.h"
+#include "ks/control.h"
 #include "memory_store.h"
 
 #include <rapidcheck.h>
--- a/packages/process/tests/test-planner-lease.c
+++ b/packages/control/tests/test-planner-lease.c
@@ -2,7 +2,7 @@
  * The planner with real leases and a store in memory. Guards against a plan
  * that takes effect although its writer has lost the lease without knowing it.
  */
-#include "ks/process.h"
+#include "ks/control.h"
 
 #include "../../../tests/fakes/memory_store.h"
 
--- a/packages/process/tests/test-planner-run.c
+++ b/packages/control/tests/test-planner-run.c
@@ -2,7 +2,7 @@
  * Tests of the planner's driver: a store in memory, and a lease that the test
  * gives and takes. The clock is paused.
  */
-#include "ks/process.h"
+#include "ks/control.h"
 
 #include <string.h>
 
--- a/packages/process/src/claim_sweep.c
+++ b/packages/entry/src/claim_sweep.c
@@ -2,7 +2,7 @@
  * Removes the claims of hours that are past the retention. Keys that old are
  * refused, so no late copy can miss its claim.
  */
-#include "ks/process.h"
+#include "ks/entry.h"
 
 #define HOUR_US (3600 * KS_USEC_PER_SEC)
 #define PERIOD_US HOUR_US
--- a/packages/process/src/entry.c
+++ b/packages/entry/src/entry.c
@@ -1,5 +1,5 @@
 /* The life of the entry process. */
-#include "entry.h"
+#include "entry_internal.h"
 
 #include <zmq.h>
 
--- a/packages/process/src/entry_answer.c
+++ b/packages/entry/src/entry_answer.c
@@ -1,5 +1,5 @@
 /* Answers of the entry: errors, whole answers, and which fields pass. */
-#include "entry.h"
+#include "entry_internal.h"
 
 #include <jansson.h>
 
--- a/packages/process/src/entry_attempt.c
+++ b/packages/entry/src/entry_attempt.c
@@ -1,5 +1,5 @@
 /* Events of attempts: answers, retry and resumption. */
-#include "entry.h"
+#include "entry_internal.h"
 
 /* Weight of the newest value in running averages. */
 #define AVERAGE_GAIN 0.1
--- a/packages/process/src/entry_auth.c
+++ b/packages/entry/src/entry_auth.c
@@ -1,5 +1,5 @@
 /* Tenants and the operators' token. Keys are compared as SHA-256 digests. */
-#include "entry.h"
+#include "entry_internal.h"
 
 #include <openssl/crypto.h>
 
--- a/packages/process/src/entry_capacity.c
+++ b/packages/entry/src/entry_capacity.c
@@ -4,7 +4,7 @@
  * prompt delays everything under way by its prefill, and an answer hardly
  * delays anything.
  */
-#include "entry.h"
+#include "entry_internal.h"
 
 #include <math.h>
 
--- a/packages/process/src/entry_fleet.c
+++ b/packages/entry/src/entry_fleet.c
@@ -1,5 +1,5 @@
 /* The fleet as one entry sees it: links to the upstreams of its subset. */
-#include "entry.h"
+#include "entry_internal.h"
 
 #define BELIEF_BLOCKS 4096
 #define BELIEF_HALF_LIFE_US (300 * KS_USEC_PER_SEC)
--- a/packages/process/src/entry_group.c
+++ b/packages/entry/src/entry_group.c
@@ -1,5 +1,5 @@
 /* The upstreams of one model or service: choice and admission. */
-#include "entry.h"
+#include "entry_internal.h"
 
 /* Assumed until answers have been measured. */
 #define SERVICE_US 10000.0
--- a/packages/process/src/entry_http.c
+++ b/packages/entry/src/entry_http.c
@@ -1,5 +1,5 @@
 /* Routing of paths to handlers. */
-#include "entry.h"
+#include "entry_internal.h"
 
 static void answer_plain_error(h2o_req_t *req, ks_error_kind_t kind,
 			       const char *message)
--- a/packages/process/src/entry.h
+++ b/packages/entry/src/entry_internal.h
@@ -1,8 +1,8 @@
 /* What the source files of the entry process share. */
-#ifndef KS_ENTRY_H
-#define KS_ENTRY_H
+#ifndef KS_ENTRY_INTERNAL_H
+#define KS_ENTRY_INTERNAL_H
 
-#include "ks/process.h"
+#include "ks/entry.h"
 
 #include <h2o.h>
 #include <jansson.h>
--- a/packages/process/src/entry_plan.c
+++ b/packages/entry/src/entry_plan.c
@@ -1,5 +1,5 @@
 /* Feeds the planner with what this entry sees: demand and engines. */
-#include "entry.h"
+#include "entry_internal.h"
 
 /* A bucket of the planner's history has at least two samples. */
 #define TICKS_PER_DWELL 32
--- a/packages/process/src/entry_read.c
+++ b/packages/entry/src/entry_read.c
@@ -1,5 +1,5 @@
 /* Reading a request: tenant, deadline, model or service, key and limits. */
-#include "entry.h"
+#include "entry_internal.h"
 
 /* Longest deadline a caller may ask for. */
 #define MAX_TIMEOUT_MS (3600 * 1000)
--- a/packages/process/src/entry_request.c
+++ b/packages/entry/src/entry_request.c
@@ -1,5 +1,5 @@
 /* The life of one request, from its arrival to its answer. */
-#include "entry.h"
+#include "entry_internal.h"
 
 #include <errno.h>
 #include <sys/socket.h>
--- a/packages/process/src/entry_send.c
+++ b/packages/entry/src/entry_send.c
@@ -1,5 +1,5 @@
 /* Sending of attempts. */
-#include "entry.h"
+#include "entry_internal.h"
 
 /* A step of a split is a part of the work, and says less about the engine. */
 static void count_step(struct entry_attempt *attempt)
--- a/packages/process/src/entry_split.c
+++ b/packages/entry/src/entry_split.c
@@ -3,7 +3,7 @@
  * first attempt ends with the handle of the KV blocks, the second one imports
  * them. When either step fails the request goes on as an ordinary one.
  */
-#include "entry.h"
+#include "entry_internal.h"
 
 /* Export and import of a block of 2,000 tokens; assumed. */
 #define BLOCK_US 16000.0
--- a/packages/process/src/entry_status.c
+++ b/packages/entry/src/entry_status.c
@@ -1,5 +1,5 @@
 /* What operators and monitoring read: status, metrics and models. */
-#include "entry.h"
+#include "entry_internal.h"
 
 #include <jansson.h>
 
--- a/packages/process/src/entry_stream.c
+++ b/packages/entry/src/entry_stream.c
@@ -2,7 +2,7 @@
  * Server-sent events of a completion. Only whole events are handed on, so that
  * a stream can go on at another upstream after the last token delivered.
  */
-#include "entry.h"
+#include "entry_internal.h"
 
 #include <jansson.h>
 
--- a/packages/process/src/ledger.h
+++ b/packages/entry/src/ledger.h
@@ -2,7 +2,7 @@
 #ifndef KS_PROCESS_LEDGER_H
 #define KS_PROCESS_LEDGER_H
 
-#include "ks/process.h"
+#include "ks/entry.h"
 
 /**
  * struct ks_ledger_group - claims that are inserted in one transaction
--- a/packages/process/tests/entry-doubles.h
+++ b/packages/entry/tests/entry-doubles.h
@@ -6,7 +6,7 @@
 #ifndef ENTRY_DOUBLES_H
 #define ENTRY_DOUBLES_H
 
-#include "ks/process.h"
+#include "ks/entry.h"
 
 #include <string.h>
 
--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -7,7 +7,7 @@
 
 #include "ks/connection.h"
 #include "ks/core.h"
-#include "ks/process.h"
+#include "ks/store.h"
 #include "ks/request.h"
 
 G_BEGIN_DECLS
--- /dev/null
+++ b/packages/operators/include/ks/operators.h
@@ -0,0 +1,18 @@
+/*
+ * operators: the operators' command line.
+ */
+#ifndef KS_OPERATORS_H
+#define KS_OPERATORS_H
+
+#include "ks/control.h"
+#include "ks/settings.h"
+
+G_BEGIN_DECLS
+
+/* cli.c: the operators' command line */
+
+int ks_cli_main(int argc, char **argv);
+
+G_END_DECLS
+
+#endif
--- a/packages/process/src/cli.h
+++ b/packages/operators/src/cli.h
@@ -2,7 +2,7 @@
 #ifndef KS_PROCESS_CLI_H
 #define KS_PROCESS_CLI_H
 
-#include "ks/process.h"
+#include "ks/operators.h"
 
 #include <jansson.h>
 
--- a/packages/process/src/settings_check.h
+++ b/packages/settings/src/settings_check.h
@@ -2,7 +2,7 @@
 #ifndef KS_PROCESS_SETTINGS_CHECK_H
 #define KS_PROCESS_SETTINGS_CHECK_H
 
-#include "ks/process.h"
+#include "ks/settings.h"
 
 #include <cyaml/cyaml.h>
 #include <yaml.h>
--- a/packages/process/tests/test-settings.c
+++ b/packages/settings/tests/test-settings.c
@@ -1,5 +1,5 @@
 /* Tests of settings: what is accepted, and how the rest is refused. */
-#include "ks/process.h"
+#include "ks/settings.h"
 
 #include <string.h>
 
--- a/packages/process/src/config.c
+++ b/packages/store/src/config.c
@@ -2,7 +2,7 @@
  * The snapshot in force in this process: polled from the store, taken from
  * peers, and never lowered.
  */
-#include "ks/process.h"
+#include "ks/store.h"
 
 #define POLL_JITTER 0.2
 /* The first retry comes well before the next regular poll. */
--- a/packages/process/src/lease.c
+++ b/packages/store/src/lease.c
@@ -1,5 +1,5 @@
 /* Leases as seen by one process: when it holds one and when it may take one. */
-#include "ks/process.h"
+#include "ks/store.h"
 
 #include <jansson.h>
 #include <string.h>
--- a/packages/process/src/lease_keeper.c
+++ b/packages/store/src/lease_keeper.c
@@ -1,5 +1,5 @@
 /* Keeps a lease in the table for as long as its owner wants it. */
-#include "ks/process.h"
+#include "ks/store.h"
 
 #define BACKOFF_BASE_US (100 * KS_USEC_PER_MSEC)
 #define BACKOFF_MAX_US (5 * KS_USEC_PER_SEC)
--- a/packages/process/src/platform_http.c
+++ b/packages/store/src/platform_http.c
@@ -1,5 +1,5 @@
 /* Host list driver over HTTP; see docs/platform.md. */
-#include "ks/process.h"
+#include "ks/store.h"
 
 #include <jansson.h>
 #include <string.h>
--- a/packages/process/src/release_store.c
+++ b/packages/store/src/release_store.c
@@ -4,7 +4,7 @@
  * of the object's name because two operators who race for version N both put
  * an object, and the loser's must not replace the winner's.
  */
-#include "ks/process.h"
+#include "ks/store.h"
 
 #include <jansson.h>
 #include <stdlib.h>
--- a/packages/process/src/store.c
+++ b/packages/store/src/store.c
@@ -1,5 +1,5 @@
 /* What every store driver shares. */
-#include "ks/process.h"
+#include "ks/store.h"
 
 /**
  * ks_store_outcome_name() - name of an outcome for logs
--- a/packages/process/src/store_http.c
+++ b/packages/store/src/store_http.c
@@ -1,5 +1,5 @@
 /* Store driver over HTTP/1.1 with ETag preconditions; see docs/platform.md. */
-#include "ks/process.h"
+#include "ks/store.h"
 #include "store_json.h"
 
 #include <string.h>
--- a/packages/process/src/store_json.h
+++ b/packages/store/src/store_json.h
@@ -2,7 +2,7 @@
 #ifndef KS_PROCESS_STORE_JSON_H
 #define KS_PROCESS_STORE_JSON_H
 
-#include "ks/process.h"
+#include "ks/store.h"
 
 #include <jansson.h>
 
--- a/packages/process/src/write_budget.c
+++ b/packages/store/src/write_budget.c
@@ -2,7 +2,7 @@
  * Write budget: a store whose writes pass a token bucket, the ledger's before
  * those of leases, and both before the rest. Reads pass untouched.
  */
-#include "ks/process.h"
+#include "ks/store.h"
 
 /* A write that waited longer is dropped: what it was for has moved on. */
 #define MAX_WAIT_US (5 * KS_USEC_PER_SEC)
--- a/packages/process/tests/prop-config.cpp
+++ b/packages/store/tests/prop-config.cpp
@@ -1,5 +1,5 @@
 /* Properties of the configuration of several processes over one store. */
-#include "ks/process.h"
+#include "ks/store.h"
 #include "memory_store.h"
 
 #include <rapidcheck.h>
--- a/packages/process/tests/test-config.c
+++ b/packages/store/tests/test-config.c
@@ -1,5 +1,5 @@
 /* Tests of the snapshot in force: polls, peers and faults of the store. */
-#include "ks/process.h"
+#include "ks/store.h"
 #include "memory_store.h"
 
 #include <string.h>
--- a/packages/process/tests/test-store-http.c
+++ b/packages/store/tests/test-store-http.c
@@ -1,6 +1,6 @@
 /* Tests of the HTTP drivers against the fake platform in the same process. */
 #include "fake_platform.h"
-#include "ks/process.h"
+#include "ks/store.h"
 
 #include <signal.h>
 
--- a/packages/process/tests/test-write-budget.c
+++ b/packages/store/tests/test-write-budget.c
@@ -1,5 +1,5 @@
 /* Tests of the write budget. */
-#include "ks/process.h"
+#include "ks/store.h"
 #include "memory_store.h"
 
 static ks_test_clock_t test_clock;
--- a/packages/process/src/log.c
+++ b/packages/telemetry/src/log.c
@@ -6,7 +6,7 @@
  * reader that does not keep up loses lines; both are counted, and the count is
  * logged. Writing never blocks.
  */
-#include "ks/process.h"
+#include "ks/telemetry.h"
 
 #include <errno.h>
 #include <log4c.h>
--- a/packages/process/src/metrics.c
+++ b/packages/telemetry/src/metrics.c
@@ -2,7 +2,7 @@
  * Counters and log-bucketed histograms of a process, printed in Prometheus's
  * text format.
  */
-#include "ks/process.h"
+#include "ks/telemetry.h"
 
 #include <string.h>
 
--- a/packages/process/tests/prop-metrics.cpp
+++ b/packages/telemetry/tests/prop-metrics.cpp
@@ -1,5 +1,5 @@
 /* Properties of histograms. */
-#include "ks/process.h"
+#include "ks/telemetry.h"
 
 #include <algorithm>
 #include <rapidcheck.h>
--- a/packages/process/tests/test-metrics.c
+++ b/packages/telemetry/tests/test-metrics.c
@@ -1,5 +1,5 @@
 /* Tests of counters, histograms and their text format. */
-#include "ks/process.h"
+#include "ks/telemetry.h"
 
 #include <string.h>
 
--- a/packages/process/src/drain.c
+++ b/packages/upstream/src/drain.c
@@ -1,5 +1,5 @@
 /* Whether an upstream process takes new requests, and when it is drained. */
-#include "ks/process.h"
+#include "ks/upstream.h"
 
 static const char *const reason_names[] = {
 	[KS_DRAIN_NONE] = "ready",
--- a/packages/process/src/upstream.c
+++ b/packages/upstream/src/upstream.c
@@ -1,5 +1,5 @@
 /* The process beside one upstream: its start, its state and its end. */
-#include "upstream.h"
+#include "upstream_internal.h"
 
 #include <errno.h>
 #include <string.h>
--- a/packages/process/src/upstream.h
+++ b/packages/upstream/src/upstream_internal.h
@@ -2,7 +2,7 @@
 #ifndef KS_PROCESS_UPSTREAM_H
 #define KS_PROCESS_UPSTREAM_H
 
-#include "ks/process.h"
+#include "ks/upstream.h"
 
 /**
  * struct upstream_sse - finds the events in a stream of server-sent events
--- a/packages/process/src/upstream_job.c
+++ b/packages/upstream/src/upstream_job.c
@@ -1,5 +1,5 @@
 /* One request on its way to the upstream, and its answer on the way back. */
-#include "upstream.h"
+#include "upstream_internal.h"
 
 #include <string.h>
 
--- a/packages/process/src/upstream_load.c
+++ b/packages/upstream/src/upstream_load.c
@@ -1,5 +1,5 @@
 /* Load of the upstream, as announced to the entries. */
-#include "upstream.h"
+#include "upstream_internal.h"
 
 #include <string.h>
 
--- a/packages/process/src/upstream_queue.c
+++ b/packages/upstream/src/upstream_queue.c
@@ -1,5 +1,5 @@
 /* Which requests are taken, and those that wait for a free slot. */
-#include "upstream.h"
+#include "upstream_internal.h"
 
 #include <string.h>
 
--- a/packages/process/src/upstream_sse.c
+++ b/packages/upstream/src/upstream_sse.c
@@ -1,5 +1,5 @@
 /* Counts the events of an answer and finds its end marker. */
-#include "upstream.h"
+#include "upstream_internal.h"
 
 #include <string.h>
 
--- a/packages/process/tests/prop-drain.cpp
+++ b/packages/upstream/tests/prop-drain.cpp
@@ -1,5 +1,5 @@
 /* Properties of drain over any order of events. */
-#include "ks/process.h"
+#include "ks/upstream.h"
 
 #include <rapidcheck.h>
 
--- a/packages/process/tests/test-drain.c
+++ b/packages/upstream/tests/test-drain.c
@@ -1,5 +1,5 @@
 /* Tests of drain: when an upstream takes requests, and when it is drained. */
-#include "ks/process.h"
+#include "ks/upstream.h"
 
 #define SEC KS_USEC_PER_SEC
 
--- a/packages/process/tests/test-upstream-queue.c
+++ b/packages/upstream/tests/test-upstream-queue.c
@@ -1,5 +1,5 @@
 /* Tests of the upstream process: queue, load, and how it leaves and stops. */
-#include "../src/upstream.h"
+#include "../src/upstream_internal.h"
 #include "upstream_fixture.h"
 
 static ks_attempt_request_t request_of_priority(uint32_t priority)
--- a/packages/process/tests/upstream_doubles.h
+++ b/packages/upstream/tests/upstream_doubles.h
@@ -6,7 +6,7 @@
 #ifndef UPSTREAM_DOUBLES_H
 #define UPSTREAM_DOUBLES_H
 
-#include "ks/process.h"
+#include "ks/upstream.h"
 
 #include <string.h>
 
--- a/packages/process/tests/fake_process.h
+++ b/tests/fakes/fake_process.h
@@ -2,7 +2,8 @@
 #ifndef FAKE_PROCESS_H
 #define FAKE_PROCESS_H
 
-#include "ks/process.h"
+#include "ks/connection.h"
+#include "ks/telemetry.h"
 
 #include <signal.h>
 #include <stdio.h>
--- a/tests/fakes/fake_tables.h
+++ b/tests/fakes/fake_tables.h
@@ -5,7 +5,7 @@
 #ifndef FAKE_TABLES_H
 #define FAKE_TABLES_H
 
-#include "ks/process.h"
+#include "ks/control.h"
 
 G_BEGIN_DECLS
 
--- a/packages/process/tests/sim.h
+++ b/tests/fakes/sim.h
@@ -7,7 +7,7 @@
 #ifndef KS_TESTS_SIM_H
 #define KS_TESTS_SIM_H
 
-#include "ks/process.h"
+#include "ks/entry.h"
 
 #include <functional>
 #include <map>
--- a/tests/fuzz/fuzz-entry-sse.c
+++ b/tests/fuzz/fuzz-entry-sse.c
@@ -2,7 +2,7 @@
  * The entry's reader of server-sent events, without a caller. The functions of
  * other files that it calls are replaced here.
  */
-#include "../../packages/process/src/entry.h"
+#include "../../packages/entry/src/entry_internal.h"
 #include "fuzz.h"
 
 struct reading {
--- a/tests/fuzz/fuzz-settings.c
+++ b/tests/fuzz/fuzz-settings.c
@@ -1,6 +1,6 @@
 /* Settings of a daemon. */
 #include "fuzz.h"
-#include "ks/process.h"
+#include "ks/settings.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
--- a/tests/fuzz/fuzz-upstream-sse.c
+++ b/tests/fuzz/fuzz-upstream-sse.c
@@ -1,5 +1,5 @@
 /* The upstream process's reader of server-sent events. */
-#include "../../packages/process/src/upstream.h"
+#include "../../packages/upstream/src/upstream_internal.h"
 #include "fuzz.h"
 
 /* The result must not depend on how the bytes are cut into pieces. */
