Check that a reader was chosen before its failure domain is read

Cause: the linter found a path on which choose_reader() returns no engine. It cannot happen while the list is not empty, but the check now says so itself.

--- a/packages/gateway/src/placement.c
+++ b/packages/gateway/src/placement.c
@@ -300,9 +300,11 @@
 	ks_member_t *generator;
 	int64_t cost;
 
-	if (!direct.member || !query->may_split || !prefill->len)
+	if (!direct.member || !query->may_split)
 		return placement;
 	read = choose_reader(prefill, keeper, query);
+	if (!read.member)
+		return placement;
 	generator = choose_generator(decode, read.member, query, &cost);
 	if (read.cost + SPLIT_OVERHEAD_TOKENS + cost >=
 	    DECODE_READ_COST * direct.cost)
