Do not ask an engine to fetch kept parts from itself

Cause, found on reading: a prompt that could not be read ahead runs on the engine that was chosen, which may be the one that keeps the parts; it was then given its own address to fetch from. The new test failed before.

--- a/packages/gateway/src/exchange_send.c
+++ b/packages/gateway/src/exchange_send.c
@@ -118,7 +118,7 @@
 	int64_t left_ms = MAX((x->left_us - now) / KS_USEC_PER_MSEC, 1);
 	GArray *fields = g_array_new(FALSE, FALSE, sizeof(ks_header_t));
 	bool resumes = x->has_events && x->events.last_id->len;
-	char left[24], priority[8];
+	char left[24], priority[8], own[KS_ADDRESS_TEXT_SIZE];
 	ks_http_request_t request = {
 		.address = member->address,
 		.method = { x->method->str, x->method->len },
@@ -156,7 +156,10 @@
 	else if (x->kv_source->len)
 		add_field(fields, dialect->kv_source,
 			  (ks_str_t){ x->kv_source->str, x->kv_source->len });
-	if (*x->fetch_from && !x->kv_source->len)
+	/* The engine that keeps the parts may end up running the request. */
+	ks_address_format(&member->address, own);
+	if (*x->fetch_from && !x->kv_source->len &&
+	    strcmp(x->fetch_from, own) != 0)
 		add_field(fields, dialect->kv_fetch,
 			  ks_str_from(x->fetch_from));
 	if (resumes)
--- a/packages/gateway/tests/test-engines.c
+++ b/packages/gateway/tests/test-engines.c
@@ -122,6 +122,35 @@
 	fixture_deinit(&f);
 }
 
+/* Guards against an engine that is asked to fetch from itself. */
+static void test_no_fetch_from_itself(void)
+{
+	struct fixture_upstream *runner;
+	struct fixture_caller caller;
+	ks_prompt_t prompt;
+	struct fixture f;
+
+	init_engines(&f);
+	runner = &f.upstreams[1];
+	ks_prompt_parse(&prompt, KS_STR("aa:9000"));
+	ks_member_note_cached(
+		ks_fleet_find(ks_gateway_fleet(f.gateway), KS_STR("u1")),
+		&prompt, FIXTURE_MEMORY_TOKENS, ks_loop_now(&f.loop));
+	call_engine(&f, &caller);
+	FIXTURE_WAIT(&f, f.upstreams[0].request);
+	g_assert_nonnull(ks_header_find(f.upstreams[0].request->headers,
+					f.upstreams[0].request->n_headers,
+					"x-fetch"));
+	fixture_cut_answer(&f.upstreams[0]);
+	FIXTURE_WAIT(&f, runner->request);
+	g_assert_null(ks_header_find(runner->request->headers,
+				     runner->request->n_headers, "x-fetch"));
+	fixture_answer(runner, 200, false, "data: a\n\n");
+	FIXTURE_WAIT(&f, caller.done);
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+}
+
 static int64_t late_answers(const struct fixture *f)
 {
 	GString *text = g_string_new(NULL);
@@ -181,6 +210,8 @@
 	g_test_add_func("/engines/prefill-fails", test_prefill_fails);
 	g_test_add_func("/engines/handle-is-freed", test_handle_is_freed);
 	g_test_add_func("/engines/fetch", test_kept_part_is_fetched);
+	g_test_add_func("/engines/no-fetch-from-itself",
+			test_no_fetch_from_itself);
 	g_test_add_func("/engines/late", test_late_answers_count);
 	return g_test_run();
 }
