gateway: choose the decode engine when the prefill has finished

Cause: the engine that runs a request was chosen, and counted the request as running, before another engine prefilled the prompt.

test-engines decode-chosen-after-prefill fails with the code before.

A failed prefill now places the request again instead of sending it to the engine chosen before.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -334,7 +334,8 @@
 /**
  * struct ks_placement - the upstreams chosen for a request
  * @prefill: prefills the prompt first; NULL if @run does so itself
- * @run: generates the response; NULL if no upstream can take the request
+ * @run: generates the response; NULL if no upstream can take the request. With
+ *	@prefill, only an estimate; see ks_placement_choose_decode().
  * @source: has parts of the prompt cached that the prefilling upstream should
  *	fetch; NULL if there is none
  * @prefill_tokens, @run_tokens: prompt tokens that @prefill and @run are
@@ -371,6 +372,9 @@
 
 ks_placement_t ks_placement_choose(const GPtrArray *members,
 				   const ks_placement_query_t *query);
+ks_member_t *ks_placement_choose_decode(const GPtrArray *members,
+					const ks_member_t *prefill,
+					const ks_placement_query_t *query);
 unsigned ks_placement_rank(unsigned priority, int64_t uncached_tokens);
 
 /* events.c */
--- a/packages/gateway/src/exchange_dispatch.c
+++ b/packages/gateway/src/exchange_dispatch.c
@@ -123,6 +123,53 @@
 	exchange_record_cached(exchange, exchange->prefill_member);
 }
 
+static ks_placement_query_t placement_query(struct exchange *exchange)
+{
+	ks_gateway_t *gateway = exchange->gateway;
+
+	return (ks_placement_query_t){
+		.service = exchange->service,
+		.prompt = exchange->has_prompt ? &exchange->prompt : NULL,
+		.domain = gateway->domain,
+		.avoid = exchange->avoid,
+		/* Further prefills would bypass the retry budget. */
+		.may_split = exchange->may_split && !exchange->prefills,
+		.cache_tokens =
+			gateway_cache_tokens(gateway, exchange->service),
+		.now_us = exchange_now(exchange),
+		.draw = ks_rng_below(&gateway->rng, G_MAXINT32),
+	};
+}
+
+static void set_member(struct exchange *exchange, ks_member_t *member,
+		       int64_t run_tokens)
+{
+	exchange->member = ks_member_ref(member);
+	exchange->run_tokens = run_tokens;
+	member->running++;
+	member->prefill_tokens += run_tokens;
+	ks_ejection_dispatch(&member->health, exchange_now(exchange));
+	ks_peers_schedule_update(&exchange->gateway->peers);
+}
+
+/*
+ * Chooses the engine that runs the request once its prompt is prefilled: during
+ * the prefill, the load of the engines changes.
+ */
+static bool choose_decode(struct exchange *exchange)
+{
+	ks_placement_query_t query = placement_query(exchange);
+	GPtrArray *members = ks_fleet_members(&exchange->gateway->fleet,
+					      exchange->service_name);
+	ks_member_t *member = ks_placement_choose_decode(
+		members, exchange->prefill_member, &query);
+
+	g_ptr_array_free(members, TRUE);
+	if (member)
+		set_member(exchange, member, 0);
+	return member != NULL;
+}
+
 /*
  * A prefill request that failed counts as the first send to the service, so
  * that the request itself is a retry.
@@ -172,9 +219,8 @@
 				 "retry budget used up");
 		return;
 	}
-	if (!exchange->member->accepting) {
+	if (!exchange->handle || !choose_decode(exchange)) {
 		exchange_free_handle(exchange);
-		exchange_release_member(exchange);
 		exchange_release_prefill(exchange);
 		exchange_dispatch(exchange);
 		return;
@@ -199,23 +245,11 @@
 		      &prefill_events);
 }
 
-void exchange_dispatch(struct exchange *exchange)
+static ks_placement_t place(struct exchange *exchange)
 {
-	ks_gateway_t *gateway = exchange->gateway;
-	GPtrArray *members =
-		ks_fleet_members(&gateway->fleet, exchange->service_name);
-	ks_placement_query_t query = {
-		.service = exchange->service,
-		.prompt = exchange->has_prompt ? &exchange->prompt : NULL,
-		.domain = gateway->domain,
-		.avoid = exchange->avoid,
-		/* Further prefills would bypass the retry budget. */
-		.may_split = exchange->may_split && !exchange->prefills,
-		.cache_tokens =
-			gateway_cache_tokens(gateway, exchange->service),
-		.now_us = exchange_now(exchange),
-		.draw = ks_rng_below(&gateway->rng, G_MAXINT32),
-	};
+	ks_placement_query_t query = placement_query(exchange);
+	GPtrArray *members = ks_fleet_members(&exchange->gateway->fleet,
+					      exchange->service_name);
 	ks_placement_t placement = ks_placement_choose(members, &query);
 
 	/* An upstream that has failed this request is better than none. */
@@ -224,14 +258,18 @@
 		placement = ks_placement_choose(members, &query);
 	}
 	g_ptr_array_free(members, TRUE);
+	return placement;
+}
+
+void exchange_dispatch(struct exchange *exchange)
+{
+	ks_placement_t placement = place(exchange);
+
 	if (!placement.run) {
 		exchange_give_up(exchange, RETRY_AFTER_NOT_READY_S,
 				 "no upstream");
 		return;
 	}
-	exchange->member = ks_member_ref(placement.run);
-	exchange->member->running++;
-	exchange->run_tokens = placement.run_tokens;
 	exchange->uncached_tokens = placement.prefill ? placement.prefill_tokens
 						      : placement.run_tokens;
 	if (placement.source)
@@ -239,10 +277,8 @@
 				  exchange->fetch_from);
 	else
 		*exchange->fetch_from = '\0';
-	exchange->member->prefill_tokens += exchange->run_tokens;
-	ks_ejection_dispatch(&exchange->member->health, exchange_now(exchange));
-	ks_peers_schedule_update(&gateway->peers);
 	if (!placement.prefill) {
+		set_member(exchange, placement.run, placement.run_tokens);
 		exchange_start_run(exchange);
 		return;
 	}
@@ -251,5 +287,6 @@
 	exchange->prefill_member->prefill_tokens += exchange->prefill_tokens;
 	ks_ejection_dispatch(&exchange->prefill_member->health,
 			     exchange_now(exchange));
+	ks_peers_schedule_update(&exchange->gateway->peers);
 	start_prefill(exchange);
 }
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -109,7 +109,8 @@
  * @prefills: prefill requests sent
  * @runs: sends that may have run
  * @avoid: upstreams that have failed or refused the request
- * @member: upstream that runs the request, with a reference
+ * @member: upstream that runs the request, with a reference; NULL while
+ *	another one prefills the prompt
  * @prefill_member: upstream that prefills the prompt, with a reference
  * @prefill_tokens: prompt tokens counted as pending at @prefill_member
  * @run_tokens: prompt tokens counted as pending at @member
--- a/packages/gateway/src/placement.c
+++ b/packages/gateway/src/placement.c
@@ -278,10 +278,10 @@
 }
 
 /* Chooses the engine that runs the request after separate prefill. */
-static ks_member_t *choose_decode(const GPtrArray *members,
-				  const ks_member_t *prefill,
-				  const ks_placement_query_t *query,
-				  int64_t *cost)
+static ks_member_t *least_cost_decode(const GPtrArray *members,
+				      const ks_member_t *prefill,
+				      const ks_placement_query_t *query,
+				      int64_t *cost)
 {
 	ks_member_t *best = NULL;
 
@@ -320,7 +320,8 @@
 	separate = choose_prefill(prefill, cache_source, query);
 	if (!separate.member)
 		return placement;
-	decode_member = choose_decode(decode, separate.member, query, &cost);
+	decode_member =
+		least_cost_decode(decode, separate.member, query, &cost);
 	/* Both sides are in prompt tokens at the speed of a prefill engine. */
 	if (separate.cost + SPLIT_OVERHEAD_TOKENS + cost >=
 	    DECODE_PREFILL_COST * direct.cost)
@@ -389,6 +390,25 @@
 	return placement;
 }
 
+/**
+ * ks_placement_choose_decode() - choose the engine that runs a request whose
+ * prompt another engine has prefilled
+ * @prefill: the engine that has the prompt
+ *
+ * Return: NULL if no engine can take the request.
+ */
+ks_member_t *ks_placement_choose_decode(const GPtrArray *members,
+					const ks_member_t *prefill,
+					const ks_placement_query_t *query)
+{
+	GPtrArray *decode = usable_members(members, KS_STAGE_DECODE, query);
+	int64_t cost;
+	ks_member_t *member = least_cost_decode(decode, prefill, query, &cost);
+
+	g_ptr_array_free(decode, TRUE);
+	return member;
+}
+
 /**
  * ks_placement_rank() - rank of a request in an engine's queue, 0 is the first
  * @priority: priority of the request's route
--- a/packages/gateway/tests/test-engines.c
+++ b/packages/gateway/tests/test-engines.c
@@ -54,6 +54,36 @@
 	fixture_deinit(&f);
 }
 
+/*
+ * Guards against sending a request to an engine that has become busy while the
+ * prompt was prefilled elsewhere.
+ */
+static void test_decode_chosen_after_prefill(void)
+{
+	for (int busy = 1; busy <= 2; busy++) {
+		struct fixture_caller caller;
+		struct fixture f;
+
+		init_engines(&f);
+		fixture_put_upstream(&f, 2, "llm", KS_STAGE_DECODE);
+		call_engine(&f, &caller);
+		FIXTURE_WAIT(&f, f.upstreams[0].request);
+		ks_fleet_find(ks_gateway_fleet(f.gateway),
+			      ks_str_from(busy == 1 ? "u1" : "u2"))
+			->peer_running = 20;
+		fixture_respond(&f.upstreams[0], 200, false,
+				"{\"handle\":\"h7\"}");
+		FIXTURE_WAIT(&f,
+			     f.upstreams[1].request || f.upstreams[2].request);
+		g_assert_null(f.upstreams[busy].request);
+		fixture_respond(&f.upstreams[3 - busy], 200, false,
+				"data: a\n\n");
+		FIXTURE_WAIT(&f, caller.done);
+		fixture_end_call(&caller);
+		fixture_deinit(&f);
+	}
+}
+
 /* Guards against failing a request because its prefill failed. */
 static void test_prefill_fails(void)
 {
@@ -261,6 +291,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/engines/prefill-elsewhere", test_prefill_elsewhere);
+	g_test_add_func("/engines/decode-chosen-after-prefill",
+			test_decode_chosen_after_prefill);
 	g_test_add_func("/engines/prefill-fails", test_prefill_fails);
 	g_test_add_func("/engines/refused-prefill-uses-budget",
 			test_refused_prefill_uses_budget);
