gateway: let the number of decode engines follow the demand

Cause: prefill_share was 0.7 on every deployment.

The demand for decode is now measured as the slots and memory that responses being generated take up, and stages change when the decode engines are used by less than 0.15 or more than 0.85. Entries tell each other this share for each upstream (a new field of PeerState; messages without it are accepted). The setting remains as an override.

test-stages has the stage tests of test-decisions, unchanged, and six more: long responses, long prompts, a load in range, requests that wait for prefill, the start, and the share of memory. A fixed share fails the first two.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -123,6 +123,7 @@
  * @fetches_kv: an upstream can fetch cached prompt parts from another
  * @memory_tokens: memory of one upstream, in tokens, for running requests and
  *	cached prompt parts
+ * @slots: requests that one engine runs at the same time, 0 if unknown
  */
 typedef struct ks_service {
 	char *name;
@@ -131,8 +132,13 @@
 	bool transfers_kv;
 	bool fetches_kv;
 	int64_t memory_tokens;
+	unsigned slots;
 } ks_service_t;
 
+#define KS_OCCUPANCY_UNIT 10000
+
+unsigned ks_service_occupancy(const ks_service_t *service, int64_t tokens);
+
 /**
  * struct ks_limits - limits on the requests and connections of callers
  */
@@ -231,10 +237,12 @@
  *	reference
  * @remove_at_us: when a scheduled removal takes effect, 0 if there is none
  * @running: number of requests that this entry has in flight there
+ * @occupancy: share of it that the responses being generated take up, in units
+ *	of 1 / KS_OCCUPANCY_UNIT
  * @prefill_tokens: prompt tokens of this entry's requests that still have to be
  *	prefilled there
- * @peer_running, @peer_prefill_tokens: the same for all other entries, from
- *	their latest messages
+ * @peer_running, @peer_occupancy, @peer_prefill_tokens: the same for all other
+ *	entries, from their latest messages
  * @failure_rate: moving average of failed requests, 0 to 1, as of
  *	@failure_rate_us
  * @pending_stage: stage that it is changing to, KS_STAGE_ANY if it is not
@@ -258,8 +266,10 @@
 	bool listed;
 	int64_t remove_at_us;
 	unsigned running;
+	unsigned occupancy;
 	int64_t prefill_tokens;
 	unsigned peer_running;
+	unsigned peer_occupancy;
 	int64_t peer_prefill_tokens;
 	ks_stage_t pending_stage;
 	int64_t changed_us;
@@ -449,18 +459,37 @@
 
 /* stages.c */
 
+/**
+ * struct ks_demand - demand for a stage, in engines
+ * @average: moving average
+ * @peak: highest average, which decays slowly
+ * @since_us: when a demand was first seen, 0 before
+ * @observed_us: when it was last measured, 0 if never
+ */
+typedef struct ks_demand {
+	double average;
+	double peak;
+	int64_t since_us;
+	int64_t observed_us;
+} ks_demand_t;
+
 /**
  * struct ks_stage_balance - target and last change of a service's prefill share
- * @prefill_share: share of the engines that should run prefill, 0 to 1
+ * @prefill_share: share of the engines that should run prefill, 0 to 1, or
+ *	KS_PREFILL_SHARE_AUTO
+ * @decode: slots and memory that the responses being generated take up
  * @last: stage that the last change led to, KS_STAGE_ANY before the first
  * @changed_us: when the last change was ordered
  */
 typedef struct ks_stage_balance {
 	double prefill_share;
+	ks_demand_t decode;
 	ks_stage_t last;
 	int64_t changed_us;
 } ks_stage_balance_t;
 
+void ks_stage_balance_observe(ks_stage_balance_t *balance,
+			      const GPtrArray *members, int64_t now_us);
 ks_member_t *ks_stage_balance_next(const ks_stage_balance_t *balance,
 				   const GPtrArray *members, int64_t now_us,
 				   ks_stage_t *stage);
--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -121,6 +121,9 @@
 	if (exchange->first_event_seen)
 		return;
 	exchange->first_event_seen = true;
+	exchange->occupancy = ks_service_occupancy(
+		exchange->service, exchange->prompt.total_tokens);
+	exchange->member->occupancy += exchange->occupancy;
 	exchange->member->prefill_tokens -= exchange->run_tokens;
 	exchange->run_tokens = 0;
 	ks_peers_schedule_update(&exchange->gateway->peers);
--- a/packages/gateway/src/exchange_end.c
+++ b/packages/gateway/src/exchange_end.c
@@ -53,12 +53,14 @@
 {
 	if (exchange->member) {
 		exchange->member->running--;
+		exchange->member->occupancy -= exchange->occupancy;
 		exchange->member->prefill_tokens -= exchange->run_tokens;
 		ks_member_unref(exchange->member);
 		ks_peers_schedule_update(&exchange->gateway->peers);
 	}
 	exchange->member = NULL;
 	exchange->run_tokens = 0;
+	exchange->occupancy = 0;
 }
 
 void exchange_release_prefill(struct exchange *exchange)
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -114,6 +114,7 @@
  * @prefill_member: upstream that prefills the prompt, with a reference
  * @prefill_tokens: prompt tokens counted as pending at @prefill_member
  * @run_tokens: prompt tokens counted as pending at @member
+ * @occupancy: share of @member counted for the response being generated
  * @kv_source: value of the header field of that name, empty without a handle
  * @fetch_from: address of an upstream that has parts of the prompt cached, or
  *	empty
@@ -162,6 +163,7 @@
 	ks_member_t *prefill_member;
 	int64_t prefill_tokens;
 	int64_t run_tokens;
+	unsigned occupancy;
 	GString *kv_source;
 	char fetch_from[KS_ADDRESS_TEXT_SIZE];
 	int64_t uncached_tokens;
--- a/packages/gateway/src/peer.pb-c.c
+++ b/packages/gateway/src/peer.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &ks__peer_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ks__peer_state__field_descriptors[9] =
+static const ProtobufCFieldDescriptor ks__peer_state__field_descriptors[10] =
 {
   {
     "name",
@@ -162,6 +162,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "occupancy",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ks__PeerState, n_occupancy),
+    offsetof(Ks__PeerState, occupancy),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ks__peer_state__field_indices_by_name[] = {
   1,   /* field[1] = incarnation */
@@ -169,6 +181,7 @@
   7,   /* field[7] = kept_part */
   0,   /* field[0] = name */
   2,   /* field[2] = number */
+  9,   /* field[9] = occupancy */
   6,   /* field[6] = reading_tokens */
   5,   /* field[5] = running */
   4,   /* field[4] = upstream */
@@ -177,7 +190,7 @@
 static const ProtobufCIntRange ks__peer_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor ks__peer_state__descriptor =
 {
@@ -187,7 +200,7 @@
   "Ks__PeerState",
   "ks",
   sizeof(Ks__PeerState),
-  9,
+  10,
   ks__peer_state__field_descriptors,
   ks__peer_state__field_indices_by_name,
   1,  ks__peer_state__number_ranges,
--- a/packages/gateway/src/peer.pb-c.h
+++ b/packages/gateway/src/peer.pb-c.h
@@ -46,9 +46,11 @@
   int64_t version;
   /*
    * Hashes of the ids of the upstreams that have requests of the sender. The
-   * next two fields have one element for each of them: the requests in flight
-   * and the prompt tokens that are not prefilled yet. Both are 0 for upstreams
-   * that are not listed.
+   * next two fields and occupancy have one element for each of them: the
+   * requests in flight, the prompt tokens that are not prefilled yet, and the
+   * share of the upstream that the responses being generated take up, in units
+   * of 1/10000. All are 0 for upstreams that are not listed. Occupancy may be
+   * missing.
    */
   size_t n_upstream;
   uint32_t *upstream;
@@ -64,10 +66,12 @@
   uint64_t *kept_part;
   size_t n_kept_by;
   uint32_t *kept_by;
+  size_t n_occupancy;
+  uint32_t *occupancy;
 };
 #define KS__PEER_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ks__peer_state__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Ks__PeerState methods */
--- a/packages/gateway/src/peers.c
+++ b/packages/gateway/src/peers.c
@@ -54,12 +54,14 @@
  * struct load - the load that a peer has placed on one upstream
  * @member: the upstream, with a reference
  * @running: number of requests that the peer has in flight there
+ * @occupancy: share of the upstream that their responses take up
  * @prefill_tokens: prompt tokens of these requests still to be prefilled
  * @number: number of the last message that contained it
  */
 struct load {
 	ks_member_t *member;
 	unsigned running;
+	unsigned occupancy;
 	int64_t prefill_tokens;
 	uint64_t number;
 };
@@ -81,8 +83,10 @@
 static void clear_load(struct load *load)
 {
 	load->member->peer_running -= load->running;
+	load->member->peer_occupancy -= load->occupancy;
 	load->member->peer_prefill_tokens -= load->prefill_tokens;
 	load->running = 0;
+	load->occupancy = 0;
 	load->prefill_tokens = 0;
 }
 
@@ -115,9 +119,10 @@
 	return peer;
 }
 
-static void set_load(ks_peers_t *peers, struct peer *peer, uint32_t tag,
-		     unsigned running, int64_t prefill_tokens)
+static void set_load(ks_peers_t *peers, struct peer *peer,
+		     const Ks__PeerState *state, size_t i)
 {
+	uint32_t tag = state->upstream[i];
 	ks_member_t *member = ks_fleet_find_tag(peers->fleet, tag);
 	struct load *load =
 		g_hash_table_lookup(peer->loads, GUINT_TO_POINTER(tag));
@@ -134,11 +139,13 @@
 		g_hash_table_insert(peer->loads, GUINT_TO_POINTER(tag), load);
 	}
 	clear_load(load);
-	load->running = running;
-	load->prefill_tokens = prefill_tokens;
+	load->running = state->running[i];
+	load->occupancy = state->n_occupancy ? state->occupancy[i] : 0;
+	load->prefill_tokens = state->reading_tokens[i];
 	load->number = peer->number;
-	member->peer_running += running;
-	member->peer_prefill_tokens += prefill_tokens;
+	member->peer_running += load->running;
+	member->peer_occupancy += load->occupancy;
+	member->peer_prefill_tokens += load->prefill_tokens;
 }
 
 static gboolean is_stale(gpointer tag G_GNUC_UNUSED, gpointer value,
@@ -167,6 +174,8 @@
 	return state && state->incarnation.len == KS_ID_SIZE &&
 	       state->n_running == state->n_upstream &&
 	       state->n_reading_tokens == state->n_upstream &&
+	       (!state->n_occupancy ||
+		state->n_occupancy == state->n_upstream) &&
 	       state->n_kept_by == state->n_kept_part && *state->name &&
 	       strcmp(state->name, peers->name) != 0;
 }
@@ -202,8 +211,7 @@
 		peer->number = state->number;
 		peer->seen_us = ks_loop_now(peers->loop);
 		for (size_t i = 0; i < state->n_upstream; i++)
-			set_load(peers, peer, state->upstream[i],
-				 state->running[i], state->reading_tokens[i]);
+			set_load(peers, peer, state, i);
 		g_hash_table_foreach_remove(peer->loads, is_stale, peer);
 		record_parts(peers, state);
 	}
@@ -243,6 +251,7 @@
 	uint32_t *tags = g_new(uint32_t, n + 1);
 	uint32_t *running = g_new(uint32_t, n + 1);
 	uint32_t *reading = g_new(uint32_t, n + 1);
+	uint32_t *occupancy = g_new(uint32_t, n + 1);
 	Ks__PeerState state = KS__PEER_STATE__INIT;
 	GHashTableIter iter;
 	gpointer value;
@@ -257,6 +266,7 @@
 			continue;
 		tags[used] = member->tag;
 		running[used] = member->running;
+		occupancy[used] = member->occupancy;
 		reading[used++] =
 			(uint32_t)CLAMP(member->prefill_tokens, 0, G_MAXINT32);
 	}
@@ -268,7 +278,9 @@
 	state.upstream = tags;
 	state.running = running;
 	state.reading_tokens = reading;
-	state.n_upstream = state.n_running = state.n_reading_tokens = used;
+	state.occupancy = occupancy;
+	state.n_upstream = state.n_running = used;
+	state.n_reading_tokens = state.n_occupancy = used;
 	state.kept_part = (uint64_t *)(void *)peers->queued_parts->data;
 	state.kept_by = (uint32_t *)(void *)peers->queued_tags->data;
 	state.n_kept_part = state.n_kept_by = peers->queued_parts->len;
@@ -283,6 +295,7 @@
 	g_free(tags);
 	g_free(running);
 	g_free(reading);
+	g_free(occupancy);
 	return len;
 }
 
--- a/packages/gateway/src/stage_run.c
+++ b/packages/gateway/src/stage_run.c
@@ -91,6 +91,16 @@
 	}
 }
 
+static void observe(ks_stage_controller_t *controller, const char *service,
+		    ks_stage_balance_t *balance)
+{
+	GPtrArray *members = ks_fleet_members(controller->fleet, service);
+
+	ks_stage_balance_observe(balance, members,
+				 ks_loop_now(controller->loop));
+	g_ptr_array_free(members, TRUE);
+}
+
 static ks_member_t *next_change(ks_stage_controller_t *controller,
 				const char *service,
 				const ks_stage_balance_t *balance,
@@ -116,9 +126,10 @@
 	g_hash_table_iter_init(&iter, controller->services);
 	while (g_hash_table_iter_next(&iter, &service, &balance)) {
 		ks_stage_t stage;
-		ks_member_t *member =
-			next_change(controller, service, balance, &stage);
+		ks_member_t *member;
 
+		observe(controller, service, balance);
+		member = next_change(controller, service, balance, &stage);
 		wanted |= member != NULL;
 		while (member && may_order(controller) &&
 		       !controller->stopping) {
@@ -152,7 +163,7 @@
  * @boottime: clock that includes the time during which the system is suspended
  * @turns_us: orders of two holders closer together than this count as
  *	interleaved
- * @prefill_share: share of the engines that should run prefill, 0 to 1
+ * @prefill_share: see struct ks_stage_balance
  */
 void ks_stage_controller_init(ks_stage_controller_t *controller,
 			      ks_loop_t *loop, ks_fleet_t *fleet,
--- a/packages/gateway/src/stages.c
+++ b/packages/gateway/src/stages.c
@@ -3,17 +3,51 @@
  * prefills slowly, and all of its streams wait in the meantime, so with long
  * prompts and short generations most prefill belongs on dedicated engines.
  *
+ * The load shifts between long prompts and long generations. The number of
+ * decode engines follows the slots and memory that responses take up. The
+ * others prefill: besides doing the work, they keep the shared parts of more
+ * prompts cached.
+ *
  * A change makes an engine unavailable for seconds. To prevent an engine that
  * repeatedly joins and leaves from changing the others each time, a change in
  * the opposite direction is delayed.
  */
 #include "ks/gateway.h"
+#include "ks/settings.h"
 
+#include <math.h>
 #include <string.h>
 
 /* How many engines the number of prefill engines may be off its target. */
 #define TARGET_TOLERANCE 0.75
 
+/*
+ * Shares of the slots and memory of the decode engines that are in use. Stages
+ * change only if the share leaves the range from MIN to MAX, as each change
+ * takes an engine away for seconds. Then the share is brought to FROM_MIN or
+ * FROM_MAX. The rest is for peaks that are shorter than a change: too few
+ * decode engines refuse requests, whereas too many only cache less.
+ */
+#define MIN_DECODE_OCCUPANCY 0.15
+#define FROM_MIN_DECODE_OCCUPANCY 0.3
+#define FROM_MAX_DECODE_OCCUPANCY 0.6
+#define MAX_DECODE_OCCUPANCY 0.85
+
+/*
+ * Share of the engines that prefill until the demand is known. More than half,
+ * as prefill engines also cache the shared parts of prompts.
+ */
+#define INITIAL_PREFILL_SHARE (2.0 / 3)
+
+/*
+ * Demand is averaged over the first time, and known after the second. The peak
+ * of the average counts, and is forgotten slowly: undoing a change too early
+ * costs more than keeping it.
+ */
+#define DEMAND_AVERAGE_US (2 * KS_USEC_PER_SEC)
+#define DEMAND_KNOWN_US (2 * DEMAND_AVERAGE_US)
+#define PEAK_HALF_LIFE_US (30 * KS_USEC_PER_SEC)
+
 /* Minimum time between two changes in opposite directions. */
 #define REVERSAL_DELAY_US (20 * KS_USEC_PER_SEC)
 
@@ -45,6 +79,62 @@
 	return best;
 }
 
+/**
+ * ks_stage_balance_observe() - measure the demand for decode
+ * @members: engines of one service that accept requests
+ *
+ * Called several times a second. Requests that a decode engine has still to
+ * prefill do not count: too few prefill engines are the reason for them.
+ */
+void ks_stage_balance_observe(ks_stage_balance_t *balance,
+			      const GPtrArray *members, int64_t now_us)
+{
+	ks_demand_t *demand = &balance->decode;
+	double elapsed_us = (double)(now_us - demand->observed_us);
+	double engines = 0;
+
+	for (guint i = 0; i < members->len; i++) {
+		const ks_member_t *member = members->pdata[i];
+
+		engines +=
+			(double)(member->occupancy + member->peer_occupancy) /
+			KS_OCCUPANCY_UNIT;
+	}
+	if (!demand->since_us && engines > 0)
+		demand->since_us = now_us;
+	if (demand->observed_us) {
+		demand->average +=
+			(engines - demand->average) *
+			-expm1(-elapsed_us / (double)DEMAND_AVERAGE_US);
+		demand->peak *= exp2(-elapsed_us / (double)PEAK_HALF_LIFE_US);
+	}
+	demand->peak = MAX(demand->peak, demand->average);
+	demand->observed_us = now_us;
+}
+
+/*
+ * Returns how many of the engines should prefill.
+ * @prefill: how many do so now or are changing to it
+ */
+static double prefill_target(const ks_stage_balance_t *balance, guint n,
+			     guint prefill)
+{
+	const ks_demand_t *demand = &balance->decode;
+	double occupancy;
+
+	if (balance->prefill_share >= 0)
+		return balance->prefill_share * n;
+	if (!demand->since_us ||
+	    demand->observed_us - demand->since_us < DEMAND_KNOWN_US)
+		return INITIAL_PREFILL_SHARE * n;
+	occupancy = demand->peak / MAX(n - prefill, 1);
+	if (occupancy < MIN_DECODE_OCCUPANCY)
+		return n - demand->peak / FROM_MIN_DECODE_OCCUPANCY;
+	if (occupancy > MAX_DECODE_OCCUPANCY)
+		return n - demand->peak / FROM_MAX_DECODE_OCCUPANCY;
+	return prefill;
+}
+
 static bool may_change(const ks_stage_balance_t *balance, ks_stage_t stage,
 		       int64_t now_us)
 {
@@ -64,8 +154,8 @@
 				   const GPtrArray *members, int64_t now_us,
 				   ks_stage_t *stage)
 {
-	double target, prefill = 0;
-	guint n = 0, changing = 0;
+	guint n = 0, prefill = 0, changing = 0;
+	double target;
 
 	for (guint i = 0; i < members->len; i++) {
 		const ks_member_t *member = members->pdata[i];
@@ -81,7 +171,7 @@
 	}
 	if (n < 2 || changing >= MAX(1, MAX_CHANGING_SHARE * n))
 		return NULL;
-	target = CLAMP(balance->prefill_share * n, 1, n - 1);
+	target = CLAMP(prefill_target(balance, n, prefill), 1, n - 1);
 	if (target - prefill > TARGET_TOLERANCE)
 		*stage = KS_STAGE_PREFILL;
 	else if (prefill - target > TARGET_TOLERANCE)
--- a/packages/gateway/src/traffic.c
+++ b/packages/gateway/src/traffic.c
@@ -144,6 +144,26 @@
 	return path.len >= *len && !memcmp(path.data, prefix, *len);
 }
 
+/**
+ * ks_service_occupancy() - share of an engine that a running request takes up
+ * @tokens: length of its prompt
+ *
+ * An engine is full when all of its slots or all of its memory is in use.
+ *
+ * Return: the share in units of 1 / KS_OCCUPANCY_UNIT.
+ */
+unsigned ks_service_occupancy(const ks_service_t *service, int64_t tokens)
+{
+	int64_t by_slots =
+		service->slots ? KS_OCCUPANCY_UNIT / service->slots : 0;
+	int64_t by_memory =
+		service->memory_tokens
+			? tokens * KS_OCCUPANCY_UNIT / service->memory_tokens
+			: 0;
+
+	return (unsigned)CLAMP(MAX(by_slots, by_memory), 0, KS_OCCUPANCY_UNIT);
+}
+
 /**
  * ks_traffic_match() - find the route with the longest matching prefix
  * @host: as in the Host field; a port is ignored
--- /dev/null
+++ b/packages/gateway/tests/test-stages.c
@@ -0,0 +1,300 @@
+/*
+ * Tests of the balance between prefill and decode engines, which does no I/O.
+ */
+#include "fleet_fixture.h"
+#include "ks/settings.h"
+
+static void put_engines(ks_fleet_t *fleet, int prefill, int decode)
+{
+	char id[16];
+
+	for (int i = 0; i < prefill + decode; i++) {
+		g_snprintf(id, sizeof(id), "e%d", i);
+		put(fleet, id, i < prefill ? KS_STAGE_PREFILL : KS_STAGE_DECODE,
+		    1);
+	}
+}
+
+/*
+ * Makes every change that is due, and returns their number. With at_once, the
+ * engines show the new stage immediately; otherwise they stay in the change.
+ */
+static int change_stages(ks_stage_balance_t *stages, const ks_fleet_t *fleet,
+			 int64_t now, bool at_once)
+{
+	GPtrArray *members = ks_fleet_members(fleet, "llm");
+	ks_member_t *next;
+	ks_stage_t stage;
+	int changes = 0;
+
+	while ((next = ks_stage_balance_next(stages, members, now, &stage))) {
+		ks_stage_balance_record(stages, stage, now);
+		if (at_once)
+			next->stage = stage;
+		else
+			next->pending_stage = stage;
+		g_assert_cmpint(++changes, <=, 12);
+	}
+	g_ptr_array_free(members, TRUE);
+	return changes;
+}
+
+static int count_prefill(const ks_fleet_t *fleet)
+{
+	GPtrArray *members = ks_fleet_members(fleet, "llm");
+	int n = 0;
+
+	for (guint i = 0; i < members->len; i++)
+		n += ((ks_member_t *)members->pdata[i])->stage ==
+		     KS_STAGE_PREFILL;
+	g_ptr_array_free(members, TRUE);
+	return n;
+}
+
+/* Guards against a prefill share that stays away from its target. */
+static void test_stages_reach_target(void)
+{
+	for (int prefill = 0; prefill <= 12; prefill++) {
+		ks_stage_balance_t stages = { .prefill_share = 0.6 };
+		ks_fleet_t fleet;
+
+		ks_fleet_init(&fleet);
+		put_engines(&fleet, prefill, 12 - prefill);
+		change_stages(&stages, &fleet, SECOND, true);
+		g_assert_cmpint(count_prefill(&fleet), ==, 7);
+		ks_fleet_deinit(&fleet);
+	}
+}
+
+/*
+ * Guards against an engine that joins and leaves repeatedly and makes others
+ * change their stage each time.
+ */
+static void test_stages_tolerate_flapping(void)
+{
+	ks_stage_balance_t stages = { .prefill_share = 0.6 };
+	ks_fleet_t fleet;
+	int changes = 0;
+
+	ks_fleet_init(&fleet);
+	put_engines(&fleet, 7, 5);
+	for (int i = 1; i <= 9; i++) {
+		put(&fleet, "flaps", KS_STAGE_DECODE, 1);
+		changes += change_stages(&stages, &fleet, 2 * i * SECOND, true);
+		ks_fleet_remove(&fleet, KS_STR("flaps"));
+		changes += change_stages(&stages, &fleet, (2 * i + 1) * SECOND,
+					 true);
+	}
+	g_assert_cmpint(changes, <=, 1);
+	ks_fleet_deinit(&fleet);
+}
+
+/* Guards against changing all engines at the same time. */
+static void test_stages_change_few_at_once(void)
+{
+	ks_stage_balance_t stages = { .prefill_share = 0.6 };
+	ks_fleet_t fleet;
+
+	ks_fleet_init(&fleet);
+	put_engines(&fleet, 0, 12);
+	g_assert_cmpint(change_stages(&stages, &fleet, SECOND, false), ==, 3);
+	ks_fleet_deinit(&fleet);
+}
+
+/* Guards against removing the last engine of a stage. */
+static void test_stages_keep_one(void)
+{
+	static const double shares[] = { 0, 1 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(shares); i++) {
+		ks_stage_balance_t stages = { .prefill_share = shares[i] };
+		ks_fleet_t fleet;
+
+		ks_fleet_init(&fleet);
+		put_engines(&fleet, 2, 2);
+		change_stages(&stages, &fleet, SECOND, true);
+		g_assert_cmpint(count_prefill(&fleet), ==, i ? 3 : 1);
+		ks_fleet_deinit(&fleet);
+	}
+}
+
+/* Guards against stage changes of engines that do not support them. */
+static void test_plain_services_have_no_stages(void)
+{
+	ks_stage_balance_t stages = { .prefill_share = 0.6 };
+	ks_fleet_t fleet;
+
+	ks_fleet_init(&fleet);
+	put(&fleet, "a", KS_STAGE_ANY, 1);
+	put(&fleet, "b", KS_STAGE_ANY, 1);
+	g_assert_cmpint(change_stages(&stages, &fleet, SECOND, true), ==, 0);
+	ks_fleet_deinit(&fleet);
+}
+
+#define OBSERVE_US (500 * KS_USEC_PER_MSEC)
+
+static void set_occupancy(const ks_fleet_t *fleet, ks_stage_t stage,
+			  double occupancy)
+{
+	GPtrArray *members = ks_fleet_members(fleet, "llm");
+
+	for (guint i = 0; i < members->len; i++) {
+		ks_member_t *member = members->pdata[i];
+
+		/* Half of it comes from other entries. */
+		member->occupancy = member->peer_occupancy =
+			member->stage == stage
+				? (unsigned)(occupancy * KS_OCCUPANCY_UNIT / 2)
+				: 0;
+	}
+	g_ptr_array_free(members, TRUE);
+}
+
+/* Keeps the load of decode engines as it is, and makes the changes due. */
+static int run_at_occupancy(ks_stage_balance_t *stages, const ks_fleet_t *fleet,
+			    double occupancy, int64_t *now, int seconds)
+{
+	int64_t end = *now + seconds * SECOND;
+	int changes = 0;
+
+	for (; *now < end; *now += OBSERVE_US) {
+		GPtrArray *members = ks_fleet_members(fleet, "llm");
+
+		set_occupancy(fleet, KS_STAGE_DECODE, occupancy);
+		ks_stage_balance_observe(stages, members, *now);
+		g_ptr_array_free(members, TRUE);
+		changes += change_stages(stages, fleet, *now, true);
+	}
+	return changes;
+}
+
+static ks_stage_balance_t follow_demand(void)
+{
+	return (ks_stage_balance_t){ .prefill_share = KS_PREFILL_SHARE_AUTO };
+}
+
+/* Guards against stages that wait for a demand before they leave the start. */
+static void test_stages_start(void)
+{
+	ks_stage_balance_t stages = follow_demand();
+	ks_fleet_t fleet;
+
+	ks_fleet_init(&fleet);
+	put_engines(&fleet, 4, 8);
+	change_stages(&stages, &fleet, SECOND, true);
+	g_assert_cmpint(count_prefill(&fleet), ==, 8);
+	ks_fleet_deinit(&fleet);
+}
+
+/*
+ * Guards against decode engines that stay full while prefill engines are idle,
+ * as with many short prompts: most requests are then refused.
+ */
+static void test_stages_follow_long_responses(void)
+{
+	ks_stage_balance_t stages = follow_demand();
+	int64_t now = 100 * SECOND;
+	ks_fleet_t fleet;
+
+	ks_fleet_init(&fleet);
+	put_engines(&fleet, 10, 4);
+	run_at_occupancy(&stages, &fleet, 1, &now, 8);
+	/* Four full engines at an occupancy of 0.6 are seven engines. */
+	g_assert_cmpint(count_prefill(&fleet), <=, 7);
+	ks_fleet_deinit(&fleet);
+}
+
+/*
+ * Guards against engines that change their stage although none is short of
+ * them. Each change takes an engine away for seconds.
+ */
+static void test_stages_stay_in_range(void)
+{
+	static const double occupancies[] = { 0.2, 0.4, 0.6, 0.8 };
+	ks_stage_balance_t stages = follow_demand();
+	int64_t now = 100 * SECOND;
+	ks_fleet_t fleet;
+
+	ks_fleet_init(&fleet);
+	put_engines(&fleet, 8, 4);
+	for (size_t i = 0; i < G_N_ELEMENTS(occupancies); i++)
+		g_assert_cmpint(run_at_occupancy(&stages, &fleet,
+						 occupancies[i], &now, 30),
+				==, 0);
+	ks_fleet_deinit(&fleet);
+}
+
+/* Guards against decode engines that stay idle for good. */
+static void test_stages_follow_long_prompts(void)
+{
+	ks_stage_balance_t stages = follow_demand();
+	int64_t now = 100 * SECOND;
+	ks_fleet_t fleet;
+
+	ks_fleet_init(&fleet);
+	put_engines(&fleet, 8, 4);
+	run_at_occupancy(&stages, &fleet, 0.05, &now, 60);
+	g_assert_cmpint(count_prefill(&fleet), >=, 10);
+	ks_fleet_deinit(&fleet);
+}
+
+/*
+ * Guards against a shortage of prefill engines that is taken for one of decode
+ * engines, and so made worse: requests that decode engines have yet to prefill
+ * are in flight there, but generate nothing.
+ */
+static void test_stages_ignore_waiting_requests(void)
+{
+	ks_stage_balance_t stages = follow_demand();
+	int64_t now = 100 * SECOND;
+	GPtrArray *members;
+	ks_fleet_t fleet;
+
+	ks_fleet_init(&fleet);
+	put_engines(&fleet, 8, 4);
+	members = ks_fleet_members(&fleet, "llm");
+	for (guint i = 0; i < members->len; i++) {
+		ks_member_t *member = members->pdata[i];
+
+		member->running = member->peer_running = 60;
+	}
+	g_ptr_array_free(members, TRUE);
+	run_at_occupancy(&stages, &fleet, 0.3, &now, 30);
+	g_assert_cmpint(count_prefill(&fleet), ==, 8);
+	ks_fleet_deinit(&fleet);
+}
+
+/* Guards against an engine that counts as free although its memory is full. */
+static void test_occupancy(void)
+{
+	ks_service_t service = { .slots = 16, .memory_tokens = 400000 };
+
+	g_assert_cmpuint(ks_service_occupancy(&service, 1000), ==,
+			 KS_OCCUPANCY_UNIT / 16);
+	g_assert_cmpuint(ks_service_occupancy(&service, 100000), ==,
+			 KS_OCCUPANCY_UNIT / 4);
+	g_assert_cmpuint(ks_service_occupancy(&service, 9000000), ==,
+			 KS_OCCUPANCY_UNIT);
+	service.slots = 0;
+	service.memory_tokens = 0;
+	g_assert_cmpuint(ks_service_occupancy(&service, 100000), ==, 0);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/stages/settle", test_stages_reach_target);
+	g_test_add_func("/stages/flapping", test_stages_tolerate_flapping);
+	g_test_add_func("/stages/few", test_stages_change_few_at_once);
+	g_test_add_func("/stages/keep-one", test_stages_keep_one);
+	g_test_add_func("/stages/none", test_plain_services_have_no_stages);
+	g_test_add_func("/stages/start", test_stages_start);
+	g_test_add_func("/stages/long-responses",
+			test_stages_follow_long_responses);
+	g_test_add_func("/stages/in-range", test_stages_stay_in_range);
+	g_test_add_func("/stages/long-prompts",
+			test_stages_follow_long_prompts);
+	g_test_add_func("/stages/waiting", test_stages_ignore_waiting_requests);
+	g_test_add_func("/stages/occupancy", test_occupancy);
+	return g_test_run();
+}
--- a/packages/settings/include/ks/settings.h
+++ b/packages/settings/include/ks/settings.h
@@ -61,6 +61,9 @@
 	char *plan;
 } ks_log_level_settings_t;
 
+/* Value of prefill_share that lets the share follow the demand. */
+#define KS_PREFILL_SHARE_AUTO (-1)
+
 /**
  * struct ks_settings - settings of a daemon, read from YAML
  *
--- a/packages/settings/src/settings.c
+++ b/packages/settings/src/settings.c
@@ -197,7 +197,8 @@
 	set_default_float(doc, "retry_window_s", &settings->retry_window_s, 10);
 	set_default(doc, "leaving_notice_ms", &settings->leaving_notice_ms,
 		    2000);
-	set_default_float(doc, "prefill_share", &settings->prefill_share, 0.5);
+	set_default_float(doc, "prefill_share", &settings->prefill_share,
+			  KS_PREFILL_SHARE_AUTO);
 	fill_list_defaults(doc, settings);
 }
 
--- a/packages/settings/src/settings_check.c
+++ b/packages/settings/src/settings_check.c
@@ -325,8 +325,9 @@
 			   DAY_MS / 1000.0) &&
 	       check_float(doc, "retry_ratio", settings->retry_ratio, 0, 10) &&
 	       check_float(doc, "retry_slack", settings->retry_slack, 0, 1e6) &&
-	       check_float(doc, "prefill_share", settings->prefill_share, 0,
-			   1) &&
+	       (!ks_settings_document_line(doc, "prefill_share", -1, NULL) ||
+		check_float(doc, "prefill_share", settings->prefill_share, 0,
+			    1)) &&
 	       check_float(doc, "leaving_notice_ms",
 			   settings->leaving_notice_ms, 500, 60000) &&
 	       check_float(doc, "retry_window_s", settings->retry_window_s, 1,
--- a/tests/system/test-gateway.sh
+++ b/tests/system/test-gateway.sh
@@ -24,7 +24,7 @@
 	-o /dev/null -w '%{http_code}')
 test "$status" = 404 || fail "unknown route: status $status, not 404"
 
-# Two of the three engines get the prefill stage (prefill_share is 0.7), so a
+# Two of the three engines get the prefill stage until the demand is known, so a
 # gateway must order at least one to change to it.
 wait_until "an engine is ordered to change its stage" \
 	grep -q 'order of a stage' "$WORK/gateway1.log" "$WORK/gateway2.log"
