gateway, platform: let three entries poll the store for the others

Cause: each entry polled the configuration, the upstreams and the entries, about once a second in all. At the start, all entries also competed for the stage lease.

Entries now tell each other what they know of both tables: the revision read, a digest, and the age. Three of them, the lowest hashes of the names heard of, poll. An entry whose digest differs from that of a later read reads the table itself, as does one that has heard nothing as fresh as half of the notice of a leaving upstream, or 2 s for the configuration. Nothing is taken over from another entry. With fewer than 12 entries all poll as before. Only readers compete for the stage lease.

Ruled out: longer polls alone. A poll cannot wait longer than the bounds allow, as one sent during an outage may never be answered.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -299,6 +299,7 @@
 ks_member_t *ks_fleet_find(const ks_fleet_t *fleet, ks_str_t id);
 ks_member_t *ks_fleet_find_tag(const ks_fleet_t *fleet, uint32_t tag);
 GPtrArray *ks_fleet_members(const ks_fleet_t *fleet, const char *service);
+uint64_t ks_fleet_digest(const ks_fleet_t *fleet);
 ks_member_t *ks_member_ref(ks_member_t *member);
 void ks_member_unref(ks_member_t *member);
 void ks_member_record_outcome(ks_member_t *member, bool failed, int64_t now_us);
@@ -404,8 +405,67 @@
 void ks_events_reset(ks_events_t *events);
 void ks_events_feed(ks_events_t *events, ks_str_t data, GString *whole);
 
+/* views.c */
+
+/**
+ * enum ks_table - tables of the store that all entries follow
+ */
+typedef enum ks_table {
+	KS_TABLE_TRAFFIC,
+	KS_TABLE_MEMBERS,
+	KS_N_TABLES,
+} ks_table_t;
+
+/**
+ * struct ks_view - what an entry knows of a table
+ * @revision: revision of the store up to which the table has been read
+ * @digest: hash of the contents that matter to entries
+ * @read_us: when it was read, 0 if never
+ */
+typedef struct ks_view {
+	int64_t revision;
+	uint64_t digest;
+	int64_t read_us;
+} ks_view_t;
+
+/**
+ * struct ks_peer_view - another entry's view of a table
+ * @rank: hash of the entry's name
+ */
+typedef struct ks_peer_view {
+	uint64_t rank;
+	ks_view_t view;
+} ks_peer_view_t;
+
+/**
+ * struct ks_view_limits - how long after a read of a table the next one is due
+ * @alone_us: for an entry that does not rely on others
+ * @reader_us: for a reader, whose reads the others rely on
+ * @max_age_us: for an entry that is not told that its view is still current
+ */
+typedef struct ks_view_limits {
+	int64_t alone_us;
+	int64_t reader_us;
+	int64_t max_age_us;
+} ks_view_limits_t;
+
+bool ks_views_are_shared(size_t n_entries);
+bool ks_view_is_reader(uint64_t rank, const ks_peer_view_t *others, size_t n);
+bool ks_view_is_outdated(const ks_view_t *own, const ks_view_t *other);
+int64_t ks_view_fresh_us(const ks_view_t *own, const ks_peer_view_t *others,
+			 size_t n);
+int64_t ks_view_due_us(const ks_view_t *own, uint64_t rank,
+		       const ks_peer_view_t *others, size_t n, bool shared,
+		       const ks_view_limits_t *limits);
+
 /* peers.c */
 
+/*
+ * Called when another entry knows something of a table that this one has not
+ * read yet.
+ */
+typedef void (*ks_outdated_func_t)(void *ctx, ks_table_t table);
+
 /**
  * struct ks_peers - exchange of load and cache state with the other entries
  * @context: ZeroMQ context, NULL if peers are not configured
@@ -421,6 +481,10 @@
  * @queued_tags: tags of the upstreams that have @queued_parts cached
  * @addresses: addresses of the subscribed publishers, by entry name
  * @next_us: earliest time of the next message
+ * @rank: see struct ks_peer_view
+ * @views: what this entry knows of each table
+ * @outdated_by: digest that @outdated was last called for, by table
+ * @outdated: NULL for none
  */
 typedef struct ks_peers {
 	ks_loop_t *loop;
@@ -441,6 +505,11 @@
 	GHashTable *addresses;
 	ks_timer_t timer;
 	int64_t next_us;
+	uint64_t rank;
+	ks_view_t views[KS_N_TABLES];
+	uint64_t outdated_by[KS_N_TABLES];
+	ks_outdated_func_t outdated;
+	void *ctx;
 } ks_peers_t;
 
 bool ks_peers_init(ks_peers_t *peers, ks_loop_t *loop, ks_fleet_t *fleet,
@@ -456,6 +525,13 @@
 void ks_peers_receive(ks_peers_t *peers, ks_str_t message);
 size_t ks_peers_n_active(const ks_peers_t *peers);
 size_t ks_peers_n_announced(const ks_peers_t *peers);
+void ks_peers_set_view(ks_peers_t *peers, ks_table_t table,
+		       const ks_view_t *view);
+bool ks_peers_share_views(const ks_peers_t *peers);
+bool ks_peers_is_reader(const ks_peers_t *peers);
+int64_t ks_peers_read_due_us(const ks_peers_t *peers, ks_table_t table,
+			     const ks_view_limits_t *limits);
+int64_t ks_peers_fresh_us(const ks_peers_t *peers, ks_table_t table);
 
 /* stages.c */
 
@@ -533,6 +609,7 @@
  * struct ks_stage_controller - changes engine stages while holding a lease
  * @services: struct ks_stage_balance by the name of each service whose engines
  *	have stages
+ * @peers: other entries; the lease is left to a few of them. NULL for none.
  * @settle_us: how long the lease must have been held before the first order
  * @held_since_us: when the lease was acquired, on the boot-time clock
  * @last_due_us: when a change was last found to be due
@@ -544,6 +621,7 @@
 	const ks_stage_driver_t *driver;
 	const ks_clock_t *boottime;
 	ks_lease_keeper_t *keeper;
+	const ks_peers_t *peers;
 	GHashTable *services;
 	double prefill_share;
 	int64_t settle_us;
--- a/packages/gateway/src/exchange.c
+++ b/packages/gateway/src/exchange.c
@@ -120,12 +120,14 @@
 static void refuse_unrouted(struct exchange *exchange)
 {
 	const ks_gateway_t *gateway = exchange->gateway;
+	int64_t confirmed_us =
+		MAX(gateway->confirmed_us,
+		    ks_peers_fresh_us(&gateway->peers, KS_TABLE_TRAFFIC));
 
 	if (!gateway->traffic)
 		exchange_respond(exchange, 503, RETRY_AFTER_NOT_READY_S,
 				 "no configuration yet");
-	else if (exchange_now(exchange) - gateway->confirmed_us >
-		 CONFIG_FRESH_US)
+	else if (exchange_now(exchange) - confirmed_us > CONFIG_FRESH_US)
 		exchange_respond(exchange, 503, RETRY_AFTER_NOT_READY_S,
 				 "no route in an old configuration");
 	else
--- a/packages/gateway/src/fleet.c
+++ b/packages/gateway/src/fleet.c
@@ -229,6 +229,45 @@
 	return members;
 }
 
+static uint64_t add_text(uint64_t hash, const char *text)
+{
+	return XXH64(text, strlen(text) + 1, hash);
+}
+
+static uint64_t member_digest(const ks_member_t *member)
+{
+	uint64_t hash = add_text(0, member->id);
+
+	hash = add_text(hash, member->service);
+	hash = add_text(hash, member->domain);
+	hash = add_text(hash, member->address.ip);
+	hash = XXH64(&member->address.port, sizeof(member->address.port), hash);
+	hash = XXH64(&member->process_start_ms,
+		     sizeof(member->process_start_ms), hash);
+	return hash + (uint64_t)member->stage * 2 + member->accepting;
+}
+
+/**
+ * ks_fleet_digest() - hash of all that the upstreams have announced
+ *
+ * Two entries that know the same announcements have the same digest.
+ */
+uint64_t ks_fleet_digest(const ks_fleet_t *fleet)
+{
+	GHashTableIter iter;
+	uint64_t digest = 0;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, fleet->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		uint64_t hash = member_digest(value);
+
+		/* Mixed, as the sum must not depend on the order. */
+		digest += XXH64(&hash, sizeof(hash), 0);
+	}
+	return digest;
+}
+
 /**
  * ks_member_failure_rate() - get the moving average of failures, 0 to 1
  *
--- a/packages/gateway/src/peer.pb-c.c
+++ b/packages/gateway/src/peer.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &ks__peer_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ks__peer_state__field_descriptors[10] =
+static const ProtobufCFieldDescriptor ks__peer_state__field_descriptors[13] =
 {
   {
     "name",
@@ -174,6 +174,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "table_revision",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Ks__PeerState, n_table_revision),
+    offsetof(Ks__PeerState, table_revision),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table_digest",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ks__PeerState, n_table_digest),
+    offsetof(Ks__PeerState, table_digest),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table_age_ms",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ks__PeerState, n_table_age_ms),
+    offsetof(Ks__PeerState, table_age_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ks__peer_state__field_indices_by_name[] = {
   1,   /* field[1] = incarnation */
@@ -184,13 +220,16 @@
   9,   /* field[9] = occupancy */
   6,   /* field[6] = reading_tokens */
   5,   /* field[5] = running */
+  12,   /* field[12] = table_age_ms */
+  11,   /* field[11] = table_digest */
+  10,   /* field[10] = table_revision */
   4,   /* field[4] = upstream */
   3,   /* field[3] = version */
 };
 static const ProtobufCIntRange ks__peer_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor ks__peer_state__descriptor =
 {
@@ -200,7 +239,7 @@
   "Ks__PeerState",
   "ks",
   sizeof(Ks__PeerState),
-  10,
+  13,
   ks__peer_state__field_descriptors,
   ks__peer_state__field_indices_by_name,
   1,  ks__peer_state__number_ranges,
--- a/packages/gateway/src/peer.pb-c.h
+++ b/packages/gateway/src/peer.pb-c.h
@@ -68,10 +68,22 @@
   uint32_t *kept_by;
   size_t n_occupancy;
   uint32_t *occupancy;
+  /*
+   * What the sender knows of each table of the store that all entries follow,
+   * in the order of ks_table_t: the revision up to which it has read, a hash of
+   * the contents, and how long ago it read. The lists are empty if it has not
+   * read all of them.
+   */
+  size_t n_table_revision;
+  int64_t *table_revision;
+  size_t n_table_digest;
+  uint64_t *table_digest;
+  size_t n_table_age_ms;
+  uint32_t *table_age_ms;
 };
 #define KS__PEER_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ks__peer_state__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Ks__PeerState methods */
--- a/packages/gateway/src/stage_run.c
+++ b/packages/gateway/src/stage_run.c
@@ -138,6 +138,9 @@
 					     &stage);
 		}
 	}
+	/* Hundreds of entries that compete for the lease would load the store.
+	 */
+	wanted &= !controller->peers || ks_peers_is_reader(controller->peers);
 	if (wanted)
 		controller->last_due_us = ks_loop_now(controller->loop);
 	/* Keep the lease until the engines show the ordered stages. */
--- a/packages/gateway/tests/prop-budget.cpp
+++ b/packages/gateway/tests/prop-budget.cpp
@@ -35,11 +35,11 @@
 		       double ratio, double slack)
 {
 	unsigned extra = count(steps, false, from, from + window_us);
-	unsigned requests = std::max(
-		{ count(steps, true, from, from + window_us),
-		  count(steps, true, from - window_us, from),
-		  count(steps, true, from - window_us / 2,
-			from + window_us / 2) });
+	unsigned requests =
+		std::max({ count(steps, true, from, from + window_us),
+			   count(steps, true, from - window_us, from),
+			   count(steps, true, from - window_us / 2,
+				 from + window_us / 2) });
 
 	RC_ASSERT(extra <= ratio * requests + slack + 1e-9);
 }
--- a/packages/gateway/tests/test-peers.c
+++ b/packages/gateway/tests/test-peers.c
@@ -257,6 +257,101 @@
 	deinit_fixture(&f);
 }
 
+static void count_outdated(void *ctx, ks_table_t table)
+{
+	g_assert_cmpint(table, ==, KS_TABLE_MEMBERS);
+	(*(unsigned *)ctx)++;
+}
+
+static void receive_views(struct peers_fixture *f, uint64_t number,
+			  int64_t revision, uint64_t digest, size_t n)
+{
+	uint8_t id[KS_ID_SIZE] = { 1 }, buf[512];
+	Ks__PeerState state = KS__PEER_STATE__INIT;
+	int64_t revisions[] = { 5, revision, 0 };
+	uint64_t digests[] = { 50, digest, 0 };
+	uint32_t ages[] = { 10, 10, 10 };
+	size_t len;
+
+	state.name = (char *)"a";
+	state.incarnation.data = id;
+	state.incarnation.len = sizeof(id);
+	state.number = number;
+	state.table_revision = revisions;
+	state.table_digest = digests;
+	state.table_age_ms = ages;
+	state.n_table_revision = n;
+	state.n_table_digest = state.n_table_age_ms = KS_N_TABLES;
+	len = ks__peer_state__pack(&state, buf);
+	ks_peers_receive(&f->peers, (ks_str_t){ (const char *)buf, len });
+}
+
+/*
+ * Guards against an entry that misses that another one has read something new,
+ * and against one that reads for each message of an entry that never agrees.
+ */
+static void test_outdated_view(void)
+{
+	ks_view_t view = { 5, 50, 0 };
+	struct peers_fixture f;
+	unsigned outdated = 0;
+
+	init_fixture(&f);
+	view.read_us = ks_loop_now(&f.loop);
+	f.peers.outdated = count_outdated;
+	f.peers.ctx = &outdated;
+	for (int i = 0; i < KS_N_TABLES; i++)
+		ks_peers_set_view(&f.peers, (ks_table_t)i, &view);
+	receive_views(&f, 1, 7, 50, KS_N_TABLES);
+	g_assert_cmpuint(outdated, ==, 0);
+	receive_views(&f, 2, 4, 60, KS_N_TABLES);
+	g_assert_cmpuint(outdated, ==, 0);
+	receive_views(&f, 3, 8, 60, KS_N_TABLES);
+	g_assert_cmpuint(outdated, ==, 1);
+	receive_views(&f, 4, 9, 60, KS_N_TABLES);
+	g_assert_cmpuint(outdated, ==, 1);
+	receive_views(&f, 5, 10, 70, KS_N_TABLES);
+	g_assert_cmpuint(outdated, ==, 2);
+	deinit_fixture(&f);
+}
+
+/*
+ * Guards against a view that counts as current because another entry has read
+ * the table later, although it found something else there.
+ */
+static void test_fresh_view(void)
+{
+	ks_view_t own = { 5, 50, 100 };
+	ks_peer_view_t others[] = { { 1, { 6, 60, 300 } },
+				    { 2, { 6, 50, 200 } },
+				    { 3, { 0, 50, 0 } } };
+
+	g_assert_cmpint(ks_view_fresh_us(&own, others, 1), ==, 100);
+	g_assert_cmpint(ks_view_fresh_us(&own, others, 3), ==, 200);
+}
+
+/*
+ * Guards against reading past the end of the list of a message that has fewer
+ * revisions than digests.
+ */
+static void test_mismatched_views(void)
+{
+	ks_view_t view = { 5, 50, 0 };
+	struct peers_fixture f;
+	unsigned outdated = 0;
+
+	init_fixture(&f);
+	view.read_us = ks_loop_now(&f.loop);
+	f.peers.outdated = count_outdated;
+	f.peers.ctx = &outdated;
+	ks_peers_set_view(&f.peers, KS_TABLE_MEMBERS, &view);
+	for (size_t n = 0; n <= 3; n++)
+		if (n != KS_N_TABLES)
+			receive_views(&f, n + 1, 8, 60, n);
+	g_assert_cmpuint(outdated, ==, 0);
+	deinit_fixture(&f);
+}
+
 #define N_MESSAGES 20000
 
 /*
@@ -324,6 +419,9 @@
 	g_test_add_func("/peers/two-entries", test_two_entries);
 	g_test_add_func("/peers/cached-parts", test_cached_parts_are_announced);
 	g_test_add_func("/peers/mismatched-parts", test_mismatched_parts);
+	g_test_add_func("/peers/outdated-view", test_outdated_view);
+	g_test_add_func("/peers/fresh-view", test_fresh_view);
+	g_test_add_func("/peers/mismatched-views", test_mismatched_views);
 	g_test_add_func("/peers/reset-while-paused", test_reset_while_paused);
 	return g_test_run();
 }
