placement: compare a sample of the decode engines, as there are many entries

Cause: on the large site 103 entries each chose the least loaded of about 60 decode engines by messages up to 0.5 s old, so those of one interval queued at the same engines.

An entry now compares two engines of the prefill engine's failure domain and two others, or four for each engine and entry if that is more, so that few entries still compare nearly all.

test-placement no-crowd: 1,000 of 1,000 draws of 100 entries went to the least loaded engine before, under a fifth now; sample-domain.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -366,6 +366,7 @@
  * @domain: failure domain of this entry, NULL if unknown
  * @avoid: upstreams that have failed or refused this request
  * @may_split: prefill may run on a separate upstream
+ * @entries: number of entries that place requests, with this one
  * @cache_tokens: share of an engine's cache that holds this entry's prompts, in
  *	tokens
  * @draw: random number that breaks ties
@@ -376,6 +377,7 @@
 	const char *domain;
 	const GPtrArray *avoid;
 	bool may_split;
+	unsigned entries;
 	int64_t cache_tokens;
 	int64_t now_us;
 	uint32_t draw;
--- a/packages/gateway/src/exchange_dispatch.c
+++ b/packages/gateway/src/exchange_dispatch.c
@@ -134,6 +134,7 @@
 		.avoid = exchange->avoid,
 		/* Further prefills would bypass the retry budget. */
 		.may_split = exchange->may_split && !exchange->prefills,
+		.entries = 1 + (unsigned)ks_peers_n_announced(&gateway->peers),
 		.cache_tokens =
 			gateway_cache_tokens(gateway, exchange->service),
 		.now_us = exchange_now(exchange),
--- a/packages/gateway/src/placement.c
+++ b/packages/gateway/src/placement.c
@@ -74,6 +74,13 @@
 /* Cost of another failure domain, in running requests. */
 #define CROSS_DOMAIN_COST 0.5
 
+/*
+ * Engines that an entry compares to choose one for decode: this many for each
+ * engine and entry, so that a single entry compares all, but two at least.
+ */
+#define SAMPLES_PER_ENTRY 4
+#define MIN_SAMPLE 2
+
 /* Delay that a running request adds to the next one, in prompt tokens. */
 #define RUNNING_COST_TOKENS 60
 
@@ -134,6 +141,14 @@
 	return healthy;
 }
 
+static void swap_members(GPtrArray *members, guint i, guint j)
+{
+	gpointer swap = members->pdata[i];
+
+	members->pdata[i] = members->pdata[j];
+	members->pdata[j] = swap;
+}
+
 /*
  * Moves the upstreams with the highest rendezvous weights for a key to the
  * front, and returns their number.
@@ -149,10 +164,7 @@
 			if (rendezvous_weight(key, members->pdata[j]) >
 			    rendezvous_weight(key, members->pdata[best]))
 				best = j;
-		gpointer swap = members->pdata[i];
-
-		members->pdata[i] = members->pdata[best];
-		members->pdata[best] = swap;
+		swap_members(members, i, best);
 	}
 	return n;
 }
@@ -260,39 +272,99 @@
 	return best;
 }
 
-/* Chooses the engine that runs the request if it prefills the prompt itself. */
-static struct candidate choose_direct(const GPtrArray *members,
+/*
+ * Moves a random sample of the engines from @first to before @end to @first.
+ *
+ * Entries see each other's load with a delay. If all of them chose the least
+ * loaded engine of all, those of one interval would queue up there, so the more
+ * entries there are, the fewer engines each of them compares.
+ *
+ * Return: the size of the sample.
+ */
+static guint sample_members(GPtrArray *members, guint first, guint end,
+			    const ks_placement_query_t *query)
+{
+	guint len = end - first;
+	guint n = len * SAMPLES_PER_ENTRY / MAX(query->entries, 1);
+	uint32_t draw = query->draw;
+
+	n = MIN(MAX(n, MIN_SAMPLE), len);
+	for (guint i = 0; i < n; i++) {
+		swap_members(members, first + i, first + i + draw % (len - i));
+		draw = XXH32(&draw, sizeof(draw), i);
+	}
+	return n;
+}
+
+/* Moves the engines of a failure domain to the front; returns their number. */
+static guint partition_by_domain(GPtrArray *members, const char *domain)
+{
+	guint n = 0;
+
+	for (guint i = 0; i < members->len; i++) {
+		const ks_member_t *member = members->pdata[i];
+
+		if (!strcmp(member->domain, domain))
+			swap_members(members, i, n++);
+	}
+	return n;
+}
+
+/*
+ * Chooses the engine that runs the request if it prefills the prompt itself:
+ * one of the sample, or one that has a part of the prompt.
+ */
+static struct candidate choose_direct(GPtrArray *members,
 				      const struct cache_source *cache_source,
 				      const ks_placement_query_t *query)
 {
 	struct candidate best = { .cost = INT64_MAX };
+	guint n = sample_members(members, 0, members->len, query);
 
 	for (guint i = 0; i < members->len; i++) {
-		struct candidate candidate = prefill_candidate(
-			members->pdata[i], cache_source, query);
+		struct candidate candidate;
 
+		if (i >= n && !cached_tokens(members->pdata[i], query))
+			continue;
+		candidate = prefill_candidate(members->pdata[i], cache_source,
+					      query);
 		if (candidate.cost < best.cost)
 			best = candidate;
 	}
 	return best;
 }
 
-/* Chooses the engine that runs the request after separate prefill. */
-static ks_member_t *least_cost_decode(const GPtrArray *members,
+static int64_t decode_cost(const ks_member_t *member,
+			   const ks_member_t *prefill,
+			   const ks_placement_query_t *query)
+{
+	int64_t cost = pending_tokens(member) + failure_cost(member, query);
+
+	if (strcmp(member->domain, prefill->domain) != 0)
+		cost += CROSS_DOMAIN_TRANSFER_TOKENS;
+	return cost;
+}
+
+/*
+ * Chooses the engine that runs the request after separate prefill, from samples
+ * of the engines in the failure domain of the prefill engine and of the others.
+ */
+static ks_member_t *least_cost_decode(GPtrArray *members,
 				      const ks_member_t *prefill,
 				      const ks_placement_query_t *query,
 				      int64_t *cost)
 {
+	guint near = partition_by_domain(members, prefill->domain);
+	guint n_near = sample_members(members, 0, near, query);
+	guint n_far = sample_members(members, near, members->len, query);
 	ks_member_t *best = NULL;
 
 	*cost = INT64_MAX;
-	for (guint i = 0; i < members->len; i++) {
-		ks_member_t *member = members->pdata[i];
-		int64_t sum =
-			pending_tokens(member) + failure_cost(member, query);
+	for (guint i = 0; i < n_near + n_far; i++) {
+		ks_member_t *member =
+			members->pdata[i < n_near ? i : near + i - n_near];
+		int64_t sum = decode_cost(member, prefill, query);
 
-		if (strcmp(member->domain, prefill->domain) != 0)
-			sum += CROSS_DOMAIN_TRANSFER_TOKENS;
 		if (sum < *cost) {
 			*cost = sum;
 			best = member;
--- a/packages/gateway/tests/test-placement.c
+++ b/packages/gateway/tests/test-placement.c
@@ -299,6 +299,75 @@
 	deinit_fixture(&p);
 }
 
+#define CROWD_ENGINES 20
+#define CROWD_DRAWS 1000
+
+/*
+ * Returns how many of the requests go to the engine that looks least loaded,
+ * when each of them is placed with the same view of the load.
+ */
+static int placed_on_least_loaded(unsigned entries, bool may_split)
+{
+	struct placement_fixture p;
+	ks_member_t *least;
+	int n = 0;
+	char id[16];
+
+	init_fixture(&p, "aa:3000,bb:1000");
+	for (int i = 0; i < CROWD_ENGINES; i++) {
+		g_snprintf(id, sizeof(id), "more%d", i);
+		put(&p.fleet, id, KS_STAGE_DECODE, 1)->peer_running =
+			(unsigned)(2 + i % 3);
+	}
+	p.decode[0]->peer_running = 1;
+	p.decode[1]->peer_running = 2;
+	least = p.decode[0];
+	p.query.entries = entries;
+	p.query.may_split = may_split;
+	for (uint32_t draw = 0; draw < CROWD_DRAWS; draw++) {
+		p.query.draw = draw * 2654435761U;
+		n += place(&p).run == least;
+	}
+	deinit_fixture(&p);
+	return n;
+}
+
+/*
+ * Guards against hundreds of entries that all send to the engine that looked
+ * least loaded in their last messages, where the requests then queue.
+ */
+static void test_entries_do_not_crowd(void)
+{
+	for (int split = 0; split <= 1; split++) {
+		g_assert_cmpint(placed_on_least_loaded(1, split), ==,
+				CROWD_DRAWS);
+		g_assert_cmpint(placed_on_least_loaded(100, split), <,
+				CROWD_DRAWS / 5);
+	}
+}
+
+/*
+ * Guards against a sample that leaves out the engines of the failure domain in
+ * which the prompt was prefilled.
+ */
+static void test_sample_has_same_domain(void)
+{
+	struct placement_fixture p;
+	char id[16];
+
+	init_fixture(&p, "aa:13000,bb:4000");
+	for (int i = 0; i < CROWD_ENGINES; i++) {
+		g_snprintf(id, sizeof(id), "far%d", i);
+		put_in(&p.fleet, id, "d2", KS_STAGE_DECODE, 1);
+	}
+	p.query.entries = 100;
+	for (uint32_t draw = 0; draw < CROWD_DRAWS; draw++) {
+		p.query.draw = draw * 2654435761U;
+		g_assert_cmpstr(place(&p).run->domain, ==, "d1");
+	}
+	deinit_fixture(&p);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -320,5 +389,8 @@
 	g_test_add_func("/placement/uncached",
 			test_uncached_prompt_is_not_run_directly);
 	g_test_add_func("/placement/same-domain", test_decode_in_same_domain);
+	g_test_add_func("/placement/no-crowd", test_entries_do_not_crowd);
+	g_test_add_func("/placement/sample-domain",
+			test_sample_has_same_domain);
 	return g_test_run();
 }
