--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -442,17 +442,17 @@
 /**
  * struct ks_view_limits - how long after a read of a table the next one is due
  * @alone_us: for an entry that does not rely on others
- * @reader_us: for a reader, whose reads the others rely on
+ * @poller_us: for a poller, whose reads the others rely on
  * @max_age_us: for an entry that is not told that its view is still current
  */
 typedef struct ks_view_limits {
 	int64_t alone_us;
-	int64_t reader_us;
+	int64_t poller_us;
 	int64_t max_age_us;
 } ks_view_limits_t;
 
 bool ks_views_are_shared(size_t n_entries);
-bool ks_view_is_reader(uint64_t rank, const ks_peer_view_t *others, size_t n);
+bool ks_view_is_poller(uint64_t rank, const ks_peer_view_t *others, size_t n);
 bool ks_view_is_outdated(const ks_view_t *own, const ks_view_t *other);
 int64_t ks_view_fresh_us(const ks_view_t *own, const ks_peer_view_t *others,
 			 size_t n);
@@ -530,7 +530,7 @@
 void ks_peers_set_view(ks_peers_t *peers, ks_table_t table,
 		       const ks_view_t *view);
 bool ks_peers_share_views(const ks_peers_t *peers);
-bool ks_peers_is_reader(const ks_peers_t *peers);
+bool ks_peers_is_poller(const ks_peers_t *peers);
 int64_t ks_peers_read_due_us(const ks_peers_t *peers, ks_table_t table,
 			     const ks_view_limits_t *limits);
 int64_t ks_peers_fresh_us(const ks_peers_t *peers, ks_table_t table);
--- a/packages/gateway/src/peers.c
+++ b/packages/gateway/src/peers.c
@@ -7,8 +7,7 @@
  * for a lost one. No entry depends on the messages: without them, it counts
  * only its own requests.
  */
-#include "ks/gateway.h"
-#include "peer.pb-c.h"
+#include "peers_internal.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -66,24 +65,6 @@
 	uint64_t number;
 };
 
-/**
- * struct peer - another entry, as of its latest message
- * @incarnation: random id of its process; a new one restarts @number
- * @number: number of the latest message
- * @seen_us: when the latest message arrived
- * @loads: struct load by the upstream's tag
- * @rank: see struct ks_peer_view
- * @views: what it knows of each table
- */
-struct peer {
-	ks_id_t incarnation;
-	uint64_t number;
-	int64_t seen_us;
-	GHashTable *loads;
-	uint64_t rank;
-	ks_view_t views[KS_N_TABLES];
-};
-
 static void clear_load(struct load *load)
 {
 	load->member->peer_running -= load->running;
@@ -179,34 +160,6 @@
 	}
 }
 
-static void record_views(ks_peers_t *peers, struct peer *peer,
-			 const Ks__PeerState *state)
-{
-	int64_t now = ks_loop_now(peers->loop);
-
-	if (state->n_table_revision != KS_N_TABLES ||
-	    state->n_table_digest != KS_N_TABLES ||
-	    state->n_table_age_ms != KS_N_TABLES)
-		return;
-	for (int i = 0; i < KS_N_TABLES; i++) {
-		ks_view_t *view = &peer->views[i];
-
-		view->revision = state->table_revision[i];
-		view->digest = state->table_digest[i];
-		view->read_us =
-			MAX(now - state->table_age_ms[i] * KS_USEC_PER_MSEC, 1);
-		/*
-		 * Once for each digest: if reading does not lead to the same
-		 * one, reading again would not either.
-		 */
-		if (!peers->outdated || peers->outdated_by[i] == view->digest ||
-		    !ks_view_is_outdated(&peers->views[i], view))
-			continue;
-		peers->outdated_by[i] = view->digest;
-		peers->outdated(peers->ctx, (ks_table_t)i);
-	}
-}
-
 static bool is_usable(const ks_peers_t *peers, const Ks__PeerState *state)
 {
 	return state && state->incarnation.len == KS_ID_SIZE &&
@@ -252,7 +205,7 @@
 			set_load(peers, peer, state, i);
 		g_hash_table_foreach_remove(peer->loads, is_stale, peer);
 		record_parts(peers, state);
-		record_views(peers, peer, state);
+		peers_record_views(peers, peer, state);
 	}
 	ks__peer_state__free_unpacked(state, NULL);
 }
@@ -284,38 +237,6 @@
 	}
 }
 
-/**
- * struct view_fields - views in the form of a message
- */
-struct view_fields {
-	int64_t revisions[KS_N_TABLES];
-	uint64_t digests[KS_N_TABLES];
-	uint32_t ages_ms[KS_N_TABLES];
-};
-
-static void add_views(const ks_peers_t *peers, Ks__PeerState *state,
-		      struct view_fields *fields)
-{
-	int64_t now = ks_loop_now(peers->loop);
-
-	for (int i = 0; i < KS_N_TABLES; i++) {
-		const ks_view_t *view = &peers->views[i];
-
-		if (!view->read_us)
-			return;
-		fields->revisions[i] = view->revision;
-		fields->digests[i] = view->digest;
-		fields->ages_ms[i] = (uint32_t)CLAMP((now - view->read_us) /
-							     KS_USEC_PER_MSEC,
-						     0, G_MAXINT32);
-	}
-	state->table_revision = fields->revisions;
-	state->table_digest = fields->digests;
-	state->table_age_ms = fields->ages_ms;
-	state->n_table_revision = state->n_table_digest = KS_N_TABLES;
-	state->n_table_age_ms = KS_N_TABLES;
-}
-
 static size_t send_state(ks_peers_t *peers)
 {
 	guint n = g_hash_table_size(peers->fleet->by_id), used = 0;
@@ -324,7 +245,7 @@
 	uint32_t *reading = g_new(uint32_t, n + 1);
 	uint32_t *occupancy = g_new(uint32_t, n + 1);
 	Ks__PeerState state = KS__PEER_STATE__INIT;
-	struct view_fields views;
+	struct peers_view_fields views;
 	GHashTableIter iter;
 	gpointer value;
 	uint8_t *buf;
@@ -356,7 +277,7 @@
 	state.kept_part = (uint64_t *)(void *)peers->queued_parts->data;
 	state.kept_by = (uint32_t *)(void *)peers->queued_tags->data;
 	state.n_kept_part = state.n_kept_by = peers->queued_parts->len;
-	add_views(peers, &state, &views);
+	peers_add_views(peers, &state, &views);
 	len = ks__peer_state__get_packed_size(&state);
 	buf = g_malloc(len);
 	ks__peer_state__pack(&state, buf);
@@ -560,93 +481,3 @@
 {
 	return peers->addresses ? g_hash_table_size(peers->addresses) : 0;
 }
-
-/**
- * ks_peers_set_view() - note what this entry has read of a table
- *
- * If the contents have changed, the other entries are told at once, so that
- * they read the table as well.
- */
-void ks_peers_set_view(ks_peers_t *peers, ks_table_t table,
-		       const ks_view_t *view)
-{
-	bool changed = peers->views[table].digest != view->digest;
-
-	peers->views[table] = *view;
-	if (changed && peers->context && ks_peers_share_views(peers))
-		ks_timer_set(&peers->timer, 0);
-}
-
-/**
- * ks_peers_share_views() - whether entries rely on the reads of a few of them
- */
-bool ks_peers_share_views(const ks_peers_t *peers)
-{
-	return ks_views_are_shared(1 + ks_peers_n_announced(peers));
-}
-
-static ks_peer_view_t *collect_views(const ks_peers_t *peers, ks_table_t table,
-				     size_t *n)
-{
-	size_t used = 0, all = ks_peers_n_active(peers);
-	ks_peer_view_t *views = g_new(ks_peer_view_t, all + 1);
-	GHashTableIter iter;
-	gpointer value;
-
-	if (all)
-		g_hash_table_iter_init(&iter, peers->by_name);
-	while (used < all && g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct peer *peer = value;
-
-		views[used].rank = peer->rank;
-		views[used++].view = peer->views[table];
-	}
-	*n = used;
-	return views;
-}
-
-/**
- * ks_peers_read_due_us() - when this entry has to read a table
- *
- * Return: the time, which may have passed.
- */
-int64_t ks_peers_read_due_us(const ks_peers_t *peers, ks_table_t table,
-			     const ks_view_limits_t *limits)
-{
-	size_t n;
-	ks_peer_view_t *others = collect_views(peers, table, &n);
-	int64_t due = ks_view_due_us(&peers->views[table], peers->rank, others,
-				     n, ks_peers_share_views(peers), limits);
-
-	g_free(others);
-	return due;
-}
-
-/**
- * ks_peers_fresh_us() - time up to which this entry's view is known to be
- * current
- */
-int64_t ks_peers_fresh_us(const ks_peers_t *peers, ks_table_t table)
-{
-	size_t n;
-	ks_peer_view_t *others = collect_views(peers, table, &n);
-	int64_t fresh = ks_view_fresh_us(&peers->views[table], others, n);
-
-	g_free(others);
-	return fresh;
-}
-
-/**
- * ks_peers_is_reader() - whether this entry is one of the few that act on the
- * store for all
- */
-bool ks_peers_is_reader(const ks_peers_t *peers)
-{
-	size_t n;
-	ks_peer_view_t *others = collect_views(peers, KS_TABLE_MEMBERS, &n);
-	bool is_reader = !ks_peers_share_views(peers) ||
-			 ks_view_is_reader(peers->rank, others, n);
-
-	g_free(others);
-	return is_reader;
-}
--- a/packages/gateway/src/stage_run.c
+++ b/packages/gateway/src/stage_run.c
@@ -70,6 +70,11 @@
 		  ks_stage_balance_t *balance, ks_member_t *member,
 		  ks_stage_t stage)
 {
+	ks_log(KS_LOG_ORDER, KS_LOG_INFO,
+	       "a stage is out of balance upstream=%s stage=%s "
+	       "decode_demand=%.2f decode_demand_peak=%.2f",
+	       member->id, stage == KS_STAGE_PREFILL ? "prefill" : "decode",
+	       balance->decode.average, balance->decode.peak);
 	ks_stage_balance_record(balance, stage, ks_loop_now(controller->loop));
 	member->pending_stage = stage;
 	member->changed_us = ks_loop_now(controller->loop);
@@ -140,7 +145,7 @@
 	}
 	/* Hundreds of entries that compete for the lease would load the store.
 	 */
-	wanted &= !controller->peers || ks_peers_is_reader(controller->peers);
+	wanted &= !controller->peers || ks_peers_is_poller(controller->peers);
 	if (wanted)
 		controller->last_due_us = ks_loop_now(controller->loop);
 	/* Keep the lease until the engines show the ordered stages. */
--- a/packages/gateway/src/views.c
+++ b/packages/gateway/src/views.c
@@ -1,24 +1,24 @@
 /*
  * Decides which entries read the tables of the store. If each of hundreds of
  * entries polled, the store would get thousands of requests a second, nearly
- * all of which report nothing that matters. So a few entries, the readers, poll
+ * all of which report nothing that matters. So a few entries, the pollers, poll
  * and tell the others how old their view is, with a digest of it. An entry with
- * the same digest is as up to date as the reader. An entry whose digest differs
+ * the same digest is as up to date as the poller. An entry whose digest differs
  * reads the table itself, and so does one that has not been told in time.
  *
- * No entry takes over contents from another one, so a reader that lags, freezes
+ * No entry takes over contents from another one, so a poller that lags, freezes
  * or reports nonsense delays the others by the maximum age at most.
  */
 #include "ks/gateway.h"
 
 /* Enough that a few may fail at the same time without the others noticing. */
-#define READERS 3
+#define POLLERS 3
 
 /* With fewer entries than this, reading for others saves little. */
 #define MIN_SHARING_ENTRIES 12
 
 /**
- * ks_views_are_shared() - whether entries rely on readers
+ * ks_views_are_shared() - whether entries rely on pollers
  * @n_entries: number of entries, with this one
  */
 bool ks_views_are_shared(size_t n_entries)
@@ -27,19 +27,19 @@
 }
 
 /**
- * ks_view_is_reader() - whether an entry polls for the others
+ * ks_view_is_poller() - whether an entry polls for the others
  * @rank: rank of this entry, a hash of its name
  * @others: the other entries that have been heard of lately
  *
  * All entries that hear of each other choose the same ones.
  */
-bool ks_view_is_reader(uint64_t rank, const ks_peer_view_t *others, size_t n)
+bool ks_view_is_poller(uint64_t rank, const ks_peer_view_t *others, size_t n)
 {
 	size_t lower = 0;
 
 	for (size_t i = 0; i < n; i++)
 		lower += others[i].rank < rank;
-	return lower < READERS;
+	return lower < POLLERS;
 }
 
 /**
@@ -68,7 +68,7 @@
 
 /**
  * ks_view_due_us() - when an entry has to read a table
- * @rank: see ks_view_is_reader()
+ * @rank: see ks_view_is_poller()
  * @shared: see ks_views_are_shared()
  *
  * Return: the time, which may have passed.
@@ -79,7 +79,7 @@
 {
 	if (!shared)
 		return own->read_us + limits->alone_us;
-	if (ks_view_is_reader(rank, others, n))
-		return own->read_us + limits->reader_us;
+	if (ks_view_is_poller(rank, others, n))
+		return own->read_us + limits->poller_us;
 	return ks_view_fresh_us(own, others, n) + limits->max_age_us;
 }
--- a/packages/gateway/tests/prop-views.cpp
+++ b/packages/gateway/tests/prop-views.cpp
@@ -16,7 +16,7 @@
 static const int64_t retry_us = 100 * KS_USEC_PER_MSEC;
 static const ks_view_limits_t limits = {
 	.alone_us = 2000 * KS_USEC_PER_MSEC,
-	.reader_us = 1000 * KS_USEC_PER_MSEC,
+	.poller_us = 1000 * KS_USEC_PER_MSEC,
 	.max_age_us = 2000 * KS_USEC_PER_MSEC,
 };
 
@@ -180,7 +180,7 @@
 	entry.fault_us = MAX(entry.fault_us, until);
 }
 
-/* Half of the faults hit all readers at once, as then nobody tells the rest. */
+/* Half of the faults hit all pollers at once, as then nobody tells the rest. */
 static void draw_fault(sim &s)
 {
 	bool freezes = *rc::gen::inRange(0, 2);
@@ -196,7 +196,7 @@
 	for (size_t i = 0; i < s.entries.size(); i++) {
 		std::vector<ks_peer_view_t> others = views_heard(s, i);
 
-		if (ks_view_is_reader(s.entries[i].rank, others.data(),
+		if (ks_view_is_poller(s.entries[i].rank, others.data(),
 				      others.size()))
 			add_fault(s.entries[i], freezes, until);
 	}
@@ -247,7 +247,7 @@
 			step(s, false);
 		for (const sim_entry &entry : s.entries)
 			reads += entry.reads;
-		/* 10 s: three readers, once a second, and the first seconds. */
+		/* 10 s: three pollers, once a second, and the first seconds. */
 		RC_ASSERT(reads <= 3 * 10 + 2 * s.entries.size());
 	});
 	return ok ? 0 : 1;
