connection: keep a caller that reads slowly from aborting the entry

Cause: h2o 2.2.5 polls a socket for writability while a write waits. If the next write is started from the end of that one and ends at once, the callback is cleared without another look at what to poll for. When there was too little room for the socket to count as writable in between, the event comes later, while nothing is being written, and h2o aborts. Any caller that reads slowly can cause this. Ruled out: the new views (the assertion is in the response path, and the test needs one server and one slow caller).

The state of reading is set again at the end of each write, so that h2o looks again. test-http1-server slow-caller aborted before, and passes now.

--- a/packages/connection/src/http1_server.c
+++ b/packages/connection/src/http1_server.c
@@ -100,6 +100,7 @@
 	struct http1_conn *conn = sock->data;
 
 	conn->writing = false;
+	http_socket_written(sock, on_input);
 	g_string_truncate(conn->sending, 0);
 	if (err) {
 		http1_conn_close(conn);
--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -304,6 +304,7 @@
 	struct ks_http_conn *conn = sock->data;
 
 	conn->writing = false;
+	http_socket_written(sock, conn->call ? on_input : on_idle_input);
 	/* The response may have been received already, so reading decides. */
 	if (err && conn->call && !h2o_socket_is_reading(sock))
 		fail_conn(conn);
--- a/packages/connection/src/http_message.c
+++ b/packages/connection/src/http_message.c
@@ -171,3 +171,20 @@
 	h2o_socket_read_start(sock, on_accept);
 	return sock;
 }
+
+/**
+ * http_socket_written() - must be called at the end of each write
+ * @on_input: callback for input of the socket
+ *
+ * If a write that waited for the peer is followed by one that ends at once, h2o
+ * 2.2.5 goes on polling the socket for writability, and aborts the process when
+ * the peer reads on while nothing is being written. Setting the state of
+ * reading again lets h2o look at what it has to poll for.
+ */
+void http_socket_written(h2o_socket_t *sock, h2o_socket_cb on_input)
+{
+	if (h2o_socket_is_reading(sock))
+		h2o_socket_read_start(sock, on_input);
+	else
+		h2o_socket_read_stop(sock);
+}
--- a/packages/connection/src/http_message.h
+++ b/packages/connection/src/http_message.h
@@ -4,6 +4,7 @@
 
 #include "ks/connection.h"
 
+#include <h2o/socket.h>
 #include <http_parser.h>
 #include <sys/socket.h>
 
@@ -37,6 +38,8 @@
 			   size_t len);
 ks_header_t *http_fields_list(const struct http_fields *fields, size_t *count);
 
+void http_socket_written(h2o_socket_t *sock, h2o_socket_cb on_input);
+
 socklen_t http_sockaddr(const ks_address_t *address,
 			struct sockaddr_storage *storage);
 struct st_h2o_socket_t *
--- a/packages/connection/tests/test-http1-server.c
+++ b/packages/connection/tests/test-http1-server.c
@@ -262,6 +262,58 @@
 	deinit_fixture(&f);
 }
 
+#define SLOW_ROUNDS 4000
+#define SLOW_MAX_CHUNK (512 * 1024)
+
+/*
+ * Guards against an abort inside h2o while a caller reads slowly: a write that
+ * waited for the caller is followed by one that ends at once and leaves too
+ * little room for the socket to count as writable. The socket then becomes
+ * writable when nothing is being written.
+ */
+static void test_slow_caller(void)
+{
+	char *data = g_malloc0(SLOW_MAX_CHUNK), buf[65536];
+	size_t sent = 0, received = 0;
+	struct fixture f;
+	ks_rng_t rng;
+
+	init_fixture(&f, DEFER);
+	ks_rng_init(&rng, 11);
+	send_text(&f, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+	WAIT(&f, f.pending);
+	ks_http1_start(f.pending, 200, NULL, 0, -1);
+	for (int i = 0; i < SLOW_ROUNDS; i++) {
+		size_t reads = ks_rng_below(&rng, 7);
+
+		if (ks_http1_pending(f.pending) < SLOW_MAX_CHUNK) {
+			size_t len = 1 + ks_rng_below(&rng, SLOW_MAX_CHUNK);
+
+			ks_http1_body(f.pending, (ks_str_t){ data, len });
+			sent += len;
+		}
+		ks_loop_run_once(&f.loop, 0);
+		for (size_t j = 0; j < reads; j++) {
+			ssize_t n = recv(f.fd, buf, sizeof(buf), MSG_DONTWAIT);
+
+			received += n > 0 ? (size_t)n : 0;
+		}
+		ks_loop_run_once(&f.loop, 0);
+	}
+	ks_http1_end(f.pending);
+	f.pending = NULL;
+	for (int i = 0; i < MAX_TURNS && received < sent; i++) {
+		ssize_t n;
+
+		ks_loop_run_once(&f.loop, TURN_US);
+		while ((n = recv(f.fd, buf, sizeof(buf), MSG_DONTWAIT)) > 0)
+			received += (size_t)n;
+	}
+	g_assert_cmpuint(received, >=, sent);
+	g_free(data);
+	deinit_fixture(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -273,5 +325,6 @@
 	g_test_add_func("/http1-server/refusals", test_refusals);
 	g_test_add_func("/http1-server/timeouts", test_timeouts);
 	g_test_add_func("/http1-server/stopping", test_stopping);
+	g_test_add_func("/http1-server/slow-caller", test_slow_caller);
 	return g_test_run();
 }
