--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -556,12 +556,14 @@
  * @prefill_share: share of the engines that should run prefill, 0 to 1, or
  *	KS_PREFILL_SHARE_AUTO
  * @decode: slots and memory that the responses being generated take up
+ * @prefill_busy: moving average of the share of prefill engines with work
  * @last: stage that the last change led to, KS_STAGE_ANY before the first
  * @changed_us: when the last change was ordered
  */
 typedef struct ks_stage_balance {
 	double prefill_share;
 	ks_demand_t decode;
+	double prefill_busy;
 	ks_stage_t last;
 	int64_t changed_us;
 } ks_stage_balance_t;
--- a/packages/gateway/src/stages.c
+++ b/packages/gateway/src/stages.c
@@ -33,6 +33,12 @@
 #define FROM_MAX_DECODE_OCCUPANCY 0.6
 #define MAX_DECODE_OCCUPANCY 0.85
 
+/*
+ * Engines are only taken from decode if this share of the prefill engines is
+ * busy. In a fleet that is larger than its load needs, neither stage is short.
+ */
+#define MIN_PREFILL_BUSY 0.8
+
 /*
  * Share of the engines that prefill until the demand is known. More than half,
  * as prefill engines also cache the shared parts of prompts.
@@ -91,11 +97,17 @@
 {
 	ks_demand_t *demand = &balance->decode;
 	double elapsed_us = (double)(now_us - demand->observed_us);
-	double engines = 0;
+	double engines = 0, prefill = 0, busy = 0;
 
 	for (guint i = 0; i < members->len; i++) {
 		const ks_member_t *member = members->pdata[i];
 
+		if (member->stage == KS_STAGE_PREFILL) {
+			prefill++;
+			busy += member->prefill_tokens +
+					member->peer_prefill_tokens >
+				0;
+		}
 		engines +=
 			(double)(member->occupancy + member->peer_occupancy) /
 			KS_OCCUPANCY_UNIT;
@@ -103,9 +115,11 @@
 	if (!demand->since_us && engines > 0)
 		demand->since_us = now_us;
 	if (demand->observed_us) {
-		demand->average +=
-			(engines - demand->average) *
-			-expm1(-elapsed_us / (double)DEMAND_AVERAGE_US);
+		double weight = -expm1(-elapsed_us / (double)DEMAND_AVERAGE_US);
+
+		demand->average += weight * (engines - demand->average);
+		balance->prefill_busy += weight * (busy / MAX(prefill, 1) -
+						   balance->prefill_busy);
 		demand->peak *= exp2(-elapsed_us / (double)PEAK_HALF_LIFE_US);
 	}
 	demand->peak = MAX(demand->peak, demand->average);
@@ -128,7 +142,8 @@
 	    demand->observed_us - demand->since_us < DEMAND_KNOWN_US)
 		return INITIAL_PREFILL_SHARE * n;
 	occupancy = demand->peak / MAX(n - prefill, 1);
-	if (occupancy < MIN_DECODE_OCCUPANCY)
+	if (occupancy < MIN_DECODE_OCCUPANCY &&
+	    balance->prefill_busy > MIN_PREFILL_BUSY)
 		return n - demand->peak / FROM_MIN_DECODE_OCCUPANCY;
 	if (occupancy > MAX_DECODE_OCCUPANCY)
 		return n - demand->peak / FROM_MAX_DECODE_OCCUPANCY;
