--- a/packages/gateway/src/views.c
+++ b/packages/gateway/src/views.c
@@ -1,13 +1,13 @@
 /*
- * Decides which entries read the tables of the store. If each of hundreds of
- * entries polled, the store would get thousands of requests a second, nearly
- * all of which report nothing that matters. So a few entries, the pollers, poll
- * and tell the others how old their view is, with a digest of it. An entry with
- * the same digest is as up to date as the poller. An entry whose digest differs
+ * Decides which entries read the tables of the store. If each of a hundred
+ * entries polled, the store would get more than a hundred requests a second,
+ * nearly all of which report no change. So a few entries, the pollers, poll and
+ * tell the others how old their view is, with a digest of it. An entry with the
+ * same digest is as up to date as the poller. An entry whose digest differs
  * reads the table itself, and so does one that has not been told in time.
  *
  * No entry takes over contents from another one, so a poller that lags, freezes
- * or reports nonsense delays the others by the maximum age at most.
+ * or reports a wrong digest delays the others by the maximum age at most.
  */
 #include "ks/gateway.h"
 
