--- a/Makefile
+++ b/Makefile
@@ -7,9 +7,10 @@
 #   make bench        measure the overhead over a direct connection to a backend
 #   make bench-mix    compare routing policies while the mix of requests changes
 #   make format       format the sources with clang-format
+#   make soak         run processes under faults, one seed after the other
 #   make proto        generate the C code of the .proto files
 #
-# ARGS are the arguments of the script behind run, bench or bench-mix. V=1
+# ARGS are the arguments of the script behind run, bench, bench-mix or soak. V=1
 # prints the commands.
 # SAN=1 builds with address and undefined-behaviour sanitizers into build/san.
 # FUZZ=1 builds the fuzz targets with clang's libFuzzer into build/fuzz.
@@ -47,6 +48,7 @@
 
 PROGRAMS = $(patsubst cli/%.c,$(BUILD)/%,$(wildcard cli/*.c))
 FAKES = $(patsubst tests/fakes/%.c,$(BUILD)/%,$(wildcard tests/fakes/fake-*.c))
+SOAKS = $(patsubst tests/soak/%.c,$(BUILD)/%,$(wildcard tests/soak/soak-*.c))
 FAKE_COMMON = $(patsubst %.c,$(BUILD)/%.o,$(filter-out $(wildcard tests/fakes/fake-*.c),$(wildcard tests/fakes/*.c)))
 BENCHES = $(patsubst bench/%.c,$(BUILD)/%,$(wildcard bench/bench-*.c))
 BENCH_COMMON = $(patsubst %.c,$(BUILD)/%.o,$(filter-out $(wildcard bench/bench-*.c),$(wildcard bench/*.c)))
@@ -59,20 +61,20 @@
 FUZZ_BINS = $(patsubst %.c,$(BUILD)/%,$(FUZZ_SRCS))
 SYSTEM_TESTS = $(wildcard tests/system/test-*.sh)
 
-C_SRCS = $(wildcard packages/*/src/*.c platform/*.c cli/*.c tests/fakes/*.c tests/fuzz/*.c tests/system/*.c bench/*.c packages/*/tests/*.c platform/tests/*.c)
+C_SRCS = $(wildcard packages/*/src/*.c platform/*.c cli/*.c tests/fakes/*.c tests/fuzz/*.c tests/soak/*.c bench/*.c packages/*/tests/*.c platform/tests/*.c)
 CXX_SRCS = $(wildcard packages/*/tests/*.cpp tests/*.cpp)
-HDRS = $(wildcard packages/*/include/ks/*.h packages/*/src/*.h platform/*.h cli/*.h tests/fakes/*.h tests/fuzz/*.h bench/*.h packages/*/tests/*.h platform/tests/*.h)
+HDRS = $(wildcard packages/*/include/ks/*.h packages/*/src/*.h platform/*.h cli/*.h tests/fakes/*.h tests/fuzz/*.h tests/soak/*.h bench/*.h packages/*/tests/*.h platform/tests/*.h)
 FORMAT_SRCS = $(filter-out %.pb-c.c %.pb-c.h,$(C_SRCS) $(CXX_SRCS) $(HDRS))
 TIDY_SRCS = $(filter-out %.pb-c.c,$(C_SRCS))
 
 .PHONY: all programs fakes tests setup run check check-quick unit props system \
-	lint format-check tidy cppcheck format bench bench-mix fuzz proto clean
+	lint format-check tidy cppcheck format bench bench-mix fuzz soak proto clean
 .SECONDARY:
 
 all: programs fakes
 
 programs: $(PROGRAMS)
-fakes: $(FAKES)
+fakes: $(FAKES) $(SOAKS)
 tests: $(UNIT_BINS) $(PROP_BINS) $(FUZZ_BINS)
 
 define package_template
@@ -106,6 +108,9 @@
 $(BUILD)/fake-%: $(BUILD)/tests/fakes/fake-%.o $(FAKE_COMMON) $(LIBS)
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
+$(BUILD)/soak-%: $(BUILD)/tests/soak/soak-%.o $(FAKE_COMMON) $(LIBS)
+	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
 $(BUILD)/bench-%: $(BUILD)/bench/bench-%.o $(BENCH_COMMON) $(LIBS)
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
@@ -192,6 +197,10 @@
 .PHONY: fuzz-targets
 fuzz-targets: $(FUZZ_BINS)
 
+soak: setup
+	@$(MAKE) --no-print-directory -j all
+	@tests/soak/run.sh $(ARGS)
+
 proto:
 	protoc-c --c_out=packages/connection/src --proto_path=packages/connection packages/connection/link.proto
 	protoc-c --c_out=packages/gateway/src --proto_path=packages/gateway packages/gateway/peer.proto
--- a/tests/fakes/fake-relay.c
+++ b/tests/fakes/fake-relay.c
@@ -8,6 +8,10 @@
  *
  * SIGUSR2 closes all open connections and closes new ones as soon as they are
  * accepted. The next SIGUSR2 lets new connections through again.
+ *
+ * SIGHUP cuts all open connections one way: requests reach the target, and what
+ * it sends is discarded. SIGWINCH delays all data by DELAY_US, and the next one
+ * no longer does. SIGURG resets all open connections.
  */
 #include "fake_main.h"
 
@@ -23,11 +27,13 @@
 
 #define EXIT_USAGE 2
 #define BACKLOG 128
+#define DELAY_US (250 * KS_USEC_PER_MSEC)
 
 /**
  * struct relay - state of the program
  * @pairs: list of relayed connections
  * @refusing: new connections are closed
+ * @delaying: data is passed on late
  */
 struct relay {
 	ks_loop_t loop;
@@ -38,6 +44,7 @@
 	ks_watch_t watch;
 	int signal_fd;
 	bool refusing;
+	bool delaying;
 };
 
 struct pair;
@@ -46,12 +53,14 @@
  * struct side - one of the two connections of a pair
  * @other: the connection that data read from @sock is written to
  * @writing: a write to @sock is in progress
+ * @delay: set while data read from @sock waits to be written to @other
  */
 struct side {
 	struct pair *pair;
 	struct side *other;
 	h2o_socket_t *sock;
 	bool writing;
+	ks_timer_t delay;
 };
 
 /**
@@ -59,13 +68,16 @@
  * @client: accepted connection
  * @server: connection to the target address
  * @blackholed: discard all data
+ * @one_way: discard the data of the server
  * @closing: close when the write in progress has completed
  */
 struct pair {
 	ks_list_t node;
+	struct relay *relay;
 	struct side client;
 	struct side server;
 	bool blackholed;
+	bool one_way;
 	bool closing;
 };
 
@@ -76,6 +88,8 @@
 		return;
 	}
 	ks_list_remove(&pair->node);
+	ks_timer_clear(&pair->client.delay);
+	ks_timer_clear(&pair->server.delay);
 	if (pair->client.sock)
 		h2o_socket_close(pair->client.sock);
 	if (pair->server.sock)
@@ -99,12 +113,27 @@
 	h2o_socket_read_start(from->sock, on_read);
 }
 
+static void pass_on(void *ctx)
+{
+	struct side *from = ctx;
+	h2o_iovec_t bytes = h2o_iovec_init(from->sock->input->bytes,
+					   from->sock->input->size);
+
+	from->other->writing = true;
+	h2o_socket_write(from->other->sock, &bytes, 1, on_written);
+}
+
+static bool is_discarded(const struct side *from)
+{
+	return from->pair->blackholed ||
+	       (from->pair->one_way && from == &from->pair->server);
+}
+
 static void on_read(h2o_socket_t *sock, const char *err)
 {
 	struct side *from = sock->data;
-	h2o_iovec_t bytes;
 
-	if (from->pair->blackholed) {
+	if (is_discarded(from)) {
 		/* The end of the stream is not relayed either. */
 		h2o_buffer_consume(&sock->input, sock->input->size);
 		if (err)
@@ -117,9 +146,10 @@
 		return;
 	}
 	h2o_socket_read_stop(sock);
-	bytes = h2o_iovec_init(sock->input->bytes, sock->input->size);
-	from->other->writing = true;
-	h2o_socket_write(from->other->sock, &bytes, 1, on_written);
+	if (from->pair->relay->delaying)
+		ks_timer_set(&from->delay, DELAY_US);
+	else
+		pass_on(from);
 }
 
 static void on_connect(h2o_socket_t *sock, const char *err)
@@ -160,10 +190,16 @@
 		}
 		pair = g_new0(struct pair, 1);
 		ks_list_append(&relay->pairs, &pair->node);
-		pair->client =
-			(struct side){ pair, &pair->server, sock, false };
+		pair->relay = relay;
+		pair->client = (struct side){ .pair = pair,
+					      .other = &pair->server,
+					      .sock = sock };
 		pair->server =
-			(struct side){ pair, &pair->client, NULL, false };
+			(struct side){ .pair = pair, .other = &pair->client };
+		ks_timer_init(&pair->client.delay, &relay->loop, pass_on,
+			      &pair->client);
+		ks_timer_init(&pair->server.delay, &relay->loop, pass_on,
+			      &pair->server);
 		sock->data = &pair->client;
 		pair->server.sock = h2o_socket_connect(
 			relay->loop.h2o, (struct sockaddr *)&target,
@@ -186,6 +222,36 @@
 	fprintf(stderr, "%u connections are silent\n", count);
 }
 
+static void cut_answers(struct relay *relay)
+{
+	KS_LIST_FOREACH (it, &relay->pairs)
+		KS_CONTAINER_OF(it, struct pair, node)->one_way = true;
+	fprintf(stderr, "answers are discarded\n");
+}
+
+static void set_reset_on_close(h2o_socket_t *sock)
+{
+	struct linger reset = { 1, 0 };
+
+	if (sock)
+		setsockopt(h2o_socket_get_fd(sock), SOL_SOCKET, SO_LINGER,
+			   &reset, sizeof(reset));
+}
+
+static void reset_all(struct relay *relay)
+{
+	/* See toggle_refusing(). */
+	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
+	KS_LIST_FOREACH_SAFE (it, next, &relay->pairs) {
+		struct pair *pair = KS_CONTAINER_OF(it, struct pair, node);
+
+		set_reset_on_close(pair->client.sock);
+		set_reset_on_close(pair->server.sock);
+		close_pair(pair);
+	}
+	fprintf(stderr, "connections were reset\n");
+}
+
 static void toggle_refusing(struct relay *relay)
 {
 	relay->refusing = !relay->refusing;
@@ -205,10 +271,24 @@
 	struct signalfd_siginfo info;
 
 	while (read(relay->signal_fd, &info, sizeof(info)) == sizeof(info))
-		if (info.ssi_signo == SIGUSR1)
+		switch (info.ssi_signo) {
+		case SIGUSR1:
 			blackhole_all(relay);
-		else
+			break;
+		case SIGHUP:
+			cut_answers(relay);
+			break;
+		case SIGWINCH:
+			relay->delaying = !relay->delaying;
+			fprintf(stderr, "data is %s\n",
+				relay->delaying ? "delayed" : "passed on");
+			break;
+		case SIGURG:
+			reset_all(relay);
+			break;
+		default:
 			toggle_refusing(relay);
+		}
 }
 
 static bool watch_signals(struct relay *relay)
@@ -218,6 +298,9 @@
 	sigemptyset(&set);
 	sigaddset(&set, SIGUSR1);
 	sigaddset(&set, SIGUSR2);
+	sigaddset(&set, SIGHUP);
+	sigaddset(&set, SIGWINCH);
+	sigaddset(&set, SIGURG);
 	sigprocmask(SIG_BLOCK, &set, NULL);
 	relay->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
 	return ks_watch_init(&relay->watch, &relay->loop, relay->signal_fd,
--- /dev/null
+++ b/tests/soak/soak-callers.c
@@ -0,0 +1,470 @@
+/*
+ * Callers of the soak, and the check of what they and the replicas saw.
+ *
+ * Each caller sends one request after the other to one of the gateways, on
+ * connections that it keeps until the gateway closes them. A refusal that
+ * promises that the request has not run is followed by another attempt with an
+ * id of its own, on a new connection. The check reads the replicas' record of
+ * runs while the callers run, and for a while afterwards, as a request that was
+ * refused must not run later either.
+ */
+#include "fake_main.h"
+#include "soak.h"
+
+#include <argtable2.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#define EXIT_USAGE 2
+
+#define CHECK_US (200 * KS_USEC_PER_MSEC)
+#define SETTLE_US (4 * KS_USEC_PER_SEC)
+#define KEEP_IDLE_US (30 * KS_USEC_PER_SEC)
+#define CONNECT_TIMEOUT_US (1 * KS_USEC_PER_SEC)
+/* Wait for an answer beyond the deadline that the request states. */
+#define PATIENCE_US (1500 * KS_USEC_PER_MSEC)
+#define MIN_DEADLINE_MS 700
+#define MAX_DEADLINE_MS 4000
+#define MAX_THINK_US (20 * KS_USEC_PER_MSEC)
+#define DEFAULT_RETRY_US (300 * KS_USEC_PER_MSEC)
+#define MAX_ATTEMPTS 3
+/* Of 100 requests, so many are given up before their answer. */
+#define GIVEN_UP_OF_100 4
+
+/**
+ * struct attempt - what is known of one request id
+ * @status: of its answer; 0 without one
+ * @promised: the answer promises that the request has not run
+ * @cut: the connection ended before the end of the answer
+ */
+struct attempt {
+	GString *id;
+	int status;
+	unsigned runs;
+	unsigned gateway;
+	bool promised;
+	bool cut;
+	bool reported;
+};
+
+struct soak;
+
+/**
+ * struct caller - sends one request at a time
+ * @attempts: attempts of the current request so far
+ * @class: its class, see soak.h
+ */
+struct caller {
+	struct soak *soak;
+	ks_http_call_t call;
+	ks_timer_t timer;
+	struct attempt *attempt;
+	unsigned attempts;
+	char class;
+	GString *body;
+	GString *seal;
+	GString *echo;
+	int64_t retry_us;
+};
+
+/**
+ * struct soak - state of the program
+ * @attempts: struct attempt by id
+ * @record: the replicas' record of runs
+ * @rest: beginning of a line of which the end has not been read
+ * @planned: only planned changes take place, so that no answer may be cut
+ */
+struct soak {
+	ks_loop_t loop;
+	ks_http_client_t client;
+	ks_rng_t rng;
+	ks_timer_t check;
+	ks_timer_t end;
+	GHashTable *attempts;
+	GArray *gateways;
+	struct caller *callers;
+	unsigned n_callers;
+	unsigned n_ids;
+	unsigned seed;
+	FILE *record;
+	GString *rest;
+	unsigned answered, promised, failed, cut, given_up, violations;
+	bool stopping;
+	bool planned;
+};
+
+static ks_str_t text_of(const GString *string)
+{
+	return (ks_str_t){ string->str, string->len };
+}
+
+static void report(struct soak *soak, const char *rule,
+		   const struct attempt *attempt, const char *what)
+{
+	soak->violations++;
+	printf("violation rule=%s request=%s gateway=%u status=%d runs=%u "
+	       "cut=%d what=\"%s\"\n",
+	       rule, attempt->id->str, attempt->gateway, attempt->status,
+	       attempt->runs, attempt->cut, what);
+	fflush(stdout);
+}
+
+/* Checks an attempt after it ran, was answered or was cut. */
+static void check(struct soak *soak, struct attempt *attempt)
+{
+	bool once = !soak_may_repeat(soak_class(text_of(attempt->id)));
+
+	if (attempt->reported)
+		return;
+	attempt->reported = true;
+	if (once && attempt->promised && attempt->runs)
+		report(soak, "REFUSED", attempt,
+		       "ran and was refused as not run");
+	else if (once && attempt->runs > 1)
+		report(soak, "TWICE", attempt, "ran twice");
+	else if (soak->planned && attempt->cut && attempt->runs)
+		report(soak, "LOST", attempt, "cut by a planned change");
+	else
+		attempt->reported = false;
+}
+
+static void record_run(struct soak *soak, const char *id)
+{
+	struct attempt *attempt = g_hash_table_lookup(soak->attempts, id);
+
+	if (!attempt) {
+		struct attempt unknown = { .id = g_string_new(id), .runs = 1 };
+
+		report(soak, "UNASKED", &unknown, "ran and was not sent");
+		g_string_free(unknown.id, TRUE);
+		return;
+	}
+	attempt->runs++;
+	check(soak, attempt);
+}
+
+static void read_record(struct soak *soak)
+{
+	char buf[65536];
+	size_t n;
+
+	clearerr(soak->record);
+	while ((n = fread(buf, 1, sizeof(buf), soak->record)) > 0)
+		for (size_t i = 0; i < n; i++) {
+			if (buf[i] != '\n') {
+				g_string_append_c(soak->rest, buf[i]);
+				continue;
+			}
+			record_run(soak, soak->rest->str);
+			g_string_truncate(soak->rest, 0);
+		}
+}
+
+static void on_check(void *ctx)
+{
+	struct soak *soak = ctx;
+
+	read_record(soak);
+	ks_timer_set(&soak->check, CHECK_US);
+}
+
+static void start_attempt(struct caller *caller);
+
+static void on_think(void *ctx)
+{
+	struct caller *caller = ctx;
+	static const char classes[] = { SOAK_BOOK, SOAK_BOOK,	SOAK_BOOK,
+					SOAK_READ, SOAK_ADVISE, SOAK_ADVISE,
+					SOAK_NOTES };
+
+	if (caller->soak->stopping)
+		return;
+	if (!caller->attempts)
+		caller->class = classes[ks_rng_below(&caller->soak->rng,
+						     sizeof(classes))];
+	start_attempt(caller);
+}
+
+static void wait_for(struct caller *caller, int64_t us)
+{
+	ks_timer_clear(&caller->timer);
+	ks_timer_init(&caller->timer, &caller->soak->loop, on_think, caller);
+	ks_timer_set(&caller->timer, us);
+}
+
+static void next_request(struct caller *caller)
+{
+	caller->attempts = 0;
+	wait_for(caller, 1 + ks_rng_below(&caller->soak->rng, MAX_THINK_US));
+}
+
+static void on_give_up(void *ctx)
+{
+	struct caller *caller = ctx;
+
+	ks_http_call_cancel(&caller->call);
+	caller->soak->given_up++;
+	next_request(caller);
+}
+
+static void on_head(void *ctx, int status, const ks_header_t *headers, size_t n)
+{
+	struct caller *caller = ctx;
+	ks_str_t seal = ks_header_value(headers, n, "response-seal");
+	ks_str_t echo = ks_header_value(headers, n, "request-id");
+	ks_str_t retry = ks_header_value(headers, n, "retry-after");
+	char *text = ks_str_dup(retry);
+
+	caller->attempt->status = status;
+	caller->retry_us = retry.len
+				   ? (int64_t)(g_ascii_strtod(text, NULL) * 1e6)
+				   : DEFAULT_RETRY_US;
+	g_string_append_len(caller->seal, seal.data, (gssize)seal.len);
+	g_string_append_len(caller->echo, echo.data, (gssize)echo.len);
+	g_free(text);
+}
+
+static void on_body(void *ctx, ks_str_t data)
+{
+	struct caller *caller = ctx;
+
+	g_string_append_len(caller->body, data.data, (gssize)data.len);
+}
+
+static bool is_promise(int status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/* A cut stream has whole events in their order, and no event twice. */
+static void check_success(const struct caller *caller, bool complete)
+{
+	ks_str_t id = text_of(caller->attempt->id);
+	GString *seal = g_string_new(NULL), *body = g_string_new(NULL);
+
+	soak_seal(id, seal);
+	soak_body(id, body);
+	if (complete && (!g_string_equal(seal, caller->seal) ||
+			 !ks_str_equal(id, text_of(caller->echo)) ||
+			 (!soak_is_stream(caller->class) &&
+			  !g_string_equal(body, caller->body))))
+		report(caller->soak, "MIXED", caller->attempt,
+		       "an answer that is not the request's own");
+	else if (soak_is_stream(caller->class) &&
+		 (complete ? !g_string_equal(body, caller->body)
+			   : !g_str_has_prefix(body->str, caller->body->str)))
+		report(caller->soak, "ORDER", caller->attempt,
+		       "a piece is missing, or comes twice");
+	g_string_free(seal, TRUE);
+	g_string_free(body, TRUE);
+}
+
+static void on_done(void *ctx, ks_http_result_t result)
+{
+	struct caller *caller = ctx;
+	struct soak *soak = caller->soak;
+	struct attempt *attempt = caller->attempt;
+	bool complete = result == KS_HTTP_COMPLETE;
+
+	ks_timer_clear(&caller->timer);
+	attempt->promised = complete && is_promise(attempt->status);
+	attempt->cut = !complete;
+	if (attempt->status / 100 == 2)
+		check_success(caller, complete);
+	soak->answered += complete && attempt->status / 100 == 2;
+	soak->promised += attempt->promised;
+	soak->failed +=
+		complete && attempt->status / 100 != 2 && !attempt->promised;
+	soak->cut += attempt->cut;
+	check(soak, attempt);
+	if (attempt->promised && ++caller->attempts < MAX_ATTEMPTS)
+		wait_for(caller, caller->retry_us);
+	else
+		next_request(caller);
+}
+
+static const ks_http_events_t events = {
+	.head = on_head,
+	.body = on_body,
+	.done = on_done,
+};
+
+static struct attempt *new_attempt(struct soak *soak, char class)
+{
+	struct attempt *attempt = g_new0(struct attempt, 1);
+
+	attempt->id = g_string_new(NULL);
+	g_string_printf(attempt->id, "s%u-%u-%c", soak->seed, ++soak->n_ids,
+			class);
+	attempt->gateway = ks_rng_below(&soak->rng, soak->gateways->len);
+	g_hash_table_insert(soak->attempts, attempt->id->str, attempt);
+	return attempt;
+}
+
+static const char *path_of(char class)
+{
+	switch (class) {
+	case SOAK_BOOK:
+		return "/book/x";
+	case SOAK_READ:
+		return "/read/x";
+	case SOAK_ADVISE:
+		return "/advise/x";
+	default:
+		return "/notes/x";
+	}
+}
+
+static void start_attempt(struct caller *caller)
+{
+	struct soak *soak = caller->soak;
+	struct attempt *attempt = new_attempt(soak, caller->class);
+	unsigned deadline_ms =
+		MIN_DEADLINE_MS +
+		ks_rng_below(&soak->rng, MAX_DEADLINE_MS - MIN_DEADLINE_MS);
+	char deadline[16], parts[64];
+	bool leaves = ks_rng_below(&soak->rng, 100) < GIVEN_UP_OF_100;
+	ks_http_request_t request = {
+		.address = g_array_index(soak->gateways, ks_address_t,
+					 attempt->gateway),
+		.method = caller->class == SOAK_READ ? KS_STR("GET")
+						     : KS_STR("POST"),
+		.target = ks_str_from(path_of(caller->class)),
+		.host = KS_STR("shop.example"),
+		.body = caller->class == SOAK_READ ? KS_STR("")
+						   : KS_STR("value=1"),
+		.reuse = caller->attempts == 0,
+		.no_retry = true,
+	};
+	ks_header_t headers[] = {
+		{ KS_STR("request-id"), text_of(attempt->id) },
+		{ KS_STR("deadline-ms"), { deadline, 0 } },
+		{ KS_STR("prompt-prefix"), { parts, 0 } },
+	};
+
+	headers[1].value.len = (size_t)g_snprintf(deadline, sizeof(deadline),
+						  "%u", deadline_ms);
+	headers[2].value.len =
+		(size_t)g_snprintf(parts, sizeof(parts), "a%u:9000,b%u:3000",
+				   ks_rng_below(&soak->rng, 4), soak->n_ids);
+	request.headers = headers;
+	request.n_headers = soak_is_stream(caller->class) ? 3 : 2;
+	caller->attempt = attempt;
+	g_string_truncate(caller->body, 0);
+	g_string_truncate(caller->seal, 0);
+	g_string_truncate(caller->echo, 0);
+	ks_http_call_start(&caller->call, &soak->client, &request, &events,
+			   caller);
+	ks_timer_clear(&caller->timer);
+	ks_timer_init(&caller->timer, &soak->loop, on_give_up, caller);
+	ks_timer_set(&caller->timer,
+		     leaves ? 1 + ks_rng_below(&soak->rng, 300000)
+			    : deadline_ms * KS_USEC_PER_MSEC + PATIENCE_US);
+}
+
+static void on_settled(void *ctx)
+{
+	ks_loop_stop(&((struct soak *)ctx)->loop);
+}
+
+static void on_end(void *ctx)
+{
+	struct soak *soak = ctx;
+
+	soak->stopping = true;
+	ks_timer_clear(&soak->end);
+	ks_timer_init(&soak->end, &soak->loop, on_settled, soak);
+	ks_timer_set(&soak->end, SETTLE_US);
+}
+
+static void start_callers(struct soak *soak)
+{
+	soak->callers = g_new0(struct caller, soak->n_callers);
+	for (unsigned i = 0; i < soak->n_callers; i++) {
+		struct caller *caller = &soak->callers[i];
+
+		caller->soak = soak;
+		caller->body = g_string_new(NULL);
+		caller->seal = g_string_new(NULL);
+		caller->echo = g_string_new(NULL);
+		ks_timer_init(&caller->timer, &soak->loop, on_think, caller);
+		next_request(caller);
+	}
+}
+
+static bool parse_gateways(struct soak *soak, const char *list)
+{
+	char **texts = g_strsplit(list, ",", -1);
+	bool ok = true;
+
+	soak->gateways = g_array_new(FALSE, FALSE, sizeof(ks_address_t));
+	for (char **text = texts; *text && ok; text++) {
+		ks_address_t address;
+
+		ok = ks_address_parse(&address, ks_str_from(*text), NULL);
+		g_array_append_val(soak->gateways, address);
+	}
+	g_strfreev(texts);
+	return ok;
+}
+
+static int run(struct soak *soak, int seconds)
+{
+	soak->attempts = g_hash_table_new(g_str_hash, g_str_equal);
+	soak->rest = g_string_new(NULL);
+	ks_rng_init(&soak->rng, soak->seed);
+	ks_loop_init(&soak->loop, ks_clock_monotonic());
+	ks_http_client_init(&soak->client, &soak->loop);
+	soak->client.max_idle_us = KEEP_IDLE_US;
+	soak->client.connect_timeout_us = CONNECT_TIMEOUT_US;
+	ks_timer_init(&soak->check, &soak->loop, on_check, soak);
+	ks_timer_set(&soak->check, CHECK_US);
+	ks_timer_init(&soak->end, &soak->loop, on_end, soak);
+	ks_timer_set(&soak->end, seconds * KS_USEC_PER_SEC);
+	start_callers(soak);
+	ks_loop_run(&soak->loop);
+	read_record(soak);
+	printf("requests=%u answered=%u refused=%u failed=%u cut=%u "
+	       "given_up=%u violations=%u\n",
+	       soak->n_ids, soak->answered, soak->promised, soak->failed,
+	       soak->cut, soak->given_up, soak->violations);
+	fflush(stdout);
+	/* Nothing was checked if nothing was served. */
+	_exit(soak->violations || !soak->answered ? EXIT_FAILURE
+						  : EXIT_SUCCESS);
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_str *gateways = arg_str1(NULL, "gateways", "IP:PORT,...",
+					    "addresses of the gateways");
+	struct arg_str *record =
+		arg_str1(NULL, "record", "FILE", "record of runs");
+	struct arg_int *seconds =
+		arg_int1(NULL, "seconds", "S", "how long to send requests");
+	struct arg_int *callers =
+		arg_int1(NULL, "callers", "N", "number of callers");
+	struct arg_int *seed = arg_int1(NULL, "seed", "N", "seed");
+	struct arg_lit *planned =
+		arg_lit0(NULL, "planned", "only planned changes take place");
+	struct arg_end *end = arg_end(10);
+	void *table[] = {
+		gateways, record, seconds, callers, seed, planned, end
+	};
+	struct soak soak = { .n_ids = 0 };
+
+	if (arg_parse(argc, argv, table) > 0) {
+		arg_print_errors(stderr, end, "soak-callers");
+		return EXIT_USAGE;
+	}
+	soak.record = fopen(record->sval[0], "r");
+	if (!soak.record || !parse_gateways(&soak, gateways->sval[0])) {
+		fprintf(stderr, "soak-callers: --record or --gateways: %s\n",
+			g_strerror(errno));
+		return EXIT_USAGE;
+	}
+	soak.n_callers = (unsigned)callers->ival[0];
+	soak.seed = (unsigned)seed->ival[0];
+	soak.planned = planned->count > 0;
+	return run(&soak, seconds->ival[0]);
+}
--- /dev/null
+++ b/tests/soak/soak-replica.c
@@ -0,0 +1,656 @@
+/*
+ * Replica of a service, as a process of the soak: a plain service, or an engine
+ * with the stage prefill or decode. It announces itself in the store, and
+ * appends the id of each request to a record before it begins to run it.
+ *
+ * SIGUSR1 turns faults on and off: refusals, lost and cut answers, failures,
+ * and second answers to a request, which arrive right after the first, later,
+ * or when the next request has arrived on the connection. SIGTERM announces
+ * that the replica leaves, and ends it after the notice.
+ */
+#include "fake_main.h"
+#include "http1_conn.h"
+#include "soak.h"
+
+#include <argtable2.h>
+#include <fcntl.h>
+#include <jansson.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#define EXIT_USAGE 2
+
+#define HEARTBEAT_US (1200 * KS_USEC_PER_MSEC)
+#define LEAVING_NOTICE_US (2500 * KS_USEC_PER_MSEC)
+#define STORE_TIMEOUT_US (800 * KS_USEC_PER_MSEC)
+#define PREFILL_US (15 * KS_USEC_PER_MSEC)
+#define EVENT_US (20 * KS_USEC_PER_MSEC)
+
+/* While faults are on, of 100 requests so many meet each of them. */
+#define REFUSED_OF_100 30
+#define LOST_OF_100 5
+#define CUT_OF_100 5
+#define FAILED_OF_100 5
+#define SILENT_OF_100 2
+#define SECOND_DELAY_US (5 * KS_USEC_PER_MSEC)
+
+/**
+ * struct replica - state of the program
+ * @id: key of its row, new at each start
+ * @stage: "prefill" or "decode"; NULL for a plain service
+ * @second_of_100: while faults are on, of 100 whole answers so many are
+ *followed by a second one
+ * @named_of_3: of three second answers, so many bear the id of their request
+ * @late: second answers that wait for the next request on their connection, as
+ *	struct second by connection
+ * @record: descriptor of the record of runs
+ * @running: requests that occupy a slot
+ */
+struct replica {
+	ks_loop_t loop;
+	ks_http1_server_t server;
+	ks_http_client_t client;
+	ks_address_t store;
+	ks_address_t announced;
+	ks_timer_t heartbeat;
+	ks_timer_t exit;
+	ks_watch_t watch;
+	int signal_fd;
+	const char *service;
+	const char *stage;
+	char id[32];
+	int64_t started_ms;
+	int64_t work_us;
+	unsigned slots;
+	unsigned running;
+	unsigned orders;
+	unsigned handles;
+	int record;
+	ks_rng_t rng;
+	unsigned second_of_100;
+	unsigned named_of_3;
+	GHashTable *late;
+	bool faulty;
+	bool leaving;
+};
+
+/**
+ * struct second - a second answer
+ * @conn: connection of the first answer, which may have been closed
+ * @port: port of the peer, which tells @conn from a later one in its memory
+ */
+struct second {
+	struct replica *replica;
+	struct http1_conn *conn;
+	uint16_t port;
+	ks_timer_t timer;
+	GString *text;
+};
+
+/**
+ * struct work - a request that occupies a slot
+ * @next_event: number of the next event of a stream
+ * @fate: drawn when the work begins
+ */
+struct work {
+	struct replica *replica;
+	ks_http1_request_t *request;
+	ks_timer_t timer;
+	GString *id;
+	int next_event;
+	enum fate {
+		ANSWERED,
+		LOST,
+		CUT,
+		FAILED,
+		SILENT
+	} fate;
+	bool is_prefill;
+};
+
+static ks_str_t field(const ks_http1_request_t *request, const char *name)
+{
+	return ks_header_value(request->headers, request->n_headers, name);
+}
+
+static ks_str_t text_of(const GString *string)
+{
+	return (ks_str_t){ string->str, string->len };
+}
+
+static bool draw(struct replica *replica, unsigned of_100)
+{
+	return replica->faulty && ks_rng_below(&replica->rng, 100) < of_100;
+}
+
+/* Returns 0 if the connection is closed. */
+static uint16_t peer_port(const struct http1_conn *conn)
+{
+	struct sockaddr_in in = { 0 };
+	socklen_t len = sizeof(in);
+
+	if (!conn->sock || getpeername(h2o_socket_get_fd(conn->sock),
+				       (struct sockaddr *)&in, &len))
+		return 0;
+	return ntohs(in.sin_port);
+}
+
+static void free_second(void *data)
+{
+	struct second *second = data;
+
+	ks_timer_clear(&second->timer);
+	g_string_free(second->text, TRUE);
+	g_free(second);
+}
+
+static bool is_open(const struct replica *replica, const struct second *second)
+{
+	KS_LIST_FOREACH (it, &replica->server.conns) {
+		struct http1_conn *conn =
+			KS_CONTAINER_OF(it, struct http1_conn, node);
+
+		if (conn == second->conn)
+			return !conn->closed && peer_port(conn) == second->port;
+	}
+	return false;
+}
+
+static void write_second(struct second *second)
+{
+	if (!is_open(second->replica, second))
+		return;
+	g_string_append_len(second->conn->queued, second->text->str,
+			    (gssize)second->text->len);
+	http1_conn_flush(second->conn);
+}
+
+static void on_second(void *ctx)
+{
+	struct second *second = ctx;
+
+	if (is_open(second->replica, second) && !second->conn->serving)
+		write_second(second);
+	free_second(second);
+}
+
+/* Called with the connection idle again after the first answer. */
+static void plan_second(struct replica *replica, struct http1_conn *conn,
+			uint16_t port, GString *text)
+{
+	struct second *second = g_new0(struct second, 1);
+
+	second->replica = replica;
+	second->conn = conn;
+	second->port = port;
+	second->text = text;
+	ks_timer_init(&second->timer, &replica->loop, on_second, second);
+	switch (ks_rng_below(&replica->rng, 4)) {
+	case 0:
+		write_second(second);
+		free_second(second);
+		break;
+	case 1:
+		ks_timer_set(&second->timer, SECOND_DELAY_US);
+		break;
+	default:
+		g_hash_table_replace(replica->late, conn, second);
+	}
+}
+
+/* @not_run: state that the request was not executed */
+static void reply(struct replica *replica, ks_http1_request_t *request,
+		  int status, bool not_run, const char *body)
+{
+	struct http1_conn *conn = http1_conn_of(request);
+	ks_str_t id = field(request, "request-id");
+	GString *seal = g_string_new(NULL);
+	ks_header_t headers[3] = { { KS_STR("request-id"), id } };
+	bool named = ks_rng_below(&replica->rng, 3) < replica->named_of_3;
+	uint16_t port = peer_port(conn);
+	GString *text = NULL;
+
+	soak_seal(id, seal);
+	headers[1] =
+		not_run ? (ks_header_t){ KS_STR("not-executed"), KS_STR("1") }
+			: (ks_header_t){ KS_STR("response-seal"),
+					 text_of(seal) };
+	if (id.len && draw(replica, replica->second_of_100)) {
+		text = g_string_new(NULL);
+		g_string_append_printf(
+			text,
+			"HTTP/1.1 %d Again\r\n%s%.*s%s%.*s: %.*s\r\n"
+			"content-length: %zu\r\n\r\n%s",
+			status, named ? "request-id: " : "",
+			named ? (int)id.len : 0, id.data, named ? "\r\n" : "",
+			(int)headers[1].name.len, headers[1].name.data,
+			(int)headers[1].value.len, headers[1].value.data,
+			strlen(body), body);
+	}
+	ks_http1_start(request, status, headers, 2, (int64_t)strlen(body));
+	ks_http1_body(request, ks_str_from(body));
+	ks_http1_end(request);
+	g_string_free(seal, TRUE);
+	if (text)
+		plan_second(replica, conn, port, text);
+}
+
+static void refuse(struct replica *replica, ks_http1_request_t *request,
+		   int status)
+{
+	reply(replica, request, status, true, "");
+}
+
+static void free_work(struct work *work)
+{
+	ks_timer_clear(&work->timer);
+	work->replica->running--;
+	g_string_free(work->id, TRUE);
+	g_free(work);
+}
+
+static void on_caller_left(void *ctx)
+{
+	struct work *work = ctx;
+
+	ks_http1_abort(work->request);
+	free_work(work);
+}
+
+static void finish_work(struct work *work, int status, const char *body)
+{
+	ks_http1_request_t *request = work->request;
+	struct replica *replica = work->replica;
+
+	free_work(work);
+	reply(replica, request, status, false, body);
+}
+
+static void send_event(struct work *work)
+{
+	GString *event = g_string_new(NULL);
+
+	soak_event(text_of(work->id), work->next_event, event);
+	/* A faulty replica may stop in the middle of an event. */
+	if (work->fate == CUT && work->next_event == SOAK_EVENTS / 2)
+		g_string_truncate(event, event->len / 2);
+	ks_http1_body(work->request, text_of(event));
+	g_string_free(event, TRUE);
+	work->next_event++;
+}
+
+static void advance_stream(struct work *work)
+{
+	if (work->next_event >= SOAK_EVENTS) {
+		ks_http1_end(work->request);
+		free_work(work);
+		return;
+	}
+	send_event(work);
+	if (work->fate == CUT && work->next_event > SOAK_EVENTS / 2) {
+		ks_http1_abort(work->request);
+		free_work(work);
+		return;
+	}
+	ks_timer_set(&work->timer, EVENT_US);
+}
+
+static void start_answer(const struct work *work, ks_str_t type, int64_t length)
+{
+	GString *seal = g_string_new(NULL);
+	ks_header_t headers[] = {
+		{ KS_STR("request-id"), text_of(work->id) },
+		{ KS_STR("response-seal"), { NULL, 0 } },
+		{ KS_STR("content-type"), type },
+	};
+
+	soak_seal(text_of(work->id), seal);
+	headers[1].value = text_of(seal);
+	ks_http1_start(work->request, 200, headers, G_N_ELEMENTS(headers),
+		       length);
+	g_string_free(seal, TRUE);
+}
+
+static void start_stream(struct work *work)
+{
+	ks_str_t last = field(work->request, "last-event-id");
+	int64_t number;
+
+	if (ks_str_parse_int(last, 0, SOAK_EVENTS, &number))
+		work->next_event = (int)number + 1;
+	start_answer(work, KS_STR("text/event-stream"), -1);
+	advance_stream(work);
+}
+
+static void answer_prefill(struct work *work)
+{
+	char body[96];
+
+	g_snprintf(body, sizeof(body),
+		   "{\"handle\":\"h%u\",\"tokens\":100,\"version\":1}",
+		   ++work->replica->handles);
+	finish_work(work, 200, body);
+}
+
+static void lose_answer(struct work *work)
+{
+	ks_http1_abort(work->request);
+	free_work(work);
+}
+
+static void cut_answer(struct work *work)
+{
+	start_answer(work, KS_STR("text/plain"), 1000);
+	ks_http1_body(work->request, KS_STR("done "));
+	lose_answer(work);
+}
+
+static void on_work(void *ctx)
+{
+	struct work *work = ctx;
+	bool is_stream = soak_is_stream(soak_class(text_of(work->id)));
+	GString *body;
+
+	if (work->fate == SILENT)
+		return;
+	if (work->fate == LOST) {
+		lose_answer(work);
+	} else if (work->is_prefill) {
+		answer_prefill(work);
+	} else if (work->fate == FAILED) {
+		/* A failure without a word on whether the request ran. */
+		finish_work(work,
+			    ks_rng_below(&work->replica->rng, 2) ? 500 : 503,
+			    "failed\n");
+	} else if (is_stream && work->next_event) {
+		advance_stream(work);
+	} else if (is_stream) {
+		start_stream(work);
+	} else if (work->fate == CUT) {
+		cut_answer(work);
+	} else {
+		body = g_string_new(NULL);
+		soak_body(text_of(work->id), body);
+		finish_work(work, 200, body->str);
+		g_string_free(body, TRUE);
+	}
+}
+
+static enum fate draw_fate(struct replica *replica)
+{
+	if (draw(replica, LOST_OF_100))
+		return LOST;
+	if (draw(replica, CUT_OF_100))
+		return CUT;
+	if (draw(replica, FAILED_OF_100))
+		return FAILED;
+	return draw(replica, SILENT_OF_100) ? SILENT : ANSWERED;
+}
+
+static void record_run(struct replica *replica, ks_str_t id)
+{
+	char *line = g_strdup_printf("%.*s\n", (int)id.len, id.data);
+
+	if (write(replica->record, line, strlen(line)) < 0)
+		fprintf(stderr, "cannot record a run: %s\n", g_strerror(errno));
+	g_free(line);
+}
+
+static void start_work(struct replica *replica, ks_http1_request_t *request,
+		       bool is_prefill)
+{
+	struct work *work = g_new0(struct work, 1);
+	ks_str_t id = field(request, "request-id");
+
+	work->replica = replica;
+	work->request = request;
+	work->id = g_string_new_len(id.data, (gssize)id.len);
+	work->is_prefill = is_prefill;
+	work->fate = draw_fate(replica);
+	request->ctx = work;
+	request->disconnected = on_caller_left;
+	replica->running++;
+	ks_timer_init(&work->timer, &replica->loop, on_work, work);
+	if (!is_prefill)
+		record_run(replica, id);
+	ks_timer_set(&work->timer,
+		     is_prefill ? PREFILL_US
+				: ks_rng_jitter(&replica->rng, replica->work_us,
+						0.5));
+}
+
+static void on_announced(void *ctx, const ks_http_response_t *answer)
+{
+	(void)ctx;
+	if (answer->result != KS_HTTP_COMPLETE || answer->status != 200)
+		fprintf(stderr, "cannot write to the store: status %d\n",
+			answer->status);
+}
+
+static void announce(struct replica *replica)
+{
+	char address[KS_ADDRESS_TEXT_SIZE];
+	json_t *row = json_pack(
+		"{s:s,s:s,s:s,s:s,s:i,s:I}", "service", replica->service,
+		"address", ks_address_format(&replica->announced, address),
+		"zone", "domain-1", "state",
+		replica->leaving ? "draining" : "ready", "slots",
+		(int)replica->slots, "born", (json_int_t)replica->started_ms);
+	char *text, *encoded, *body_text;
+	json_t *body;
+	ks_http_request_t request = { .address = replica->store,
+				      .method = KS_STR("POST"),
+				      .target = KS_STR("/-/rows-tx"),
+				      .timeout_us = STORE_TIMEOUT_US };
+
+	if (replica->stage)
+		json_object_set_new(row, "stage", json_string(replica->stage));
+	text = json_dumps(row, JSON_COMPACT);
+	encoded = g_base64_encode((const guchar *)text, strlen(text));
+	body = json_pack("{s:[],s:[{s:s,s:s,s:s,s:s}],s:[]}",
+			 "expected-revision", "puts", "table", "servers",
+			 "part", "", "key", replica->id, "value", encoded,
+			 "remove");
+	body_text = json_dumps(body, JSON_COMPACT);
+	request.body = ks_str_from(body_text);
+	ks_http_fetch(&replica->client, &request, 65536, on_announced, replica);
+	json_decref(row);
+	json_decref(body);
+	free(text);
+	free(body_text);
+	g_free(encoded);
+}
+
+static void on_heartbeat(void *ctx)
+{
+	struct replica *replica = ctx;
+
+	announce(replica);
+	ks_timer_set(&replica->heartbeat, HEARTBEAT_US);
+}
+
+static void obey_order(struct replica *replica, ks_http1_request_t *request)
+{
+	json_t *json =
+		json_loadb(request->body.data, request->body.len, 0, NULL);
+	const char *stage = json_string_value(json_object_get(json, "stage"));
+
+	replica->stage = !g_strcmp0(stage, "prefill") ? "prefill" : "decode";
+	replica->orders++;
+	json_decref(json);
+	reply(replica, request, 202, false, "");
+	announce(replica);
+}
+
+static void serve_own_call(struct replica *replica, ks_http1_request_t *request)
+{
+	char body[64];
+
+	if (ks_str_equal(request->target, KS_STR("/-/order"))) {
+		obey_order(replica, request);
+		return;
+	}
+	g_snprintf(body, sizeof(body), "{\"busy\":false,\"seq\":%u}",
+		   replica->orders);
+	reply(replica, request, 200, false, body);
+}
+
+/* Another incarnation is meant, or the other stage. */
+static bool is_misdirected(const struct replica *replica,
+			   const ks_http1_request_t *request)
+{
+	ks_str_t expected = field(request, "expect-instance");
+	bool is_prefill = field(request, "stage").len > 0;
+
+	if (expected.len && !ks_str_equal(expected, ks_str_from(replica->id)))
+		return true;
+	return replica->stage &&
+	       !ks_str_has_prefix(request->target, KS_STR("/-/")) &&
+	       is_prefill != !strcmp(replica->stage, "prefill");
+}
+
+static void on_request(void *ctx, ks_http1_request_t *request)
+{
+	struct replica *replica = ctx;
+	struct http1_conn *conn = http1_conn_of(request);
+	struct second *second = g_hash_table_lookup(replica->late, conn);
+
+	if (second) {
+		write_second(second);
+		g_hash_table_remove(replica->late, conn);
+	}
+	if (is_misdirected(replica, request))
+		refuse(replica, request, 421);
+	else if (ks_str_has_prefix(request->target, KS_STR("/-/")))
+		serve_own_call(replica, request);
+	else if (replica->running >= replica->slots ||
+		 draw(replica, REFUSED_OF_100))
+		refuse(replica, request, 503);
+	else
+		start_work(replica, request, field(request, "stage").len > 0);
+}
+
+static void on_exit_timer(void *ctx)
+{
+	ks_loop_stop(&((struct replica *)ctx)->loop);
+}
+
+static void on_signal(void *ctx)
+{
+	struct replica *replica = ctx;
+	struct signalfd_siginfo info;
+
+	while (read(replica->signal_fd, &info, sizeof(info)) == sizeof(info)) {
+		if (info.ssi_signo == SIGUSR1) {
+			replica->faulty = !replica->faulty;
+			fprintf(stderr, "faults are %s\n",
+				replica->faulty ? "on" : "off");
+		} else if (!replica->leaving) {
+			replica->leaving = true;
+			announce(replica);
+			ks_timer_set(&replica->exit, LEAVING_NOTICE_US);
+		}
+	}
+}
+
+static bool watch_signals(struct replica *replica)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGUSR1);
+	sigaddset(&set, SIGTERM);
+	sigprocmask(SIG_BLOCK, &set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	replica->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	return ks_watch_init(&replica->watch, &replica->loop,
+			     replica->signal_fd, on_signal, replica, NULL);
+}
+
+static bool start(struct replica *replica, const ks_address_t *listen,
+		  bool is_relayed)
+{
+	GError *error = NULL;
+
+	if (!watch_signals(replica) ||
+	    !ks_http1_server_init(&replica->server, &replica->loop, listen,
+				  on_request, replica, &error)) {
+		fprintf(stderr, "%s\n", error ? error->message : "signals");
+		g_clear_error(&error);
+		return false;
+	}
+	if (!is_relayed) {
+		replica->announced = *listen;
+		replica->announced.port = replica->server.port;
+	}
+	replica->server.idle_timeout_us = 60 * KS_USEC_PER_SEC;
+	ks_http_client_init(&replica->client, &replica->loop);
+	ks_timer_init(&replica->heartbeat, &replica->loop, on_heartbeat,
+		      replica);
+	ks_timer_init(&replica->exit, &replica->loop, on_exit_timer, replica);
+	ks_timer_set(&replica->heartbeat, 0);
+	fprintf(stderr, "listens on %s:%u\n", listen->ip, replica->server.port);
+	return true;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_str *listen =
+		arg_str1(NULL, "listen", "IP:PORT", "listen address");
+	struct arg_str *announced =
+		arg_str0(NULL, "announce", "IP:PORT", "address of a relay");
+	struct arg_str *store =
+		arg_str1(NULL, "store", "IP:PORT", "address of the store");
+	struct arg_str *service = arg_str1(NULL, "service", "NAME", "service");
+	struct arg_str *stage = arg_str0(NULL, "stage", "NAME", "stage");
+	struct arg_str *record =
+		arg_str1(NULL, "record", "FILE", "record of runs");
+	struct arg_int *work =
+		arg_int1(NULL, "work-ms", "MS", "time that a request takes");
+	struct arg_int *slots = arg_int1(NULL, "slots", "N", "slots");
+	struct arg_int *seed = arg_int1(NULL, "seed", "N", "seed of faults");
+	struct arg_int *second = arg_int0(NULL, "second-of-100", "N",
+					  "answers that are given twice");
+	struct arg_int *named = arg_int0(NULL, "named-of-3", "N",
+					 "second answers that bear an id");
+	struct arg_end *end = arg_end(10);
+	void *table[] = { listen, announced, store, service, stage, record,
+			  work,	  slots,     seed,  second,  named, end };
+	struct replica replica = { .record = -1 };
+	ks_address_t address;
+
+	if (arg_parse(argc, argv, table) > 0) {
+		arg_print_errors(stderr, end, "soak-replica");
+		return EXIT_USAGE;
+	}
+	if (!ks_address_parse(&address, ks_str_from(listen->sval[0]), NULL) ||
+	    !ks_address_parse(&replica.store, ks_str_from(store->sval[0]),
+			      NULL) ||
+	    (announced->count &&
+	     !ks_address_parse(&replica.announced,
+			       ks_str_from(announced->sval[0]), NULL)))
+		return EXIT_USAGE;
+	replica.record = open(record->sval[0],
+			      O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0644);
+	replica.service = service->sval[0];
+	replica.stage = stage->count ? stage->sval[0] : NULL;
+	replica.second_of_100 = second->count ? (unsigned)second->ival[0] : 40;
+	replica.named_of_3 = named->count ? (unsigned)named->ival[0] : 2;
+	replica.work_us = work->ival[0] * KS_USEC_PER_MSEC;
+	replica.slots = (unsigned)slots->ival[0];
+	replica.started_ms = g_get_real_time() / 1000;
+	g_snprintf(replica.id, sizeof(replica.id), "i-%d-%" PRId64,
+		   (int)getpid(), replica.started_ms % 1000000);
+	replica.late = g_hash_table_new_full(NULL, NULL, NULL, free_second);
+	ks_rng_init(&replica.rng, (uint32_t)seed->ival[0]);
+	ks_loop_init(&replica.loop, ks_clock_monotonic());
+	if (replica.record < 0 ||
+	    !start(&replica, &address, announced->count > 0))
+		return EXIT_FAILURE;
+	ks_loop_run(&replica.loop);
+	/* Exiting closes the open connections. */
+	_exit(EXIT_SUCCESS);
+}
--- /dev/null
+++ b/tests/soak/soak-store.c
@@ -0,0 +1,165 @@
+/*
+ * Store of the soak, as a process: the configuration, the rows of the replicas,
+ * which lapse when their owner is silent, and the rows of the gateways.
+ *
+ * SIGUSR1 makes it answer 503, and the next one serve again. SIGUSR2 publishes
+ * a new version of the configuration.
+ */
+#include "fake_main.h"
+#include "fake_rows.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#define SCAN_US (500 * KS_USEC_PER_MSEC)
+/* Three heartbeats of a replica. */
+#define LAPSE_US (3600 * KS_USEC_PER_MSEC)
+#define VERSION_STEP 3
+
+/*
+ * One route of each kind. The timeout in force alternates between versions, and
+ * each version adds a route.
+ */
+#define ROUTE(name, kind, timeout, attempts, more, service)                    \
+	"{\"name\":\"" name "\",\"host\":\"shop.example\",\"prefix\":\"/" name \
+	"/\",\"kind\":\"" kind "\",\"timeout-ms\":" timeout                    \
+	",\"max-attempts\":" attempts more ",\"service\":\"" service "\"}"
+#define CONFIG                                                                                  \
+	"{\"version\":%u,\"services\":[{\"name\":\"app\"},{\"name\":"                           \
+	"\"llm\",\"engine\":{\"slots\":8,\"kv-token-bytes\":1000,"                              \
+	"\"link-mbps\":1000.0,\"handle-ttl-s\":5.0,\"kv-capacity-tokens\":"                     \
+	"400000}}],\"routes\":[" ROUTE("read", "idempotent", "4000", "3", "", "app") "," ROUTE( \
+		"book", "non_idempotent", "%u", "1", "",                                        \
+		"app") "," ROUTE("advise", "streaming", "6000", "1", "",                        \
+				 "llm") "," ROUTE("notes", "streaming",                         \
+						  "6000", "3",                                  \
+						  ",\"resumable\":true",                        \
+						  "llm") "," ROUTE("extra-%u",                  \
+								   "idempotent",                \
+								   "4000",                      \
+								   "2", "",                     \
+								   "app") "]}"
+
+/**
+ * struct seen - the last change of a row of a replica
+ */
+struct seen {
+	int64_t revision;
+	int64_t at_us;
+};
+
+struct store {
+	ks_loop_t loop;
+	struct fake_rows rows;
+	ks_timer_t scan;
+	ks_watch_t watch;
+	int signal_fd;
+	unsigned version;
+	GHashTable *seen;
+};
+
+static void publish(struct store *store)
+{
+	char *config;
+
+	store->version += VERSION_STEP;
+	config = g_strdup_printf(CONFIG, store->version,
+				 store->version % 2 ? 4000U : 3000U,
+				 store->version, store->version);
+	fake_put(&store->rows, "op", "config", config);
+	g_free(config);
+	fprintf(stderr, "version %u\n", store->version);
+}
+
+/* Removes the first row that has lapsed, and returns whether there was one. */
+static bool remove_lapsed(struct store *store)
+{
+	int64_t now = ks_loop_now(&store->loop);
+
+	for (guint i = 0; i < store->rows.rows->len; i++) {
+		const struct fake_row *row = store->rows.rows->pdata[i];
+		struct seen *seen = g_hash_table_lookup(store->seen, row->key);
+
+		if (row->removed || strcmp(row->table, "servers") != 0)
+			continue;
+		if (!seen) {
+			seen = g_new0(struct seen, 1);
+			g_hash_table_insert(store->seen, g_strdup(row->key),
+					    seen);
+		}
+		if (seen->revision != row->revision) {
+			*seen = (struct seen){ row->revision, now };
+		} else if (now - seen->at_us > LAPSE_US) {
+			char *key = g_strdup(row->key);
+
+			fake_remove(&store->rows, "servers", key);
+			g_free(key);
+			return true;
+		}
+	}
+	return false;
+}
+
+static void on_scan(void *ctx)
+{
+	struct store *store = ctx;
+
+	while (remove_lapsed(store))
+		continue;
+	ks_timer_set(&store->scan, SCAN_US);
+}
+
+static void on_signal(void *ctx)
+{
+	struct store *store = ctx;
+	struct signalfd_siginfo info;
+
+	while (read(store->signal_fd, &info, sizeof(info)) == sizeof(info)) {
+		if (info.ssi_signo == SIGUSR2) {
+			publish(store);
+			continue;
+		}
+		store->rows.mode = store->rows.mode == FAKE_AVAILABLE
+					   ? FAKE_UNAVAILABLE
+					   : FAKE_AVAILABLE;
+		fprintf(stderr, "the store is %s\n",
+			store->rows.mode == FAKE_AVAILABLE ? "available"
+							   : "unavailable");
+	}
+}
+
+static bool watch_signals(struct store *store)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGUSR1);
+	sigaddset(&set, SIGUSR2);
+	sigprocmask(SIG_BLOCK, &set, NULL);
+	store->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	return ks_watch_init(&store->watch, &store->loop, store->signal_fd,
+			     on_signal, store, NULL);
+}
+
+int main(void)
+{
+	struct fake_signals signals;
+	struct store store = { .version = 0 };
+
+	ks_loop_init(&store.loop, ks_clock_monotonic());
+	if (!fake_signals_init(&signals, &store.loop) || !watch_signals(&store))
+		return EXIT_FAILURE;
+	store.seen =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	fake_rows_init(&store.rows, &store.loop);
+	publish(&store);
+	ks_timer_init(&store.scan, &store.loop, on_scan, &store);
+	ks_timer_set(&store.scan, SCAN_US);
+	fprintf(stderr, "listens on 127.0.0.1:%u\n", store.rows.server.port);
+	ks_loop_run(&store.loop);
+	/* Exiting closes the open connections. */
+	_exit(EXIT_SUCCESS);
+}
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,60 @@
+/*
+ * What the replicas of the soak answer, and the callers expect: the text of a
+ * response follows from the id of its request.
+ */
+#ifndef SOAK_H
+#define SOAK_H
+
+#include "ks/connection.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Number of events of a stream. */
+#define SOAK_EVENTS 6
+
+/* Last character of a request's id: what its route lets happen to it. */
+#define SOAK_BOOK 'b'	/* at most once */
+#define SOAK_READ 'r'	/* may be repeated */
+#define SOAK_ADVISE 'a' /* stream, at most once */
+#define SOAK_NOTES 'n'	/* stream that may be resumed */
+
+static inline char soak_class(ks_str_t id)
+{
+	return id.len ? id.data[id.len - 1] : '\0';
+}
+
+static inline bool soak_is_stream(char class)
+{
+	return class == SOAK_ADVISE || class == SOAK_NOTES;
+}
+
+static inline bool soak_may_repeat(char class)
+{
+	return class == SOAK_READ || class == SOAK_NOTES;
+}
+
+static inline void soak_seal(ks_str_t id, GString *out)
+{
+	g_string_append_printf(out, "seal-%.*s", (int)id.len, id.data);
+}
+
+static inline void soak_event(ks_str_t id, int number, GString *out)
+{
+	g_string_append_printf(out, "id: %d\ndata: piece %d of %.*s\n\n",
+			       number, number, (int)id.len, id.data);
+}
+
+/* Body of a complete response with status 200. */
+static inline void soak_body(ks_str_t id, GString *out)
+{
+	if (!soak_is_stream(soak_class(id))) {
+		g_string_append_printf(out, "done %.*s\n", (int)id.len,
+				       id.data);
+		return;
+	}
+	for (int i = 0; i < SOAK_EVENTS; i++)
+		soak_event(id, i, out);
+}
+
+#endif
--- /dev/null
+++ b/tests/soak/soak.sh
@@ -0,0 +1,243 @@
+#!/bin/bash
+# usage: tests/soak/soak.sh [--planned] [--many] SEED SECONDS
+#
+# Runs gateways, replicas, a store and callers as separate processes and injects
+# faults, drawn from SEED, from outside: signals to the processes, and relays
+# that lose or refuse connections. Fails if a caller or a replica saw a rule
+# broken; see soak-callers.c. With --planned, only restarts by SIGTERM, leaving
+# replicas and new configurations; with --many, as many processes as the limits
+# of a small machine bear. SOAK_KEEP names a directory that gets the logs of a
+# run that failed.
+set -u
+cd "$(dirname "$0")/../.."
+. tests/system/lib.sh
+. tests/system/site.sh
+
+planned= many=
+while test $# -gt 2
+do
+	case $1 in
+	--planned) planned=--planned ;;
+	--many) many=yes ;;
+	esac
+	shift
+done
+seed=$1 seconds=$2
+RANDOM=$seed
+record=$WORK/runs
+: >"$record"
+
+# between LOW HIGH: sets DRAWN, as a subshell would not advance RANDOM.
+between () {
+	DRAWN=$(($1 + RANDOM % ($2 - $1 + 1)))
+}
+
+if test -n "$many"
+then
+	n_gateways=40 n_apps=12 n_engines=60 n_callers=300
+else
+	between 2 4; n_gateways=$DRAWN
+	between 2 4; n_apps=$DRAWN
+	between 3 6; n_engines=$DRAWN
+	between 16 48; n_callers=$DRAWN
+fi
+between 5 60; work_ms=$DRAWN
+
+# start_replica NAME SERVICE [STAGE]: on the address of an earlier process of
+# this name, if there was one. Every third replica is behind a relay.
+start_replica () {
+	local name=$1 service=$2 stage=${3:-}
+	launch "$name" "$BIN/soak-replica" \
+		--listen "${ADDRESS[$name]:-127.0.0.1:0}" \
+		--store "${ADDRESS[site]}" --service "$service" \
+		${stage:+--stage "$stage"} --record "$record" \
+		--work-ms "$work_ms" --slots 6 --seed $((seed + ++started)) \
+		${SOAK_SECOND:+--second-of-100 "$SOAK_SECOND"} \
+		${SOAK_NAMED:+--named-of-3 "$SOAK_NAMED"} \
+		${ADDRESS[relay-$name]:+--announce "${ADDRESS[relay-$name]}"}
+}
+
+# A relay needs the address of its target, which needs that of the relay.
+start_relayed_replica () {
+	local name=$1
+	start_replica "$@"
+	launch "relay-$name" "$BIN/fake-relay" --listen 127.0.0.1:0 \
+		--target "${ADDRESS[$name]}"
+	kill -KILL "${PID[$name]}"
+	wait "${PID[$name]}" 2>/dev/null
+	start_replica "$@"
+}
+
+restart_replica () {
+	case $1 in
+	app*) start_replica "$1" app ;;
+	*) start_replica "$1" llm decode ;;
+	esac
+}
+
+# signal NAME SIGNAL
+signal () {
+	kill -"$2" "${PID[$1]}" 2>/dev/null
+}
+
+# freeze NAME: for 0.2 to 3 s
+freeze () {
+	local pid=${PID[$1]}
+	between 2 30
+	kill -STOP "$pid" 2>/dev/null
+	{ sleep "$((DRAWN / 10)).$((DRAWN % 10))"; kill -CONT "$pid"; } \
+		2>/dev/null &
+}
+
+# reap NAME: waits for a process that was told to end; it may be frozen.
+reap () {
+	kill -CONT "${PID[$1]}" 2>/dev/null
+	wait "${PID[$1]}" 2>/dev/null
+}
+
+killed=() stopping=()
+
+# Starts the processes again that were killed or have stopped.
+start_again () {
+	local name rest=()
+	for name in "${killed[@]}"
+	do
+		case $name in
+		gateway*) launch_gateway "$name" ;;
+		*) restart_replica "$name" ;;
+		esac
+	done
+	killed=()
+	for name in "${stopping[@]}"
+	do
+		if has_exited "$name"
+		then
+			reap "$name"
+			killed+=("$name")
+		else
+			rest+=("$name")
+		fi
+	done
+	stopping=("${rest[@]}")
+}
+
+is_stopping () {
+	local name
+	for name in "${stopping[@]}" "${killed[@]}"
+	do
+		test "$name" = "$1" && return 0
+	done
+	return 1
+}
+
+draw_gateway () {
+	between 1 $n_gateways; NAME=gateway$DRAWN
+}
+
+draw_replica () {
+	if between 0 1; test $DRAWN = 0
+	then
+		between 1 $n_apps; NAME=app$DRAWN
+	else
+		between 1 $n_engines; NAME=engine$DRAWN
+	fi
+}
+
+stop_one () {
+	is_stopping "$NAME" && return
+	signal "$NAME" TERM
+	stopping+=("$NAME")
+}
+
+kill_one () {
+	is_stopping "$NAME" && return
+	signal "$NAME" KILL
+	wait "${PID[$NAME]}" 2>/dev/null
+	killed+=("$NAME")
+}
+
+inject_planned () {
+	between 0 3
+	case $DRAWN in
+	0) test ${#stopping[@]} = 0 && draw_gateway && stop_one ;;
+	1) test ${#stopping[@]} = 0 && draw_replica && stop_one ;;
+	*) signal site USR2 ;;
+	esac
+}
+
+inject_fault () {
+	between 0 17
+	case $DRAWN in
+	0) draw_gateway; freeze "$NAME" ;;
+	1) draw_gateway; kill_one ;;
+	2) draw_replica; freeze "$NAME" ;;
+	3) draw_replica; kill_one ;;
+	4|5|6|7|8) draw_replica; signal "$NAME" USR1 ;;
+	9) freeze site ;;
+	10) signal site USR1 ;;
+	11) between 1 ${#relays[@]}; signal "${relays[DRAWN - 1]}" USR1 ;;
+	12) between 1 ${#relays[@]}; signal "${relays[DRAWN - 1]}" USR2 ;;
+	13|14) between 1 ${#relays[@]}; signal "${relays[DRAWN - 1]}" HUP ;;
+	15|16) between 1 ${#relays[@]}; signal "${relays[DRAWN - 1]}" WINCH ;;
+	17) between 1 ${#relays[@]}; signal "${relays[DRAWN - 1]}" URG ;;
+	esac
+}
+
+started=0
+relays=()
+launch site "$BIN/soak-store"
+for i in $(seq $n_apps)
+do
+	if test $((i % 3)) = 2
+	then
+		start_relayed_replica app$i app
+		relays+=("relay-app$i")
+	else
+		start_replica app$i app
+	fi
+done
+for i in $(seq $n_engines)
+do
+	if test $((i % 3)) = 2
+	then
+		start_relayed_replica engine$i llm decode
+		relays+=("relay-engine$i")
+	else
+		start_replica engine$i llm decode
+	fi
+done
+gateways=
+for i in $(seq $n_gateways)
+do
+	start_gateway gateway$i
+	gateways=$gateways${gateways:+,}${ADDRESS[gateway$i]}
+done
+
+"$BIN/soak-callers" --gateways "$gateways" --record "$record" \
+	--seconds "$seconds" --callers $n_callers --seed "$seed" $planned \
+	>"$WORK/callers.out" 2>&1 &
+callers=$!
+
+# Faults come in series, and a series may begin before the last one is over.
+while kill -0 $callers 2>/dev/null && test $SECONDS -lt $((seconds + 30))
+do
+	between 1 4
+	for _ in $(seq $DRAWN)
+	do
+		inject_planned
+		test -n "$planned" || inject_fault
+	done
+	between 2 9
+	sleep 0.$DRAWN
+	start_again
+done
+wait $callers
+status=$?
+grep -v '^violation' "$WORK/callers.out" | sed "s/^/seed=$seed /"
+grep '^violation' "$WORK/callers.out" | head -n 20
+if test $status != 0 && test -n "${SOAK_KEEP:-}"
+then
+	mkdir -p "$SOAK_KEEP/$seed"
+	cp "$WORK"/*.log "$WORK/runs" "$WORK/callers.out" "$SOAK_KEEP/$seed"
+fi
+exit $status
--- a/tests/system/site.sh
+++ b/tests/system/site.sh
@@ -7,9 +7,9 @@
 	launch site "$BIN/fake-site"
 }
 
-# start_gateway NAME: fills in deploy/settings.yaml.in as the platform does, but
+# launch_gateway NAME: fills in deploy/settings.yaml.in as the platform does, but
 # with ports that the kernel chooses.
-start_gateway () {
+launch_gateway () {
 	sed -e "s/{{node-name}}/$1/" -e "s/{{zone}}/domain-1/" \
 		-e "s/{{listen.front}}/${ADDRESS[$1]:-127.0.0.1:0}/" \
 		-e "s/{{listen.ready}}/127.0.0.1:0/" \
@@ -24,6 +24,11 @@
 		-e "s/{{bounds.drain-ms}}/2000/" \
 		deploy/settings.yaml.in >"$WORK/$1.yaml"
 	launch "$1" "$BIN/knapweedstaird" --config "$WORK/$1.yaml"
+}
+
+# start_gateway NAME: launches a gateway and waits until it can serve.
+start_gateway () {
+	launch_gateway "$1"
 	wait_until "$1 has a configuration" has_log "$1" "configuration in force"
 }
 
