gateway: log which answer a refusal rests on

A log line named the upstream and the counts of a request, but not the answer that decided. It now says what the request waited for, whether the last send left the process, how long ago and on which connection, how many calls that connection had served, and the status, the statement and the id of the answer. Two counters show answers to other requests that were skipped, and answers without an id.

--- a/packages/connection/include/ks/http.h
+++ b/packages/connection/include/ks/http.h
@@ -20,6 +20,7 @@
  * @peers: idle connections by the address of their peer
  * @calls: active calls
  * @conns: connections that are not idle
+ * @n_opened: connections opened so far
  * @max_idle_us: idle connections are closed after this time, in microseconds
  * @connect_timeout_us: for a new connection, in microseconds; 0 for no limit
  */
@@ -28,6 +29,7 @@
 	GHashTable *peers;
 	ks_list_t calls;
 	ks_list_t conns;
+	uint64_t n_opened;
 	int64_t max_idle_us;
 	int64_t connect_timeout_us;
 } ks_http_client_t;
@@ -111,6 +113,11 @@
  * @reused: the connection served another call before
  * @may_retry: may be sent again if a reused connection closes
  * @response_started: the head of the response was received
+ * @response_named: the response has the expected id
+ * @conn_number: number of the connection, counted from the first of the client;
+ *	0 before there is one
+ * @conn_calls: calls that the connection served before this one
+ * @skipped: responses to other requests that arrived before the response
  * @deferred: starts the call on the next loop iteration, since no event may
  *	be called before ks_http_call_start() returns
  */
@@ -135,6 +142,10 @@
 	bool reused;
 	bool may_retry;
 	bool response_started;
+	bool response_named;
+	uint64_t conn_number;
+	unsigned conn_calls;
+	unsigned skipped;
 } ks_http_call_t;
 
 void ks_http_client_init(ks_http_client_t *client, ks_loop_t *loop);
--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -151,34 +151,40 @@
 	}
 }
 
-/*
- * A response with the id of another request is the late response to a call that
- * has ended, and is skipped.
+/**
+ * enum response_owner - which request a response belongs to
+ * @OWNER_CALL: the response has the id that the call expects, or the call
+ *	expects none
+ * @OWNER_UNNAMED: it has no id
+ * @OWNER_OTHER: it has the id of another request
  */
-static bool matches_call(const struct ks_http_conn *conn,
-			 const ks_header_t *headers, size_t n)
+enum response_owner {
+	OWNER_CALL,
+	OWNER_UNNAMED,
+	OWNER_OTHER,
+};
+
+static enum response_owner owner_of(const struct ks_http_conn *conn,
+				    const ks_header_t *headers, size_t n)
 {
 	const ks_http_call_t *call = conn->call;
 	const ks_header_t *echo;
 
 	if (!call || !call->response_id->len)
-		return true;
-	for (size_t i = 0; i < n; i++) {
-		echo = &headers[i];
-		if (echo->name.len == call->response_id_header.len &&
-		    !memcmp(echo->name.data, call->response_id_header.data,
-			    echo->name.len))
-			return ks_str_equal(
-				echo->value,
-				(ks_str_t){ call->response_id->str,
-					    call->response_id->len });
-	}
-	return true;
+		return OWNER_CALL;
+	echo = ks_header_find(headers, n, call->response_id_header.data);
+	if (!echo)
+		return OWNER_UNNAMED;
+	return ks_str_equal(echo->value, (ks_str_t){ call->response_id->str,
+						     call->response_id->len })
+		       ? OWNER_CALL
+		       : OWNER_OTHER;
 }
 
 static int on_head(http_parser *parser)
 {
 	struct ks_http_conn *conn = parser->data;
+	enum response_owner owner;
 	ks_header_t *headers;
 	size_t n;
 
@@ -186,8 +192,13 @@
 		return 0;
 	headers = http_fields_list(&conn->fields, &n);
 	update_idle_limit(conn, headers, n);
-	conn->skipping_response = !matches_call(conn, headers, n);
-	if (!conn->skipping_response && conn->call) {
+	owner = owner_of(conn, headers, n);
+	/* The late response to a call that has ended. */
+	conn->skipping_response = owner == OWNER_OTHER;
+	if (conn->skipping_response) {
+		conn->call->skipped++;
+	} else if (conn->call) {
+		conn->call->response_named = owner == OWNER_CALL;
 		http_call_head(conn->call, (int)parser->status_code, headers,
 			       n);
 	}
@@ -327,6 +338,8 @@
 	h2o_iovec_t buf;
 
 	conn->call = call;
+	call->conn_number = conn->number;
+	call->conn_calls = conn->n_calls++;
 	ks_timer_clear(&conn->timer);
 	start_response(conn);
 	g_string_assign(conn->request, "");
@@ -376,6 +389,7 @@
 		return NULL;
 	conn = g_new0(struct ks_http_conn, 1);
 	conn->client = client;
+	conn->number = ++client->n_opened;
 	conn->peer = find_peer(client, address);
 	conn->sock = sock;
 	conn->sock->data = conn;
--- a/packages/connection/src/http_conn.h
+++ b/packages/connection/src/http_conn.h
@@ -15,6 +15,8 @@
  * @call: NULL when idle, or once the call has been cancelled
  * @request: bytes being written
  * @timer: connect timeout, or idle timeout
+ * @number: counted from the first connection of the client
+ * @n_calls: calls sent on this connection
  * @max_idle_us: longest idle time after this response; 0 to close at once
  * @parsing: inside the parser, which must not free the connection
  * @skipping_response: the response belongs to an earlier request
@@ -32,6 +34,8 @@
 	http_parser parser;
 	struct http_fields fields;
 	ks_timer_t timer;
+	uint64_t number;
+	unsigned n_calls;
 	int64_t max_idle_us;
 	bool writing;
 	bool parsing;
--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -274,6 +274,16 @@
 	finish_response(exchange);
 }
 
+static void count_answers(const struct exchange *exchange)
+{
+	const struct gateway_metrics *counters = &exchange->gateway->counters;
+	const ks_http_call_t *call = &exchange->call;
+
+	ks_counter_add(counters->skipped, call->skipped);
+	ks_counter_add(counters->unnamed,
+		       call->response_started && !call->response_named);
+}
+
 static void record_outcome(struct exchange *exchange, ks_http_result_t result)
 {
 	int64_t now = exchange_now(exchange);
@@ -316,6 +326,7 @@
 	g_free(exchange->handle);
 	exchange->handle = NULL;
 	g_string_truncate(exchange->kv_source, 0);
+	count_answers(exchange);
 	record_outcome(exchange, result);
 	if (!exchange->caller || exchange->step == EXCHANGE_DETACHED) {
 		exchange_log(exchange, KS_LOG_INFO,
--- a/packages/gateway/src/exchange_end.c
+++ b/packages/gateway/src/exchange_end.c
@@ -6,12 +6,28 @@
 
 #include <stdio.h>
 
+static const char *const step_names[] = {
+	[EXCHANGE_IDLE] = "place",
+	[EXCHANGE_PREFILL] = "prefill",
+	[EXCHANGE_RUN] = "run",
+	[EXCHANGE_DETACHED] = "detached",
+};
+
+/*
+ * The fields from "step" on describe the last send: whether it left this
+ * process, when, on which connection, and which response it got. They tell a
+ * response that decided wrongly from a send that was not counted.
+ */
 void exchange_log(const struct exchange *exchange, ks_log_level_t level,
 		  const char *outcome, int status)
 {
+	const ks_http_call_t *call = &exchange->call;
+
 	ks_log(KS_LOG_ROUTE, level,
 	       "%s request=%s status=%d route=%s service=%s version=%" PRId64
-	       " upstream=%s sends=%u runs=%u age_ms=%" PRId64,
+	       " upstream=%s sends=%u runs=%u age_ms=%" PRId64
+	       " step=%s sent=%d sent_us=%" PRId64 " conn=%" PRIu64
+	       " conn_calls=%u answer=%d not_run=%d named=%d skipped=%u",
 	       outcome, exchange->id, status,
 	       exchange->route ? exchange->route->name : "-",
 	       exchange->service_name ? exchange->service_name : "-",
@@ -19,7 +35,12 @@
 	       exchange->member ? exchange->member->id : "-", exchange->sends,
 	       exchange->runs,
 	       (exchange_now(exchange) - exchange->arrived_us) /
-		       KS_USEC_PER_MSEC);
+		       KS_USEC_PER_MSEC,
+	       step_names[exchange->step], call->sent,
+	       exchange->sent_us ? exchange_now(exchange) - exchange->sent_us
+				 : 0,
+	       call->conn_number, call->conn_calls, exchange->status,
+	       exchange->refused_not_run, call->response_named, call->skipped);
 }
 
 /**
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -136,6 +136,12 @@
 	c->first_byte =
 		ks_metrics_histogram(m, "ks_gateway_first_byte_us",
 				     "Time to the head of the answer", NULL);
+	c->skipped = ks_metrics_counter(
+		m, "ks_gateway_skipped_answers_total",
+		"Answers to other requests, skipped on a connection", NULL);
+	c->unnamed =
+		ks_metrics_counter(m, "ks_gateway_unnamed_answers_total",
+				   "Answers without the id of a request", NULL);
 	c->late = ks_metrics_counter(m, "ks_gateway_late_total",
 				     "Answers passed on after their objective, "
 				     "or with too long a pause",
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -14,6 +14,9 @@
  * @gone: callers that disconnected before the end of the response
  * @retries: requests sent to an upstream again
  * @splits: prefill requests sent to a separate upstream
+ * @skipped: responses to other requests that upstreams sent on the connection
+ *	of a request
+ * @unnamed: responses without the id of a request
  * @late: forwarded responses that missed the route's objective for the first
  *	data, or its limit on pauses
  * @first_byte: time from the arrival of a request to the head of its response
@@ -33,6 +36,8 @@
 	ks_counter_t *gone;
 	ks_counter_t *retries;
 	ks_counter_t *splits;
+	ks_counter_t *skipped;
+	ks_counter_t *unnamed;
 	ks_counter_t *late;
 	ks_histogram_t *first_byte;
 	ks_histogram_t *prefill;
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -102,6 +102,7 @@
 	local name rest=()
 	for name in "${killed[@]}"
 	do
+		cat "$WORK/$name.log" >>"$WORK/$name-before.log"
 		case $name in
 		gateway*) launch_gateway "$name" ;;
 		*) restart_replica "$name" ;;
