gateway: use a connection of its own for a repeated send

What callers saw: requests that ran were answered 503, which promises that they have not run, and others ran twice.

Cause: all sends of a request have the same id, which is also all that a response is recognised by. A send that was refused is repeated, and if it goes to the same upstream, it took the connection that was used last, which is the one of the refusal. An upstream that gives a response twice, the second time when the next request has arrived, was then believed to have refused the second send as well, which it was running. The request was sent on and ran twice, or, after the last send, refused with 503. The run after a prefill request at the same engine is the same case.

Evidence: /attribution/refusal-comes-twice and -refused-prefill-comes-twice failed before.

Why it works: a connection carries bytes of one upstream only, and an upstream answers on the connection of the request. On a connection that has never carried the id, no second response to an earlier send can arrive. Sends to other upstreams have never used their connections for this id, so these are still kept.

--- a/packages/connection/include/ks/http.h
+++ b/packages/connection/include/ks/http.h
@@ -60,7 +60,8 @@
  * @response_id_header: name, in lower case, of the response header in which the
  *	peer echoes an id; empty if it echoes none. A response with another id
  *	belongs to an earlier request on the connection and is skipped.
- * @response_id: value expected in that header
+ * @response_id: value expected in that header. It must not have been that of an
+ *	earlier request on the connection.
  * @timeout_us: limit for the whole call; 0 for no limit
  * @idle_timeout_us: longest wait for the next bytes; 0 for no limit
  * @reuse: may use an idle connection. Unless @no_retry is set, only for
--- a/packages/gateway/src/exchange.c
+++ b/packages/gateway/src/exchange.c
@@ -68,6 +68,7 @@
 	exchange->field_texts = g_ptr_array_new_with_free_func(g_free);
 	exchange->avoid =
 		g_ptr_array_new_with_free_func((GDestroyNotify)ks_member_unref);
+	exchange->sent_to = g_array_new(FALSE, FALSE, sizeof(ks_address_t));
 	exchange->kv_source = g_string_new(NULL);
 	exchange->fields = g_array_new(FALSE, FALSE, sizeof(ks_header_t));
 	exchange->fields_text = g_string_new(NULL);
--- a/packages/gateway/src/exchange_end.c
+++ b/packages/gateway/src/exchange_end.c
@@ -113,6 +113,7 @@
 	g_array_free(exchange->request_fields, TRUE);
 	g_ptr_array_free(exchange->field_texts, TRUE);
 	g_ptr_array_free(exchange->avoid, TRUE);
+	g_array_free(exchange->sent_to, TRUE);
 	g_string_free(exchange->kv_source, TRUE);
 	g_array_free(exchange->fields, TRUE);
 	g_string_free(exchange->fields_text, TRUE);
--- a/packages/gateway/src/exchange_send.c
+++ b/packages/gateway/src/exchange_send.c
@@ -111,9 +111,29 @@
 	g_array_append_val(list, field);
 }
 
+/* Records that the request is sent to an upstream, and returns whether it has
+ * been before. */
+static bool record_send(struct exchange *exchange, const ks_address_t *address)
+{
+	for (guint i = 0; i < exchange->sent_to->len; i++) {
+		const ks_address_t *earlier =
+			&g_array_index(exchange->sent_to, ks_address_t, i);
+
+		if (earlier->port == address->port &&
+		    !strcmp(earlier->ip, address->ip))
+			return true;
+	}
+	g_array_append_val(exchange->sent_to, *address);
+	return false;
+}
+
 /**
  * exchange_send() - send the request to an upstream
  * @is_prefill: request prefill only
+ *
+ * All sends of a request have the same id. On a connection that an earlier one
+ * has used, a second response to that one would pass for the response to this
+ * one, so a further send to an upstream gets a connection of its own.
  */
 void exchange_send(struct exchange *exchange, ks_member_t *member,
 		   bool is_prefill, const ks_http_events_t *events)
@@ -135,7 +155,7 @@
 		.response_id_header = dialect->request_id,
 		.response_id = ks_str_from(exchange->id),
 		.timeout_us = 0,
-		.reuse = true,
+		.reuse = !record_send(exchange, &member->address),
 		.no_retry = true,
 	};
 
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -114,6 +114,8 @@
  * @prefills: prefill requests sent
  * @runs: sends that may have run
  * @avoid: upstreams that have failed or refused the request
+ * @sent_to: ks_address_t of the upstreams that the request or its prefill was
+ *	sent to
  * @member: upstream that runs the request, with a reference; NULL while
  *	another one prefills the prompt
  * @prefill_member: upstream that prefills the prompt, with a reference
@@ -164,6 +166,7 @@
 	unsigned prefills;
 	unsigned runs;
 	GPtrArray *avoid;
+	GArray *sent_to;
 	ks_member_t *member;
 	ks_member_t *prefill_member;
 	int64_t prefill_tokens;
