connection: do not take a response without an id for the expected one

What callers saw: foreign answers with status 200, requests that ran and were answered 503, and requests that ran twice.

Cause: a response without the id that the peer echoes was taken for the response to the request that waited on the connection. An upstream that sends bytes which belong to no request, or a second response without an id, decided what the caller was told.

Evidence: /attribution/response-without-id failed before: 200 for a booking whose own response had not come.

Why it works: a response that names no request closes its connection, so that no later response on it can be taken for another one either. The request's outcome is then unknown and is answered as such. Upstreams of the platform name the request in every response.

--- a/packages/connection/include/ks/http.h
+++ b/packages/connection/include/ks/http.h
@@ -59,7 +59,9 @@
  * @body: may be empty
  * @response_id_header: name, in lower case, of the response header in which the
  *	peer echoes an id; empty if it echoes none. A response with another id
- *	belongs to an earlier request on the connection and is skipped.
+ *	belongs to an earlier request on the connection and is skipped. One
+ *	without an id can belong to any request; it closes the connection, and
+ *	the call ends with KS_HTTP_INCOMPLETE.
  * @response_id: value expected in that header. It must not have been that of an
  *	earlier request on the connection.
  * @timeout_us: limit for the whole call; 0 for no limit
--- a/packages/connection/src/http_client.c
+++ b/packages/connection/src/http_client.c
@@ -87,7 +87,6 @@
 void http_call_head(ks_http_call_t *call, int status,
 		    const ks_header_t *headers, size_t n_headers)
 {
-	call->response_started = true;
 	restart_idle_timer(call);
 	call->events->head(call->ctx, status, headers, n_headers);
 }
--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -181,28 +181,47 @@
 		       : OWNER_OTHER;
 }
 
+/*
+ * Passes the head of a response to the call that it belongs to. Returns false
+ * if that is not known: then it is not known of later responses either.
+ */
+static bool pass_head(struct ks_http_conn *conn, const ks_header_t *headers,
+		      size_t n)
+{
+	ks_http_call_t *call = conn->call;
+	enum response_owner owner = owner_of(conn, headers, n);
+
+	/* The late response to a call that has ended. */
+	conn->skipping_response = owner == OWNER_OTHER;
+	if (!call)
+		return true;
+	if (conn->skipping_response) {
+		call->skipped++;
+		return true;
+	}
+	call->response_started = true;
+	call->response_named = owner == OWNER_CALL;
+	if (owner == OWNER_UNNAMED)
+		return false;
+	http_call_head(call, (int)conn->parser.status_code, headers, n);
+	return true;
+}
+
 static int on_head(http_parser *parser)
 {
 	struct ks_http_conn *conn = parser->data;
-	enum response_owner owner;
 	ks_header_t *headers;
+	bool passed;
 	size_t n;
 
 	if (parser->status_code / 100 == 1)
 		return 0;
 	headers = http_fields_list(&conn->fields, &n);
 	update_idle_limit(conn, headers, n);
-	owner = owner_of(conn, headers, n);
-	/* The late response to a call that has ended. */
-	conn->skipping_response = owner == OWNER_OTHER;
-	if (conn->skipping_response) {
-		conn->call->skipped++;
-	} else if (conn->call) {
-		conn->call->response_named = owner == OWNER_CALL;
-		http_call_head(conn->call, (int)parser->status_code, headers,
-			       n);
-	}
+	passed = pass_head(conn, headers, n);
 	g_free(headers);
+	if (!passed)
+		return -1;
 	return conn->call && conn->call->is_head ? 1 : 0;
 }
 
--- a/packages/gateway/src/exchange_end.c
+++ b/packages/gateway/src/exchange_end.c
@@ -13,6 +13,14 @@
 	[EXCHANGE_DETACHED] = "detached",
 };
 
+/* Whose id the response to the last send has. */
+static const char *response_id(const ks_http_call_t *call)
+{
+	if (!call->response_started)
+		return "-";
+	return call->response_named ? "own" : "none";
+}
+
 /*
  * The fields from "step" on describe the last send: whether it left this
  * process, when, on which connection, and which response it got. They tell a
@@ -27,7 +35,7 @@
 	       "%s request=%s status=%d route=%s service=%s version=%" PRId64
 	       " upstream=%s sends=%u runs=%u age_ms=%" PRId64
 	       " step=%s sent=%d sent_us=%" PRId64 " conn=%" PRIu64
-	       " conn_calls=%u answer=%d not_run=%d named=%d skipped=%u",
+	       " conn_calls=%u answer=%d not_run=%d answer_id=%s skipped=%u",
 	       outcome, exchange->id, status,
 	       exchange->route ? exchange->route->name : "-",
 	       exchange->service_name ? exchange->service_name : "-",
@@ -40,7 +48,7 @@
 	       exchange->sent_us ? exchange_now(exchange) - exchange->sent_us
 				 : 0,
 	       call->conn_number, call->conn_calls, exchange->status,
-	       exchange->refused_not_run, call->response_named, call->skipped);
+	       exchange->refused_not_run, response_id(call), call->skipped);
 }
 
 /**
