gateway: keep own calls off the connections of requests

What callers would see: an answer that is not theirs, or a refusal of a request that runs.

Cause: the release of a KV cache handle has no id by which its response is told apart, and it used the idle connections of requests. A late response to a request ends that call, and the response to the call itself then comes to the next request on the connection.

Evidence: /attribution/own-call failed before: the release came on the connection of the prefill.

Why it works: such calls get a connection of their own, which is closed after the response.

--- a/packages/connection/include/ks/http.h
+++ b/packages/connection/include/ks/http.h
@@ -66,7 +66,9 @@
  *	earlier request on the connection.
  * @timeout_us: limit for the whole call; 0 for no limit
  * @idle_timeout_us: longest wait for the next bytes; 0 for no limit
- * @reuse: may use an idle connection. Unless @no_retry is set, only for
+ * @reuse: may use an idle connection, and leave it idle for other requests. If
+ *	the peer may give a response late or twice, only with @response_id, by
+ *	which the responses are told apart. Unless @no_retry is set, only for
  *	requests that may be repeated: if the reused connection closes before
  *	the head of the response, the request is sent once more on a new
  *	connection.
--- a/packages/gateway/src/exchange_send.c
+++ b/packages/gateway/src/exchange_send.c
@@ -225,7 +225,6 @@
 		.headers = &expect,
 		.n_headers = 1,
 		.timeout_us = FREE_HANDLE_TIMEOUT_US,
-		.reuse = true,
 		.no_retry = true,
 	};
 	GString *target;
