gateway: believe "not run" only with a status that allows it

What callers would see: a request that ran is sent again, or answered 503.

Cause: a response with the field that states "not run" was believed whatever its status, although upstreams answer 200, 500 and 504 only to requests that have run. A response that contradicts itself was resolved in favour of the promise.

Evidence: /attribution/run-and-not-run failed before: the booking was sent again after 200, 500 and 504 with the statement.

Why it works: the statement counts with 400, 408, 421, 429 and 503 only. Any other response is that of a run, and its status is passed on.

--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -15,6 +15,27 @@
 /* The upstream is paused while more output than this waits for the caller. */
 #define HIGH_WATER_BYTES (256 * 1024)
 
+static bool implies_not_run(int status)
+{
+	return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+/**
+ * exchange_states_not_run() - whether a response states that the request was
+ * not executed
+ *
+ * The statement does not count with a status that is given to requests that
+ * have run: such a response contradicts itself.
+ */
+bool exchange_states_not_run(const struct exchange *exchange,
+			     const ks_header_t *headers, size_t n)
+{
+	const ks_dialect_t *dialect = exchange->gateway->dialect;
+
+	return (implies_not_run(exchange->status) || exchange->status == 400) &&
+	       ks_header_find(headers, n, dialect->not_run.data);
+}
+
 void exchange_clear_response(struct exchange *exchange)
 {
 	exchange->status = 0;
@@ -89,9 +110,7 @@
 
 	exchange->status = status;
 	exchange->refused_not_run =
-		ks_header_find(headers, n,
-			       exchange->gateway->dialect->not_run.data) !=
-		NULL;
+		exchange_states_not_run(exchange, headers, n);
 	exchange->is_stream_response =
 		status / 100 == 2 && (exchange->route->kind == KS_CALL_STREAM ||
 				      is_event_stream(headers, n));
@@ -233,11 +252,6 @@
 	exchange_free(exchange);
 }
 
-static bool implies_not_run(int status)
-{
-	return status == 503 || status == 429 || status == 408 || status == 421;
-}
-
 /* Forwards a complete response. */
 static void forward_response(struct exchange *exchange)
 {
--- a/packages/gateway/src/exchange_dispatch.c
+++ b/packages/gateway/src/exchange_dispatch.c
@@ -87,9 +87,7 @@
 
 	exchange->status = status;
 	exchange->refused_not_run =
-		ks_header_find(headers, n,
-			       exchange->gateway->dialect->not_run.data) !=
-		NULL;
+		exchange_states_not_run(exchange, headers, n);
 }
 
 static void on_prefill_body(void *ctx, ks_str_t data)
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -235,6 +235,8 @@
 
 void exchange_start_run(struct exchange *exchange);
 void exchange_clear_response(struct exchange *exchange);
+bool exchange_states_not_run(const struct exchange *exchange,
+			     const ks_header_t *headers, size_t n);
 void exchange_resume_response(void *ctx);
 
 /* exchange_send.c */
