upstream: name each call, and keep connections only of upstreams that repeat it

What callers would see: the answer to another caller's request.

Cause: the upstream process keeps connections for requests that may be repeated, and knew a response by its connection alone. A second response to an earlier call, which arrives when the next call waits for its own, went to the next caller. The request's id would not do: all attempts of a request and its prefill have the same one.

Evidence: /upstream/second-response and /upstream/unnamed-responses failed on the code before: the second caller got "first".

x-ks-call names the request and the attempt. The field is optional for upstreams: a connection on which a response does not repeat it is closed after the response, so plain services work as before, at the cost of a connection for each call.

Why it works: a response is either named by exactly this send, or is the first on a connection that no other call has used.

--- a/packages/connection/include/ks/http.h
+++ b/packages/connection/include/ks/http.h
@@ -61,9 +61,12 @@
  *	peer echoes an id; empty if it echoes none. A response with another id
  *	belongs to an earlier request on the connection and is skipped. One
  *	without an id can belong to any request; it closes the connection, and
- *	the call ends with KS_HTTP_INCOMPLETE.
+ *	the call ends with KS_HTTP_INCOMPLETE, but for @response_id_optional.
  * @response_id: value expected in that header. It must not have been that of an
  *	earlier request on the connection.
+ * @response_id_optional: the peer may echo no id. A response without one is
+ *	accepted on a connection that has served no other call, and the
+ *	connection is closed after it.
  * @timeout_us: limit for the whole call; 0 for no limit
  * @idle_timeout_us: longest wait for the next bytes; 0 for no limit
  * @reuse: may use an idle connection, and leave it idle for other requests. If
@@ -84,6 +87,7 @@
 	ks_str_t body;
 	ks_str_t response_id_header;
 	ks_str_t response_id;
+	bool response_id_optional;
 	int64_t timeout_us;
 	int64_t idle_timeout_us;
 	bool reuse;
@@ -117,6 +121,7 @@
  * @sent: the request was sent on this connection or an earlier one
  * @reused: the connection served another call before
  * @may_retry: may be sent again if a reused connection closes
+ * @response_id_optional: see struct ks_http_request
  * @response_started: the head of the response was received
  * @response_named: the response has the expected id
  * @conn_number: number of the connection, counted from the first of the client;
@@ -146,6 +151,7 @@
 	bool reuse;
 	bool reused;
 	bool may_retry;
+	bool response_id_optional;
 	bool response_started;
 	bool response_named;
 	uint64_t conn_number;
--- a/packages/connection/src/http_client.c
+++ b/packages/connection/src/http_client.c
@@ -227,6 +227,7 @@
 	call->is_head = ks_str_equal(request->method, KS_STR("HEAD"));
 	call->reuse = request->reuse;
 	call->may_retry = !request->no_retry;
+	call->response_id_optional = request->response_id_optional;
 	call->active = true;
 	ks_list_append(&client->calls, &call->node);
 	ks_timer_init(&call->deadline, client->loop, on_timeout, call);
--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -201,7 +201,9 @@
 	}
 	call->response_started = true;
 	call->response_named = owner == OWNER_CALL;
-	if (owner == OWNER_UNNAMED)
+	conn->single_use = owner == OWNER_UNNAMED;
+	if (conn->single_use &&
+	    (!call->response_id_optional || call->conn_calls > 0))
 		return false;
 	http_call_head(call, (int)conn->parser.status_code, headers, n);
 	return true;
@@ -241,7 +243,7 @@
 	if (parser->status_code / 100 == 1 || conn->skipping_response)
 		return 0;
 	conn->response_complete = true;
-	conn->reusable = http_should_keep_alive(parser);
+	conn->reusable = http_should_keep_alive(parser) && !conn->single_use;
 	http_parser_pause(parser, 1);
 	return 0;
 }
--- a/packages/connection/src/http_conn.h
+++ b/packages/connection/src/http_conn.h
@@ -22,6 +22,7 @@
  * @skipping_response: the response belongs to an earlier request
  * @response_complete: the complete response was parsed
  * @reusable: the response allows keep-alive
+ * @single_use: the peer does not name the request in its response
  * @closing: freed when the parser returns
  */
 struct ks_http_conn {
@@ -42,6 +43,7 @@
 	bool skipping_response;
 	bool response_complete;
 	bool reusable;
+	bool single_use;
 	bool closing;
 };
 
--- a/packages/upstream/src/upstream_job.c
+++ b/packages/upstream/src/upstream_job.c
@@ -15,7 +15,11 @@
 
 /* Each job contributes 1/8 to the moving average of the job time. */
 #define MEAN_JOB_WEIGHT 8
-#define EXTRA_HEADERS 2
+#define EXTRA_HEADERS 3
+
+/* Size of the value of x-ks-call: the id of the request, "-" and the attempt.
+ */
+#define CALL_NAME_SIZE (KS_ID_HEX_SIZE + 12)
 
 static ks_str_t append_copy(char **at, ks_str_t s)
 {
@@ -252,10 +256,11 @@
 
 /*
  * Copies the caller's header fields, except hop-by-hop ones, and replaces
- * x-request-id and x-priority, which the upstream relies on.
+ * x-request-id, x-ks-call and x-priority, which the upstream relies on.
  */
 static size_t build_headers(const struct upstream_job *job, ks_header_t *out,
-			    const char *id, const char *priority)
+			    const char *id, const char *call,
+			    const char *priority)
 {
 	const ks_attempt_request_t *request = &job->request;
 	size_t n = 0;
@@ -265,10 +270,12 @@
 
 		if (!is_connection_field(name) &&
 		    !ks_str_equal_nocase(name, KS_STR("x-request-id")) &&
+		    !ks_str_equal_nocase(name, KS_STR("x-ks-call")) &&
 		    !ks_str_equal_nocase(name, KS_STR("x-priority")))
 			out[n++] = request->headers[i];
 	}
 	out[n++] = (ks_header_t){ KS_STR("x-request-id"), ks_str_from(id) };
+	out[n++] = (ks_header_t){ KS_STR("x-ks-call"), ks_str_from(call) };
 	out[n++] = (ks_header_t){ KS_STR("x-priority"), ks_str_from(priority) };
 	return n;
 }
@@ -279,6 +286,7 @@
 	ks_header_t *headers =
 		g_new(ks_header_t, job->request.n_headers + EXTRA_HEADERS);
 	char id[KS_ID_HEX_SIZE];
+	char call[CALL_NAME_SIZE];
 	char priority[16];
 	ks_http_request_t request = {
 		.address = process->endpoint,
@@ -287,6 +295,8 @@
 		.headers = headers,
 		.body = job->request.body,
 		.timeout_us = timeout_us,
+		.response_id_header = KS_STR("x-ks-call"),
+		.response_id_optional = true,
 		/*
 		 * The upstream may close an idle connection while the request
 		 * is being sent on it; it is then unknown whether it ran.
@@ -295,8 +305,11 @@
 	};
 
 	g_snprintf(priority, sizeof(priority), "%u", job->request.priority);
-	request.n_headers = build_headers(
-		job, headers, ks_id_format(&job->request.key.id, id), priority);
+	g_snprintf(call, sizeof(call), "%s-%u",
+		   ks_id_format(&job->request.key.id, id),
+		   job->request.key.attempt);
+	request.response_id = ks_str_from(call);
+	request.n_headers = build_headers(job, headers, id, call, priority);
 	ks_http_call_start(&job->call, &process->client, &request, &call_events,
 			   job);
 	g_free(headers);
--- a/packages/upstream/tests/test-upstream.c
+++ b/packages/upstream/tests/test-upstream.c
@@ -1,6 +1,9 @@
 /* Tests of the upstream process: forwarding of requests and answers. */
 #include "upstream_fixture.h"
 
+#include <netinet/in.h>
+#include <unistd.h>
+
 /* Guards against running a request before a snapshot is in force. */
 static void test_refuses_without_snapshot(void)
 {
@@ -279,6 +282,98 @@
 	fixture_free(f);
 }
 
+static void reply_named(h2o_req_t *req, const char *call, const char *body)
+{
+	if (call)
+		h2o_add_header_by_str(&req->pool, &req->res.headers,
+				      H2O_STRLIT("x-ks-call"), 0, NULL, call,
+				      strlen(call));
+	ks_http_reply(req, 200, "text/plain", ks_str_from(body));
+}
+
+static char *call_of(h2o_req_t *req)
+{
+	return ks_str_dup(ks_http_req_header(req, "x-ks-call"));
+}
+
+/* Port of the peer, which differs between connections. */
+static uint16_t port_of(h2o_req_t *req)
+{
+	struct sockaddr_storage peer;
+
+	req->conn->callbacks->get_peername(req->conn, (struct sockaddr *)&peer);
+	return ((struct sockaddr_in *)&peer)->sin_port;
+}
+
+/* Writes bytes that belong to no request to the connection of a request. */
+static void write_raw(h2o_req_t *req, const char *text)
+{
+	h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
+
+	g_assert_cmpint(write(h2o_socket_get_fd(sock), text, strlen(text)), ==,
+			strlen(text));
+}
+
+/*
+ * Guards against giving a caller the second response to an earlier call, which
+ * arrives on a kept connection when the next call waits for its own.
+ */
+static void test_second_response_is_skipped(void)
+{
+	struct fixture *f = fixture_ready(false, 4);
+	ks_job_t *first = submit(f, example_request(true)), *second;
+	char *call, *again;
+
+	RUN_UNTIL(f, f->n_calls == 1);
+	call = call_of(f->calls[0]->req);
+	reply_named(f->calls[0]->req, call, "first");
+	RUN_UNTIL(f, first->ended);
+	second = submit(f, example_request(true));
+	RUN_UNTIL(f, f->n_calls == 2);
+	again = g_strdup_printf("HTTP/1.1 200 OK\r\nx-ks-call: %s\r\n"
+				"content-length: 5\r\n\r\nfirst",
+				call);
+	write_raw(f->calls[1]->req, again);
+	run_turns(f, 20);
+	g_free(call);
+	g_free(again);
+	call = call_of(f->calls[1]->req);
+	reply_named(f->calls[1]->req, call, "second");
+	RUN_UNTIL(f, second->ended);
+	g_assert_cmpint(second->kind, ==, KS_ERROR_NONE);
+	g_assert_cmpstr(second->body->str, ==, "second");
+	g_free(call);
+	job_free(first);
+	job_free(second);
+	fixture_free(f);
+}
+
+/*
+ * Guards against the same with an upstream that does not name the call in its
+ * responses: its connections are used once.
+ */
+static void test_unnamed_responses_need_own_connections(void)
+{
+	struct fixture *f = fixture_ready(false, 4);
+	ks_job_t *first = submit(f, example_request(true)), *second;
+	uint16_t port;
+
+	RUN_UNTIL(f, f->n_calls == 1);
+	port = port_of(f->calls[0]->req);
+	reply_named(f->calls[0]->req, NULL, "first");
+	RUN_UNTIL(f, first->ended);
+	g_assert_cmpint(first->kind, ==, KS_ERROR_NONE);
+	second = submit(f, example_request(true));
+	RUN_UNTIL(f, f->n_calls == 2);
+	g_assert_cmpuint(port_of(f->calls[1]->req), !=, port);
+	reply_named(f->calls[1]->req, NULL, "second");
+	RUN_UNTIL(f, second->ended);
+	g_assert_cmpstr(second->body->str, ==, "second");
+	job_free(first);
+	job_free(second);
+	fixture_free(f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -302,5 +397,9 @@
 	g_test_add_func("/upstream/deadline",
 			test_nothing_is_sent_after_deadline);
 	g_test_add_func("/upstream/model", test_refuses_other_model);
+	g_test_add_func("/upstream/second-response",
+			test_second_response_is_skipped);
+	g_test_add_func("/upstream/unnamed-responses",
+			test_unnamed_responses_need_own_connections);
 	return g_test_run();
 }
--- a/tests/fakes/fake-engine.c
+++ b/tests/fakes/fake-engine.c
@@ -123,6 +123,7 @@
 	struct fake_engine *engine = ctx;
 	ks_str_t path = ks_http_req_path(req);
 
+	fake_echo_call(req);
 	if (ks_str_equal(path, KS_STR("/control")))
 		handle_control(engine, req);
 	else if (engine->silent)
--- a/tests/fakes/fake-service.c
+++ b/tests/fakes/fake-service.c
@@ -206,6 +206,7 @@
 	struct service *service = ctx;
 	ks_str_t path = ks_http_req_path(req);
 
+	fake_echo_call(req);
 	if (ks_str_equal(path, KS_STR("/control")))
 		handle_control(service, req);
 	else if (ks_str_equal(path, KS_STR("/stats")))
--- a/tests/fakes/fake_main.c
+++ b/tests/fakes/fake_main.c
@@ -48,6 +48,19 @@
 	close(signals->fd);
 }
 
+/**
+ * fake_echo_call() - name the call in the response, as an upstream should
+ */
+void fake_echo_call(h2o_req_t *req)
+{
+	ks_str_t call = ks_http_req_header(req, "x-ks-call");
+
+	if (call.len)
+		h2o_add_header_by_str(&req->pool, &req->res.headers,
+				      H2O_STRLIT("x-ks-call"), 0, NULL,
+				      call.data, call.len);
+}
+
 /**
  * fake_listen() - start an HTTP server and print its address to standard error
  * @address: address to bind; a port of 0 is replaced by the port chosen
--- a/tests/fakes/fake_main.h
+++ b/tests/fakes/fake_main.h
@@ -4,6 +4,8 @@
 
 #include "ks/connection.h"
 
+#include <h2o.h>
+
 /**
  * struct fake_signals - stops a loop on SIGTERM or SIGINT
  * @fd: signalfd
@@ -16,6 +18,7 @@
 
 bool fake_signals_init(struct fake_signals *signals, ks_loop_t *loop);
 void fake_signals_deinit(struct fake_signals *signals);
+void fake_echo_call(h2o_req_t *req);
 bool fake_listen(ks_http_server_t *server, ks_loop_t *loop,
 		 ks_address_t *address, ks_http_handler_func_t handler,
 		 void *ctx);
