gateway: heed upstreams that leave or ask to be left alone

What callers and upstreams would see: requests to an upstream that had said in its answers that it leaves, and to one that had answered 503 with Retry-After. The code read neither.

A response that is known to belong to a send is heard for both. A leaving upstream is used only if no other can serve, and not after its notice; the announcement in the store does not undo it, a new start of its process does. One that asks to be left alone gets nothing until the time is over, also if a connection comes up within it: the HTTP client now asks its owner before it writes, and a request that is held back is placed again without a retry. If all upstreams of a service ask, callers are refused at once and told when the first one returns. The return is spread.

The event of ks_http_events that was never called is gone.

--- a/cli/knapweedstaird.c
+++ b/cli/knapweedstaird.c
@@ -94,6 +94,7 @@
 		.domain = s->domain,
 		.drain_delay_us = s->drain_delay_ms * KS_USEC_PER_MSEC,
 		.grace_us = (int64_t)(s->stop_grace_s * KS_USEC_PER_SEC),
+		.leaving_notice_us = s->leaving_notice_ms * KS_USEC_PER_MSEC,
 		.retry_ratio = s->retry_ratio,
 		.retry_slack = s->retry_slack,
 		.retry_window_us =
--- a/packages/connection/include/ks/http.h
+++ b/packages/connection/include/ks/http.h
@@ -96,22 +96,23 @@
 
 /**
  * struct ks_http_events - callbacks of a call
+ * @permits: connected; returns false to end the call with KS_HTTP_NOT_SENT;
+ *	optional
  * @sent: connected and about to write the request; optional
  * @head: status and headers; the strings are valid during the call only
  * @body: next bytes of the body, valid during the call only
  * @done: last event, also when the client is freed; the memory of the call may
  *	be reused
- * @dropped: not called
  *
  * No event is called before ks_http_call_start() has returned.
  */
 typedef struct ks_http_events {
+	bool (*permits)(void *ctx);
 	void (*sent)(void *ctx);
 	void (*head)(void *ctx, int status, const ks_header_t *headers,
 		     size_t n_headers);
 	void (*body)(void *ctx, ks_str_t data);
 	void (*done)(void *ctx, ks_http_result_t result);
-	void (*dropped)(void *ctx);
 } ks_http_events_t;
 
 /**
--- a/packages/connection/src/http_client.c
+++ b/packages/connection/src/http_client.c
@@ -106,6 +106,12 @@
 {
 	bool first = !call->sent;
 
+	if (first && call->events->permits &&
+	    !call->events->permits(call->ctx)) {
+		http_conn_close(call->conn);
+		finish_call(call, KS_HTTP_NOT_SENT);
+		return;
+	}
 	call->sent = true;
 	if (first && call->events->sent) {
 		call->events->sent(call->ctx);
--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -29,7 +29,9 @@
  * @expected_upstream: id of the upstream that the request is meant for; any
  *	other upstream refuses it
  * @not_run: set in a response to state that the request was not executed
- * @retry_after: seconds after which the caller may retry
+ * @retry_after: seconds after which the caller may retry; in a refusal of an
+ *	upstream, for which it wants no requests from this entry
+ * @leaving: set in a response by an upstream that leaves
  * @last_event_id: id of the last event received, to resume a stream after it
  * @prompt_parts: the parts of the prompt in order, as ID:TOKENS separated by
  *	commas; see ks_prompt_parse()
@@ -49,6 +51,7 @@
 	ks_str_t expected_upstream;
 	ks_str_t not_run;
 	ks_str_t retry_after;
+	ks_str_t leaving;
 	ks_str_t last_event_id;
 	ks_str_t prompt_parts;
 	ks_str_t priority;
@@ -198,6 +201,29 @@
 bool ks_prompt_parse(ks_prompt_t *prompt, ks_str_t text);
 uint64_t ks_prompt_shared_id(const ks_prompt_t *prompt);
 
+/* withdrawal.c */
+
+/**
+ * struct ks_withdrawal - what an upstream has said of itself
+ * @leaving_us: when it first said that it leaves, 0 if it has not
+ * @away_until_us: until when it wants no requests, 0 if it never asked
+ * @next_send_us: earliest time of the next request
+ */
+typedef struct ks_withdrawal {
+	int64_t leaving_us;
+	int64_t away_until_us;
+	int64_t next_send_us;
+} ks_withdrawal_t;
+
+void ks_withdrawal_leave(ks_withdrawal_t *withdrawal, int64_t now_us);
+bool ks_withdrawal_back_off(ks_withdrawal_t *withdrawal, ks_str_t text,
+			    double draw, int64_t now_us);
+bool ks_withdrawal_is_away(const ks_withdrawal_t *withdrawal, int64_t now_us);
+bool ks_withdrawal_permits(const ks_withdrawal_t *withdrawal, int64_t now_us);
+void ks_withdrawal_record_send(ks_withdrawal_t *withdrawal, int64_t now_us);
+bool ks_withdrawal_accepts(const ks_withdrawal_t *withdrawal,
+			   int64_t notice_us, int64_t now_us);
+
 /* fleet.c */
 
 /**
@@ -233,6 +259,7 @@
  * this entry
  * @tag: hash of @id, which identifies the upstream in messages between entries
  * @accepting: it accepts requests, and is not draining
+ * @withdrawal: what it has said of itself in its responses
  * @listed: it is still announced; a removed upstream is freed with its last
  *	reference
  * @remove_at_us: when a scheduled removal takes effect, 0 if there is none
@@ -263,6 +290,7 @@
 	ks_stage_t stage;
 	int64_t process_start_ms;
 	bool accepting;
+	ks_withdrawal_t withdrawal;
 	bool listed;
 	int64_t remove_at_us;
 	unsigned running;
@@ -299,6 +327,10 @@
 ks_member_t *ks_fleet_find(const ks_fleet_t *fleet, ks_str_t id);
 ks_member_t *ks_fleet_find_tag(const ks_fleet_t *fleet, uint32_t tag);
 GPtrArray *ks_fleet_members(const ks_fleet_t *fleet, const char *service);
+GPtrArray *ks_fleet_available(const ks_fleet_t *fleet, const char *service,
+			      int64_t notice_us, int64_t now_us);
+int64_t ks_fleet_return_us(const ks_fleet_t *fleet, const char *service,
+			   int64_t now_us);
 uint64_t ks_fleet_digest(const ks_fleet_t *fleet);
 ks_member_t *ks_member_ref(ks_member_t *member);
 void ks_member_unref(ks_member_t *member);
@@ -662,6 +694,8 @@
  * @domain: failure domain of this host
  * @drain_delay_us: how long new connections are still accepted after a stop
  * @grace_us: time limit for a stop
+ * @leaving_notice_us: time limit, from the first response of an upstream that
+ *	says that it leaves, for sending it requests
  * @retry_ratio, @retry_slack, @retry_window_us: see struct ks_budget; the slack
  *	is the total of all entries
  */
@@ -674,6 +708,7 @@
 	const char *domain;
 	int64_t drain_delay_us;
 	int64_t grace_us;
+	int64_t leaving_notice_us;
 	double retry_ratio;
 	double retry_slack;
 	int64_t retry_window_us;
--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -36,10 +36,48 @@
 	       ks_header_find(headers, n, dialect->not_run.data);
 }
 
+/**
+ * exchange_hear_upstream() - note what an upstream says of itself
+ * @member: the upstream that sent the response of which @headers are
+ */
+void exchange_hear_upstream(struct exchange *exchange, ks_member_t *member,
+			    const ks_header_t *headers, size_t n)
+{
+	ks_gateway_t *gateway = exchange->gateway;
+	ks_str_t leaving =
+		ks_header_value(headers, n, gateway->dialect->leaving.data);
+	ks_str_t wait =
+		ks_header_value(headers, n, gateway->dialect->retry_after.data);
+	ks_withdrawal_t *withdrawal = &member->withdrawal;
+	int64_t now = exchange_now(exchange);
+
+	if (ks_str_equal(leaving, KS_STR("1")) && !withdrawal->leaving_us) {
+		ks_withdrawal_leave(withdrawal, now);
+		ks_counter_add(gateway->counters.leaving, 1);
+		ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
+		       "an upstream says that it leaves upstream=%s "
+		       "request=%s",
+		       member->id, exchange->id);
+	}
+	if (exchange->status != 503 ||
+	    !ks_withdrawal_back_off(withdrawal, wait,
+				    ks_rng_unit(&gateway->rng), now))
+		return;
+	exchange->backed_off = true;
+	ks_counter_add(gateway->counters.backed_off, 1);
+	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
+	       "an upstream asks to be left alone upstream=%s request=%s "
+	       "stated=%.*s until_ms=%" PRId64,
+	       member->id, exchange->id, (int)wait.len, wait.data,
+	       (withdrawal->away_until_us - now) / KS_USEC_PER_MSEC);
+}
+
 void exchange_clear_response(struct exchange *exchange)
 {
 	exchange->status = 0;
 	exchange->refused_not_run = false;
+	exchange->backed_off = false;
+	exchange->withheld = false;
 	exchange->is_stream_response = false;
 	g_array_set_size(exchange->fields, 0);
 	g_string_truncate(exchange->fields_text, 0);
@@ -111,6 +149,7 @@
 	exchange->status = status;
 	exchange->refused_not_run =
 		exchange_states_not_run(exchange, headers, n);
+	exchange_hear_upstream(exchange, exchange->member, headers, n);
 	exchange->is_stream_response =
 		status / 100 == 2 && (exchange->route->kind == KS_CALL_STREAM ||
 				      is_event_stream(headers, n));
@@ -305,6 +344,9 @@
 	bool failed = !refused &&
 		      (result != KS_HTTP_COMPLETE || exchange->status >= 500);
 
+	/* Neither a failure nor a success. */
+	if (result == KS_HTTP_COMPLETE && exchange->backed_off)
+		return;
 	ks_member_record_outcome(exchange->member, failed || refused, now);
 	if (failed)
 		ks_ejection_failure(&exchange->member->health, now,
@@ -332,10 +374,34 @@
 	forward_response(exchange);
 }
 
+/* Places a request again that was not sent. No retry, as nothing arrived. */
+static void place_again(struct exchange *exchange)
+{
+	exchange->sends--;
+	exchange_log(exchange, KS_LOG_INFO,
+		     "placed again, the upstream asks to be left alone", 0);
+	exchange_free_handle(exchange);
+	exchange_release_member(exchange);
+	exchange_release_prefill(exchange);
+	exchange->step = EXCHANGE_IDLE;
+	exchange_dispatch(exchange);
+}
+
+static bool on_run_permits(void *ctx)
+{
+	struct exchange *exchange = ctx;
+
+	return exchange_permits_send(exchange, exchange->member);
+}
+
 static void on_run_done(void *ctx, ks_http_result_t result)
 {
 	struct exchange *exchange = ctx;
 
+	if (exchange->withheld && exchange->caller) {
+		place_again(exchange);
+		return;
+	}
 	/* The KV cache was imported, or is lost with the upstream. */
 	g_free(exchange->handle);
 	exchange->handle = NULL;
@@ -364,6 +430,7 @@
 }
 
 static const ks_http_events_t run_events = {
+	.permits = on_run_permits,
 	.head = on_run_head,
 	.body = on_run_body,
 	.done = on_run_done,
--- a/packages/gateway/src/exchange_dispatch.c
+++ b/packages/gateway/src/exchange_dispatch.c
@@ -16,6 +16,9 @@
  */
 #define MAX_SENDS 4
 
+/* Share of the time to the return of an upstream over which callers retry. */
+#define RETRY_SPREAD 0.5
+
 /* Limit for the JSON response that holds the KV cache handle. */
 #define MAX_PREFILL_RESPONSE (64 * 1024)
 
@@ -88,6 +91,7 @@
 	exchange->status = status;
 	exchange->refused_not_run =
 		exchange_states_not_run(exchange, headers, n);
+	exchange_hear_upstream(exchange, exchange->prefill_member, headers, n);
 }
 
 static void on_prefill_body(void *ctx, ks_str_t data)
@@ -121,6 +125,14 @@
 	exchange_record_cached(exchange, exchange->prefill_member);
 }
 
+static GPtrArray *available_members(const struct exchange *exchange,
+				    int64_t notice_us)
+{
+	return ks_fleet_available(&exchange->gateway->fleet,
+				  exchange->service_name, notice_us,
+				  exchange_now(exchange));
+}
+
 static ks_placement_query_t placement_query(struct exchange *exchange)
 {
 	ks_gateway_t *gateway = exchange->gateway;
@@ -158,8 +170,7 @@
 static bool choose_decode(struct exchange *exchange)
 {
 	ks_placement_query_t query = placement_query(exchange);
-	GPtrArray *members = ks_fleet_members(&exchange->gateway->fleet,
-					      exchange->service_name);
+	GPtrArray *members = available_members(exchange, 0);
 	ks_member_t *member = ks_placement_choose_decode(
 		members, exchange->prefill_member, &query);
 
@@ -203,9 +214,13 @@
 		ks_member_record_outcome(engine, false, exchange_now(exchange));
 		set_kv_source(exchange);
 	} else {
-		ks_member_record_outcome(engine, !exchange->refused_not_run,
-					 exchange_now(exchange));
-		if (!exchange->refused_not_run)
+		bool neutral = exchange->backed_off || exchange->withheld;
+
+		if (!neutral)
+			ks_member_record_outcome(engine,
+						 !exchange->refused_not_run,
+						 exchange_now(exchange));
+		if (!exchange->refused_not_run && !neutral)
 			ks_ejection_failure(&engine->health,
 					    exchange_now(exchange),
 					    &exchange->gateway->rng);
@@ -227,7 +242,15 @@
 	exchange_start_run(exchange);
 }
 
+static bool on_prefill_permits(void *ctx)
+{
+	struct exchange *exchange = ctx;
+
+	return exchange_permits_send(exchange, exchange->prefill_member);
+}
+
 static const ks_http_events_t prefill_events = {
+	.permits = on_prefill_permits,
 	.head = on_prefill_head,
 	.body = on_prefill_body,
 	.done = on_prefill_done,
@@ -244,11 +267,10 @@
 		      &prefill_events);
 }
 
-static ks_placement_t place(struct exchange *exchange)
+static ks_placement_t place_within(struct exchange *exchange, int64_t notice_us)
 {
 	ks_placement_query_t query = placement_query(exchange);
-	GPtrArray *members = ks_fleet_members(&exchange->gateway->fleet,
-					      exchange->service_name);
+	GPtrArray *members = available_members(exchange, notice_us);
 	ks_placement_t placement = ks_placement_choose(members, &query);
 
 	/* An upstream that has failed this request is better than none. */
@@ -260,13 +282,43 @@
 	return placement;
 }
 
+/* Upstreams that leave are used only if no other can serve. */
+static ks_placement_t place(struct exchange *exchange)
+{
+	ks_placement_t placement = place_within(exchange, 0);
+
+	if (placement.run)
+		return placement;
+	return place_within(exchange,
+			    exchange->gateway->settings.leaving_notice_us);
+}
+
+/* Tells the caller when an upstream wants requests again. */
+static void refuse_unplaced(struct exchange *exchange)
+{
+	ks_gateway_t *gateway = exchange->gateway;
+	int64_t now = exchange_now(exchange);
+	int64_t return_us = ks_fleet_return_us(&gateway->fleet,
+					       exchange->service_name, now);
+	double wait_s = (double)(return_us - now) / KS_USEC_PER_SEC;
+
+	if (!return_us) {
+		exchange_give_up(exchange, RETRY_AFTER_NOT_READY_S,
+				 "no upstream");
+		return;
+	}
+	/* Callers come back one after the other. */
+	wait_s *= 1 + RETRY_SPREAD * ks_rng_unit(&gateway->rng);
+	exchange_give_up(exchange, MAX(wait_s, RETRY_AFTER_OVERLOADED_S),
+			 "every upstream asks to be left alone");
+}
+
 void exchange_dispatch(struct exchange *exchange)
 {
 	ks_placement_t placement = place(exchange);
 
 	if (!placement.run) {
-		exchange_give_up(exchange, RETRY_AFTER_NOT_READY_S,
-				 "no upstream");
+		refuse_unplaced(exchange);
 		return;
 	}
 	exchange->uncached_tokens = placement.prefill ? placement.prefill_tokens
--- a/packages/gateway/src/exchange_send.c
+++ b/packages/gateway/src/exchange_send.c
@@ -111,6 +111,18 @@
 	g_array_append_val(list, field);
 }
 
+/**
+ * exchange_permits_send() - whether the request may still be sent
+ *
+ * The upstream may have asked to be left alone while its connection came up.
+ */
+bool exchange_permits_send(struct exchange *exchange, const ks_member_t *member)
+{
+	exchange->withheld = ks_withdrawal_is_away(&member->withdrawal,
+						   exchange_now(exchange));
+	return !exchange->withheld;
+}
+
 /* Records that the request is sent to an upstream, and returns whether it has
  * been before. */
 static bool record_send(struct exchange *exchange, const ks_address_t *address)
@@ -159,6 +171,7 @@
 		.no_retry = true,
 	};
 
+	ks_withdrawal_record_send(&member->withdrawal, now);
 	for (guint i = 0; i < exchange->request_fields->len; i++) {
 		const ks_header_t *field = &g_array_index(
 			exchange->request_fields, ks_header_t, i);
--- a/packages/gateway/src/fleet.c
+++ b/packages/gateway/src/fleet.c
@@ -229,6 +229,53 @@
 	return members;
 }
 
+/**
+ * ks_fleet_available() - get the upstreams of a service that may be sent
+ * requests now
+ * @notice_us: for how long after it has said so an upstream that leaves is
+ *	used; 0 for not at all
+ *
+ * Return: an array that holds no references; free it with g_ptr_array_free().
+ */
+GPtrArray *ks_fleet_available(const ks_fleet_t *fleet, const char *service,
+			      int64_t notice_us, int64_t now_us)
+{
+	GPtrArray *members = ks_fleet_members(fleet, service);
+
+	for (guint i = members->len; i-- > 0;) {
+		const ks_member_t *member = members->pdata[i];
+
+		if (!ks_withdrawal_permits(&member->withdrawal, now_us) ||
+		    !ks_withdrawal_accepts(&member->withdrawal, notice_us,
+					   now_us))
+			g_ptr_array_remove_index_fast(members, i);
+	}
+	return members;
+}
+
+/**
+ * ks_fleet_return_us() - when an upstream of a service wants requests again
+ *
+ * Return: the earliest time of those that want none now, 0 if there is none.
+ */
+int64_t ks_fleet_return_us(const ks_fleet_t *fleet, const char *service,
+			   int64_t now_us)
+{
+	GPtrArray *members = ks_fleet_members(fleet, service);
+	int64_t first = 0;
+
+	for (guint i = 0; i < members->len; i++) {
+		const ks_member_t *member = members->pdata[i];
+		int64_t at_us = member->withdrawal.next_send_us;
+
+		if (!member->withdrawal.leaving_us && at_us > now_us &&
+		    (!first || at_us < first))
+			first = at_us;
+	}
+	g_ptr_array_free(members, TRUE);
+	return first;
+}
+
 static uint64_t add_text(uint64_t hash, const char *text)
 {
 	return XXH64(text, strlen(text) + 1, hash);
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -142,6 +142,12 @@
 	c->unnamed =
 		ks_metrics_counter(m, "ks_gateway_unnamed_answers_total",
 				   "Answers without the id of a request", NULL);
+	c->leaving = ks_metrics_counter(
+		m, "ks_gateway_upstreams_leaving_total",
+		"Upstreams that said in an answer that they leave", NULL);
+	c->backed_off = ks_metrics_counter(
+		m, "ks_gateway_backed_off_total",
+		"Refusals of upstreams that asked to be left alone", NULL);
 	c->late = ks_metrics_counter(m, "ks_gateway_late_total",
 				     "Answers passed on after their objective, "
 				     "or with too long a pause",
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -17,6 +17,8 @@
  * @skipped: responses to other requests that upstreams sent on the connection
  *	of a request
  * @unnamed: responses without the id of a request
+ * @leaving: upstreams that said in a response that they leave
+ * @backed_off: refusals of upstreams that asked to be left alone
  * @late: forwarded responses that missed the route's objective for the first
  *	data, or its limit on pauses
  * @first_byte: time from the arrival of a request to the head of its response
@@ -38,6 +40,8 @@
 	ks_counter_t *splits;
 	ks_counter_t *skipped;
 	ks_counter_t *unnamed;
+	ks_counter_t *leaving;
+	ks_counter_t *backed_off;
 	ks_counter_t *late;
 	ks_histogram_t *first_byte;
 	ks_histogram_t *prefill;
@@ -130,6 +134,9 @@
  * @status, @fields, @body: response that is being received
  * @fields_text: text of @fields
  * @refused_not_run: the response states that the request was not executed
+ * @backed_off: the upstream turned the request away and asked to be left alone
+ * @withheld: the request was not sent, as the upstream had asked to be left alone
+ *	by the time at which the connection was up
  * @started: the head of the response has been sent to the caller
  * @sent_us: when the latest request was sent to an upstream
  * @prefill_us: time spent on prefill requests
@@ -179,6 +186,8 @@
 	ks_http_call_t call;
 	int status;
 	bool refused_not_run;
+	bool backed_off;
+	bool withheld;
 	GArray *fields;
 	GString *fields_text;
 	GString *body;
@@ -235,12 +244,17 @@
 
 void exchange_start_run(struct exchange *exchange);
 void exchange_clear_response(struct exchange *exchange);
+void exchange_hear_upstream(struct exchange *exchange, ks_member_t *member,
+			    const ks_header_t *headers, size_t n);
 bool exchange_states_not_run(const struct exchange *exchange,
 			     const ks_header_t *headers, size_t n);
 void exchange_resume_response(void *ctx);
 
 /* exchange_send.c */
 
+bool exchange_permits_send(struct exchange *exchange,
+			   const ks_member_t *member);
+
 void exchange_send(struct exchange *exchange, ks_member_t *member,
 		   bool is_prefill, const ks_http_events_t *events);
 void exchange_copy_request(struct exchange *exchange,
--- /dev/null
+++ b/packages/gateway/src/withdrawal.c
@@ -0,0 +1,120 @@
+/*
+ * What an upstream says of itself in its responses: that it leaves, or that it
+ * wants no requests from this entry for a time. The load that this answers is
+ * a service whose upstreams turn requests away one after the other until none
+ * is left: the requests that waited must not all arrive at the moment at which
+ * the time is over.
+ */
+#include "ks/gateway.h"
+
+/* The longest time that an upstream can ask for. */
+#define MAX_BACK_OFF_S 3600
+
+/* The return is delayed by up to this share of the time, and at most this. */
+#define RETURN_SPREAD 0.25
+#define MAX_RETURN_SPREAD_US (1 * KS_USEC_PER_SEC)
+
+/*
+ * For this long after the time, requests are sent with gaps between them, which
+ * shrink from MAX_GAP_US to none.
+ */
+#define RETURN_US (1 * KS_USEC_PER_SEC)
+#define MAX_GAP_US (100 * KS_USEC_PER_MSEC)
+
+/**
+ * ks_withdrawal_leave() - record that the upstream says that it leaves
+ *
+ * The first time counts: a later response does not extend the notice.
+ */
+void ks_withdrawal_leave(ks_withdrawal_t *withdrawal, int64_t now_us)
+{
+	if (!withdrawal->leaving_us)
+		withdrawal->leaving_us = now_us;
+}
+
+/* Reads digits with an optional fraction; anything else is no time. */
+static bool parse_seconds(ks_str_t text, double *seconds)
+{
+	size_t point = text.len;
+	char copy[32];
+
+	if (!text.len || text.len >= sizeof(copy))
+		return false;
+	for (size_t i = 0; i < text.len; i++) {
+		copy[i] = text.data[i];
+		if (copy[i] == '.' && point == text.len && i)
+			point = i;
+		else if (!g_ascii_isdigit(copy[i]))
+			return false;
+	}
+	copy[text.len] = '\0';
+	*seconds = g_ascii_strtod(copy, NULL);
+	return *seconds > 0;
+}
+
+/**
+ * ks_withdrawal_back_off() - record that the upstream wants no requests
+ * @text: the time in seconds, which may have a fraction. Zero, a date and
+ *	anything else that is no such number state no time; more than an hour
+ *	counts as an hour.
+ * @draw: random number that spreads the return of the entries, 0 to 1
+ *
+ * Return: false if @text states no time.
+ */
+bool ks_withdrawal_back_off(ks_withdrawal_t *withdrawal, ks_str_t text,
+			    double draw, int64_t now_us)
+{
+	double seconds;
+	int64_t us, spread_us;
+
+	if (!parse_seconds(text, &seconds))
+		return false;
+	us = (int64_t)(MIN(seconds, MAX_BACK_OFF_S) * KS_USEC_PER_SEC);
+	spread_us = MIN((int64_t)((double)us * RETURN_SPREAD),
+			MAX_RETURN_SPREAD_US);
+	us += (int64_t)(draw * (double)spread_us);
+	withdrawal->away_until_us = MAX(withdrawal->away_until_us, now_us + us);
+	withdrawal->next_send_us = withdrawal->away_until_us;
+	return true;
+}
+
+/**
+ * ks_withdrawal_is_away() - whether the upstream wants no requests now
+ */
+bool ks_withdrawal_is_away(const ks_withdrawal_t *withdrawal, int64_t now_us)
+{
+	return now_us < withdrawal->away_until_us;
+}
+
+/**
+ * ks_withdrawal_permits() - whether a request may be placed now
+ *
+ * Does not say whether the upstream leaves.
+ */
+bool ks_withdrawal_permits(const ks_withdrawal_t *withdrawal, int64_t now_us)
+{
+	return now_us >= withdrawal->next_send_us;
+}
+
+/**
+ * ks_withdrawal_record_send() - record that a request is sent
+ */
+void ks_withdrawal_record_send(ks_withdrawal_t *withdrawal, int64_t now_us)
+{
+	int64_t left_us = withdrawal->away_until_us + RETURN_US - now_us;
+
+	if (!withdrawal->away_until_us || left_us <= 0)
+		return;
+	withdrawal->next_send_us = now_us + MAX_GAP_US * left_us / RETURN_US;
+}
+
+/**
+ * ks_withdrawal_accepts() - whether an upstream that leaves may be used
+ * @notice_us: for how long, if no other upstream can serve
+ */
+bool ks_withdrawal_accepts(const ks_withdrawal_t *withdrawal, int64_t notice_us,
+			   int64_t now_us)
+{
+	return !withdrawal->leaving_us ||
+	       now_us < withdrawal->leaving_us + notice_us;
+}
