connection: skip responses without an id, and end calls that none can answer

What callers saw: 502 or 504 for requests whose own response came or could not come.

Cause: a response without an id, on a connection that had served other requests, closed it, although the request's own response could follow. And a response to another request that has no length was skipped to the end of the connection, with the own response in it, so that the request waited until its deadline.

Why it works: a response counts only if it has the id, as before. On a connection that has served others, one without it is skipped like that of another request. If the skipped one ends the connection, the call ends at once with an unknown outcome.

--- a/packages/connection/include/ks/http.h
+++ b/packages/connection/include/ks/http.h
@@ -59,9 +59,10 @@
  * @body: may be empty
  * @response_id_header: name, in lower case, of the response header in which the
  *	peer echoes an id; empty if it echoes none. A response with another id
- *	belongs to an earlier request on the connection and is skipped. One
- *	without an id can belong to any request; it closes the connection, and
- *	the call ends with KS_HTTP_INCOMPLETE, but for @response_id_optional.
+ *	belongs to an earlier request on the connection and is skipped, and so
+ *	is one without an id, which can belong to any of them. If no other
+ *	response can follow, or there was no earlier request, the call ends with
+ *	KS_HTTP_INCOMPLETE, but for @response_id_optional.
  * @response_id: value expected in that header. It must not have been that of an
  *	earlier request on the connection.
  * @response_id_optional: the peer may echo no id. A response without one is
@@ -128,7 +129,8 @@
  * @conn_number: number of the connection, counted from the first of the client;
  *	0 before there is one
  * @conn_calls: calls that the connection served before this one
- * @skipped: responses to other requests that arrived before the response
+ * @skipped: responses to other requests, or without an id, that arrived before
+ *	the response
  * @deferred: starts the call on the next loop iteration, since no event may
  *	be called before ks_http_call_start() returns
  */
--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -181,9 +181,20 @@
 		       : OWNER_OTHER;
 }
 
+/*
+ * Whether a response is skipped: it belongs to an earlier request on the
+ * connection, or may do so as it names none.
+ */
+static bool is_skipped(const struct ks_http_conn *conn,
+		       enum response_owner owner)
+{
+	return owner == OWNER_OTHER ||
+	       (owner == OWNER_UNNAMED && conn->call->conn_calls > 0);
+}
+
 /*
  * Passes the head of a response to the call that it belongs to. Returns false
- * if that is not known: then it is not known of later responses either.
+ * if the call's own response will not be recognized on this connection.
  */
 static bool pass_head(struct ks_http_conn *conn, const ks_header_t *headers,
 		      size_t n)
@@ -191,19 +202,18 @@
 	ks_http_call_t *call = conn->call;
 	enum response_owner owner = owner_of(conn, headers, n);
 
-	/* The late response to a call that has ended. */
-	conn->skipping_response = owner == OWNER_OTHER;
+	conn->skipping_response = call && is_skipped(conn, owner);
 	if (!call)
 		return true;
 	if (conn->skipping_response) {
 		call->skipped++;
-		return true;
+		/* Nothing can follow a response that ends the connection. */
+		return http_should_keep_alive(&conn->parser);
 	}
 	call->response_started = true;
 	call->response_named = owner == OWNER_CALL;
 	conn->single_use = owner == OWNER_UNNAMED;
-	if (conn->single_use &&
-	    (!call->response_id_optional || call->conn_calls > 0))
+	if (conn->single_use && !call->response_id_optional)
 		return false;
 	http_call_head(call, (int)conn->parser.status_code, headers, n);
 	return true;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -19,6 +19,24 @@
 #define SOAK_ADVISE 'a' /* stream, at most once */
 #define SOAK_NOTES 'n'	/* stream that may be resumed */
 
+/**
+ * enum soak_event - first word of a line of the record, which goes on with the
+ * id of a request, the replica, Unix microseconds and seconds
+ * @SOAK_ARRIVED: the request arrived; not if another replica was meant
+ * @SOAK_RAN: the replica began to run it
+ * @SOAK_LEAVES: answered, and said that the replica leaves
+ * @SOAK_AWAY: refused, and asked to be left alone for the seconds
+ * @SOAK_EXCUSED: in place of the id and the replica, the number of a gateway
+ *	that was killed, stopped or frozen
+ */
+enum soak_event {
+	SOAK_ARRIVED = 'A',
+	SOAK_RAN = 'R',
+	SOAK_LEAVES = 'L',
+	SOAK_AWAY = 'Q',
+	SOAK_EXCUSED = 'X',
+};
+
 static inline char soak_class(ks_str_t id)
 {
 	return id.len ? id.data[id.len - 1] : '\0';
