gateway: keep what an upstream said when its announcement lapses

What upstreams saw: more than two requests within the time for which they had requested a back-off.

Cause: an upstream that is paused does not renew its announcement, so that the entry removes it, and adds it anew when it is announced again. What it had said of itself, that it leaves or wants no requests for a time, was lost with the record.

Evidence: /withdrawal/lapsed failed before.

Why it works: the record of a removed upstream that has said something is kept, up to 1024 of them, without its cache. A process that is announced again gets it back; a new start of the process does not.

Log lines and comments now say back-off.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -221,8 +221,8 @@
 bool ks_withdrawal_is_away(const ks_withdrawal_t *withdrawal, int64_t now_us);
 bool ks_withdrawal_permits(const ks_withdrawal_t *withdrawal, int64_t now_us);
 void ks_withdrawal_record_send(ks_withdrawal_t *withdrawal, int64_t now_us);
-bool ks_withdrawal_accepts(const ks_withdrawal_t *withdrawal,
-			   int64_t notice_us, int64_t now_us);
+bool ks_withdrawal_accepts(const ks_withdrawal_t *withdrawal, int64_t notice_us,
+			   int64_t now_us);
 
 /* fleet.c */
 
@@ -312,10 +312,13 @@
 /**
  * struct ks_fleet - the known upstreams of all services
  * @by_id, @by_tag: struct ks_member by its id and by its tag
+ * @withdrawn: members that are no longer announced and have said something of
+ *	themselves, in the order of their removal
  */
 typedef struct ks_fleet {
 	GHashTable *by_id;
 	GHashTable *by_tag;
+	GQueue withdrawn;
 } ks_fleet_t;
 
 void ks_fleet_init(ks_fleet_t *fleet);
--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -37,10 +37,10 @@
 }
 
 /**
- * exchange_hear_upstream() - note what an upstream says of itself
+ * exchange_note_upstream() - note what an upstream says of itself
  * @member: the upstream that sent the response of which @headers are
  */
-void exchange_hear_upstream(struct exchange *exchange, ks_member_t *member,
+void exchange_note_upstream(struct exchange *exchange, ks_member_t *member,
 			    const ks_header_t *headers, size_t n)
 {
 	ks_gateway_t *gateway = exchange->gateway;
@@ -55,7 +55,7 @@
 		ks_withdrawal_leave(withdrawal, now);
 		ks_counter_add(gateway->counters.leaving, 1);
 		ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
-		       "an upstream says that it leaves upstream=%s "
+		       "an upstream is leaving, by its response upstream=%s "
 		       "request=%s",
 		       member->id, exchange->id);
 	}
@@ -66,7 +66,7 @@
 	exchange->backed_off = true;
 	ks_counter_add(gateway->counters.backed_off, 1);
 	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
-	       "an upstream asks to be left alone upstream=%s request=%s "
+	       "an upstream requests a back-off upstream=%s request=%s "
 	       "stated=%.*s until_ms=%" PRId64,
 	       member->id, exchange->id, (int)wait.len, wait.data,
 	       (withdrawal->away_until_us - now) / KS_USEC_PER_MSEC);
@@ -149,7 +149,7 @@
 	exchange->status = status;
 	exchange->refused_not_run =
 		exchange_states_not_run(exchange, headers, n);
-	exchange_hear_upstream(exchange, exchange->member, headers, n);
+	exchange_note_upstream(exchange, exchange->member, headers, n);
 	exchange->is_stream_response =
 		status / 100 == 2 && (exchange->route->kind == KS_CALL_STREAM ||
 				      is_event_stream(headers, n));
@@ -379,7 +379,7 @@
 {
 	exchange->sends--;
 	exchange_log(exchange, KS_LOG_INFO,
-		     "placed again, the upstream asks to be left alone", 0);
+		     "placed again, the upstream requests a back-off", 0);
 	exchange_free_handle(exchange);
 	exchange_release_member(exchange);
 	exchange_release_prefill(exchange);
--- a/packages/gateway/src/exchange_dispatch.c
+++ b/packages/gateway/src/exchange_dispatch.c
@@ -91,7 +91,7 @@
 	exchange->status = status;
 	exchange->refused_not_run =
 		exchange_states_not_run(exchange, headers, n);
-	exchange_hear_upstream(exchange, exchange->prefill_member, headers, n);
+	exchange_note_upstream(exchange, exchange->prefill_member, headers, n);
 }
 
 static void on_prefill_body(void *ctx, ks_str_t data)
@@ -310,7 +310,7 @@
 	/* Callers come back one after the other. */
 	wait_s *= 1 + RETRY_SPREAD * ks_rng_unit(&gateway->rng);
 	exchange_give_up(exchange, MAX(wait_s, RETRY_AFTER_OVERLOADED_S),
-			 "every upstream asks to be left alone");
+			 "every upstream requests a back-off");
 }
 
 void exchange_dispatch(struct exchange *exchange)
--- a/packages/gateway/src/exchange_send.c
+++ b/packages/gateway/src/exchange_send.c
@@ -114,7 +114,7 @@
 /**
  * exchange_permits_send() - whether the request may still be sent
  *
- * The upstream may have asked to be left alone while its connection came up.
+ * The upstream may have requested a back-off while its connection came up.
  */
 bool exchange_permits_send(struct exchange *exchange, const ks_member_t *member)
 {
--- a/packages/gateway/src/fleet.c
+++ b/packages/gateway/src/fleet.c
@@ -27,6 +27,12 @@
  */
 #define FAILURE_RATE_HALF_LIFE_US (3 * KS_USEC_PER_SEC)
 
+/*
+ * Removed upstreams whose withdrawal is remembered, in case the announcement
+ * had only lapsed and comes back. The oldest one is forgotten first.
+ */
+#define MAX_WITHDRAWN 1024
+
 /**
  * struct part_use - the last use of a prompt part at an upstream
  * @used_us: when it was used
@@ -68,10 +74,15 @@
 	fleet->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					     on_unlisted);
 	fleet->by_tag = g_hash_table_new(NULL, NULL);
+	g_queue_init(&fleet->withdrawn);
 }
 
 void ks_fleet_deinit(ks_fleet_t *fleet)
 {
+	ks_member_t *member;
+
+	while ((member = g_queue_pop_head(&fleet->withdrawn)))
+		ks_member_unref(member);
 	g_hash_table_destroy(fleet->by_id);
 	g_hash_table_destroy(fleet->by_tag);
 }
@@ -98,15 +109,6 @@
 	*field = ks_str_dup(text);
 }
 
-static bool is_same_process(const ks_member_t *member,
-			    const ks_member_spec_t *spec)
-{
-	return member->process_start_ms == spec->process_start_ms &&
-	       member->address.port == spec->address.port &&
-	       !strcmp(member->address.ip, spec->address.ip) &&
-	       ks_str_equal(ks_str_from(member->service), spec->service);
-}
-
 ks_member_t *ks_fleet_find(const ks_fleet_t *fleet, ks_str_t id)
 {
 	char *key = ks_str_dup(id);
@@ -124,8 +126,46 @@
 	return g_hash_table_lookup(fleet->by_tag, GUINT_TO_POINTER(tag));
 }
 
+static void remember_withdrawal(ks_fleet_t *fleet, ks_member_t *member)
+{
+	if (!member->withdrawal.leaving_us && !member->withdrawal.away_until_us)
+		return;
+	/* The record of its cache is the largest part of a member. */
+	g_hash_table_remove_all(member->cached);
+	g_queue_push_tail(&fleet->withdrawn, ks_member_ref(member));
+	if (fleet->withdrawn.length > MAX_WITHDRAWN)
+		ks_member_unref(g_queue_pop_head(&fleet->withdrawn));
+}
+
+static bool is_same_process(const ks_member_t *member,
+			    const ks_member_spec_t *spec)
+{
+	return member->process_start_ms == spec->process_start_ms &&
+	       member->address.port == spec->address.port &&
+	       !strcmp(member->address.ip, spec->address.ip) &&
+	       ks_str_equal(ks_str_from(member->service), spec->service);
+}
+
+/* Restores what the process has said of itself before it was removed. */
+static void recall_withdrawal(ks_fleet_t *fleet, ks_member_t *member,
+			      const ks_member_spec_t *spec)
+{
+	for (GList *it = fleet->withdrawn.head; it; it = it->next) {
+		ks_member_t *before = it->data;
+
+		if (strcmp(before->id, member->id) != 0 ||
+		    !is_same_process(before, spec))
+			continue;
+		member->withdrawal = before->withdrawal;
+		g_queue_delete_link(&fleet->withdrawn, it);
+		ks_member_unref(before);
+		return;
+	}
+}
+
 static void remove_member(ks_fleet_t *fleet, ks_member_t *member)
 {
+	remember_withdrawal(fleet, member);
 	g_hash_table_remove(fleet->by_tag, GUINT_TO_POINTER(member->tag));
 	g_hash_table_remove(fleet->by_id, member->id);
 }
@@ -146,6 +186,7 @@
 	}
 	if (!member) {
 		member = new_member(spec->id);
+		recall_withdrawal(fleet, member, spec);
 		g_hash_table_insert(fleet->by_id, member->id, member);
 		g_hash_table_insert(fleet->by_tag,
 				    GUINT_TO_POINTER(member->tag), member);
@@ -196,10 +237,11 @@
 
 	g_hash_table_iter_init(&iter, fleet->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const ks_member_t *member = value;
+		ks_member_t *member = value;
 
 		if (!member->remove_at_us || member->remove_at_us > now_us)
 			continue;
+		remember_withdrawal(fleet, member);
 		g_hash_table_remove(fleet->by_tag,
 				    GUINT_TO_POINTER(member->tag));
 		g_hash_table_iter_remove(&iter);
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -147,7 +147,7 @@
 		"Upstreams that said in an answer that they leave", NULL);
 	c->backed_off = ks_metrics_counter(
 		m, "ks_gateway_backed_off_total",
-		"Refusals of upstreams that asked to be left alone", NULL);
+		"Refusals of upstreams that requested a back-off", NULL);
 	c->late = ks_metrics_counter(m, "ks_gateway_late_total",
 				     "Answers passed on after their objective, "
 				     "or with too long a pause",
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -18,7 +18,7 @@
  *	of a request
  * @unnamed: responses without the id of a request
  * @leaving: upstreams that said in a response that they leave
- * @backed_off: refusals of upstreams that asked to be left alone
+ * @backed_off: refusals of upstreams that requested a back-off
  * @late: forwarded responses that missed the route's objective for the first
  *	data, or its limit on pauses
  * @first_byte: time from the arrival of a request to the head of its response
@@ -134,7 +134,7 @@
  * @status, @fields, @body: response that is being received
  * @fields_text: text of @fields
  * @refused_not_run: the response states that the request was not executed
- * @backed_off: the upstream turned the request away and asked to be left alone
+ * @backed_off: the upstream turned the request away and requested a back-off
  * @withheld: the request was not sent, as the upstream had asked to be left
  *alone by the time at which the connection was up
  * @started: the head of the response has been sent to the caller
@@ -244,7 +244,7 @@
 
 void exchange_start_run(struct exchange *exchange);
 void exchange_clear_response(struct exchange *exchange);
-void exchange_hear_upstream(struct exchange *exchange, ks_member_t *member,
+void exchange_note_upstream(struct exchange *exchange, ks_member_t *member,
 			    const ks_header_t *headers, size_t n);
 bool exchange_states_not_run(const struct exchange *exchange,
 			     const ks_header_t *headers, size_t n);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -25,7 +25,7 @@
  * @SOAK_ARRIVED: the request arrived; not if another replica was meant
  * @SOAK_RAN: the replica began to run it
  * @SOAK_LEAVES: answered, and said that the replica leaves
- * @SOAK_AWAY: refused, and asked to be left alone for the seconds
+ * @SOAK_AWAY: refused, and requested a back-off of the seconds
  * @SOAK_EXCUSED: in place of the id and the replica, the number of a gateway
  *	that was killed, stopped or frozen
  */
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -113,6 +113,7 @@
 	local name rest=()
 	for name in "${killed[@]}"
 	do
+		excuse "$name"
 		cat "$WORK/$name.log" >>"$WORK/$name-before.log"
 		case $name in
 		gateway*) launch_gateway "$name" ;;
