gateway: hear an upstream whose announcement lapsed during the request

What upstreams would see: requests after they said that they leave or requested a back-off.

Cause: a request keeps the record of its upstream that it was placed with. If the announcement lapses and comes back meanwhile, the fleet has another record, and what the response says went to the old one.

The release of a KV cache handle and orders to engines also heed a back-off now: they are requests from this host as well. The handle expires by itself.

Evidence: /withdrawal/response-after-lapse fails without the call that passes it on.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -215,6 +215,8 @@
 	int64_t next_send_us;
 } ks_withdrawal_t;
 
+void ks_withdrawal_merge(ks_withdrawal_t *withdrawal,
+			 const ks_withdrawal_t *other);
 void ks_withdrawal_leave(ks_withdrawal_t *withdrawal, int64_t now_us);
 bool ks_withdrawal_back_off(ks_withdrawal_t *withdrawal, ks_str_t text,
 			    double draw, int64_t now_us);
@@ -332,6 +334,7 @@
 GPtrArray *ks_fleet_members(const ks_fleet_t *fleet, const char *service);
 GPtrArray *ks_fleet_available(const ks_fleet_t *fleet, const char *service,
 			      int64_t notice_us, int64_t now_us);
+void ks_fleet_update_withdrawal(ks_fleet_t *fleet, ks_member_t *member);
 int64_t ks_fleet_return_us(const ks_fleet_t *fleet, const char *service,
 			   int64_t now_us);
 uint64_t ks_fleet_digest(const ks_fleet_t *fleet);
--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -59,11 +59,13 @@
 		       "request=%s",
 		       member->id, exchange->id);
 	}
-	if (exchange->status != 503 ||
-	    !ks_withdrawal_back_off(withdrawal, wait,
-				    ks_rng_unit(&gateway->rng), now))
+	exchange->backed_off =
+		exchange->status == 503 &&
+		ks_withdrawal_back_off(withdrawal, wait,
+				       ks_rng_unit(&gateway->rng), now);
+	ks_fleet_update_withdrawal(&gateway->fleet, member);
+	if (!exchange->backed_off)
 		return;
-	exchange->backed_off = true;
 	ks_counter_add(gateway->counters.backed_off, 1);
 	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
 	       "an upstream requests a back-off upstream=%s request=%s "
--- a/packages/gateway/src/exchange_send.c
+++ b/packages/gateway/src/exchange_send.c
@@ -244,6 +244,14 @@
 
 	if (!exchange->handle || !exchange->prefill_member)
 		return;
+	/* The handle expires by itself if the engine wants no requests now. */
+	if (ks_withdrawal_is_away(&exchange->prefill_member->withdrawal,
+				  exchange_now(exchange))) {
+		g_free(exchange->handle);
+		exchange->handle = NULL;
+		g_string_truncate(exchange->kv_source, 0);
+		return;
+	}
 	target = g_string_new_len(dialect->handle_path.data,
 				  (gssize)dialect->handle_path.len);
 	g_string_append(target, exchange->handle);
--- a/packages/gateway/src/fleet.c
+++ b/packages/gateway/src/fleet.c
@@ -146,6 +146,25 @@
 	       ks_str_equal(ks_str_from(member->service), spec->service);
 }
 
+/**
+ * ks_fleet_update_withdrawal() - pass on what an upstream said to a request
+ *
+ * The announcement of the upstream may have lapsed since the request was sent,
+ * and may have come back: there is then another record of it, or none.
+ */
+void ks_fleet_update_withdrawal(ks_fleet_t *fleet, ks_member_t *member)
+{
+	ks_member_t *listed;
+
+	if (member->listed)
+		return;
+	listed = ks_fleet_find(fleet, ks_str_from(member->id));
+	if (listed && listed->process_start_ms == member->process_start_ms)
+		ks_withdrawal_merge(&listed->withdrawal, &member->withdrawal);
+	else if (!g_queue_find(&fleet->withdrawn, member))
+		remember_withdrawal(fleet, member);
+}
+
 /* Restores what the process has said of itself before it was removed. */
 static void recall_withdrawal(ks_fleet_t *fleet, ks_member_t *member,
 			      const ks_member_spec_t *spec)
@@ -156,7 +175,7 @@
 		if (strcmp(before->id, member->id) != 0 ||
 		    !is_same_process(before, spec))
 			continue;
-		member->withdrawal = before->withdrawal;
+		ks_withdrawal_merge(&member->withdrawal, &before->withdrawal);
 		g_queue_delete_link(&fleet->withdrawn, it);
 		ks_member_unref(before);
 		return;
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -135,8 +135,8 @@
  * @fields_text: text of @fields
  * @refused_not_run: the response states that the request was not executed
  * @backed_off: the upstream turned the request away and requested a back-off
- * @withheld: the request was not sent, as the upstream had asked to be left
- *alone by the time at which the connection was up
+ * @withheld: the request was not sent, as the upstream had requested a back-off
+ *	by the time at which the connection was up
  * @started: the head of the response has been sent to the caller
  * @sent_us: when the latest request was sent to an upstream
  * @prefill_us: time spent on prefill requests
--- a/packages/gateway/src/stage_run.c
+++ b/packages/gateway/src/stage_run.c
@@ -118,7 +118,10 @@
 	end_changes(members, now);
 	next = ks_stage_balance_next(balance, members, now, stage);
 	g_ptr_array_free(members, TRUE);
-	return next && next->next_order_us <= now ? next : NULL;
+	if (!next || next->next_order_us > now ||
+	    ks_withdrawal_is_away(&next->withdrawal, now))
+		return NULL;
+	return next;
 }
 
 static void on_timer(void *ctx)
--- a/packages/gateway/src/withdrawal.c
+++ b/packages/gateway/src/withdrawal.c
@@ -32,6 +32,21 @@
 		withdrawal->leaving_us = now_us;
 }
 
+/**
+ * ks_withdrawal_merge() - add what another record of the upstream has
+ */
+void ks_withdrawal_merge(ks_withdrawal_t *withdrawal,
+			 const ks_withdrawal_t *other)
+{
+	if (other->leaving_us && (!withdrawal->leaving_us ||
+				  other->leaving_us < withdrawal->leaving_us))
+		withdrawal->leaving_us = other->leaving_us;
+	withdrawal->away_until_us =
+		MAX(withdrawal->away_until_us, other->away_until_us);
+	withdrawal->next_send_us =
+		MAX(withdrawal->next_send_us, other->next_send_us);
+}
+
 /* Reads digits with an optional fraction; anything else is no time. */
 static bool parse_seconds(ks_str_t text, double *seconds)
 {
--- a/packages/gateway/tests/test-withdrawal.c
+++ b/packages/gateway/tests/test-withdrawal.c
@@ -129,6 +129,31 @@
 	fixture_deinit(&f);
 }
 
+/*
+ * Guards against losing what an upstream says in the response to a request that
+ * was sent before its announcement lapsed and came back.
+ */
+static void test_response_after_lapse(void)
+{
+	struct fixture_upstream *leaving;
+	struct fixture_caller caller;
+	struct fixture f;
+
+	fixture_init(&f);
+	leaving = book(&f, &caller);
+	for (int i = 0; i < 2; i++) {
+		ks_fleet_remove(ks_gateway_fleet(f.gateway),
+				i ? KS_STR("u1") : KS_STR("u0"));
+		fixture_put_upstream(&f, i, "app", KS_STAGE_ANY);
+	}
+	respond(leaving, 200, false, "x-leaving", "1");
+	FIXTURE_WAIT(&f, caller.done);
+	fixture_end_call(&caller);
+	for (int i = 0; i < 10; i++)
+		g_assert_true(book_with(&f, "x-other", "1") != leaving);
+	fixture_deinit(&f);
+}
+
 /* Guards against a start of the upstream at the same address that is taken for
  * the one that leaves. */
 static void test_restarted_is_used(void)
@@ -335,6 +360,8 @@
 			test_leaving_is_not_undone);
 	g_test_add_func("/withdrawal/all-leave", test_all_leave);
 	g_test_add_func("/withdrawal/lapsed", test_lapsed_is_not_forgotten);
+	g_test_add_func("/withdrawal/response-after-lapse",
+			test_response_after_lapse);
 	g_test_add_func("/withdrawal/restarted", test_restarted_is_used);
 	g_test_add_func("/withdrawal/stream-head",
 			test_stream_tells_at_its_head);
