--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,7 @@
 PROGRAMS = $(patsubst cli/%.c,$(BUILD)/%,$(wildcard cli/*.c))
 FAKES = $(patsubst tests/fakes/%.c,$(BUILD)/%,$(wildcard tests/fakes/fake-*.c))
 SOAKS = $(patsubst tests/soak/%.c,$(BUILD)/%,$(wildcard tests/soak/soak-*.c))
+SOAK_COMMON = $(patsubst %.c,$(BUILD)/%.o,$(filter-out $(wildcard tests/soak/soak-*.c),$(wildcard tests/soak/*.c)))
 FAKE_COMMON = $(patsubst %.c,$(BUILD)/%.o,$(filter-out $(wildcard tests/fakes/fake-*.c),$(wildcard tests/fakes/*.c)))
 BENCHES = $(patsubst bench/%.c,$(BUILD)/%,$(wildcard bench/bench-*.c))
 BENCH_COMMON = $(patsubst %.c,$(BUILD)/%.o,$(filter-out $(wildcard bench/bench-*.c),$(wildcard bench/*.c)))
@@ -108,7 +109,7 @@
 $(BUILD)/fake-%: $(BUILD)/tests/fakes/fake-%.o $(FAKE_COMMON) $(LIBS)
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/soak-%: $(BUILD)/tests/soak/soak-%.o $(FAKE_COMMON) $(LIBS)
+$(BUILD)/soak-%: $(BUILD)/tests/soak/soak-%.o $(SOAK_COMMON) $(FAKE_COMMON) $(LIBS)
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/bench-%: $(BUILD)/bench/bench-%.o $(BENCH_COMMON) $(LIBS)
--- a/tests/soak/soak-replica.c
+++ b/tests/soak/soak-replica.c
@@ -10,13 +10,12 @@
  * leaves, here and in all its answers, and ends it after the notice.
  */
 #include "fake_main.h"
-#include "http1_conn.h"
+#include "second.h"
 #include "soak.h"
 
 #include <argtable2.h>
 #include <fcntl.h>
 #include <jansson.h>
-#include <netinet/in.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <sys/signalfd.h>
@@ -38,17 +37,13 @@
 #define SILENT_OF_100 2
 /* Of 100 refusals, so many request a back-off. */
 #define AWAY_OF_100 33
-#define SECOND_DELAY_US (5 * KS_USEC_PER_MSEC)
 
 /**
  * struct replica - state of the program
  * @id: key of its row, new at each start
  * @stage: "prefill" or "decode"; NULL for a plain service
- * @second_of_100: while faults are on, of 100 whole answers so many are
- *followed by a second one
- * @named_of_3: of three second answers, so many bear the id of their request
- * @late: second answers that wait for the next request on their connection, as
- *	struct second by connection
+ * @second_of_100: while faults are on, so many of 100 whole answers are given
+ *	a second time
  * @record: descriptor of the record
  * @is_relayed: behind a relay, which may hold up or lose an answer; the replica
  *	then says nothing of itself
@@ -76,28 +71,12 @@
 	int record;
 	ks_rng_t rng;
 	unsigned second_of_100;
-	unsigned named_of_3;
-	GHashTable *late;
+	struct seconds seconds;
 	bool is_relayed;
 	bool faulty;
 	bool leaving;
 };
 
-/**
- * struct second - a second answer
- * @conn: connection of the first answer, which may have been closed
- * @port: port of the peer, which tells @conn from a later one in its memory
- * @ends: no response can follow @text, so the connection is closed after it
- */
-struct second {
-	struct replica *replica;
-	struct http1_conn *conn;
-	uint16_t port;
-	ks_timer_t timer;
-	GString *text;
-	bool ends;
-};
-
 /**
  * struct work - a request that occupies a slot
  * @next_event: number of the next event of a stream
@@ -134,78 +113,6 @@
 	return replica->faulty && ks_rng_below(&replica->rng, 100) < of_100;
 }
 
-/* Returns 0 if the connection is closed. */
-static uint16_t peer_port(const struct http1_conn *conn)
-{
-	struct sockaddr_in in = { 0 };
-	socklen_t len = sizeof(in);
-
-	if (!conn->sock || getpeername(h2o_socket_get_fd(conn->sock),
-				       (struct sockaddr *)&in, &len))
-		return 0;
-	return ntohs(in.sin_port);
-}
-
-static void free_second(void *data)
-{
-	struct second *second = data;
-
-	ks_timer_clear(&second->timer);
-	g_string_free(second->text, TRUE);
-	g_free(second);
-}
-
-static bool is_open(const struct replica *replica, const struct second *second)
-{
-	KS_LIST_FOREACH (it, &replica->server.conns) {
-		struct http1_conn *conn =
-			KS_CONTAINER_OF(it, struct http1_conn, node);
-
-		if (conn == second->conn)
-			return !conn->closed && peer_port(conn) == second->port;
-	}
-	return false;
-}
-
-static void write_second(struct second *second)
-{
-	if (!is_open(second->replica, second))
-		return;
-	g_string_append_len(second->conn->queued, second->text->str,
-			    (gssize)second->text->len);
-	second->conn->close_after |= second->ends;
-	http1_conn_flush(second->conn);
-}
-
-static void on_second(void *ctx)
-{
-	struct second *second = ctx;
-
-	if (is_open(second->replica, second) && !second->conn->serving)
-		write_second(second);
-	free_second(second);
-}
-
-/* Called with the connection idle again after the first answer. */
-static void plan_second(struct second *second)
-{
-	struct replica *replica = second->replica;
-	struct http1_conn *conn = second->conn;
-
-	ks_timer_init(&second->timer, &replica->loop, on_second, second);
-	switch (ks_rng_below(&replica->rng, second->ends ? 2 : 4)) {
-	case 0:
-		write_second(second);
-		free_second(second);
-		break;
-	case 1:
-		ks_timer_set(&second->timer, SECOND_DELAY_US);
-		break;
-	default:
-		g_hash_table_replace(replica->late, conn, second);
-	}
-}
-
 static void record(const struct replica *replica, enum soak_event event,
 		   ks_str_t id, double seconds)
 {
@@ -219,38 +126,6 @@
 	g_free(line);
 }
 
-/* Returns a copy of a response, with or without the id of its request; or bytes
- * that are no response. */
-static struct second *new_second(struct replica *replica, int status,
-				 ks_str_t id, const ks_header_t *header,
-				 const char *body)
-{
-	bool named = ks_rng_below(&replica->rng, 3) < replica->named_of_3;
-	struct second *second = g_new0(struct second, 1);
-	GString *text = g_string_new(NULL);
-
-	second->replica = replica;
-	second->text = text;
-	if (!named && !ks_rng_below(&replica->rng, 4)) {
-		g_string_append(text, "not a response\r\n\r\n");
-		second->ends = true;
-		return second;
-	}
-	g_string_append_printf(text, "HTTP/1.1 %d Again\r\n%.*s: %.*s\r\n",
-			       status, (int)header->name.len, header->name.data,
-			       (int)header->value.len, header->value.data);
-	if (named)
-		g_string_append_printf(text, "request-id: %.*s\r\n",
-				       (int)id.len, id.data);
-	/* Without a length, the response ends with the connection. */
-	second->ends = !ks_rng_below(&replica->rng, 4);
-	if (!second->ends)
-		g_string_append_printf(text, "content-length: %zu\r\n",
-				       strlen(body));
-	g_string_append_printf(text, "\r\n%s", body);
-	return second;
-}
-
 /* @not_run: state that the request was not executed */
 static void reply(struct replica *replica, ks_http1_request_t *request,
 		  int status, bool not_run, const char *body)
@@ -260,8 +135,9 @@
 	GString *seal = g_string_new(NULL);
 	ks_header_t headers[4] = { { KS_STR("request-id"), id },
 				   { KS_STR("not-executed"), KS_STR("1") } };
-	uint16_t port = peer_port(conn);
-	struct second *second = NULL;
+	uint16_t port = seconds_peer_port(conn);
+	struct second_text text = { NULL, false };
+	bool again = id.len && draw(replica, replica->second_of_100);
 	char wait[8];
 	size_t n = 2;
 
@@ -283,17 +159,15 @@
 	if (!not_run)
 		headers[1] =
 			(ks_header_t){ KS_STR("response-seal"), text_of(seal) };
-	if (id.len && draw(replica, replica->second_of_100))
-		second = new_second(replica, status, id, &headers[1], body);
+	if (again)
+		text = seconds_format(&replica->seconds, status, id,
+				      &headers[1], body);
 	ks_http1_start(request, status, headers, n, (int64_t)strlen(body));
 	ks_http1_body(request, ks_str_from(body));
 	ks_http1_end(request);
 	g_string_free(seal, TRUE);
-	if (!second)
-		return;
-	second->conn = conn;
-	second->port = port;
-	plan_second(second);
+	if (again)
+		seconds_plan(&replica->seconds, conn, port, text);
 }
 
 static void refuse(struct replica *replica, ks_http1_request_t *request,
@@ -568,13 +442,8 @@
 static void on_request(void *ctx, ks_http1_request_t *request)
 {
 	struct replica *replica = ctx;
-	struct http1_conn *conn = http1_conn_of(request);
-	struct second *second = g_hash_table_lookup(replica->late, conn);
 
-	if (second) {
-		write_second(second);
-		g_hash_table_remove(replica->late, conn);
-	}
+	seconds_send_late(&replica->seconds, http1_conn_of(request));
 	if (!is_misdirected(replica, request) &&
 	    !ks_str_has_prefix(request->target, KS_STR("/-/")))
 		record(replica, SOAK_ARRIVED, field(request, "request-id"), 0);
@@ -693,15 +562,15 @@
 	replica.service = service->sval[0];
 	replica.stage = stage->count ? stage->sval[0] : NULL;
 	replica.second_of_100 = second->count ? (unsigned)second->ival[0] : 40;
-	replica.named_of_3 = named->count ? (unsigned)named->ival[0] : 2;
 	replica.work_us = work->ival[0] * KS_USEC_PER_MSEC;
 	replica.slots = (unsigned)slots->ival[0];
 	replica.started_ms = g_get_real_time() / 1000;
 	g_snprintf(replica.id, sizeof(replica.id), "i-%d-%" PRId64,
 		   (int)getpid(), replica.started_ms % 1000000);
-	replica.late = g_hash_table_new_full(NULL, NULL, NULL, free_second);
 	ks_rng_init(&replica.rng, (uint32_t)seed->ival[0]);
 	ks_loop_init(&replica.loop, ks_clock_monotonic());
+	seconds_init(&replica.seconds, &replica.loop, &replica.server,
+		     &replica.rng, named->count ? (unsigned)named->ival[0] : 2);
 	replica.is_relayed = announced->count > 0;
 	if (replica.record < 0 || !start(&replica, &address))
 		return EXIT_FAILURE;
