--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -6,9 +6,11 @@
 # that lose or refuse connections. Fails if a caller or a replica saw a rule
 # broken; see soak-callers.c. With --planned, only restarts by SIGTERM, leaving
 # replicas and new configurations; with --many, as many processes as the limits
-# of a small machine bear; with --timed, rules with a time bound are checked as well,
-# for a machine without other load. SOAK_KEEP names a directory that gets the logs of a
-# run that failed.
+# of a small machine bear; with --timed, rules with a time bound are checked as
+# well, for a machine without other load. SOAK_KEEP names a directory that gets
+# the logs of a run that failed. SOAK_SECOND is how many of 100 answers a faulty
+# replica gives twice, 40 by default, and SOAK_NAMED how many of 3 of these have
+# the id of their request, 2 by default.
 set -u
 cd "$(dirname "$0")/../.."
 . tests/system/lib.sh
