store: keep leases and fencing tokens safe when the store goes back

The store may return from a copy that is some seconds old. What callers would see: two entries order the stages of the same engines in turns, or with the same fencing token, and engines that check tokens execute the orders of both.

Cause: the lease was derived from its row alone. A store that goes back loses the row of a holder, who still counts on it; a second process finds no row and acquires the lease at once, with a token that is one above that of a row that others have already passed. A write that was sent before the return can be executed after it, since the version in its precondition is given out again.

ks_row_t now tells the era of the store and the version of the row. After the first read in an era, also the first one after a start, the lease is not acquired within its lifetime, as a holder that nobody knows of may count on it for that long. A token has the era in its high part and is above the version of the row that it replaces; as a store gives out no version twice in an era, no token can occur twice. A write that was sent in an earlier era does not count, even if its row is read. A store that tells no era is treated as before.

Evidence: prop-lease has a second property, in which the store goes back by up to 30 s at any moment, with versions that are given out again.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -682,6 +682,7 @@
 			      int64_t turns_us, double prefill_share);
 void ks_stage_controller_deinit(ks_stage_controller_t *controller);
 void ks_stage_controller_stop(ks_stage_controller_t *controller);
+void ks_stage_controller_forget_lease(ks_stage_controller_t *controller);
 void ks_stage_controller_set_services(ks_stage_controller_t *controller,
 				      const ks_traffic_t *traffic);
 
--- a/packages/gateway/src/stage_run.c
+++ b/packages/gateway/src/stage_run.c
@@ -238,6 +238,15 @@
 	controller->stopping = true;
 }
 
+/**
+ * ks_stage_controller_forget_lease() - send no orders until the lease has been
+ * acquired again, as the store may have lost it
+ */
+void ks_stage_controller_forget_lease(ks_stage_controller_t *controller)
+{
+	ks_lease_keeper_forget(controller->keeper);
+}
+
 void ks_stage_controller_deinit(ks_stage_controller_t *controller)
 {
 	ks_timer_clear(&controller->timer);
--- a/packages/store/include/ks/store.h
+++ b/packages/store/include/ks/store.h
@@ -38,13 +38,28 @@
  * @key: hierarchical with "/" as separator, e.g. "lease/planner"
  * @etag: version tag, changes whenever the row changes; empty if the row does
  *	not exist
+ * @era: how often the store had returned from an older copy of itself, up to
+ *	KS_ROW_MAX_ERA; 0 if it does not say. Writes that it acknowledged in one
+ *	era may be missing in the next one.
+ * @version: number of the write that the row is the result of, which is higher
+ *	than those of all earlier writes of the same era; 0 if the row does not
+ *	exist, or the store does not say
  */
 typedef struct ks_row {
 	ks_str_t key;
 	ks_str_t etag;
 	ks_str_t value;
+	uint64_t era;
+	uint64_t version;
 } ks_row_t;
 
+/*
+ * Eras and versions take part in numbers that others may read as floating point
+ * numbers, which are exact up to 53 bits.
+ */
+#define KS_ROW_MAX_ERA ((1 << 20) - 1)
+#define KS_ROW_VERSION_BITS 32
+
 /**
  * struct ks_store_write - a write with its precondition
  * @etag: the row must have this etag, or must not exist if it is empty
@@ -271,11 +286,15 @@
  *	after a write that was refused or whose outcome is unknown
  * @held_until_us: end of the lease on this process's clock
  * @fence: fencing token of the last acquisition
+ * @era: era of the store in which the row was last read, see struct ks_row
+ * @era_since_us: time at which this process learned of that era
+ * @version: version of the row, see struct ks_row
  * @row_known: @row_exists, @row and @etag are as last read or written
  * @row_exists: false if there is no row
  * @etag_since_us: time at which this process first saw @etag
  * @read_us: time of the last read of the row
  * @sent_row: contents of the last write
+ * @sent_era: value of @era at that time
  * @write_sent_us: time just before the last write was sent
  *
  * This is a state machine without I/O; struct ks_lease_keeper runs it.
@@ -291,6 +310,9 @@
 	bool held;
 	int64_t held_until_us;
 	uint64_t fence;
+	uint64_t era;
+	int64_t era_since_us;
+	uint64_t version;
 	bool row_known;
 	bool row_exists;
 	ks_lease_row_t row;
@@ -298,6 +320,7 @@
 	int64_t etag_since_us;
 	int64_t read_us;
 	ks_lease_row_t sent_row;
+	uint64_t sent_era;
 	int64_t write_sent_us;
 } ks_lease_t;
 
@@ -309,6 +332,9 @@
 uint64_t ks_lease_fence(const ks_lease_t *lease);
 ks_lease_step_t ks_lease_next(const ks_lease_t *lease, bool wanted,
 			      int64_t now_us, int64_t *wait_us);
+void ks_lease_note_era(ks_lease_t *lease, uint64_t era, uint64_t version,
+		       int64_t now_us);
+void ks_lease_forget(ks_lease_t *lease);
 void ks_lease_observe(ks_lease_t *lease, const ks_lease_row_t *row,
 		      ks_str_t etag, int64_t now_us);
 const ks_lease_row_t *ks_lease_begin_write(ks_lease_t *lease, bool wanted,
@@ -334,6 +360,7 @@
 bool ks_lease_keeper_is_held(const ks_lease_keeper_t *keeper);
 int64_t ks_lease_keeper_remaining(const ks_lease_keeper_t *keeper);
 uint64_t ks_lease_keeper_fence(const ks_lease_keeper_t *keeper);
+void ks_lease_keeper_forget(ks_lease_keeper_t *keeper);
 bool ks_lease_keeper_is_idle(const ks_lease_keeper_t *keeper);
 ks_store_write_t ks_lease_keeper_precondition(const ks_lease_keeper_t *keeper);
 
--- a/packages/store/src/lease.c
+++ b/packages/store/src/lease.c
@@ -120,18 +120,29 @@
 	       ks_id_equal(&lease->row.holder, &lease->holder);
 }
 
+static int64_t with_margin(int64_t lifetime_us)
+{
+	return lifetime_us + lifetime_us / MARGIN_DIVISOR;
+}
+
 /*
  * Time from which this process may acquire the lease. A lease of another
- * process counts from when this process first saw its current row.
+ * process counts from when this process first saw its current row. A store that
+ * has returned from an older copy may have lost the row of a holder, which
+ * holds the lease until it expires. A process that has just started cannot know
+ * when that was.
  */
 static int64_t available_at(const ks_lease_t *lease)
 {
-	int64_t lifetime = lease->row.lifetime_us;
+	int64_t at_us = lease->etag_since_us;
 
-	if (!lease->row_exists || is_own_row(lease) ||
-	    ks_id_is_zero(&lease->row.holder))
-		return lease->etag_since_us;
-	return lease->etag_since_us + lifetime + lifetime / MARGIN_DIVISOR;
+	if (lease->row_exists && !is_own_row(lease) &&
+	    !ks_id_is_zero(&lease->row.holder))
+		at_us += with_margin(lease->row.lifetime_us);
+	if (lease->era)
+		at_us = MAX(at_us, lease->era_since_us +
+					   with_margin(lease->lifetime_us));
+	return at_us;
 }
 
 static ks_lease_step_t next_held(const ks_lease_t *lease, int64_t now_us,
@@ -221,6 +232,36 @@
 	lease->held_until_us = lease->write_sent_us + lease->lifetime_us;
 }
 
+/**
+ * ks_lease_note_era() - note the era and the version of a row that was read or
+ * written
+ * @now_us: time after the response arrived
+ *
+ * To be called before ks_lease_observe(), and before ks_lease_end_write() for
+ * KS_STORE_DONE.
+ */
+void ks_lease_note_era(ks_lease_t *lease, uint64_t era, uint64_t version,
+		       int64_t now_us)
+{
+	if (era > lease->era) {
+		lease->era = era;
+		lease->era_since_us = now_us;
+		ks_lease_forget(lease);
+	}
+	lease->version = version;
+}
+
+/**
+ * ks_lease_forget() - count the lease as not held until its row has been read
+ *
+ * To be called when the store may have lost writes that it acknowledged.
+ */
+void ks_lease_forget(ks_lease_t *lease)
+{
+	lease->held = false;
+	lease->row_known = false;
+}
+
 /**
  * ks_lease_observe() - process the result of a read of the row
  * @row: the row, or NULL if it does not exist
@@ -231,12 +272,30 @@
 {
 	update_row(lease, row, etag, now_us);
 	lease->read_us = now_us;
-	if (is_own_row(lease) && row->serial == lease->sent_row.serial)
+	/*
+	 * A write that was sent in an earlier era took effect in one in which
+	 * its precondition meant another row.
+	 */
+	if (is_own_row(lease) && row->serial == lease->sent_row.serial &&
+	    lease->sent_era == lease->era)
 		set_held(lease);
 	else
 		lease->held = false;
 }
 
+/*
+ * A number that no acquisition has had as its fencing token before the known
+ * row was written. The row itself may be one that an older copy brought back.
+ */
+static uint64_t lowest_fence(const ks_lease_t *lease)
+{
+	uint64_t fence = lease->row_exists ? lease->row.fence : 0;
+
+	if (!lease->era)
+		return fence;
+	return MAX(fence, (lease->era << KS_ROW_VERSION_BITS) + lease->version);
+}
+
 /**
  * ks_lease_begin_write() - prepare a write of the row
  * @wanted: acquire or renew the lease, otherwise release it
@@ -247,11 +306,15 @@
 const ks_lease_row_t *ks_lease_begin_write(ks_lease_t *lease, bool wanted,
 					   int64_t now_us)
 {
-	uint64_t fence = lease->row_exists ? lease->row.fence : 0;
 	bool is_renewal = ks_lease_is_held(lease, now_us);
 
-	lease->sent_row.fence = wanted && !is_renewal ? fence + 1 : fence;
+	if (wanted && !is_renewal)
+		lease->sent_row.fence = lowest_fence(lease) + 1;
+	else
+		lease->sent_row.fence =
+			lease->row_exists ? lease->row.fence : 0;
 	lease->sent_row.serial++;
+	lease->sent_era = lease->era;
 	lease->sent_row.lifetime_us = lease->lifetime_us;
 	lease->write_sent_us = now_us;
 	if (wanted) {
--- a/packages/store/src/lease_keeper.c
+++ b/packages/store/src/lease_keeper.c
@@ -113,6 +113,9 @@
 
 	if (!end_operation(keeper))
 		return;
+	if (outcome == KS_STORE_DONE)
+		ks_lease_note_era(&keeper->lease, row->era, row->version,
+				  current_time(keeper));
 	if (outcome == KS_STORE_DONE && !row->etag.len) {
 		ks_lease_observe(&keeper->lease, NULL, row->etag,
 				 current_time(keeper));
@@ -135,6 +138,9 @@
 
 	if (!end_operation(keeper))
 		return;
+	if (outcome == KS_STORE_DONE)
+		ks_lease_note_era(&keeper->lease, row->era, row->version,
+				  current_time(keeper));
 	ks_lease_end_write(&keeper->lease, outcome,
 			   row ? row->etag : KS_STR(""), current_time(keeper));
 	continue_after(keeper, outcome);
@@ -284,6 +290,21 @@
 	return ks_lease_fence(&keeper->lease);
 }
 
+/**
+ * ks_lease_keeper_forget() - count the lease as not held, and read its row
+ * again
+ *
+ * To be called when the store may have lost writes that it acknowledged. Must
+ * not be called from the keeper's callback.
+ */
+void ks_lease_keeper_forget(ks_lease_keeper_t *keeper)
+{
+	ks_lease_forget(&keeper->lease);
+	report_held(keeper);
+	if (!keeper->op_pending)
+		ks_timer_set(&keeper->step_timer, 0);
+}
+
 /**
  * ks_lease_keeper_is_idle() - whether the lease is not wanted and no operation
  * or retry is pending
--- a/packages/store/tests/prop-lease.cpp
+++ b/packages/store/tests/prop-lease.cpp
@@ -110,6 +110,9 @@
 	ks_id_generate_seeded(&h->incarnation, &rng);
 	ks_rng_deinit(&rng);
 	h->last_fence = UINT64_MAX;
+	h->proc->db.answered = false;
+	h->proc->db.era = 0;
+	h->proc->db.returned = [h] { ks_lease_keeper_forget(h->keeper); };
 	h->keeper = ks_lease_keeper_new(
 		h->proc->loop, &h->proc->db.iface, &h->boottime, &h->proc->rng,
 		"lease/test", &h->incarnation, LIFETIME, on_change, h);
@@ -135,7 +138,11 @@
 {
 	holder *h = m->holders[a.holder % N_HOLDERS].get();
 
-	switch (a.kind % 8) {
+	switch (a.kind) {
+	case 8:
+	case 9:
+		m->t.go_back_to(m->w.now() - (int64_t)(a.arg % 40) * 750 * MS);
+		break;
 	case 0:
 		h->proc->paused_until =
 			m->w.now() + (1 + a.arg % 40) * 700 * MS;
@@ -184,42 +191,38 @@
 		RC_ASSERT(ks_lease_keeper_is_idle(h->keeper));
 }
 
-bool check_one_holder()
+/* With @returns, the store goes back by up to 30 s at any moment. */
+bool check_one_holder(const char *name, bool returns)
 {
-	return rc::check(
-		"at most one process holds a lease by its own clock, and "
-		"each acquisition has a higher fencing token",
-		[](const std::vector<uint8_t> &faults) {
-			auto actions = *rc::gen::container<std::vector<action>>(
-				rc::gen::build<action>(
-					rc::gen::set(&action::delay,
-						     rc::gen::inRange(0u, 40u)),
-					rc::gen::set(&action::kind,
-						     rc::gen::inRange(0u, 8u)),
-					rc::gen::set(&action::holder,
-						     rc::gen::inRange(0u, 3u)),
-					rc::gen::set(
-						&action::arg,
-						rc::gen::inRange(0u, 40u))));
-			auto rates = *rc::gen::container<std::vector<int>>(
-				N_HOLDERS, rc::gen::element(-40, 0, 40));
-			test_model m(faults);
+	return rc::check(name, [returns](const std::vector<uint8_t> &faults) {
+		auto actions = *rc::gen::container<
+			std::vector<action>>(rc::gen::build<action>(
+			rc::gen::set(&action::delay, rc::gen::inRange(0u, 40u)),
+			rc::gen::set(&action::kind,
+				     rc::gen::inRange(0u, returns ? 10u : 8u)),
+			rc::gen::set(&action::holder, rc::gen::inRange(0u, 3u)),
+			rc::gen::set(&action::arg, rc::gen::inRange(0u, 40u))));
+		auto rates = *rc::gen::container<std::vector<int>>(
+			N_HOLDERS, rc::gen::element(-40, 0, 40));
+		test_model m(faults);
 
-			for (size_t i = 0; i < N_HOLDERS; i++)
-				add_holder(&m, i, rates[i]);
-			for (const action &a : actions) {
-				m.run_for(a.delay < 10
-						  ? a.delay * 2 * MS
-						  : (a.delay - 9) * 500 * MS);
-				perform(&m, a);
-			}
-			m.run_for(60 * SEC);
-			for (const auto &v : m.violations)
-				RC_FAIL(v);
-			check_settled(&m);
-			for (const auto &v : m.violations)
-				RC_FAIL(v);
-		});
+		m.t.clock = &m.w.clock;
+		m.t.era = returns;
+		m.t.copy();
+		for (size_t i = 0; i < N_HOLDERS; i++)
+			add_holder(&m, i, rates[i]);
+		for (const action &a : actions) {
+			m.run_for(a.delay < 10 ? a.delay * 2 * MS
+					       : (a.delay - 9) * 500 * MS);
+			perform(&m, a);
+		}
+		m.run_for(60 * SEC);
+		for (const auto &v : m.violations)
+			RC_FAIL(v);
+		check_settled(&m);
+		for (const auto &v : m.violations)
+			RC_FAIL(v);
+	});
 }
 
 /*
@@ -301,5 +304,14 @@
 
 int main()
 {
-	return check_row_text() && check_margin() && check_one_holder() ? 0 : 1;
+	const char *name =
+		"at most one process holds a lease by its own clock, "
+		"and each acquisition has a higher fencing token";
+	const char *returns = "the same if the store returns from older copies";
+
+	return check_row_text() && check_margin() &&
+			       check_one_holder(name, false) &&
+			       check_one_holder(returns, true)
+		       ? 0
+		       : 1;
 }
--- a/tests/fakes/sim.h
+++ b/tests/fakes/sim.h
@@ -128,11 +128,15 @@
 	}
 };
 
-/* Row of the store; at is the time of its last write. */
+/*
+ * Row of the store; at is the time of its last write, version the number of
+ * that write.
+ */
 struct stored {
 	std::string etag;
 	std::string value;
 	int64_t at = 0;
+	uint64_t version = 0;
 };
 
 /* Copy of a ks_store_write_t. */
@@ -141,11 +145,25 @@
 	bool unconditional, check_only, remove;
 };
 
-/* Rows and objects of the store, shared by all processes. */
+/* What the store had at a time. */
+struct store_copy {
+	int64_t at;
+	std::map<std::string, stored> rows;
+	std::map<std::string, std::string> objects;
+	uint64_t next_etag;
+};
+
+/*
+ * Rows and objects of the store, shared by all processes. It tells its era, and
+ * may return from an older copy, if the era is not 0. Etags are then given out
+ * again.
+ */
 struct table {
 	std::map<std::string, stored> rows;
 	std::map<std::string, std::string> objects;
 	uint64_t next_etag = 1;
+	uint64_t era = 0;
+	std::vector<store_copy> copies;
 	unsigned writes = 0;
 	const ks_test_clock_t *clock = nullptr;
 
@@ -157,6 +175,29 @@
 		       (it == rows.end() ? w.etag.empty()
 					 : it->second.etag == w.etag);
 	}
+	/* Keeps a copy of the present contents, to which it may go back. */
+	void copy()
+	{
+		if (era)
+			copies.push_back({ clock ? clock->time_us : 0, rows,
+					   objects, next_etag });
+	}
+	/* Returns with what it had at a time. */
+	void go_back_to(int64_t at)
+	{
+		era++;
+		while (copies.size() > 1 && copies.back().at > at)
+			copies.pop_back();
+		if (copies.empty() || copies.back().at > at) {
+			rows.clear();
+			objects.clear();
+			next_etag = 1;
+			return;
+		}
+		rows = copies.back().rows;
+		objects = copies.back().objects;
+		next_etag = copies.back().next_etag;
+	}
 	/*
 	 * Applies all writes, or none if a precondition fails. Returns the
 	 * index of the first write whose precondition failed, or -1.
@@ -175,14 +216,16 @@
 				continue;
 			}
 			if (!w.check_only) {
-				rows[w.key] = {
-					"e" + std::to_string(next_etag++),
-					w.value, clock ? clock->time_us : 0
-				};
+				rows[w.key] = { "e" + std::to_string(next_etag),
+						w.value,
+						clock ? clock->time_us : 0,
+						next_etag };
+				next_etag++;
 				writes++;
 			}
 			etags->push_back(rows[w.key].etag);
 		}
+		copy();
 		return -1;
 	}
 };
@@ -198,6 +241,10 @@
 	std::vector<std::function<void()>> inbox;
 	unsigned in_flight = 0;
 	unsigned writes_sent = 0;
+	/* As for the real client: era of the responses, and who is told. */
+	uint64_t era = 0;
+	bool answered = false;
+	std::function<void()> returned;
 
 	store(simulation *env_in, table *table_in) : env(env_in), t(table_in)
 	{
@@ -260,7 +307,36 @@
 		ks_store_outcome_t outcome = KS_STORE_DONE;
 		int failed = -1;
 		std::vector<std::string> keys, etags, values;
+		uint64_t era = 0, version = 0;
 	};
+	/* Returns whether a response may be used, and notes its era. */
+	bool check_era(const result &r, uint64_t sent, bool was_answered)
+	{
+		if (r.era < era)
+			return false;
+		if (r.era > era) {
+			era = r.era;
+			if (answered && returned)
+				returned();
+		}
+		answered = true;
+		return !was_answered || sent == r.era;
+	}
+	/* Tags are kept with their era, and match no row in another one. */
+	std::string add_era(const std::string &etag) const
+	{
+		return era && !etag.empty() ? std::to_string(era) + "." + etag
+					    : etag;
+	}
+	std::string remove_era(const std::string &etag) const
+	{
+		std::string prefix = std::to_string(era) + ".";
+
+		if (!era || etag.empty())
+			return etag;
+		return etag.rfind(prefix, 0) == 0 ? etag.substr(prefix.size())
+						  : "none";
+	}
 	/*
 	 * Starts an operation: @effect changes or reads the table at one time,
 	 * and @respond calls the callback in the process at a later time.
@@ -271,18 +347,33 @@
 		timing timing = draw();
 		auto res = std::make_shared<result>();
 		int64_t now = env->now();
+		uint64_t sent = era;
+		bool was_answered = answered;
 
 		in_flight++;
 		if (!timing.no_effect)
-			env->schedule(now + timing.effect,
-				      [res, effect] { effect(res.get()); });
+			env->schedule(now + timing.effect, [this, res, effect] {
+				res->era = t->era;
+				effect(res.get());
+			});
 		env->schedule(now + timing.response, [this, res, respond,
-						      timing] {
+						      timing, sent,
+						      was_answered] {
 			result final = *res;
 
 			if (timing.is_forced)
 				final.outcome = timing.forced;
-			inbox.push_back([respond, final] { respond(final); });
+			inbox.push_back([this, respond, final, timing, sent,
+					 was_answered] {
+				result seen = final;
+
+				if (!timing.is_forced &&
+				    !check_era(seen, sent, was_answered))
+					seen.outcome = KS_STORE_UNKNOWN;
+				for (auto &etag : seen.etags)
+					etag = add_era(etag);
+				respond(seen);
+			});
 		});
 	}
 	static store *self(void *impl)
@@ -301,6 +392,8 @@
 		row.key = view(r.keys[0]);
 		row.etag = view(r.etags[0]);
 		row.value = view(r.values[0]);
+		row.era = r.era;
+		row.version = r.version;
 		func(ctx, r.outcome, &row);
 	}
 	static void respond_rows(const result &r, ks_store_rows_func_t func,
@@ -314,7 +407,7 @@
 		}
 		for (size_t i = 0; i < r.keys.size(); i++)
 			rows.push_back({ view(r.keys[i]), view(r.etags[i]),
-					 view(r.values[i]) });
+					 view(r.values[i]), r.era, 0 });
 		func(ctx, r.outcome, rows.data(), rows.size(), -1);
 	}
 	static void get(void *impl, ks_str_t key, ks_store_row_func_t func,
@@ -334,6 +427,7 @@
 					return;
 				r->etags = { it->second.etag };
 				r->values = { it->second.value };
+				r->version = it->second.version;
 			},
 			[func, ctx](const result &r) {
 				respond_row(r, func, ctx);
@@ -359,13 +453,15 @@
 				respond_rows(r, func, ctx);
 			});
 	}
-	static write copy(const ks_store_write_t *w)
+	write copy(const ks_store_write_t *w) const
 	{
-		return { text(w->key),	   text(w->etag), text(w->value),
-			 w->unconditional, w->check_only, w->remove };
+		return { text(w->key),	 remove_era(text(w->etag)),
+			 text(w->value), w->unconditional,
+			 w->check_only,	 w->remove };
 	}
 	static void apply(table *t, const std::vector<write> &writes, result *r)
 	{
+		r->version = t->next_etag;
 		r->failed = t->apply(writes, &r->etags);
 		if (r->failed >= 0)
 			r->outcome = KS_STORE_REFUSED;
@@ -378,7 +474,7 @@
 			      ks_store_row_func_t func, void *ctx)
 	{
 		table *t = self(impl)->t;
-		std::vector<write> writes = { copy(w) };
+		std::vector<write> writes = { self(impl)->copy(w) };
 
 		self(impl)->writes_sent++;
 		self(impl)->start(
@@ -394,7 +490,7 @@
 		std::vector<write> writes;
 
 		for (size_t i = 0; i < n; i++)
-			writes.push_back(copy(&w[i]));
+			writes.push_back(self(impl)->copy(&w[i]));
 		self(impl)->writes_sent++;
 		self(impl)->start(
 			[t, writes](result *r) { apply(t, writes, r); },
