platform: read and write the store again when it has gone back

What callers would see when the store returns from a copy that is some seconds old: requests keep going to upstreams that have left, new upstreams and new configurations are missed for good, and requests reach an upstream later than drain-ms after it announced that it leaves.

Cause: nothing read the era that the store sends with each response. A feed kept the higher one of its own revision and the store's, and so waited for changes that were numbered below it. A row that the older copy brought back was taken for the present one: an upstream that leaves was ready again, and one that was gone came back.

Views that entries exchange are ordered by era first.

--- a/cli/knapweedstaird.c
+++ b/cli/knapweedstaird.c
@@ -105,6 +105,7 @@
 		.peer = s->peer ? &gateway.peer : NULL,
 		.order_turns_us = s->order_turns_ms * KS_USEC_PER_MSEC,
 		.prefill_share = s->prefill_share,
+		.announce_us = s->announce_ms * KS_USEC_PER_MSEC,
 		.leaving_notice_us = s->leaving_notice_ms * KS_USEC_PER_MSEC,
 	};
 
--- a/packages/connection/include/ks/http.h
+++ b/packages/connection/include/ks/http.h
@@ -68,6 +68,8 @@
  * @response_id_optional: the peer may echo no id. A response without one is
  *	accepted on a connection that has served no other call, and the
  *	connection is closed after it.
+ * @wanted_field: name, in lower case, of a response header that
+ *	ks_http_fetch() passes on; NULL for none
  * @timeout_us: limit for the whole call; 0 for no limit
  * @idle_timeout_us: longest wait for the next bytes; 0 for no limit
  * @reuse: may use an idle connection, and leave it idle for other requests. If
@@ -89,6 +91,7 @@
 	ks_str_t response_id_header;
 	ks_str_t response_id;
 	bool response_id_optional;
+	const char *wanted_field;
 	int64_t timeout_us;
 	int64_t idle_timeout_us;
 	bool reuse;
@@ -178,20 +181,27 @@
  * struct ks_http_response - a response buffered in memory
  * @result: how the call ended; the other fields are valid for
  *	KS_HTTP_COMPLETE only
+ * @wanted: value of the request's @wanted_field
  */
 typedef struct ks_http_response {
 	ks_http_result_t result;
 	int status;
 	ks_str_t etag;
 	ks_str_t retry_after;
+	ks_str_t wanted;
 	ks_str_t body;
 } ks_http_response_t;
 
+typedef struct ks_http_fetch ks_http_fetch_t;
+
 typedef void (*ks_http_fetch_func_t)(void *ctx,
 				     const ks_http_response_t *response);
 
-void ks_http_fetch(ks_http_client_t *client, const ks_http_request_t *request,
-		   size_t max_body, ks_http_fetch_func_t func, void *ctx);
+ks_http_fetch_t *ks_http_fetch(ks_http_client_t *client,
+			       const ks_http_request_t *request,
+			       size_t max_body, ks_http_fetch_func_t func,
+			       void *ctx);
+void ks_http_fetch_cancel(ks_http_fetch_t *fetch);
 
 /* http_server.c */
 
--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -458,7 +458,7 @@
 
 /**
  * struct ks_view - what an entry knows of a table
- * @revision: revision of the store up to which the table has been read
+ * @revision: up to where the table has been read, see ks_view_order()
  * @digest: hash of the contents that matter to entries
  * @read_us: when it was read, 0 if never
  */
@@ -468,6 +468,9 @@
 	int64_t read_us;
 } ks_view_t;
 
+/* Revisions of the store have this many bits in ks_view_order(). */
+#define KS_VIEW_REVISION_BITS 40
+
 /**
  * struct ks_peer_view - another entry's view of a table
  * @rank: hash of the entry's name
@@ -490,6 +493,7 @@
 } ks_view_limits_t;
 
 bool ks_views_are_shared(size_t n_entries);
+int64_t ks_view_order(int64_t era, int64_t revision);
 bool ks_view_is_poller(uint64_t rank, const ks_peer_view_t *others, size_t n);
 bool ks_view_is_outdated(const ks_view_t *own, const ks_view_t *other);
 int64_t ks_view_fresh_us(const ks_view_t *own, const ks_peer_view_t *others,
--- a/packages/gateway/src/views.c
+++ b/packages/gateway/src/views.c
@@ -42,6 +42,22 @@
 	return lower < POLLERS;
 }
 
+/**
+ * ks_view_order() - number that orders what was read of a table
+ * @era: era of the store, which counts first; see struct ks_row
+ * @revision: revision of the store up to which the table was read
+ */
+int64_t ks_view_order(int64_t era, int64_t revision)
+{
+	return (era << KS_VIEW_REVISION_BITS) +
+	       MIN(revision, (1LL << KS_VIEW_REVISION_BITS) - 1);
+}
+
+static int64_t view_era(const ks_view_t *view)
+{
+	return view->revision >> KS_VIEW_REVISION_BITS;
+}
+
 /**
  * ks_view_fresh_us() - time up to which a view is known to be current
  */
@@ -52,7 +68,8 @@
 
 	for (size_t i = 0; i < n; i++)
 		if (others[i].view.read_us &&
-		    others[i].view.digest == own->digest)
+		    others[i].view.digest == own->digest &&
+		    view_era(&others[i].view) >= view_era(own))
 			fresh_us = MAX(fresh_us, others[i].view.read_us);
 	return fresh_us;
 }
--- a/packages/settings/include/ks/settings.h
+++ b/packages/settings/include/ks/settings.h
@@ -115,6 +115,7 @@
 	double retry_window_s;
 	unsigned order_turns_ms;
 	double prefill_share;
+	unsigned announce_ms;
 	unsigned leaving_notice_ms;
 } ks_settings_t;
 
--- a/packages/settings/src/settings.c
+++ b/packages/settings/src/settings.c
@@ -117,6 +117,7 @@
 	FLOAT(ks_settings_t, retry_window_s),
 	UINT(ks_settings_t, order_turns_ms),
 	FLOAT(ks_settings_t, prefill_share),
+	UINT(ks_settings_t, announce_ms),
 	UINT(ks_settings_t, leaving_notice_ms),
 	CYAML_FIELD_END,
 };
@@ -195,6 +196,7 @@
 	set_default_float(doc, "retry_ratio", &settings->retry_ratio, 0.1);
 	set_default_float(doc, "retry_slack", &settings->retry_slack, 10);
 	set_default_float(doc, "retry_window_s", &settings->retry_window_s, 10);
+	set_default(doc, "announce_ms", &settings->announce_ms, 1200);
 	set_default(doc, "leaving_notice_ms", &settings->leaving_notice_ms,
 		    2000);
 	set_default_float(doc, "prefill_share", &settings->prefill_share,
--- a/packages/settings/src/settings_check.c
+++ b/packages/settings/src/settings_check.c
@@ -328,6 +328,8 @@
 	       (!ks_settings_document_line(doc, "prefill_share", -1, NULL) ||
 		check_float(doc, "prefill_share", settings->prefill_share, 0,
 			    1)) &&
+	       check_float(doc, "announce_ms", settings->announce_ms, 10,
+			   60000) &&
 	       check_float(doc, "leaving_notice_ms",
 			   settings->leaving_notice_ms, 500, 60000) &&
 	       check_float(doc, "retry_window_s", settings->retry_window_s, 1,
--- a/tests/fakes/fake_rows.h
+++ b/tests/fakes/fake_rows.h
@@ -43,6 +43,10 @@
  * struct fake_rows - the store
  * @rows: all rows, including tombstones
  * @revision: incremented by every change
+ * @era: incremented by every return from an older copy, and sent with each
+ *	response; 0 if the store sends none
+ * @answers_beyond: reads of the change feed from beyond @revision are answered
+ *	with no rows, not with 410
  * @compacted_revision: the change feed cannot be read from revisions below this
  *	one
  * @waiting: array of struct fake_wait
@@ -52,6 +56,8 @@
 	ks_http1_server_t server;
 	GPtrArray *rows;
 	int64_t revision;
+	int64_t era;
+	bool answers_beyond;
 	int64_t compacted_revision;
 	enum fake_mode mode;
 	GPtrArray *waiting;
@@ -102,15 +108,20 @@
 	return json;
 }
 
-static inline void fake_reply(ks_http1_request_t *request, int status,
+static inline void fake_reply(const struct fake_rows *store,
+			      ks_http1_request_t *request, int status,
 			      json_t *json)
 {
 	char *body = json ? json_dumps(json, JSON_COMPACT) : strdup("{}");
+	char *era = g_strdup_printf("%" PRId64, store->era);
+	ks_header_t header = { KS_STR("store-era"), ks_str_from(era) };
 
-	ks_http1_start(request, status, NULL, 0, (int64_t)strlen(body));
+	ks_http1_start(request, status, &header, store->era ? 1 : 0,
+		       (int64_t)strlen(body));
 	ks_http1_body(request, ks_str_from(body));
 	ks_http1_end(request);
 	free(body);
+	g_free(era);
 	json_decref(json);
 }
 
@@ -148,11 +159,13 @@
 	json_t *json = fake_select(store, table, revision, false, "");
 	bool answered = true;
 
-	if (revision < store->compacted_revision) {
+	if (revision < store->compacted_revision ||
+	    (revision > store->revision && !store->answers_beyond)) {
 		json_decref(json);
-		fake_reply(request, 410, NULL);
-	} else if (json_array_size(json_object_get(json, "rows"))) {
-		fake_reply(request, 200, json);
+		fake_reply(store, request, 410, NULL);
+	} else if (revision > store->revision ||
+		   json_array_size(json_object_get(json, "rows"))) {
+		fake_reply(store, request, 200, json);
 	} else {
 		json_decref(json);
 		answered = false;
@@ -252,7 +265,7 @@
 		ks_http1_abort(request);
 	else
 		fake_reply(
-			request, holds ? 200 : 412,
+			store, request, holds ? 200 : 412,
 			json_pack("{s:I}", "ver", (json_int_t)store->revision));
 }
 
@@ -262,7 +275,8 @@
 	char *table = fake_query_param(request->target, "table");
 	char *from = fake_query_param(request->target, "from");
 
-	fake_reply(request, 200, fake_select(store, table, 0, true, from));
+	fake_reply(store, request, 200,
+		   fake_select(store, table, 0, true, from));
 	g_free(table);
 	g_free(from);
 }
@@ -288,7 +302,7 @@
 		fake_wait(store, request);
 		break;
 	case FAKE_UNAVAILABLE:
-		fake_reply(request, 503, NULL);
+		fake_reply(store, request, 503, NULL);
 		break;
 	case FAKE_DISCONNECTS:
 		ks_http1_abort(request);
@@ -358,6 +372,67 @@
 	fake_notify(store);
 }
 
+/**
+ * struct fake_copy - what the store had at one moment
+ */
+struct fake_copy {
+	GPtrArray *rows;
+	int64_t revision;
+	int64_t compacted_revision;
+};
+
+static inline GPtrArray *fake_copy_rows(const GPtrArray *rows)
+{
+	GPtrArray *copy = g_ptr_array_new_with_free_func(fake_free_row);
+
+	for (guint i = 0; i < rows->len; i++) {
+		const struct fake_row *row = rows->pdata[i];
+		struct fake_row *twin = g_new(struct fake_row, 1);
+
+		*twin = *row;
+		twin->table = g_strdup(row->table);
+		twin->key = g_strdup(row->key);
+		twin->value = g_strdup(row->value);
+		g_ptr_array_add(copy, twin);
+	}
+	return copy;
+}
+
+/* Copies the contents; the copy is freed with fake_copy_free(). */
+static inline struct fake_copy *fake_copy_new(const struct fake_rows *store)
+{
+	struct fake_copy *copy = g_new(struct fake_copy, 1);
+
+	copy->rows = fake_copy_rows(store->rows);
+	copy->revision = store->revision;
+	copy->compacted_revision = store->compacted_revision;
+	return copy;
+}
+
+static inline void fake_copy_free(struct fake_copy *copy)
+{
+	g_ptr_array_free(copy->rows, TRUE);
+	g_free(copy);
+}
+
+/* Goes back to a copy, in a new era. Open requests get no response. */
+static inline void fake_return_to(struct fake_rows *store,
+				  const struct fake_copy *copy)
+{
+	for (guint i = store->waiting->len; i-- > 0;) {
+		struct fake_wait *wait = store->waiting->pdata[i];
+
+		wait->request->disconnected = NULL;
+		ks_http1_abort(wait->request);
+		g_ptr_array_remove_index(store->waiting, i);
+	}
+	g_ptr_array_free(store->rows, TRUE);
+	store->rows = fake_copy_rows(copy->rows);
+	store->revision = copy->revision;
+	store->compacted_revision = copy->compacted_revision;
+	store->era++;
+}
+
 static inline void fake_rows_init(struct fake_rows *store, ks_loop_t *loop)
 {
 	ks_address_t address = { "127.0.0.1", 0 };
