--- a/tests/fakes/fake_rows.h
+++ b/tests/fakes/fake_rows.h
@@ -54,6 +54,7 @@
  */
 struct fake_rows {
 	ks_http1_server_t server;
+	ks_loop_t *loop;
 	GPtrArray *rows;
 	int64_t revision;
 	int64_t era;
@@ -177,14 +178,40 @@
 
 /**
  * struct fake_wait - pending request
+ * @timer: fires when the time is over for which the request may be held
  * @never_answered: the request arrived in the mode @FAKE_UNRESPONSIVE
  */
 struct fake_wait {
 	struct fake_rows *store;
 	ks_http1_request_t *request;
+	ks_timer_t timer;
 	bool never_answered;
 };
 
+static inline void fake_free_wait(gpointer data)
+{
+	struct fake_wait *wait = data;
+
+	ks_timer_clear(&wait->timer);
+	g_free(wait);
+}
+
+/* Nothing has changed in the time for which the request was held. */
+static inline void fake_on_wait_over(void *ctx)
+{
+	struct fake_wait *wait = ctx;
+	struct fake_rows *store = wait->store;
+	ks_http1_request_t *request = wait->request;
+
+	g_ptr_array_remove(store->waiting, wait);
+	request->disconnected = NULL;
+	if (store->mode == FAKE_AVAILABLE)
+		fake_reply(store, request, 200,
+			   fake_select(store, "", store->revision, false, ""));
+	else
+		ks_http1_abort(request);
+}
+
 static inline void fake_on_disconnect(void *ctx)
 {
 	struct fake_wait *wait = ctx;
@@ -196,8 +223,14 @@
 static inline void fake_wait(struct fake_rows *store,
 			     ks_http1_request_t *request)
 {
-	struct fake_wait *wait = g_new(struct fake_wait, 1);
+	struct fake_wait *wait = g_new0(struct fake_wait, 1);
+	char *text = fake_query_param(request->target, "wait-ms");
+	int64_t ms = g_ascii_strtoll(text, NULL, 10);
 
+	g_free(text);
+	ks_timer_init(&wait->timer, store->loop, fake_on_wait_over, wait);
+	if (ms && store->mode != FAKE_UNRESPONSIVE)
+		ks_timer_set(&wait->timer, ms * KS_USEC_PER_MSEC);
 	wait->store = store;
 	wait->request = request;
 	wait->never_answered = store->mode == FAKE_UNRESPONSIVE;
@@ -409,8 +442,10 @@
 	return copy;
 }
 
-static inline void fake_copy_free(struct fake_copy *copy)
+static inline void fake_copy_free(gpointer data)
 {
+	struct fake_copy *copy = data;
+
 	g_ptr_array_free(copy->rows, TRUE);
 	g_free(copy);
 }
@@ -439,7 +474,8 @@
 
 	memset(store, 0, sizeof(*store));
 	store->rows = g_ptr_array_new_with_free_func(fake_free_row);
-	store->waiting = g_ptr_array_new_with_free_func(g_free);
+	store->loop = loop;
+	store->waiting = g_ptr_array_new_with_free_func(fake_free_wait);
 	g_assert_true(ks_http1_server_init(&store->server, loop, &address,
 					   fake_on_request, store, NULL));
 }
--- a/tests/soak/soak-store.c
+++ b/tests/soak/soak-store.c
@@ -3,7 +3,8 @@
  * which lapse when their owner is silent, and the rows of the gateways.
  *
  * SIGUSR1 makes it answer 503, and the next one serve again. SIGUSR2 publishes
- * a new version of the configuration.
+ * a new version of the configuration. After SIGHUP it is away for a moment and
+ * returns from an older copy, and the operator writes the configuration again.
  */
 #include "fake_main.h"
 #include "fake_rows.h"
@@ -19,6 +20,13 @@
 #define LAPSE_US (3600 * KS_USEC_PER_MSEC)
 #define VERSION_STEP 3
 
+/* Copies are taken with each scan, and kept for up to 30 s. */
+#define MAX_COPIES 60
+
+/* How long it is away, and until the operator writes again after that. */
+#define RETURN_US (300 * KS_USEC_PER_MSEC)
+#define REWRITE_US (1000 * KS_USEC_PER_MSEC)
+
 /*
  * One route of each kind. The timeout in force alternates between versions, and
  * each version adds a route.
@@ -51,6 +59,15 @@
 	int64_t at_us;
 };
 
+/* Ages of the copies that it returns from, in scans, one after the other. */
+static const unsigned copy_ages[] = { 4, 1, 10, 0, 24, 2, 59, 6 };
+
+/**
+ * struct store - state of the process
+ * @copies: array of struct fake_copy, the newest one last
+ * @returning: fires when the store returns
+ * @rewrite: fires when the operator writes the configuration again
+ */
 struct store {
 	ks_loop_t loop;
 	struct fake_rows rows;
@@ -59,21 +76,59 @@
 	int signal_fd;
 	unsigned version;
 	GHashTable *seen;
+	GPtrArray *copies;
+	ks_timer_t returning;
+	ks_timer_t rewrite;
+	unsigned n_returns;
 };
 
-static void publish(struct store *store)
+static void put_config(struct store *store)
 {
 	char *config;
 
-	store->version += VERSION_STEP;
 	config = g_strdup_printf(CONFIG, store->version,
 				 store->version % 2 ? 4000U : 3000U,
 				 store->version, store->version);
 	fake_put(&store->rows, "op", "config", config);
 	g_free(config);
+}
+
+static void publish(struct store *store)
+{
+	store->version += VERSION_STEP;
+	put_config(store);
 	fprintf(stderr, "version %u\n", store->version);
 }
 
+static void on_rewrite(void *ctx)
+{
+	put_config(ctx);
+}
+
+static void take_copy(struct store *store)
+{
+	g_ptr_array_add(store->copies, fake_copy_new(&store->rows));
+	if (store->copies->len > MAX_COPIES)
+		g_ptr_array_remove_index(store->copies, 0);
+}
+
+/* The rows that it brings back have not lapsed yet. */
+static void on_return(void *ctx)
+{
+	struct store *store = ctx;
+	unsigned age = copy_ages[store->n_returns++ % G_N_ELEMENTS(copy_ages)];
+	guint last = store->copies->len - 1;
+
+	g_ptr_array_set_size(store->copies, (gint)(last - MIN(age, last) + 1));
+	fake_return_to(&store->rows,
+		       store->copies->pdata[store->copies->len - 1]);
+	g_hash_table_remove_all(store->seen);
+	store->rows.mode = FAKE_AVAILABLE;
+	ks_timer_set(&store->rewrite, REWRITE_US);
+	fprintf(stderr, "era %d, from a copy %u scans old\n",
+		(int)store->rows.era, age);
+}
+
 /* Removes the first row that has lapsed, and returns whether there was one. */
 static bool remove_lapsed(struct store *store)
 {
@@ -109,6 +164,7 @@
 
 	while (remove_lapsed(store))
 		continue;
+	take_copy(store);
 	ks_timer_set(&store->scan, SCAN_US);
 }
 
@@ -122,6 +178,11 @@
 			publish(store);
 			continue;
 		}
+		if (info.ssi_signo == SIGHUP) {
+			store->rows.mode = FAKE_UNAVAILABLE;
+			ks_timer_set(&store->returning, RETURN_US);
+			continue;
+		}
 		store->rows.mode = store->rows.mode == FAKE_AVAILABLE
 					   ? FAKE_UNAVAILABLE
 					   : FAKE_AVAILABLE;
@@ -138,6 +199,7 @@
 	sigemptyset(&set);
 	sigaddset(&set, SIGUSR1);
 	sigaddset(&set, SIGUSR2);
+	sigaddset(&set, SIGHUP);
 	sigprocmask(SIG_BLOCK, &set, NULL);
 	store->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
 	return ks_watch_init(&store->watch, &store->loop, store->signal_fd,
@@ -154,8 +216,13 @@
 		return EXIT_FAILURE;
 	store.seen =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	store.copies = g_ptr_array_new_with_free_func(fake_copy_free);
 	fake_rows_init(&store.rows, &store.loop);
+	store.rows.era = 1;
 	publish(&store);
+	take_copy(&store);
+	ks_timer_init(&store.returning, &store.loop, on_return, &store);
+	ks_timer_init(&store.rewrite, &store.loop, on_rewrite, &store);
 	ks_timer_init(&store.scan, &store.loop, on_scan, &store);
 	ks_timer_set(&store.scan, SCAN_US);
 	fprintf(stderr, "listens on 127.0.0.1:%u\n", store.rows.server.port);
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# usage: tests/soak/soak.sh [--planned] [--many] [--timed] SEED SECONDS
+# usage: tests/soak/soak.sh [--planned] [--many] [--timed] [--returns] SEED SECONDS
 #
 # Runs gateways, replicas, a store and callers as separate processes and injects
 # faults, drawn from SEED, from outside: signals to the processes, and relays
@@ -7,7 +7,8 @@
 # broken; see soak-callers.c. With --planned, only restarts by SIGTERM, leaving
 # replicas and new configurations; with --many, as many processes as the limits
 # of a small machine bear; with --timed, rules with a time bound are checked as
-# well, for a machine without other load. SOAK_KEEP names a directory that gets
+# well, for a machine without other load. With --returns, the store also returns
+# from older copies of itself. SOAK_KEEP names a directory that gets
 # the logs of a run that failed. SOAK_SECOND is how many of 100 answers a faulty
 # replica gives twice, 40 by default, and SOAK_NAMED how many of 3 of these have
 # the id of their request, 2 by default.
@@ -16,13 +17,14 @@
 . tests/system/lib.sh
 . tests/system/site.sh
 
-planned= many= timed=
+planned= many= timed= returns=
 while test $# -gt 2
 do
 	case $1 in
 	--planned) planned=--planned ;;
 	--many) many=yes ;;
 	--timed) timed=--timed ;;
+	--returns) returns=yes ;;
 	esac
 	shift
 done
@@ -200,6 +202,12 @@
 	esac
 }
 
+# The store does not return more often than about once in a second.
+inject_return () {
+	between 0 4
+	test $DRAWN != 0 || signal site HUP
+}
+
 started=0
 relays=()
 launch site "$BIN/soak-store"
@@ -243,6 +251,7 @@
 	do
 		inject_planned
 		test -n "$planned" || inject_fault
+		test -z "$returns" || inject_return
 	done
 	between 2 9
 	sleep 0.$DRAWN
--- a/tests/system/site.sh
+++ b/tests/system/site.sh
@@ -21,6 +21,7 @@
 		-e "s/{{bounds.retry-budget-slack}}/50/" \
 		-e "s/{{bounds.budget-window-s}}/10/" \
 		-e "s/{{bounds.lease-ms}}/1000/" \
+		-e "s/{{heartbeat-ms}}/1200/" \
 		-e "s/{{bounds.drain-ms}}/2000/" \
 		deploy/settings.yaml.in >"$WORK/$1.yaml"
 	launch "$1" "$BIN/knapweedstaird" --config "$WORK/$1.yaml"
