--- a/tests/run.sh
+++ b/tests/run.sh
@@ -59,6 +59,8 @@
 		known=$((known + 1))
 	else
 		echo "FAILED  $name"
+		# The logs of the processes after it may be longer than the tail.
+		grep -n '^FAILED' "$log.log" | sed 's/^/    /'
 		tail -n 60 "$log.log" | sed 's/^/    /'
 		failed=$((failed + 1))
 	fi
