gateway: log the end of a back-off

Operators saw when an upstream requested a back-off, and not when it was used again. The first request after it now writes a line, with how long after the end of the back-off it came.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -208,11 +208,13 @@
  * @leaving_us: when it first said that it leaves, 0 if it has not
  * @away_until_us: until when it wants no requests, 0 if it never asked
  * @next_send_us: earliest time of the next request
+ * @is_awaited: no request has been sent after that time yet
  */
 typedef struct ks_withdrawal {
 	int64_t leaving_us;
 	int64_t away_until_us;
 	int64_t next_send_us;
+	bool is_awaited;
 } ks_withdrawal_t;
 
 void ks_withdrawal_merge(ks_withdrawal_t *withdrawal,
@@ -222,7 +224,7 @@
 			    double draw, int64_t now_us);
 bool ks_withdrawal_is_away(const ks_withdrawal_t *withdrawal, int64_t now_us);
 bool ks_withdrawal_permits(const ks_withdrawal_t *withdrawal, int64_t now_us);
-void ks_withdrawal_record_send(ks_withdrawal_t *withdrawal, int64_t now_us);
+bool ks_withdrawal_record_send(ks_withdrawal_t *withdrawal, int64_t now_us);
 bool ks_withdrawal_accepts(const ks_withdrawal_t *withdrawal, int64_t notice_us,
 			   int64_t now_us);
 
--- a/packages/gateway/src/exchange_send.c
+++ b/packages/gateway/src/exchange_send.c
@@ -171,7 +171,13 @@
 		.no_retry = true,
 	};
 
-	ks_withdrawal_record_send(&member->withdrawal, now);
+	if (ks_withdrawal_record_send(&member->withdrawal, now))
+		ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
+		       "an upstream is used again after its back-off "
+		       "upstream=%s request=%s over_ms=%" PRId64,
+		       member->id, exchange->id,
+		       (now - member->withdrawal.away_until_us) /
+			       KS_USEC_PER_MSEC);
 	for (guint i = 0; i < exchange->request_fields->len; i++) {
 		const ks_header_t *field = &g_array_index(
 			exchange->request_fields, ks_header_t, i);
--- a/packages/gateway/src/withdrawal.c
+++ b/packages/gateway/src/withdrawal.c
@@ -45,6 +45,7 @@
 		MAX(withdrawal->away_until_us, other->away_until_us);
 	withdrawal->next_send_us =
 		MAX(withdrawal->next_send_us, other->next_send_us);
+	withdrawal->is_awaited |= other->is_awaited;
 }
 
 /* Reads digits with an optional fraction; anything else is no time. */
@@ -90,6 +91,7 @@
 	us += (int64_t)(draw * (double)spread_us);
 	withdrawal->away_until_us = MAX(withdrawal->away_until_us, now_us + us);
 	withdrawal->next_send_us = withdrawal->away_until_us;
+	withdrawal->is_awaited = true;
 	return true;
 }
 
@@ -113,14 +115,21 @@
 
 /**
  * ks_withdrawal_record_send() - record that a request is sent
+ *
+ * Return: whether it is the first one after a back-off.
  */
-void ks_withdrawal_record_send(ks_withdrawal_t *withdrawal, int64_t now_us)
+bool ks_withdrawal_record_send(ks_withdrawal_t *withdrawal, int64_t now_us)
 {
 	int64_t left_us = withdrawal->away_until_us + RETURN_US - now_us;
+	bool is_first =
+		withdrawal->is_awaited && now_us >= withdrawal->away_until_us;
 
-	if (!withdrawal->away_until_us || left_us <= 0)
-		return;
-	withdrawal->next_send_us = now_us + MAX_GAP_US * left_us / RETURN_US;
+	if (is_first)
+		withdrawal->is_awaited = false;
+	if (withdrawal->away_until_us && left_us > 0)
+		withdrawal->next_send_us =
+			now_us + MAX_GAP_US * left_us / RETURN_US;
+	return is_first;
 }
 
 /**
