--- a/packages/gateway/tests/test-peers.c
+++ b/packages/gateway/tests/test-peers.c
@@ -408,6 +408,28 @@
 	ks_loop_deinit(&loop);
 }
 
+/*
+ * Guards against a view of an earlier era of the store that confirms what this
+ * entry has read, or makes it read again.
+ */
+static void test_views_of_eras(void)
+{
+	ks_peer_view_t other = { .rank = 1 };
+	ks_view_t own = { ks_view_order(2, 3), 5, 10 };
+
+	other.view = (ks_view_t){ ks_view_order(1, 900), 5, 50 };
+	g_assert_cmpint(ks_view_fresh_us(&own, &other, 1), ==, 10);
+	other.view.digest = 6;
+	g_assert_false(ks_view_is_outdated(&own, &other.view));
+	g_assert_true(ks_view_is_outdated(&other.view, &own));
+	other.view = (ks_view_t){ ks_view_order(2, 1), 5, 60 };
+	g_assert_cmpint(ks_view_fresh_us(&own, &other, 1), ==, 60);
+	other.view = (ks_view_t){ ks_view_order(3, 1), 5, 70 };
+	g_assert_cmpint(ks_view_fresh_us(&own, &other, 1), ==, 70);
+	other.view.digest = 6;
+	g_assert_true(ks_view_is_outdated(&own, &other.view));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -423,5 +445,6 @@
 	g_test_add_func("/peers/fresh-view", test_fresh_view);
 	g_test_add_func("/peers/mismatched-views", test_mismatched_views);
 	g_test_add_func("/peers/reset-while-paused", test_reset_while_paused);
+	g_test_add_func("/peers/views-of-eras", test_views_of_eras);
 	return g_test_run();
 }
