soak: a replica ends only after the store has accepted that it leaves

The trace: the replica was told to end while the store was away for its return; its two reports that it leaves got 503, no gateway could know, and 2.5 s after the signal it ended.

--- a/tests/soak/soak-replica.c
+++ b/tests/soak/soak-replica.c
@@ -45,6 +45,8 @@
  * @second_of_100: while faults are on, so many of 100 whole answers are given
  *	a second time
  * @record: descriptor of the record
+ * @accepted_era: era in which the store accepted that the replica leaves, 0 if
+ *	it has not
  * @is_relayed: behind a relay, which may hold up or lose an answer; the replica
  *	then says nothing of itself
  * @running: requests that occupy a slot
@@ -75,6 +77,7 @@
 	bool is_relayed;
 	bool faulty;
 	bool leaving;
+	int64_t accepted_era;
 };
 
 /**
@@ -349,12 +352,36 @@
 						0.5));
 }
 
+static bool is_accepted(const ks_http_response_t *answer)
+{
+	if (answer->result == KS_HTTP_COMPLETE && answer->status == 200)
+		return true;
+	fprintf(stderr, "cannot write to the store: status %d\n",
+		answer->status);
+	return false;
+}
+
 static void on_announced(void *ctx, const ks_http_response_t *answer)
 {
 	(void)ctx;
-	if (answer->result != KS_HTTP_COMPLETE || answer->status != 200)
-		fprintf(stderr, "cannot write to the store: status %d\n",
-			answer->status);
+	is_accepted(answer);
+}
+
+/*
+ * The time to the exit begins when the store accepts that the replica leaves,
+ * and anew if it may have lost that since.
+ */
+static void on_leave_announced(void *ctx, const ks_http_response_t *answer)
+{
+	struct replica *replica = ctx;
+	int64_t era = 0;
+
+	if (!is_accepted(answer) ||
+	    !ks_str_parse_int(answer->wanted, 1, G_MAXINT64, &era) ||
+	    era == replica->accepted_era)
+		return;
+	replica->accepted_era = era;
+	ks_timer_set(&replica->exit, LEAVING_NOTICE_US);
 }
 
 static void announce(struct replica *replica)
@@ -371,6 +398,7 @@
 	ks_http_request_t request = { .address = replica->store,
 				      .method = KS_STR("POST"),
 				      .target = KS_STR("/-/rows-tx"),
+				      .wanted_field = "store-era",
 				      .timeout_us = STORE_TIMEOUT_US };
 
 	if (replica->stage)
@@ -383,7 +411,9 @@
 			 "remove");
 	body_text = json_dumps(body, JSON_COMPACT);
 	request.body = ks_str_from(body_text);
-	ks_http_fetch(&replica->client, &request, 65536, on_announced, replica);
+	ks_http_fetch(&replica->client, &request, 65536,
+		      replica->leaving ? on_leave_announced : on_announced,
+		      replica);
 	json_decref(row);
 	json_decref(body);
 	free(text);
@@ -476,7 +506,6 @@
 		} else if (!replica->leaving) {
 			replica->leaving = true;
 			announce(replica);
-			ks_timer_set(&replica->exit, LEAVING_NOTICE_US);
 		}
 	}
 }
--- a/tests/system/test-soak.sh
+++ b/tests/system/test-soak.sh
@@ -7,6 +7,7 @@
 
 SECONDS_EACH=8
 PLANNED_SEED=501
+RETURNS_SEED=9102
 
 keep=$(mktemp -d)
 trap 'rm -rf "$keep"' EXIT
@@ -31,8 +32,9 @@
 	done
 done
 run_seed $PLANNED_SEED --planned &
+run_seed $RETURNS_SEED --planned --returns &
 wait
-for seed in $seeds $PLANNED_SEED
+for seed in $seeds $PLANNED_SEED $RETURNS_SEED
 do
 	cat "$keep/$seed.out"
 	test "$(cat "$keep/$seed.status")" = 0 || failed="$failed $seed"
