connection, entry: do not wait a minute for an entry that has ended

What operators would see: an upstream process that was told to stop goes on for up to a minute (20 times silence_ms) after the entries have stopped.

Cause: it waits until its last frames are acknowledged. An entry that stops when its last request has ended does not wait for the attempts of callers that disconnected; their last frames arrive after its end. The server then kept the record of that entry until it expired.

An entry that stops now waits for its attempts on working links, for silence_ms at most. The server no longer waits for the acknowledgement of an entry that has been silent for as long as its idempotent jobs are cancelled after, 5 times silence_ms; this covers entries that are killed.

--- a/packages/connection/src/link_server.c
+++ b/packages/connection/src/link_server.c
@@ -370,15 +370,22 @@
 /**
  * ks_link_server_is_idle() - whether all jobs have ended and all their frames
  * are acknowledged
+ *
+ * No acknowledgement is expected from an entry that has been silent for so long
+ * that its idempotent jobs are cancelled.
  */
 bool ks_link_server_is_idle(const ks_link_server_t *server)
 {
 	GHashTableIter it;
-	void *peer;
+	void *value;
 
 	g_hash_table_iter_init(&it, server->peers_by_entry);
-	while (g_hash_table_iter_next(&it, NULL, &peer))
-		if (g_hash_table_size(((ks_link_peer_t *)peer)->jobs) > 0)
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const ks_link_peer_t *peer = value;
+
+		if (is_live(peer) ? g_hash_table_size(peer->jobs) > 0
+				  : has_running_job(peer))
 			return false;
+	}
 	return true;
 }
--- a/packages/connection/tests/test-link.c
+++ b/packages/connection/tests/test-link.c
@@ -188,7 +188,8 @@
 
 static void stop_pair(struct pair *pair)
 {
-	ks_link_client_free(pair->client);
+	if (pair->client)
+		ks_link_client_free(pair->client);
 	if (pair->server)
 		ks_link_server_free(pair->server);
 	zmq_ctx_term(pair->zmq);
@@ -387,6 +388,36 @@
 	stop_pair(&pair);
 }
 
+/*
+ * Guards against a server that waits for long for the acknowledgement of an
+ * entry that has ended, so that its process does not stop.
+ */
+static void test_link_entry_ended(void)
+{
+	ks_header_t header = { KS_STR("x-a"), KS_STR("b") };
+	ks_test_clock_t clock;
+	struct pair pair;
+
+	start_pair(&pair, &plain, &plain);
+	ks_test_clock_init(&clock, ks_loop_now(&pair.loop));
+	g_assert_true(run_until(&pair, is_up));
+	g_assert_nonnull(send(&pair, true));
+	g_assert_true(run_until(&pair, has_job));
+	ks_job_head(pair.job, 200, &header, 1);
+	ks_job_end(pair.job, KS_ERROR_NONE, KS_STR(""));
+	ks_link_client_free(pair.client);
+	pair.client = NULL;
+	clock.time_us = ks_loop_now(&pair.loop);
+	pair.loop.clock = &clock.clock;
+	ks_test_clock_advance(&clock, 4 * SILENCE_US);
+	ks_loop_run_once(&pair.loop, 0);
+	g_assert_false(ks_link_server_is_idle(pair.server));
+	ks_test_clock_advance(&clock, 2 * SILENCE_US);
+	ks_loop_run_once(&pair.loop, 0);
+	g_assert_true(ks_link_server_is_idle(pair.server));
+	stop_pair(&pair);
+}
+
 /* Guards against a leaving host whose upstream processes are not notified. */
 static void test_link_reports_leaving_host(void)
 {
@@ -474,6 +505,7 @@
 			test_link_needs_loopback_without_encryption);
 	g_test_add_func("/link/address-is-a-lock", test_link_address_is_a_lock);
 	g_test_add_func("/link/exchanges-config", test_link_exchanges_config);
+	g_test_add_func("/link/entry-ended", test_link_entry_ended);
 	g_test_add_func("/link/reports-leaving-host",
 			test_link_reports_leaving_host);
 	g_test_add_func("/link/ends-attempts-of-failed-peer",
--- a/packages/entry/src/entry.c
+++ b/packages/entry/src/entry.c
@@ -21,6 +21,29 @@
 	entry_plan_apply(entry, snapshot);
 }
 
+/* Outcomes not stored before the exit would become unknown. */
+static bool has_pending_requests(const ks_entry_t *entry)
+{
+	return !ks_list_is_empty(&entry->requests) ||
+	       !ks_ledger_is_idle(entry->ledger);
+}
+
+/*
+ * Attempts outlive a request whose caller has disconnected. Until their end is
+ * acknowledged, their upstream processes cannot stop. One that does not report
+ * the end within the time after which a link counts as lost is not waited for.
+ */
+static bool has_pending_attempts(ks_entry_t *entry)
+{
+	int64_t now = ks_loop_now(entry->loop);
+
+	if (!entry->requests_ended_us)
+		entry->requests_ended_us = now;
+	return entry_fleet_has_attempts(entry) &&
+	       now - entry->requests_ended_us <
+		       entry->settings->silence_ms * KS_USEC_PER_MSEC;
+}
+
 static void on_stop_timer(void *ctx)
 {
 	ks_entry_t *entry = ctx;
@@ -32,9 +55,7 @@
 		       "listener closed; waiting for %u requests in flight",
 		       entry->n_active);
 	}
-	/* Outcomes not stored before the exit would become unknown. */
-	if (ks_list_is_empty(&entry->requests) &&
-	    ks_ledger_is_idle(entry->ledger))
+	if (!has_pending_requests(entry) && !has_pending_attempts(entry))
 		ks_loop_stop(entry->loop);
 	else
 		ks_timer_set(&entry->stop_timer, STOP_CHECK_US);
--- a/packages/entry/src/entry_fleet.c
+++ b/packages/entry/src/entry_fleet.c
@@ -328,6 +328,22 @@
 	return true;
 }
 
+/**
+ * entry_fleet_has_attempts() - whether an attempt has not ended on a link that
+ * works
+ */
+bool entry_fleet_has_attempts(const ks_entry_t *entry)
+{
+	KS_LIST_FOREACH (it, &entry->upstreams) {
+		const struct entry_upstream *upstream =
+			KS_CONTAINER_OF(it, struct entry_upstream, node);
+
+		if (upstream->in_flight && !upstream->is_link_lost)
+			return true;
+	}
+	return false;
+}
+
 /**
  * entry_fleet_reap() - free withdrawn upstreams that are no longer in use
  */
--- a/packages/entry/src/entry_internal.h
+++ b/packages/entry/src/entry_internal.h
@@ -326,6 +326,8 @@
  * @tenants: struct entry_tenant *
  * @hosts_timer: next poll of the list of hosts that are about to leave
  * @reap_timer: frees withdrawn upstreams
+ * @requests_ended_us: when a stopping process had no pending request, 0 until
+ *	then
  */
 struct ks_entry {
 	ks_loop_t *loop;
@@ -358,6 +360,7 @@
 	bool stopping;
 	bool listener_closed;
 	int64_t stop_us;
+	int64_t requests_ended_us;
 };
 
 /* entry_http.c */
@@ -385,6 +388,7 @@
 void entry_fleet_init(ks_entry_t *entry);
 void entry_fleet_apply(ks_entry_t *entry, ks_snapshot_t *snapshot);
 void entry_fleet_poll_hosts(void *ctx);
+bool entry_fleet_has_attempts(const ks_entry_t *entry);
 void entry_fleet_reap(void *ctx);
 void entry_fleet_deinit(ks_entry_t *entry);
 
--- a/packages/entry/tests/test-entry.c
+++ b/packages/entry/tests/test-entry.c
@@ -26,6 +26,8 @@
 	"[{\"role\":\"user\",\"content\":\"hi\"}]}"
 /* Limit of event loop iterations while waiting for a condition. */
 #define MAX_LOOP_ITERATIONS 2000
+#define DRAIN_DELAY_US (2000 * KS_USEC_PER_MSEC)
+#define SILENCE_US (3000 * KS_USEC_PER_MSEC)
 #define LOOP_TIMEOUT_US (5 * KS_USEC_PER_MSEC)
 
 static struct fixture {
@@ -207,7 +209,8 @@
 	settings->max_answer_kib = 1;
 	settings->max_requests = 100;
 	settings->poll_ms = 5000;
-	settings->drain_delay_ms = 2000;
+	settings->drain_delay_ms = DRAIN_DELAY_US / KS_USEC_PER_MSEC;
+	settings->silence_ms = SILENCE_US / KS_USEC_PER_MSEC;
 	settings->subset = 64;
 	settings->lease_ms = 15000;
 	settings->store_writes_per_s = 20;
@@ -1122,6 +1125,50 @@
 	tear_down();
 }
 
+static bool stops_within(int64_t duration_us)
+{
+	for (int64_t us = 0; us < duration_us && !fx.loop.stopping;
+	     us += 100 * KS_USEC_PER_MSEC) {
+		ks_test_clock_advance(&fx.clock, 100 * KS_USEC_PER_MSEC);
+		run_loop_once();
+	}
+	return fx.loop.stopping;
+}
+
+/*
+ * Guards against an entry that stops before an attempt without a caller has
+ * ended. Its upstream process would wait for the acknowledgement and not stop.
+ * With @ends false, the end is not reported, and the entry must stop all the
+ * same.
+ */
+static void check_stop_awaits_attempt(bool ends)
+{
+	struct call *call;
+
+	set_up();
+	call = start_completion(STREAM_BODY);
+	WAIT_FOR(double_attempts->len == 1);
+	ks_http_call_cancel(&call->call);
+	for (int i = 0;
+	     i < MAX_LOOP_ITERATIONS && !double_attempt(0)->cancelled; i++) {
+		ks_test_clock_advance(&fx.clock, 300 * KS_USEC_PER_MSEC);
+		run_loop_once();
+	}
+	ks_entry_stop(fx.entry);
+	g_assert_false(stops_within(DRAIN_DELAY_US + SILENCE_US / 2));
+	if (ends)
+		double_end(double_attempt(0), KS_ERROR_OUTCOME_UNKNOWN);
+	g_assert_true(stops_within(SILENCE_US));
+	free_call(call);
+	tear_down();
+}
+
+static void test_stop_awaits_attempts(void)
+{
+	check_stop_awaits_attempt(true);
+	check_stop_awaits_attempt(false);
+}
+
 /* Guards against writing planner leases when no engine has a role. */
 static void test_no_planner_without_roles(void)
 {
@@ -1373,6 +1420,7 @@
 	{ "/entry/tenant-limit", test_tenant_is_limited },
 	{ "/entry/usage", test_usage_updates_prefix_cache },
 	{ "/entry/stop", test_stop_is_graceful },
+	{ "/entry/stop-awaits-attempts", test_stop_awaits_attempts },
 	{ "/entry/operators-pages", test_status_models_and_metrics },
 	{ "/entry/not-ready", test_not_ready_without_snapshot },
 	{ "/entry/no-planner-without-roles", test_no_planner_without_roles },
