entry: a claim that the store has lost does not let a charge run twice

What callers would see: a charge runs a second time if it is sent again with its idempotency key after the store has returned from a copy that is some seconds old.

Cause: the claim of the first request is gone with the copy, so the second request inserts a claim of its own, and the entry sends it.

The driver of the product's own store now compares the era of each answer (Store-Era, docs/platform.md) and tells it to the users of the store; an answer of another era than that of its call does not count. Before an entry sends a request whose claim was inserted, taken over or read in an era, it asks when that era began: row era/N, written once by the first entry that needs it. A key that was issued before then, with a margin for the clocks of callers and entries, may have been claimed before the return: the outcome is unknown and the request is not sent. The margin of ten minutes is a question for the callers, see docs/platform.md. Stores that tell no era are used as before.

--- a/packages/entry/src/ledger.c
+++ b/packages/entry/src/ledger.c
@@ -37,13 +37,17 @@
 /**
  * ks_ledger_record_event() - pass the result of a store operation to the
  * state machine
+ * @row: the claim's row after a write, NULL if the write was not done
  */
 void ks_ledger_record_event(ks_ledger_record_t *record,
-			    ks_store_outcome_t outcome, ks_str_t etag)
+			    ks_store_outcome_t outcome, const ks_row_t *row)
 {
-	run_step(record, ks_claim_machine_event(
-				 &record->machine, event_from_outcome(outcome),
-				 etag, current_times(record->ledger)));
+	if (row)
+		record->era = row->era;
+	run_step(record, ks_claim_machine_event(&record->machine,
+						event_from_outcome(outcome),
+						row ? row->etag : KS_STR(""),
+						current_times(record->ledger)));
 }
 
 static void free_record(ks_ledger_record_t *record)
@@ -53,6 +57,7 @@
 		record->op->record = NULL;
 	ks_list_remove(&record->node);
 	ks_list_remove(&record->waiting);
+	ks_list_remove(&record->parked);
 	ks_timer_clear(&record->deadline);
 	ks_timer_clear(&record->wait);
 	ks_claim_machine_deinit(&record->machine);
@@ -89,8 +94,7 @@
 	ks_ledger_record_t *record = end_op(ctx);
 
 	if (record)
-		ks_ledger_record_event(record, outcome,
-				       row ? row->etag : KS_STR(""));
+		ks_ledger_record_event(record, outcome, row);
 }
 
 static void write_claim(ks_ledger_record_t *record, const ks_claim_t *claim)
@@ -149,8 +153,7 @@
 	if (outcome == KS_STORE_DONE && row && row->value.len && record->events)
 		replay(record, row->value);
 	else
-		ks_ledger_record_event(record, KS_STORE_UNREACHABLE,
-				       KS_STR(""));
+		ks_ledger_record_event(record, KS_STORE_UNREACHABLE, NULL);
 }
 
 static void start_replay(ks_ledger_record_t *record)
@@ -191,10 +194,10 @@
 	present = outcome == KS_STORE_DONE && row->etag.len;
 	if (outcome != KS_STORE_DONE ||
 	    (present && !decode_row(record, row->value))) {
-		ks_ledger_record_event(record, KS_STORE_UNREACHABLE,
-				       KS_STR(""));
+		ks_ledger_record_event(record, KS_STORE_UNREACHABLE, NULL);
 		return;
 	}
+	record->era = row->era;
 	run_step(record,
 		 ks_claim_machine_row(&record->machine,
 				      present ? &record->row : NULL, row->etag,
@@ -222,6 +225,32 @@
 					 current_times(record->ledger)));
 }
 
+/**
+ * ks_ledger_dispatch() - let the owner send the request
+ */
+void ks_ledger_dispatch(ks_ledger_record_t *record)
+{
+	ks_timer_clear(&record->deadline);
+	record->events->dispatch(record->ctx, record->machine.claim.attempt);
+}
+
+/**
+ * ks_ledger_refuse() - end a request that holds its claim and was not
+ * dispatched
+ * @state: stored as the end of the claim
+ */
+void ks_ledger_refuse(ks_ledger_record_t *record, ks_error_kind_t kind,
+		      ks_claim_state_t state)
+{
+	const ks_ledger_events_t *events = record->events;
+	void *ctx = record->ctx;
+
+	release_owner(record);
+	events->fail(ctx, kind);
+	run_step(record, ks_claim_machine_end(&record->machine, state,
+					      current_times(record->ledger)));
+}
+
 static void run_step(ks_ledger_record_t *record, ks_claim_step_t step)
 {
 	ks_store_t *store = record->ledger->store;
@@ -247,9 +276,7 @@
 			ks_backoff_next(&record->backoff, record->ledger->rng));
 		break;
 	case KS_CLAIM_STEP_DISPATCH:
-		ks_timer_clear(&record->deadline);
-		record->events->dispatch(record->ctx,
-					 record->machine.claim.attempt);
+		ks_ledger_era_dispatch(record);
 		break;
 	case KS_CLAIM_STEP_REPLAY:
 		start_replay(record);
@@ -282,6 +309,11 @@
 {
 	ks_ledger_record_t *record = ctx;
 
+	if (ks_ledger_era_unpark(record)) {
+		ks_ledger_refuse(record, KS_ERROR_DEADLINE_NOT_RUN,
+				 KS_CLAIM_NOT_RUN);
+		return;
+	}
 	ks_timer_clear(&record->wait);
 	cancel_unsent_insert(record);
 	run_step(record,
@@ -311,10 +343,12 @@
 
 	record->ledger = ledger;
 	record->key = ks_claim_row_key(key, tenant);
+	record->issued_us = key->issued_us;
 	record->hour = ks_claim_hour(key->issued_us);
 	record->events = events;
 	record->ctx = ctx;
 	ks_list_init(&record->waiting);
+	ks_list_init(&record->parked);
 	ks_list_append(&ledger->records, &record->node);
 	ks_backoff_init(&record->backoff, BACKOFF_BASE_US, BACKOFF_MAX_US);
 	ks_claim_machine_init(&record->machine, fingerprint, &ledger->holder,
@@ -334,6 +368,8 @@
 /* Stores how the attempt ended; the owner gets no event for it. */
 static void end_record(ks_ledger_record_t *record, ks_claim_state_t state)
 {
+	if (ks_ledger_era_unpark(record))
+		state = KS_CLAIM_NOT_RUN;
 	release_owner(record);
 	ks_timer_clear(&record->wait);
 	cancel_unsent_insert(record);
@@ -466,6 +502,7 @@
 	ledger->holder = *holder;
 	ks_list_init(&ledger->records);
 	ks_ledger_group_init(ledger);
+	ks_ledger_era_init(ledger);
 	ledger->sweep = ks_claim_sweep_new(loop, store, wall, rng);
 	return ledger;
 }
@@ -481,6 +518,7 @@
 	KS_LIST_FOREACH_SAFE (it, next, &ledger->records)
 		free_record(KS_CONTAINER_OF(it, ks_ledger_record_t, node));
 	ks_ledger_group_deinit(ledger);
+	ks_ledger_era_deinit(ledger);
 	ks_claim_sweep_free(ledger->sweep);
 	g_free(ledger);
 }
--- a/packages/entry/src/ledger.h
+++ b/packages/entry/src/ledger.h
@@ -1,4 +1,4 @@
-/* Declarations shared by ledger.c and ledger_group.c. */
+/* Declarations shared by ledger.c, ledger_group.c and ledger_era.c. */
 #ifndef KS_PROCESS_LEDGER_H
 #define KS_PROCESS_LEDGER_H
 
@@ -33,6 +33,11 @@
  * @groups: transactions in flight
  * @n_groups: number of transactions in @groups
  * @group_timer: sends the claims in @waiting
+ * @era: highest era of the store that was looked up, see struct ks_row
+ * @is_era_known: @era_since_us is when it began
+ * @era_since_us: Unix time
+ * @parked: records whose claim was inserted in an era that is not known yet
+ * @lookup: lookup in flight
  */
 struct ks_ledger {
 	ks_loop_t *loop;
@@ -45,6 +50,11 @@
 	ks_list_t groups;
 	unsigned n_groups;
 	ks_timer_t group_timer;
+	uint64_t era;
+	bool is_era_known;
+	int64_t era_since_us;
+	ks_list_t parked;
+	struct ks_ledger_lookup *lookup;
 	ks_claim_sweep_t *sweep;
 };
 
@@ -52,7 +62,10 @@
  * struct ks_ledger_record - a request that holds or waits for a claim
  * @waiting: node in the list @waiting of the ledger
  * @key: key of the claim's row
- * @hour: hour in which the idempotency key was issued, part of the row key
+ * @parked: node in the list @parked of the ledger
+ * @era: era of the store in which the claim was last inserted or read
+ * @issued_us: when the idempotency key was issued, Unix time
+ * @hour: hour of @issued_us, part of the row key
  * @row: the claim in the store, as last read
  * @events: NULL once the owner has received its last event
  * @op: store operation in flight
@@ -66,9 +79,12 @@
 struct ks_ledger_record {
 	ks_list_t node;
 	ks_list_t waiting;
+	ks_list_t parked;
 	ks_ledger_t *ledger;
 	ks_claim_machine_t machine;
 	char *key;
+	uint64_t era;
+	int64_t issued_us;
 	int64_t hour;
 	ks_claim_t row;
 	const ks_ledger_events_t *events;
@@ -84,7 +100,15 @@
 };
 
 void ks_ledger_record_event(ks_ledger_record_t *record,
-			    ks_store_outcome_t outcome, ks_str_t etag);
+			    ks_store_outcome_t outcome, const ks_row_t *row);
+void ks_ledger_dispatch(ks_ledger_record_t *record);
+void ks_ledger_refuse(ks_ledger_record_t *record, ks_error_kind_t kind,
+		      ks_claim_state_t state);
+
+void ks_ledger_era_init(ks_ledger_t *ledger);
+void ks_ledger_era_deinit(ks_ledger_t *ledger);
+void ks_ledger_era_dispatch(ks_ledger_record_t *record);
+bool ks_ledger_era_unpark(ks_ledger_record_t *record);
 
 void ks_ledger_group_init(ks_ledger_t *ledger);
 void ks_ledger_group_deinit(ks_ledger_t *ledger);
--- a/packages/entry/src/ledger_group.c
+++ b/packages/entry/src/ledger_group.c
@@ -84,13 +84,13 @@
 				       &record->waiting);
 		else
 			ks_ledger_record_event(record, KS_STORE_UNREACHABLE,
-					       KS_STR(""));
+					       NULL);
 	}
 	if (located && record_at(group, (size_t)failed)) {
 		ks_ledger_record_t *record = record_at(group, (size_t)failed);
 
 		record->group = NULL;
-		ks_ledger_record_event(record, KS_STORE_REFUSED, KS_STR(""));
+		ks_ledger_record_event(record, KS_STORE_REFUSED, NULL);
 	}
 }
 
@@ -107,8 +107,8 @@
 			continue;
 		record->group = NULL;
 		ks_ledger_record_event(record, outcome,
-				       outcome == KS_STORE_DONE ? rows[i].etag
-								: KS_STR(""));
+				       outcome == KS_STORE_DONE ? &rows[i]
+								: NULL);
 	}
 }
 
--- a/packages/entry/tests/prop-ledger.cpp
+++ b/packages/entry/tests/prop-ledger.cpp
@@ -269,7 +269,10 @@
 	size_t process = a.process % N_ENTRIES;
 	entry_process *e = m->entries[process].get();
 
-	switch (a.kind % 8) {
+	switch (a.kind) {
+	case 8:
+		m->t.go_back_to(m->w.now() - (int64_t)(a.arg % 40) * 750 * MS);
+		break;
 	case 0:
 		e->proc->paused_until =
 			m->w.now() + (1 + a.arg % 40) * 500 * MS;
@@ -313,52 +316,60 @@
 	}
 }
 
-bool check_at_most_once()
+/*
+ * The store tells its era, and the first one began long before the keys were
+ * issued, so that these are dispatched until it returns from an older copy.
+ */
+void start_eras(model *m)
 {
-	return rc::check(
-		"a key is dispatched at most once for each attempt that is "
-		"not marked as not run",
-		[](const std::vector<uint8_t> &faults,
-		   const std::vector<uint8_t> &ends) {
-			auto actions = *rc::gen::container<std::vector<action>>(
-				rc::gen::build<action>(
-					rc::gen::set(&action::delay,
-						     rc::gen::inRange(0u, 40u)),
-					rc::gen::set(&action::kind,
-						     rc::gen::inRange(0u, 8u)),
-					rc::gen::set(&action::process,
-						     rc::gen::inRange(0u, 3u)),
-					rc::gen::set(
-						&action::arg,
-						rc::gen::inRange(0u, 40u))));
-			auto skews = *rc::gen::container<std::vector<int>>(
-				N_ENTRIES, rc::gen::inRange(-30, 31));
-			model m(faults, ends);
-
-			for (size_t i = 0; i < N_ENTRIES; i++)
-				add_entry(&m, i, skews[i] * SEC);
-			for (const action &a : actions) {
-				/* Short and long delays between the actions. */
-				int64_t gap = a.delay < 20 ? a.delay * 2 * MS
-							   : (a.delay - 19) *
-								     700 * MS;
-
-				run_until(&m.w, m.processes(), m.w.now() + gap);
-				perform(&m, a);
-			}
-			m.w.faults.values.clear();
-			run_until(&m.w, m.processes(), m.w.now() + SETTLED);
-			/*
-			 * A late duplicate of each key, after all operations.
-			 */
-			for (int key = 0; key < N_KEYS; key++)
-				begin(&m, 0, key, 0, 5 * SEC);
-			run_until(&m.w, m.processes(), m.w.now() + SETTLED);
-			for (const auto &v : m.violations)
-				RC_FAIL(v);
-			check_ended(&m);
-			check_idle(&m);
-		});
+	m->t.clock = &m->w.clock;
+	m->t.era = 1;
+	m->t.rows["era/1"] = { "e0", std::to_string(990000 * SEC) };
+	m->t.copy();
+}
+
+/* With @returns, the store goes back by up to 30 s at any moment. */
+bool check_at_most_once(const char *name, bool returns)
+{
+	return rc::check(name, [returns](const std::vector<uint8_t> &faults,
+					 const std::vector<uint8_t> &ends) {
+		auto actions = *rc::gen::container<
+			std::vector<action>>(rc::gen::build<action>(
+			rc::gen::set(&action::delay, rc::gen::inRange(0u, 40u)),
+			rc::gen::set(&action::kind,
+				     rc::gen::inRange(0u, returns ? 9u : 8u)),
+			rc::gen::set(&action::process,
+				     rc::gen::inRange(0u, 3u)),
+			rc::gen::set(&action::arg, rc::gen::inRange(0u, 40u))));
+		auto skews = *rc::gen::container<std::vector<int>>(
+			N_ENTRIES, rc::gen::inRange(-30, 31));
+		model m(faults, ends);
+
+		if (returns)
+			start_eras(&m);
+		for (size_t i = 0; i < N_ENTRIES; i++)
+			add_entry(&m, i, skews[i] * SEC);
+		for (const action &a : actions) {
+			/* Short and long delays between the actions. */
+			int64_t gap = a.delay < 20 ? a.delay * 2 * MS
+						   : (a.delay - 19) * 700 * MS;
+
+			run_until(&m.w, m.processes(), m.w.now() + gap);
+			perform(&m, a);
+		}
+		m.w.faults.values.clear();
+		run_until(&m.w, m.processes(), m.w.now() + SETTLED);
+		/*
+		 * A late duplicate of each key, after all operations.
+		 */
+		for (int key = 0; key < N_KEYS; key++)
+			begin(&m, 0, key, 0, 5 * SEC);
+		run_until(&m.w, m.processes(), m.w.now() + SETTLED);
+		for (const auto &v : m.violations)
+			RC_FAIL(v);
+		check_ended(&m);
+		check_idle(&m);
+	});
 }
 /* Guards against one write per claim, which would overload the store. */
 bool check_grouping()
@@ -464,6 +475,13 @@
 	ok = check_split() && ok;
 	ok = check_store_outage() && ok;
 	ok = check_sweep() && ok;
-	ok = check_at_most_once() && ok;
+	ok = check_at_most_once("a key is dispatched at most once for each "
+				"attempt that is not marked as not run",
+				false) &&
+	     ok;
+	ok = check_at_most_once("the same if the store returns from older "
+				"copies",
+				true) &&
+	     ok;
 	return ok ? 0 : 1;
 }
--- a/packages/request/include/ks/request.h
+++ b/packages/request/include/ks/request.h
@@ -578,6 +578,8 @@
 				     ks_claim_times_t now);
 ks_claim_step_t ks_claim_machine_resume(ks_claim_machine_t *machine,
 					ks_claim_times_t now);
+bool ks_claim_machine_is_late(const ks_claim_machine_t *machine,
+			      ks_claim_times_t now);
 ks_claim_step_t ks_claim_machine_deadline(ks_claim_machine_t *machine,
 					  ks_claim_times_t now);
 ks_claim_step_t ks_claim_machine_end(ks_claim_machine_t *machine,
--- a/packages/request/src/claim_machine.c
+++ b/packages/request/src/claim_machine.c
@@ -59,8 +59,12 @@
 	machine->etag = NULL;
 }
 
-static bool is_past_deadline(const ks_claim_machine_t *machine,
-			     ks_claim_times_t now)
+/**
+ * ks_claim_machine_is_late() - whether the attempt must not be dispatched any
+ * more
+ */
+bool ks_claim_machine_is_late(const ks_claim_machine_t *machine,
+			      ks_claim_times_t now)
 {
 	return now.loop_us >= machine->deadline.loop_us ||
 	       now.wall_us >= machine->deadline.wall_us;
@@ -125,7 +129,7 @@
 {
 	machine->held = true;
 	set_etag(machine, etag);
-	if (is_past_deadline(machine, now))
+	if (ks_claim_machine_is_late(machine, now))
 		return fail_request(machine, deadline_failure(machine), now);
 	machine->phase = KS_CLAIM_DISPATCHED;
 	return next_step(machine, KS_CLAIM_STEP_DISPATCH);
--- a/packages/store/include/ks/store.h
+++ b/packages/store/include/ks/store.h
@@ -130,6 +130,8 @@
  * @store: interface to pass to users of the store
  * @token: bearer token, or NULL
  * @timeout_us: timeout of each call in microseconds
+ * @era: highest era of a response, see struct ks_row
+ * @answered: a response was received, so @era is known
  */
 typedef struct ks_store_http {
 	ks_store_t store;
@@ -137,6 +139,8 @@
 	ks_address_t address;
 	char *token;
 	int64_t timeout_us;
+	int64_t era;
+	bool answered;
 } ks_store_http_t;
 
 void ks_store_http_init(ks_store_http_t *driver, ks_http_client_t *client,
--- a/packages/store/src/store_http.c
+++ b/packages/store/src/store_http.c
@@ -11,6 +11,10 @@
 #define NO_EFFECT_FIELD "x-effect"
 #define NO_EFFECT_VALUE "none"
 
+/* How often the store has returned from an older copy, see struct ks_row. */
+#define ERA_FIELD "store-era"
+#define ERA_INVALID (-1)
+
 #define STATUS_NOT_FOUND 404
 #define STATUS_PRECONDITION_FAILED 412
 
@@ -24,9 +28,15 @@
 /*
  * An operation in progress. Exactly one of row_func and rows_func is set.
  * no_effect is set if the response says that the call has not changed anything.
+ * sent_era and was_answered are fields of the driver when the call was sent,
+ * era is that of the response.
  */
 struct operation {
 	ks_http_call_t call;
+	ks_store_http_t *driver;
+	int64_t sent_era;
+	bool was_answered;
+	int64_t era;
 	ks_timer_t reject_timer;
 	enum operation_kind kind;
 	ks_store_row_func_t row_func;
@@ -52,8 +62,12 @@
 	struct operation *op = ctx;
 	ks_str_t etag = ks_header_value(headers, n_headers, "etag");
 	ks_str_t effect = ks_header_value(headers, n_headers, NO_EFFECT_FIELD);
+	ks_str_t era = ks_header_value(headers, n_headers, ERA_FIELD);
 
 	op->status = status;
+	op->era = 0;
+	if (era.len && !ks_str_parse_int(era, 1, KS_ROW_MAX_ERA, &op->era))
+		op->era = ERA_INVALID;
 	op->no_effect = ks_str_equal(effect, KS_STR(NO_EFFECT_VALUE));
 	g_string_append_len(op->etag, etag.data, (gssize)etag.len);
 }
@@ -68,6 +82,31 @@
 		g_string_append_len(op->body, data.data, (gssize)data.len);
 }
 
+/*
+ * Notes the era of a response. One of another era than that of the request does
+ * not count: its tags and contents were given out under other conditions.
+ */
+static bool check_era(const struct operation *op)
+{
+	ks_store_http_t *driver = op->driver;
+
+	if (op->era < driver->era) {
+		ks_log(KS_LOG_STORE, KS_LOG_WARN,
+		       "a response of an earlier era of the store is ignored "
+		       "era=%" PRId64 " current=%" PRId64,
+		       op->era, driver->era);
+		return false;
+	}
+	if (op->era > driver->era && driver->answered)
+		ks_log(KS_LOG_STORE, KS_LOG_WARN,
+		       "the store has returned from an older copy era=%" PRId64
+		       " before=%" PRId64,
+		       op->era, driver->era);
+	driver->era = op->era;
+	driver->answered = true;
+	return !op->was_answered || op->sent_era == op->era;
+}
+
 /* Outcome of a call that may have reached the store but failed. */
 static ks_store_outcome_t outcome_on_failure(const struct operation *op)
 {
@@ -79,7 +118,7 @@
 {
 	if (result == KS_HTTP_NOT_SENT)
 		return KS_STORE_UNREACHABLE;
-	if (result != KS_HTTP_COMPLETE || op->too_large)
+	if (result != KS_HTTP_COMPLETE || op->too_large || !check_era(op))
 		return outcome_on_failure(op);
 	if (op->status >= 200 && op->status < 300)
 		return KS_STORE_DONE;
@@ -95,7 +134,8 @@
 static void finish_row(struct operation *op, ks_store_outcome_t outcome)
 {
 	bool exists = op->status != STATUS_NOT_FOUND;
-	ks_row_t row = { .key = ks_str_from(op->key) };
+	ks_row_t row = { .key = ks_str_from(op->key),
+			 .era = (uint64_t)op->era };
 
 	if (outcome == KS_STORE_DONE && exists) {
 		row.etag = (ks_str_t){ op->etag->str, op->etag->len };
@@ -133,6 +173,8 @@
 		outcome = outcome_on_failure(op);
 	if (outcome == KS_STORE_REFUSED)
 		failed = ks_store_failed_index_parse(body, op->n_writes);
+	for (size_t i = 0; i < rows.n_rows; i++)
+		rows.rows[i].era = (uint64_t)op->era;
 	if (outcome == KS_STORE_DONE)
 		report_rows(op, outcome, rows.rows, rows.n_rows, failed);
 	else
@@ -200,11 +242,15 @@
 	return false;
 }
 
-static struct operation *new_operation(enum operation_kind kind, ks_str_t key,
+static struct operation *new_operation(ks_store_http_t *driver,
+				       enum operation_kind kind, ks_str_t key,
 				       void *ctx)
 {
 	struct operation *op = g_new0(struct operation, 1);
 
+	op->driver = driver;
+	op->sent_era = driver->era;
+	op->was_answered = driver->answered;
 	op->kind = kind;
 	op->key = ks_str_dup(key);
 	op->ctx = ctx;
@@ -266,7 +312,7 @@
 static void store_get(void *impl, ks_str_t key, ks_store_row_func_t func,
 		      void *ctx)
 {
-	struct operation *op = new_operation(OPERATION_READ, key, ctx);
+	struct operation *op = new_operation(impl, OPERATION_READ, key, ctx);
 
 	op->row_func = func;
 	start_on_key(impl, op, "GET", "/v1/rows/", key, NULL, KS_STR(""));
@@ -275,7 +321,7 @@
 static void store_list(void *impl, ks_str_t prefix, ks_store_rows_func_t func,
 		       void *ctx)
 {
-	struct operation *op = new_operation(OPERATION_LIST, prefix, ctx);
+	struct operation *op = new_operation(impl, OPERATION_LIST, prefix, ctx);
 
 	op->rows_func = func;
 	start_on_key(impl, op, "GET", "/v1/rows?prefix=", prefix, NULL,
@@ -299,7 +345,7 @@
 			ks_store_row_func_t func, void *ctx)
 {
 	struct operation *op = new_operation(
-		write->check_only ? OPERATION_TRANSACT : OPERATION_WRITE,
+		impl, write->check_only ? OPERATION_TRANSACT : OPERATION_WRITE,
 		write->key, ctx);
 	ks_header_t condition = { KS_STR("if-match"), write->etag };
 
@@ -322,8 +368,9 @@
 			   size_t n_writes, ks_store_rows_func_t func,
 			   void *ctx)
 {
-	struct operation *op = new_operation(
-		OPERATION_TRANSACT, n_writes ? writes[0].key : KS_STR(""), ctx);
+	struct operation *op =
+		new_operation(impl, OPERATION_TRANSACT,
+			      n_writes ? writes[0].key : KS_STR(""), ctx);
 
 	op->rows_func = func;
 	start_transaction(impl, op, writes, n_writes);
@@ -332,7 +379,8 @@
 static void store_remove_prefix(void *impl, ks_str_t prefix,
 				ks_store_row_func_t func, void *ctx)
 {
-	struct operation *op = new_operation(OPERATION_WRITE, prefix, ctx);
+	struct operation *op =
+		new_operation(impl, OPERATION_WRITE, prefix, ctx);
 
 	op->row_func = func;
 	start_on_key(impl, op, "DELETE", "/v1/rows?prefix=", prefix, NULL,
@@ -342,7 +390,7 @@
 static void store_object_get(void *impl, ks_str_t name,
 			     ks_store_row_func_t func, void *ctx)
 {
-	struct operation *op = new_operation(OPERATION_READ, name, ctx);
+	struct operation *op = new_operation(impl, OPERATION_READ, name, ctx);
 
 	op->row_func = func;
 	start_on_key(impl, op, "GET", "/v1/objects/", name, NULL, KS_STR(""));
@@ -351,7 +399,7 @@
 static void store_object_put(void *impl, ks_str_t name, ks_str_t body,
 			     ks_store_row_func_t func, void *ctx)
 {
-	struct operation *op = new_operation(OPERATION_WRITE, name, ctx);
+	struct operation *op = new_operation(impl, OPERATION_WRITE, name, ctx);
 
 	op->row_func = func;
 	start_on_key(impl, op, "PUT", "/v1/objects/", name, NULL, body);
@@ -381,6 +429,8 @@
 	driver->address = *address;
 	driver->token = g_strdup(token);
 	driver->timeout_us = DEFAULT_TIMEOUT_US;
+	driver->era = 0;
+	driver->answered = false;
 }
 
 /**
--- a/packages/store/tests/test-store-http.c
+++ b/packages/store/tests/test-store-http.c
@@ -18,6 +18,7 @@
 	ks_store_outcome_t outcome;
 	char *etag;
 	char *value;
+	uint64_t era;
 	size_t n_rows;
 	int failed;
 };
@@ -47,6 +48,7 @@
 		return;
 	result->etag = ks_str_dup(row->etag);
 	result->value = ks_str_dup(row->value);
+	result->era = row->era;
 }
 
 static void on_rows(void *ctx, ks_store_outcome_t outcome, const ks_row_t *rows,
@@ -87,6 +89,8 @@
 {
 	fake_platform_reset(&platform);
 	driver.timeout_us = 5 * KS_USEC_PER_SEC;
+	driver.era = 0;
+	driver.answered = false;
 }
 
 /*
@@ -336,6 +340,54 @@
 	hosts->first = n_leaving ? ks_str_dup(leaving[0]) : NULL;
 }
 
+static void on_controlled(void *ctx, const ks_http_response_t *response)
+{
+	g_assert_cmpint(response->status, ==, 200);
+	*(bool *)ctx = true;
+}
+
+/* Takes a copy, or returns to it. */
+static void control(const char *body)
+{
+	ks_http_request_t request = { .address = driver.address,
+				      .method = KS_STR("POST"),
+				      .target = KS_STR("/control"),
+				      .body = ks_str_from(body) };
+	bool done = false;
+
+	ks_http_fetch(driver.client, &request, 1000, on_controlled, &done);
+	wait_for(&done);
+}
+
+/*
+ * Guards against the response to a call that a return from an older copy
+ * overtakes counting as its result, and against an era that users are not told.
+ */
+static void test_store_era(void)
+{
+	struct result result = { 0 };
+	ks_store_write_t write = { .key = KS_STR("a"), .value = KS_STR("1") };
+	ks_store_write_t check = { .key = KS_STR("b"), .value = KS_STR("2") };
+
+	reset_platform();
+	control("{\"copy\":true}");
+	g_assert_cmpint(write_row(&result, &write), ==, KS_STORE_DONE);
+	g_assert_cmpuint(result.era, ==, 0);
+	control("{\"return\":true}");
+	g_assert_cmpint(get(&result, "a"), ==, KS_STORE_UNREACHABLE);
+	g_assert_cmpint(get(&result, "a"), ==, KS_STORE_DONE);
+	g_assert_cmpstr(result.etag, ==, "");
+	g_assert_cmpuint(result.era, ==, 1);
+	control("{\"return\":true}");
+	g_assert_cmpint(write_row(&result, &write), ==, KS_STORE_UNKNOWN);
+	g_assert_cmpint(transact(&result, &check, 1), ==, KS_STORE_DONE);
+	g_assert_cmpuint(result.era, ==, 2);
+	/* An earlier era, as if another store answered. */
+	driver.era = 3;
+	g_assert_cmpint(get(&result, "a"), ==, KS_STORE_UNREACHABLE);
+	clear_result(&result);
+}
+
 /*
  * Guards against reporting other hosts as leaving, and against reporting a
  * failure as an empty list.
@@ -402,6 +454,7 @@
 			test_store_no_connection_is_unreachable);
 	g_test_add_func("/store-http/sends-its-token",
 			test_store_sends_its_token);
+	g_test_add_func("/store-http/era", test_store_era);
 	g_test_add_func("/platform-http/hosts", test_platform_hosts);
 	status = g_test_run();
 	ks_store_http_deinit(&driver);
--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -18,6 +18,10 @@
 
 /**
  * struct fake_platform - the platform's data and the injected faults
+ * @copy: what the store had when the copy was taken
+ * @has_copy: a copy was taken
+ * @era: how often the store has returned from it, and what it tells in each
+ *	response; 0 if it has not
  * @token: bearer token that clients must send, or NULL
  * @weight_rate: limits the downloads of model weights
  * @down: the store responds with 503 to all requests
@@ -37,6 +41,9 @@
 	ks_loop_t *loop;
 	ks_http_server_t server;
 	fake_tables_t tables;
+	fake_tables_t copy;
+	bool has_copy;
+	unsigned era;
 	char *token;
 	fake_rate_t write_rate;
 	fake_rate_t read_rate;
--- a/tests/fakes/fake_platform_control.c
+++ b/tests/fakes/fake_platform_control.c
@@ -40,6 +40,13 @@
 				   fake_platform_handle, platform, error);
 }
 
+static void drop_copy(fake_platform_t *platform)
+{
+	if (platform->has_copy)
+		fake_tables_deinit(&platform->copy);
+	platform->has_copy = false;
+}
+
 /**
  * fake_platform_deinit() - free the state
  *
@@ -47,6 +54,7 @@
  */
 void fake_platform_deinit(fake_platform_t *platform)
 {
+	drop_copy(platform);
 	fake_tables_deinit(&platform->tables);
 	g_ptr_array_free(platform->hosts, TRUE);
 	g_ptr_array_free(platform->leaving, TRUE);
@@ -55,6 +63,30 @@
 	g_free(platform->token);
 }
 
+static bool take_copy(fake_platform_t *platform, json_t *value)
+{
+	if (!json_is_true(value))
+		return false;
+	drop_copy(platform);
+	fake_tables_copy(&platform->copy, &platform->tables);
+	platform->has_copy = true;
+	return true;
+}
+
+/* Returns to the copy, which stays for the next time. */
+static bool return_to_copy(fake_platform_t *platform, json_t *value)
+{
+	uint64_t last_etag = platform->tables.last_etag;
+
+	if (!json_is_true(value) || !platform->has_copy)
+		return false;
+	fake_tables_deinit(&platform->tables);
+	fake_tables_copy(&platform->tables, &platform->copy);
+	platform->tables.last_etag = last_etag;
+	platform->era++;
+	return true;
+}
+
 /**
  * fake_platform_reset() - remove all rows, objects, hosts, faults and limits
  */
@@ -71,6 +103,8 @@
 	platform->weight_rate = (fake_rate_t){ 0 };
 	g_ptr_array_set_size(platform->hosts, 0);
 	g_ptr_array_set_size(platform->leaving, 0);
+	drop_copy(platform);
+	platform->era = 0;
 	fake_tables_deinit(&platform->tables);
 	fake_tables_init(&platform->tables);
 }
@@ -149,6 +183,10 @@
 		return set_names(platform->leaving, value);
 	if (!strcmp(name, "hosts"))
 		return set_names(platform->hosts, value);
+	if (!strcmp(name, "copy"))
+		return take_copy(platform, value);
+	if (!strcmp(name, "return"))
+		return return_to_copy(platform, value);
 	if (!strcmp(name, "lose_matching"))
 		return set_text(&platform->lose_matching, value);
 	if (!json_is_integer(value) || json_integer_value(value) < 0)
--- a/tests/fakes/fake_platform_store.c
+++ b/tests/fakes/fake_platform_store.c
@@ -454,7 +454,12 @@
 	static const ks_str_t weights = KS_STR("/v1/weights/");
 	fake_platform_t *platform = ctx;
 	ks_str_t path = ks_http_req_path(req);
+	char era[16];
 
+	if (platform->era) {
+		g_snprintf(era, sizeof(era), "%u", platform->era);
+		add_field(req, "store-era", era);
+	}
 	if (ks_str_equal(path, KS_STR("/control")))
 		fake_platform_control(platform, req);
 	else if (ks_str_equal(path, KS_STR("/v1/stats")))
--- a/tests/fakes/fake_tables.h
+++ b/tests/fakes/fake_tables.h
@@ -36,6 +36,7 @@
 } fake_tables_t;
 
 void fake_tables_init(fake_tables_t *tables);
+void fake_tables_copy(fake_tables_t *copy, const fake_tables_t *tables);
 void fake_tables_deinit(fake_tables_t *tables);
 const fake_row_t *fake_tables_get(const fake_tables_t *tables, ks_str_t key);
 const fake_row_t *fake_tables_get_object(const fake_tables_t *tables,
