--- a/packages/entry/src/ledger.c
+++ b/packages/entry/src/ledger.c
@@ -360,8 +360,9 @@
 	/*
 	 * After the deadline nothing is written; the timer fails the request.
 	 */
-	if (timeout_us > 0)
-		run_step(record, ks_claim_machine_start(&record->machine));
+	if (timeout_us > 0 &&
+	    ks_claim_machine_start(&record->machine) == KS_CLAIM_STEP_INSERT)
+		ks_ledger_group_add(record);
 	return record;
 }
 
--- a/packages/entry/src/ledger_era.c
+++ b/packages/entry/src/ledger_era.c
@@ -43,25 +43,33 @@
 	return parked;
 }
 
-/* Returns whether the answer is known, and dispatches or ends the record. */
+/* Returns whether it is known when the era of a claim began. */
+static bool is_known(const ks_ledger_record_t *record)
+{
+	const ks_ledger_t *ledger = record->ledger;
+
+	return !record->era ||
+	       (record->era == ledger->era && ledger->is_era_known);
+}
+
+/* Dispatches or ends a record. Returns false if a lookup is needed before. */
 static bool decide(ks_ledger_record_t *record)
 {
 	const ks_ledger_t *ledger = record->ledger;
 	ks_claim_times_t now = { ks_loop_now(ledger->loop),
 				 ks_clock_now(ledger->wall) };
 
-	if (!record->era) {
-		ks_ledger_dispatch(record);
-	} else if (ks_claim_machine_is_late(&record->machine, now)) {
+	if (ks_claim_machine_is_late(&record->machine, now)) {
 		ks_ledger_refuse(record, KS_ERROR_DEADLINE_NOT_RUN,
 				 KS_CLAIM_NOT_RUN);
-	} else if (record->era < ledger->era) {
+	} else if (record->era && record->era < ledger->era) {
 		/* The claim may be lost, and was not acted on. */
 		ks_ledger_refuse(record, KS_ERROR_STORE_UNAVAILABLE,
 				 KS_CLAIM_NOT_RUN);
-	} else if (record->era > ledger->era || !ledger->is_era_known) {
+	} else if (!is_known(record)) {
 		return false;
-	} else if (record->issued_us < ledger->era_since_us + CLOCK_MARGIN_US) {
+	} else if (record->era &&
+		   record->issued_us < ledger->era_since_us + CLOCK_MARGIN_US) {
 		ks_log(KS_LOG_LEDGER, KS_LOG_WARN,
 		       "%s may have been claimed before the store returned "
 		       "from an older copy; its outcome is unknown",
--- a/tests/fakes/fake_tables.c
+++ b/tests/fakes/fake_tables.c
@@ -30,35 +30,6 @@
 	tables->last_etag = 0;
 }
 
-static gboolean copy_row(void *key G_GNUC_UNUSED, void *value, void *ctx)
-{
-	const fake_row_t *row = value;
-	fake_row_t *copy = g_new0(fake_row_t, 1);
-
-	copy->key = g_strdup(row->key);
-	copy->etag = g_strdup(row->etag);
-	copy->old_etag = g_strdup(row->old_etag);
-	copy->value =
-		g_string_new_len(row->value->str, (gssize)row->value->len);
-	copy->old_value = g_string_new_len(row->old_value->str,
-					   (gssize)row->old_value->len);
-	g_tree_insert(ctx, copy->key, copy);
-	return FALSE;
-}
-
-/**
- * fake_tables_copy() - initialize with the rows and objects of other tables
- *
- * The copy assigns no etag that the original has assigned.
- */
-void fake_tables_copy(fake_tables_t *copy, const fake_tables_t *tables)
-{
-	fake_tables_init(copy);
-	g_tree_foreach(tables->rows, copy_row, copy->rows);
-	g_tree_foreach(tables->objects, copy_row, copy->objects);
-	copy->last_etag = tables->last_etag;
-}
-
 /**
  * fake_tables_deinit() - free every row and object
  */
@@ -163,6 +134,45 @@
 	return row;
 }
 
+/* Context of copy_row(). */
+struct copying {
+	fake_tables_t *tables;
+	GTree *tree;
+};
+
+static gboolean copy_row(void *key, void *value, void *ctx)
+{
+	const struct copying *copying = ctx;
+	const fake_row_t *row = value;
+	fake_row_t *copy = put(copying->tables, copying->tree, ks_str_from(key),
+			       (ks_str_t){ row->value->str, row->value->len });
+
+	g_free(copy->etag);
+	copy->etag = g_strdup(row->etag);
+	g_free(copy->old_etag);
+	copy->old_etag = g_strdup(row->old_etag);
+	g_string_append_len(copy->old_value, row->old_value->str,
+			    (gssize)row->old_value->len);
+	return FALSE;
+}
+
+/**
+ * fake_tables_copy() - initialize with the rows and objects of other tables
+ *
+ * The copy assigns no etag that the original has assigned.
+ */
+void fake_tables_copy(fake_tables_t *copy, const fake_tables_t *tables)
+{
+	struct copying rows, objects;
+
+	fake_tables_init(copy);
+	rows = (struct copying){ copy, copy->rows };
+	objects = (struct copying){ copy, copy->objects };
+	g_tree_foreach(tables->rows, copy_row, &rows);
+	g_tree_foreach(tables->objects, copy_row, &objects);
+	copy->last_etag = tables->last_etag;
+}
+
 static void apply(fake_tables_t *tables, const ks_store_write_t *write)
 {
 	char *key;
