gateway: log how a response was framed and whether it ended inside an event

An answer that had been broken off reached its caller as complete.

Each line on a send now has framing and inside_event, and a counter counts the streams that ended inside an event. Such a response is logged at level info even if it was on time.

--- a/packages/connection/include/ks/http.h
+++ b/packages/connection/include/ks/http.h
@@ -49,6 +49,21 @@
 	KS_HTTP_TIMED_OUT,
 } ks_http_result_t;
 
+/**
+ * enum ks_http_framing - what marks the end of a response
+ * @KS_HTTP_FRAMING_NONE: it has no body, or has not been received
+ * @KS_HTTP_FRAMING_LENGTH: Content-Length
+ * @KS_HTTP_FRAMING_CHUNKED: the last chunk
+ * @KS_HTTP_FRAMING_CLOSE: the end of the connection, which the failure of the
+ *	peer brings about as well
+ */
+typedef enum ks_http_framing {
+	KS_HTTP_FRAMING_NONE,
+	KS_HTTP_FRAMING_LENGTH,
+	KS_HTTP_FRAMING_CHUNKED,
+	KS_HTTP_FRAMING_CLOSE,
+} ks_http_framing_t;
+
 /**
  * struct ks_http_request - a request to send
  * @address: peer
@@ -129,6 +144,7 @@
  * @response_id_optional: see struct ks_http_request
  * @response_started: the head of the response was received
  * @response_named: the response has the expected id
+ * @framing: what marks the end of the response
  * @conn_number: number of the connection, counted from the first of the client;
  *	0 before there is one
  * @conn_calls: calls that the connection served before this one
@@ -160,6 +176,7 @@
 	bool response_id_optional;
 	bool response_started;
 	bool response_named;
+	ks_http_framing_t framing;
 	uint64_t conn_number;
 	unsigned conn_calls;
 	unsigned skipped;
--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -192,6 +192,19 @@
 	       (owner == OWNER_UNNAMED && conn->call->conn_calls > 0);
 }
 
+static ks_http_framing_t framing_of(const struct ks_http_conn *conn)
+{
+	unsigned status = conn->parser.status_code;
+
+	if (conn->call->is_head || status == 204 || status == 304)
+		return KS_HTTP_FRAMING_NONE;
+	if (conn->parser.flags & F_CHUNKED)
+		return KS_HTTP_FRAMING_CHUNKED;
+	return conn->parser.content_length == ULLONG_MAX
+		       ? KS_HTTP_FRAMING_CLOSE
+		       : KS_HTTP_FRAMING_LENGTH;
+}
+
 /*
  * Passes the head of a response to the call that it belongs to. Returns false
  * if the call's own response will not be recognized on this connection.
@@ -212,6 +225,7 @@
 	}
 	call->response_started = true;
 	call->response_named = owner == OWNER_CALL;
+	call->framing = framing_of(conn);
 	conn->single_use = owner == OWNER_UNNAMED;
 	if (conn->single_use && !call->response_id_optional)
 		return false;
--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -436,16 +436,24 @@
  * struct ks_events - splits a server-sent event stream into complete events
  * @partial: bytes of the incomplete event at the end
  * @last_id: id of the last complete event that had one
+ * @in_line: the bytes so far end inside a line
+ * @in_event: they end inside an event
+ * @after_cr: they end with a carriage return
  */
 typedef struct ks_events {
 	GString *partial;
 	GString *last_id;
+	bool in_line;
+	bool in_event;
+	bool after_cr;
 } ks_events_t;
 
 void ks_events_init(ks_events_t *events);
 void ks_events_deinit(ks_events_t *events);
 void ks_events_reset(ks_events_t *events);
 void ks_events_feed(ks_events_t *events, ks_str_t data, GString *whole);
+void ks_events_scan(ks_events_t *events, ks_str_t data);
+bool ks_events_is_inside(const ks_events_t *events);
 
 /* views.c */
 
--- a/packages/gateway/src/events.c
+++ b/packages/gateway/src/events.c
@@ -12,6 +12,9 @@
 {
 	events->partial = g_string_new(NULL);
 	events->last_id = g_string_new(NULL);
+	events->in_line = false;
+	events->in_event = false;
+	events->after_cr = false;
 }
 
 void ks_events_deinit(ks_events_t *events)
@@ -26,6 +29,9 @@
 void ks_events_reset(ks_events_t *events)
 {
 	g_string_truncate(events->partial, 0);
+	events->in_line = false;
+	events->in_event = false;
+	events->after_cr = false;
 }
 
 static void note_line(ks_events_t *events, ks_str_t line)
@@ -84,3 +90,36 @@
 		g_string_erase(events->partial, 0, (gssize)len);
 	}
 }
+
+/**
+ * ks_events_scan() - follow the next bytes of the stream without keeping them
+ *
+ * A line ends with LF, CR or CRLF, and an event with an empty line.
+ */
+void ks_events_scan(ks_events_t *events, ks_str_t data)
+{
+	for (size_t i = 0; i < data.len; i++) {
+		char c = data.data[i];
+		bool ends_crlf = c == '\n' && events->after_cr;
+
+		events->after_cr = c == '\r';
+		if (ends_crlf)
+			continue;
+		if (c != '\n' && c != '\r') {
+			events->in_line = true;
+			events->in_event = true;
+		} else if (events->in_line) {
+			events->in_line = false;
+		} else {
+			events->in_event = false;
+		}
+	}
+}
+
+/**
+ * ks_events_is_inside() - whether the scanned bytes end inside an event
+ */
+bool ks_events_is_inside(const ks_events_t *events)
+{
+	return events->in_event;
+}
--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -81,11 +81,11 @@
 	exchange->backed_off = false;
 	exchange->withheld = false;
 	exchange->is_stream_response = false;
+	exchange->is_event_response = false;
 	g_array_set_size(exchange->fields, 0);
 	g_string_truncate(exchange->fields_text, 0);
 	g_string_truncate(exchange->body, 0);
-	if (exchange->has_events)
-		ks_events_reset(&exchange->events);
+	ks_events_reset(&exchange->events);
 }
 
 /* Copies the header fields of a response, except those of the connection. */
@@ -143,6 +143,17 @@
 				 KS_STR("text/event-stream"));
 }
 
+/* On a streaming route, events are the default type. */
+static bool is_event_response(const struct exchange *exchange,
+			      const ks_header_t *headers, size_t n)
+{
+	if (exchange->status / 100 != 2)
+		return false;
+	return is_event_stream(headers, n) ||
+	       (exchange->route->kind == KS_CALL_STREAM &&
+		!ks_header_find(headers, n, "content-type"));
+}
+
 static void on_run_head(void *ctx, int status, const ks_header_t *headers,
 			size_t n)
 {
@@ -155,6 +166,7 @@
 	exchange->is_stream_response =
 		status / 100 == 2 && (exchange->route->kind == KS_CALL_STREAM ||
 				      is_event_stream(headers, n));
+	exchange->is_event_response = is_event_response(exchange, headers, n);
 	/* A resumed stream has already sent the head of its first response. */
 	if (exchange->started)
 		return;
@@ -213,6 +225,8 @@
 
 	if (exchange->step == EXCHANGE_DETACHED)
 		return;
+	if (exchange->is_event_response)
+		ks_events_scan(&exchange->events, data);
 	/* Discard the error body of a failed attempt to resume. */
 	if (exchange->started && exchange->status / 100 != 2)
 		return;
@@ -261,6 +275,12 @@
 		exchange->longest_pause_us > exchange->route->max_pause_us);
 }
 
+static bool ended_inside_event(const struct exchange *exchange)
+{
+	return exchange->is_event_response &&
+	       ks_events_is_inside(&exchange->events);
+}
+
 /* Records the latency of a response, and logs where the time was spent. */
 static void record_times(const struct exchange *exchange)
 {
@@ -279,7 +299,9 @@
 		ks_histogram_record(counters->pause,
 				    exchange->longest_pause_us);
 	}
-	exchange_log_times(exchange, late ? KS_LOG_INFO : KS_LOG_DEBUG,
+	exchange_log_times(exchange,
+			   late || ended_inside_event(exchange) ? KS_LOG_INFO
+								: KS_LOG_DEBUG,
 			   late ? "answered late" : "answered");
 }
 
@@ -337,6 +359,7 @@
 	ks_counter_add(counters->skipped, call->skipped);
 	ks_counter_add(counters->unnamed,
 		       call->response_started && !call->response_named);
+	ks_counter_add(counters->truncated, ended_inside_event(exchange));
 }
 
 static void record_outcome(struct exchange *exchange, ks_http_result_t result)
--- a/packages/gateway/src/exchange_end.c
+++ b/packages/gateway/src/exchange_end.c
@@ -21,6 +21,13 @@
 	return call->response_named ? "own" : "none";
 }
 
+static const char *const framing_names[] = {
+	[KS_HTTP_FRAMING_NONE] = "none",
+	[KS_HTTP_FRAMING_LENGTH] = "length",
+	[KS_HTTP_FRAMING_CHUNKED] = "chunked",
+	[KS_HTTP_FRAMING_CLOSE] = "close",
+};
+
 /*
  * The fields from "step" on describe the last send: whether it left this
  * process, when, on which connection, and which response it got. They tell a
@@ -35,7 +42,8 @@
 	       "%s request=%s status=%d route=%s service=%s version=%" PRId64
 	       " upstream=%s sends=%u runs=%u age_ms=%" PRId64
 	       " step=%s sent=%d sent_us=%" PRId64 " conn=%" PRIu64
-	       " conn_calls=%u answer=%d not_run=%d answer_id=%s skipped=%u",
+	       " conn_calls=%u answer=%d not_run=%d answer_id=%s skipped=%u"
+	       " framing=%s inside_event=%d",
 	       outcome, exchange->id, status,
 	       exchange->route ? exchange->route->name : "-",
 	       exchange->service_name ? exchange->service_name : "-",
@@ -48,7 +56,9 @@
 	       exchange->sent_us ? exchange_now(exchange) - exchange->sent_us
 				 : 0,
 	       call->conn_number, call->conn_calls, exchange->status,
-	       exchange->refused_not_run, response_id(call), call->skipped);
+	       exchange->refused_not_run, response_id(call), call->skipped,
+	       framing_names[call->framing],
+	       ks_events_is_inside(&exchange->events));
 }
 
 /**
@@ -64,7 +74,8 @@
 	       "%s request=%s status=%d route=%s upstream=%s reader=%s "
 	       "fetch=%s tokens=%" PRId64 " unread=%" PRId64 " sends=%u "
 	       "prefill_ms=%" PRId64 " run_wait_ms=%" PRId64
-	       " first_ms=%" PRId64 " pause_ms=%" PRId64 " age_ms=%" PRId64,
+	       " first_ms=%" PRId64 " pause_ms=%" PRId64 " age_ms=%" PRId64
+	       " framing=%s inside_event=%d",
 	       outcome, exchange->id, exchange->status, exchange->route->name,
 	       exchange->member->id,
 	       exchange->prefill_member ? exchange->prefill_member->id : "-",
@@ -75,7 +86,9 @@
 	       (first - exchange->arrived_us) / KS_USEC_PER_MSEC,
 	       exchange->longest_pause_us / KS_USEC_PER_MSEC,
 	       (exchange_now(exchange) - exchange->arrived_us) /
-		       KS_USEC_PER_MSEC);
+		       KS_USEC_PER_MSEC,
+	       framing_names[exchange->call.framing],
+	       ks_events_is_inside(&exchange->events));
 }
 
 void exchange_release_member(struct exchange *exchange)
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -142,6 +142,9 @@
 	c->unnamed =
 		ks_metrics_counter(m, "ks_gateway_unnamed_answers_total",
 				   "Answers without the id of a request", NULL);
+	c->truncated = ks_metrics_counter(
+		m, "ks_gateway_truncated_streams_total",
+		"Streams of upstreams that ended inside an event", NULL);
 	c->leaving = ks_metrics_counter(
 		m, "ks_gateway_upstreams_leaving_total",
 		"Upstreams that said in an answer that they leave", NULL);
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -17,6 +17,7 @@
  * @skipped: responses to other requests that upstreams sent on the connection
  *	of a request
  * @unnamed: responses without the id of a request
+ * @truncated: streams of upstreams that ended inside an event
  * @leaving: upstreams that said in a response that they leave
  * @backed_off: refusals of upstreams that requested a back-off
  * @late: forwarded responses that missed the route's objective for the first
@@ -40,6 +41,7 @@
 	ks_counter_t *splits;
 	ks_counter_t *skipped;
 	ks_counter_t *unnamed;
+	ks_counter_t *truncated;
 	ks_counter_t *leaving;
 	ks_counter_t *backed_off;
 	ks_counter_t *late;
@@ -143,8 +145,9 @@
  * @first_us: when the first data of the response arrived, 0 before
  * @latest_us: when the latest data arrived
  * @longest_pause_us: longest time between two arrivals of data
- * @events: used if @has_events
+ * @events: events of a stream; whole ones are forwarded if @has_events
  * @has_events: the response is a stream that can be resumed
+ * @is_event_response: the response that is being received consists of events
  */
 struct exchange {
 	ks_list_t node;
@@ -201,6 +204,7 @@
 	int64_t longest_pause_us;
 	ks_events_t events;
 	bool has_events;
+	bool is_event_response;
 };
 
 static inline int64_t exchange_now(const struct exchange *exchange)
