gateway: a stream whose last event is incomplete has broken off

Cause: a response without Content-Length and chunks ends with its connection. When the process of the engine ends, the system closes the connection regularly, and the HTTP client rightly reports a complete response. The gateway relied on that report alone, and ended its own chunked response. Of a stream that can be resumed, it even forwarded the bytes of the incomplete event that it had held back.

Why it works: whether a stream is whole is decided from its events as well as from its framing. A response of events that ends inside one, or without a length before the first one, is handled as a lost connection: it counts as a failure of the upstream, is resumed where the route allows it, and otherwise ends without the last chunk. Responses that do not consist of events are not judged.

--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -3,7 +3,8 @@
  * stream is buffered, within a limit, until it is complete, so that a failed
  * one can be retried. A stream is forwarded as it arrives; if it breaks off,
  * the connection to the caller is closed without a regular end, so that the
- * caller does not take it for complete.
+ * caller does not take it for complete. A stream has also broken off if its
+ * framing is complete and its last event is not.
  */
 #include "gateway_internal.h"
 
@@ -338,7 +339,9 @@
 			"the upstream failed and may have run the request");
 		return;
 	}
-	if (exchange->started && exchange->has_events)
+	/* What is no event has been held back whole. */
+	if (exchange->started && exchange->has_events &&
+	    !exchange->is_event_response)
 		ks_http1_body(exchange->caller,
 			      (ks_str_t){ exchange->events.partial->str,
 					  exchange->events.partial->len });
@@ -419,10 +422,23 @@
 	return exchange_permits_send(exchange, exchange->member);
 }
 
+/*
+ * A stream without a length ends regularly when its upstream fails before the
+ * first event, as well.
+ */
+static bool has_broken_off(const struct exchange *exchange)
+{
+	return ended_inside_event(exchange) ||
+	       (exchange->is_event_response && !exchange->first_event_seen &&
+		exchange->call.framing == KS_HTTP_FRAMING_CLOSE);
+}
+
 static void on_run_done(void *ctx, ks_http_result_t result)
 {
 	struct exchange *exchange = ctx;
 
+	if (result == KS_HTTP_COMPLETE && has_broken_off(exchange))
+		result = KS_HTTP_INCOMPLETE;
 	if (exchange->withheld && exchange->caller) {
 		place_again(exchange);
 		return;
