soak: streams without a length, which end inside an event

A replica with faults gives some streams neither a length nor chunks, and ends the connection regularly where it breaks one off. Such a stream is inside an event until its end, so that the checker can tell a replica that was killed from one that was done. They are drawn from a generator of their own, and the other faults of a seed stay as they were.

--- a/tests/soak/soak-replica.c
+++ b/tests/soak/soak-replica.c
@@ -4,10 +4,11 @@
  * appends to a record what the check needs; see enum soak_event in soak.h.
  *
  * SIGUSR1 turns faults on and off: refusals, lost and cut answers, failures,
- * and second answers to a request, which arrive right after the first, later,
- * or when the next request has arrived on the connection. A third of the
- * refusals request a back-off for a time. SIGTERM announces that the replica
- * leaves, here and in all its answers, and ends it after the notice.
+ * streams without a length, and second answers to a request, which arrive right
+ * after the first, later, or when the next request has arrived on the
+ * connection. A third of the refusals request a back-off for a time. SIGTERM
+ * announces that the replica leaves, here and in all its answers, and ends it
+ * after the notice.
  */
 #include "fake_main.h"
 #include "second.h"
@@ -36,6 +37,7 @@
 #define CUT_OF_100 5
 #define FAILED_OF_100 5
 #define SILENT_OF_100 2
+#define UNFRAMED_OF_100 20
 /* Of 100 refusals, so many request a back-off. */
 #define AWAY_OF_100 33
 
@@ -51,6 +53,8 @@
  *	it has not
  * @is_relayed: behind a relay, which may hold up or lose an answer; the replica
  *	then says nothing of itself
+ * @framing_rng: draws which streams have no length, without a change to the
+ *	other faults of a seed
  * @running: requests that occupy a slot
  */
 struct replica {
@@ -74,6 +78,7 @@
 	unsigned handles;
 	int record;
 	ks_rng_t rng;
+	ks_rng_t framing_rng;
 	unsigned second_of_100;
 	struct seconds seconds;
 	bool is_relayed;
@@ -87,6 +92,8 @@
  * struct work - a request that occupies a slot
  * @next_event: number of the next event of a stream
  * @fate: drawn when the work begins
+ * @is_unframed: only the end of the connection marks the end of the stream
+ * @is_first: no event has been sent
  */
 struct work {
 	struct replica *replica;
@@ -101,6 +108,8 @@
 		FAILED,
 		SILENT
 	} fate;
+	bool is_unframed;
+	bool is_first;
 	bool is_prefill;
 };
 
@@ -207,11 +216,21 @@
 	reply(replica, request, status, false, body);
 }
 
+/*
+ * A stream without a length is inside an event until its end, so that it has
+ * broken off wherever its replica fails.
+ */
 static void send_event(struct work *work)
 {
 	GString *event = g_string_new(NULL);
 
 	soak_event(text_of(work->id), work->next_event, event);
+	if (work->is_unframed) {
+		g_string_truncate(event, event->len - 1);
+		ks_http1_body(work->request,
+			      work->is_first ? KS_STR("") : KS_STR("\n"));
+		work->is_first = false;
+	}
 	/* A faulty replica may stop in the middle of an event. */
 	if (work->fate == CUT && work->next_event == SOAK_EVENTS / 2)
 		g_string_truncate(event, event->len / 2);
@@ -223,13 +242,18 @@
 static void advance_stream(struct work *work)
 {
 	if (work->next_event >= SOAK_EVENTS) {
+		if (work->is_unframed && !work->is_first)
+			ks_http1_body(work->request, KS_STR("\n"));
 		ks_http1_end(work->request);
 		free_work(work);
 		return;
 	}
 	send_event(work);
 	if (work->fate == CUT && work->next_event > SOAK_EVENTS / 2) {
-		ks_http1_abort(work->request);
+		if (work->is_unframed)
+			ks_http1_end(work->request);
+		else
+			ks_http1_abort(work->request);
 		free_work(work);
 		return;
 	}
@@ -263,6 +287,13 @@
 
 	if (ks_str_parse_int(last, 0, SOAK_EVENTS, &number))
 		work->next_event = (int)number + 1;
+	work->is_first = true;
+	work->is_unframed = work->replica->faulty &&
+			    ks_rng_below(&work->replica->framing_rng, 100) <
+				    UNFRAMED_OF_100;
+	/* As if for a caller that knows no chunks. */
+	if (work->is_unframed)
+		http1_conn_of(work->request)->parser.http_minor = 0;
 	start_answer(work, KS_STR("text/event-stream"), -1);
 	advance_stream(work);
 }
@@ -609,6 +640,7 @@
 	g_snprintf(replica.id, sizeof(replica.id), "i-%d-%" PRId64,
 		   (int)getpid(), replica.started_ms % 1000000);
 	ks_rng_init(&replica.rng, (uint32_t)seed->ival[0]);
+	ks_rng_init(&replica.framing_rng, (uint32_t)seed->ival[0]);
 	ks_loop_init(&replica.loop, ks_clock_monotonic());
 	seconds_init(&replica.seconds, &replica.loop, &replica.server,
 		     &replica.rng, named->count ? (unsigned)named->ival[0] : 2);
