upstream: a stream that ends inside an event is not complete

An upstream process took a stream for complete from the line data: [DONE] on, also if the empty line that ends the event was missing, and if the start of another event followed. The entry, which counts whole events only, took the same stream for truncated, so that callers were told the truth, and the load and the log of the upstream process were wrong.

Evidence: test-upstream inside-event failed before (KS_ERROR_NONE, not KS_ERROR_UPSTREAM_FAILED). The end marker now counts when its event has ended and no part of a line follows.

--- a/packages/upstream/src/upstream_internal.h
+++ b/packages/upstream/src/upstream_internal.h
@@ -9,16 +9,19 @@
  * @line: start of the current line
  * @line_len: number of bytes in @line
  * @events: data events seen, without the end marker [DONE]
- * @done: the last data event was [DONE]
+ * @is_last: the current event is [DONE]
+ * @done: [DONE] and its empty line were the last event
  */
 struct upstream_sse {
 	char line[16];
 	size_t line_len;
 	unsigned events;
+	bool is_last;
 	bool done;
 };
 
 void upstream_sse_feed(struct upstream_sse *sse, ks_str_t data);
+bool upstream_sse_is_complete(const struct upstream_sse *sse);
 
 /**
  * struct ks_upstream_process - upstream process
--- a/packages/upstream/src/upstream_job.c
+++ b/packages/upstream/src/upstream_job.c
@@ -216,7 +216,7 @@
 static void end_complete(struct upstream_job *job)
 {
 	update_mean_job_time(job);
-	if (job->is_sse && !job->sse.done)
+	if (job->is_sse && !upstream_sse_is_complete(&job->sse))
 		end_job(job, KS_ERROR_UPSTREAM_FAILED,
 			"the stream was cut short");
 	else
--- a/packages/upstream/src/upstream_sse.c
+++ b/packages/upstream/src/upstream_sse.c
@@ -11,13 +11,19 @@
 	sse->line_len = 0;
 	if (line.len > 0 && line.data[line.len - 1] == '\r')
 		line.len--;
+	if (!line.len) {
+		sse->done |= sse->is_last;
+		sse->is_last = false;
+		return;
+	}
 	if (!ks_str_has_prefix(line, KS_STR("data:")))
 		return;
 	value = (ks_str_t){ line.data + 5, line.len - 5 };
 	if (value.len > 0 && value.data[0] == ' ')
 		value = (ks_str_t){ value.data + 1, value.len - 1 };
-	sse->done = ks_str_equal(value, KS_STR("[DONE]"));
-	if (!sse->done)
+	sse->done = false;
+	sse->is_last = ks_str_equal(value, KS_STR("[DONE]"));
+	if (!sse->is_last)
 		sse->events++;
 }
 
@@ -45,3 +51,11 @@
 		data = (ks_str_t){ data.data + part, data.len - part };
 	}
 }
+
+/**
+ * upstream_sse_is_complete() - whether the stream has ended with its end marker
+ */
+bool upstream_sse_is_complete(const struct upstream_sse *sse)
+{
+	return sse->done && !sse->line_len;
+}
--- a/packages/upstream/tests/test-upstream.c
+++ b/packages/upstream/tests/test-upstream.c
@@ -129,6 +129,17 @@
 			KS_ERROR_UPSTREAM_FAILED);
 }
 
+/* Guards against reporting a stream that ends inside an event as complete. */
+static void test_stream_that_ends_inside_event_is_an_error(void)
+{
+	g_assert_cmpint(kind_of_stream("ta: {}\n\ndata: [DONE]\n"), ==,
+			KS_ERROR_UPSTREAM_FAILED);
+	g_assert_cmpint(kind_of_stream("ta: {}\n\ndata: [DONE]\n\ndata: {"), ==,
+			KS_ERROR_UPSTREAM_FAILED);
+	g_assert_cmpint(kind_of_stream("ta: {}\r\n\r\ndata: [DONE]\r\n\r\n"),
+			==, KS_ERROR_NONE);
+}
+
 /* Guards against continuing an idempotent call after its caller disconnected.
  */
 static void test_cancel_closes_idempotent_call(void)
@@ -385,6 +396,8 @@
 	g_test_add_func("/upstream/lost", test_truncated_answer_is_an_error);
 	g_test_add_func("/upstream/end-marker",
 			test_stream_without_end_marker_is_an_error);
+	g_test_add_func("/upstream/inside-event",
+			test_stream_that_ends_inside_event_is_an_error);
 	g_test_add_func("/upstream/cancel", test_cancel_closes_idempotent_call);
 	g_test_add_func("/upstream/cancel-non-idempotent",
 			test_cancel_lets_non_idempotent_call_finish);
