entry: half a completion is not forwarded as a whole one

An upstream process cannot tell, and the entry forwarded the part of a completion that is not streamed, with a length of its own.

Evidence: test-entry half-completion failed before (the part was the caller's response; no second attempt). A 200 of a completion with content type application/json that is no JSON document now counts as a failure of its upstream and is sent again where that is safe. Responses of services are not judged: theirs may end with the connection.

--- a/packages/entry/src/entry_attempt.c
+++ b/packages/entry/src/entry_attempt.c
@@ -1,6 +1,8 @@
 /* Events of attempts: relayed responses, retries and resumption of streams. */
 #include "entry_internal.h"
 
+#include <jansson.h>
+
 /* Weight of the newest value in exponentially weighted moving averages. */
 #define EWMA_WEIGHT 0.1
 /*
@@ -300,6 +302,24 @@
 	g_free(text);
 }
 
+/*
+ * A completion that is not streamed is one JSON document. An engine that gives
+ * its response no length and fails ends it regularly, anywhere.
+ */
+static bool is_half_completion(const struct entry_request *request)
+{
+	const char *type = request->content_type;
+	json_t *json;
+
+	if (!request->is_completion || request->status != 200 || !type ||
+	    g_ascii_strncasecmp(type, "application/json", 16) != 0)
+		return false;
+	json = json_loadb(request->response_body->str,
+			  request->response_body->len, 0, NULL);
+	json_decref(json);
+	return !json;
+}
+
 static bool is_complete(const struct entry_request *request)
 {
 	if (!request->status)
@@ -308,7 +328,7 @@
 	if (request->is_streaming)
 		return request->stream.done_seen;
 	/* A response that is not a stream cannot continue one already begun. */
-	return !request->stream.started;
+	return !request->stream.started && !is_half_completion(request);
 }
 
 /*
--- a/packages/entry/tests/test-entry.c
+++ b/packages/entry/tests/test-entry.c
@@ -508,6 +508,30 @@
 	tear_down();
 }
 
+/*
+ * Guards against forwarding half a completion as a whole one, when the engine
+ * gives its response no length and fails.
+ */
+static void test_half_completion_is_retried(void)
+{
+	struct call *call;
+
+	set_up();
+	call = start_completion(WHOLE_BODY);
+	WAIT_FOR(double_attempts->len == 1);
+	double_head(double_attempt(0), 200, "application/json");
+	double_body(double_attempt(0), "{\"half\":");
+	double_end(double_attempt(0), KS_ERROR_NONE);
+	g_assert_cmpuint(double_attempts->len, ==, 2);
+	double_head(double_attempt(1), 200, "application/json");
+	double_body(double_attempt(1), "{}");
+	double_end(double_attempt(1), KS_ERROR_NONE);
+	finish(call);
+	g_assert_cmpstr(call->body->str, ==, "{}");
+	free_call(call);
+	tear_down();
+}
+
 /* Guards against reporting "not run" after an attempt has started. */
 static void test_not_run_is_not_reported_after_start(void)
 {
@@ -1399,6 +1423,7 @@
 	{ "/entry/resume-answered-whole", test_resume_requires_stream },
 	{ "/entry/finished-choice", test_finished_choice_is_not_resumed },
 	{ "/entry/whole-retried", test_buffered_response_is_retried },
+	{ "/entry/half-completion", test_half_completion_is_retried },
 	{ "/entry/not-run-is-true", test_not_run_is_not_reported_after_start },
 	{ "/entry/not-started", test_not_started_is_retried_then_reported },
 	{ "/entry/without-key", test_without_key_is_sent_once },
