connection: a broken-off response without a length ends with a reset

Evidence: test-http1-server abort-without-chunks failed before: the caller saw the regular end. ks_http1_abort() now resets the connection of such a response; chunked ones and those with a length show their end themselves. A process that is killed still ends such a response regularly, since the system closes its connections; HTTP/1.0 has no remedy for that.

--- a/packages/connection/src/http1_conn.h
+++ b/packages/connection/src/http1_conn.h
@@ -21,6 +21,7 @@
  * @serving: the handler owns the request, until the response has ended
  * @response_started: status line and headers are queued
  * @chunked: the response uses chunked transfer coding
+ * @ends_with_connection: the response has neither a length nor chunks
  * @no_body: the method is HEAD
  * @close_after: close once all output is written
  * @writing: a write is in progress
@@ -46,6 +47,7 @@
 	bool serving;
 	bool response_started;
 	bool chunked;
+	bool ends_with_connection;
 	bool no_body;
 	bool keep_alive;
 	bool close_after;
--- a/packages/connection/src/http1_response.c
+++ b/packages/connection/src/http1_response.c
@@ -45,7 +45,8 @@
 		return;
 	conn->response_started = true;
 	conn->chunked = length < 0 && conn->parser.http_minor > 0;
-	if (length < 0 && !conn->chunked)
+	conn->ends_with_connection = length < 0 && !conn->chunked;
+	if (conn->ends_with_connection)
 		conn->keep_alive = false;
 	g_string_append_printf(out, "HTTP/1.1 %d %s\r\n", status,
 			       reason_phrase(status));
@@ -112,6 +113,8 @@
 {
 	struct http1_conn *conn = http1_conn_of(request);
 
+	if (!conn->closed && conn->ends_with_connection)
+		http_reset_at_close(h2o_socket_get_fd(conn->sock));
 	if (!conn->closed)
 		http1_conn_close_socket(conn);
 	finish_response(conn, false);
--- a/packages/connection/src/http1_server.c
+++ b/packages/connection/src/http1_server.c
@@ -225,6 +225,7 @@
 	ks_timer_clear(&conn->timer);
 	conn->serving = true;
 	conn->response_started = false;
+	conn->ends_with_connection = false;
 	conn->no_body = conn->parser.method == HTTP_HEAD;
 	request->ctx = NULL;
 	request->disconnected = NULL;
--- a/packages/connection/src/http_message.c
+++ b/packages/connection/src/http_message.c
@@ -120,6 +120,18 @@
 		   sizeof(timeout_ms));
 }
 
+/**
+ * http_reset_at_close() - close a connection later with a reset, not a FIN
+ *
+ * A FIN would be the regular end of a response without a length.
+ */
+void http_reset_at_close(int fd)
+{
+	struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
+
 static int open_listener(const ks_address_t *address, uint16_t *port)
 {
 	struct sockaddr_storage storage;
--- a/packages/connection/src/http_message.h
+++ b/packages/connection/src/http_message.h
@@ -47,5 +47,6 @@
 	    void (*on_accept)(struct st_h2o_socket_t *, const char *),
 	    GError **error);
 void http_set_tcp_user_timeout(int fd, unsigned timeout_ms);
+void http_reset_at_close(int fd);
 
 #endif
--- a/packages/connection/tests/test-http1-server.c
+++ b/packages/connection/tests/test-http1-server.c
@@ -28,6 +28,7 @@
 	int fd;
 	GString *received;
 	bool closed;
+	bool reset;
 };
 
 static void on_disconnected(void *ctx)
@@ -108,6 +109,7 @@
 		g_string_append_len(f->received, buf, n);
 	else if (n == 0 || errno != EAGAIN)
 		f->closed = true;
+	f->reset |= n < 0 && errno == ECONNRESET;
 }
 
 #define WAIT(f, condition)                               \
@@ -262,6 +264,26 @@
 	deinit_fixture(&f);
 }
 
+/*
+ * Guards against a response that is broken off and looks complete to a caller
+ * without chunks, for which the end of the connection ends the response.
+ */
+static void test_abort_without_chunks(void)
+{
+	struct fixture f;
+
+	init_fixture(&f, DEFER);
+	send_text(&f, "GET / HTTP/1.0\r\nhost: h\r\n\r\n");
+	WAIT(&f, f.pending != NULL);
+	ks_http1_start(f.pending, 200, NULL, 0, -1);
+	ks_http1_body(f.pending, KS_STR("abc"));
+	WAIT(&f, count(&f, "abc") == 1);
+	ks_http1_abort(f.pending);
+	WAIT(&f, f.closed);
+	g_assert_true(f.reset);
+	deinit_fixture(&f);
+}
+
 #define SLOW_ROUNDS 4000
 #define SLOW_MAX_CHUNK (512 * 1024)
 
@@ -321,6 +343,8 @@
 	g_test_add_func("/http1-server/pipelining", test_pipelining);
 	g_test_add_func("/http1-server/abort-in-handler",
 			test_abort_in_handler);
+	g_test_add_func("/http1-server/abort-without-chunks",
+			test_abort_without_chunks);
 	g_test_add_func("/http1-server/caller-disconnects",
 			test_caller_disconnects);
 	g_test_add_func("/http1-server/refusals", test_refusals);
