gateway: log the parts of a prompt whose request was lost

Each loss of a request with a prompt now has a line with its parts and with how long the response had been arriving, and a counter counts the losses before the first byte. The parser keeps the hash of each shared part by itself, beside the hashes that cover the parts before it.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -190,15 +190,22 @@
  * @ids: hash of each part together with all parts before it
  * @tokens: length of each part
  * @total_tokens: length of the prompt, including the parts that are not stored
+ * @n_shared: number of parts in @shared
+ * @shared: the parts that other requests may share, which the last one is not:
+ *	hash of each by itself, and of the service after
+ *	ks_prompt_set_service()
  */
 typedef struct ks_prompt {
 	size_t n_parts;
 	uint64_t ids[KS_PROMPT_MAX_PARTS];
 	int64_t tokens[KS_PROMPT_MAX_PARTS];
 	int64_t total_tokens;
+	unsigned n_shared;
+	uint64_t shared[KS_PROMPT_MAX_PARTS];
 } ks_prompt_t;
 
 bool ks_prompt_parse(ks_prompt_t *prompt, ks_str_t text);
+void ks_prompt_set_service(ks_prompt_t *prompt, const char *service);
 uint64_t ks_prompt_shared_id(const ks_prompt_t *prompt);
 
 /* withdrawal.c */
--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -224,6 +224,8 @@
 {
 	struct exchange *exchange = ctx;
 
+	if (!exchange->begun_us)
+		exchange->begun_us = exchange_now(exchange);
 	if (exchange->step == EXCHANGE_DETACHED)
 		return;
 	if (exchange->is_event_response)
@@ -449,6 +451,8 @@
 	g_string_truncate(exchange->kv_source, 0);
 	count_answers(exchange);
 	record_outcome(exchange, result);
+	if (result == KS_HTTP_INCOMPLETE && exchange->has_prompt)
+		exchange_log_loss(exchange);
 	if (!exchange->caller || exchange->step == EXCHANGE_DETACHED) {
 		exchange_log(exchange, KS_LOG_INFO,
 			     "finished after the caller disconnected",
@@ -482,6 +486,7 @@
 	exchange_clear_response(exchange);
 	exchange->step = EXCHANGE_RUN;
 	exchange->first_event_seen = false;
+	exchange->begun_us = 0;
 	exchange->sends++;
 	exchange->sent_us = exchange_now(exchange);
 	exchange_send(exchange, exchange->member, false, &run_events);
--- a/packages/gateway/src/exchange_end.c
+++ b/packages/gateway/src/exchange_end.c
@@ -91,6 +91,38 @@
 	       ks_events_is_inside(&exchange->events));
 }
 
+/* Longest text of a prompt's parts in a log line, in bytes. */
+#define MAX_LOGGED_PARTS 300
+
+/**
+ * exchange_log_loss() - log a request with a prompt that was lost with its
+ * upstream
+ *
+ * The parts of the prompt relate losses to each other; @begun_ms tells a
+ * request that the upstream had begun to respond to from one that it may have
+ * failed on.
+ */
+void exchange_log_loss(const struct exchange *exchange)
+{
+	ks_str_t parts = ks_header_value(
+		(const ks_header_t *)(void *)exchange->request_fields->data,
+		exchange->request_fields->len,
+		exchange->gateway->dialect->prompt_parts.data);
+	int64_t begun_us = exchange->begun_us
+				   ? exchange_now(exchange) - exchange->begun_us
+				   : 0;
+
+	if (!exchange->begun_us)
+		ks_counter_add(exchange->gateway->counters.lost_at_start, 1);
+	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
+	       "lost with its upstream request=%s service=%s upstream=%s "
+	       "status=%d has_body=%d begun_ms=%" PRId64 " parts=%.*s",
+	       exchange->id, exchange->service_name, exchange->member->id,
+	       exchange->status, exchange->begun_us != 0,
+	       begun_us / KS_USEC_PER_MSEC,
+	       (int)MIN(parts.len, MAX_LOGGED_PARTS), parts.data);
+}
+
 void exchange_release_member(struct exchange *exchange)
 {
 	if (exchange->member) {
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -145,6 +145,11 @@
 	c->truncated = ks_metrics_counter(
 		m, "ks_gateway_truncated_streams_total",
 		"Streams of upstreams that ended inside an event", NULL);
+	c->lost_at_start = ks_metrics_counter(
+		m, "ks_gateway_lost_at_start_total",
+		"Requests with a prompt that were lost before the first byte "
+		"of the body of their answer",
+		NULL);
 	c->leaving = ks_metrics_counter(
 		m, "ks_gateway_upstreams_leaving_total",
 		"Upstreams that said in an answer that they leave", NULL);
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -18,6 +18,8 @@
  *	of a request
  * @unnamed: responses without the id of a request
  * @truncated: streams of upstreams that ended inside an event
+ * @lost_at_start: requests with a prompt that were lost before the first byte
+ *	of the response body
  * @leaving: upstreams that said in a response that they leave
  * @backed_off: refusals of upstreams that requested a back-off
  * @late: forwarded responses that missed the route's objective for the first
@@ -42,6 +44,7 @@
 	ks_counter_t *skipped;
 	ks_counter_t *unnamed;
 	ks_counter_t *truncated;
+	ks_counter_t *lost_at_start;
 	ks_counter_t *leaving;
 	ks_counter_t *backed_off;
 	ks_counter_t *late;
@@ -141,6 +144,7 @@
  *	by the time at which the connection was up
  * @started: the head of the response has been sent to the caller
  * @sent_us: when the latest request was sent to an upstream
+ * @begun_us: when the first byte of the body of its response arrived, 0 before
  * @prefill_us: time spent on prefill requests
  * @first_us: when the first data of the response arrived, 0 before
  * @latest_us: when the latest data arrived
@@ -198,6 +202,7 @@
 	bool started;
 	bool first_event_seen;
 	int64_t sent_us;
+	int64_t begun_us;
 	int64_t prefill_us;
 	int64_t first_us;
 	int64_t latest_us;
@@ -228,6 +233,7 @@
 		  const char *outcome, int status);
 void exchange_log_times(const struct exchange *exchange, ks_log_level_t level,
 			const char *outcome);
+void exchange_log_loss(const struct exchange *exchange);
 bool exchange_may_have_run(const struct exchange *exchange);
 void exchange_respond(struct exchange *exchange, int status,
 		      double retry_after_s, const char *why);
--- a/packages/gateway/src/prompt.c
+++ b/packages/gateway/src/prompt.c
@@ -35,6 +35,7 @@
 bool ks_prompt_parse(ks_prompt_t *prompt, ks_str_t text)
 {
 	uint64_t chain = 0;
+	size_t n_all = 0;
 
 	memset(prompt, 0, sizeof(*prompt));
 	while (text.len) {
@@ -52,12 +53,17 @@
 			return false;
 		chain = XXH64(entry.data, (size_t)(colon - entry.data), chain);
 		prompt->total_tokens += n;
+		n_all++;
 		if (prompt->n_parts == KS_PROMPT_MAX_PARTS)
 			continue;
 		prompt->ids[prompt->n_parts] = chain;
 		prompt->tokens[prompt->n_parts] = n;
+		prompt->shared[prompt->n_parts] =
+			XXH64(entry.data, (size_t)(colon - entry.data), 0);
 		prompt->n_parts++;
 	}
+	if (n_all)
+		prompt->n_shared = (unsigned)MIN(n_all - 1, prompt->n_parts);
 	return prompt->n_parts > 0;
 }
 
@@ -71,3 +77,15 @@
 {
 	return prompt->ids[prompt->n_parts > 1 ? prompt->n_parts - 2 : 0];
 }
+
+/**
+ * ks_prompt_set_service() - tell the parts of one service from those of others
+ */
+void ks_prompt_set_service(ks_prompt_t *prompt, const char *service)
+{
+	uint64_t seed = XXH64(service, strlen(service), 0);
+
+	for (unsigned i = 0; i < prompt->n_shared; i++)
+		prompt->shared[i] = XXH64(&prompt->shared[i],
+					  sizeof(prompt->shared[i]), seed);
+}
