--- a/packages/gateway/tests/gateway_fixture.h
+++ b/packages/gateway/tests/gateway_fixture.h
@@ -187,6 +187,7 @@
 	fixture_add_route(traffic, "/tell/", KS_CALL_STREAM, false, "app");
 	fixture_add_route(traffic, "/resume/", KS_CALL_STREAM, true, "app");
 	fixture_add_route(traffic, "/advise/", KS_CALL_STREAM, false, "llm");
+	fixture_add_route(traffic, "/continue/", KS_CALL_STREAM, true, "llm");
 	ks_gateway_apply(f->gateway, traffic);
 	ks_gateway_confirm(f->gateway);
 	ks_traffic_unref(traffic);
