gateway: refuse requests with a part of a prompt that crashes engines

Cause: a loss counted against the upstream only; nothing related it to what the request consisted of.

A quarantine (packages/request, no I/O) now counts the upstreams that were lost as they began to respond, by the shared parts of the prompt. A part is held after three of them, if no request with it was answered since: sound parts of the lost requests are soon seen in answers. It takes five if the part was answered shortly before, or explains less than half of the lost upstreams, as when a network fails. A loss does not count if its upstream responds to a later request. Losses with a held part count against no other part. Requests with it are refused at once with 503, before the prefill and before the run; a lost request that one more loss would make the cause is not sent again.

Each entry still learns from its own losses only.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -751,6 +751,7 @@
 void ks_gateway_confirm(ks_gateway_t *gateway);
 ks_fleet_t *ks_gateway_fleet(ks_gateway_t *gateway);
 ks_peers_t *ks_gateway_peers(ks_gateway_t *gateway);
+ks_quarantine_t *ks_gateway_quarantine(ks_gateway_t *gateway);
 ks_metrics_t *ks_gateway_metrics(ks_gateway_t *gateway);
 int64_t ks_gateway_version(const ks_gateway_t *gateway);
 uint16_t ks_gateway_port(const ks_gateway_t *gateway);
--- a/packages/gateway/src/exchange.c
+++ b/packages/gateway/src/exchange.c
@@ -175,6 +175,7 @@
 				gateway->dialect->prompt_parts.data);
 	exchange->has_prompt = exchange->service->is_engine &&
 			       ks_prompt_parse(&exchange->prompt, parts);
+	ks_prompt_set_service(&exchange->prompt, exchange->service_name);
 	exchange->may_split =
 		exchange->has_prompt && exchange->service->transfers_kv;
 	exchange->has_events = exchange->route->kind == KS_CALL_STREAM &&
--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -164,6 +164,7 @@
 	exchange->refused_not_run =
 		exchange_states_not_run(exchange, headers, n);
 	exchange_note_upstream(exchange, exchange->member, headers, n);
+	exchange_record_alive(exchange, exchange->member);
 	exchange->is_stream_response =
 		status / 100 == 2 && (exchange->route->kind == KS_CALL_STREAM ||
 				      is_event_stream(headers, n));
@@ -451,8 +452,10 @@
 	g_string_truncate(exchange->kv_source, 0);
 	count_answers(exchange);
 	record_outcome(exchange, result);
-	if (result == KS_HTTP_INCOMPLETE && exchange->has_prompt)
-		exchange_log_loss(exchange);
+	if (result == KS_HTTP_INCOMPLETE)
+		exchange_record_loss(exchange);
+	else if (result == KS_HTTP_COMPLETE)
+		exchange_record_answer(exchange);
 	if (!exchange->caller || exchange->step == EXCHANGE_DETACHED) {
 		exchange_log(exchange, KS_LOG_INFO,
 			     "finished after the caller disconnected",
--- a/packages/gateway/src/exchange_dispatch.c
+++ b/packages/gateway/src/exchange_dispatch.c
@@ -49,7 +49,8 @@
 	ks_gateway_t *gateway = exchange->gateway;
 
 	if (!exchange->caller || exchange->sends >= MAX_SENDS ||
-	    exchange_now(exchange) >= exchange->deadline_us)
+	    exchange_now(exchange) >= exchange->deadline_us ||
+	    exchange_is_suspect(exchange))
 		return false;
 	if (exchange_may_have_run(exchange) &&
 	    (!may_repeat(exchange) ||
@@ -92,6 +93,7 @@
 	exchange->refused_not_run =
 		exchange_states_not_run(exchange, headers, n);
 	exchange_note_upstream(exchange, exchange->prefill_member, headers, n);
+	exchange_record_alive(exchange, exchange->prefill_member);
 }
 
 static void on_prefill_body(void *ctx, ks_str_t data)
@@ -228,6 +230,8 @@
 			     "the prompt could not be read ahead",
 			     exchange->status);
 	}
+	if (exchange_refuse_held(exchange))
+		return;
 	if (!may_run_after_prefill(exchange, result)) {
 		exchange_give_up(exchange, RETRY_AFTER_OVERLOADED_S,
 				 "retry budget used up");
@@ -315,8 +319,11 @@
 
 void exchange_dispatch(struct exchange *exchange)
 {
-	ks_placement_t placement = place(exchange);
+	ks_placement_t placement;
 
+	if (exchange_refuse_held(exchange))
+		return;
+	placement = place(exchange);
 	if (!placement.run) {
 		refuse_unplaced(exchange);
 		return;
--- /dev/null
+++ b/packages/gateway/src/exchange_quarantine.c
@@ -0,0 +1,146 @@
+/*
+ * Tells the quarantine which requests were lost and answered, and refuses
+ * requests with a part of a prompt that is held.
+ */
+#include "gateway_internal.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/*
+ * An upstream that fails this soon after the first byte of a response may have
+ * failed because of it.
+ */
+#define BEGINNING_US (200 * KS_USEC_PER_MSEC)
+
+/* Retry-After of a request with a held part, in seconds. */
+#define RETRY_AFTER_HELD_S 60.0
+
+static void on_held(void *ctx, uint64_t part, unsigned crashes)
+{
+	ks_gateway_t *gateway = ctx;
+
+	ks_counter_add(gateway->counters.held, 1);
+	ks_log(KS_LOG_ROUTE, KS_LOG_WARN,
+	       "requests with a part of a prompt are refused, as upstreams "
+	       "crash on it part=%016" PRIx64 " crashes=%u",
+	       part, crashes);
+}
+
+static void on_lifted(void *ctx G_GNUC_UNUSED, uint64_t part)
+{
+	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
+	       "a part of a prompt is no longer held, as a request with it was "
+	       "answered part=%016" PRIx64,
+	       part);
+}
+
+static const ks_quarantine_events_t quarantine_events = {
+	.held = on_held,
+	.lifted = on_lifted,
+};
+
+void gateway_quarantine_init(ks_gateway_t *gateway)
+{
+	ks_quarantine_init(&gateway->quarantine, &quarantine_events, gateway);
+}
+
+/* Identifies the process of an upstream, as a restarted one keeps its id. */
+static uint32_t process_tag(const ks_member_t *member)
+{
+	return XXH32(&member->process_start_ms,
+		     sizeof(member->process_start_ms), member->tag);
+}
+
+/**
+ * exchange_refuse_held() - end the exchange if a part of its prompt is held
+ *
+ * Return: whether it has ended.
+ */
+bool exchange_refuse_held(struct exchange *exchange)
+{
+	ks_gateway_t *gateway = exchange->gateway;
+	const ks_prompt_t *prompt = &exchange->prompt;
+	int held;
+
+	if (!exchange->has_prompt)
+		return false;
+	ks_quarantine_evaluate(&gateway->quarantine, exchange_now(exchange));
+	held = ks_quarantine_find_held(&gateway->quarantine, prompt->shared,
+				       prompt->n_shared);
+	if (held < 0)
+		return false;
+	ks_counter_add(gateway->counters.held_refused, 1);
+	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
+	       "a part of the prompt is held request=%s part=%016" PRIx64
+	       " position=%d",
+	       exchange->id, prompt->shared[held], held);
+	exchange_give_up(exchange, RETRY_AFTER_HELD_S,
+			 "upstreams crash on a part of the prompt");
+	return true;
+}
+
+/**
+ * exchange_is_suspect() - whether the request may be what crashes upstreams
+ */
+bool exchange_is_suspect(const struct exchange *exchange)
+{
+	const ks_prompt_t *prompt = &exchange->prompt;
+
+	return exchange->has_prompt &&
+	       ks_quarantine_is_suspect(&exchange->gateway->quarantine,
+					prompt->shared, prompt->n_shared,
+					exchange_now(exchange));
+}
+
+/**
+ * exchange_record_loss() - record that the connection to the upstream was lost
+ *
+ * A request to which the upstream had been responding for long is not what made
+ * it fail.
+ */
+void exchange_record_loss(struct exchange *exchange)
+{
+	ks_gateway_t *gateway = exchange->gateway;
+	const ks_prompt_t *prompt = &exchange->prompt;
+	int64_t now = exchange_now(exchange);
+	ks_loss_t loss = {
+		.number = gateway->n_losses + 1,
+		.upstream = process_tag(exchange->member),
+		.at_us = now,
+		.n_parts = prompt->n_shared,
+	};
+
+	if (!exchange->has_prompt)
+		return;
+	exchange_log_loss(exchange);
+	if (exchange->begun_us && now - exchange->begun_us > BEGINNING_US)
+		return;
+	G_STATIC_ASSERT(sizeof(loss.parts) == sizeof(prompt->shared));
+	memcpy(loss.parts, prompt->shared, sizeof(loss.parts));
+	if (ks_quarantine_record_loss(&gateway->quarantine, &loss, now))
+		gateway->n_losses++;
+}
+
+/**
+ * exchange_record_answer() - record that a response was received completely
+ */
+void exchange_record_answer(struct exchange *exchange)
+{
+	const ks_prompt_t *prompt = &exchange->prompt;
+
+	if (exchange->has_prompt && exchange->status / 100 == 2)
+		ks_quarantine_record_answer(&exchange->gateway->quarantine,
+					    prompt->shared, prompt->n_shared,
+					    exchange->sent_us,
+					    exchange_now(exchange));
+}
+
+/**
+ * exchange_record_alive() - record that an upstream responds to a request
+ */
+void exchange_record_alive(struct exchange *exchange, const ks_member_t *member)
+{
+	ks_quarantine_record_alive(&exchange->gateway->quarantine,
+				   process_tag(member), exchange->sent_us);
+}
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -145,6 +145,14 @@
 	c->truncated = ks_metrics_counter(
 		m, "ks_gateway_truncated_streams_total",
 		"Streams of upstreams that ended inside an event", NULL);
+	c->held = ks_metrics_counter(
+		m, "ks_gateway_held_parts_total",
+		"Parts of prompts that were held because upstreams crashed",
+		NULL);
+	c->held_refused = ks_metrics_counter(
+		m, "ks_gateway_held_refused_total",
+		"Requests refused because a part of their prompt is held",
+		NULL);
 	c->lost_at_start = ks_metrics_counter(
 		m, "ks_gateway_lost_at_start_total",
 		"Requests with a prompt that were lost before the first byte "
@@ -223,6 +231,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gateway->metrics = ks_metrics_new();
 	make_counters(gateway);
+	gateway_quarantine_init(gateway);
 	ks_list_init(&gateway->exchanges);
 	ks_list_init(&gateway->server.conns);
 	ks_list_init(&gateway->ready.conns);
@@ -266,6 +275,7 @@
 	ks_traffic_unref(gateway->traffic);
 	ks_rng_deinit(&gateway->rng);
 	g_hash_table_destroy(gateway->budgets);
+	ks_quarantine_deinit(&gateway->quarantine);
 	ks_metrics_free(gateway->metrics);
 	g_free(gateway->domain);
 	g_free(gateway);
@@ -368,6 +378,11 @@
 	return gateway->metrics;
 }
 
+ks_quarantine_t *ks_gateway_quarantine(ks_gateway_t *gateway)
+{
+	return &gateway->quarantine;
+}
+
 ks_peers_t *ks_gateway_peers(ks_gateway_t *gateway)
 {
 	return &gateway->peers;
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -18,6 +18,8 @@
  *	of a request
  * @unnamed: responses without the id of a request
  * @truncated: streams of upstreams that ended inside an event
+ * @held: parts of prompts that were held, by this entry's own decision or not
+ * @held_refused: requests refused because a part of their prompt is held
  * @lost_at_start: requests with a prompt that were lost before the first byte
  *	of the response body
  * @leaving: upstreams that said in a response that they leave
@@ -44,6 +46,8 @@
 	ks_counter_t *skipped;
 	ks_counter_t *unnamed;
 	ks_counter_t *truncated;
+	ks_counter_t *held;
+	ks_counter_t *held_refused;
 	ks_counter_t *lost_at_start;
 	ks_counter_t *leaving;
 	ks_counter_t *backed_off;
@@ -64,6 +68,8 @@
  * @traffic: routes and services in force, or NULL before the first
  * @confirmed_us: when the store last confirmed that @traffic is current
  * @budgets: ks_budget_t for retries by service name
+ * @quarantine: parts of prompts whose requests are refused
+ * @n_losses: losses recorded by this entry
  * @exchanges: struct exchange of the requests in progress
  * @stop_began_us: when the graceful stop began
  */
@@ -81,6 +87,8 @@
 	ks_fleet_t fleet;
 	ks_peers_t peers;
 	GHashTable *budgets;
+	ks_quarantine_t quarantine;
+	uint64_t n_losses;
 	ks_list_t exchanges;
 	ks_rng_t rng;
 	ks_metrics_t *metrics;
@@ -260,6 +268,16 @@
 			     const ks_header_t *headers, size_t n);
 void exchange_resume_response(void *ctx);
 
+/* exchange_quarantine.c */
+
+void gateway_quarantine_init(ks_gateway_t *gateway);
+bool exchange_refuse_held(struct exchange *exchange);
+bool exchange_is_suspect(const struct exchange *exchange);
+void exchange_record_loss(struct exchange *exchange);
+void exchange_record_answer(struct exchange *exchange);
+void exchange_record_alive(struct exchange *exchange,
+			   const ks_member_t *member);
+
 /* exchange_send.c */
 
 bool exchange_permits_send(struct exchange *exchange,
--- /dev/null
+++ b/packages/request/include/ks/quarantine.h
@@ -0,0 +1,106 @@
+/*
+ * Quarantine of prompt parts that crash upstreams. Included by ks/request.h.
+ *
+ * part - a piece of a prompt that several requests share, by a hash of its
+ * content and of the service
+ * loss - a request whose upstream failed as it began to respond
+ * hold - to refuse all requests with a part
+ */
+#ifndef KS_QUARANTINE_H
+#define KS_QUARANTINE_H
+
+#include "ks/core.h"
+
+G_BEGIN_DECLS
+
+#define KS_LOSS_MAX_PARTS 16
+
+/**
+ * struct ks_loss - a request that was lost as its upstream began to respond
+ * @source: the entry that lost the request
+ * @number: identifies the loss among those of @source
+ * @upstream: the process of the upstream; a restarted one differs
+ * @at_us: time of the loss
+ * @parts: the parts that other requests may share, in their order
+ */
+typedef struct ks_loss {
+	uint64_t source;
+	uint64_t number;
+	uint32_t upstream;
+	int64_t at_us;
+	unsigned n_parts;
+	uint64_t parts[KS_LOSS_MAX_PARTS];
+} ks_loss_t;
+
+/**
+ * struct ks_part - what is known of a part
+ * @answered_us: when the latest request was sent that was answered completely;
+ *	0 if none is known
+ * @told_us, @told_at_us: the @answered_us that the other entries were told
+ *last, and when
+ * @held_us: since when the part is held, 0 if it is not
+ * @lifted_us: when the hold was lifted, 0 if it was not
+ */
+typedef struct ks_part {
+	uint64_t id;
+	int64_t answered_us;
+	int64_t told_us;
+	int64_t told_at_us;
+	int64_t held_us;
+	int64_t lifted_us;
+} ks_part_t;
+
+/**
+ * struct ks_quarantine_events - callbacks of a quarantine
+ * @held: a part is held; @crashes is the number of upstreams that were lost, 0
+ *	if another entry or the store said so
+ * @lifted: a part is no longer held, as a request with it was answered
+ */
+typedef struct ks_quarantine_events {
+	void (*held)(void *ctx, uint64_t part, unsigned crashes);
+	void (*lifted)(void *ctx, uint64_t part);
+} ks_quarantine_events_t;
+
+/**
+ * struct ks_quarantine - losses, and the parts that are held because of them
+ * @losses: ks_loss_t that no held part explains, in the order of arrival
+ * @parts: ks_part_t by id
+ * @n_held: number of parts that are held
+ * @due_us: when a loss begins to count that was not evaluated yet, 0 if all
+ * were
+ * @events: NULL for none
+ */
+typedef struct ks_quarantine {
+	GQueue losses;
+	GHashTable *parts;
+	unsigned n_held;
+	int64_t due_us;
+	const ks_quarantine_events_t *events;
+	void *ctx;
+} ks_quarantine_t;
+
+void ks_quarantine_init(ks_quarantine_t *quarantine,
+			const ks_quarantine_events_t *events, void *ctx);
+void ks_quarantine_deinit(ks_quarantine_t *quarantine);
+bool ks_quarantine_record_loss(ks_quarantine_t *quarantine,
+			       const ks_loss_t *loss, int64_t now_us);
+void ks_quarantine_record_answer(ks_quarantine_t *quarantine,
+				 const uint64_t *parts, unsigned n_parts,
+				 int64_t sent_us, int64_t now_us);
+void ks_quarantine_record_alive(ks_quarantine_t *quarantine, uint32_t upstream,
+				int64_t sent_us);
+void ks_quarantine_evaluate(ks_quarantine_t *quarantine, int64_t now_us);
+bool ks_quarantine_hold(ks_quarantine_t *quarantine, uint64_t part,
+			int64_t since_us, int64_t now_us);
+void ks_quarantine_release(ks_quarantine_t *quarantine, uint64_t part,
+			   int64_t now_us);
+int ks_quarantine_find_held(const ks_quarantine_t *quarantine,
+			    const uint64_t *parts, unsigned n_parts);
+bool ks_quarantine_is_suspect(const ks_quarantine_t *quarantine,
+			      const uint64_t *parts, unsigned n_parts,
+			      int64_t now_us);
+int64_t ks_quarantine_probe_wait_us(unsigned probes);
+
+G_END_DECLS
+
+#endif
--- a/packages/request/include/ks/request.h
+++ b/packages/request/include/ks/request.h
@@ -19,6 +19,7 @@
 #define KS_REQUEST_H
 
 #include "ks/core.h"
+#include "ks/quarantine.h"
 
 G_BEGIN_DECLS
 
