gateway: entries tell each other of losses, answers and held parts

The messages between entries now carry the losses of the last 2 s, when parts of lost requests were last in an answered request, and the parts that are held. An entry counts the losses of all, and learns from the others which parts are sound. A loss is sent at once, every 100 ms at most, and every 500 ms among many entries; older builds ignore the fields.

Evidence: test-peers losses-are-shared.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -541,9 +541,12 @@
  * @queued_parts: ids of the cached parts to announce in the next message
  * @queued_tags: tags of the upstreams that have @queued_parts cached
  * @addresses: addresses of the subscribed publishers, by entry name
+ * @sent_us: when the last message was sent
  * @next_us: earliest time of the next message
  * @rank: see struct ks_peer_view
  * @views: what this entry knows of each table
+ * @quarantine: exchanged with the other entries; NULL for none
+ * @losses: ks_loss_t of this entry that are sent to the others
  * @outdated_by: digest that @outdated was last called for, by table
  * @outdated: NULL for none
  */
@@ -565,9 +568,12 @@
 	GArray *queued_tags;
 	GHashTable *addresses;
 	ks_timer_t timer;
+	int64_t sent_us;
 	int64_t next_us;
 	uint64_t rank;
 	ks_view_t views[KS_N_TABLES];
+	ks_quarantine_t *quarantine;
+	GQueue losses;
 	uint64_t outdated_by[KS_N_TABLES];
 	ks_outdated_func_t outdated;
 	void *ctx;
@@ -583,6 +589,7 @@
 void ks_peers_schedule_update(ks_peers_t *peers);
 void ks_peers_queue_cached(ks_peers_t *peers, const ks_member_t *member,
 			   const ks_prompt_t *prompt);
+void ks_peers_queue_loss(ks_peers_t *peers, const ks_loss_t *loss);
 void ks_peers_receive(ks_peers_t *peers, ks_str_t message);
 size_t ks_peers_n_active(const ks_peers_t *peers);
 size_t ks_peers_n_announced(const ks_peers_t *peers);
--- a/packages/gateway/src/exchange_quarantine.c
+++ b/packages/gateway/src/exchange_quarantine.c
@@ -118,8 +118,10 @@
 		return;
 	G_STATIC_ASSERT(sizeof(loss.parts) == sizeof(prompt->shared));
 	memcpy(loss.parts, prompt->shared, sizeof(loss.parts));
-	if (ks_quarantine_record_loss(&gateway->quarantine, &loss, now))
-		gateway->n_losses++;
+	if (!ks_quarantine_record_loss(&gateway->quarantine, &loss, now))
+		return;
+	gateway->n_losses++;
+	ks_peers_queue_loss(&gateway->peers, &loss);
 }
 
 /**
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -251,6 +251,7 @@
 	    (!*settings->peer.ip ||
 	     ks_peers_init(&gateway->peers, loop, &gateway->fleet,
 			   settings->name, &settings->peer, error))) {
+		gateway->peers.quarantine = &gateway->quarantine;
 		log_start(gateway);
 		return gateway;
 	}
--- a/packages/gateway/src/peer.pb-c.c
+++ b/packages/gateway/src/peer.pb-c.c
@@ -52,7 +52,52 @@
   assert(message->base.descriptor == &ks__peer_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ks__peer_state__field_descriptors[13] =
+void   ks__peer_loss__init
+                     (Ks__PeerLoss         *message)
+{
+  static const Ks__PeerLoss init_value = KS__PEER_LOSS__INIT;
+  *message = init_value;
+}
+size_t ks__peer_loss__get_packed_size
+                     (const Ks__PeerLoss *message)
+{
+  assert(message->base.descriptor == &ks__peer_loss__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ks__peer_loss__pack
+                     (const Ks__PeerLoss *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ks__peer_loss__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ks__peer_loss__pack_to_buffer
+                     (const Ks__PeerLoss *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ks__peer_loss__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ks__PeerLoss *
+       ks__peer_loss__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ks__PeerLoss *)
+     protobuf_c_message_unpack (&ks__peer_loss__descriptor,
+                                allocator, len, data);
+}
+void   ks__peer_loss__free_unpacked
+                     (Ks__PeerLoss *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ks__peer_loss__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor ks__peer_state__field_descriptors[18] =
 {
   {
     "name",
@@ -210,11 +255,76 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "loss",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ks__PeerState, n_loss),
+    offsetof(Ks__PeerState, loss),
+    &ks__peer_loss__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered_part",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ks__PeerState, n_answered_part),
+    offsetof(Ks__PeerState, answered_part),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered_age_ms",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ks__PeerState, n_answered_age_ms),
+    offsetof(Ks__PeerState, answered_age_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held_part",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ks__PeerState, n_held_part),
+    offsetof(Ks__PeerState, held_part),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held_age_ms",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ks__PeerState, n_held_age_ms),
+    offsetof(Ks__PeerState, held_age_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ks__peer_state__field_indices_by_name[] = {
+  15,   /* field[15] = answered_age_ms */
+  14,   /* field[14] = answered_part */
+  17,   /* field[17] = held_age_ms */
+  16,   /* field[16] = held_part */
   1,   /* field[1] = incarnation */
   8,   /* field[8] = kept_by */
   7,   /* field[7] = kept_part */
+  13,   /* field[13] = loss */
   0,   /* field[0] = name */
   2,   /* field[2] = number */
   9,   /* field[9] = occupancy */
@@ -229,7 +339,7 @@
 static const ProtobufCIntRange ks__peer_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor ks__peer_state__descriptor =
 {
@@ -239,10 +349,87 @@
   "Ks__PeerState",
   "ks",
   sizeof(Ks__PeerState),
-  13,
+  18,
   ks__peer_state__field_descriptors,
   ks__peer_state__field_indices_by_name,
   1,  ks__peer_state__number_ranges,
   (ProtobufCMessageInit) ks__peer_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ks__peer_loss__field_descriptors[4] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ks__PeerLoss, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ks__PeerLoss, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ks__PeerLoss, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ks__PeerLoss, n_part),
+    offsetof(Ks__PeerLoss, part),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ks__peer_loss__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  0,   /* field[0] = number */
+  3,   /* field[3] = part */
+  1,   /* field[1] = upstream */
+};
+static const ProtobufCIntRange ks__peer_loss__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor ks__peer_loss__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ks.PeerLoss",
+  "PeerLoss",
+  "Ks__PeerLoss",
+  "ks",
+  sizeof(Ks__PeerLoss),
+  4,
+  ks__peer_loss__field_descriptors,
+  ks__peer_loss__field_indices_by_name,
+  1,  ks__peer_loss__number_ranges,
+  (ProtobufCMessageInit) ks__peer_loss__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/packages/gateway/src/peer.pb-c.h
+++ b/packages/gateway/src/peer.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct Ks__PeerState Ks__PeerState;
+typedef struct Ks__PeerLoss Ks__PeerLoss;
 
 
 /* --- enums --- */
@@ -80,10 +81,57 @@
   uint64_t *table_digest;
   size_t n_table_age_ms;
   uint32_t *table_age_ms;
+  /*
+   * Requests that the sender has lost shortly before. A loss is sent several
+   * times.
+   */
+  size_t n_loss;
+  Ks__PeerLoss **loss;
+  /*
+   * Parts of prompts, and how long ago the latest request with each of them was
+   * sent that was answered.
+   */
+  size_t n_answered_part;
+  uint64_t *answered_part;
+  size_t n_answered_age_ms;
+  uint32_t *answered_age_ms;
+  /*
+   * Parts of prompts that the sender holds, and for how long.
+   */
+  size_t n_held_part;
+  uint64_t *held_part;
+  size_t n_held_age_ms;
+  uint32_t *held_age_ms;
 };
 #define KS__PEER_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ks__peer_state__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * A request that was lost as its upstream began to respond.
+ */
+struct  Ks__PeerLoss
+{
+  ProtobufCMessage base;
+  /*
+   * Identifies the loss among those of the sender's incarnation.
+   */
+  uint64_t number;
+  /*
+   * Hash of the upstream's id and of the start of its process.
+   */
+  uint32_t upstream;
+  uint32_t age_ms;
+  /*
+   * Hashes of the parts of the prompt that other requests may share.
+   */
+  size_t n_part;
+  uint64_t *part;
+};
+#define KS__PEER_LOSS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ks__peer_loss__descriptor) \
+    , 0, 0, 0, 0,NULL }
 
 
 /* Ks__PeerState methods */
@@ -105,11 +153,33 @@
 void   ks__peer_state__free_unpacked
                      (Ks__PeerState *message,
                       ProtobufCAllocator *allocator);
+/* Ks__PeerLoss methods */
+void   ks__peer_loss__init
+                     (Ks__PeerLoss         *message);
+size_t ks__peer_loss__get_packed_size
+                     (const Ks__PeerLoss   *message);
+size_t ks__peer_loss__pack
+                     (const Ks__PeerLoss   *message,
+                      uint8_t             *out);
+size_t ks__peer_loss__pack_to_buffer
+                     (const Ks__PeerLoss   *message,
+                      ProtobufCBuffer     *buffer);
+Ks__PeerLoss *
+       ks__peer_loss__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ks__peer_loss__free_unpacked
+                     (Ks__PeerLoss *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Ks__PeerState_Closure)
                  (const Ks__PeerState *message,
                   void *closure_data);
+typedef void (*Ks__PeerLoss_Closure)
+                 (const Ks__PeerLoss *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -117,6 +187,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor ks__peer_state__descriptor;
+extern const ProtobufCMessageDescriptor ks__peer_loss__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/packages/gateway/src/peers.c
+++ b/packages/gateway/src/peers.c
@@ -206,6 +206,7 @@
 		g_hash_table_foreach_remove(peer->loads, is_stale, peer);
 		record_parts(peers, state);
 		peers_record_views(peers, peer, state);
+		peers_record_losses(peers, peer, state);
 	}
 	ks__peer_state__free_unpacked(state, NULL);
 }
@@ -246,6 +247,7 @@
 	uint32_t *occupancy = g_new(uint32_t, n + 1);
 	Ks__PeerState state = KS__PEER_STATE__INIT;
 	struct peers_view_fields views;
+	struct peers_loss_fields losses;
 	GHashTableIter iter;
 	gpointer value;
 	uint8_t *buf;
@@ -278,6 +280,7 @@
 	state.kept_by = (uint32_t *)(void *)peers->queued_tags->data;
 	state.n_kept_part = state.n_kept_by = peers->queued_parts->len;
 	peers_add_views(peers, &state, &views);
+	peers_add_losses(peers, &state, &losses);
 	len = ks__peer_state__get_packed_size(&state);
 	buf = g_malloc(len);
 	ks__peer_state__pack(&state, buf);
@@ -301,6 +304,7 @@
 	int64_t period = sent * KS_USEC_PER_SEC / peers->bytes_per_s;
 
 	remove_silent(peers);
+	peers->sent_us = ks_loop_now(peers->loop);
 	peers->next_us =
 		ks_loop_now(peers->loop) + MAX(period, MIN_UPDATE_INTERVAL_US);
 	ks_timer_set(&peers->timer, IDLE_UPDATE_INTERVAL_US);
@@ -418,6 +422,7 @@
 	g_hash_table_destroy(peers->by_name);
 	g_hash_table_destroy(peers->addresses);
 	g_hash_table_destroy(peers->announced);
+	g_queue_clear_full(&peers->losses, g_free);
 	g_array_free(peers->queued_parts, TRUE);
 	g_array_free(peers->queued_tags, TRUE);
 	g_free(peers->name);
--- a/packages/gateway/src/peers_internal.h
+++ b/packages/gateway/src/peers_internal.h
@@ -39,4 +39,27 @@
 void peers_add_views(const ks_peers_t *peers, Ks__PeerState *state,
 		     struct peers_view_fields *fields);
 
+/* Limits on a message, which keep it to a packet in most cases. */
+#define PEERS_MAX_LOSSES 8
+#define PEERS_MAX_PARTS 16
+
+/**
+ * struct peers_loss_fields - losses and parts in the form of a message
+ */
+struct peers_loss_fields {
+	Ks__PeerLoss losses[PEERS_MAX_LOSSES];
+	Ks__PeerLoss *loss_list[PEERS_MAX_LOSSES];
+	uint64_t answered[PEERS_MAX_PARTS];
+	uint32_t answered_ages_ms[PEERS_MAX_PARTS];
+	uint64_t held[PEERS_MAX_PARTS];
+	uint32_t held_ages_ms[PEERS_MAX_PARTS];
+};
+
+/* peer_losses.c */
+
+void peers_record_losses(ks_peers_t *peers, const struct peer *peer,
+			 const Ks__PeerState *state);
+void peers_add_losses(ks_peers_t *peers, Ks__PeerState *state,
+		      struct peers_loss_fields *fields);
+
 #endif
--- a/packages/gateway/tests/test-peers.c
+++ b/packages/gateway/tests/test-peers.c
@@ -430,6 +430,107 @@
 	g_assert_true(ks_view_is_outdated(&own, &other.view));
 }
 
+#define CALLER 0xca11e4
+#define DEADLY 0xdead
+
+/* Two entries that hear each other, each with a quarantine. */
+struct pair_fixture {
+	struct peers_fixture f;
+	ks_fleet_t other_fleet;
+	ks_peers_t other;
+	ks_quarantine_t quarantines[2];
+};
+
+static void init_pair(struct pair_fixture *p)
+{
+	ks_address_t address = { "127.0.0.1", 0 };
+
+	init_fixture(&p->f);
+	ks_fleet_init(&p->other_fleet);
+	g_assert_true(ks_peers_init(&p->other, &p->f.loop, &p->other_fleet,
+				    "other", &address, NULL));
+	for (int i = 0; i < 2; i++)
+		ks_quarantine_init(&p->quarantines[i], NULL, NULL);
+	p->f.peers.quarantine = &p->quarantines[0];
+	p->other.quarantine = &p->quarantines[1];
+	address.port = p->other.port;
+	ks_peers_add(&p->f.peers, "other", &address);
+	address.port = p->f.peers.port;
+	ks_peers_add(&p->other, "self", &address);
+}
+
+static void deinit_pair(struct pair_fixture *p)
+{
+	ks_peers_deinit(&p->other);
+	ks_fleet_deinit(&p->other_fleet);
+	for (int i = 0; i < 2; i++)
+		ks_quarantine_deinit(&p->quarantines[i]);
+	deinit_fixture(&p->f);
+}
+
+static void lose(struct pair_fixture *p, int entry, uint32_t upstream)
+{
+	int64_t now = ks_loop_now(&p->f.loop);
+	ks_loss_t loss = { .number = upstream,
+			   .upstream = upstream,
+			   .at_us = now,
+			   .n_parts = 2,
+			   .parts = { CALLER, DEADLY } };
+
+	g_assert_true(
+		ks_quarantine_record_loss(&p->quarantines[entry], &loss, now));
+	ks_peers_queue_loss(entry ? &p->other : &p->f.peers, &loss);
+}
+
+static bool holds(struct pair_fixture *p, int entry, uint64_t part)
+{
+	ks_quarantine_evaluate(&p->quarantines[entry], ks_loop_now(&p->f.loop));
+	return ks_quarantine_find_held(&p->quarantines[entry], &part, 1) == 0;
+}
+
+#define PAIR_WAIT(p, condition)                                       \
+	do {                                                          \
+		for (int i_ = 0; i_ < 4000 && !(condition); i_++) {   \
+			ks_test_clock_advance(&(p)->f.clock,          \
+					      10 * KS_USEC_PER_MSEC); \
+			ks_loop_run_once(&(p)->f.loop, 2000);         \
+		}                                                     \
+		g_assert_true(condition);                             \
+	} while (0)
+
+/*
+ * Guards against each entry sending requests with a part until it has seen
+ * enough crashes by itself, against holding a part that another entry knows
+ * from answers, and against a hold that one entry alone lifts.
+ */
+static void test_losses_are_shared(void)
+{
+	uint64_t caller = CALLER, deadly = DEADLY;
+	struct pair_fixture p;
+
+	init_pair(&p);
+	PAIR_WAIT(&p, ks_peers_n_active(&p.f.peers) == 1 &&
+			      ks_peers_n_active(&p.other) == 1);
+	ks_quarantine_record_answer(&p.quarantines[0], &caller, 1,
+				    ks_loop_now(&p.f.loop),
+				    ks_loop_now(&p.f.loop));
+	ks_test_clock_advance(&p.f.clock, 10 * KS_USEC_PER_MSEC);
+	lose(&p, 0, 1);
+	lose(&p, 1, 2);
+	lose(&p, 1, 3);
+	PAIR_WAIT(&p, holds(&p, 0, DEADLY) && holds(&p, 1, DEADLY));
+	g_assert_false(holds(&p, 0, CALLER));
+	g_assert_false(holds(&p, 1, CALLER));
+	ks_test_clock_advance(&p.f.clock, 10 * KS_USEC_PER_MSEC);
+	ks_quarantine_record_answer(&p.quarantines[1], &deadly, 1,
+				    ks_loop_now(&p.f.loop),
+				    ks_loop_now(&p.f.loop));
+	g_assert_false(holds(&p, 1, DEADLY));
+	PAIR_WAIT(&p, !holds(&p, 0, DEADLY));
+	g_assert_false(holds(&p, 1, DEADLY));
+	deinit_pair(&p);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -446,5 +547,6 @@
 	g_test_add_func("/peers/mismatched-views", test_mismatched_views);
 	g_test_add_func("/peers/reset-while-paused", test_reset_while_paused);
 	g_test_add_func("/peers/views-of-eras", test_views_of_eras);
+	g_test_add_func("/peers/losses-are-shared", test_losses_are_shared);
 	return g_test_run();
 }
--- a/packages/request/include/ks/quarantine.h
+++ b/packages/request/include/ks/quarantine.h
@@ -36,8 +36,8 @@
  * struct ks_part - what is known of a part
  * @answered_us: when the latest request was sent that was answered completely;
  *	0 if none is known
- * @told_us, @told_at_us: the @answered_us that the other entries were told
- *last, and when
+ * @told_us: the latest @answered_us that all entries were told, by this one or
+ *	another
  * @held_us: since when the part is held, 0 if it is not
  * @lifted_us: when the hold was lifted, 0 if it was not
  */
@@ -45,7 +45,6 @@
 	uint64_t id;
 	int64_t answered_us;
 	int64_t told_us;
-	int64_t told_at_us;
 	int64_t held_us;
 	int64_t lifted_us;
 } ks_part_t;
@@ -66,6 +65,7 @@
  * @losses: ks_loss_t that no held part explains, in the order of arrival
  * @parts: ks_part_t by id
  * @n_held: number of parts that are held
+ * @n_lifted: number of holds that were lifted
  * @due_us: when a loss begins to count that was not evaluated yet, 0 if all
  * were
  * @events: NULL for none
@@ -74,6 +74,7 @@
 	GQueue losses;
 	GHashTable *parts;
 	unsigned n_held;
+	unsigned n_lifted;
 	int64_t due_us;
 	const ks_quarantine_events_t *events;
 	void *ctx;
@@ -87,6 +88,8 @@
 void ks_quarantine_record_answer(ks_quarantine_t *quarantine,
 				 const uint64_t *parts, unsigned n_parts,
 				 int64_t sent_us, int64_t now_us);
+void ks_quarantine_set_told(ks_quarantine_t *quarantine, uint64_t part,
+			    int64_t answered_us, int64_t now_us);
 void ks_quarantine_record_alive(ks_quarantine_t *quarantine, uint32_t upstream,
 				int64_t sent_us);
 void ks_quarantine_evaluate(ks_quarantine_t *quarantine, int64_t now_us);
--- a/packages/request/src/quarantine.c
+++ b/packages/request/src/quarantine.c
@@ -64,6 +64,7 @@
 	quarantine->parts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						  NULL, g_free);
 	quarantine->n_held = 0;
+	quarantine->n_lifted = 0;
 	quarantine->due_us = 0;
 	quarantine->events = events;
 	quarantine->ctx = ctx;
@@ -180,6 +181,7 @@
 	part->held_us = 0;
 	part->lifted_us = now_us;
 	quarantine->n_held--;
+	quarantine->n_lifted++;
 	if (quarantine->events)
 		quarantine->events->lifted(quarantine->ctx, part->id);
 }
@@ -203,6 +205,17 @@
 	}
 }
 
+/**
+ * ks_quarantine_set_told() - note that all entries were told of an answer
+ */
+void ks_quarantine_set_told(ks_quarantine_t *quarantine, uint64_t id,
+			    int64_t answered_us, int64_t now_us)
+{
+	ks_part_t *part = get_part(quarantine, id, now_us);
+
+	part->told_us = MAX(part->told_us, answered_us);
+}
+
 /**
  * ks_quarantine_record_alive() - record that an upstream has responded
  * @sent_us: when it was sent the request to which it responds
