platform: keep the held parts of prompts in the store

What callers would see: entries that all restart know nothing of the parts that they held, so that a part crashes engines again; so do entries that hear nothing of the others.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -718,6 +718,17 @@
 
 typedef struct ks_gateway ks_gateway_t;
 
+/**
+ * struct ks_hold_keeper - keeps holds of prompt parts beyond this process
+ * @changed: a part is held, or no longer; @own: by a decision of this entry
+ * @may_try: whether a request with a held part may be sent now, to see whether
+ *	it is answered
+ */
+typedef struct ks_hold_keeper {
+	void (*changed)(void *ctx, uint64_t part, bool own);
+	bool (*may_try)(void *ctx, uint64_t part);
+} ks_hold_keeper_t;
+
 /**
  * struct ks_gateway_settings - settings of a gateway
  * @listen: address for callers
@@ -759,6 +770,8 @@
 ks_fleet_t *ks_gateway_fleet(ks_gateway_t *gateway);
 ks_peers_t *ks_gateway_peers(ks_gateway_t *gateway);
 ks_quarantine_t *ks_gateway_quarantine(ks_gateway_t *gateway);
+void ks_gateway_set_hold_keeper(ks_gateway_t *gateway,
+				const ks_hold_keeper_t *keeper, void *ctx);
 ks_metrics_t *ks_gateway_metrics(ks_gateway_t *gateway);
 int64_t ks_gateway_version(const ks_gateway_t *gateway);
 uint16_t ks_gateway_port(const ks_gateway_t *gateway);
--- a/packages/gateway/src/exchange_quarantine.c
+++ b/packages/gateway/src/exchange_quarantine.c
@@ -25,14 +25,22 @@
 	       "requests with a part of a prompt are refused, as upstreams "
 	       "crash on it part=%016" PRIx64 " crashes=%u",
 	       part, crashes);
+	if (gateway->hold_keeper)
+		gateway->hold_keeper->changed(gateway->hold_keeper_ctx, part,
+					      crashes > 0);
 }
 
-static void on_lifted(void *ctx G_GNUC_UNUSED, uint64_t part)
+static void on_lifted(void *ctx, uint64_t part)
 {
+	ks_gateway_t *gateway = ctx;
+
 	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
 	       "a part of a prompt is no longer held, as a request with it was "
 	       "answered part=%016" PRIx64,
 	       part);
+	if (gateway->hold_keeper)
+		gateway->hold_keeper->changed(gateway->hold_keeper_ctx, part,
+					      true);
 }
 
 static const ks_quarantine_events_t quarantine_events = {
@@ -52,6 +60,27 @@
 		     sizeof(member->process_start_ms), member->tag);
 }
 
+/**
+ * ks_gateway_set_hold_keeper() - set what keeps the holds of prompt parts
+ * @keeper: must outlive its use; NULL for none
+ */
+void ks_gateway_set_hold_keeper(ks_gateway_t *gateway,
+				const ks_hold_keeper_t *keeper, void *ctx)
+{
+	gateway->hold_keeper = keeper;
+	gateway->hold_keeper_ctx = ctx;
+}
+
+static bool may_try(struct exchange *exchange, uint64_t part)
+{
+	const ks_gateway_t *gateway = exchange->gateway;
+
+	if (!exchange->is_try && !exchange->sends && gateway->hold_keeper)
+		exchange->is_try = gateway->hold_keeper->may_try(
+			gateway->hold_keeper_ctx, part);
+	return exchange->is_try && !exchange->sends;
+}
+
 /**
  * exchange_refuse_held() - end the exchange if a part of its prompt is held
  *
@@ -68,7 +97,7 @@
 	ks_quarantine_evaluate(&gateway->quarantine, exchange_now(exchange));
 	held = ks_quarantine_find_held(&gateway->quarantine, prompt->shared,
 				       prompt->n_shared);
-	if (held < 0)
+	if (held < 0 || may_try(exchange, prompt->shared[held]))
 		return false;
 	ks_counter_add(gateway->counters.held_refused, 1);
 	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -69,6 +69,7 @@
  * @confirmed_us: when the store last confirmed that @traffic is current
  * @budgets: ks_budget_t for retries by service name
  * @quarantine: parts of prompts whose requests are refused
+ * @hold_keeper: NULL for none
  * @n_losses: losses recorded by this entry
  * @exchanges: struct exchange of the requests in progress
  * @stop_began_us: when the graceful stop began
@@ -88,6 +89,8 @@
 	ks_peers_t peers;
 	GHashTable *budgets;
 	ks_quarantine_t quarantine;
+	const ks_hold_keeper_t *hold_keeper;
+	void *hold_keeper_ctx;
 	uint64_t n_losses;
 	ks_list_t exchanges;
 	ks_rng_t rng;
@@ -150,6 +153,7 @@
  * @backed_off: the upstream turned the request away and requested a back-off
  * @withheld: the request was not sent, as the upstream had requested a back-off
  *	by the time at which the connection was up
+ * @is_try: may be sent once although a part of its prompt is held
  * @started: the head of the response has been sent to the caller
  * @sent_us: when the latest request was sent to an upstream
  * @begun_us: when the first byte of the body of its response arrived, 0 before
@@ -203,6 +207,7 @@
 	bool refused_not_run;
 	bool backed_off;
 	bool withheld;
+	bool is_try;
 	GArray *fields;
 	GString *fields_text;
 	GString *body;
