request: a held part explains all losses of an upstream, and is tried soon

Cause: the requests that a crash takes along counted against their own parts, also after the part that causes the crashes was held. Where most engines are down, no request with a caller's part is answered for a while, and that part was held as well. Nothing then ended the hold, since requests with it were refused for a minute.

Now a held part explains the loss of each upstream on which a request with it was lost, and no other request lost there counts. A part is held by how improbable its losses are for a sound one: by its presence among the requests lost with each upstream, given the share of requests that have it (answers are counted, and told to the other entries), separately for those whose response had begun; or by many lost upstreams without any answer. The first request with a held part is tried after 3 s, which ends a wrong hold; the losses that it explained then count again.

--- a/packages/gateway/src/exchange_quarantine.c
+++ b/packages/gateway/src/exchange_quarantine.c
@@ -11,7 +11,7 @@
  * An upstream that fails this soon after the first byte of a response may have
  * failed because of it.
  */
-#define BEGINNING_US (200 * KS_USEC_PER_MSEC)
+#define BEGINNING_US (100 * KS_USEC_PER_MSEC)
 
 /* Retry-After of a request with a held part, in seconds. */
 #define RETRY_AFTER_HELD_S 60.0
@@ -137,6 +137,7 @@
 		.number = gateway->n_losses + 1,
 		.upstream = process_tag(exchange->member),
 		.at_us = now,
+		.begun = exchange->status != 0,
 		.n_parts = prompt->n_shared,
 	};
 
@@ -147,8 +148,7 @@
 		return;
 	G_STATIC_ASSERT(sizeof(loss.parts) == sizeof(prompt->shared));
 	memcpy(loss.parts, prompt->shared, sizeof(loss.parts));
-	if (!ks_quarantine_record_loss(&gateway->quarantine, &loss, now))
-		return;
+	ks_quarantine_record_loss(&gateway->quarantine, &loss, now);
 	gateway->n_losses++;
 	ks_peers_queue_loss(&gateway->peers, &loss);
 }
@@ -158,13 +158,16 @@
  */
 void exchange_record_answer(struct exchange *exchange)
 {
+	ks_quarantine_t *quarantine = &exchange->gateway->quarantine;
 	const ks_prompt_t *prompt = &exchange->prompt;
+	int64_t now = exchange_now(exchange);
 
-	if (exchange->has_prompt && exchange->status / 100 == 2)
-		ks_quarantine_record_answer(&exchange->gateway->quarantine,
-					    prompt->shared, prompt->n_shared,
-					    exchange->sent_us,
-					    exchange_now(exchange));
+	if (!exchange->has_prompt || exchange->status / 100 != 2)
+		return;
+	quarantine->n_answers++;
+	ks_quarantine_add_answers(quarantine, 1, now);
+	ks_quarantine_record_answer(quarantine, prompt->shared,
+				    prompt->n_shared, exchange->sent_us, now);
 }
 
 /**
--- a/packages/gateway/src/peer.pb-c.c
+++ b/packages/gateway/src/peer.pb-c.c
@@ -97,7 +97,7 @@
   assert(message->base.descriptor == &ks__peer_loss__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ks__peer_state__field_descriptors[18] =
+static const ProtobufCFieldDescriptor ks__peer_state__field_descriptors[19] =
 {
   {
     "name",
@@ -315,10 +315,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "answers",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ks__PeerState, answers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ks__peer_state__field_indices_by_name[] = {
   15,   /* field[15] = answered_age_ms */
   14,   /* field[14] = answered_part */
+  18,   /* field[18] = answers */
   17,   /* field[17] = held_age_ms */
   16,   /* field[16] = held_part */
   1,   /* field[1] = incarnation */
@@ -339,7 +352,7 @@
 static const ProtobufCIntRange ks__peer_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor ks__peer_state__descriptor =
 {
@@ -349,14 +362,14 @@
   "Ks__PeerState",
   "ks",
   sizeof(Ks__PeerState),
-  18,
+  19,
   ks__peer_state__field_descriptors,
   ks__peer_state__field_indices_by_name,
   1,  ks__peer_state__number_ranges,
   (ProtobufCMessageInit) ks__peer_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ks__peer_loss__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ks__peer_loss__field_descriptors[5] =
 {
   {
     "number",
@@ -406,9 +419,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "begun",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ks__PeerLoss, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ks__peer_loss__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
+  4,   /* field[4] = begun */
   0,   /* field[0] = number */
   3,   /* field[3] = part */
   1,   /* field[1] = upstream */
@@ -416,7 +442,7 @@
 static const ProtobufCIntRange ks__peer_loss__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor ks__peer_loss__descriptor =
 {
@@ -426,7 +452,7 @@
   "Ks__PeerLoss",
   "ks",
   sizeof(Ks__PeerLoss),
-  4,
+  5,
   ks__peer_loss__field_descriptors,
   ks__peer_loss__field_indices_by_name,
   1,  ks__peer_loss__number_ranges,
--- a/packages/gateway/src/peer.pb-c.h
+++ b/packages/gateway/src/peer.pb-c.h
@@ -102,10 +102,15 @@
   uint64_t *held_part;
   size_t n_held_age_ms;
   uint32_t *held_age_ms;
+  /*
+   * Number of requests with a prompt that the sender's incarnation has seen
+   * answered.
+   */
+  uint64_t answers;
 };
 #define KS__PEER_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ks__peer_state__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -128,10 +133,14 @@
    */
   size_t n_part;
   uint64_t *part;
+  /*
+   * The head of the response had been received.
+   */
+  protobuf_c_boolean begun;
 };
 #define KS__PEER_LOSS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ks__peer_loss__descriptor) \
-    , 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0 }
 
 
 /* Ks__PeerState methods */
--- a/packages/gateway/src/peer_losses.c
+++ b/packages/gateway/src/peer_losses.c
@@ -49,6 +49,7 @@
 		.number = received->number,
 		.upstream = received->upstream,
 		.at_us = time_from_age(peers, received->age_ms),
+		.begun = received->begun,
 		.n_parts = (unsigned)MIN(received->n_part, KS_LOSS_MAX_PARTS),
 	};
 
@@ -58,7 +59,7 @@
 }
 
 /* Records the losses and parts in a message of another entry. */
-void peers_record_losses(ks_peers_t *peers, const struct peer *peer,
+void peers_record_losses(ks_peers_t *peers, struct peer *peer,
 			 const Ks__PeerState *state)
 {
 	int64_t now = ks_loop_now(peers->loop);
@@ -67,6 +68,12 @@
 	    state->n_answered_part != state->n_answered_age_ms ||
 	    state->n_held_part != state->n_held_age_ms)
 		return;
+	if (state->answers > peer->answers)
+		ks_quarantine_add_answers(
+			peers->quarantine,
+			(unsigned)MIN(state->answers - peer->answers, G_MAXINT),
+			now);
+	peer->answers = state->answers;
 	for (size_t i = 0; i < state->n_answered_part; i++) {
 		uint64_t part = state->answered_part[i];
 		int64_t sent_us =
@@ -102,6 +109,7 @@
 		sent->number = loss->number;
 		sent->upstream = loss->upstream;
 		sent->age_ms = age_of(peers, loss->at_us);
+		sent->begun = loss->begun;
 		sent->part = loss->parts;
 		sent->n_part = loss->n_parts;
 		fields->loss_list[state->n_loss++] = sent;
@@ -180,6 +188,7 @@
 {
 	if (!peers->quarantine)
 		return;
+	state->answers = peers->quarantine->n_answers;
 	add_own_losses(peers, state, fields);
 	add_held(peers, state, fields);
 	add_answers(peers, state, fields);
--- a/packages/gateway/src/peers.c
+++ b/packages/gateway/src/peers.c
@@ -197,6 +197,7 @@
 	if (!ks_id_equal(&incarnation, &peer->incarnation)) {
 		peer->incarnation = incarnation;
 		peer->number = 0;
+		peer->answers = state->answers;
 	}
 	if (state->number > peer->number) {
 		peer->number = state->number;
--- a/packages/gateway/src/peers_internal.h
+++ b/packages/gateway/src/peers_internal.h
@@ -13,6 +13,7 @@
  * @loads: struct load by the upstream's tag
  * @rank: see struct ks_peer_view
  * @views: what it knows of each table
+ * @answers: number of requests that it has seen answered
  */
 struct peer {
 	ks_id_t incarnation;
@@ -21,6 +22,7 @@
 	GHashTable *loads;
 	uint64_t rank;
 	ks_view_t views[KS_N_TABLES];
+	uint64_t answers;
 };
 
 /**
@@ -57,7 +59,7 @@
 
 /* peer_losses.c */
 
-void peers_record_losses(ks_peers_t *peers, const struct peer *peer,
+void peers_record_losses(ks_peers_t *peers, struct peer *peer,
 			 const Ks__PeerState *state);
 void peers_add_losses(ks_peers_t *peers, Ks__PeerState *state,
 		      struct peers_loss_fields *fields);
--- a/packages/gateway/tests/test-peers.c
+++ b/packages/gateway/tests/test-peers.c
@@ -432,6 +432,7 @@
 
 #define CALLER 0xca11e4
 #define DEADLY 0xdead
+#define N_ANSWERS 50
 
 /* Two entries that hear each other, each with a quarantine. */
 struct pair_fixture {
@@ -518,6 +519,10 @@
 	lose(&p, 0, 1);
 	lose(&p, 1, 2);
 	lose(&p, 1, 3);
+	/* Of many requests, the part is in each that is lost. */
+	p.quarantines[0].n_answers += N_ANSWERS;
+	ks_quarantine_add_answers(&p.quarantines[0], N_ANSWERS,
+				  ks_loop_now(&p.f.loop));
 	PAIR_WAIT(&p, holds(&p, 0, DEADLY) && holds(&p, 1, DEADLY));
 	g_assert_false(holds(&p, 0, CALLER));
 	g_assert_false(holds(&p, 1, CALLER));
--- a/packages/request/include/ks/quarantine.h
+++ b/packages/request/include/ks/quarantine.h
@@ -15,12 +15,16 @@
 
 #define KS_LOSS_MAX_PARTS 16
 
+/* Answers are counted in buckets of 100 ms, for a minute. */
+#define KS_ANSWER_BUCKETS 600
+
 /**
  * struct ks_loss - a request that was lost as its upstream began to respond
  * @source: the entry that lost the request
  * @number: identifies the loss among those of @source
  * @upstream: the process of the upstream; a restarted one differs
  * @at_us: time of the loss
+ * @begun: the head of the response had been received
  * @parts: the parts that other requests may share, in their order
  */
 typedef struct ks_loss {
@@ -28,6 +32,7 @@
 	uint64_t number;
 	uint32_t upstream;
 	int64_t at_us;
+	bool begun;
 	unsigned n_parts;
 	uint64_t parts[KS_LOSS_MAX_PARTS];
 } ks_loss_t;
@@ -62,19 +67,29 @@
 
 /**
  * struct ks_quarantine - losses, and the parts that are held because of them
- * @losses: ks_loss_t that no held part explains, in the order of arrival
+ * @losses: ks_loss_t in the order of arrival
+ * @explained: struct explanation by the upstream that was lost because of a
+ *held part
  * @parts: ks_part_t by id
  * @n_held: number of parts that are held
  * @n_lifted: number of holds that were lifted
+ * @n_answers: number of requests that this entry has seen answered
+ * @answers: number of requests that all entries have seen answered in each
+ *	bucket; a ring
+ * @answers_epoch: number of the latest bucket
  * @due_us: when a loss begins to count that was not evaluated yet, 0 if all
  * were
  * @events: NULL for none
  */
 typedef struct ks_quarantine {
 	GQueue losses;
+	GHashTable *explained;
 	GHashTable *parts;
 	unsigned n_held;
 	unsigned n_lifted;
+	uint64_t n_answers;
+	unsigned answers[KS_ANSWER_BUCKETS];
+	int64_t answers_epoch;
 	int64_t due_us;
 	const ks_quarantine_events_t *events;
 	void *ctx;
@@ -88,6 +103,8 @@
 void ks_quarantine_record_answer(ks_quarantine_t *quarantine,
 				 const uint64_t *parts, unsigned n_parts,
 				 int64_t sent_us, int64_t now_us);
+void ks_quarantine_add_answers(ks_quarantine_t *quarantine, unsigned n,
+			       int64_t now_us);
 void ks_quarantine_set_told(ks_quarantine_t *quarantine, uint64_t part,
 			    int64_t answered_us, int64_t now_us);
 void ks_quarantine_record_alive(ks_quarantine_t *quarantine, uint32_t upstream,
--- a/packages/request/src/quarantine.c
+++ b/packages/request/src/quarantine.c
@@ -6,21 +6,34 @@
  * tells the part that caused it: no request that was sent with it after a crash
  * is answered, whereas the other parts of the lost requests are soon seen in
  * answers. A part is held once so many upstreams were lost with it and no
- * request with it was answered since. Losses with a held part then count
- * against no other part.
+ * request with it was answered since. It then explains the loss of these
+ * upstreams, and no request lost with them counts against another part.
  */
 #include "ks/request.h"
 
+#include <math.h>
+#include <string.h>
+
+/* Upstreams that are lost with a part before it is held, at least. */
+#define MIN_CRASHES 3
+
 /*
- * Upstreams lost with a part before it is held. More for a part that requests
- * were answered with shortly before, and for one that explains only a few of
- * the losses, as when a network fails.
+ * A part is held if the losses would have a lower probability than this if it
+ * were sound: by the upstreams that were lost with it, the second one for a
+ * part that was in an answered request shortly before, and by the requests that
+ * were not answered.
  */
-#define MIN_CRASHES 3
-#define MIN_CRASHES_DOUBTFUL 5
+#define MAX_PRESENCE 0.05
+#define MAX_PRESENCE_ANSWERED 0.001
+#define MAX_OUTCOME 1e-4
+
+/* Least share of requests that counts as lost, as a few answers say little. */
+#define MIN_LOST_SHARE 0.2
+
+/* What another entry tells took this long on its way at most. */
+#define CLOCK_SKEW_US (200 * KS_USEC_PER_MSEC)
 
-/* Share of the lost upstreams that a part explains if it is the cause. */
-#define MIN_EXPLAINED_SHARE 0.5
+#define ANSWER_BUCKET_US (100 * KS_USEC_PER_MSEC)
 
 /*
  * A loss counts after this time, in which a lost connection may turn out not to
@@ -37,24 +50,30 @@
 /* If there are more parts, those without a recent answer are forgotten. */
 #define MAX_PARTS 8192
 
-/* Wait before a request with a held part is tried, by the number of tries. */
+/*
+ * Wait before a request with a held part is tried, by the number of tries. The
+ * first one soon ends a hold that was wrong.
+ */
 static const int64_t probe_waits_us[] = {
-	60 * KS_USEC_PER_SEC,
-	600 * KS_USEC_PER_SEC,
+	3 * KS_USEC_PER_SEC,
+	300 * KS_USEC_PER_SEC,
 };
 
+/* More upstreams than this make no difference. */
+#define MAX_TALLIED 100
+
 /**
  * struct tally - losses that count against a part
  * @last_position: index of the part in the latest of them
  * @first_us: time of the first one
- * @upstreams: the upstreams lost, up to MIN_CRASHES_DOUBTFUL
+ * @upstreams: the upstreams lost
  */
 struct tally {
 	uint64_t part;
 	unsigned last_position;
 	int64_t first_us;
 	unsigned n_upstreams;
-	uint32_t upstreams[MIN_CRASHES_DOUBTFUL];
+	uint32_t upstreams[MAX_TALLIED];
 };
 
 void ks_quarantine_init(ks_quarantine_t *quarantine,
@@ -63,8 +82,12 @@
 	g_queue_init(&quarantine->losses);
 	quarantine->parts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						  NULL, g_free);
+	quarantine->explained = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	quarantine->n_held = 0;
 	quarantine->n_lifted = 0;
+	quarantine->n_answers = 0;
+	quarantine->answers_epoch = 0;
+	memset(quarantine->answers, 0, sizeof(quarantine->answers));
 	quarantine->due_us = 0;
 	quarantine->events = events;
 	quarantine->ctx = ctx;
@@ -73,6 +96,7 @@
 void ks_quarantine_deinit(ks_quarantine_t *quarantine)
 {
 	g_queue_clear_full(&quarantine->losses, g_free);
+	g_hash_table_destroy(quarantine->explained);
 	g_hash_table_destroy(quarantine->parts);
 }
 
@@ -152,20 +176,77 @@
 	return false;
 }
 
+/**
+ * struct explanation - why an upstream was lost
+ * @part: the held part
+ */
+struct explanation {
+	uint64_t part;
+	int64_t at_us;
+};
+
+static gboolean is_old(gpointer key G_GNUC_UNUSED, gpointer value, gpointer ctx)
+{
+	const struct explanation *explanation = value;
+	const int64_t *now_us = ctx;
+
+	return *now_us - explanation->at_us > MEMORY_US;
+}
+
+static bool is_explained(const ks_quarantine_t *quarantine,
+			 const ks_loss_t *loss)
+{
+	return g_hash_table_contains(quarantine->explained,
+				     GUINT_TO_POINTER(loss->upstream));
+}
+
+static void explain(ks_quarantine_t *quarantine, const ks_loss_t *loss,
+		    uint64_t part, int64_t now_us)
+{
+	struct explanation *explanation;
+
+	if (is_explained(quarantine, loss))
+		return;
+	g_hash_table_foreach_remove(quarantine->explained, is_old, &now_us);
+	explanation = g_new(struct explanation, 1);
+	*explanation = (struct explanation){ part, now_us };
+	g_hash_table_insert(quarantine->explained,
+			    GUINT_TO_POINTER(loss->upstream), explanation);
+}
+
+static gboolean is_because_of(gpointer key G_GNUC_UNUSED, gpointer value,
+			      gpointer ctx)
+{
+	return ((const struct explanation *)value)->part ==
+	       *(const uint64_t *)ctx;
+}
+
+/* Ends a hold; the losses that it explained count again. */
+static void end_hold(ks_quarantine_t *quarantine, ks_part_t *part)
+{
+	part->held_us = 0;
+	quarantine->n_held--;
+	g_hash_table_foreach_remove(quarantine->explained, is_because_of,
+				    &part->id);
+}
+
 /**
  * ks_quarantine_record_loss() - record a loss of this or another entry
  * @loss: copied
  *
- * Return: false if it is known already, too old, or explained by a held part.
+ * Return: false if it is known already or too old.
  */
 bool ks_quarantine_record_loss(ks_quarantine_t *quarantine,
 			       const ks_loss_t *loss, int64_t now_us)
 {
+	int held =
+		ks_quarantine_find_held(quarantine, loss->parts, loss->n_parts);
+
 	if (!loss->n_parts || now_us - loss->at_us > MEMORY_US ||
-	    ks_quarantine_find_held(quarantine, loss->parts, loss->n_parts) >=
-		    0 ||
 	    is_known(quarantine, loss))
 		return false;
+	if (held >= 0)
+		explain(quarantine, loss, loss->parts[held], now_us);
 	forget_old_losses(quarantine, now_us);
 	if (quarantine->losses.length >= MAX_LOSSES)
 		remove_loss(quarantine, quarantine->losses.head);
@@ -178,9 +259,8 @@
 
 static void lift(ks_quarantine_t *quarantine, ks_part_t *part, int64_t now_us)
 {
-	part->held_us = 0;
+	end_hold(quarantine, part);
 	part->lifted_us = now_us;
-	quarantine->n_held--;
 	quarantine->n_lifted++;
 	if (quarantine->events)
 		quarantine->events->lifted(quarantine->ctx, part->id);
@@ -205,6 +285,22 @@
 	}
 }
 
+/**
+ * ks_quarantine_add_answers() - count requests that were answered
+ */
+void ks_quarantine_add_answers(ks_quarantine_t *quarantine, unsigned n,
+			       int64_t now_us)
+{
+	int64_t epoch = now_us / ANSWER_BUCKET_US;
+	int64_t first = MAX(quarantine->answers_epoch + 1,
+			    epoch - KS_ANSWER_BUCKETS + 1);
+
+	for (int64_t i = first; i <= epoch; i++)
+		quarantine->answers[i % KS_ANSWER_BUCKETS] = 0;
+	quarantine->answers_epoch = MAX(quarantine->answers_epoch, epoch);
+	quarantine->answers[epoch % KS_ANSWER_BUCKETS] += n;
+}
+
 /**
  * ks_quarantine_set_told() - note that all entries were told of an answer
  */
@@ -257,12 +353,31 @@
 	add_upstream(tally, loss->upstream);
 }
 
+/**
+ * struct scope - the losses that are looked at
+ * @until_us: later ones are left out
+ * @begun: only those whose response had begun; an engine that fails after the
+ *	head of the response is not lost because of requests that still wait
+ */
+struct scope {
+	int64_t until_us;
+	bool begun;
+};
+
+static bool is_in_scope(const ks_quarantine_t *quarantine,
+			const ks_loss_t *loss, const struct scope *scope)
+{
+	return loss->at_us <= scope->until_us &&
+	       (loss->begun || !scope->begun) &&
+	       !is_explained(quarantine, loss);
+}
+
 /*
- * Returns struct tally by the id of each part that losses up to @until_us count
+ * Returns struct tally by the id of each part that losses of a scope count
  * against.
  */
 static GHashTable *count_losses(const ks_quarantine_t *quarantine,
-				int64_t until_us)
+				const struct scope *scope)
 {
 	GHashTable *tallies = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						    NULL, g_free);
@@ -274,7 +389,7 @@
 			uint64_t id = loss->parts[i];
 			struct tally *tally;
 
-			if (loss->at_us > until_us ||
+			if (!is_in_scope(quarantine, loss, scope) ||
 			    !counts_against(loss, find_part(quarantine, id)))
 				continue;
 			tally = g_hash_table_lookup(tallies, &id);
@@ -299,41 +414,120 @@
 	       tally->first_us - part->answered_us <= MEMORY_US;
 }
 
-/* Counts the upstreams lost since the first loss with a part. */
-static unsigned n_lost_since(const ks_quarantine_t *quarantine,
-			     int64_t since_us, int64_t until_us)
+static unsigned count_answers(const ks_quarantine_t *quarantine,
+			      int64_t since_us)
 {
-	GHashTable *upstreams = g_hash_table_new(NULL, NULL);
-	unsigned n;
+	int64_t from = MAX(since_us / ANSWER_BUCKET_US,
+			   quarantine->answers_epoch - KS_ANSWER_BUCKETS + 1);
+	unsigned n = 0;
+
+	for (int64_t i = MAX(from, 0); i <= quarantine->answers_epoch; i++)
+		n += quarantine->answers[i % KS_ANSWER_BUCKETS];
+	return n;
+}
+
+/**
+ * struct context - what else happened since the first loss with a part
+ * @lost, @lost_with: requests that were lost, and those of them with the part
+ * @answered: requests that were answered
+ * @by_upstream: number of requests in the scope by the upstream that was lost
+ */
+struct context {
+	unsigned lost;
+	unsigned lost_with;
+	unsigned answered;
+	GHashTable *by_upstream;
+};
+
+static struct context context_of(const ks_quarantine_t *quarantine,
+				 const struct tally *tally,
+				 const struct scope *scope)
+{
+	struct scope all = { scope->until_us, false };
+	struct context context = {
+		.answered = count_answers(quarantine, tally->first_us),
+		.by_upstream = g_hash_table_new(NULL, NULL),
+	};
 
 	for (GList *it = quarantine->losses.head; it; it = it->next) {
 		const ks_loss_t *loss = it->data;
+		gpointer key = GUINT_TO_POINTER(loss->upstream);
+		guint n = GPOINTER_TO_UINT(
+			g_hash_table_lookup(context.by_upstream, key));
 
-		if (loss->at_us >= since_us && loss->at_us <= until_us)
-			g_hash_table_add(upstreams,
-					 GUINT_TO_POINTER(loss->upstream));
+		if (loss->at_us < tally->first_us ||
+		    !is_in_scope(quarantine, loss, &all))
+			continue;
+		context.lost++;
+		context.lost_with += has_part(loss, tally->part);
+		if (is_in_scope(quarantine, loss, scope))
+			g_hash_table_insert(context.by_upstream, key,
+					    GUINT_TO_POINTER(n + 1));
 	}
-	n = g_hash_table_size(upstreams);
-	g_hash_table_destroy(upstreams);
-	return n;
+	return context;
 }
 
-static unsigned min_crashes(const ks_quarantine_t *quarantine,
-			    const struct tally *tally, int64_t until_us)
+/*
+ * Probability that a sound part is among the requests lost with so many of the
+ * upstreams: a part that few requests have is rarely among all of them.
+ */
+static double presence_probability(const struct tally *tally,
+				   const struct context *context)
+{
+	double share = (double)context->lost_with /
+		       (context->lost + context->answered + 1.0);
+	unsigned k = tally->n_upstreams;
+	unsigned all = g_hash_table_size(context->by_upstream);
+	double result =
+		lgamma(all + 1.0) - lgamma(k + 1.0) - lgamma(all - k + 1.0);
+
+	for (unsigned i = 0; i < k; i++) {
+		guint n = GPOINTER_TO_UINT(g_hash_table_lookup(
+			context->by_upstream,
+			GUINT_TO_POINTER(tally->upstreams[i])));
+
+		result += log(1 - pow(1 - MIN(share, 0.99), n));
+	}
+	return exp(result);
+}
+
+/*
+ * Probability that no request with a sound part is answered, while it is lost
+ * with so many upstreams.
+ */
+static double outcome_probability(const struct tally *tally,
+				  const struct context *context)
 {
-	unsigned lost = n_lost_since(quarantine, tally->first_us, until_us);
+	unsigned without = context->lost - context->lost_with;
+	double lost = (without + 1.0) / (without + context->answered + 2.0);
 
-	return was_answered(quarantine, tally) ||
-			       tally->n_upstreams < MIN_EXPLAINED_SHARE * lost
-		       ? MIN_CRASHES_DOUBTFUL
-		       : MIN_CRASHES;
+	return pow(MAX(lost, MIN_LOST_SHARE), tally->n_upstreams);
 }
 
+/* @more: counts so many losses with further upstreams as well */
 static bool is_cause(const ks_quarantine_t *quarantine,
-		     const struct tally *tally, int64_t until_us)
+		     const struct tally *tally, unsigned more,
+		     const struct scope *scope)
 {
-	return tally->n_upstreams >= MIN_CRASHES &&
-	       tally->n_upstreams >= min_crashes(quarantine, tally, until_us);
+	double limit = was_answered(quarantine, tally) ? MAX_PRESENCE_ANSWERED
+						       : MAX_PRESENCE;
+	struct context context;
+	double presence, outcome;
+
+	if (tally->n_upstreams + more < MIN_CRASHES)
+		return false;
+	context = context_of(quarantine, tally, scope);
+	presence = presence_probability(tally, &context);
+	outcome = outcome_probability(tally, &context);
+	g_hash_table_destroy(context.by_upstream);
+	/* A further loss is as probable as those before on average. */
+	if (more) {
+		double n = 1 + (double)more / tally->n_upstreams;
+
+		presence = pow(presence, n);
+		outcome = pow(outcome, n);
+	}
+	return presence <= limit || outcome <= MAX_OUTCOME;
 }
 
 /*
@@ -354,10 +548,10 @@
 	return a->part < b->part;
 }
 
-static bool find_cause(const ks_quarantine_t *quarantine, int64_t until_us,
-		       struct tally *cause)
+static bool find_cause(const ks_quarantine_t *quarantine,
+		       const struct scope *scope, struct tally *cause)
 {
-	GHashTable *tallies = count_losses(quarantine, until_us);
+	GHashTable *tallies = count_losses(quarantine, scope);
 	bool found = false;
 	GHashTableIter iter;
 	gpointer value;
@@ -366,7 +560,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct tally *tally = value;
 
-		if (!is_cause(quarantine, tally, until_us) ||
+		if (!is_cause(quarantine, tally, 0, scope) ||
 		    (found && !is_more_likely(quarantine, tally, cause)))
 			continue;
 		*cause = *tally;
@@ -377,15 +571,13 @@
 }
 
 static void hold(ks_quarantine_t *quarantine, ks_part_t *part, int64_t since_us,
-		 unsigned crashes)
+		 unsigned crashes, int64_t now_us)
 {
 	part->held_us = since_us;
 	quarantine->n_held++;
-	for (GList *it = quarantine->losses.head, *next; it; it = next) {
-		next = it->next;
+	for (GList *it = quarantine->losses.head; it; it = it->next)
 		if (has_part(it->data, part->id))
-			remove_loss(quarantine, it);
-	}
+			explain(quarantine, it->data, part->id, now_us);
 	if (quarantine->events)
 		quarantine->events->held(quarantine->ctx, part->id, crashes);
 }
@@ -413,15 +605,18 @@
  */
 void ks_quarantine_evaluate(ks_quarantine_t *quarantine, int64_t now_us)
 {
+	struct scope begun = { now_us - CONFIRM_US, true };
+	struct scope all = { now_us - CONFIRM_US, false };
 	struct tally cause = { 0 };
 
 	if (!quarantine->due_us || now_us < quarantine->due_us)
 		return;
 	quarantine->due_us = next_due_us(quarantine, now_us);
 	forget_old_losses(quarantine, now_us);
-	while (find_cause(quarantine, now_us - CONFIRM_US, &cause))
+	while (find_cause(quarantine, &begun, &cause) ||
+	       find_cause(quarantine, &all, &cause))
 		hold(quarantine, get_part(quarantine, cause.part, now_us),
-		     now_us, cause.n_upstreams);
+		     now_us, cause.n_upstreams, now_us);
 }
 
 /**
@@ -435,10 +630,10 @@
 {
 	ks_part_t *part = get_part(quarantine, id, now_us);
 
-	if (part->answered_us > since_us)
+	if (MAX(part->answered_us, part->lifted_us) + CLOCK_SKEW_US > since_us)
 		return false;
 	if (!part->held_us)
-		hold(quarantine, part, since_us, 0);
+		hold(quarantine, part, since_us, 0, now_us);
 	return true;
 }
 
@@ -454,9 +649,8 @@
 
 	if (!part || !part->held_us)
 		return;
-	part->held_us = 0;
+	end_hold(quarantine, part);
 	part->answered_us = now_us;
-	quarantine->n_held--;
 }
 
 /**
@@ -486,21 +680,20 @@
 			      const uint64_t *parts, unsigned n_parts,
 			      int64_t now_us)
 {
-	GHashTable *tallies;
 	bool found = false;
 
-	if (!quarantine->losses.length)
-		return false;
-	tallies = count_losses(quarantine, now_us);
-	for (unsigned i = 0; i < n_parts && !found; i++) {
-		const struct tally *tally =
-			g_hash_table_lookup(tallies, &parts[i]);
-
-		found = tally && tally->n_upstreams + 1 >= MIN_CRASHES &&
-			tally->n_upstreams + 1 >=
-				min_crashes(quarantine, tally, now_us);
+	for (int i = 0; i < 2 && quarantine->losses.length && !found; i++) {
+		struct scope scope = { now_us, i == 0 };
+		GHashTable *tallies = count_losses(quarantine, &scope);
+
+		for (unsigned j = 0; j < n_parts && !found; j++) {
+			const struct tally *tally =
+				g_hash_table_lookup(tallies, &parts[j]);
+
+			found = tally && is_cause(quarantine, tally, 1, &scope);
+		}
+		g_hash_table_destroy(tallies);
 	}
-	g_hash_table_destroy(tallies);
 	return found;
 }
 
