connection: limit what arrives before the response to a call

Interim responses, and responses to earlier requests on a connection, were read and dropped for as long as they came: until the deadline of the call, or without end for a call that has none. The client now closes the connection after 2 MB of them. test-endless-response interim-responses and other-responses failed before.

--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -9,6 +9,12 @@
 
 #define MAX_HEAD_BYTES (256 * 1024)
 
+/*
+ * Limit on what arrives before the response to a call: interim responses, and
+ * responses to earlier requests on the connection.
+ */
+#define MAX_IGNORED_BYTES (2 * 1024 * 1024)
+
 /*
  * A connection whose data stays unacknowledged for this long is closed; RFC
  * 9293 lets the application set this timeout.
@@ -340,6 +346,10 @@
 		free_conn(conn);
 		return;
 	}
+	if (!conn->call->response_started) {
+		conn->ignored_bytes += used;
+		ok &= conn->ignored_bytes <= MAX_IGNORED_BYTES;
+	}
 	h2o_buffer_consume(&sock->input, len);
 	/*
 	 * A response without a length ends when the peer closes the connection.
@@ -370,6 +380,7 @@
 {
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
+	conn->ignored_bytes = 0;
 	conn->skipping_response = false;
 	conn->response_complete = false;
 	conn->reusable = false;
