gateway: limit the body of an error

The body of an error was kept whole, whatever its size, so that an upstream that sends bytes without end filled the memory of the entry, which was then killed with all its requests. A longer one than 1 MB is no error response: the connection is closed, and the request is handled as lost. The body of an error that is dropped, in place of a resumed stream or after the caller has left, has the same limit. test-endless-response error-body failed before.

--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -10,7 +10,10 @@
 
 #include <string.h>
 
-/* Size up to which a response that is not a stream is buffered. */
+/*
+ * Size up to which a response that is not a stream is buffered. The body of an
+ * error is no longer than that.
+ */
 #define MAX_BUFFERED_BODY (1024 * 1024)
 
 /* The upstream is paused while more output than this waits for the caller. */
@@ -221,12 +224,33 @@
 	g_string_free(whole, TRUE);
 }
 
+static void on_run_done(void *ctx, ks_http_result_t result);
+
+/*
+ * Closes the connection to an upstream whose bytes are no response. The
+ * exchange may have ended then.
+ */
+static void stop_reading(struct exchange *exchange)
+{
+	exchange_log(exchange, KS_LOG_WARN,
+		     "closed the connection, the response has no end",
+		     exchange->status);
+	ks_http_call_cancel(&exchange->call);
+	on_run_done(exchange, KS_HTTP_INCOMPLETE);
+}
+
 static void on_run_body(void *ctx, ks_str_t data)
 {
 	struct exchange *exchange = ctx;
 
 	if (!exchange->begun_us)
 		exchange->begun_us = exchange_now(exchange);
+	exchange->body_bytes += data.len;
+	if (exchange->body_bytes > MAX_BUFFERED_BODY &&
+	    exchange->status / 100 != 2) {
+		stop_reading(exchange);
+		return;
+	}
 	if (exchange->step == EXCHANGE_DETACHED)
 		return;
 	if (exchange->is_event_response)
@@ -247,8 +271,7 @@
 		return;
 	}
 	g_string_append_len(exchange->body, data.data, (gssize)data.len);
-	if (exchange->body->len > MAX_BUFFERED_BODY &&
-	    exchange->status / 100 == 2 && exchange->caller) {
+	if (exchange->body->len > MAX_BUFFERED_BODY) {
 		/*
 		 * Too long to buffer. If it breaks off, the caller's connection
 		 * is closed early as well.
@@ -490,6 +513,7 @@
 	exchange->step = EXCHANGE_RUN;
 	exchange->first_event_seen = false;
 	exchange->begun_us = 0;
+	exchange->body_bytes = 0;
 	exchange->sends++;
 	exchange->sent_us = exchange_now(exchange);
 	exchange_send(exchange, exchange->member, false, &run_events);
