gateway: limit an event, and find its end in linear time

An event that does not end was kept whole if the stream can be resumed, and forwarded until the deadline if not. Its end was searched for from its start at each read, in time that grows with the square of its size, and a NUL byte or lines that end with CR alone hid the end.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -443,6 +443,7 @@
  * struct ks_events - splits a server-sent event stream into complete events
  * @partial: bytes of the incomplete event at the end
  * @last_id: id of the last complete event that had one
+ * @event_bytes: size of the incomplete event
  * @in_line: the bytes so far end inside a line
  * @in_event: they end inside an event
  * @after_cr: they end with a carriage return
@@ -450,6 +451,7 @@
 typedef struct ks_events {
 	GString *partial;
 	GString *last_id;
+	size_t event_bytes;
 	bool in_line;
 	bool in_event;
 	bool after_cr;
--- a/packages/gateway/src/events.c
+++ b/packages/gateway/src/events.c
@@ -12,6 +12,7 @@
 {
 	events->partial = g_string_new(NULL);
 	events->last_id = g_string_new(NULL);
+	events->event_bytes = 0;
 	events->in_line = false;
 	events->in_event = false;
 	events->after_cr = false;
@@ -29,6 +30,7 @@
 void ks_events_reset(ks_events_t *events)
 {
 	g_string_truncate(events->partial, 0);
+	events->event_bytes = 0;
 	events->in_line = false;
 	events->in_event = false;
 	events->after_cr = false;
@@ -50,59 +52,29 @@
 
 static void note_event(ks_events_t *events, ks_str_t event)
 {
-	while (event.len) {
-		const char *end = memchr(event.data, '\n', event.len);
-		ks_str_t line = event;
+	size_t start = 0;
 
-		if (end)
-			line.len = (size_t)(end - event.data);
-		event.data += line.len + (end ? 1 : 0);
-		event.len -= line.len + (end ? 1 : 0);
-		if (line.len && line.data[line.len - 1] == '\r')
-			line.len--;
-		note_line(events, line);
-	}
-}
-
-/* Returns the length of the first complete event with its empty line, or 0. */
-static size_t event_length(const GString *text)
-{
-	const char *lf = strstr(text->str, "\n\n");
-	const char *crlf = strstr(text->str, "\n\r\n");
-
-	if (crlf && (!lf || crlf < lf))
-		return (size_t)(crlf - text->str) + 3;
-	return lf ? (size_t)(lf - text->str) + 2 : 0;
-}
-
-/**
- * ks_events_feed() - process the next bytes of the stream
- * @whole: the events that are now complete are appended to it
- */
-void ks_events_feed(ks_events_t *events, ks_str_t data, GString *whole)
-{
-	size_t len;
-
-	g_string_append_len(events->partial, data.data, (gssize)data.len);
-	while ((len = event_length(events->partial))) {
-		note_event(events, (ks_str_t){ events->partial->str, len });
-		g_string_append_len(whole, events->partial->str, (gssize)len);
-		g_string_erase(events->partial, 0, (gssize)len);
+	for (size_t i = 0; i < event.len; i++) {
+		if (event.data[i] != '\n' && event.data[i] != '\r')
+			continue;
+		note_line(events, (ks_str_t){ event.data + start, i - start });
+		start = i + 1;
 	}
 }
 
-/**
- * ks_events_scan() - follow the next bytes of the stream without keeping them
- *
- * A line ends with LF, CR or CRLF, and an event with an empty line.
+/*
+ * Follows the next bytes up to the end of an event, and returns how many there
+ * are. A line ends with LF, CR or CRLF, and an event with an empty line.
  */
-void ks_events_scan(ks_events_t *events, ks_str_t data)
+static size_t scan_event(ks_events_t *events, ks_str_t data, bool *ended)
 {
+	*ended = false;
 	for (size_t i = 0; i < data.len; i++) {
 		char c = data.data[i];
 		bool ends_crlf = c == '\n' && events->after_cr;
 
 		events->after_cr = c == '\r';
+		events->event_bytes++;
 		if (ends_crlf)
 			continue;
 		if (c != '\n' && c != '\r') {
@@ -112,12 +84,68 @@
 			events->in_line = false;
 		} else {
 			events->in_event = false;
+			events->event_bytes = 0;
+			*ended = true;
+			return i + 1;
+		}
+	}
+	return data.len;
+}
+
+/**
+ * ks_events_scan() - follow the next bytes of the stream without keeping them
+ */
+void ks_events_scan(ks_events_t *events, ks_str_t data)
+{
+	while (data.len) {
+		bool ended;
+		size_t n = scan_event(events, data, &ended);
+
+		data.data += n;
+		data.len -= n;
+	}
+}
+
+/**
+ * ks_events_feed() - process the next bytes of the stream
+ * @whole: the events that are now complete are appended to it
+ */
+void ks_events_feed(ks_events_t *events, ks_str_t data, GString *whole)
+{
+	/* The second half of the line end of an event that has been passed on.
+	 */
+	if (data.len && *data.data == '\n' && events->after_cr &&
+	    !events->partial->len) {
+		g_string_append_c(whole, '\n');
+		events->after_cr = false;
+		data.data++;
+		data.len--;
+	}
+	while (data.len) {
+		bool ended;
+		size_t n = scan_event(events, data, &ended);
+
+		g_string_append_len(events->partial, data.data, (gssize)n);
+		data.data += n;
+		data.len -= n;
+		if (!ended)
+			break;
+		if (events->after_cr && data.len && *data.data == '\n') {
+			g_string_append_c(events->partial, '\n');
+			events->after_cr = false;
+			data.data++;
+			data.len--;
 		}
+		note_event(events, (ks_str_t){ events->partial->str,
+					       events->partial->len });
+		g_string_append_len(whole, events->partial->str,
+				    (gssize)events->partial->len);
+		g_string_truncate(events->partial, 0);
 	}
 }
 
 /**
- * ks_events_is_inside() - whether the scanned bytes end inside an event
+ * ks_events_is_inside() - whether the bytes so far end inside an event
  */
 bool ks_events_is_inside(const ks_events_t *events)
 {
--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -16,6 +16,9 @@
  */
 #define MAX_BUFFERED_BODY (1024 * 1024)
 
+/* An event holds a few tokens; more bytes without its end are no event. */
+#define MAX_EVENT_BYTES (1024 * 1024)
+
 /* The upstream is paused while more output than this waits for the caller. */
 #define HIGH_WATER_BYTES (256 * 1024)
 
@@ -253,8 +256,6 @@
 	}
 	if (exchange->step == EXCHANGE_DETACHED)
 		return;
-	if (exchange->is_event_response)
-		ks_events_scan(&exchange->events, data);
 	/* Discard the error body of a failed attempt to resume. */
 	if (exchange->started && exchange->status / 100 != 2)
 		return;
@@ -264,6 +265,10 @@
 			forward_events(exchange, data);
 		else
 			forward(exchange, data);
+		if (!exchange->has_events && exchange->is_event_response)
+			ks_events_scan(&exchange->events, data);
+		if (exchange->events.event_bytes > MAX_EVENT_BYTES)
+			stop_reading(exchange);
 		return;
 	}
 	if (exchange->started) {
