gateway: do not wait for the end of what is no KV cache handle

The response to a prefill request was read, and dropped beyond 64 KB, until the deadline of the request.

--- a/packages/gateway/src/exchange_dispatch.c
+++ b/packages/gateway/src/exchange_dispatch.c
@@ -96,13 +96,22 @@
 	exchange_record_alive(exchange, exchange->prefill_member);
 }
 
+static void on_prefill_done(void *ctx, ks_http_result_t result);
+
 static void on_prefill_body(void *ctx, ks_str_t data)
 {
 	struct exchange *exchange = ctx;
 
-	if (exchange->body->len + data.len <= MAX_PREFILL_RESPONSE)
+	if (exchange->body->len + data.len <= MAX_PREFILL_RESPONSE) {
 		g_string_append_len(exchange->body, data.data,
 				    (gssize)data.len);
+		return;
+	}
+	exchange_log(exchange, KS_LOG_WARN,
+		     "closed the connection, the response is no handle",
+		     exchange->status);
+	ks_http_call_cancel(&exchange->call);
+	on_prefill_done(exchange, KS_HTTP_INCOMPLETE);
 }
 
 static char *parse_handle(const struct exchange *exchange)
