connection: a fetch closes the connection in a body that is too long

The rest of a body beyond the limit was read and dropped for as long as it came, until the timeout of the request if it has one: 26 s for the change feeds of the store. test-http-client fetch-without-end failed before: the peer could send all of its 32 MB.

--- a/packages/connection/src/http_fetch.c
+++ b/packages/connection/src/http_fetch.c
@@ -13,7 +13,6 @@
 	const char *wanted_field;
 	GString *wanted;
 	GString *body;
-	bool too_large;
 };
 
 static void on_head(void *ctx, int status, const ks_header_t *headers,
@@ -33,16 +32,6 @@
 	g_string_append_len(fetch->wanted, wanted.data, (gssize)wanted.len);
 }
 
-static void on_body(void *ctx, ks_str_t data)
-{
-	ks_http_fetch_t *fetch = ctx;
-
-	if (fetch->body->len + data.len > fetch->max_body)
-		fetch->too_large = true;
-	else
-		g_string_append_len(fetch->body, data.data, (gssize)data.len);
-}
-
 static void free_fetch(ks_http_fetch_t *fetch)
 {
 	g_string_free(fetch->etag, TRUE);
@@ -56,7 +45,7 @@
 {
 	ks_http_fetch_t *fetch = ctx;
 	ks_http_response_t response = {
-		.result = fetch->too_large ? KS_HTTP_INCOMPLETE : result,
+		.result = result,
 		.status = fetch->status,
 		.etag = { fetch->etag->str, fetch->etag->len },
 		.retry_after = { fetch->retry_after->str,
@@ -69,6 +58,19 @@
 	free_fetch(fetch);
 }
 
+/* A body that is too long may have no end. */
+static void on_body(void *ctx, ks_str_t data)
+{
+	ks_http_fetch_t *fetch = ctx;
+
+	if (fetch->body->len + data.len <= fetch->max_body) {
+		g_string_append_len(fetch->body, data.data, (gssize)data.len);
+		return;
+	}
+	ks_http_call_cancel(&fetch->call);
+	on_done(fetch, KS_HTTP_INCOMPLETE);
+}
+
 static const ks_http_events_t fetch_events = {
 	.head = on_head,
 	.body = on_body,
@@ -79,8 +81,8 @@
  * ks_http_fetch() - send a request and buffer its response
  * @request: copied, as in ks_http_call_start(), except the string
  *	@wanted_field, which must outlive the call; its timeouts apply
- * @max_body: limit for the response body in bytes; a longer one is reported as
- *	KS_HTTP_INCOMPLETE
+ * @max_body: limit for the response body in bytes; the connection is closed in
+ *	a longer one, which is reported as KS_HTTP_INCOMPLETE
  * @func: called once, after this function has returned; at the latest when the
  *	client is freed
  *
--- a/packages/connection/tests/test-http-client.c
+++ b/packages/connection/tests/test-http-client.c
@@ -13,12 +13,15 @@
 /**
  * struct peer - scripted server in a thread
  * @script: steps: A accepts a connection, R reads a request, W writes a
- *	response, C closes the connection
+ *	response, E writes a body without end until the client closes the
+ *	connection, C closes the connection
+ * @endless_bytes: size of the body that step E wrote
  */
 struct peer {
 	const char *script;
 	int listener;
 	ks_address_t address;
+	size_t endless_bytes;
 	GThread *thread;
 };
 
@@ -55,6 +58,21 @@
 			sizeof(response) - 1);
 }
 
+#define MAX_ENDLESS_BYTES (32 * 1024 * 1024)
+
+static void write_without_end(struct peer *peer, int fd)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\n\r\n";
+	char piece[16384];
+	ssize_t n = send(fd, head, sizeof(head) - 1, MSG_NOSIGNAL);
+
+	memset(piece, 'z', sizeof(piece));
+	while (n > 0 && peer->endless_bytes < MAX_ENDLESS_BYTES) {
+		n = send(fd, piece, sizeof(piece), MSG_NOSIGNAL);
+		peer->endless_bytes += n > 0 ? (size_t)n : 0;
+	}
+}
+
 static gpointer run_peer(gpointer data)
 {
 	struct peer *peer = data;
@@ -73,6 +91,8 @@
 			read_request(fd);
 		} else if (*step == 'W') {
 			write_response(fd);
+		} else if (*step == 'E') {
+			write_without_end(peer, fd);
 		} else {
 			close(fd);
 			fd = -1;
@@ -93,6 +113,7 @@
 
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	peer->script = script;
+	peer->endless_bytes = 0;
 	peer->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	setsockopt(peer->listener, SOL_SOCKET, SO_RCVTIMEO, &limit,
 		   sizeof(limit));
@@ -224,6 +245,39 @@
 	g_assert_cmpuint(outcome.sent, ==, 1);
 }
 
+static void on_fetched(void *ctx, const ks_http_response_t *response)
+{
+	struct outcome *outcome = ctx;
+
+	outcome->done = true;
+	outcome->result = response->result;
+}
+
+/* Guards against reading a body on that is too long to be kept. */
+static void test_fetch_without_end(void)
+{
+	struct outcome outcome = { 0 };
+	ks_http_request_t request = { .method = KS_STR("GET"),
+				      .target = KS_STR("/") };
+	ks_http_client_t client;
+	struct peer peer;
+	ks_loop_t loop;
+
+	start_peer(&peer, "ARE");
+	request.address = peer.address;
+	ks_loop_init(&loop, ks_clock_monotonic());
+	ks_http_client_init(&client, &loop);
+	ks_http_fetch(&client, &request, 65536, on_fetched, &outcome);
+	for (int i = 0; i < MAX_TURNS && !outcome.done; i++)
+		ks_loop_run_once(&loop, TURN_US);
+	g_assert_true(outcome.done);
+	g_assert_cmpint(outcome.result, ==, KS_HTTP_INCOMPLETE);
+	ks_http_client_deinit(&client);
+	ks_loop_deinit(&loop);
+	g_thread_join(peer.thread);
+	g_assert_cmpuint(peer.endless_bytes, <, MAX_ENDLESS_BYTES);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -232,5 +286,7 @@
 	g_test_add_func("/http-client/closed-on-reuse", test_closed_on_reuse);
 	g_test_add_func("/http-client/retried-once", test_retried_once);
 	g_test_add_func("/http-client/retry-refused", test_retry_refused);
+	g_test_add_func("/http-client/fetch-without-end",
+			test_fetch_without_end);
 	return g_test_run();
 }
