gateway: a refusal by the process that follows does not show that one lives

Cause: a loss does not count if its upstream responds to a later request. A replica that starts again at its address answers 421 to requests that are meant for the process before, and that counted as a response of that process.

A 421 is no longer taken for a response of the upstream that was meant. test-tainted-prompt restarted-at-address failed before.

--- a/packages/gateway/src/exchange_quarantine.c
+++ b/packages/gateway/src/exchange_quarantine.c
@@ -172,9 +172,14 @@
 
 /**
  * exchange_record_alive() - record that an upstream responds to a request
+ *
+ * A request that was meant for another process is refused by one that follows
+ * it at its address.
  */
 void exchange_record_alive(struct exchange *exchange, const ks_member_t *member)
 {
+	if (exchange->status == 421)
+		return;
 	ks_quarantine_record_alive(&exchange->gateway->quarantine,
 				   process_tag(member), exchange->sent_us);
 }
--- a/packages/gateway/tests/test-tainted-prompt.c
+++ b/packages/gateway/tests/test-tainted-prompt.c
@@ -18,6 +18,9 @@
  * @sent: requests with the part that reached an engine
  * @fifth_us: time of the fifth crash, 0 before
  * @sent_after: @sent from CONTACT_MS after that time on
+ * @late_news: the gateway hears of a restart only after the new process has
+ *	refused a request for the one before
+ * @restarted: engines of whose restart it has not heard
  */
 struct engines {
 	struct fixture f;
@@ -26,6 +29,8 @@
 	int64_t fifth_us;
 	unsigned sent_after;
 	unsigned own_parts;
+	bool late_news;
+	bool restarted[FIXTURE_UPSTREAMS];
 };
 
 static void start_engine(struct engines *e, int i)
@@ -69,7 +74,10 @@
 	fixture_start_response(upstream, 200, false, -1);
 	fixture_run_pending(&e->f);
 	fixture_abort_response(upstream);
-	start_engine(e, (int)(upstream - e->f.upstreams));
+	if (e->late_news)
+		e->restarted[upstream - e->f.upstreams] = true;
+	else
+		start_engine(e, (int)(upstream - e->f.upstreams));
 	if (++e->sent == KNOWN_AFTER_CRASHES)
 		e->fifth_us = ks_loop_now(&e->f.loop);
 	else if (e->fifth_us &&
@@ -78,6 +86,21 @@
 		e->sent_after++;
 }
 
+/* Refuses a request that is meant for the process before. */
+static bool refuse_restarted(struct engines *e,
+			     struct fixture_upstream *upstream)
+{
+	int i = (int)(upstream - e->f.upstreams);
+
+	if (!e->restarted[i])
+		return false;
+	e->restarted[i] = false;
+	fixture_respond(upstream, 421, true, "");
+	fixture_run_pending(&e->f);
+	start_engine(e, i);
+	return true;
+}
+
 /* Calls with the part, and lets each engine crash that the request reaches. */
 static void call_tainted(struct engines *e, struct fixture_caller *caller,
 			 const char *target, const char *shared)
@@ -86,7 +109,8 @@
 	while (!caller->done) {
 		FIXTURE_WAIT(&e->f,
 			     caller->done || fixture_pending_upstream(&e->f));
-		if (fixture_pending_upstream(&e->f))
+		if (fixture_pending_upstream(&e->f) &&
+		    !refuse_restarted(e, fixture_pending_upstream(&e->f)))
 			crash(e, fixture_pending_upstream(&e->f));
 	}
 }
@@ -97,23 +121,27 @@
 	int status;
 
 	call(e, &caller, "/advise/", shared);
-	FIXTURE_WAIT(&e->f, caller.done || fixture_pending_upstream(&e->f));
-	if (fixture_pending_upstream(&e->f))
-		fixture_respond(fixture_pending_upstream(&e->f), 200, false,
-				"data: a\n\n");
-	FIXTURE_WAIT(&e->f, caller.done);
+	while (!caller.done) {
+		FIXTURE_WAIT(&e->f,
+			     caller.done || fixture_pending_upstream(&e->f));
+		if (fixture_pending_upstream(&e->f) &&
+		    !refuse_restarted(e, fixture_pending_upstream(&e->f)))
+			fixture_respond(fixture_pending_upstream(&e->f), 200,
+					false, "data: a\n\n");
+	}
 	status = caller.status;
 	fixture_end_call(&caller);
 	return status;
 }
 
-static void play(const char *target, const char *tainted, const char *sound,
-		 const char *other)
+static void play_with(const char *target, const char *tainted,
+		      const char *sound, const char *other, bool late_news)
 {
 	struct fixture_caller caller;
 	struct engines e;
 
 	init_engines(&e);
+	e.late_news = late_news;
 	for (int i = 0; i < ROUNDS; i++) {
 		g_assert_cmpint(call_sound(&e, sound), ==, 200);
 		g_assert_cmpint(call_sound(&e, other), ==, 200);
@@ -130,6 +158,12 @@
 	fixture_deinit(&e.f);
 }
 
+static void play(const char *target, const char *tainted, const char *sound,
+		 const char *other)
+{
+	play_with(target, tainted, sound, other, false);
+}
+
 /*
  * Guards against sending requests with one part to engine after engine, each
  * of which crashes.
@@ -147,6 +181,16 @@
 	     "caller:900,sound:50", "caller:900,other:70,sound:50");
 }
 
+/*
+ * Guards against taking a refusal by the process that follows a crashed engine
+ * at its address for a sign that the engine has not crashed.
+ */
+static void test_restarted_at_address(void)
+{
+	play_with("/advise/", "caller:900,deadly:100", "caller:900,sound:100",
+		  "caller:900", true);
+}
+
 /* Guards against one request that is sent on to engine after engine. */
 static void test_resumable_request(void)
 {
@@ -187,6 +231,8 @@
 			test_engine_after_engine);
 	g_test_add_func("/tainted-prompt/sound-part-follows",
 			test_sound_part_follows);
+	g_test_add_func("/tainted-prompt/restarted-at-address",
+			test_restarted_at_address);
 	g_test_add_func("/tainted-prompt/resumable-request",
 			test_resumable_request);
 	g_test_add_func("/tainted-prompt/lost-connections",
