soak: parts of prompts that crash replicas

The checker knows the rule: at most three requests with the part arrive later than 3 s after the fifth crash, from gateways that were not disturbed.

--- a/tests/soak/soak-callers.c
+++ b/tests/soak/soak-callers.c
@@ -35,6 +35,13 @@
 #define MAX_ARRIVALS 2
 /* Longest freeze, with some time to wake up. */
 #define EXCUSE_US (4500 * KS_USEC_PER_MSEC)
+/* Requests with the deadly part that may arrive later than this after crashes.
+ */
+#define KNOWN_AFTER_CRASHES 5
+#define CONTACT_US (3000 * KS_USEC_PER_MSEC)
+#define MAX_DEADLY_ARRIVALS 3
+/* Of 100 streams, so many have that part. */
+#define DEADLY_OF_100 5
 /* Of 100 requests, so many are given up before their answer. */
 #define GIVEN_UP_OF_100 4
 
@@ -44,6 +51,7 @@
  * @status: of its answer; 0 without one
  * @promised: the answer promises that the request has not run
  * @cut: the connection ended before the end of the answer
+ * @is_deadly: a part of its prompt crashes replicas
  */
 struct attempt {
 	GString *id;
@@ -53,6 +61,7 @@
 	unsigned gateway;
 	bool promised;
 	bool cut;
+	bool is_deadly;
 	bool reported;
 };
 
@@ -100,6 +109,11 @@
  * @record: what the replicas did, see enum soak_event
  * @rest: beginning of a line of which the end has not been read
  * @planned: only planned changes take place, so that no answer may be cut
+ * @tainted: some prompts have a part that crashes replicas
+ * @tainted_rng: draws them, without a change to the other draws of a seed
+ * @crashes: replicas that it has crashed
+ * @known_us: when no entry in touch may send such a request any more, 0 before
+ * @deadly_arrivals: requests that arrived nevertheless
  */
 struct soak {
 	ks_loop_t loop;
@@ -120,6 +134,11 @@
 	unsigned answered, promised, failed, cut, given_up, violations;
 	bool stopping;
 	bool planned;
+	bool tainted;
+	ks_rng_t tainted_rng;
+	unsigned crashes;
+	int64_t known_us;
+	unsigned deadly_arrivals;
 	bool timed;
 };
 
@@ -193,6 +212,16 @@
 		       "arrived at a replica that said that it leaves");
 }
 
+static void check_deadly_arrival(struct soak *soak, struct attempt *attempt,
+				 int64_t at_us)
+{
+	if (soak->known_us && at_us > soak->known_us &&
+	    soak->excused_us[attempt->gateway] < at_us - EXCUSE_US &&
+	    ++soak->deadly_arrivals > MAX_DEADLY_ARRIVALS)
+		report(soak, "BUDGET", attempt,
+		       "arrived with a part that crashes replicas");
+}
+
 static void apply_event(struct soak *soak, char event, struct attempt *attempt,
 			const char *replica, int64_t at_us, double seconds)
 {
@@ -206,6 +235,12 @@
 	case SOAK_ARRIVED:
 		if (soak->timed)
 			check_arrival(soak, attempt, word, at_us);
+		if (attempt->is_deadly)
+			check_deadly_arrival(soak, attempt, at_us);
+		break;
+	case SOAK_CRASHED:
+		if (++soak->crashes == KNOWN_AFTER_CRASHES)
+			soak->known_us = at_us + CONTACT_US;
 		break;
 	case SOAK_LEAVES:
 		if (!word->leaves_us)
@@ -446,9 +481,14 @@
 
 	headers[1].value.len = (size_t)g_snprintf(deadline, sizeof(deadline),
 						  "%u", deadline_ms);
-	headers[2].value.len =
-		(size_t)g_snprintf(parts, sizeof(parts), "a%u:9000,b%u:3000",
-				   ks_rng_below(&soak->rng, 4), soak->n_ids);
+	attempt->is_deadly =
+		soak->tainted && soak_is_stream(caller->class) &&
+		ks_rng_below(&soak->tainted_rng, 100) < DEADLY_OF_100;
+	headers[2].value.len = (size_t)g_snprintf(
+		parts, sizeof(parts), "a%u:9000%s,b%u:3000",
+		ks_rng_below(&soak->rng, 4),
+		attempt->is_deadly ? "," SOAK_DEADLY_PART ":100" : "",
+		soak->n_ids);
 	request.headers = headers;
 	request.n_headers = soak_is_stream(caller->class) ? 3 : 2;
 	attempt->sent_us = g_get_real_time();
@@ -518,6 +558,7 @@
 	soak->excused_us = g_new0(int64_t, soak->gateways->len);
 	soak->rest = g_string_new(NULL);
 	ks_rng_init(&soak->rng, soak->seed);
+	ks_rng_init(&soak->tainted_rng, soak->seed);
 	ks_loop_init(&soak->loop, ks_clock_monotonic());
 	ks_http_client_init(&soak->client, &soak->loop);
 	soak->client.max_idle_us = KEEP_IDLE_US;
@@ -554,9 +595,12 @@
 		arg_lit0(NULL, "planned", "only planned changes take place");
 	struct arg_lit *timed = arg_lit0(
 		NULL, "timed", "check the rules that have a time bound");
+	struct arg_lit *tainted =
+		arg_lit0(NULL, "tainted",
+			 "some prompts have a part that crashes replicas");
 	struct arg_end *end = arg_end(10);
-	void *table[] = { gateways, record,  seconds, callers,
-			  seed,	    planned, timed,   end };
+	void *table[] = { gateways, record, seconds, callers, seed,
+			  planned,  timed,  tainted, end };
 	struct soak soak = { .n_ids = 0 };
 
 	if (arg_parse(argc, argv, table) > 0) {
@@ -573,5 +617,6 @@
 	soak.seed = (unsigned)seed->ival[0];
 	soak.planned = planned->count > 0;
 	soak.timed = timed->count > 0;
+	soak.tainted = tainted->count > 0;
 	return run(&soak, seconds->ival[0]);
 }
--- a/tests/soak/soak-replica.c
+++ b/tests/soak/soak-replica.c
@@ -280,6 +280,14 @@
 	g_string_free(seal, TRUE);
 }
 
+static bool is_deadly(const ks_http1_request_t *request)
+{
+	ks_str_t parts = field(request, "prompt-prefix");
+
+	return parts.len && memmem(parts.data, parts.len, "," SOAK_DEADLY_PART,
+				   sizeof(SOAK_DEADLY_PART));
+}
+
 static void start_stream(struct work *work)
 {
 	ks_str_t last = field(work->request, "last-event-id");
@@ -295,6 +303,10 @@
 	if (work->is_unframed)
 		http1_conn_of(work->request)->parser.http_minor = 0;
 	start_answer(work, KS_STR("text/event-stream"), -1);
+	if (is_deadly(work->request)) {
+		record(work->replica, SOAK_CRASHED, text_of(work->id), 0);
+		_exit(EXIT_FAILURE);
+	}
 	advance_stream(work);
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -13,6 +13,9 @@
 /* Number of events of a stream. */
 #define SOAK_EVENTS 6
 
+/* Part of a prompt on which replicas crash. */
+#define SOAK_DEADLY_PART "dead"
+
 /* Last character of a request's id: what its route lets happen to it. */
 #define SOAK_BOOK 'b'	/* at most once */
 #define SOAK_READ 'r'	/* may be repeated */
@@ -26,6 +29,7 @@
  * @SOAK_RAN: the replica began to run it
  * @SOAK_LEAVES: answered, and said that the replica leaves
  * @SOAK_AWAY: refused, and requested a back-off of the seconds
+ * @SOAK_CRASHED: the replica crashed, as it began to answer the request
  * @SOAK_EXCUSED: in place of the id and the replica, the number of a gateway
  *	that was killed, stopped or frozen
  */
@@ -34,6 +38,7 @@
 	SOAK_RAN = 'R',
 	SOAK_LEAVES = 'L',
 	SOAK_AWAY = 'Q',
+	SOAK_CRASHED = 'C',
 	SOAK_EXCUSED = 'X',
 };
 
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -1,5 +1,6 @@
 #!/bin/bash
-# usage: tests/soak/soak.sh [--planned] [--many] [--timed] [--returns] SEED SECONDS
+# usage: tests/soak/soak.sh [--planned] [--many] [--timed] [--returns] [--tainted]
+#                          SEED SECONDS
 #
 # Runs gateways, replicas, a store and callers as separate processes and injects
 # faults, drawn from SEED, from outside: signals to the processes, and relays
@@ -8,7 +9,8 @@
 # replicas and new configurations; with --many, as many processes as the limits
 # of a small machine bear; with --timed, rules with a time bound are checked as
 # well, for a machine without other load. With --returns, the store also returns
-# from older copies of itself. SOAK_KEEP names a directory that gets
+# from older copies of itself. With --tainted, a part of some prompts crashes
+# replicas; besides, only planned changes. SOAK_KEEP names a directory that gets
 # the logs of a run that failed. SOAK_SECOND is how many of 100 answers a faulty
 # replica gives twice, 40 by default, and SOAK_NAMED how many of 3 of these have
 # the id of their request, 2 by default.
@@ -17,7 +19,7 @@
 . tests/system/lib.sh
 . tests/system/site.sh
 
-planned= many= timed= returns=
+planned= many= timed= returns= tainted=
 while test $# -gt 2
 do
 	case $1 in
@@ -25,6 +27,7 @@
 	--many) many=yes ;;
 	--timed) timed=--timed ;;
 	--returns) returns=yes ;;
+	--tainted) tainted=--tainted ;;
 	esac
 	shift
 done
@@ -112,6 +115,17 @@
 
 killed=() stopping=()
 
+# Notes the engines that have crashed on a request.
+find_crashed () {
+	local i
+	for i in $(seq $n_engines)
+	do
+		! is_stopping engine$i && has_exited engine$i || continue
+		reap engine$i
+		killed+=(engine$i)
+	done
+}
+
 # Starts the processes again that were killed or have stopped.
 start_again () {
 	local name rest=()
@@ -240,6 +254,7 @@
 
 "$BIN/soak-callers" --gateways "$gateways" --record "$record" \
 	--seconds "$seconds" --callers $n_callers --seed "$seed" $planned $timed \
+	$tainted \
 	>"$WORK/callers.out" 2>&1 &
 callers=$!
 
@@ -250,11 +265,12 @@
 	for _ in $(seq $DRAWN)
 	do
 		inject_planned
-		test -n "$planned" || inject_fault
+		test -n "$planned$tainted" || inject_fault
 		test -z "$returns" || inject_return
 	done
 	between 2 9
 	sleep 0.$DRAWN
+	test -z "$tainted" || find_crashed
 	start_again
 done
 wait $callers
