--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -10,7 +10,8 @@
 # of a small machine bear; with --timed, rules with a time bound are checked as
 # well, for a machine without other load. With --returns, the store also returns
 # from older copies of itself. With --tainted, a part of some prompts crashes
-# replicas; besides, only planned changes. SOAK_KEEP names a directory that gets
+# replicas; besides, only planned changes. How many requests with it arrive after
+# the first crashes is checked with --timed. SOAK_KEEP names a directory that gets
 # the logs of a run that failed. SOAK_SECOND is how many of 100 answers a faulty
 # replica gives twice, 40 by default, and SOAK_NAMED how many of 3 of these have
 # the id of their request, 2 by default.
