request: bound the cost of evaluating losses

With many losses of many parts, as in an outage, each dispatch evaluated all of them anew. The functions say tries, not probes.

--- a/packages/request/include/ks/quarantine.h
+++ b/packages/request/include/ks/quarantine.h
@@ -119,7 +119,7 @@
 bool ks_quarantine_is_suspect(const ks_quarantine_t *quarantine,
 			      const uint64_t *parts, unsigned n_parts,
 			      int64_t now_us);
-int64_t ks_quarantine_probe_wait_us(unsigned probes);
+int64_t ks_quarantine_try_wait_us(unsigned tries);
 
 G_END_DECLS
 
--- a/packages/request/src/quarantine.c
+++ b/packages/request/src/quarantine.c
@@ -41,6 +41,9 @@
  */
 #define CONFIRM_US (500 * KS_USEC_PER_MSEC)
 
+/* Shortest time between two evaluations of the losses. */
+#define EVALUATION_US (100 * KS_USEC_PER_MSEC)
+
 /* Losses, and answers before the first of them, count for this long. */
 #define MEMORY_US (60 * KS_USEC_PER_SEC)
 
@@ -54,7 +57,7 @@
  * Wait before a request with a held part is tried, by the number of tries. The
  * first one soon ends a hold that was wrong.
  */
-static const int64_t probe_waits_us[] = {
+static const int64_t try_waits_us[] = {
 	3 * KS_USEC_PER_SEC,
 	300 * KS_USEC_PER_SEC,
 };
@@ -372,37 +375,46 @@
 	       !is_explained(quarantine, loss);
 }
 
-/*
- * Returns struct tally by the id of each part that losses of a scope count
- * against.
- */
-static GHashTable *count_losses(const ks_quarantine_t *quarantine,
-				const struct scope *scope)
+/* Counts the losses of a scope against one part. */
+static void count_losses(const ks_quarantine_t *quarantine, uint64_t id,
+			 const struct scope *scope, struct tally *tally)
 {
-	GHashTable *tallies = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-						    NULL, g_free);
+	const ks_part_t *part = find_part(quarantine, id);
 
+	memset(tally, 0, sizeof(*tally));
+	tally->part = id;
 	for (GList *it = quarantine->losses.head; it; it = it->next) {
 		const ks_loss_t *loss = it->data;
 
-		for (unsigned i = 0; i < loss->n_parts; i++) {
-			uint64_t id = loss->parts[i];
-			struct tally *tally;
-
-			if (!is_in_scope(quarantine, loss, scope) ||
-			    !counts_against(loss, find_part(quarantine, id)))
-				continue;
-			tally = g_hash_table_lookup(tallies, &id);
-			if (!tally) {
-				tally = g_new0(struct tally, 1);
-				tally->part = id;
-				g_hash_table_insert(tallies, &tally->part,
-						    tally);
-			}
-			add_loss(tally, loss, i);
-		}
+		for (unsigned i = 0; i < loss->n_parts; i++)
+			if (loss->parts[i] == id &&
+			    counts_against(loss, part) &&
+			    is_in_scope(quarantine, loss, scope))
+				add_loss(tally, loss, i);
 	}
-	return tallies;
+}
+
+static void count_one(GHashTable *counts, uint64_t *id)
+{
+	guint n = GPOINTER_TO_UINT(g_hash_table_lookup(counts, id));
+
+	g_hash_table_insert(counts, id, GUINT_TO_POINTER(n + 1));
+}
+
+/* Returns the number of losses in a scope by the id of the part. */
+static GHashTable *count_parts(const ks_quarantine_t *quarantine,
+			       const struct scope *scope)
+{
+	GHashTable *counts = g_hash_table_new(g_int64_hash, g_int64_equal);
+
+	for (GList *it = quarantine->losses.head; it; it = it->next) {
+		ks_loss_t *loss = it->data;
+
+		for (unsigned i = 0; i < loss->n_parts; i++)
+			if (is_in_scope(quarantine, loss, scope))
+				count_one(counts, &loss->parts[i]);
+	}
+	return counts;
 }
 
 static bool was_answered(const ks_quarantine_t *quarantine,
@@ -551,22 +563,25 @@
 static bool find_cause(const ks_quarantine_t *quarantine,
 		       const struct scope *scope, struct tally *cause)
 {
-	GHashTable *tallies = count_losses(quarantine, scope);
+	GHashTable *counts = count_parts(quarantine, scope);
 	bool found = false;
 	GHashTableIter iter;
-	gpointer value;
+	gpointer id, n;
 
-	g_hash_table_iter_init(&iter, tallies);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct tally *tally = value;
+	g_hash_table_iter_init(&iter, counts);
+	while (g_hash_table_iter_next(&iter, &id, &n)) {
+		struct tally tally;
 
-		if (!is_cause(quarantine, tally, 0, scope) ||
-		    (found && !is_more_likely(quarantine, tally, cause)))
+		if (GPOINTER_TO_UINT(n) < MIN_CRASHES)
+			continue;
+		count_losses(quarantine, *(const uint64_t *)id, scope, &tally);
+		if (!is_cause(quarantine, &tally, 0, scope) ||
+		    (found && !is_more_likely(quarantine, &tally, cause)))
 			continue;
-		*cause = *tally;
+		*cause = tally;
 		found = true;
 	}
-	g_hash_table_destroy(tallies);
+	g_hash_table_destroy(counts);
 	return found;
 }
 
@@ -612,6 +627,9 @@
 	if (!quarantine->due_us || now_us < quarantine->due_us)
 		return;
 	quarantine->due_us = next_due_us(quarantine, now_us);
+	if (quarantine->due_us)
+		quarantine->due_us =
+			MAX(quarantine->due_us, now_us + EVALUATION_US);
 	forget_old_losses(quarantine, now_us);
 	while (find_cause(quarantine, &begun, &cause) ||
 	       find_cause(quarantine, &all, &cause))
@@ -680,32 +698,28 @@
 			      const uint64_t *parts, unsigned n_parts,
 			      int64_t now_us)
 {
-	bool found = false;
-
-	for (int i = 0; i < 2 && quarantine->losses.length && !found; i++) {
-		struct scope scope = { now_us, i == 0 };
-		GHashTable *tallies = count_losses(quarantine, &scope);
+	struct scope scopes[] = { { now_us, true }, { now_us, false } };
 
-		for (unsigned j = 0; j < n_parts && !found; j++) {
-			const struct tally *tally =
-				g_hash_table_lookup(tallies, &parts[j]);
+	for (unsigned i = 0; quarantine->losses.length && i < n_parts; i++)
+		for (unsigned j = 0; j < G_N_ELEMENTS(scopes); j++) {
+			struct tally tally;
 
-			found = tally && is_cause(quarantine, tally, 1, &scope);
+			count_losses(quarantine, parts[i], &scopes[j], &tally);
+			if (tally.n_upstreams &&
+			    is_cause(quarantine, &tally, 1, &scopes[j]))
+				return true;
 		}
-		g_hash_table_destroy(tallies);
-	}
-	return found;
+	return false;
 }
 
 /**
- * ks_quarantine_probe_wait_us() - how long a part is held before a request with
+ * ks_quarantine_try_wait_us() - how long a part is held before a request with
  * it is tried
- * @probes: number of tries before
+ * @tries: number of tries before
  *
  * Return: 0 if only an operator can lift the hold.
  */
-int64_t ks_quarantine_probe_wait_us(unsigned probes)
+int64_t ks_quarantine_try_wait_us(unsigned tries)
 {
-	return probes < G_N_ELEMENTS(probe_waits_us) ? probe_waits_us[probes]
-						     : 0;
+	return tries < G_N_ELEMENTS(try_waits_us) ? try_waits_us[tries] : 0;
 }
--- a/packages/request/tests/prop-quarantine.cpp
+++ b/packages/request/tests/prop-quarantine.cpp
@@ -84,7 +84,7 @@
 static bool may_try(sim &s, uint64_t part)
 {
 	tries &t = s.held.insert({ part, { s.now_us, 0 } }).first->second;
-	int64_t wait = ks_quarantine_probe_wait_us(t.n);
+	int64_t wait = ks_quarantine_try_wait_us(t.n);
 
 	if (!wait || s.now_us - t.since_us < wait)
 		return false;
