--- a/packages/connection/include/ks/http.h
+++ b/packages/connection/include/ks/http.h
@@ -85,6 +85,9 @@
  *	connection is closed after it.
  * @wanted_field: name, in lower case, of a response header that
  *	ks_http_fetch() passes on; NULL for none
+ * @max_body: limit for the response body in bytes; 0 for no limit. A longer one
+ *	may have no end: the connection is closed, and the call ends with
+ *	KS_HTTP_INCOMPLETE.
  * @timeout_us: limit for the whole call; 0 for no limit
  * @idle_timeout_us: longest wait for the next bytes; 0 for no limit
  * @reuse: may use an idle connection, and leave it idle for other requests. If
@@ -107,6 +110,7 @@
 	ks_str_t response_id;
 	bool response_id_optional;
 	const char *wanted_field;
+	size_t max_body;
 	int64_t timeout_us;
 	int64_t idle_timeout_us;
 	bool reuse;
@@ -145,6 +149,8 @@
  * @response_started: the head of the response was received
  * @response_named: the response has the expected id
  * @framing: what marks the end of the response
+ * @max_body: see struct ks_http_request
+ * @body_bytes: size of the part of the body that has arrived
  * @conn_number: number of the connection, counted from the first of the client;
  *	0 before there is one
  * @conn_calls: calls that the connection served before this one
@@ -177,6 +183,8 @@
 	bool response_started;
 	bool response_named;
 	ks_http_framing_t framing;
+	size_t max_body;
+	size_t body_bytes;
 	uint64_t conn_number;
 	unsigned conn_calls;
 	unsigned skipped;
--- a/packages/connection/src/http_client.c
+++ b/packages/connection/src/http_client.c
@@ -94,6 +94,12 @@
 void http_call_body(ks_http_call_t *call, ks_str_t data)
 {
 	restart_idle_timer(call);
+	call->body_bytes += data.len;
+	if (call->max_body && call->body_bytes > call->max_body) {
+		http_conn_close(call->conn);
+		finish_call(call, KS_HTTP_INCOMPLETE);
+		return;
+	}
 	call->events->body(call->ctx, data);
 }
 
@@ -229,6 +235,7 @@
 	call->response_id_header = request->response_id_header;
 	call->response_id = g_string_new_len(request->response_id.data,
 					     (gssize)request->response_id.len);
+	call->max_body = request->max_body;
 	call->idle_timeout_us = request->idle_timeout_us;
 	call->is_head = ks_str_equal(request->method, KS_STR("HEAD"));
 	call->reuse = request->reuse;
--- a/packages/connection/src/http_fetch.c
+++ b/packages/connection/src/http_fetch.c
@@ -6,7 +6,6 @@
 	ks_http_call_t call;
 	ks_http_fetch_func_t func;
 	void *ctx;
-	size_t max_body;
 	int status;
 	GString *etag;
 	GString *retry_after;
@@ -58,17 +57,11 @@
 	free_fetch(fetch);
 }
 
-/* A body that is too long may have no end. */
 static void on_body(void *ctx, ks_str_t data)
 {
 	ks_http_fetch_t *fetch = ctx;
 
-	if (fetch->body->len + data.len <= fetch->max_body) {
-		g_string_append_len(fetch->body, data.data, (gssize)data.len);
-		return;
-	}
-	ks_http_call_cancel(&fetch->call);
-	on_done(fetch, KS_HTTP_INCOMPLETE);
+	g_string_append_len(fetch->body, data.data, (gssize)data.len);
 }
 
 static const ks_http_events_t fetch_events = {
@@ -94,16 +87,18 @@
 			       void *ctx)
 {
 	ks_http_fetch_t *fetch = g_new0(ks_http_fetch_t, 1);
+	ks_http_request_t limited = *request;
 
+	limited.max_body = max_body;
 	fetch->func = func;
 	fetch->ctx = ctx;
-	fetch->max_body = max_body;
 	fetch->etag = g_string_new(NULL);
 	fetch->retry_after = g_string_new(NULL);
 	fetch->wanted_field = request->wanted_field;
 	fetch->wanted = g_string_new(NULL);
 	fetch->body = g_string_new(NULL);
-	ks_http_call_start(&fetch->call, client, request, &fetch_events, fetch);
+	ks_http_call_start(&fetch->call, client, &limited, &fetch_events,
+			   fetch);
 	return fetch;
 }
 
--- a/packages/gateway/src/exchange_dispatch.c
+++ b/packages/gateway/src/exchange_dispatch.c
@@ -19,9 +19,6 @@
 /* Share of the time to the return of an upstream over which callers retry. */
 #define RETRY_SPREAD 0.5
 
-/* Limit for the JSON response that holds the KV cache handle. */
-#define MAX_PREFILL_RESPONSE (64 * 1024)
-
 /* Returns whether a request that may have run can be sent again. */
 static bool may_repeat(const struct exchange *exchange)
 {
@@ -96,22 +93,11 @@
 	exchange_record_alive(exchange, exchange->prefill_member);
 }
 
-static void on_prefill_done(void *ctx, ks_http_result_t result);
-
 static void on_prefill_body(void *ctx, ks_str_t data)
 {
 	struct exchange *exchange = ctx;
 
-	if (exchange->body->len + data.len <= MAX_PREFILL_RESPONSE) {
-		g_string_append_len(exchange->body, data.data,
-				    (gssize)data.len);
-		return;
-	}
-	exchange_log(exchange, KS_LOG_WARN,
-		     "closed the connection, the response is no handle",
-		     exchange->status);
-	ks_http_call_cancel(&exchange->call);
-	on_prefill_done(exchange, KS_HTTP_INCOMPLETE);
+	g_string_append_len(exchange->body, data.data, (gssize)data.len);
 }
 
 static char *parse_handle(const struct exchange *exchange)
--- a/packages/gateway/src/exchange_send.c
+++ b/packages/gateway/src/exchange_send.c
@@ -22,6 +22,9 @@
 	"proxy-authorization",
 };
 
+/* Limit for the JSON response that holds the KV cache handle. */
+#define MAX_PREFILL_RESPONSE (64 * 1024)
+
 /* Timeout for releasing a handle; the engine expires it otherwise. */
 #define FREE_HANDLE_TIMEOUT_US (500 * KS_USEC_PER_MSEC)
 
@@ -166,6 +169,7 @@
 			  exchange->request_body->len },
 		.response_id_header = dialect->request_id,
 		.response_id = ks_str_from(exchange->id),
+		.max_body = is_prefill ? MAX_PREFILL_RESPONSE : 0,
 		.timeout_us = 0,
 		.reuse = !record_send(exchange, &member->address),
 		.no_retry = true,
--- a/packages/store/src/store_http.c
+++ b/packages/store/src/store_http.c
@@ -46,7 +46,6 @@
 	size_t n_writes;
 	int status;
 	bool no_effect;
-	bool too_large;
 	GString *etag;
 	GString *body;
 };
@@ -76,10 +75,7 @@
 {
 	struct operation *op = ctx;
 
-	if (op->body->len + data.len > MAX_ANSWER_SIZE)
-		op->too_large = true;
-	else
-		g_string_append_len(op->body, data.data, (gssize)data.len);
+	g_string_append_len(op->body, data.data, (gssize)data.len);
 }
 
 /*
@@ -118,7 +114,7 @@
 {
 	if (result == KS_HTTP_NOT_SENT)
 		return KS_STORE_UNREACHABLE;
-	if (result != KS_HTTP_COMPLETE || op->too_large || !check_era(op))
+	if (result != KS_HTTP_COMPLETE || !check_era(op))
 		return outcome_on_failure(op);
 	if (op->status >= 200 && op->status < 300)
 		return KS_STORE_DONE;
@@ -274,6 +270,7 @@
 		.target = ks_str_from(target),
 		.headers = headers,
 		.body = body,
+		.max_body = MAX_ANSWER_SIZE,
 		.timeout_us = driver->timeout_us,
 	};
 
