gateway: a stream is not resumed with a response that is no stream

New as well: ends, which plays each framing with each end (close, reset, silence), whole and cut, on each kind of route; it passed before.

--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -178,6 +178,7 @@
 	/* A resumed stream has already sent the head of its first response. */
 	if (exchange->started)
 		return;
+	exchange->began_with_events = exchange->is_event_response;
 	copy_fields(exchange, headers, n);
 	if (exchange->is_stream_response && exchange->caller)
 		start_response(exchange, -1);
@@ -229,6 +230,13 @@
 
 static void on_run_done(void *ctx, ks_http_result_t result);
 
+/* Whether the response to resume a stream is no stream of events. */
+static bool is_other_content(const struct exchange *exchange)
+{
+	return exchange->started && exchange->began_with_events &&
+	       exchange->status / 100 == 2 && !exchange->is_event_response;
+}
+
 /*
  * Closes the connection to an upstream whose bytes are no response. The
  * exchange may have ended then.
@@ -256,8 +264,9 @@
 	}
 	if (exchange->step == EXCHANGE_DETACHED)
 		return;
-	/* Discard the error body of a failed attempt to resume. */
-	if (exchange->started && exchange->status / 100 != 2)
+	/* Discard the body of a failed attempt to resume. */
+	if (exchange->started &&
+	    (exchange->status / 100 != 2 || is_other_content(exchange)))
 		return;
 	if (exchange->is_stream_response && exchange->started) {
 		record_first_event(exchange);
@@ -459,7 +468,7 @@
  */
 static bool has_broken_off(const struct exchange *exchange)
 {
-	return ended_inside_event(exchange) ||
+	return is_other_content(exchange) || ended_inside_event(exchange) ||
 	       (exchange->is_event_response && !exchange->first_event_seen &&
 		exchange->call.framing == KS_HTTP_FRAMING_CLOSE);
 }
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -165,6 +165,7 @@
  * @events: events of a stream; whole ones are forwarded if @has_events
  * @has_events: the response is a stream that can be resumed
  * @is_event_response: the response that is being received consists of events
+ * @began_with_events: so did the response whose head the caller has
  */
 struct exchange {
 	ks_list_t node;
@@ -225,6 +226,7 @@
 	ks_events_t events;
 	bool has_events;
 	bool is_event_response;
+	bool began_with_events;
 };
 
 static inline int64_t exchange_now(const struct exchange *exchange)
--- a/packages/gateway/tests/test-broken-stream.c
+++ b/packages/gateway/tests/test-broken-stream.c
@@ -150,6 +150,150 @@
 	fixture_deinit(&f);
 }
 
+/*
+ * Guards against joining a response that is no event stream to the events that
+ * the caller has, and ending the stream regularly after it.
+ */
+static void test_resumed_with_other_content(void)
+{
+	struct fixture_caller caller;
+	struct fixture f;
+
+	fixture_init(&f);
+	fixture_call(&f, &caller, "POST", "/resume/");
+	respond_raw(&f, fixture_wait_request(&f),
+		    UNFRAMED "id: 1\ndata: a\n\nid: 2\nda");
+	respond_raw(&f, fixture_wait_request(&f),
+		    "HTTP/1.1 200 OK\r\nx-id: r1\r\nx-seal: s\r\n"
+		    "content-type: application/json\r\n"
+		    "content-length: 2\r\n\r\n{}");
+	FIXTURE_WAIT(&f, caller.done);
+	g_assert_cmpint(caller.result, ==, KS_HTTP_INCOMPLETE);
+	g_assert_cmpstr(caller.body->str, ==, "id: 1\ndata: a\n\n");
+	fixture_end_call(&caller);
+	fixture_deinit(&f);
+}
+
+/* How an upstream ends its connection. */
+enum end {
+	CLOSE,
+	RESET,
+	SILENCE
+};
+
+/* How it marks the end of its response. */
+enum framing {
+	BY_LENGTH,
+	BY_CHUNKS,
+	BY_CONNECTION
+};
+
+#define EVENTS "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+static void set_reset(int fd)
+{
+	struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+	g_assert_cmpint(
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger)),
+		==, 0);
+}
+
+static char *format_response(enum framing framing, const char *type,
+			     const char *body, bool whole)
+{
+	size_t len = strlen(body);
+	GString *text = g_string_new("HTTP/1.1 200 OK\r\nx-id: r1\r\n"
+				     "x-seal: s\r\ncontent-type: ");
+
+	g_string_append_printf(text, "%s\r\n", type);
+	if (framing == BY_LENGTH)
+		g_string_append_printf(text, "content-length: %zu\r\n\r\n%s",
+				       len + !whole, body);
+	else if (framing == BY_CHUNKS)
+		g_string_append_printf(
+			text,
+			"transfer-encoding: chunked\r\n\r\n%zx\r\n%s\r\n%s",
+			len, body, whole ? "0\r\n\r\n" : "");
+	else
+		g_string_append_printf(text, "\r\n%s", body);
+	return g_string_free(text, FALSE);
+}
+
+/* Responds, and plays the end to each request that follows. */
+static void play_end(struct fixture *f, struct fixture_caller *caller,
+		     const char *bytes, enum end end)
+{
+	while (!caller->done) {
+		struct fixture_upstream *upstream;
+		struct http1_conn *conn;
+
+		FIXTURE_WAIT(f, caller->done || fixture_pending_upstream(f));
+		upstream = fixture_pending_upstream(f);
+		if (!upstream)
+			return;
+		conn = http1_conn_of(upstream->request);
+		g_string_append(conn->queued, bytes);
+		http1_conn_flush(conn);
+		fixture_run_pending(f);
+		if (end == RESET && upstream->request)
+			set_reset(h2o_socket_get_fd(conn->sock));
+		if (end == SILENCE)
+			fixture_advance(f, 11000);
+		else if (upstream->request)
+			fixture_abort_response(upstream);
+		fixture_run_pending(f);
+	}
+}
+
+/*
+ * Guards against an end that tells the caller more than is known: for each way
+ * in which a response may be framed and end, on each kind of route.
+ */
+static void test_ends(void)
+{
+	static const char *const targets[] = { "/tell/", "/resume/", "/read/",
+					       "/book/" };
+
+	for (int i = 0; i < 4 * 3 * 3 * 2; i++) {
+		const char *target = targets[i % 4];
+		enum framing framing = (enum framing)(i / 4 % 3);
+		enum end end = (enum end)(i / 12 % 3);
+		bool whole = i / 36;
+		bool is_stream = i % 4 < 2;
+		/* What the bytes and the end together show to be whole. */
+		bool known =
+			whole && (framing != BY_CONNECTION || end == CLOSE);
+		const char *body = is_stream
+					   ? (whole ? EVENTS : EVENTS "id: 3\n")
+					   : "answer";
+		char *bytes = format_response(
+			framing, is_stream ? "text/event-stream" : "text/plain",
+			body, whole);
+		struct fixture_caller caller;
+		struct fixture f;
+
+		/* Not to be told from a whole one, as the pages say. */
+		if (!is_stream && framing == BY_CONNECTION && end == CLOSE)
+			known = true;
+		fixture_init(&f);
+		fixture_call(&f, &caller, "POST", target);
+		play_end(&f, &caller, bytes, end);
+		if (known) {
+			g_assert_cmpint(caller.result, ==, KS_HTTP_COMPLETE);
+			g_assert_cmpint(caller.status, ==, 200);
+			g_assert_cmpstr(caller.body->str, ==, body);
+		} else {
+			g_assert_true(caller.result != KS_HTTP_COMPLETE ||
+				      caller.status == 502 ||
+				      caller.status == 504);
+		}
+		fixture_end_call(&caller);
+		fixture_deinit(&f);
+		g_free(bytes);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -164,5 +308,8 @@
 	g_test_add_func("/broken-stream/other-content", test_other_content);
 	g_test_add_func("/broken-stream/resumed-after-regular-end",
 			test_resumed_after_regular_end);
+	g_test_add_func("/broken-stream/resumed-with-other-content",
+			test_resumed_with_other_content);
+	g_test_add_func("/broken-stream/ends", test_ends);
 	return g_test_run();
 }
