--- a/packages/request/src/quarantine.c
+++ b/packages/request/src/quarantine.c
@@ -9,32 +9,13 @@
  * request with it was answered since. It then explains the loss of these
  * upstreams, and no request lost with them counts against another part.
  */
-#include "ks/request.h"
+#include "quarantine_internal.h"
 
-#include <math.h>
 #include <string.h>
 
-/* Upstreams that are lost with a part before it is held, at least. */
-#define MIN_CRASHES 3
-
-/*
- * A part is held if the losses would have a lower probability than this if it
- * were sound: by the upstreams that were lost with it, the second one for a
- * part that was in an answered request shortly before, and by the requests that
- * were not answered.
- */
-#define MAX_PRESENCE 0.05
-#define MAX_PRESENCE_ANSWERED 0.001
-#define MAX_OUTCOME 1e-4
-
-/* Least share of requests that counts as lost, as a few answers say little. */
-#define MIN_LOST_SHARE 0.2
-
 /* What another entry tells took this long on its way at most. */
 #define CLOCK_SKEW_US (200 * KS_USEC_PER_MSEC)
 
-#define ANSWER_BUCKET_US (100 * KS_USEC_PER_MSEC)
-
 /*
  * A loss counts after this time, in which a lost connection may turn out not to
  * be a crash, as its upstream responds to another request.
@@ -44,9 +25,6 @@
 /* Shortest time between two evaluations of the losses. */
 #define EVALUATION_US (100 * KS_USEC_PER_MSEC)
 
-/* Losses, and answers before the first of them, count for this long. */
-#define MEMORY_US (60 * KS_USEC_PER_SEC)
-
 /* The oldest loss is forgotten first. */
 #define MAX_LOSSES 256
 
@@ -62,23 +40,6 @@
 	300 * KS_USEC_PER_SEC,
 };
 
-/* More upstreams than this make no difference. */
-#define MAX_TALLIED 100
-
-/**
- * struct tally - losses that count against a part
- * @last_position: index of the part in the latest of them
- * @first_us: time of the first one
- * @upstreams: the upstreams lost
- */
-struct tally {
-	uint64_t part;
-	unsigned last_position;
-	int64_t first_us;
-	unsigned n_upstreams;
-	uint32_t upstreams[MAX_TALLIED];
-};
-
 void ks_quarantine_init(ks_quarantine_t *quarantine,
 			const ks_quarantine_events_t *events, void *ctx)
 {
@@ -103,7 +64,7 @@
 	g_hash_table_destroy(quarantine->parts);
 }
 
-static ks_part_t *find_part(const ks_quarantine_t *quarantine, uint64_t id)
+ks_part_t *quarantine_find_part(const ks_quarantine_t *quarantine, uint64_t id)
 {
 	return g_hash_table_lookup(quarantine->parts, &id);
 }
@@ -114,7 +75,8 @@
 	const ks_part_t *part = value;
 	const int64_t *now_us = ctx;
 
-	return !part->held_us && *now_us - part->answered_us > MEMORY_US;
+	return !part->held_us &&
+	       *now_us - part->answered_us > QUARANTINE_MEMORY_US;
 }
 
 static gboolean is_not_held(gpointer key G_GNUC_UNUSED, gpointer value,
@@ -126,7 +88,7 @@
 static ks_part_t *get_part(ks_quarantine_t *quarantine, uint64_t id,
 			   int64_t now_us)
 {
-	ks_part_t *part = find_part(quarantine, id);
+	ks_part_t *part = quarantine_find_part(quarantine, id);
 
 	if (part)
 		return part;
@@ -142,7 +104,7 @@
 	return part;
 }
 
-static bool has_part(const ks_loss_t *loss, uint64_t id)
+bool quarantine_has_part(const ks_loss_t *loss, uint64_t id)
 {
 	for (unsigned i = 0; i < loss->n_parts; i++)
 		if (loss->parts[i] == id)
@@ -162,7 +124,7 @@
 		const ks_loss_t *loss = it->data;
 
 		next = it->next;
-		if (now_us - loss->at_us > MEMORY_US)
+		if (now_us - loss->at_us > QUARANTINE_MEMORY_US)
 			remove_loss(quarantine, it);
 	}
 }
@@ -193,11 +155,11 @@
 	const struct explanation *explanation = value;
 	const int64_t *now_us = ctx;
 
-	return *now_us - explanation->at_us > MEMORY_US;
+	return *now_us - explanation->at_us > QUARANTINE_MEMORY_US;
 }
 
-static bool is_explained(const ks_quarantine_t *quarantine,
-			 const ks_loss_t *loss)
+bool quarantine_is_explained(const ks_quarantine_t *quarantine,
+			     const ks_loss_t *loss)
 {
 	return g_hash_table_contains(quarantine->explained,
 				     GUINT_TO_POINTER(loss->upstream));
@@ -208,7 +170,7 @@
 {
 	struct explanation *explanation;
 
-	if (is_explained(quarantine, loss))
+	if (quarantine_is_explained(quarantine, loss))
 		return;
 	g_hash_table_foreach_remove(quarantine->explained, is_old, &now_us);
 	explanation = g_new(struct explanation, 1);
@@ -245,7 +207,7 @@
 	int held =
 		ks_quarantine_find_held(quarantine, loss->parts, loss->n_parts);
 
-	if (!loss->n_parts || now_us - loss->at_us > MEMORY_US ||
+	if (!loss->n_parts || now_us - loss->at_us > QUARANTINE_MEMORY_US ||
 	    is_known(quarantine, loss))
 		return false;
 	if (held >= 0)
@@ -294,7 +256,7 @@
 void ks_quarantine_add_answers(ks_quarantine_t *quarantine, unsigned n,
 			       int64_t now_us)
 {
-	int64_t epoch = now_us / ANSWER_BUCKET_US;
+	int64_t epoch = now_us / QUARANTINE_ANSWER_BUCKET_US;
 	int64_t first = MAX(quarantine->answers_epoch + 1,
 			    epoch - KS_ANSWER_BUCKETS + 1);
 
@@ -333,265 +295,13 @@
 	}
 }
 
-static bool counts_against(const ks_loss_t *loss, const ks_part_t *part)
-{
-	return !part || loss->at_us >= part->answered_us;
-}
-
-static void add_upstream(struct tally *tally, uint32_t upstream)
-{
-	for (unsigned i = 0; i < tally->n_upstreams; i++)
-		if (tally->upstreams[i] == upstream)
-			return;
-	if (tally->n_upstreams < G_N_ELEMENTS(tally->upstreams))
-		tally->upstreams[tally->n_upstreams++] = upstream;
-}
-
-static void add_loss(struct tally *tally, const ks_loss_t *loss,
-		     unsigned position)
-{
-	if (!tally->n_upstreams || loss->at_us < tally->first_us)
-		tally->first_us = loss->at_us;
-	tally->last_position = position;
-	add_upstream(tally, loss->upstream);
-}
-
-/**
- * struct scope - the losses that are looked at
- * @until_us: later ones are left out
- * @begun: only those whose response had begun; an engine that fails after the
- *	head of the response is not lost because of requests that still wait
- */
-struct scope {
-	int64_t until_us;
-	bool begun;
-};
-
-static bool is_in_scope(const ks_quarantine_t *quarantine,
-			const ks_loss_t *loss, const struct scope *scope)
-{
-	return loss->at_us <= scope->until_us &&
-	       (loss->begun || !scope->begun) &&
-	       !is_explained(quarantine, loss);
-}
-
-/* Counts the losses of a scope against one part. */
-static void count_losses(const ks_quarantine_t *quarantine, uint64_t id,
-			 const struct scope *scope, struct tally *tally)
-{
-	const ks_part_t *part = find_part(quarantine, id);
-
-	memset(tally, 0, sizeof(*tally));
-	tally->part = id;
-	for (GList *it = quarantine->losses.head; it; it = it->next) {
-		const ks_loss_t *loss = it->data;
-
-		for (unsigned i = 0; i < loss->n_parts; i++)
-			if (loss->parts[i] == id &&
-			    counts_against(loss, part) &&
-			    is_in_scope(quarantine, loss, scope))
-				add_loss(tally, loss, i);
-	}
-}
-
-static void count_one(GHashTable *counts, uint64_t *id)
-{
-	guint n = GPOINTER_TO_UINT(g_hash_table_lookup(counts, id));
-
-	g_hash_table_insert(counts, id, GUINT_TO_POINTER(n + 1));
-}
-
-/* Returns the number of losses in a scope by the id of the part. */
-static GHashTable *count_parts(const ks_quarantine_t *quarantine,
-			       const struct scope *scope)
-{
-	GHashTable *counts = g_hash_table_new(g_int64_hash, g_int64_equal);
-
-	for (GList *it = quarantine->losses.head; it; it = it->next) {
-		ks_loss_t *loss = it->data;
-
-		for (unsigned i = 0; i < loss->n_parts; i++)
-			if (is_in_scope(quarantine, loss, scope))
-				count_one(counts, &loss->parts[i]);
-	}
-	return counts;
-}
-
-static bool was_answered(const ks_quarantine_t *quarantine,
-			 const struct tally *tally)
-{
-	const ks_part_t *part = find_part(quarantine, tally->part);
-
-	return part && part->answered_us &&
-	       tally->first_us - part->answered_us <= MEMORY_US;
-}
-
-static unsigned count_answers(const ks_quarantine_t *quarantine,
-			      int64_t since_us)
-{
-	int64_t from = MAX(since_us / ANSWER_BUCKET_US,
-			   quarantine->answers_epoch - KS_ANSWER_BUCKETS + 1);
-	unsigned n = 0;
-
-	for (int64_t i = MAX(from, 0); i <= quarantine->answers_epoch; i++)
-		n += quarantine->answers[i % KS_ANSWER_BUCKETS];
-	return n;
-}
-
-/**
- * struct context - what else happened since the first loss with a part
- * @lost, @lost_with: requests that were lost, and those of them with the part
- * @answered: requests that were answered
- * @by_upstream: number of requests in the scope by the upstream that was lost
- */
-struct context {
-	unsigned lost;
-	unsigned lost_with;
-	unsigned answered;
-	GHashTable *by_upstream;
-};
-
-static struct context context_of(const ks_quarantine_t *quarantine,
-				 const struct tally *tally,
-				 const struct scope *scope)
-{
-	struct scope all = { scope->until_us, false };
-	struct context context = {
-		.answered = count_answers(quarantine, tally->first_us),
-		.by_upstream = g_hash_table_new(NULL, NULL),
-	};
-
-	for (GList *it = quarantine->losses.head; it; it = it->next) {
-		const ks_loss_t *loss = it->data;
-		gpointer key = GUINT_TO_POINTER(loss->upstream);
-		guint n = GPOINTER_TO_UINT(
-			g_hash_table_lookup(context.by_upstream, key));
-
-		if (loss->at_us < tally->first_us ||
-		    !is_in_scope(quarantine, loss, &all))
-			continue;
-		context.lost++;
-		context.lost_with += has_part(loss, tally->part);
-		if (is_in_scope(quarantine, loss, scope))
-			g_hash_table_insert(context.by_upstream, key,
-					    GUINT_TO_POINTER(n + 1));
-	}
-	return context;
-}
-
-/*
- * Probability that a sound part is among the requests lost with so many of the
- * upstreams: a part that few requests have is rarely among all of them.
- */
-static double presence_probability(const struct tally *tally,
-				   const struct context *context)
-{
-	double share = (double)context->lost_with /
-		       (context->lost + context->answered + 1.0);
-	unsigned k = tally->n_upstreams;
-	unsigned all = g_hash_table_size(context->by_upstream);
-	double result =
-		lgamma(all + 1.0) - lgamma(k + 1.0) - lgamma(all - k + 1.0);
-
-	for (unsigned i = 0; i < k; i++) {
-		guint n = GPOINTER_TO_UINT(g_hash_table_lookup(
-			context->by_upstream,
-			GUINT_TO_POINTER(tally->upstreams[i])));
-
-		result += log(1 - pow(1 - MIN(share, 0.99), n));
-	}
-	return exp(result);
-}
-
-/*
- * Probability that no request with a sound part is answered, while it is lost
- * with so many upstreams.
- */
-static double outcome_probability(const struct tally *tally,
-				  const struct context *context)
-{
-	unsigned without = context->lost - context->lost_with;
-	double lost = (without + 1.0) / (without + context->answered + 2.0);
-
-	return pow(MAX(lost, MIN_LOST_SHARE), tally->n_upstreams);
-}
-
-/* @more: counts so many losses with further upstreams as well */
-static bool is_cause(const ks_quarantine_t *quarantine,
-		     const struct tally *tally, unsigned more,
-		     const struct scope *scope)
-{
-	double limit = was_answered(quarantine, tally) ? MAX_PRESENCE_ANSWERED
-						       : MAX_PRESENCE;
-	struct context context;
-	double presence, outcome;
-
-	if (tally->n_upstreams + more < MIN_CRASHES)
-		return false;
-	context = context_of(quarantine, tally, scope);
-	presence = presence_probability(tally, &context);
-	outcome = outcome_probability(tally, &context);
-	g_hash_table_destroy(context.by_upstream);
-	/* A further loss is as probable as those before on average. */
-	if (more) {
-		double n = 1 + (double)more / tally->n_upstreams;
-
-		presence = pow(presence, n);
-		outcome = pow(outcome, n);
-	}
-	return presence <= limit || outcome <= MAX_OUTCOME;
-}
-
-/*
- * Of the parts of the same requests, one that was never answered comes first,
- * then one that fewer requests share.
- */
-static bool is_more_likely(const ks_quarantine_t *quarantine,
-			   const struct tally *a, const struct tally *b)
-{
-	bool a_answered = was_answered(quarantine, a);
-
-	if (a_answered != was_answered(quarantine, b))
-		return !a_answered;
-	if (a->last_position != b->last_position)
-		return a->last_position > b->last_position;
-	if (a->n_upstreams != b->n_upstreams)
-		return a->n_upstreams > b->n_upstreams;
-	return a->part < b->part;
-}
-
-static bool find_cause(const ks_quarantine_t *quarantine,
-		       const struct scope *scope, struct tally *cause)
-{
-	GHashTable *counts = count_parts(quarantine, scope);
-	bool found = false;
-	GHashTableIter iter;
-	gpointer id, n;
-
-	g_hash_table_iter_init(&iter, counts);
-	while (g_hash_table_iter_next(&iter, &id, &n)) {
-		struct tally tally;
-
-		if (GPOINTER_TO_UINT(n) < MIN_CRASHES)
-			continue;
-		count_losses(quarantine, *(const uint64_t *)id, scope, &tally);
-		if (!is_cause(quarantine, &tally, 0, scope) ||
-		    (found && !is_more_likely(quarantine, &tally, cause)))
-			continue;
-		*cause = tally;
-		found = true;
-	}
-	g_hash_table_destroy(counts);
-	return found;
-}
-
 static void hold(ks_quarantine_t *quarantine, ks_part_t *part, int64_t since_us,
 		 unsigned crashes, int64_t now_us)
 {
 	part->held_us = since_us;
 	quarantine->n_held++;
 	for (GList *it = quarantine->losses.head; it; it = it->next)
-		if (has_part(it->data, part->id))
+		if (quarantine_has_part(it->data, part->id))
 			explain(quarantine, it->data, part->id, now_us);
 	if (quarantine->events)
 		quarantine->events->held(quarantine->ctx, part->id, crashes);
@@ -622,7 +332,7 @@
 {
 	struct scope begun = { now_us - CONFIRM_US, true };
 	struct scope all = { now_us - CONFIRM_US, false };
-	struct tally cause = { 0 };
+	struct cause cause;
 
 	if (!quarantine->due_us || now_us < quarantine->due_us)
 		return;
@@ -631,10 +341,10 @@
 		quarantine->due_us =
 			MAX(quarantine->due_us, now_us + EVALUATION_US);
 	forget_old_losses(quarantine, now_us);
-	while (find_cause(quarantine, &begun, &cause) ||
-	       find_cause(quarantine, &all, &cause))
+	while (quarantine_find_cause(quarantine, &begun, &cause) ||
+	       quarantine_find_cause(quarantine, &all, &cause))
 		hold(quarantine, get_part(quarantine, cause.part, now_us),
-		     now_us, cause.n_upstreams, now_us);
+		     now_us, cause.crashes, now_us);
 }
 
 /**
@@ -663,7 +373,7 @@
 void ks_quarantine_release(ks_quarantine_t *quarantine, uint64_t id,
 			   int64_t now_us)
 {
-	ks_part_t *part = find_part(quarantine, id);
+	ks_part_t *part = quarantine_find_part(quarantine, id);
 
 	if (!part || !part->held_us)
 		return;
@@ -680,7 +390,8 @@
 			    const uint64_t *parts, unsigned n_parts)
 {
 	for (unsigned i = 0; quarantine->n_held && i < n_parts; i++) {
-		const ks_part_t *part = find_part(quarantine, parts[i]);
+		const ks_part_t *part =
+			quarantine_find_part(quarantine, parts[i]);
 
 		if (part && part->held_us)
 			return (int)i;
@@ -688,30 +399,6 @@
 	return -1;
 }
 
-/**
- * ks_quarantine_is_suspect() - whether one more loss would be enough to hold a
- * part
- *
- * A request that was lost is then not sent to another upstream.
- */
-bool ks_quarantine_is_suspect(const ks_quarantine_t *quarantine,
-			      const uint64_t *parts, unsigned n_parts,
-			      int64_t now_us)
-{
-	struct scope scopes[] = { { now_us, true }, { now_us, false } };
-
-	for (unsigned i = 0; quarantine->losses.length && i < n_parts; i++)
-		for (unsigned j = 0; j < G_N_ELEMENTS(scopes); j++) {
-			struct tally tally;
-
-			count_losses(quarantine, parts[i], &scopes[j], &tally);
-			if (tally.n_upstreams &&
-			    is_cause(quarantine, &tally, 1, &scopes[j]))
-				return true;
-		}
-	return false;
-}
-
 /**
  * ks_quarantine_try_wait_us() - how long a part is held before a request with
  * it is tried
