--- a/packages/gateway/tests/test-tainted-prompt.c
+++ b/packages/gateway/tests/test-crashing-part.c
@@ -102,8 +102,8 @@
 }
 
 /* Calls with the part, and lets each engine crash that the request reaches. */
-static void call_tainted(struct engines *e, struct fixture_caller *caller,
-			 const char *target, const char *shared)
+static void call_crashing(struct engines *e, struct fixture_caller *caller,
+			  const char *target, const char *shared)
 {
 	call(e, caller, target, shared);
 	while (!caller->done) {
@@ -134,7 +134,7 @@
 	return status;
 }
 
-static void play_with(const char *target, const char *tainted,
+static void play_with(const char *target, const char *crashing,
 		      const char *sound, const char *other, bool late_news)
 {
 	struct fixture_caller caller;
@@ -145,23 +145,23 @@
 	for (int i = 0; i < ROUNDS; i++) {
 		g_assert_cmpint(call_sound(&e, sound), ==, 200);
 		g_assert_cmpint(call_sound(&e, other), ==, 200);
-		call_tainted(&e, &caller, target, tainted);
+		call_crashing(&e, &caller, target, crashing);
 		fixture_end_call(&caller);
 		fixture_advance(&e.f, ROUND_MS);
 	}
 	g_assert_cmpuint(e.sent_after, <=, MAX_SENT_AFTER);
 	/* Refused at once, and told when to come back. */
-	call_tainted(&e, &caller, target, tainted);
+	call_crashing(&e, &caller, target, crashing);
 	g_assert_cmpint(caller.status, ==, 503);
 	g_assert_cmpuint(caller.retry_after->len, >, 0);
 	fixture_end_call(&caller);
 	fixture_deinit(&e.f);
 }
 
-static void play(const char *target, const char *tainted, const char *sound,
+static void play(const char *target, const char *crashing, const char *sound,
 		 const char *other)
 {
-	play_with(target, tainted, sound, other, false);
+	play_with(target, crashing, sound, other, false);
 }
 
 /*
@@ -170,14 +170,14 @@
  */
 static void test_engine_after_engine(void)
 {
-	play("/advise/", "caller:900,deadly:100", "caller:900,sound:100",
+	play("/advise/", "caller:900,crashing:100", "caller:900,sound:100",
 	     "caller:900");
 }
 
 /* Guards against holding a sound part that follows the one that crashes. */
 static void test_sound_part_follows(void)
 {
-	play("/advise/", "caller:900,deadly:100,sound:50",
+	play("/advise/", "caller:900,crashing:100,sound:50",
 	     "caller:900,sound:50", "caller:900,other:70,sound:50");
 }
 
@@ -187,14 +187,14 @@
  */
 static void test_restarted_at_address(void)
 {
-	play_with("/advise/", "caller:900,deadly:100", "caller:900,sound:100",
+	play_with("/advise/", "caller:900,crashing:100", "caller:900,sound:100",
 		  "caller:900", true);
 }
 
 /* Guards against one request that is sent on to engine after engine. */
 static void test_resumable_request(void)
 {
-	play("/continue/", "caller:900,deadly:100", "caller:900,sound:100",
+	play("/continue/", "caller:900,crashing:100", "caller:900,sound:100",
 	     "caller:900");
 }
 
@@ -227,15 +227,15 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	g_test_add_func("/tainted-prompt/engine-after-engine",
+	g_test_add_func("/crashing-part/engine-after-engine",
 			test_engine_after_engine);
-	g_test_add_func("/tainted-prompt/sound-part-follows",
+	g_test_add_func("/crashing-part/sound-part-follows",
 			test_sound_part_follows);
-	g_test_add_func("/tainted-prompt/restarted-at-address",
+	g_test_add_func("/crashing-part/restarted-at-address",
 			test_restarted_at_address);
-	g_test_add_func("/tainted-prompt/resumable-request",
+	g_test_add_func("/crashing-part/resumable-request",
 			test_resumable_request);
-	g_test_add_func("/tainted-prompt/lost-connections",
+	g_test_add_func("/crashing-part/lost-connections",
 			test_lost_connections);
 	return g_test_run();
 }
--- a/packages/gateway/tests/test-peers.c
+++ b/packages/gateway/tests/test-peers.c
@@ -431,7 +431,7 @@
 }
 
 #define CALLER 0xca11e4
-#define DEADLY 0xdead
+#define CRASHING 0xc4a5
 #define N_ANSWERS 50
 
 /* Two entries that hear each other, each with a quarantine. */
@@ -476,7 +476,7 @@
 			   .upstream = upstream,
 			   .at_us = now,
 			   .n_parts = 2,
-			   .parts = { CALLER, DEADLY } };
+			   .parts = { CALLER, CRASHING } };
 
 	g_assert_true(
 		ks_quarantine_record_loss(&p->quarantines[entry], &loss, now));
@@ -506,7 +506,7 @@
  */
 static void test_losses_are_shared(void)
 {
-	uint64_t caller = CALLER, deadly = DEADLY;
+	uint64_t caller = CALLER, crashing = CRASHING;
 	struct pair_fixture p;
 
 	init_pair(&p);
@@ -523,16 +523,16 @@
 	p.quarantines[0].n_answers += N_ANSWERS;
 	ks_quarantine_add_answers(&p.quarantines[0], N_ANSWERS,
 				  ks_loop_now(&p.f.loop));
-	PAIR_WAIT(&p, holds(&p, 0, DEADLY) && holds(&p, 1, DEADLY));
+	PAIR_WAIT(&p, holds(&p, 0, CRASHING) && holds(&p, 1, CRASHING));
 	g_assert_false(holds(&p, 0, CALLER));
 	g_assert_false(holds(&p, 1, CALLER));
 	ks_test_clock_advance(&p.f.clock, 10 * KS_USEC_PER_MSEC);
-	ks_quarantine_record_answer(&p.quarantines[1], &deadly, 1,
+	ks_quarantine_record_answer(&p.quarantines[1], &crashing, 1,
 				    ks_loop_now(&p.f.loop),
 				    ks_loop_now(&p.f.loop));
-	g_assert_false(holds(&p, 1, DEADLY));
-	PAIR_WAIT(&p, !holds(&p, 0, DEADLY));
-	g_assert_false(holds(&p, 1, DEADLY));
+	g_assert_false(holds(&p, 1, CRASHING));
+	PAIR_WAIT(&p, !holds(&p, 0, CRASHING));
+	g_assert_false(holds(&p, 1, CRASHING));
 	deinit_pair(&p);
 }
 
--- a/packages/request/tests/prop-quarantine.cpp
+++ b/packages/request/tests/prop-quarantine.cpp
@@ -21,7 +21,7 @@
 static const unsigned max_after = 3;
 static const size_t n_callers = 3;
 static const size_t n_documents = 4;
-static const uint64_t deadly = 1;
+static const uint64_t crashing_part = 1;
 static const uint64_t first_caller = 100;
 static const uint64_t first_document = 200;
 /* Requests with a first part below which its share says nothing. */
@@ -30,7 +30,7 @@
 struct request {
 	size_t entry;
 	std::vector<uint64_t> parts;
-	bool is_deadly;
+	bool is_crashing;
 	unsigned sends;
 	size_t upstream;
 	uint32_t process;
@@ -102,7 +102,7 @@
 					   (unsigned)r.parts.size());
 
 	if (held >= 0 && (r.sends || !may_try(s, r.parts[(size_t)held]))) {
-		if (!r.is_deadly && s.fifth_us &&
+		if (!r.is_crashing && s.fifth_us &&
 		    s.now_us > s.fifth_us + 2 * contact_us)
 			s.refused[r.parts[0] - first_caller]++;
 		return;
@@ -117,7 +117,7 @@
 		r.begins_us = s.now_us + between(s, 50, 300);
 		r.ends_us = r.begins_us + between(s, 50, 400);
 		s.running.push_back(r);
-		if (r.is_deadly && s.fifth_us &&
+		if (r.is_crashing && s.fifth_us &&
 		    s.now_us > s.fifth_us + contact_us)
 			s.sent_after++;
 		return;
@@ -178,7 +178,7 @@
 		request r = s.running[i];
 		ks_quarantine_t *q = &s.entries[r.entry].quarantine;
 
-		if (r.begins_us <= s.now_us && r.is_deadly) {
+		if (r.begins_us <= s.now_us && r.is_crashing) {
 			crash_by_request(s, r.upstream);
 			i = 0;
 			continue;
@@ -250,7 +250,7 @@
 	size_t entries;
 	size_t upstreams;
 	unsigned requests_per_s;
-	unsigned deadly_of_100;
+	unsigned crashing_of_100;
 	bool document_follows;
 	bool fails_otherwise;
 };
@@ -264,13 +264,13 @@
 	if (!chance(s, plan.requests_per_s * (double)step_us / 1e6))
 		return;
 	r.entry = ks_rng_below(&s.rng, (uint32_t)s.entries.size());
-	r.is_deadly = chance(s, plan.deadly_of_100 / 100.0);
+	r.is_crashing = chance(s, plan.crashing_of_100 / 100.0);
 	r.parts.push_back(first_caller + caller);
-	if (r.is_deadly)
-		r.parts.push_back(deadly);
-	if (!r.is_deadly || plan.document_follows)
+	if (r.is_crashing)
+		r.parts.push_back(crashing_part);
+	if (!r.is_crashing || plan.document_follows)
 		r.parts.push_back(document);
-	if (!r.is_deadly && s.fifth_us &&
+	if (!r.is_crashing && s.fifth_us &&
 	    s.now_us > s.fifth_us + 2 * contact_us)
 		s.asked[caller]++;
 	send(s, r);
@@ -324,7 +324,7 @@
 	plan.entries = *rc::gen::inRange<size_t>(1, 7);
 	plan.upstreams = *rc::gen::inRange<size_t>(5, 20);
 	plan.requests_per_s = *rc::gen::inRange(20u, 60u);
-	plan.deadly_of_100 = *rc::gen::inRange(1u, 11u);
+	plan.crashing_of_100 = *rc::gen::inRange(1u, 11u);
 	plan.document_follows = *rc::gen::arbitrary<bool>();
 	plan.fails_otherwise = *rc::gen::arbitrary<bool>();
 	return plan;
--- a/tests/soak/soak-callers.c
+++ b/tests/soak/soak-callers.c
@@ -35,13 +35,14 @@
 #define MAX_ARRIVALS 2
 /* Longest freeze, with some time to wake up. */
 #define EXCUSE_US (4500 * KS_USEC_PER_MSEC)
-/* Requests with the deadly part that may arrive later than this after crashes.
+/* Requests with the crashing part that may arrive later than this after
+ * crashes.
  */
 #define KNOWN_AFTER_CRASHES 5
 #define CONTACT_US (3000 * KS_USEC_PER_MSEC)
-#define MAX_DEADLY_ARRIVALS 3
+#define MAX_CRASHING_ARRIVALS 3
 /* Of 100 streams, so many have that part. */
-#define DEADLY_OF_100 5
+#define CRASHING_OF_100 5
 /* Of 100 requests, so many are given up before their answer. */
 #define GIVEN_UP_OF_100 4
 
@@ -51,7 +52,7 @@
  * @status: of its answer; 0 without one
  * @promised: the answer promises that the request has not run
  * @cut: the connection ended before the end of the answer
- * @is_deadly: a part of its prompt crashes replicas
+ * @is_crashing: a part of its prompt crashes replicas
  */
 struct attempt {
 	GString *id;
@@ -61,7 +62,7 @@
 	unsigned gateway;
 	bool promised;
 	bool cut;
-	bool is_deadly;
+	bool is_crashing;
 	bool reported;
 };
 
@@ -109,11 +110,11 @@
  * @record: what the replicas did, see enum soak_event
  * @rest: beginning of a line of which the end has not been read
  * @planned: only planned changes take place, so that no answer may be cut
- * @tainted: some prompts have a part that crashes replicas
- * @tainted_rng: draws them, without a change to the other draws of a seed
+ * @crashing: some prompts have a part that crashes replicas
+ * @crashing_rng: draws them, without a change to the other draws of a seed
  * @crashes: replicas that it has crashed
  * @known_us: when no entry in touch may send such a request any more, 0 before
- * @deadly_arrivals: requests that arrived nevertheless
+ * @crashing_arrivals: requests that arrived nevertheless
  */
 struct soak {
 	ks_loop_t loop;
@@ -134,11 +135,11 @@
 	unsigned answered, promised, failed, cut, given_up, violations;
 	bool stopping;
 	bool planned;
-	bool tainted;
-	ks_rng_t tainted_rng;
+	bool crashing;
+	ks_rng_t crashing_rng;
 	unsigned crashes;
 	int64_t known_us;
-	unsigned deadly_arrivals;
+	unsigned crashing_arrivals;
 	bool timed;
 };
 
@@ -212,12 +213,12 @@
 		       "arrived at a replica that said that it leaves");
 }
 
-static void check_deadly_arrival(struct soak *soak, struct attempt *attempt,
-				 int64_t at_us)
+static void check_crashing_arrival(struct soak *soak, struct attempt *attempt,
+				   int64_t at_us)
 {
 	if (soak->known_us && at_us > soak->known_us &&
 	    soak->excused_us[attempt->gateway] < at_us - EXCUSE_US &&
-	    ++soak->deadly_arrivals > MAX_DEADLY_ARRIVALS)
+	    ++soak->crashing_arrivals > MAX_CRASHING_ARRIVALS)
 		report(soak, "BUDGET", attempt,
 		       "arrived with a part that crashes replicas");
 }
@@ -235,8 +236,8 @@
 	case SOAK_ARRIVED:
 		if (soak->timed)
 			check_arrival(soak, attempt, word, at_us);
-		if (soak->timed && attempt->is_deadly)
-			check_deadly_arrival(soak, attempt, at_us);
+		if (soak->timed && attempt->is_crashing)
+			check_crashing_arrival(soak, attempt, at_us);
 		break;
 	case SOAK_CRASHED:
 		if (++soak->crashes == KNOWN_AFTER_CRASHES)
@@ -481,13 +482,13 @@
 
 	headers[1].value.len = (size_t)g_snprintf(deadline, sizeof(deadline),
 						  "%u", deadline_ms);
-	attempt->is_deadly =
-		soak->tainted && soak_is_stream(caller->class) &&
-		ks_rng_below(&soak->tainted_rng, 100) < DEADLY_OF_100;
+	attempt->is_crashing =
+		soak->crashing && soak_is_stream(caller->class) &&
+		ks_rng_below(&soak->crashing_rng, 100) < CRASHING_OF_100;
 	headers[2].value.len = (size_t)g_snprintf(
 		parts, sizeof(parts), "a%u:9000%s,b%u:3000",
 		ks_rng_below(&soak->rng, 4),
-		attempt->is_deadly ? "," SOAK_DEADLY_PART ":100" : "",
+		attempt->is_crashing ? "," SOAK_CRASHING_PART ":100" : "",
 		soak->n_ids);
 	request.headers = headers;
 	request.n_headers = soak_is_stream(caller->class) ? 3 : 2;
@@ -558,7 +559,7 @@
 	soak->excused_us = g_new0(int64_t, soak->gateways->len);
 	soak->rest = g_string_new(NULL);
 	ks_rng_init(&soak->rng, soak->seed);
-	ks_rng_init(&soak->tainted_rng, soak->seed);
+	ks_rng_init(&soak->crashing_rng, soak->seed);
 	ks_loop_init(&soak->loop, ks_clock_monotonic());
 	ks_http_client_init(&soak->client, &soak->loop);
 	soak->client.max_idle_us = KEEP_IDLE_US;
@@ -595,12 +596,12 @@
 		arg_lit0(NULL, "planned", "only planned changes take place");
 	struct arg_lit *timed = arg_lit0(
 		NULL, "timed", "check the rules that have a time bound");
-	struct arg_lit *tainted =
-		arg_lit0(NULL, "tainted",
+	struct arg_lit *crashing =
+		arg_lit0(NULL, "crashing",
 			 "some prompts have a part that crashes replicas");
 	struct arg_end *end = arg_end(10);
-	void *table[] = { gateways, record, seconds, callers, seed,
-			  planned,  timed,  tainted, end };
+	void *table[] = { gateways, record, seconds,  callers, seed,
+			  planned,  timed,  crashing, end };
 	struct soak soak = { .n_ids = 0 };
 
 	if (arg_parse(argc, argv, table) > 0) {
@@ -617,6 +618,6 @@
 	soak.seed = (unsigned)seed->ival[0];
 	soak.planned = planned->count > 0;
 	soak.timed = timed->count > 0;
-	soak.tainted = tainted->count > 0;
+	soak.crashing = crashing->count > 0;
 	return run(&soak, seconds->ival[0]);
 }
--- a/tests/soak/soak-replica.c
+++ b/tests/soak/soak-replica.c
@@ -280,12 +280,13 @@
 	g_string_free(seal, TRUE);
 }
 
-static bool is_deadly(const ks_http1_request_t *request)
+static bool is_crashing(const ks_http1_request_t *request)
 {
 	ks_str_t parts = field(request, "prompt-prefix");
 
-	return parts.len && memmem(parts.data, parts.len, "," SOAK_DEADLY_PART,
-				   sizeof(SOAK_DEADLY_PART));
+	return parts.len &&
+	       memmem(parts.data, parts.len, "," SOAK_CRASHING_PART,
+		      sizeof(SOAK_CRASHING_PART));
 }
 
 static void start_stream(struct work *work)
@@ -303,7 +304,7 @@
 	if (work->is_unframed)
 		http1_conn_of(work->request)->parser.http_minor = 0;
 	start_answer(work, KS_STR("text/event-stream"), -1);
-	if (is_deadly(work->request)) {
+	if (is_crashing(work->request)) {
 		record(work->replica, SOAK_CRASHED, text_of(work->id), 0);
 		_exit(EXIT_FAILURE);
 	}
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -14,7 +14,7 @@
 #define SOAK_EVENTS 6
 
 /* Part of a prompt on which replicas crash. */
-#define SOAK_DEADLY_PART "dead"
+#define SOAK_CRASHING_PART "crash"
 
 /* Last character of a request's id: what its route lets happen to it. */
 #define SOAK_BOOK 'b'	/* at most once */
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# usage: tests/soak/soak.sh [--planned] [--many] [--timed] [--returns] [--tainted]
+# usage: tests/soak/soak.sh [--planned] [--many] [--timed] [--returns] [--crashing]
 #                          SEED SECONDS
 #
 # Runs gateways, replicas, a store and callers as separate processes and injects
@@ -9,7 +9,7 @@
 # replicas and new configurations; with --many, as many processes as the limits
 # of a small machine bear; with --timed, rules with a time bound are checked as
 # well, for a machine without other load. With --returns, the store also returns
-# from older copies of itself. With --tainted, a part of some prompts crashes
+# from older copies of itself. With --crashing, a part of some prompts crashes
 # replicas; besides, only planned changes. How many requests with it arrive after
 # the first crashes is checked with --timed. SOAK_KEEP names a directory that gets
 # the logs of a run that failed. SOAK_SECOND is how many of 100 answers a faulty
@@ -20,7 +20,7 @@
 . tests/system/lib.sh
 . tests/system/site.sh
 
-planned= many= timed= returns= tainted=
+planned= many= timed= returns= crashing=
 while test $# -gt 2
 do
 	case $1 in
@@ -28,7 +28,7 @@
 	--many) many=yes ;;
 	--timed) timed=--timed ;;
 	--returns) returns=yes ;;
-	--tainted) tainted=--tainted ;;
+	--crashing) crashing=--crashing ;;
 	esac
 	shift
 done
@@ -255,7 +255,7 @@
 
 "$BIN/soak-callers" --gateways "$gateways" --record "$record" \
 	--seconds "$seconds" --callers $n_callers --seed "$seed" $planned $timed \
-	$tainted \
+	$crashing \
 	>"$WORK/callers.out" 2>&1 &
 callers=$!
 
@@ -266,12 +266,12 @@
 	for _ in $(seq $DRAWN)
 	do
 		inject_planned
-		test -n "$planned$tainted" || inject_fault
+		test -n "$planned$crashing" || inject_fault
 		test -z "$returns" || inject_return
 	done
 	between 2 9
 	sleep 0.$DRAWN
-	test -z "$tainted" || find_crashed
+	test -z "$crashing" || find_crashed
 	start_again
 done
 wait $callers
--- a/tests/system/test-soak.sh
+++ b/tests/system/test-soak.sh
@@ -8,7 +8,7 @@
 SECONDS_EACH=8
 PLANNED_SEED=501
 RETURNS_SEEDS="9102 9222"
-TAINTED_SEEDS="5005"
+CRASHING_SEEDS="5005"
 
 keep=$(mktemp -d)
 trap 'rm -rf "$keep"' EXIT
@@ -37,12 +37,12 @@
 do
 	run_seed "$seed" --planned --returns &
 done
-for seed in $TAINTED_SEEDS
+for seed in $CRASHING_SEEDS
 do
-	run_seed "$seed" --tainted &
+	run_seed "$seed" --crashing &
 done
 wait
-for seed in $seeds $PLANNED_SEED $RETURNS_SEEDS $TAINTED_SEEDS
+for seed in $seeds $PLANNED_SEED $RETURNS_SEEDS $CRASHING_SEEDS
 do
 	cat "$keep/$seed.out"
 	test "$(cat "$keep/$seed.status")" = 0 || failed="$failed $seed"
