gateway: send a refused request again though its parts are suspect

A request whose parts were lost with two upstreams was not sent again after any failure: not after a refusal either, nor if no connection came up, though it had crashed nothing. While a part crashes engines, that refused sound requests with a suspect part.

The check now stands where a request was lost. test-crashing-part refused-request failed before. Also: the connection is closed at once where the response to resume a stream is no stream, instead of dropping its body.

--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -238,13 +238,13 @@
 }
 
 /*
- * Closes the connection to an upstream whose bytes are no response. The
- * exchange may have ended then.
+ * Closes the connection to an upstream whose bytes are no response, or no end
+ * of which is in sight. The exchange may have ended then.
  */
 static void stop_reading(struct exchange *exchange)
 {
 	exchange_log(exchange, KS_LOG_WARN,
-		     "closed the connection, the response has no end",
+		     "closed the connection, the bytes are no response",
 		     exchange->status);
 	ks_http_call_cancel(&exchange->call);
 	on_run_done(exchange, KS_HTTP_INCOMPLETE);
@@ -265,9 +265,12 @@
 	if (exchange->step == EXCHANGE_DETACHED)
 		return;
 	/* Discard the body of a failed attempt to resume. */
-	if (exchange->started &&
-	    (exchange->status / 100 != 2 || is_other_content(exchange)))
+	if (exchange->started && exchange->status / 100 != 2)
 		return;
+	if (is_other_content(exchange)) {
+		stop_reading(exchange);
+		return;
+	}
 	if (exchange->is_stream_response && exchange->started) {
 		record_first_event(exchange);
 		if (exchange->has_events)
@@ -507,7 +510,8 @@
 	exchange_exclude_member(exchange);
 	if (result != KS_HTTP_NOT_SENT)
 		exchange->runs++;
-	if (exchange_retry(exchange, exchange->started
+	if ((result != KS_HTTP_INCOMPLETE || !exchange_is_suspect(exchange)) &&
+	    exchange_retry(exchange, exchange->started
 					     ? "stream broke off, resuming it"
 					     : "sent again after a loss"))
 		return;
--- a/packages/gateway/src/exchange_dispatch.c
+++ b/packages/gateway/src/exchange_dispatch.c
@@ -46,8 +46,7 @@
 	ks_gateway_t *gateway = exchange->gateway;
 
 	if (!exchange->caller || exchange->sends >= MAX_SENDS ||
-	    exchange_now(exchange) >= exchange->deadline_us ||
-	    exchange_is_suspect(exchange))
+	    exchange_now(exchange) >= exchange->deadline_us)
 		return false;
 	if (exchange_may_have_run(exchange) &&
 	    (!may_repeat(exchange) ||
--- a/packages/gateway/tests/test-crashing-part.c
+++ b/packages/gateway/tests/test-crashing-part.c
@@ -224,6 +224,37 @@
 	fixture_deinit(&e.f);
 }
 
+/*
+ * Guards against not sending a request again that was refused, as its parts are
+ * suspect: it has not been lost.
+ */
+static void test_refused_request(void)
+{
+	struct fixture_upstream *first;
+	struct fixture_caller caller;
+	struct engines e;
+
+	init_engines(&e);
+	for (int i = 0; i < 2; i++) {
+		for (int j = 0; j < ROUNDS; j++)
+			call_sound(&e, "caller:900");
+		call_crashing(&e, &caller, "/advise/",
+			      "caller:900,crashing:100");
+		fixture_end_call(&caller);
+		fixture_advance(&e.f, ROUND_MS);
+	}
+	call(&e, &caller, "/advise/", "caller:900,crashing:100");
+	first = fixture_wait_request(&e.f);
+	fixture_respond(first, 503, true, "");
+	g_assert_true(fixture_wait_request(&e.f) != first);
+	fixture_respond(fixture_pending_upstream(&e.f), 200, false,
+			"data: a\n\n");
+	FIXTURE_WAIT(&e.f, caller.done);
+	g_assert_cmpint(caller.status, ==, 200);
+	fixture_end_call(&caller);
+	fixture_deinit(&e.f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -235,6 +266,7 @@
 			test_restarted_at_address);
 	g_test_add_func("/crashing-part/resumable-request",
 			test_resumable_request);
+	g_test_add_func("/crashing-part/refused-request", test_refused_request);
 	g_test_add_func("/crashing-part/lost-connections",
 			test_lost_connections);
 	return g_test_run();
