--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -238,8 +238,8 @@
 }
 
 /*
- * Closes the connection to an upstream whose bytes are no response, or no end
- * of which is in sight. The exchange may have ended then.
+ * Closes the connection to an upstream whose bytes are no response. The
+ * exchange may have ended then.
  */
 static void stop_reading(struct exchange *exchange)
 {
