--- a/packages/core/include/ks/core.h
+++ b/packages/core/include/ks/core.h
@@ -33,6 +33,7 @@
 bool ks_str_equal_nocase(ks_str_t a, ks_str_t b);
 bool ks_str_has_prefix(ks_str_t s, ks_str_t prefix);
 bool ks_str_parse_int(ks_str_t s, int64_t min, int64_t max, int64_t *value);
+bool ks_str_parse_decimal(ks_str_t s, double *value);
 char *ks_str_dup(ks_str_t s);
 
 /* error.c */
--- a/packages/core/src/str.c
+++ b/packages/core/src/str.c
@@ -66,6 +66,31 @@
 	return true;
 }
 
+/**
+ * ks_str_parse_decimal() - parse digits with an optional fraction
+ * @value: set on success only
+ *
+ * Return: false if @s has a sign, an exponent, or is anything else.
+ */
+bool ks_str_parse_decimal(ks_str_t s, double *value)
+{
+	size_t point = s.len;
+	char copy[32];
+
+	if (!s.len || s.len >= sizeof(copy))
+		return false;
+	for (size_t i = 0; i < s.len; i++) {
+		copy[i] = s.data[i];
+		if (copy[i] == '.' && point == s.len && i)
+			point = i;
+		else if (!g_ascii_isdigit(copy[i]))
+			return false;
+	}
+	copy[s.len] = '\0';
+	*value = g_ascii_strtod(copy, NULL);
+	return true;
+}
+
 /**
  * ks_str_dup() - make a NUL-terminated copy of a string
  *
--- a/packages/core/tests/test-core.c
+++ b/packages/core/tests/test-core.c
@@ -40,6 +40,26 @@
 	g_assert_cmpint(value, ==, 42);
 }
 
+/* Guards against signs, exponents, lists and names being read as a number. */
+static void test_str_parse_decimal_is_strict(void)
+{
+	static const char *const bad[] = {
+		"",    "-1",	"+1",	"1e3",
+		".5",  "1.2.3", "1,2",	" 1",
+		"nan", "inf",	"0x10", "11111111111111111111111111111111"
+	};
+	double value = -1;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+		g_assert_false(
+			ks_str_parse_decimal(ks_str_from(bad[i]), &value));
+	g_assert_cmpfloat(value, ==, -1);
+	g_assert_true(ks_str_parse_decimal(KS_STR("2.75"), &value));
+	g_assert_cmpfloat(value, ==, 2.75);
+	g_assert_true(ks_str_parse_decimal(KS_STR("0"), &value));
+	g_assert_cmpfloat(value, ==, 0);
+}
+
 /* Guards against an id that changes when formatted and parsed. */
 static void test_id_round_trip(void)
 {
@@ -93,6 +113,8 @@
 			test_error_unknown_outcome_is_not_reported_as_not_run);
 	g_test_add_func("/str/parse-int-is-strict",
 			test_str_parse_int_is_strict);
+	g_test_add_func("/core/str/parse-decimal-is-strict",
+			test_str_parse_decimal_is_strict);
 	g_test_add_func("/id/round-trip", test_id_round_trip);
 	g_test_add_func("/backoff/stays-below-maximum",
 			test_backoff_stays_below_maximum);
--- a/packages/gateway/src/withdrawal.c
+++ b/packages/gateway/src/withdrawal.c
@@ -48,26 +48,6 @@
 	withdrawal->is_awaited |= other->is_awaited;
 }
 
-/* Reads digits with an optional fraction; anything else is no time. */
-static bool parse_seconds(ks_str_t text, double *seconds)
-{
-	size_t point = text.len;
-	char copy[32];
-
-	if (!text.len || text.len >= sizeof(copy))
-		return false;
-	for (size_t i = 0; i < text.len; i++) {
-		copy[i] = text.data[i];
-		if (copy[i] == '.' && point == text.len && i)
-			point = i;
-		else if (!g_ascii_isdigit(copy[i]))
-			return false;
-	}
-	copy[text.len] = '\0';
-	*seconds = g_ascii_strtod(copy, NULL);
-	return *seconds > 0;
-}
-
 /**
  * ks_withdrawal_back_off() - record that the upstream wants no requests
  * @text: the time in seconds, which may have a fraction. Zero, a date and
@@ -83,7 +63,7 @@
 	double seconds;
 	int64_t us, spread_us;
 
-	if (!parse_seconds(text, &seconds))
+	if (!ks_str_parse_decimal(text, &seconds) || seconds <= 0)
 		return false;
 	us = (int64_t)(MIN(seconds, MAX_BACK_OFF_S) * KS_USEC_PER_SEC);
 	spread_us = MIN((int64_t)((double)us * RETURN_SPREAD),
