gateway: log and count limits that upstreams state

An upstream may state in its responses how many requests per second it takes from all entries together. The logs did not mention it, so that the three hypotheses of the postmortem could not be told apart: the statement is not read, each entry obeys it alone, or other calls exceed it.

The statement is now read and logged when it changes, and requests sent to such upstreams are counted by kind. Placement does not use it yet.

--- a/packages/core/tests/test-core.c
+++ b/packages/core/tests/test-core.c
@@ -113,7 +113,7 @@
 			test_error_unknown_outcome_is_not_reported_as_not_run);
 	g_test_add_func("/str/parse-int-is-strict",
 			test_str_parse_int_is_strict);
-	g_test_add_func("/core/str/parse-decimal-is-strict",
+	g_test_add_func("/str/parse-decimal-is-strict",
 			test_str_parse_decimal_is_strict);
 	g_test_add_func("/id/round-trip", test_id_round_trip);
 	g_test_add_func("/backoff/stays-below-maximum",
--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -32,6 +32,8 @@
  * @retry_after: seconds after which the caller may retry; in a refusal of an
  *	upstream, for which it wants no requests from this entry
  * @leaving: set in a response by an upstream that leaves
+ * @stated_limit: set in the responses of an upstream that takes no more than
+ *	this many requests per second from all entries together
  * @last_event_id: id of the last event received, to resume a stream after it
  * @prompt_parts: the parts of the prompt in order, as ID:TOKENS separated by
  *	commas; see ks_prompt_parse()
@@ -52,6 +54,7 @@
 	ks_str_t not_run;
 	ks_str_t retry_after;
 	ks_str_t leaving;
+	ks_str_t stated_limit;
 	ks_str_t last_event_id;
 	ks_str_t prompt_parts;
 	ks_str_t priority;
@@ -216,12 +219,15 @@
  * @away_until_us: until when it wants no requests, 0 if it never asked
  * @next_send_us: earliest time of the next request
  * @is_awaited: no request has been sent after that time yet
+ * @limit_per_s: requests per second that it takes from all entries together, as
+ *	its latest response says; 0 for no limit
  */
 typedef struct ks_withdrawal {
 	int64_t leaving_us;
 	int64_t away_until_us;
 	int64_t next_send_us;
 	bool is_awaited;
+	double limit_per_s;
 } ks_withdrawal_t;
 
 void ks_withdrawal_merge(ks_withdrawal_t *withdrawal,
--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -43,6 +43,47 @@
 	       ks_header_find(headers, n, dialect->not_run.data);
 }
 
+static void log_limit(const struct exchange *exchange,
+		      const ks_member_t *member, double before)
+{
+	double now = member->withdrawal.limit_per_s;
+
+	if (now == before)
+		return;
+	ks_counter_add(exchange->gateway->counters.limits_stated, now > 0);
+	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
+	       "%s upstream=%s request=%s per_s=%.3f before=%.3f",
+	       now > 0 ? "an upstream states a limit on all requests"
+		       : "an upstream states no limit any more",
+	       member->id, exchange->id, now, before);
+}
+
+/*
+ * A response that was meant for another process is one of the process that
+ * follows it at its address.
+ */
+static void note_limit(const struct exchange *exchange, ks_member_t *member,
+		       const ks_header_t *headers, size_t n)
+{
+	const char *name = exchange->gateway->dialect->stated_limit.data;
+	ks_str_t text = ks_header_value(headers, n, name);
+	double before = member->withdrawal.limit_per_s, per_s = 0;
+
+	if (exchange->status == 421)
+		return;
+	if (ks_header_find(headers, n, name) &&
+	    !ks_str_parse_decimal(text, &per_s)) {
+		ks_log(KS_LOG_ROUTE, KS_LOG_WARN,
+		       "ignored a limit that is no number upstream=%s "
+		       "request=%s stated=%.*s",
+		       member->id, exchange->id, (int)MIN(text.len, 32),
+		       text.data);
+		return;
+	}
+	member->withdrawal.limit_per_s = per_s;
+	log_limit(exchange, member, before);
+}
+
 /**
  * exchange_note_upstream() - note what an upstream says of itself
  * @member: the upstream that sent the response of which @headers are
@@ -66,6 +107,7 @@
 		       "request=%s",
 		       member->id, exchange->id);
 	}
+	note_limit(exchange, member, headers, n);
 	exchange->backed_off =
 		exchange->status == 503 &&
 		ks_withdrawal_back_off(withdrawal, wait,
--- a/packages/gateway/src/exchange_send.c
+++ b/packages/gateway/src/exchange_send.c
@@ -126,6 +126,12 @@
 	return !exchange->withheld;
 }
 
+static void count_limited(const ks_member_t *member, ks_counter_t *counter)
+{
+	if (member->withdrawal.limit_per_s > 0)
+		ks_counter_add(counter, 1);
+}
+
 /* Records that the request is sent to an upstream, and returns whether it has
  * been before. */
 static bool record_send(struct exchange *exchange, const ks_address_t *address)
@@ -154,6 +160,7 @@
 		   bool is_prefill, const ks_http_events_t *events)
 {
 	const ks_dialect_t *dialect = exchange->gateway->dialect;
+	const struct gateway_metrics *counters = &exchange->gateway->counters;
 	int64_t now = ks_loop_now(exchange->gateway->loop);
 	int64_t left_ms =
 		MAX((exchange->deadline_us - now) / KS_USEC_PER_MSEC, 1);
@@ -175,6 +182,8 @@
 		.no_retry = true,
 	};
 
+	count_limited(member, is_prefill ? counters->limited_prefills
+					 : counters->limited_runs);
 	if (ks_withdrawal_record_send(&member->withdrawal, now))
 		ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
 		       "an upstream is used again after its back-off "
@@ -268,6 +277,8 @@
 	expect.value = ks_str_from(exchange->prefill_member->id);
 	request.address = exchange->prefill_member->address;
 	request.target = (ks_str_t){ target->str, target->len };
+	count_limited(exchange->prefill_member,
+		      exchange->gateway->counters.limited_releases);
 	ks_http_fetch(&exchange->gateway->client, &request, 4096,
 		      on_handle_freed, NULL);
 	g_string_free(target, TRUE);
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -164,6 +164,21 @@
 	c->backed_off = ks_metrics_counter(
 		m, "ks_gateway_backed_off_total",
 		"Refusals of upstreams that requested a back-off", NULL);
+	c->limits_stated = ks_metrics_counter(
+		m, "ks_gateway_limits_stated_total",
+		"Limits on requests that upstreams stated or changed", NULL);
+	c->limited_runs = ks_metrics_counter(
+		m, "ks_gateway_limited_sends_total",
+		"Requests sent to upstreams that state a limit",
+		"call=\"run\"");
+	c->limited_prefills = ks_metrics_counter(
+		m, "ks_gateway_limited_sends_total",
+		"Requests sent to upstreams that state a limit",
+		"call=\"prefill\"");
+	c->limited_releases = ks_metrics_counter(
+		m, "ks_gateway_limited_sends_total",
+		"Requests sent to upstreams that state a limit",
+		"call=\"release\"");
 	c->late = ks_metrics_counter(m, "ks_gateway_late_total",
 				     "Answers passed on after their objective, "
 				     "or with too long a pause",
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -24,6 +24,10 @@
  *	of the response body
  * @leaving: upstreams that said in a response that they leave
  * @backed_off: refusals of upstreams that requested a back-off
+ * @limits_stated: limits that upstreams stated, changed ones included
+ * @limited_runs, @limited_prefills, @limited_releases: requests, prefill
+ *	requests and releases of KV cache handles sent to upstreams that state
+ *	a limit
  * @late: forwarded responses that missed the route's objective for the first
  *	data, or its limit on pauses
  * @first_byte: time from the arrival of a request to the head of its response
@@ -51,6 +55,10 @@
 	ks_counter_t *lost_at_start;
 	ks_counter_t *leaving;
 	ks_counter_t *backed_off;
+	ks_counter_t *limits_stated;
+	ks_counter_t *limited_runs;
+	ks_counter_t *limited_prefills;
+	ks_counter_t *limited_releases;
 	ks_counter_t *late;
 	ks_histogram_t *first_byte;
 	ks_histogram_t *prefill;
--- a/packages/gateway/tests/gateway_fixture.h
+++ b/packages/gateway/tests/gateway_fixture.h
@@ -29,6 +29,7 @@
 	.not_run = { "x-not-run", 9 },
 	.retry_after = { "retry-after", 11 },
 	.leaving = { "x-leaving", 9 },
+	.stated_limit = { "x-limit", 7 },
 	.last_event_id = { "last-event-id", 13 },
 	.prompt_parts = { "x-parts", 7 },
 	.priority = { "x-priority", 10 },
