--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -599,6 +599,7 @@
 			   const ks_prompt_t *prompt);
 void ks_peers_queue_loss(ks_peers_t *peers, const ks_loss_t *loss);
 void ks_peers_receive(ks_peers_t *peers, ks_str_t message);
+void ks_peers_pack(ks_peers_t *peers, GByteArray *message);
 size_t ks_peers_n_active(const ks_peers_t *peers);
 size_t ks_peers_n_announced(const ks_peers_t *peers);
 void ks_peers_set_view(ks_peers_t *peers, ks_table_t table,
--- a/packages/gateway/src/peers.c
+++ b/packages/gateway/src/peers.c
@@ -239,7 +239,11 @@
 	}
 }
 
-static size_t send_state(ks_peers_t *peers)
+/**
+ * ks_peers_pack() - build the next message to the other entries
+ * @message: the message is appended to it
+ */
+void ks_peers_pack(ks_peers_t *peers, GByteArray *message)
 {
 	guint n = g_hash_table_size(peers->fleet->by_id), used = 0;
 	uint32_t *tags = g_new(uint32_t, n + 1);
@@ -251,8 +255,7 @@
 	struct peers_loss_fields losses;
 	GHashTableIter iter;
 	gpointer value;
-	uint8_t *buf;
-	size_t len;
+	guint begin = message->len;
 
 	g_hash_table_iter_init(&iter, peers->fleet->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -282,18 +285,29 @@
 	state.n_kept_part = state.n_kept_by = peers->queued_parts->len;
 	peers_add_views(peers, &state, &views);
 	peers_add_losses(peers, &state, &losses);
-	len = ks__peer_state__get_packed_size(&state);
-	buf = g_malloc(len);
-	ks__peer_state__pack(&state, buf);
-	ks_socket_send(&peers->pub, (ks_str_t){ NULL, 0 },
-		       (ks_str_t){ (const char *)buf, len });
+	g_byte_array_set_size(
+		message,
+		begin + (guint)ks__peer_state__get_packed_size(&state));
+	ks__peer_state__pack(&state, message->data + begin);
 	g_array_set_size(peers->queued_parts, 0);
 	g_array_set_size(peers->queued_tags, 0);
-	g_free(buf);
 	g_free(tags);
 	g_free(running);
 	g_free(reading);
 	g_free(occupancy);
+}
+
+/* Returns the size of the message. */
+static size_t send_state(ks_peers_t *peers)
+{
+	GByteArray *message = g_byte_array_new();
+	size_t len;
+
+	ks_peers_pack(peers, message);
+	len = message->len;
+	ks_socket_send(&peers->pub, (ks_str_t){ NULL, 0 },
+		       (ks_str_t){ (const char *)message->data, len });
+	g_byte_array_free(message, TRUE);
 	return len;
 }
 
