gateway: share the limit that an upstream states between the entries

Callers were served, at the cost of the upstream.

Cause: the field was not read. Class: what an upstream says of itself for all entries together, where each entry knows only its own requests.

Change: a statement is part of what an upstream has said of itself (withdrawal.c), lasts as long as its process states it, and is told to the other entries at once. Each entry may use a share in proportion to its demand for the service, worked out from the numbers that the entries have told each other; the own number is the one last told. A small limit is shared by a few entries only, as each may have saved one request. Runs, prefill requests, retries and releases of KV cache handles count. Without a share left, the upstream is not chosen; if none is left, the request is refused at once with the time of the next one. When the statement ends, the rate doubles each half second for 4 s: the response may be an old one, and the upstream should not get all of the load at once. Entries that are silent for 5 s leave their share to the others, unless most of them are: then this entry is probably the one that is cut off.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -211,6 +211,53 @@
 void ks_prompt_set_service(ks_prompt_t *prompt, const char *service);
 uint64_t ks_prompt_shared_id(const ks_prompt_t *prompt);
 
+/* stated_limit.c */
+
+/**
+ * struct ks_stated_limit - limit that an upstream states on the requests of all
+ * entries together
+ * @per_s: requests per second, 0 if it has never stated a limit
+ * @heard_us: when an entry received the response that this comes from
+ * @ended_us: when the first response without a limit was received, 0 before
+ * @is_own: this entry received the response
+ * @share: share of the limit that this entry may use, 0 to 1
+ * @tokens: requests that this entry may send, as of @filled_us
+ */
+typedef struct ks_stated_limit {
+	double per_s;
+	int64_t heard_us;
+	int64_t ended_us;
+	bool is_own;
+	double share;
+	double tokens;
+	int64_t filled_us;
+} ks_stated_limit_t;
+
+/**
+ * struct ks_limit_claim - the claim of an entry to a share of a limit
+ * @rank: hash of the entry and the upstream
+ * @demand_per_s: requests that it has for the service, negative if unknown
+ */
+typedef struct ks_limit_claim {
+	uint64_t rank;
+	double demand_per_s;
+} ks_limit_claim_t;
+
+bool ks_stated_limit_is_in_force(const ks_stated_limit_t *limit,
+				 int64_t now_us);
+bool ks_stated_limit_set(ks_stated_limit_t *limit, double per_s,
+			 int64_t heard_us, bool is_own, int64_t now_us);
+bool ks_stated_limit_end(ks_stated_limit_t *limit, int64_t heard_us,
+			 bool is_own, int64_t now_us);
+void ks_stated_limit_merge(ks_stated_limit_t *limit,
+			   const ks_stated_limit_t *other);
+void ks_stated_limit_set_share(ks_stated_limit_t *limit, double share,
+			       int64_t now_us);
+bool ks_stated_limit_permits(const ks_stated_limit_t *limit, int64_t now_us);
+bool ks_stated_limit_take(ks_stated_limit_t *limit, int64_t now_us);
+int64_t ks_stated_limit_next_us(const ks_stated_limit_t *limit, int64_t now_us);
+double ks_stated_limit_share(double per_s, ks_limit_claim_t *claims, size_t n);
+
 /* withdrawal.c */
 
 /**
@@ -219,15 +266,14 @@
  * @away_until_us: until when it wants no requests, 0 if it never asked
  * @next_send_us: earliest time of the next request
  * @is_awaited: no request has been sent after that time yet
- * @limit_per_s: requests per second that it takes from all entries together, as
- *	its latest response says; 0 for no limit
+ * @limit: limit on the requests of all entries
  */
 typedef struct ks_withdrawal {
 	int64_t leaving_us;
 	int64_t away_until_us;
 	int64_t next_send_us;
 	bool is_awaited;
-	double limit_per_s;
+	ks_stated_limit_t limit;
 } ks_withdrawal_t;
 
 void ks_withdrawal_merge(ks_withdrawal_t *withdrawal,
@@ -238,6 +284,8 @@
 bool ks_withdrawal_is_away(const ks_withdrawal_t *withdrawal, int64_t now_us);
 bool ks_withdrawal_permits(const ks_withdrawal_t *withdrawal, int64_t now_us);
 bool ks_withdrawal_record_send(ks_withdrawal_t *withdrawal, int64_t now_us);
+int64_t ks_withdrawal_next_us(const ks_withdrawal_t *withdrawal,
+			      int64_t now_us);
 bool ks_withdrawal_accepts(const ks_withdrawal_t *withdrawal, int64_t notice_us,
 			   int64_t now_us);
 
@@ -353,6 +401,7 @@
 int64_t ks_fleet_return_us(const ks_fleet_t *fleet, const char *service,
 			   int64_t now_us);
 uint64_t ks_fleet_digest(const ks_fleet_t *fleet);
+uint32_t ks_member_process_tag(const ks_member_t *member);
 ks_member_t *ks_member_ref(ks_member_t *member);
 void ks_member_unref(ks_member_t *member);
 void ks_member_record_outcome(ks_member_t *member, bool failed, int64_t now_us);
@@ -392,6 +441,7 @@
 		    int64_t window_us);
 void ks_budget_request(ks_budget_t *budget, int64_t now_us);
 bool ks_budget_take(ks_budget_t *budget, int64_t now_us);
+double ks_budget_demand(ks_budget_t *budget, int64_t now_us);
 
 /* placement.c */
 
@@ -535,6 +585,9 @@
  */
 typedef void (*ks_outdated_func_t)(void *ctx, ks_table_t table);
 
+/* Returns how many requests per second this entry has for a service. */
+typedef double (*ks_demand_func_t)(void *ctx, const char *service);
+
 /**
  * struct ks_peers - exchange of load and cache state with the other entries
  * @context: ZeroMQ context, NULL if peers are not configured
@@ -555,6 +608,12 @@
  * @views: what this entry knows of each table
  * @quarantine: exchanged with the other entries; NULL for none
  * @losses: ks_loss_t of this entry that are sent to the others
+ * @claimants: struct claimant by entry name
+ * @own_claims: demand of this entry in thousandths of a request per second, as
+ *	it was told last, by the process tag of the upstream with a limit
+ * @shares_us: when the shares of limits were last worked out
+ * @next_limit: number of the limit that the next message begins with
+ * @demand: NULL for no demand
  * @outdated_by: digest that @outdated was last called for, by table
  * @outdated: NULL for none
  */
@@ -582,6 +641,12 @@
 	ks_view_t views[KS_N_TABLES];
 	ks_quarantine_t *quarantine;
 	GQueue losses;
+	GHashTable *claimants;
+	GHashTable *own_claims;
+	int64_t shares_us;
+	size_t next_limit;
+	ks_demand_func_t demand;
+	void *demand_ctx;
 	uint64_t outdated_by[KS_N_TABLES];
 	ks_outdated_func_t outdated;
 	void *ctx;
@@ -598,6 +663,7 @@
 void ks_peers_queue_cached(ks_peers_t *peers, const ks_member_t *member,
 			   const ks_prompt_t *prompt);
 void ks_peers_queue_loss(ks_peers_t *peers, const ks_loss_t *loss);
+void ks_peers_announce_limit(ks_peers_t *peers, ks_member_t *member);
 void ks_peers_receive(ks_peers_t *peers, ks_str_t message);
 void ks_peers_pack(ks_peers_t *peers, GByteArray *message);
 size_t ks_peers_n_active(const ks_peers_t *peers);
--- a/packages/gateway/src/budget.c
+++ b/packages/gateway/src/budget.c
@@ -15,6 +15,9 @@
 
 #include <string.h>
 
+/* The demand is measured over so many whole buckets. */
+#define DEMAND_BUCKETS 4
+
 /**
  * ks_budget_init() - initialize a budget with an empty window
  * @window_us: length of the window in microseconds
@@ -106,3 +109,16 @@
 	budget->extra[slot(budget->epoch)]++;
 	return true;
 }
+
+/**
+ * ks_budget_demand() - get the requests per second of the last few seconds
+ */
+double ks_budget_demand(ks_budget_t *budget, int64_t now_us)
+{
+	int64_t bucket_us = budget->window_us / KS_BUDGET_BUCKETS;
+
+	advance(budget, now_us);
+	return (double)count_requests(budget, budget->epoch - DEMAND_BUCKETS,
+				      budget->epoch - 1) *
+	       (double)KS_USEC_PER_SEC / (double)(DEMAND_BUCKETS * bucket_us);
+}
--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -46,16 +46,15 @@
 static void log_limit(const struct exchange *exchange,
 		      const ks_member_t *member, double before)
 {
-	double now = member->withdrawal.limit_per_s;
+	const ks_stated_limit_t *limit = &member->withdrawal.limit;
 
-	if (now == before)
-		return;
-	ks_counter_add(exchange->gateway->counters.limits_stated, now > 0);
+	ks_counter_add(exchange->gateway->counters.limits_stated,
+		       !limit->ended_us);
 	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
-	       "%s upstream=%s request=%s per_s=%.3f before=%.3f",
-	       now > 0 ? "an upstream states a limit on all requests"
-		       : "an upstream states no limit any more",
-	       member->id, exchange->id, now, before);
+	       "%s upstream=%s request=%s per_s=%.3f before=%.3f share=%.3f",
+	       limit->ended_us ? "an upstream states no limit any more"
+			       : "an upstream states a limit on all requests",
+	       member->id, exchange->id, limit->per_s, before, limit->share);
 }
 
 /*
@@ -67,12 +66,19 @@
 {
 	const char *name = exchange->gateway->dialect->stated_limit.data;
 	ks_str_t text = ks_header_value(headers, n, name);
-	double before = member->withdrawal.limit_per_s, per_s = 0;
+	ks_stated_limit_t *limit = &member->withdrawal.limit;
+	int64_t now = exchange_now(exchange);
+	bool was_stated = limit->per_s > 0 && !limit->ended_us;
+	double before = was_stated ? limit->per_s : 0, per_s;
 
 	if (exchange->status == 421)
 		return;
-	if (ks_header_find(headers, n, name) &&
-	    !ks_str_parse_decimal(text, &per_s)) {
+	if (!ks_header_find(headers, n, name)) {
+		if (ks_stated_limit_end(limit, now, true, now))
+			log_limit(exchange, member, before);
+		return;
+	}
+	if (!ks_str_parse_decimal(text, &per_s)) {
 		ks_log(KS_LOG_ROUTE, KS_LOG_WARN,
 		       "ignored a limit that is no number upstream=%s "
 		       "request=%s stated=%.*s",
@@ -80,7 +86,10 @@
 		       text.data);
 		return;
 	}
-	member->withdrawal.limit_per_s = per_s;
+	ks_stated_limit_set(limit, per_s, now, true, now);
+	if (was_stated && limit->per_s == before)
+		return;
+	ks_peers_announce_limit(&exchange->gateway->peers, member);
 	log_limit(exchange, member, before);
 }
 
@@ -492,7 +501,8 @@
 {
 	exchange->sends--;
 	exchange_log(exchange, KS_LOG_INFO,
-		     "placed again, the upstream requests a back-off", 0);
+		     "placed again, the upstream wants no more requests now",
+		     0);
 	exchange_free_handle(exchange);
 	exchange_release_member(exchange);
 	exchange_release_prefill(exchange);
--- a/packages/gateway/src/exchange_dispatch.c
+++ b/packages/gateway/src/exchange_dispatch.c
@@ -308,7 +308,7 @@
 	/* Callers come back one after the other. */
 	wait_s *= 1 + RETRY_SPREAD * ks_rng_unit(&gateway->rng);
 	exchange_give_up(exchange, MAX(wait_s, RETRY_AFTER_OVERLOADED_S),
-			 "every upstream requests a back-off");
+			 "no upstream wants more requests now");
 }
 
 void exchange_dispatch(struct exchange *exchange)
--- a/packages/gateway/src/exchange_quarantine.c
+++ b/packages/gateway/src/exchange_quarantine.c
@@ -5,7 +5,6 @@
 #include "gateway_internal.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 /*
  * An upstream that fails this soon after the first byte of a response may have
@@ -53,13 +52,6 @@
 	ks_quarantine_init(&gateway->quarantine, &quarantine_events, gateway);
 }
 
-/* Identifies the process of an upstream, as a restarted one keeps its id. */
-static uint32_t process_tag(const ks_member_t *member)
-{
-	return XXH32(&member->process_start_ms,
-		     sizeof(member->process_start_ms), member->tag);
-}
-
 /**
  * ks_gateway_set_hold_keeper() - set what keeps the holds of prompt parts
  * @keeper: must outlive its use; NULL for none
@@ -135,7 +127,7 @@
 	int64_t now = exchange_now(exchange);
 	ks_loss_t loss = {
 		.number = gateway->n_losses + 1,
-		.upstream = process_tag(exchange->member),
+		.upstream = ks_member_process_tag(exchange->member),
 		.at_us = now,
 		.begun = exchange->status != 0,
 		.n_parts = prompt->n_shared,
@@ -181,5 +173,6 @@
 	if (exchange->status == 421)
 		return;
 	ks_quarantine_record_alive(&exchange->gateway->quarantine,
-				   process_tag(member), exchange->sent_us);
+				   ks_member_process_tag(member),
+				   exchange->sent_us);
 }
--- a/packages/gateway/src/exchange_send.c
+++ b/packages/gateway/src/exchange_send.c
@@ -117,19 +117,22 @@
 /**
  * exchange_permits_send() - whether the request may still be sent
  *
- * The upstream may have requested a back-off while its connection came up.
+ * The upstream may have requested a back-off or stated a limit while its
+ * connection came up.
  */
-bool exchange_permits_send(struct exchange *exchange, const ks_member_t *member)
+bool exchange_permits_send(struct exchange *exchange, ks_member_t *member)
 {
-	exchange->withheld = ks_withdrawal_is_away(&member->withdrawal,
-						   exchange_now(exchange));
-	return !exchange->withheld;
-}
+	ks_withdrawal_t *withdrawal = &member->withdrawal;
+	int64_t now = exchange_now(exchange);
 
-static void count_limited(const ks_member_t *member, ks_counter_t *counter)
-{
-	if (member->withdrawal.limit_per_s > 0)
-		ks_counter_add(counter, 1);
+	exchange->withheld = ks_withdrawal_is_away(withdrawal, now);
+	if (exchange->withheld || exchange->is_counted)
+		return !exchange->withheld;
+	exchange->withheld = !ks_stated_limit_permits(&withdrawal->limit, now);
+	if (!exchange->withheld)
+		exchange->is_counted =
+			ks_stated_limit_take(&withdrawal->limit, now);
+	return !exchange->withheld;
 }
 
 /* Records that the request is sent to an upstream, and returns whether it has
@@ -182,8 +185,11 @@
 		.no_retry = true,
 	};
 
-	count_limited(member, is_prefill ? counters->limited_prefills
-					 : counters->limited_runs);
+	exchange->is_counted =
+		ks_stated_limit_take(&member->withdrawal.limit, now);
+	ks_counter_add(is_prefill ? counters->limited_prefills
+				  : counters->limited_runs,
+		       exchange->is_counted);
 	if (ks_withdrawal_record_send(&member->withdrawal, now))
 		ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
 		       "an upstream is used again after its back-off "
@@ -251,6 +257,8 @@
 void exchange_free_handle(struct exchange *exchange)
 {
 	const ks_dialect_t *dialect = exchange->gateway->dialect;
+	int64_t now = exchange_now(exchange);
+	ks_withdrawal_t *withdrawal;
 	ks_header_t expect = { dialect->expected_upstream, { NULL, 0 } };
 	ks_http_request_t request = {
 		.method = KS_STR("DELETE"),
@@ -263,9 +271,10 @@
 
 	if (!exchange->handle || !exchange->prefill_member)
 		return;
+	withdrawal = &exchange->prefill_member->withdrawal;
 	/* The handle expires by itself if the engine wants no requests now. */
-	if (ks_withdrawal_is_away(&exchange->prefill_member->withdrawal,
-				  exchange_now(exchange))) {
+	if (ks_withdrawal_is_away(withdrawal, now) ||
+	    !ks_stated_limit_permits(&withdrawal->limit, now)) {
 		g_free(exchange->handle);
 		exchange->handle = NULL;
 		g_string_truncate(exchange->kv_source, 0);
@@ -277,8 +286,8 @@
 	expect.value = ks_str_from(exchange->prefill_member->id);
 	request.address = exchange->prefill_member->address;
 	request.target = (ks_str_t){ target->str, target->len };
-	count_limited(exchange->prefill_member,
-		      exchange->gateway->counters.limited_releases);
+	ks_counter_add(exchange->gateway->counters.limited_releases,
+		       ks_stated_limit_take(&withdrawal->limit, now));
 	ks_http_fetch(&exchange->gateway->client, &request, 4096,
 		      on_handle_freed, NULL);
 	g_string_free(target, TRUE);
--- a/packages/gateway/src/fleet.c
+++ b/packages/gateway/src/fleet.c
@@ -128,7 +128,9 @@
 
 static void remember_withdrawal(ks_fleet_t *fleet, ks_member_t *member)
 {
-	if (!member->withdrawal.leaving_us && !member->withdrawal.away_until_us)
+	const ks_withdrawal_t *said = &member->withdrawal;
+
+	if (!said->leaving_us && !said->away_until_us && said->limit.per_s <= 0)
 		return;
 	/* The record of its cache is the largest part of a member. */
 	g_hash_table_remove_all(member->cached);
@@ -327,7 +329,8 @@
 
 	for (guint i = 0; i < members->len; i++) {
 		const ks_member_t *member = members->pdata[i];
-		int64_t at_us = member->withdrawal.next_send_us;
+		int64_t at_us =
+			ks_withdrawal_next_us(&member->withdrawal, now_us);
 
 		if (!member->withdrawal.leaving_us && at_us > now_us &&
 		    (!first || at_us < first))
@@ -337,6 +340,17 @@
 	return first;
 }
 
+/**
+ * ks_member_process_tag() - identify the process of an upstream
+ *
+ * A restarted one keeps its id.
+ */
+uint32_t ks_member_process_tag(const ks_member_t *member)
+{
+	return XXH32(&member->process_start_ms,
+		     sizeof(member->process_start_ms), member->tag);
+}
+
 static uint64_t add_text(uint64_t hash, const char *text)
 {
 	return XXH64(text, strlen(text) + 1, hash);
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -58,6 +58,14 @@
 	return budget;
 }
 
+static double service_demand(void *ctx, const char *service)
+{
+	const ks_gateway_t *gateway = ctx;
+
+	return ks_budget_demand(gateway_budget(ctx, service),
+				ks_loop_now(gateway->loop));
+}
+
 /**
  * gateway_cache_tokens() - estimate this entry's share of an engine's cache
  *
@@ -267,6 +275,8 @@
 	     ks_peers_init(&gateway->peers, loop, &gateway->fleet,
 			   settings->name, &settings->peer, error))) {
 		gateway->peers.quarantine = &gateway->quarantine;
+		gateway->peers.demand = service_demand;
+		gateway->peers.demand_ctx = gateway;
 		log_start(gateway);
 		return gateway;
 	}
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -160,7 +160,8 @@
  * @refused_not_run: the response states that the request was not executed
  * @backed_off: the upstream turned the request away and requested a back-off
  * @withheld: the request was not sent, as the upstream had requested a back-off
- *	by the time at which the connection was up
+ *	or stated a limit by the time at which the connection was up
+ * @is_counted: the latest send counts against a limit of the upstream
  * @is_try: may be sent once although a part of its prompt is held
  * @started: the head of the response has been sent to the caller
  * @sent_us: when the latest request was sent to an upstream
@@ -217,6 +218,7 @@
 	bool refused_not_run;
 	bool backed_off;
 	bool withheld;
+	bool is_counted;
 	bool is_try;
 	GArray *fields;
 	GString *fields_text;
@@ -297,8 +299,7 @@
 
 /* exchange_send.c */
 
-bool exchange_permits_send(struct exchange *exchange,
-			   const ks_member_t *member);
+bool exchange_permits_send(struct exchange *exchange, ks_member_t *member);
 
 void exchange_send(struct exchange *exchange, ks_member_t *member,
 		   bool is_prefill, const ks_http_events_t *events);
--- a/packages/gateway/src/peer.pb-c.c
+++ b/packages/gateway/src/peer.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &ks__peer_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ks__peer_limit__init
+                     (Ks__PeerLimit         *message)
+{
+  static const Ks__PeerLimit init_value = KS__PEER_LIMIT__INIT;
+  *message = init_value;
+}
+size_t ks__peer_limit__get_packed_size
+                     (const Ks__PeerLimit *message)
+{
+  assert(message->base.descriptor == &ks__peer_limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ks__peer_limit__pack
+                     (const Ks__PeerLimit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ks__peer_limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ks__peer_limit__pack_to_buffer
+                     (const Ks__PeerLimit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ks__peer_limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ks__PeerLimit *
+       ks__peer_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ks__PeerLimit *)
+     protobuf_c_message_unpack (&ks__peer_limit__descriptor,
+                                allocator, len, data);
+}
+void   ks__peer_limit__free_unpacked
+                     (Ks__PeerLimit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ks__peer_limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ks__peer_loss__init
                      (Ks__PeerLoss         *message)
 {
@@ -97,7 +142,7 @@
   assert(message->base.descriptor == &ks__peer_loss__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ks__peer_state__field_descriptors[19] =
+static const ProtobufCFieldDescriptor ks__peer_state__field_descriptors[20] =
 {
   {
     "name",
@@ -327,6 +372,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ks__PeerState, n_limit),
+    offsetof(Ks__PeerState, limit),
+    &ks__peer_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ks__peer_state__field_indices_by_name[] = {
   15,   /* field[15] = answered_age_ms */
@@ -337,6 +394,7 @@
   1,   /* field[1] = incarnation */
   8,   /* field[8] = kept_by */
   7,   /* field[7] = kept_part */
+  19,   /* field[19] = limit */
   13,   /* field[13] = loss */
   0,   /* field[0] = name */
   2,   /* field[2] = number */
@@ -352,7 +410,7 @@
 static const ProtobufCIntRange ks__peer_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor ks__peer_state__descriptor =
 {
@@ -362,13 +420,116 @@
   "Ks__PeerState",
   "ks",
   sizeof(Ks__PeerState),
-  19,
+  20,
   ks__peer_state__field_descriptors,
   ks__peer_state__field_indices_by_name,
   1,  ks__peer_state__number_ranges,
   (ProtobufCMessageInit) ks__peer_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ks__peer_limit__field_descriptors[6] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ks__PeerLimit, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "process_start_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ks__PeerLimit, process_start_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demand_milli",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ks__PeerLimit, demand_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_milli",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ks__PeerLimit, limit_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ks__PeerLimit, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ks__PeerLimit, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ks__peer_limit__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
+  2,   /* field[2] = demand_milli */
+  5,   /* field[5] = ended */
+  3,   /* field[3] = limit_milli */
+  1,   /* field[1] = process_start_ms */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange ks__peer_limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor ks__peer_limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ks.PeerLimit",
+  "PeerLimit",
+  "Ks__PeerLimit",
+  "ks",
+  sizeof(Ks__PeerLimit),
+  6,
+  ks__peer_limit__field_descriptors,
+  ks__peer_limit__field_indices_by_name,
+  1,  ks__peer_limit__number_ranges,
+  (ProtobufCMessageInit) ks__peer_limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ks__peer_loss__field_descriptors[5] =
 {
   {
--- a/packages/gateway/src/peer.pb-c.h
+++ b/packages/gateway/src/peer.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct Ks__PeerState Ks__PeerState;
+typedef struct Ks__PeerLimit Ks__PeerLimit;
 typedef struct Ks__PeerLoss Ks__PeerLoss;
 
 
@@ -107,10 +108,47 @@
    * answered.
    */
   uint64_t answers;
+  /*
+   * Upstreams that state a limit on the requests of all entries. Not all of
+   * them are in each message.
+   */
+  size_t n_limit;
+  Ks__PeerLimit **limit;
 };
 #define KS__PEER_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ks__peer_state__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
+
+
+/*
+ * A limit that an upstream states, and the sender's claim to a share of it.
+ */
+struct  Ks__PeerLimit
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of the upstream's id, and the start of its process.
+   */
+  uint32_t upstream;
+  int64_t process_start_ms;
+  /*
+   * Requests per second that the sender has for the service, in thousandths.
+   */
+  uint32_t demand_milli;
+  /*
+   * The limit in thousandths of a request per second, and how long ago the
+   * sender received the response that said so; 0 if another entry did.
+   */
+  uint32_t limit_milli;
+  uint32_t age_ms;
+  /*
+   * The response stated no limit any more; limit_milli is the last one.
+   */
+  protobuf_c_boolean ended;
+};
+#define KS__PEER_LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ks__peer_limit__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -162,6 +200,25 @@
 void   ks__peer_state__free_unpacked
                      (Ks__PeerState *message,
                       ProtobufCAllocator *allocator);
+/* Ks__PeerLimit methods */
+void   ks__peer_limit__init
+                     (Ks__PeerLimit         *message);
+size_t ks__peer_limit__get_packed_size
+                     (const Ks__PeerLimit   *message);
+size_t ks__peer_limit__pack
+                     (const Ks__PeerLimit   *message,
+                      uint8_t             *out);
+size_t ks__peer_limit__pack_to_buffer
+                     (const Ks__PeerLimit   *message,
+                      ProtobufCBuffer     *buffer);
+Ks__PeerLimit *
+       ks__peer_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ks__peer_limit__free_unpacked
+                     (Ks__PeerLimit *message,
+                      ProtobufCAllocator *allocator);
 /* Ks__PeerLoss methods */
 void   ks__peer_loss__init
                      (Ks__PeerLoss         *message);
@@ -186,6 +243,9 @@
 typedef void (*Ks__PeerState_Closure)
                  (const Ks__PeerState *message,
                   void *closure_data);
+typedef void (*Ks__PeerLimit_Closure)
+                 (const Ks__PeerLimit *message,
+                  void *closure_data);
 typedef void (*Ks__PeerLoss_Closure)
                  (const Ks__PeerLoss *message,
                   void *closure_data);
@@ -196,6 +256,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor ks__peer_state__descriptor;
+extern const ProtobufCMessageDescriptor ks__peer_limit__descriptor;
 extern const ProtobufCMessageDescriptor ks__peer_loss__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/gateway/src/peer_losses.c
+++ b/packages/gateway/src/peer_losses.c
@@ -10,14 +10,6 @@
 /* A loss is repeated in the messages of this time, as messages may be lost. */
 #define REPEAT_LOSS_US (2 * KS_USEC_PER_SEC)
 
-/*
- * Shortest interval of messages with new losses, which are not held back by the
- * limit on bandwidth: the others must hear of them before they send the next
- * request. The second one is for many entries.
- */
-#define LOSS_INTERVAL_US (100 * KS_USEC_PER_MSEC)
-#define SHARED_LOSS_INTERVAL_US (500 * KS_USEC_PER_MSEC)
-
 /*
  * Others are told of an answer if the last one that they know of is older by
  * this.
@@ -203,16 +195,8 @@
  */
 void ks_peers_queue_loss(ks_peers_t *peers, const ks_loss_t *loss)
 {
-	int64_t interval = ks_peers_share_views(peers) ? SHARED_LOSS_INTERVAL_US
-						       : LOSS_INTERVAL_US;
-	int64_t now, due;
-
 	if (!peers->context)
 		return;
 	g_queue_push_tail(&peers->losses, g_memdup2(loss, sizeof(*loss)));
-	now = ks_loop_now(peers->loop);
-	due = MAX(peers->sent_us + interval, now);
-	if (ks_timer_is_set(&peers->timer) && peers->timer.due_us <= due)
-		return;
-	ks_timer_set(&peers->timer, due - now);
+	peers_schedule_urgent(peers);
 }
--- a/packages/gateway/src/peers.c
+++ b/packages/gateway/src/peers.c
@@ -31,6 +31,14 @@
  */
 #define PEER_TIMEOUT_US (1500 * KS_USEC_PER_MSEC)
 
+/*
+ * Shortest interval of messages with news that are not held back by the limit
+ * on bandwidth, as the others must know of them before they send the next
+ * request. The second one is for many entries.
+ */
+#define URGENT_INTERVAL_US (100 * KS_USEC_PER_MSEC)
+#define SHARED_URGENT_INTERVAL_US (500 * KS_USEC_PER_MSEC)
+
 /* Limit for outgoing messages: a node may use 9 KB/s for control traffic. */
 #define BYTES_PER_S 9000
 
@@ -208,6 +216,7 @@
 		record_parts(peers, state);
 		peers_record_views(peers, peer, state);
 		peers_record_losses(peers, peer, state);
+		peers_record_limits(peers, state);
 	}
 	ks__peer_state__free_unpacked(state, NULL);
 }
@@ -253,6 +262,7 @@
 	Ks__PeerState state = KS__PEER_STATE__INIT;
 	struct peers_view_fields views;
 	struct peers_loss_fields losses;
+	struct peers_limit_fields limits;
 	GHashTableIter iter;
 	gpointer value;
 	guint begin = message->len;
@@ -285,6 +295,7 @@
 	state.n_kept_part = state.n_kept_by = peers->queued_parts->len;
 	peers_add_views(peers, &state, &views);
 	peers_add_losses(peers, &state, &losses);
+	peers_add_limits(peers, &state, &limits);
 	g_byte_array_set_size(
 		message,
 		begin + (guint)ks__peer_state__get_packed_size(&state));
@@ -341,6 +352,20 @@
 	ks_timer_set(&peers->timer, due - now);
 }
 
+/* Sends a message soon, whatever the limit on bandwidth says. */
+void peers_schedule_urgent(ks_peers_t *peers)
+{
+	int64_t interval = ks_peers_share_views(peers)
+				   ? SHARED_URGENT_INTERVAL_US
+				   : URGENT_INTERVAL_US;
+	int64_t now = ks_loop_now(peers->loop);
+	int64_t due = MAX(peers->sent_us + interval, now);
+
+	if (ks_timer_is_set(&peers->timer) && peers->timer.due_us <= due)
+		return;
+	ks_timer_set(&peers->timer, due - now);
+}
+
 static void queue_part(ks_peers_t *peers, const ks_member_t *member,
 		       uint64_t part)
 {
@@ -402,6 +427,7 @@
 	peers->queued_tags = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	peers->addresses =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	peers_init_limits(peers);
 	ks_timer_init(&peers->timer, loop, on_timer, peers);
 	if (!ks_id_generate(&peers->incarnation)) {
 		ks_error_set(error, KS_ERROR_INTERNAL,
@@ -437,6 +463,7 @@
 	g_hash_table_destroy(peers->by_name);
 	g_hash_table_destroy(peers->addresses);
 	g_hash_table_destroy(peers->announced);
+	peers_deinit_limits(peers);
 	g_queue_clear_full(&peers->losses, g_free);
 	g_array_free(peers->queued_parts, TRUE);
 	g_array_free(peers->queued_tags, TRUE);
@@ -483,6 +510,7 @@
 	ks_socket_remove_publisher(&peers->sub, known);
 	g_hash_table_remove(peers->addresses, name);
 	g_hash_table_remove(peers->by_name, name);
+	g_hash_table_remove(peers->claimants, name);
 }
 
 /**
--- a/packages/gateway/src/peers_internal.h
+++ b/packages/gateway/src/peers_internal.h
@@ -57,6 +57,27 @@
 	uint32_t held_ages_ms[PEERS_MAX_PARTS];
 };
 
+/* Limits in a message; the others follow in the next ones. */
+#define PEERS_MAX_LIMITS 16
+
+/**
+ * struct peers_limit_fields - limits in the form of a message
+ */
+struct peers_limit_fields {
+	Ks__PeerLimit limits[PEERS_MAX_LIMITS];
+	Ks__PeerLimit *limit_list[PEERS_MAX_LIMITS];
+};
+
+void peers_schedule_urgent(ks_peers_t *peers);
+
+/* peer_limits.c */
+
+void peers_init_limits(ks_peers_t *peers);
+void peers_deinit_limits(ks_peers_t *peers);
+void peers_record_limits(ks_peers_t *peers, const Ks__PeerState *state);
+void peers_add_limits(ks_peers_t *peers, Ks__PeerState *state,
+		      struct peers_limit_fields *fields);
+
 /* peer_losses.c */
 
 void peers_record_losses(ks_peers_t *peers, struct peer *peer,
--- a/packages/gateway/src/withdrawal.c
+++ b/packages/gateway/src/withdrawal.c
@@ -1,6 +1,7 @@
 /*
- * What an upstream says of itself in its responses: that it leaves, or that it
- * wants no requests from this entry for a time. The load that this answers is
+ * What an upstream says of itself in its responses: that it leaves, that it
+ * wants no requests from this entry for a time, or how many it takes from all
+ * entries; see stated_limit.c. The load that this answers is
  * a service whose upstreams turn requests away one after the other until none
  * is left: the requests that waited must not all arrive at the moment at which
  * the time is over.
@@ -46,6 +47,7 @@
 	withdrawal->next_send_us =
 		MAX(withdrawal->next_send_us, other->next_send_us);
 	withdrawal->is_awaited |= other->is_awaited;
+	ks_stated_limit_merge(&withdrawal->limit, &other->limit);
 }
 
 /**
@@ -90,7 +92,8 @@
  */
 bool ks_withdrawal_permits(const ks_withdrawal_t *withdrawal, int64_t now_us)
 {
-	return now_us >= withdrawal->next_send_us;
+	return now_us >= withdrawal->next_send_us &&
+	       ks_stated_limit_permits(&withdrawal->limit, now_us);
 }
 
 /**
@@ -112,6 +115,17 @@
 	return is_first;
 }
 
+/**
+ * ks_withdrawal_next_us() - when a request may be placed again
+ *
+ * Return: @now_us if it may be now. Does not say whether the upstream leaves.
+ */
+int64_t ks_withdrawal_next_us(const ks_withdrawal_t *withdrawal, int64_t now_us)
+{
+	return MAX(withdrawal->next_send_us,
+		   ks_stated_limit_next_us(&withdrawal->limit, now_us));
+}
+
 /**
  * ks_withdrawal_accepts() - whether an upstream that leaves may be used
  * @notice_us: for how long, if no other upstream can serve
--- a/packages/gateway/tests/limit_fixture.h
+++ b/packages/gateway/tests/limit_fixture.h
@@ -14,6 +14,7 @@
 #define LIMIT_MAX_ENTRIES 6
 #define LIMIT_UPSTREAMS 3
 #define LIMIT_STEP_MS 10
+#define LIMIT_CLOSED_PORT 1
 /* How often the test delivers the messages of the entries. */
 #define LIMIT_MESSAGE_MS 100
 
@@ -157,15 +158,17 @@
 	fixture_apply(&f, 1);
 }
 
-/* Lets each entry know of all others. */
+/*
+ * Lets each entry know of all others. Nothing listens at the address: messages
+ * that arrive while the clock is paused would make runs differ.
+ */
 static inline void limit_introduce(struct limit_play *play)
 {
+	ks_address_t address = { "127.0.0.1", LIMIT_CLOSED_PORT };
+
 	for (unsigned i = 0; i < play->n_entries; i++)
 		for (unsigned j = 0; j < play->n_entries; j++) {
 			char name[] = { 'e', (char)('0' + j), '\0' };
-			ks_peers_t *other =
-				ks_gateway_peers(play->entries[j].gateway);
-			ks_address_t address = { "127.0.0.1", other->port };
 
 			ks_peers_add(ks_gateway_peers(play->entries[i].gateway),
 				     name, &address);
