--- a/tests/soak/soak-callers.c
+++ b/tests/soak/soak-callers.c
@@ -9,6 +9,7 @@
  * refused must not run later either.
  */
 #include "fake_main.h"
+#include "limits.h"
 #include "soak.h"
 
 #include <argtable2.h>
@@ -105,6 +106,7 @@
  * @attempts: struct attempt by id
  * @words: struct word by replica and gateway
  * @excused_us: when each gateway was last killed, stopped or frozen
+ * @limits: what replicas have stated, checked with @timed
  * @timed: check the rules that have a time bound, which a machine with other
  *	load can break
  * @record: what the replicas did, see enum soak_event
@@ -140,6 +142,7 @@
 	unsigned crashes;
 	int64_t known_us;
 	unsigned crashing_arrivals;
+	struct limits limits;
 	bool timed;
 };
 
@@ -224,7 +227,7 @@
 }
 
 static void apply_event(struct soak *soak, char event, struct attempt *attempt,
-			const char *replica, int64_t at_us, double seconds)
+			const char *replica, int64_t at_us, double value)
 {
 	struct word *word = find_word(soak, replica, attempt->gateway);
 
@@ -236,6 +239,13 @@
 	case SOAK_ARRIVED:
 		if (soak->timed)
 			check_arrival(soak, attempt, word, at_us);
+		if (soak->timed &&
+		    limits_arrive(&soak->limits, replica, attempt->gateway,
+				  soak->excused_us[attempt->gateway] +
+					  EXCUSE_US,
+				  at_us))
+			report(soak, "LIMIT", attempt,
+			       "arrived beyond the limit of a replica");
 		if (soak->timed && attempt->is_crashing)
 			check_crashing_arrival(soak, attempt, at_us);
 		break;
@@ -243,13 +253,17 @@
 		if (++soak->crashes == KNOWN_AFTER_CRASHES)
 			soak->known_us = at_us + CONTACT_US;
 		break;
+	case SOAK_LIMITED:
+		limits_state(&soak->limits, replica, attempt->gateway, value,
+			     at_us);
+		break;
 	case SOAK_LEAVES:
 		if (!word->leaves_us)
 			word->leaves_us = at_us;
 		break;
 	case SOAK_AWAY:
 		word->away_from_us = at_us + GRACE_US;
-		word->away_until_us = at_us + (int64_t)(seconds * 1e6);
+		word->away_until_us = at_us + (int64_t)(value * 1e6);
 		word->arrivals = 0;
 		break;
 	default:
@@ -555,6 +569,7 @@
 static int run(struct soak *soak, int seconds)
 {
 	soak->attempts = g_hash_table_new(g_str_hash, g_str_equal);
+	limits_init(&soak->limits);
 	soak->words = g_hash_table_new(g_str_hash, g_str_equal);
 	soak->excused_us = g_new0(int64_t, soak->gateways->len);
 	soak->rest = g_string_new(NULL);
--- a/tests/soak/soak-replica.c
+++ b/tests/soak/soak-replica.c
@@ -6,9 +6,10 @@
  * SIGUSR1 turns faults on and off: refusals, lost and cut answers, failures,
  * streams without a length, and second answers to a request, which arrive right
  * after the first, later, or when the next request has arrived on the
- * connection. A third of the refusals request a back-off for a time. SIGTERM
- * announces that the replica leaves, here and in all its answers, and ends it
- * after the notice.
+ * connection. SIGUSR2 makes it state a limit on the requests of all gateways,
+ * or none any more. A third of the refusals request a back-off for a time.
+ * SIGTERM announces that the replica leaves, here and in all its answers, and
+ * ends it after the notice.
  */
 #include "fake_main.h"
 #include "second.h"
@@ -28,6 +29,9 @@
 #define LEAVING_NOTICE_US (2500 * KS_USEC_PER_MSEC)
 #define STORE_TIMEOUT_US (800 * KS_USEC_PER_MSEC)
 #define EXIT_RETRY_US (200 * KS_USEC_PER_MSEC)
+/* Requests per second of a stated limit, between these. */
+#define MIN_LIMIT_PER_S 1.0
+#define MAX_LIMIT_PER_S 8.0
 #define PREFILL_US (15 * KS_USEC_PER_MSEC)
 #define EVENT_US (20 * KS_USEC_PER_MSEC)
 
@@ -56,6 +60,8 @@
  * @framing_rng: draws which streams have no length, without a change to the
  *	other faults of a seed
  * @running: requests that occupy a slot
+ * @limit: text of the limit that it states; empty for none
+ * @has_stated: it has stated a limit before
  */
 struct replica {
 	ks_loop_t loop;
@@ -85,6 +91,8 @@
 	bool faulty;
 	bool leaving;
 	bool is_exiting;
+	char limit[8];
+	bool has_stated;
 	int64_t accepted_era;
 };
 
@@ -141,6 +149,20 @@
 	g_free(line);
 }
 
+/* Adds the limit to the fields of an answer, and returns how many it adds. */
+static size_t add_limit(struct replica *replica, ks_str_t id,
+			ks_header_t *header)
+{
+	if (replica->has_stated)
+		record(replica, SOAK_LIMITED, id,
+		       g_ascii_strtod(replica->limit, NULL));
+	if (!*replica->limit)
+		return 0;
+	*header = (ks_header_t){ KS_STR("server-limit"),
+				 ks_str_from(replica->limit) };
+	return 1;
+}
+
 /* @not_run: state that the request was not executed */
 static void reply(struct replica *replica, ks_http1_request_t *request,
 		  int status, bool not_run, const char *body)
@@ -148,7 +170,7 @@
 	struct http1_conn *conn = http1_conn_of(request);
 	ks_str_t id = field(request, "request-id");
 	GString *seal = g_string_new(NULL);
-	ks_header_t headers[4] = { { KS_STR("request-id"), id },
+	ks_header_t headers[5] = { { KS_STR("request-id"), id },
 				   { KS_STR("not-executed"), KS_STR("1") } };
 	uint16_t port = seconds_peer_port(conn);
 	struct second_text text = { NULL, false };
@@ -170,6 +192,7 @@
 					      ks_str_from(wait) };
 		record(replica, SOAK_AWAY, id, seconds);
 	}
+	n += add_limit(replica, id, &headers[n]);
 	soak_seal(id, seal);
 	if (!not_run)
 		headers[1] =
@@ -260,7 +283,7 @@
 	ks_timer_set(&work->timer, EVENT_US);
 }
 
-static void start_answer(const struct work *work, ks_str_t type, int64_t length)
+static void start_answer(struct work *work, ks_str_t type, int64_t length)
 {
 	GString *seal = g_string_new(NULL);
 	ks_header_t headers[] = {
@@ -268,10 +291,12 @@
 		{ KS_STR("response-seal"), { NULL, 0 } },
 		{ KS_STR("content-type"), type },
 		{ KS_STR("server-leaving"), KS_STR("1") },
+		{ { NULL, 0 }, { NULL, 0 } },
 	};
 	bool leaving = work->replica->leaving && !work->replica->is_relayed;
 	size_t n = leaving ? 4 : 3;
 
+	n += add_limit(work->replica, text_of(work->id), &headers[n]);
 	if (leaving)
 		record(work->replica, SOAK_LEAVES, text_of(work->id), 0);
 	soak_seal(text_of(work->id), seal);
@@ -549,13 +574,30 @@
 	ks_timer_set(&replica->exit, EXIT_RETRY_US);
 }
 
+static void toggle_limit(struct replica *replica)
+{
+	if (replica->is_relayed)
+		return;
+	if (*replica->limit)
+		*replica->limit = '\0';
+	else
+		g_ascii_formatd(replica->limit, sizeof(replica->limit), "%.1f",
+				MIN_LIMIT_PER_S +
+					(MAX_LIMIT_PER_S - MIN_LIMIT_PER_S) *
+						ks_rng_unit(&replica->rng));
+	replica->has_stated = true;
+	fprintf(stderr, "limit is '%s'\n", replica->limit);
+}
+
 static void on_signal(void *ctx)
 {
 	struct replica *replica = ctx;
 	struct signalfd_siginfo info;
 
 	while (read(replica->signal_fd, &info, sizeof(info)) == sizeof(info)) {
-		if (info.ssi_signo == SIGUSR1) {
+		if (info.ssi_signo == SIGUSR2) {
+			toggle_limit(replica);
+		} else if (info.ssi_signo == SIGUSR1) {
 			replica->faulty = !replica->faulty;
 			fprintf(stderr, "faults are %s\n",
 				replica->faulty ? "on" : "off");
@@ -572,6 +614,7 @@
 
 	sigemptyset(&set);
 	sigaddset(&set, SIGUSR1);
+	sigaddset(&set, SIGUSR2);
 	sigaddset(&set, SIGTERM);
 	sigprocmask(SIG_BLOCK, &set, NULL);
 	signal(SIGPIPE, SIG_IGN);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -24,11 +24,13 @@
 
 /**
  * enum soak_event - first word of a line of the record, which goes on with the
- * id of a request, the replica, Unix microseconds and seconds
+ * id of a request, the replica, Unix microseconds and a value
  * @SOAK_ARRIVED: the request arrived; not if another replica was meant
  * @SOAK_RAN: the replica began to run it
  * @SOAK_LEAVES: answered, and said that the replica leaves
  * @SOAK_AWAY: refused, and requested a back-off of the seconds
+ * @SOAK_LIMITED: answered, and stated a limit of the value, in requests per
+ *	second; 0 for none any more
  * @SOAK_CRASHED: the replica crashed, as it began to answer the request
  * @SOAK_EXCUSED: in place of the id and the replica, the number of a gateway
  *	that was killed, stopped or frozen
@@ -38,6 +40,7 @@
 	SOAK_RAN = 'R',
 	SOAK_LEAVES = 'L',
 	SOAK_AWAY = 'Q',
+	SOAK_LIMITED = 'S',
 	SOAK_CRASHED = 'C',
 	SOAK_EXCUSED = 'X',
 };
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # usage: tests/soak/soak.sh [--planned] [--many] [--timed] [--returns] [--crashing]
-#                          SEED SECONDS
+#                          [--limited] SEED SECONDS
 #
 # Runs gateways, replicas, a store and callers as separate processes and injects
 # faults, drawn from SEED, from outside: signals to the processes, and relays
@@ -11,7 +11,9 @@
 # well, for a machine without other load. With --returns, the store also returns
 # from older copies of itself. With --crashing, a part of some prompts crashes
 # replicas; besides, only planned changes. How many requests with it arrive after
-# the first crashes is checked with --timed. SOAK_KEEP names a directory that gets
+# the first crashes is checked with --timed. With --limited, replicas state limits
+# on the requests of all gateways; whether they are kept is checked with --timed.
+# SOAK_KEEP names a directory that gets
 # the logs of a run that failed. SOAK_SECOND is how many of 100 answers a faulty
 # replica gives twice, 40 by default, and SOAK_NAMED how many of 3 of these have
 # the id of their request, 2 by default.
@@ -20,7 +22,7 @@
 . tests/system/lib.sh
 . tests/system/site.sh
 
-planned= many= timed= returns= crashing=
+planned= many= timed= returns= crashing= limited=
 while test $# -gt 2
 do
 	case $1 in
@@ -29,6 +31,7 @@
 	--timed) timed=--timed ;;
 	--returns) returns=yes ;;
 	--crashing) crashing=--crashing ;;
+	--limited) limited=yes ;;
 	esac
 	shift
 done
@@ -223,6 +226,14 @@
 	test $DRAWN != 0 || signal site HUP
 }
 
+# A limit lasts for some seconds on average.
+inject_limit () {
+	between 0 9
+	test $DRAWN = 0 || return
+	draw_replica
+	is_stopping "$NAME" || signal "$NAME" USR2
+}
+
 started=0
 relays=()
 launch site "$BIN/soak-store"
@@ -268,6 +279,7 @@
 		inject_planned
 		test -n "$planned$crashing" || inject_fault
 		test -z "$returns" || inject_return
+		test -z "$limited" || inject_limit
 	done
 	between 2 9
 	sleep 0.$DRAWN
