stages: leave engines out that state a limit

An engine that states a limit counted as one that takes its part of the decode load, and could be ordered to change its stage, with calls that its limit does not allow for. It counts as absent now. test-stages without-limited failed before (4 of 8 engines left at prefill instead of 3 of the 6 others).

--- a/packages/gateway/src/stages.c
+++ b/packages/gateway/src/stages.c
@@ -65,18 +65,25 @@
 	return member->running + member->peer_running;
 }
 
+static bool is_limited(const ks_member_t *member, int64_t now_us)
+{
+	return ks_stated_limit_is_in_force(&member->withdrawal.limit, now_us);
+}
+
 /*
  * Returns the engine of a stage with the least load, so that few requests are
  * affected by the change.
  */
-static ks_member_t *least_busy(const GPtrArray *members, ks_stage_t stage)
+static ks_member_t *least_busy(const GPtrArray *members, ks_stage_t stage,
+			       int64_t now_us)
 {
 	ks_member_t *best = NULL;
 
 	for (guint i = 0; i < members->len; i++) {
 		ks_member_t *member = members->pdata[i];
 
-		if (member->stage != stage || member->pending_stage)
+		if (member->stage != stage || member->pending_stage ||
+		    is_limited(member, now_us))
 			continue;
 		if (!best || total_running(member) + member->prefill_tokens <
 				     total_running(best) + best->prefill_tokens)
@@ -162,6 +169,9 @@
  * @members: engines of one service that accept requests
  * @stage: set to the new stage of the engine
  *
+ * An engine that states a limit takes next to no load, and the calls of a
+ * change would count against its limit, so it counts as absent.
+ *
  * Return: NULL if no change is needed or allowed yet, or if enough engines are
  * changing.
  */
@@ -178,7 +188,7 @@
 					     ? member->pending_stage
 					     : member->stage;
 
-		if (member->stage == KS_STAGE_ANY)
+		if (member->stage == KS_STAGE_ANY || is_limited(member, now_us))
 			continue;
 		n++;
 		changing += member->pending_stage != KS_STAGE_ANY;
@@ -195,9 +205,10 @@
 		return NULL;
 	if (!may_change(balance, *stage, now_us))
 		return NULL;
-	return least_busy(members, *stage == KS_STAGE_PREFILL
-					   ? KS_STAGE_DECODE
-					   : KS_STAGE_PREFILL);
+	return least_busy(members,
+			  *stage == KS_STAGE_PREFILL ? KS_STAGE_DECODE
+						     : KS_STAGE_PREFILL,
+			  now_us);
 }
 
 /**
--- a/packages/gateway/tests/test-stages.c
+++ b/packages/gateway/tests/test-stages.c
@@ -66,6 +66,31 @@
 	}
 }
 
+/*
+ * Guards against decode engines that state a limit and count as if they took
+ * their part of the load, and against orders to them.
+ */
+static void test_stages_without_limited(void)
+{
+	ks_stage_balance_t stages = { .prefill_share = 0.5 };
+	ks_member_t *limited[2];
+	ks_fleet_t fleet;
+
+	ks_fleet_init(&fleet);
+	put_engines(&fleet, 4, 4);
+	for (int i = 0; i < 2; i++) {
+		limited[i] =
+			ks_fleet_find(&fleet, i ? KS_STR("e7") : KS_STR("e6"));
+		ks_stated_limit_set(&limited[i]->withdrawal.limit, 3, SECOND,
+				    true, SECOND);
+	}
+	change_stages(&stages, &fleet, SECOND, true);
+	g_assert_cmpint(count_prefill(&fleet), ==, 3);
+	for (int i = 0; i < 2; i++)
+		g_assert_cmpint(limited[i]->stage, ==, KS_STAGE_DECODE);
+	ks_fleet_deinit(&fleet);
+}
+
 /*
  * Guards against an engine that joins and leaves repeatedly and makes others
  * change their stage each time.
@@ -325,6 +350,7 @@
 	g_test_add_func("/stages/in-range", test_stages_stay_in_range);
 	g_test_add_func("/stages/long-prompts",
 			test_stages_follow_long_prompts);
+	g_test_add_func("/stages/without-limited", test_stages_without_limited);
 	g_test_add_func("/stages/idle", test_stages_stay_when_idle);
 	g_test_add_func("/stages/waiting", test_stages_ignore_waiting_requests);
 	g_test_add_func("/stages/occupancy", test_occupancy);
