gateway: log every loss with what a repeat has in common with it

Losses of requests without a prompt were not logged as such, and a repeat has another id, so that the losses of one request could not be counted across entries.

--- a/packages/gateway/src/exchange.c
+++ b/packages/gateway/src/exchange.c
@@ -6,6 +6,7 @@
 #include "gateway_internal.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /*
  * How long the exchange outlives the deadline sent to the upstream, so that a
@@ -101,6 +102,29 @@
 		     exchange->hard_deadline_us - exchange->arrived_us);
 }
 
+static void hash_text(XXH64_state_t *state, ks_str_t text)
+{
+	XXH64_update(state, &text.len, sizeof(text.len));
+	XXH64_update(state, text.data, text.len);
+}
+
+static uint64_t hash_content(const struct exchange *exchange, ks_str_t prompt)
+{
+	const GString *texts[] = { exchange->method, exchange->host,
+				   exchange->target, exchange->request_body };
+	XXH64_state_t *state = XXH64_createState();
+	uint64_t hash;
+
+	XXH64_reset(state, 0);
+	hash_text(state, ks_str_from(exchange->service_name));
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		hash_text(state, (ks_str_t){ texts[i]->str, texts[i]->len });
+	hash_text(state, prompt);
+	hash = XXH64_digest(state);
+	XXH64_freeState(state);
+	return hash;
+}
+
 static ks_str_t path_of(ks_str_t target)
 {
 	const char *query =
@@ -176,6 +200,8 @@
 	exchange->has_prompt = exchange->service->is_engine &&
 			       ks_prompt_parse(&exchange->prompt, parts);
 	ks_prompt_set_service(&exchange->prompt, exchange->service_name);
+	exchange->content = hash_content(
+		exchange, exchange->has_prompt ? parts : (ks_str_t){ "", 0 });
 	exchange->may_split =
 		exchange->has_prompt && exchange->service->transfers_kv;
 	exchange->has_events = exchange->route->kind == KS_CALL_STREAM &&
--- a/packages/gateway/src/exchange_end.c
+++ b/packages/gateway/src/exchange_end.c
@@ -95,12 +95,11 @@
 #define MAX_LOGGED_PARTS 300
 
 /**
- * exchange_log_loss() - log a request with a prompt that was lost with its
- * upstream
+ * exchange_log_loss() - log a request that was lost with its upstream
  *
- * The parts of the prompt relate losses to each other; @begun_ms tells a
- * request that the upstream had begun to respond to from one that it may have
- * failed on.
+ * The content and the parts of the prompt relate losses to each other;
+ * @begun_ms tells a request that the upstream had begun to respond to from one
+ * that it may have failed on.
  */
 void exchange_log_loss(const struct exchange *exchange)
 {
@@ -116,10 +115,11 @@
 		ks_counter_add(exchange->gateway->counters.lost_at_start, 1);
 	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
 	       "lost with its upstream request=%s service=%s upstream=%s "
-	       "status=%d has_body=%d begun_ms=%" PRId64 " parts=%.*s",
+	       "status=%d has_body=%d begun_ms=%" PRId64 " content=%016" PRIx64
+	       " parts=%.*s",
 	       exchange->id, exchange->service_name, exchange->member->id,
 	       exchange->status, exchange->begun_us != 0,
-	       begun_us / KS_USEC_PER_MSEC,
+	       begun_us / KS_USEC_PER_MSEC, exchange->content,
 	       (int)MIN(parts.len, MAX_LOGGED_PARTS), parts.data);
 }
 
--- a/packages/gateway/src/exchange_quarantine.c
+++ b/packages/gateway/src/exchange_quarantine.c
@@ -133,9 +133,9 @@
 		.n_parts = prompt->n_shared,
 	};
 
+	exchange_log_loss(exchange);
 	if (!exchange->has_prompt)
 		return;
-	exchange_log_loss(exchange);
 	if (exchange->begun_us && now - exchange->begun_us > BEGINNING_US)
 		return;
 	G_STATIC_ASSERT(sizeof(loss.parts) == sizeof(prompt->shared));
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -163,8 +163,8 @@
 		NULL);
 	c->lost_at_start = ks_metrics_counter(
 		m, "ks_gateway_lost_at_start_total",
-		"Requests with a prompt that were lost before the first byte "
-		"of the body of their answer",
+		"Requests that were lost before the first byte of the body of "
+		"their answer",
 		NULL);
 	c->leaving = ks_metrics_counter(
 		m, "ks_gateway_upstreams_leaving_total",
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -20,8 +20,8 @@
  * @truncated: streams of upstreams that ended inside an event
  * @held: parts of prompts that were held, by this entry's own decision or not
  * @held_refused: requests refused because a part of their prompt is held
- * @lost_at_start: requests with a prompt that were lost before the first byte
- *	of the response body
+ * @lost_at_start: requests that were lost before the first byte of the response
+ *	body
  * @leaving: upstreams that said in a response that they leave
  * @backed_off: refusals of upstreams that requested a back-off
  * @limits_stated: limits that upstreams stated, changed ones included
@@ -135,6 +135,8 @@
  * struct exchange - a request of a caller, until its final response
  * @caller: NULL once it has its response or has disconnected
  * @request_fields: forwarded header fields, with their text in @field_texts
+ * @content: hash of what a repeat of the request has in common with it: method,
+ *	host, target, body and prompt; for the service
  * @deadline_us: when the caller stops waiting or the route's timeout expires
  * @hard_deadline_us: when the exchange is ended in any case
  * @may_split: prefill may run on a separate upstream
@@ -193,6 +195,7 @@
 	GString *host;
 	ks_prompt_t prompt;
 	bool has_prompt;
+	uint64_t content;
 	int64_t arrived_us;
 	int64_t deadline_us;
 	int64_t hard_deadline_us;
