--- a/packages/gateway/tests/test-crashing-part.c
+++ b/packages/gateway/tests/test-crashing-part.c
@@ -2,137 +2,10 @@
  * Requests with a part of a prompt that crashes each engine which begins to
  * respond to them, between sound requests that share their other parts.
  */
-#include "gateway_fixture.h"
+#include "crashing_fixture.h"
 
-/* Crashes after which few requests with the part may be sent, and when. */
+/* Crashes after which few requests with the part may be sent. */
 #define KNOWN_AFTER_CRASHES 5
-#define CONTACT_MS 3000
-#define MAX_SENT_AFTER 3
-
-#define ROUNDS 24
-#define ROUND_MS 400
-
-/**
- * struct engines - the engines of a test, and what it counts
- * @starts: starts of engines, whose number tells one process from another
- * @sent: requests with the part that reached an engine
- * @fifth_us: time of the fifth crash, 0 before
- * @sent_after: @sent from CONTACT_MS after that time on
- * @late_news: the gateway hears of a restart only after the new process has
- *	refused a request for the one before
- * @restarted: engines of whose restart it has not heard
- */
-struct engines {
-	struct fixture f;
-	int64_t starts;
-	unsigned sent;
-	int64_t fifth_us;
-	unsigned sent_after;
-	unsigned own_parts;
-	bool late_news;
-	bool restarted[FIXTURE_UPSTREAMS];
-};
-
-static void start_engine(struct engines *e, int i)
-{
-	char id[8];
-	ks_member_spec_t spec = { .service = KS_STR("llm"),
-				  .domain = KS_STR("d1"),
-				  .address = { "127.0.0.1",
-					       e->f.upstreams[i].server.port },
-				  .process_start_ms = ++e->starts,
-				  .accepting = true };
-
-	g_snprintf(id, sizeof(id), "u%d", i);
-	spec.id = ks_str_from(id);
-	ks_fleet_put(ks_gateway_fleet(e->f.gateway), &spec);
-}
-
-static void init_engines(struct engines *e)
-{
-	memset(e, 0, sizeof(*e));
-	fixture_init_bare(&e->f);
-	fixture_apply(&e->f, 1);
-	for (int i = 0; i < FIXTURE_UPSTREAMS; i++)
-		start_engine(e, i);
-}
-
-/* Calls with the shared parts and one of its own. */
-static void call(struct engines *e, struct fixture_caller *caller,
-		 const char *target, const char *shared)
-{
-	char *text = g_strdup_printf("%s,%x:500", shared, ++e->own_parts);
-	ks_header_t parts = { KS_STR("x-parts"), ks_str_from(text) };
-
-	fixture_call_with(&e->f, caller, "POST", target, "prompt", &parts, 1);
-	g_free(text);
-}
-
-/* Lets the engine crash after the head of its response, and start again. */
-static void crash(struct engines *e, struct fixture_upstream *upstream)
-{
-	fixture_start_response(upstream, 200, false, -1);
-	fixture_run_pending(&e->f);
-	fixture_abort_response(upstream);
-	if (e->late_news)
-		e->restarted[upstream - e->f.upstreams] = true;
-	else
-		start_engine(e, (int)(upstream - e->f.upstreams));
-	if (++e->sent == KNOWN_AFTER_CRASHES)
-		e->fifth_us = ks_loop_now(&e->f.loop);
-	else if (e->fifth_us &&
-		 ks_loop_now(&e->f.loop) >
-			 e->fifth_us + CONTACT_MS * KS_USEC_PER_MSEC)
-		e->sent_after++;
-}
-
-/* Refuses a request that is meant for the process before. */
-static bool refuse_restarted(struct engines *e,
-			     struct fixture_upstream *upstream)
-{
-	int i = (int)(upstream - e->f.upstreams);
-
-	if (!e->restarted[i])
-		return false;
-	e->restarted[i] = false;
-	fixture_respond(upstream, 421, true, "");
-	fixture_run_pending(&e->f);
-	start_engine(e, i);
-	return true;
-}
-
-/* Calls with the part, and lets each engine crash that the request reaches. */
-static void call_crashing(struct engines *e, struct fixture_caller *caller,
-			  const char *target, const char *shared)
-{
-	call(e, caller, target, shared);
-	while (!caller->done) {
-		FIXTURE_WAIT(&e->f,
-			     caller->done || fixture_pending_upstream(&e->f));
-		if (fixture_pending_upstream(&e->f) &&
-		    !refuse_restarted(e, fixture_pending_upstream(&e->f)))
-			crash(e, fixture_pending_upstream(&e->f));
-	}
-}
-
-static int call_sound(struct engines *e, const char *shared)
-{
-	struct fixture_caller caller;
-	int status;
-
-	call(e, &caller, "/advise/", shared);
-	while (!caller.done) {
-		FIXTURE_WAIT(&e->f,
-			     caller.done || fixture_pending_upstream(&e->f));
-		if (fixture_pending_upstream(&e->f) &&
-		    !refuse_restarted(e, fixture_pending_upstream(&e->f)))
-			fixture_respond(fixture_pending_upstream(&e->f), 200,
-					false, "data: a\n\n");
-	}
-	status = caller.status;
-	fixture_end_call(&caller);
-	return status;
-}
 
 static void play_with(const char *target, const char *crashing,
 		      const char *sound, const char *other, bool late_news)
@@ -140,7 +13,7 @@
 	struct fixture_caller caller;
 	struct engines e;
 
-	init_engines(&e);
+	init_engines(&e, "llm", KNOWN_AFTER_CRASHES);
 	e.late_news = late_news;
 	for (int i = 0; i < ROUNDS; i++) {
 		g_assert_cmpint(call_sound(&e, sound), ==, 200);
@@ -206,7 +79,7 @@
 {
 	struct engines e;
 
-	init_engines(&e);
+	init_engines(&e, "llm", KNOWN_AFTER_CRASHES);
 	for (int i = 0; i < ROUNDS; i++) {
 		struct fixture_upstream *upstream;
 		struct fixture_caller caller;
@@ -234,7 +107,7 @@
 	struct fixture_caller caller;
 	struct engines e;
 
-	init_engines(&e);
+	init_engines(&e, "llm", KNOWN_AFTER_CRASHES);
 	for (int i = 0; i < 2; i++) {
 		for (int j = 0; j < ROUNDS; j++)
 			call_sound(&e, "caller:900");
