gateway: hold a request that comes again and crashes upstreams

The whole service was away for 3 s after each round, for all callers.

Class: what is learned from a failed request is lost with its id, or with the entry that it came to.

Change: by the same mechanism, losses also have the content of the request: a hash of method, host, target, body and prompt for a service. It counts as answered with any complete response that is no refusal. Holds are told, stored, tried and lifted like those of parts. Decisions on parts leave losses without parts out, so they are as before.

Sound requests that come again, are lost beside the crashing one, alone, or with their connections only, are served.

--- a/packages/gateway/src/exchange.c
+++ b/packages/gateway/src/exchange.c
@@ -63,6 +63,7 @@
 	exchange->gateway = gateway;
 	exchange->caller = request;
 	exchange->id = ks_str_dup(id);
+	exchange->number = ++gateway->n_exchanges;
 	exchange->arrived_us = ks_loop_now(gateway->loop);
 	exchange->request_fields =
 		g_array_new(FALSE, FALSE, sizeof(ks_header_t));
--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -27,6 +27,14 @@
 	return status == 503 || status == 429 || status == 408 || status == 421;
 }
 
+/**
+ * exchange_implies_not_run() - whether the response may be a refusal
+ */
+bool exchange_implies_not_run(const struct exchange *exchange)
+{
+	return exchange->refused_not_run || implies_not_run(exchange->status);
+}
+
 /**
  * exchange_states_not_run() - whether a response states that the request was
  * not executed
--- a/packages/gateway/src/exchange_quarantine.c
+++ b/packages/gateway/src/exchange_quarantine.c
@@ -1,10 +1,11 @@
 /*
  * Tells the quarantine which requests were lost and answered, and refuses
- * requests with a part of a prompt that is held.
+ * requests of which the content, or a part of the prompt, is held.
  */
 #include "gateway_internal.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /*
  * An upstream that fails this soon after the first byte of a response may have
@@ -21,8 +22,8 @@
 
 	ks_counter_add(gateway->counters.held, 1);
 	ks_log(KS_LOG_ROUTE, KS_LOG_WARN,
-	       "requests with a part of a prompt are refused, as upstreams "
-	       "crash on it part=%016" PRIx64 " crashes=%u",
+	       "requests with a part of a prompt or a content are refused, as "
+	       "upstreams crash on it part=%016" PRIx64 " crashes=%u",
 	       part, crashes);
 	if (gateway->hold_keeper)
 		gateway->hold_keeper->changed(gateway->hold_keeper_ctx, part,
@@ -34,8 +35,8 @@
 	ks_gateway_t *gateway = ctx;
 
 	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
-	       "a part of a prompt is no longer held, as a request with it was "
-	       "answered part=%016" PRIx64,
+	       "a part of a prompt or a content is no longer held, as a request "
+	       "with it was answered part=%016" PRIx64,
 	       part);
 	if (gateway->hold_keeper)
 		gateway->hold_keeper->changed(gateway->hold_keeper_ctx, part,
@@ -73,31 +74,45 @@
 	return exchange->is_try && !exchange->sends;
 }
 
+static void refuse_held(struct exchange *exchange, uint64_t id, bool is_part,
+			int position)
+{
+	ks_counter_add(exchange->gateway->counters.held_refused, 1);
+	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
+	       "%s request=%s part=%016" PRIx64 " position=%d",
+	       is_part ? "a part of the prompt is held"
+		       : "requests with this content are held",
+	       exchange->id, id, position);
+	exchange_give_up(exchange, RETRY_AFTER_HELD_S,
+			 is_part ? "upstreams crash on a part of the prompt"
+				 : "upstreams crash on the request");
+}
+
 /**
- * exchange_refuse_held() - end the exchange if a part of its prompt is held
+ * exchange_refuse_held() - end the exchange if its content or a part of its
+ * prompt is held
  *
  * Return: whether it has ended.
  */
 bool exchange_refuse_held(struct exchange *exchange)
 {
-	ks_gateway_t *gateway = exchange->gateway;
+	ks_quarantine_t *quarantine = &exchange->gateway->quarantine;
 	const ks_prompt_t *prompt = &exchange->prompt;
 	int held;
 
-	if (!exchange->has_prompt)
-		return false;
-	ks_quarantine_evaluate(&gateway->quarantine, exchange_now(exchange));
-	held = ks_quarantine_find_held(&gateway->quarantine, prompt->shared,
-				       prompt->n_shared);
-	if (held < 0 || may_try(exchange, prompt->shared[held]))
+	ks_quarantine_evaluate(quarantine, exchange_now(exchange));
+	held = exchange->has_prompt
+		       ? ks_quarantine_find_held(quarantine, prompt->shared,
+						 prompt->n_shared)
+		       : -1;
+	if (held >= 0 && !may_try(exchange, prompt->shared[held])) {
+		refuse_held(exchange, prompt->shared[held], true, held);
+		return true;
+	}
+	held = ks_quarantine_find_held(quarantine, &exchange->content, 1);
+	if (held < 0 || may_try(exchange, exchange->content))
 		return false;
-	ks_counter_add(gateway->counters.held_refused, 1);
-	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
-	       "a part of the prompt is held request=%s part=%016" PRIx64
-	       " position=%d",
-	       exchange->id, prompt->shared[held], held);
-	exchange_give_up(exchange, RETRY_AFTER_HELD_S,
-			 "upstreams crash on a part of the prompt");
+	refuse_held(exchange, exchange->content, false, 0);
 	return true;
 }
 
@@ -106,12 +121,24 @@
  */
 bool exchange_is_suspect(const struct exchange *exchange)
 {
+	const ks_quarantine_t *quarantine = &exchange->gateway->quarantine;
 	const ks_prompt_t *prompt = &exchange->prompt;
+	int64_t now = exchange_now(exchange);
+
+	return (exchange->has_prompt &&
+		ks_quarantine_is_suspect(quarantine, prompt->shared,
+					 prompt->n_shared, now)) ||
+	       ks_quarantine_is_repeat_suspect(quarantine, exchange->content,
+					       now);
+}
+
+/* Identifies the exchange among those of all entries. */
+static uint32_t exchange_tag(const struct exchange *exchange)
+{
+	const char *name = exchange->gateway->name;
 
-	return exchange->has_prompt &&
-	       ks_quarantine_is_suspect(&exchange->gateway->quarantine,
-					prompt->shared, prompt->n_shared,
-					exchange_now(exchange));
+	return XXH32(&exchange->number, sizeof(exchange->number),
+		     XXH32(name, strlen(name), 0));
 }
 
 /**
@@ -130,12 +157,14 @@
 		.upstream = ks_member_process_tag(exchange->member),
 		.at_us = now,
 		.begun = exchange->status != 0,
-		.n_parts = prompt->n_shared,
+		.content = exchange->content,
+		.request = exchange_tag(exchange),
+		.service = XXH32(exchange->service_name,
+				 strlen(exchange->service_name), 0),
+		.n_parts = exchange->has_prompt ? prompt->n_shared : 0,
 	};
 
 	exchange_log_loss(exchange);
-	if (!exchange->has_prompt)
-		return;
 	if (exchange->begun_us && now - exchange->begun_us > BEGINNING_US)
 		return;
 	G_STATIC_ASSERT(sizeof(loss.parts) == sizeof(prompt->shared));
@@ -154,6 +183,10 @@
 	const ks_prompt_t *prompt = &exchange->prompt;
 	int64_t now = exchange_now(exchange);
 
+	/* A refusal does not show that the request can be run. */
+	if (!exchange_implies_not_run(exchange))
+		ks_quarantine_record_content(quarantine, exchange->content,
+					     exchange->sent_us, now);
 	if (!exchange->has_prompt || exchange->status / 100 != 2)
 		return;
 	quarantine->n_answers++;
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -250,6 +250,7 @@
 	gateway->dialect = dialect;
 	gateway->settings = *settings;
 	gateway->domain = g_strdup(settings->domain);
+	gateway->name = g_strdup(settings->name);
 	gateway->budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gateway->metrics = ks_metrics_new();
@@ -304,6 +305,7 @@
 	ks_quarantine_deinit(&gateway->quarantine);
 	ks_metrics_free(gateway->metrics);
 	g_free(gateway->domain);
+	g_free(gateway->name);
 	g_free(gateway);
 }
 
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -70,6 +70,7 @@
 /**
  * struct ks_gateway - an entry
  * @domain: failure domain of this entry
+ * @name: name of this entry
  * @server: listener for callers
  * @ready: listener for readiness checks of the load balancer
  * @metrics_server: listener for metrics
@@ -79,6 +80,7 @@
  * @quarantine: parts of prompts whose requests are refused
  * @hold_keeper: NULL for none
  * @n_losses: losses recorded by this entry
+ * @n_exchanges: exchanges begun
  * @exchanges: struct exchange of the requests in progress
  * @stop_began_us: when the graceful stop began
  */
@@ -87,6 +89,7 @@
 	const ks_dialect_t *dialect;
 	ks_gateway_settings_t settings;
 	char *domain;
+	char *name;
 	ks_http1_server_t server;
 	ks_http1_server_t ready;
 	ks_http1_server_t metrics_server;
@@ -100,6 +103,7 @@
 	const ks_hold_keeper_t *hold_keeper;
 	void *hold_keeper_ctx;
 	uint64_t n_losses;
+	uint64_t n_exchanges;
 	ks_list_t exchanges;
 	ks_rng_t rng;
 	ks_metrics_t *metrics;
@@ -137,6 +141,7 @@
  * @request_fields: forwarded header fields, with their text in @field_texts
  * @content: hash of what a repeat of the request has in common with it: method,
  *	host, target, body and prompt; for the service
+ * @number: of the exchange, among those of this process
  * @deadline_us: when the caller stops waiting or the route's timeout expires
  * @hard_deadline_us: when the exchange is ended in any case
  * @may_split: prefill may run on a separate upstream
@@ -196,6 +201,7 @@
 	ks_prompt_t prompt;
 	bool has_prompt;
 	uint64_t content;
+	uint64_t number;
 	int64_t arrived_us;
 	int64_t deadline_us;
 	int64_t hard_deadline_us;
@@ -286,6 +292,7 @@
 void exchange_clear_response(struct exchange *exchange);
 void exchange_note_upstream(struct exchange *exchange, ks_member_t *member,
 			    const ks_header_t *headers, size_t n);
+bool exchange_implies_not_run(const struct exchange *exchange);
 bool exchange_states_not_run(const struct exchange *exchange,
 			     const ks_header_t *headers, size_t n);
 void exchange_resume_response(void *ctx);
--- a/packages/gateway/src/peer.pb-c.c
+++ b/packages/gateway/src/peer.pb-c.c
@@ -530,7 +530,7 @@
   (ProtobufCMessageInit) ks__peer_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ks__peer_loss__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ks__peer_loss__field_descriptors[8] =
 {
   {
     "number",
@@ -592,18 +592,57 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "content",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ks__PeerLoss, content),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ks__PeerLoss, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ks__PeerLoss, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ks__peer_loss__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   4,   /* field[4] = begun */
+  5,   /* field[5] = content */
   0,   /* field[0] = number */
   3,   /* field[3] = part */
+  6,   /* field[6] = request */
+  7,   /* field[7] = service */
   1,   /* field[1] = upstream */
 };
 static const ProtobufCIntRange ks__peer_loss__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ks__peer_loss__descriptor =
 {
@@ -613,7 +652,7 @@
   "Ks__PeerLoss",
   "ks",
   sizeof(Ks__PeerLoss),
-  5,
+  8,
   ks__peer_loss__field_descriptors,
   ks__peer_loss__field_indices_by_name,
   1,  ks__peer_loss__number_ranges,
--- a/packages/gateway/src/peer.pb-c.h
+++ b/packages/gateway/src/peer.pb-c.h
@@ -152,7 +152,7 @@
 
 
 /*
- * A request that was lost as its upstream began to respond.
+ * A request that was lost as its upstream began to respond, or before.
  */
 struct  Ks__PeerLoss
 {
@@ -175,10 +175,18 @@
    * The head of the response had been received.
    */
   protobuf_c_boolean begun;
+  /*
+   * Hash of what a repeat of the request has in common with it, a tag of the
+   * request itself, which may have been sent several times, and a hash of the
+   * service.
+   */
+  uint64_t content;
+  uint32_t request;
+  uint32_t service;
 };
 #define KS__PEER_LOSS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ks__peer_loss__descriptor) \
-    , 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /* Ks__PeerState methods */
--- a/packages/gateway/src/peer_losses.c
+++ b/packages/gateway/src/peer_losses.c
@@ -42,6 +42,9 @@
 		.upstream = received->upstream,
 		.at_us = time_from_age(peers, received->age_ms),
 		.begun = received->begun,
+		.content = received->content,
+		.request = received->request,
+		.service = received->service,
 		.n_parts = (unsigned)MIN(received->n_part, KS_LOSS_MAX_PARTS),
 	};
 
@@ -102,6 +105,9 @@
 		sent->upstream = loss->upstream;
 		sent->age_ms = age_of(peers, loss->at_us);
 		sent->begun = loss->begun;
+		sent->content = loss->content;
+		sent->request = loss->request;
+		sent->service = loss->service;
 		sent->part = loss->parts;
 		sent->n_part = loss->n_parts;
 		fields->loss_list[state->n_loss++] = sent;
@@ -110,7 +116,8 @@
 }
 
 static void add_answered(const ks_peers_t *peers, Ks__PeerState *state,
-			 struct peers_loss_fields *fields, ks_part_t *part)
+			 struct peers_loss_fields *fields,
+			 const ks_part_t *part)
 {
 	int64_t now = ks_loop_now(peers->loop);
 
@@ -131,23 +138,27 @@
 		part->answered_us - part->told_us >= ANSWER_INTERVAL_US);
 }
 
+static void add_news(const ks_peers_t *peers, Ks__PeerState *state,
+		     struct peers_loss_fields *fields, uint64_t id)
+{
+	const ks_part_t *part =
+		g_hash_table_lookup(peers->quarantine->parts, &id);
+
+	if (is_news(part, ks_loop_now(peers->loop)))
+		add_answered(peers, state, fields, part);
+}
+
 /* Adds what is known of the parts of all lost requests, also of other entries.
  */
 static void add_answers(const ks_peers_t *peers, Ks__PeerState *state,
 			struct peers_loss_fields *fields)
 {
-	int64_t now = ks_loop_now(peers->loop);
-
 	for (GList *it = peers->quarantine->losses.head; it; it = it->next) {
 		const ks_loss_t *loss = it->data;
 
-		for (unsigned i = 0; i < loss->n_parts; i++) {
-			ks_part_t *part = g_hash_table_lookup(
-				peers->quarantine->parts, &loss->parts[i]);
-
-			if (is_news(part, now))
-				add_answered(peers, state, fields, part);
-		}
+		for (unsigned i = 0; i < loss->n_parts; i++)
+			add_news(peers, state, fields, loss->parts[i]);
+		add_news(peers, state, fields, loss->content);
 	}
 }
 
--- a/packages/gateway/tests/test-crashing-request.c
+++ b/packages/gateway/tests/test-crashing-request.c
@@ -151,6 +151,114 @@
 	play("llm", &crashing, &often, false);
 }
 
+/*
+ * Guards against refusing a request that comes again and again, as it was lost
+ * beside the one that crashes upstreams.
+ */
+static void test_sound_repeat_beside(void)
+{
+	struct content crashing = { "POST", "/book/x", "crash", NULL };
+	struct content often = { "POST", "/book/x", "sound", NULL };
+	struct engines e;
+
+	init_engines(&e, "app", KNOWN_AFTER_CRASHES);
+	e.without_head = true;
+	for (int i = 0; i < ROUNDS; i++) {
+		struct fixture_caller caller;
+
+		g_assert_cmpint(send_sound(&e, &often), ==, 200);
+		send_crashing(&e, &crashing);
+		/* Now and then, an upstream crashes that has it. */
+		if (i % 3 == 0) {
+			send_content(&e, &caller, &often);
+			crash(&e, fixture_wait_request(&e.f));
+			FIXTURE_WAIT(&e.f, caller.done);
+			g_assert_cmpint(caller.status, !=, 503);
+			fixture_end_call(&caller);
+		}
+		fixture_advance(&e.f, ROUND_MS);
+	}
+	fixture_deinit(&e.f);
+}
+
+/*
+ * Guards against refusing a request that was sent on to several upstreams which
+ * failed together.
+ */
+static void test_one_unlucky_request(void)
+{
+	struct content unlucky = { "POST", "/resume/x", "unlucky", NULL };
+	struct engines e;
+
+	init_engines(&e, "app", KNOWN_AFTER_CRASHES);
+	send_crashing(&e, &unlucky);
+	fixture_advance(&e.f, 2 * ROUND_MS);
+	g_assert_cmpint(send_sound(&e, &unlucky), ==, 200);
+	fixture_deinit(&e.f);
+}
+
+/*
+ * Guards against refusing a request that is lost with its connection each time,
+ * while the upstreams go on serving.
+ */
+static void test_lost_connections(void)
+{
+	struct content unlucky = { "POST", "/book/x", "unlucky", NULL };
+	struct engines e;
+
+	init_engines(&e, "app", KNOWN_AFTER_CRASHES);
+	for (int i = 0; i < ROUNDS; i++) {
+		struct fixture_caller caller;
+
+		send_content(&e, &caller, &unlucky);
+		fixture_abort_response(fixture_wait_request(&e.f));
+		FIXTURE_WAIT(&e.f, caller.done);
+		g_assert_cmpint(caller.status, ==, 502);
+		fixture_end_call(&caller);
+		for (int j = 0; j < 4 * FIXTURE_UPSTREAMS; j++) {
+			char body[16];
+			struct content sound = { "POST", "/book/x", body,
+						 NULL };
+
+			g_snprintf(body, sizeof(body), "%d-%d", i, j);
+			g_assert_cmpint(send_sound(&e, &sound), ==, 200);
+		}
+		fixture_advance(&e.f, ROUND_MS);
+	}
+	fixture_deinit(&e.f);
+}
+
+/* Guards against a refusal that counts as a sign that the request can be run.
+ */
+static void test_refused_between(void)
+{
+	struct content crashing = { "POST", "/book/x", "crash", NULL };
+	struct engines e;
+
+	init_engines(&e, "app", KNOWN_AFTER_CRASHES);
+	e.without_head = true;
+	for (int i = 0; i < ROUNDS; i++) {
+		struct fixture_upstream *upstream;
+		struct fixture_caller caller;
+
+		send_content(&e, &caller, &crashing);
+		while (!caller.done) {
+			FIXTURE_WAIT(&e.f,
+				     caller.done ||
+					     fixture_pending_upstream(&e.f));
+			upstream = fixture_pending_upstream(&e.f);
+			if (upstream && i % 2)
+				fixture_respond(upstream, 503, true, "");
+			else if (upstream)
+				crash(&e, upstream);
+		}
+		fixture_end_call(&caller);
+		fixture_advance(&e.f, ROUND_MS);
+	}
+	g_assert_cmpuint(e.sent_after, <=, MAX_SENT_AFTER);
+	fixture_deinit(&e.f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -163,5 +271,13 @@
 	g_test_add_func("/crashing-request/prompt", test_prompt);
 	g_test_add_func("/crashing-request/prompt-without-body",
 			test_prompt_without_body);
+	g_test_add_func("/crashing-request/sound-repeat-beside",
+			test_sound_repeat_beside);
+	g_test_add_func("/crashing-request/one-unlucky-request",
+			test_one_unlucky_request);
+	g_test_add_func("/crashing-request/lost-connections",
+			test_lost_connections);
+	g_test_add_func("/crashing-request/refused-between",
+			test_refused_between);
 	return g_test_run();
 }
--- a/packages/gateway/tests/test-peers.c
+++ b/packages/gateway/tests/test-peers.c
@@ -536,6 +536,49 @@
 	deinit_pair(&p);
 }
 
+#define CONTENT 0xc0de
+
+/* Records that a request with CONTENT was lost with an upstream. */
+static void lose_content(struct pair_fixture *p, int entry, uint32_t upstream)
+{
+	int64_t now = ks_loop_now(&p->f.loop);
+	ks_loss_t loss = { .number = upstream,
+			   .upstream = upstream,
+			   .at_us = now,
+			   .content = CONTENT,
+			   .request = upstream,
+			   .service = 1 };
+
+	g_assert_true(
+		ks_quarantine_record_loss(&p->quarantines[entry], &loss, now));
+	ks_peers_queue_loss(entry ? &p->other : &p->f.peers, &loss);
+}
+
+/*
+ * Guards against each entry sending a request that crashes upstreams until it
+ * has seen enough crashes by itself.
+ */
+static void test_lost_contents_are_shared(void)
+{
+	struct pair_fixture p;
+
+	init_pair(&p);
+	PAIR_WAIT(&p, ks_peers_n_active(&p.f.peers) == 1 &&
+			      ks_peers_n_active(&p.other) == 1);
+	lose_content(&p, 0, 1);
+	lose_content(&p, 1, 2);
+	lose_content(&p, 1, 3);
+	PAIR_WAIT(&p, holds(&p, 0, CONTENT) && holds(&p, 1, CONTENT));
+	ks_test_clock_advance(&p.f.clock, 10 * KS_USEC_PER_MSEC);
+	ks_quarantine_record_content(&p.quarantines[1], CONTENT,
+				     ks_loop_now(&p.f.loop),
+				     ks_loop_now(&p.f.loop));
+	g_assert_false(holds(&p, 1, CONTENT));
+	PAIR_WAIT(&p, !holds(&p, 0, CONTENT));
+	g_assert_false(holds(&p, 1, CONTENT));
+	deinit_pair(&p);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -553,5 +596,7 @@
 	g_test_add_func("/peers/reset-while-paused", test_reset_while_paused);
 	g_test_add_func("/peers/views-of-eras", test_views_of_eras);
 	g_test_add_func("/peers/losses-are-shared", test_losses_are_shared);
+	g_test_add_func("/peers/lost-contents-are-shared",
+			test_lost_contents_are_shared);
 	return g_test_run();
 }
--- a/packages/request/include/ks/quarantine.h
+++ b/packages/request/include/ks/quarantine.h
@@ -1,10 +1,15 @@
 /*
- * Quarantine of prompt parts that crash upstreams. Included by ks/request.h.
+ * Quarantine of requests, and of prompt parts, that crash upstreams. Included
+ * by ks/request.h.
  *
  * part - a piece of a prompt that several requests share, by a hash of its
  * content and of the service
+ * content - what a repeat of a request has in common with it, by a hash
  * loss - a request whose upstream failed as it began to respond
- * hold - to refuse all requests with a part
+ * hold - to refuse all requests with a part or a content
+ *
+ * A content is held, told and tried like a part, and its id is used where that
+ * of a part is; only what losses say of it is decided differently.
  */
 #ifndef KS_QUARANTINE_H
 #define KS_QUARANTINE_H
@@ -25,6 +30,9 @@
  * @upstream: the process of the upstream; a restarted one differs
  * @at_us: time of the loss
  * @begun: the head of the response had been received
+ * @content: what a repeat of the request has in common with it, 0 if unknown
+ * @request: identifies the request of a caller, which may be sent several times
+ * @service: hash of the service
  * @parts: the parts that other requests may share, in their order
  */
 typedef struct ks_loss {
@@ -33,12 +41,15 @@
 	uint32_t upstream;
 	int64_t at_us;
 	bool begun;
+	uint64_t content;
+	uint32_t request;
+	uint32_t service;
 	unsigned n_parts;
 	uint64_t parts[KS_LOSS_MAX_PARTS];
 } ks_loss_t;
 
 /**
- * struct ks_part - what is known of a part
+ * struct ks_part - what is known of a part, or of a content that was lost
  * @answered_us: when the latest request was sent that was answered completely;
  *	0 if none is known
  * @told_us: the latest @answered_us that all entries were told, by this one or
@@ -71,6 +82,8 @@
  * @explained: struct explanation by the upstream that was lost because of a
  *held part
  * @parts: ks_part_t by id
+ * @contents: contents of answered requests, in two generations
+ * @contents_us: when the latest generation began
  * @n_held: number of parts that are held
  * @n_lifted: number of holds that were lifted
  * @n_answers: number of requests that this entry has seen answered
@@ -85,6 +98,8 @@
 	GQueue losses;
 	GHashTable *explained;
 	GHashTable *parts;
+	GHashTable *contents[2];
+	int64_t contents_us;
 	unsigned n_held;
 	unsigned n_lifted;
 	uint64_t n_answers;
@@ -103,6 +118,8 @@
 void ks_quarantine_record_answer(ks_quarantine_t *quarantine,
 				 const uint64_t *parts, unsigned n_parts,
 				 int64_t sent_us, int64_t now_us);
+void ks_quarantine_record_content(ks_quarantine_t *quarantine, uint64_t content,
+				  int64_t sent_us, int64_t now_us);
 void ks_quarantine_add_answers(ks_quarantine_t *quarantine, unsigned n,
 			       int64_t now_us);
 void ks_quarantine_set_told(ks_quarantine_t *quarantine, uint64_t part,
@@ -119,6 +136,8 @@
 bool ks_quarantine_is_suspect(const ks_quarantine_t *quarantine,
 			      const uint64_t *parts, unsigned n_parts,
 			      int64_t now_us);
+bool ks_quarantine_is_repeat_suspect(const ks_quarantine_t *quarantine,
+				     uint64_t content, int64_t now_us);
 int64_t ks_quarantine_try_wait_us(unsigned tries);
 
 G_END_DECLS
--- a/packages/request/src/quarantine.c
+++ b/packages/request/src/quarantine.c
@@ -47,6 +47,7 @@
 	quarantine->parts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						  NULL, g_free);
 	quarantine->explained = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	quarantine_init_contents(quarantine);
 	quarantine->n_held = 0;
 	quarantine->n_lifted = 0;
 	quarantine->n_answers = 0;
@@ -62,6 +63,7 @@
 	g_queue_clear_full(&quarantine->losses, g_free);
 	g_hash_table_destroy(quarantine->explained);
 	g_hash_table_destroy(quarantine->parts);
+	quarantine_deinit_contents(quarantine);
 }
 
 ks_part_t *quarantine_find_part(const ks_quarantine_t *quarantine, uint64_t id)
@@ -109,7 +111,7 @@
 	for (unsigned i = 0; i < loss->n_parts; i++)
 		if (loss->parts[i] == id)
 			return true;
-	return false;
+	return loss->content && loss->content == id;
 }
 
 static void remove_loss(ks_quarantine_t *quarantine, GList *link)
@@ -206,12 +208,22 @@
 {
 	int held =
 		ks_quarantine_find_held(quarantine, loss->parts, loss->n_parts);
+	ks_part_t *content;
 
-	if (!loss->n_parts || now_us - loss->at_us > QUARANTINE_MEMORY_US ||
+	if ((!loss->n_parts && !loss->content) ||
+	    now_us - loss->at_us > QUARANTINE_MEMORY_US ||
 	    is_known(quarantine, loss))
 		return false;
 	if (held >= 0)
 		explain(quarantine, loss, loss->parts[held], now_us);
+	if (loss->content) {
+		content = get_part(quarantine, loss->content, now_us);
+		content->answered_us =
+			MAX(content->answered_us,
+			    quarantine_answered_us(quarantine, loss->content));
+		if (content->held_us)
+			explain(quarantine, loss, loss->content, now_us);
+	}
 	forget_old_losses(quarantine, now_us);
 	if (quarantine->losses.length >= MAX_LOSSES)
 		remove_loss(quarantine, quarantine->losses.head);
@@ -323,7 +335,8 @@
 }
 
 /**
- * ks_quarantine_evaluate() - hold the parts that the losses point to
+ * ks_quarantine_evaluate() - hold the parts and contents that the losses point
+ * to
  *
  * To be called before a request is sent; it does nothing unless a loss has
  * begun to count since the last call.
@@ -345,6 +358,9 @@
 	       quarantine_find_cause(quarantine, &all, &cause))
 		hold(quarantine, get_part(quarantine, cause.part, now_us),
 		     now_us, cause.crashes, now_us);
+	while (quarantine_find_repeat(quarantine, now_us - CONFIRM_US, &cause))
+		hold(quarantine, get_part(quarantine, cause.part, now_us),
+		     now_us, cause.crashes, now_us);
 }
 
 /**
--- a/packages/request/src/quarantine_cause.c
+++ b/packages/request/src/quarantine_cause.c
@@ -163,7 +163,7 @@
 		guint n = GPOINTER_TO_UINT(
 			g_hash_table_lookup(context.by_upstream, key));
 
-		if (loss->at_us < tally->first_us ||
+		if (!loss->n_parts || loss->at_us < tally->first_us ||
 		    !is_in_scope(quarantine, loss, &all))
 			continue;
 		context.lost++;
--- a/packages/request/src/quarantine_internal.h
+++ b/packages/request/src/quarantine_internal.h
@@ -21,7 +21,7 @@
 };
 
 /**
- * struct cause - a part that explains the loss of upstreams
+ * struct cause - a part or content that explains the loss of upstreams
  * @crashes: number of the upstreams
  */
 struct cause {
@@ -41,4 +41,13 @@
 bool quarantine_find_cause(const ks_quarantine_t *quarantine,
 			   const struct scope *scope, struct cause *cause);
 
+/* quarantine_repeat.c */
+
+bool quarantine_find_repeat(const ks_quarantine_t *quarantine, int64_t until_us,
+			    struct cause *cause);
+void quarantine_init_contents(ks_quarantine_t *quarantine);
+void quarantine_deinit_contents(ks_quarantine_t *quarantine);
+int64_t quarantine_answered_us(const ks_quarantine_t *quarantine,
+			       uint64_t content);
+
 #endif
