--- a/tests/soak/soak-callers.c
+++ b/tests/soak/soak-callers.c
@@ -40,6 +40,8 @@
  * crashes.
  */
 #define KNOWN_AFTER_CRASHES 5
+/* The same for a request that comes again. */
+#define REPEAT_KNOWN_AFTER_CRASHES 3
 #define CONTACT_US (3000 * KS_USEC_PER_MSEC)
 #define MAX_CRASHING_ARRIVALS 3
 /* Of 100 streams, so many have that part. */
@@ -54,6 +56,7 @@
  * @promised: the answer promises that the request has not run
  * @cut: the connection ended before the end of the answer
  * @is_crashing: a part of its prompt crashes replicas
+ * @is_repeat: it crashes replicas itself, and comes again with the same content
  */
 struct attempt {
 	GString *id;
@@ -64,6 +67,7 @@
 	bool promised;
 	bool cut;
 	bool is_crashing;
+	bool is_repeat;
 	bool reported;
 };
 
@@ -101,6 +105,18 @@
 	unsigned arrivals;
 };
 
+/**
+ * struct crashes - what requests of a kind have done
+ * @n: replicas that they have crashed
+ * @known_us: when no entry in touch may send one any more, 0 before
+ * @arrivals: requests that arrived nevertheless
+ */
+struct crashes {
+	unsigned n;
+	int64_t known_us;
+	unsigned arrivals;
+};
+
 /**
  * struct soak - state of the program
  * @attempts: struct attempt by id
@@ -113,10 +129,10 @@
  * @rest: beginning of a line of which the end has not been read
  * @planned: only planned changes take place, so that no answer may be cut
  * @crashing: some prompts have a part that crashes replicas
+ * @repeating: class of the request that crashes replicas itself, 0 for none
  * @crashing_rng: draws them, without a change to the other draws of a seed
- * @crashes: replicas that it has crashed
- * @known_us: when no entry in touch may send such a request any more, 0 before
- * @crashing_arrivals: requests that arrived nevertheless
+ * @parts, @repeats: what requests with that part have done, and requests that
+ *	crash replicas themselves
  */
 struct soak {
 	ks_loop_t loop;
@@ -138,10 +154,10 @@
 	bool stopping;
 	bool planned;
 	bool crashing;
+	char repeating;
 	ks_rng_t crashing_rng;
-	unsigned crashes;
-	int64_t known_us;
-	unsigned crashing_arrivals;
+	struct crashes parts;
+	struct crashes repeats;
 	struct limits limits;
 	bool timed;
 };
@@ -217,13 +233,22 @@
 }
 
 static void check_crashing_arrival(struct soak *soak, struct attempt *attempt,
-				   int64_t at_us)
+				   struct crashes *crashes, int64_t at_us)
 {
-	if (soak->known_us && at_us > soak->known_us &&
+	if (crashes->known_us && at_us > crashes->known_us &&
 	    soak->excused_us[attempt->gateway] < at_us - EXCUSE_US &&
-	    ++soak->crashing_arrivals > MAX_CRASHING_ARRIVALS)
+	    ++crashes->arrivals > MAX_CRASHING_ARRIVALS)
 		report(soak, "BUDGET", attempt,
-		       "arrived with a part that crashes replicas");
+		       attempt->is_repeat
+			       ? "arrived, and crashes replicas"
+			       : "arrived with a part that crashes replicas");
+}
+
+static void count_crash(struct crashes *crashes, unsigned known_after,
+			int64_t at_us)
+{
+	if (++crashes->n == known_after)
+		crashes->known_us = at_us + CONTACT_US;
 }
 
 static void apply_event(struct soak *soak, char event, struct attempt *attempt,
@@ -247,11 +272,18 @@
 			report(soak, "LIMIT", attempt,
 			       "arrived beyond the limit of a replica");
 		if (soak->timed && attempt->is_crashing)
-			check_crashing_arrival(soak, attempt, at_us);
+			check_crashing_arrival(soak, attempt, &soak->parts,
+					       at_us);
+		if (soak->timed && attempt->is_repeat)
+			check_crashing_arrival(soak, attempt, &soak->repeats,
+					       at_us);
 		break;
 	case SOAK_CRASHED:
-		if (++soak->crashes == KNOWN_AFTER_CRASHES)
-			soak->known_us = at_us + CONTACT_US;
+		if (attempt->is_repeat)
+			count_crash(&soak->repeats, REPEAT_KNOWN_AFTER_CRASHES,
+				    at_us);
+		else
+			count_crash(&soak->parts, KNOWN_AFTER_CRASHES, at_us);
 		break;
 	case SOAK_LIMITED:
 		limits_state(&soak->limits, replica, attempt->gateway, value,
@@ -453,8 +485,11 @@
 	return attempt;
 }
 
-static const char *path_of(char class)
+static const char *path_of(char class, bool is_repeat)
 {
+	if (is_repeat)
+		return class == SOAK_READ ? "/read" SOAK_CRASHING_PATH
+					  : "/book" SOAK_CRASHING_PATH;
 	switch (class) {
 	case SOAK_BOOK:
 		return "/book/x";
@@ -481,7 +516,7 @@
 					 attempt->gateway),
 		.method = caller->class == SOAK_READ ? KS_STR("GET")
 						     : KS_STR("POST"),
-		.target = ks_str_from(path_of(caller->class)),
+		.target = ks_str_from(path_of(caller->class, false)),
 		.host = KS_STR("shop.example"),
 		.body = caller->class == SOAK_READ ? KS_STR("")
 						   : KS_STR("value=1"),
@@ -496,6 +531,11 @@
 
 	headers[1].value.len = (size_t)g_snprintf(deadline, sizeof(deadline),
 						  "%u", deadline_ms);
+	if (soak->repeating && caller->class == soak->repeating &&
+	    ks_rng_below(&soak->crashing_rng, 100) < CRASHING_OF_100) {
+		attempt->is_repeat = true;
+		request.target = ks_str_from(path_of(caller->class, true));
+	}
 	attempt->is_crashing =
 		soak->crashing && soak_is_stream(caller->class) &&
 		ks_rng_below(&soak->crashing_rng, 100) < CRASHING_OF_100;
@@ -614,9 +654,12 @@
 	struct arg_lit *crashing =
 		arg_lit0(NULL, "crashing",
 			 "some prompts have a part that crashes replicas");
+	struct arg_lit *repeating =
+		arg_lit0(NULL, "repeating",
+			 "a request that comes again crashes replicas");
 	struct arg_end *end = arg_end(10);
-	void *table[] = { gateways, record, seconds,  callers, seed,
-			  planned,  timed,  crashing, end };
+	void *table[] = { gateways, record, seconds,  callers,	 seed,
+			  planned,  timed,  crashing, repeating, end };
 	struct soak soak = { .n_ids = 0 };
 
 	if (arg_parse(argc, argv, table) > 0) {
@@ -634,5 +677,7 @@
 	soak.planned = planned->count > 0;
 	soak.timed = timed->count > 0;
 	soak.crashing = crashing->count > 0;
+	if (repeating->count)
+		soak.repeating = soak.seed % 2 ? SOAK_READ : SOAK_BOOK;
 	return run(&soak, seconds->ival[0]);
 }
--- a/tests/soak/soak-replica.c
+++ b/tests/soak/soak-replica.c
@@ -308,12 +308,23 @@
 static bool is_crashing(const ks_http1_request_t *request)
 {
 	ks_str_t parts = field(request, "prompt-prefix");
+	size_t len = strlen(SOAK_CRASHING_PATH);
 
+	if (request->target.len > len &&
+	    !memcmp(request->target.data + request->target.len - len,
+		    SOAK_CRASHING_PATH, len))
+		return true;
 	return parts.len &&
 	       memmem(parts.data, parts.len, "," SOAK_CRASHING_PART,
 		      sizeof(SOAK_CRASHING_PART));
 }
 
+static void crash(const struct work *work)
+{
+	record(work->replica, SOAK_CRASHED, text_of(work->id), 0);
+	_exit(EXIT_FAILURE);
+}
+
 static void start_stream(struct work *work)
 {
 	ks_str_t last = field(work->request, "last-event-id");
@@ -329,10 +340,8 @@
 	if (work->is_unframed)
 		http1_conn_of(work->request)->parser.http_minor = 0;
 	start_answer(work, KS_STR("text/event-stream"), -1);
-	if (is_crashing(work->request)) {
-		record(work->replica, SOAK_CRASHED, text_of(work->id), 0);
-		_exit(EXIT_FAILURE);
-	}
+	if (is_crashing(work->request))
+		crash(work);
 	advance_stream(work);
 }
 
@@ -367,6 +376,8 @@
 
 	if (work->fate == SILENT)
 		return;
+	if (!is_stream && is_crashing(work->request))
+		crash(work);
 	if (work->fate == LOST) {
 		lose_answer(work);
 	} else if (work->is_prefill) {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -16,6 +16,9 @@
 /* Part of a prompt on which replicas crash. */
 #define SOAK_CRASHING_PART "crash"
 
+/* End of the path of a request that crashes replicas. */
+#define SOAK_CRASHING_PATH "/crash"
+
 /* Last character of a request's id: what its route lets happen to it. */
 #define SOAK_BOOK 'b'	/* at most once */
 #define SOAK_READ 'r'	/* may be repeated */
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # usage: tests/soak/soak.sh [--planned] [--many] [--timed] [--returns] [--crashing]
-#                          [--limited] SEED SECONDS
+#                          [--limited] [--repeating] SEED SECONDS
 #
 # Runs gateways, replicas, a store and callers as separate processes and injects
 # faults, drawn from SEED, from outside: signals to the processes, and relays
@@ -13,6 +13,8 @@
 # replicas; besides, only planned changes. How many requests with it arrive after
 # the first crashes is checked with --timed. With --limited, replicas state limits
 # on the requests of all gateways; whether they are kept is checked with --timed.
+# With --repeating, a request of plain services that comes again crashes them;
+# besides, only planned changes.
 # SOAK_KEEP names a directory that gets
 # the logs of a run that failed. SOAK_SECOND is how many of 100 answers a faulty
 # replica gives twice, 40 by default, and SOAK_NAMED how many of 3 of these have
@@ -22,7 +24,7 @@
 . tests/system/lib.sh
 . tests/system/site.sh
 
-planned= many= timed= returns= crashing= limited=
+planned= many= timed= returns= crashing= limited= repeating=
 while test $# -gt 2
 do
 	case $1 in
@@ -32,6 +34,7 @@
 	--returns) returns=yes ;;
 	--crashing) crashing=--crashing ;;
 	--limited) limited=yes ;;
+	--repeating) repeating=--repeating ;;
 	esac
 	shift
 done
@@ -119,14 +122,14 @@
 
 killed=() stopping=()
 
-# Notes the engines that have crashed on a request.
+# Notes the replicas that have crashed on a request.
 find_crashed () {
-	local i
-	for i in $(seq $n_engines)
+	local name
+	for name in $(seq -f engine%g $n_engines) $(seq -f app%g $n_apps)
 	do
-		! is_stopping engine$i && has_exited engine$i || continue
-		reap engine$i
-		killed+=(engine$i)
+		! is_stopping $name && has_exited $name || continue
+		reap $name
+		killed+=($name)
 	done
 }
 
@@ -266,7 +269,7 @@
 
 "$BIN/soak-callers" --gateways "$gateways" --record "$record" \
 	--seconds "$seconds" --callers $n_callers --seed "$seed" $planned $timed \
-	$crashing \
+	$crashing $repeating \
 	>"$WORK/callers.out" 2>&1 &
 callers=$!
 
@@ -277,13 +280,13 @@
 	for _ in $(seq $DRAWN)
 	do
 		inject_planned
-		test -n "$planned$crashing" || inject_fault
+		test -n "$planned$crashing$repeating" || inject_fault
 		test -z "$returns" || inject_return
 		test -z "$limited" || inject_limit
 	done
 	between 2 9
 	sleep 0.$DRAWN
-	test -z "$crashing" || find_crashed
+	test -z "$crashing$repeating" || find_crashed
 	start_again
 done
 wait $callers
