peers: tell of answered parts before answered contents

Contents share the room for answers in a message with parts, so that after a crash, answers to repeated requests could delay the news that a part is sound, and the part could be held meanwhile. test-peers parts-are-told-first failed before.

--- a/packages/gateway/src/peer_losses.c
+++ b/packages/gateway/src/peer_losses.c
@@ -158,6 +158,11 @@
 
 		for (unsigned i = 0; i < loss->n_parts; i++)
 			add_news(peers, state, fields, loss->parts[i]);
+	}
+	/* Each part tells of more requests than a content does. */
+	for (GList *it = peers->quarantine->losses.head; it; it = it->next) {
+		const ks_loss_t *loss = it->data;
+
 		add_news(peers, state, fields, loss->content);
 	}
 }
--- a/packages/gateway/tests/test-peers.c
+++ b/packages/gateway/tests/test-peers.c
@@ -579,6 +579,46 @@
 	deinit_pair(&p);
 }
 
+/*
+ * Guards against answers to requests that were lost before, which leave no room
+ * in a message for an answered part: sound parts are then held.
+ */
+static void test_parts_are_told_first(void)
+{
+	uint64_t part = CALLER;
+	GByteArray *message = g_byte_array_new();
+	struct pair_fixture p;
+	Ks__PeerState *state;
+	bool told = false;
+	int64_t now;
+
+	init_pair(&p);
+	for (uint32_t i = 1; i <= 40; i++) {
+		ks_loss_t loss = { .number = i,
+				   .upstream = i,
+				   .at_us = ks_loop_now(&p.f.loop),
+				   .content = i,
+				   .request = i,
+				   .n_parts = i == 40,
+				   .parts = { part } };
+
+		ks_quarantine_record_loss(&p.quarantines[0], &loss, loss.at_us);
+	}
+	ks_test_clock_advance(&p.f.clock, 10 * KS_USEC_PER_MSEC);
+	now = ks_loop_now(&p.f.loop);
+	for (uint32_t i = 1; i <= 40; i++)
+		ks_quarantine_record_content(&p.quarantines[0], i, now, now);
+	ks_quarantine_record_answer(&p.quarantines[0], &part, 1, now, now);
+	ks_peers_pack(&p.f.peers, message);
+	state = ks__peer_state__unpack(NULL, message->len, message->data);
+	for (size_t i = 0; i < state->n_answered_part; i++)
+		told |= state->answered_part[i] == part;
+	g_assert_true(told);
+	ks__peer_state__free_unpacked(state, NULL);
+	g_byte_array_free(message, TRUE);
+	deinit_pair(&p);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -598,5 +638,7 @@
 	g_test_add_func("/peers/losses-are-shared", test_losses_are_shared);
 	g_test_add_func("/peers/lost-contents-are-shared",
 			test_lost_contents_are_shared);
+	g_test_add_func("/peers/parts-are-told-first",
+			test_parts_are_told_first);
 	return g_test_run();
 }
