--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -155,11 +155,13 @@
 		"Streams of upstreams that ended inside an event", NULL);
 	c->held = ks_metrics_counter(
 		m, "ks_gateway_held_parts_total",
-		"Parts of prompts that were held because upstreams crashed",
+		"Parts of prompts and contents that were held because "
+		"upstreams crashed",
 		NULL);
 	c->held_refused = ks_metrics_counter(
 		m, "ks_gateway_held_refused_total",
-		"Requests refused because a part of their prompt is held",
+		"Requests refused because their content or a part of their "
+		"prompt is held",
 		NULL);
 	c->lost_at_start = ks_metrics_counter(
 		m, "ks_gateway_lost_at_start_total",
--- a/tests/system/test-soak.sh
+++ b/tests/system/test-soak.sh
@@ -9,6 +9,8 @@
 PLANNED_SEED=501
 RETURNS_SEEDS="9102 9222"
 CRASHING_SEEDS="5005"
+LIMITED_SEEDS="6006"
+REPEATING_SEEDS="7004"
 
 keep=$(mktemp -d)
 trap 'rm -rf "$keep"' EXIT
@@ -41,8 +43,17 @@
 do
 	run_seed "$seed" --crashing &
 done
+for seed in $LIMITED_SEEDS
+do
+	run_seed "$seed" --limited &
+done
+for seed in $REPEATING_SEEDS
+do
+	run_seed "$seed" --repeating &
+done
 wait
-for seed in $seeds $PLANNED_SEED $RETURNS_SEEDS $CRASHING_SEEDS
+for seed in $seeds $PLANNED_SEED $RETURNS_SEEDS $CRASHING_SEEDS \
+	$LIMITED_SEEDS $REPEATING_SEEDS
 do
 	cat "$keep/$seed.out"
 	test "$(cat "$keep/$seed.status")" = 0 || failed="$failed $seed"
