--- a/packages/gateway/src/peer_losses.c
+++ b/packages/gateway/src/peer_losses.c
@@ -48,7 +48,8 @@
 		.n_parts = (unsigned)MIN(received->n_part, KS_LOSS_MAX_PARTS),
 	};
 
-	memcpy(loss.parts, received->part, loss.n_parts * sizeof(uint64_t));
+	for (unsigned i = 0; i < loss.n_parts; i++)
+		loss.parts[i] = received->part[i];
 	ks_quarantine_record_loss(peers->quarantine, &loss,
 				  ks_loop_now(peers->loop));
 }
