gateway: log and count the software versions of resumed streams

Each route line now has the software of the upstream, 'a stream goes on' has both versions, 'a caller resumes a stream' the id and the event that it names; two counters.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -35,6 +35,8 @@
  * @stated_limit: set in the responses of an upstream that takes no more than
  *	this many requests per second from all entries together
  * @last_event_id: id of the last event received, to resume a stream after it
+ * @resumes: set by a caller that resumes a stream: id of its request whose
+ *	response had the first event
  * @prompt_parts: the parts of the prompt in order, as ID:TOKENS separated by
  *	commas; see ks_prompt_parse()
  * @priority: rank of the request in the engine's queue
@@ -56,6 +58,7 @@
 	ks_str_t leaving;
 	ks_str_t stated_limit;
 	ks_str_t last_event_id;
+	ks_str_t resumes;
 	ks_str_t prompt_parts;
 	ks_str_t priority;
 	ks_str_t stage;
@@ -307,11 +310,13 @@
  * struct ks_member_spec - the announcement of an upstream
  * @process_start_ms: start of its process in Unix milliseconds, 0 if unknown. A
  *	new value means that the process was restarted and its cache is empty.
+ * @software: version of its software, any text
  * @accepting: it accepts requests, and is not draining
  */
 typedef struct ks_member_spec {
 	ks_str_t id;
 	ks_str_t service;
+	ks_str_t software;
 	ks_address_t address;
 	ks_str_t domain;
 	ks_stage_t stage;
@@ -323,6 +328,7 @@
  * struct ks_member - an upstream, with the load and cache contents known to
  * this entry
  * @tag: hash of @id, which identifies the upstream in messages between entries
+ * @software: version of its software, shortened and printable, for logs
  * @accepting: it accepts requests, and is not draining
  * @withdrawal: what it has said of itself in its responses
  * @listed: it is still announced; a removed upstream is freed with its last
@@ -350,6 +356,7 @@
 	uint32_t tag;
 	char *id;
 	char *service;
+	char *software;
 	char *domain;
 	ks_address_t address;
 	ks_stage_t stage;
--- a/packages/gateway/src/exchange.c
+++ b/packages/gateway/src/exchange.c
@@ -14,6 +14,9 @@
  */
 #define HARD_DEADLINE_MARGIN_US (60 * KS_USEC_PER_MSEC)
 
+/* Longest id of a caller that is logged, in bytes. */
+#define MAX_LOGGED_ID 64
+
 static void on_hard_deadline(void *ctx)
 {
 	struct exchange *exchange = ctx;
@@ -160,6 +163,26 @@
 		exchange_respond(exchange, 404, 0, "no route");
 }
 
+/* Records that the caller resumes a stream that has broken off. */
+static void note_taken_up(const struct exchange *exchange,
+			  const ks_http1_request_t *request)
+{
+	const ks_gateway_t *gateway = exchange->gateway;
+	ks_str_t first = ks_header_value(request->headers, request->n_headers,
+					 gateway->dialect->resumes.data);
+	ks_str_t after =
+		ks_header_value(request->headers, request->n_headers,
+				gateway->dialect->last_event_id.data);
+
+	if (!first.len && !after.len)
+		return;
+	ks_counter_add(gateway->counters.taken_up, 1);
+	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
+	       "a caller resumes a stream request=%s resumes=%.*s after=%.*s",
+	       exchange->id, (int)MIN(first.len, MAX_LOGGED_ID), first.data,
+	       (int)MIN(after.len, MAX_LOGGED_ID), after.data);
+}
+
 /**
  * exchange_start() - begin to forward a request
  */
@@ -209,6 +232,7 @@
 			       exchange->route->resumable;
 	ks_budget_request(gateway_budget(gateway, exchange->service_name),
 			  exchange_now(exchange));
+	note_taken_up(exchange, request);
 	exchange_dispatch(exchange);
 }
 
--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -196,6 +196,7 @@
 static void start_response(struct exchange *exchange, int64_t length)
 {
 	exchange->started = true;
+	exchange->began = ks_member_ref(exchange->member);
 	ks_http1_start(exchange->caller, exchange->status,
 		       (const ks_header_t *)(void *)exchange->fields->data,
 		       exchange->fields->len, length);
@@ -255,12 +256,30 @@
 	exchange->latest_us = now;
 }
 
+/* Records that a stream that broke off goes on. */
+static void record_resumption(const struct exchange *exchange)
+{
+	const struct gateway_metrics *counters = &exchange->gateway->counters;
+	const ks_member_t *began = exchange->began;
+	bool same = !strcmp(began->software, exchange->member->software);
+
+	ks_counter_add(same ? counters->resumed_same : counters->resumed_other,
+		       1);
+	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
+	       "a stream goes on request=%s began_at=%s began_software=%s "
+	       "upstream=%s software=%s after=%s",
+	       exchange->id, began->id, began->software, exchange->member->id,
+	       exchange->member->software, exchange->events.last_id->str);
+}
+
 static void record_first_event(struct exchange *exchange)
 {
 	record_event_time(exchange);
 	if (exchange->first_event_seen)
 		return;
 	exchange->first_event_seen = true;
+	if (exchange->is_resumed)
+		record_resumption(exchange);
 	exchange->occupancy = ks_service_occupancy(
 		exchange->service, exchange->prompt.total_tokens);
 	exchange->member->occupancy += exchange->occupancy;
@@ -590,6 +609,7 @@
 	exchange_clear_response(exchange);
 	exchange->step = EXCHANGE_RUN;
 	exchange->first_event_seen = false;
+	exchange->is_resumed = exchange->started;
 	exchange->begun_us = 0;
 	exchange->body_bytes = 0;
 	exchange->sends++;
--- a/packages/gateway/src/exchange_end.c
+++ b/packages/gateway/src/exchange_end.c
@@ -40,7 +40,7 @@
 
 	ks_log(KS_LOG_ROUTE, level,
 	       "%s request=%s status=%d route=%s service=%s version=%" PRId64
-	       " upstream=%s sends=%u runs=%u age_ms=%" PRId64
+	       " upstream=%s software=%s sends=%u runs=%u age_ms=%" PRId64
 	       " step=%s sent=%d sent_us=%" PRId64 " conn=%" PRIu64
 	       " conn_calls=%u answer=%d not_run=%d answer_id=%s skipped=%u"
 	       " framing=%s inside_event=%d",
@@ -48,8 +48,9 @@
 	       exchange->route ? exchange->route->name : "-",
 	       exchange->service_name ? exchange->service_name : "-",
 	       exchange->traffic ? exchange->traffic->version : 0,
-	       exchange->member ? exchange->member->id : "-", exchange->sends,
-	       exchange->runs,
+	       exchange->member ? exchange->member->id : "-",
+	       exchange->member ? exchange->member->software : "-",
+	       exchange->sends, exchange->runs,
 	       (exchange_now(exchange) - exchange->arrived_us) /
 		       KS_USEC_PER_MSEC,
 	       step_names[exchange->step], call->sent,
@@ -156,6 +157,7 @@
 	ks_list_remove(&exchange->node);
 	exchange_release_member(exchange);
 	exchange_release_prefill(exchange);
+	ks_member_unref(exchange->began);
 	ks_traffic_unref(exchange->traffic);
 	g_free(exchange->id);
 	g_free(exchange->handle);
--- a/packages/gateway/src/fleet.c
+++ b/packages/gateway/src/fleet.c
@@ -33,6 +33,9 @@
  */
 #define MAX_WITHDRAWN 1024
 
+/* Longest text of a software version that is logged, in bytes. */
+#define MAX_LOGGED_SOFTWARE 40
+
 /**
  * struct part_use - the last use of a prompt part at an upstream
  * @used_us: when it was used
@@ -55,6 +58,7 @@
 		return;
 	g_free(member->id);
 	g_free(member->service);
+	g_free(member->software);
 	g_free(member->domain);
 	g_hash_table_destroy(member->cached);
 	g_free(member);
@@ -109,6 +113,15 @@
 	*field = ks_str_dup(text);
 }
 
+static void set_software(ks_member_t *member, ks_str_t text)
+{
+	text.len = MIN(text.len, MAX_LOGGED_SOFTWARE);
+	replace_text(&member->software, text);
+	for (char *at = member->software; *at; at++)
+		if (!g_ascii_isgraph(*at))
+			*at = '?';
+}
+
 ks_member_t *ks_fleet_find(const ks_fleet_t *fleet, ks_str_t id)
 {
 	char *key = ks_str_dup(id);
@@ -213,6 +226,7 @@
 				    GUINT_TO_POINTER(member->tag), member);
 	}
 	replace_text(&member->service, spec->service);
+	set_software(member, spec->software);
 	replace_text(&member->domain, spec->domain);
 	member->address = spec->address;
 	member->stage = spec->stage;
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -153,6 +153,19 @@
 	c->truncated = ks_metrics_counter(
 		m, "ks_gateway_truncated_streams_total",
 		"Streams of upstreams that ended inside an event", NULL);
+	c->taken_up = ks_metrics_counter(
+		m, "ks_gateway_taken_up_total",
+		"Requests of callers that resume a stream", NULL);
+	c->resumed_same = ks_metrics_counter(
+		m, "ks_gateway_resumed_streams_total",
+		"Streams that went on after they had broken off, by the "
+		"version of the upstream's software",
+		"software=\"same\"");
+	c->resumed_other = ks_metrics_counter(
+		m, "ks_gateway_resumed_streams_total",
+		"Streams that went on after they had broken off, by the "
+		"version of the upstream's software",
+		"software=\"other\"");
 	c->held = ks_metrics_counter(
 		m, "ks_gateway_held_parts_total",
 		"Parts of prompts and contents that were held because "
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -18,6 +18,9 @@
  *	of a request
  * @unnamed: responses without the id of a request
  * @truncated: streams of upstreams that ended inside an event
+ * @taken_up: requests of callers that resume a stream
+ * @resumed_same, @resumed_other: streams that went on at the version of the
+ *	software that began the response, and at another one
  * @held: parts of prompts that were held, by this entry's own decision or not
  * @held_refused: requests refused because a part of their prompt is held
  * @lost_at_start: requests that were lost before the first byte of the response
@@ -50,6 +53,9 @@
 	ks_counter_t *skipped;
 	ks_counter_t *unnamed;
 	ks_counter_t *truncated;
+	ks_counter_t *taken_up;
+	ks_counter_t *resumed_same;
+	ks_counter_t *resumed_other;
 	ks_counter_t *held;
 	ks_counter_t *held_refused;
 	ks_counter_t *lost_at_start;
@@ -171,6 +177,8 @@
  * @is_counted: the latest send counts against a limit of the upstream
  * @is_try: may be sent once although a part of its prompt is held
  * @started: the head of the response has been sent to the caller
+ * @began: upstream whose response that was, with a reference
+ * @is_resumed: it had been before the latest request was sent to an upstream
  * @sent_us: when the latest request was sent to an upstream
  * @begun_us: when the first byte of the body of its response arrived, 0 before
  * @body_bytes: size of the part of the body that has arrived
@@ -234,6 +242,8 @@
 	GString *body;
 	bool is_stream_response;
 	bool started;
+	ks_member_t *began;
+	bool is_resumed;
 	bool first_event_seen;
 	int64_t sent_us;
 	int64_t begun_us;
--- a/packages/gateway/tests/gateway_fixture.h
+++ b/packages/gateway/tests/gateway_fixture.h
@@ -31,6 +31,7 @@
 	.leaving = { "x-leaving", 9 },
 	.stated_limit = { "x-limit", 7 },
 	.last_event_id = { "last-event-id", 13 },
+	.resumes = { "x-resumes", 9 },
 	.prompt_parts = { "x-parts", 7 },
 	.priority = { "x-priority", 10 },
 	.stage = { "x-stage", 7 },
