--- a/packages/gateway/tests/gateway_fixture.h
+++ b/packages/gateway/tests/gateway_fixture.h
@@ -285,13 +285,13 @@
 	.done = fixture_on_done,
 };
 
-static inline void fixture_call_with(struct fixture *f,
-				     struct fixture_caller *caller,
-				     const char *method, const char *target,
-				     const char *body, const ks_header_t *extra,
-				     size_t n_extra)
+static inline void fixture_call_as(struct fixture *f,
+				   struct fixture_caller *caller,
+				   const char *id, const char *method,
+				   const char *target, const char *body,
+				   const ks_header_t *extra, size_t n_extra)
 {
-	ks_header_t headers[8] = { { KS_STR("x-id"), KS_STR("r1") },
+	ks_header_t headers[8] = { { KS_STR("x-id"), ks_str_from(id) },
 				   { KS_STR("x-left"), KS_STR("1500") } };
 	bool is_stream = g_str_has_prefix(target, "/tell/");
 	ks_http_request_t request = {
@@ -318,6 +318,15 @@
 			   caller);
 }
 
+static inline void fixture_call_with(struct fixture *f,
+				     struct fixture_caller *caller,
+				     const char *method, const char *target,
+				     const char *body, const ks_header_t *extra,
+				     size_t n_extra)
+{
+	fixture_call_as(f, caller, "r1", method, target, body, extra, n_extra);
+}
+
 static inline void fixture_call(struct fixture *f,
 				struct fixture_caller *caller,
 				const char *method, const char *target)
