gateway: resume streams at the version of the software that began them

Cause: the gateway did not know the versions.

An upstream now has an origin, a hash of its service and of the whole text of its version. From the head of its response on, a stream goes on only at upstreams of that origin; if none is left, the response is broken off at once and nothing is sent. What has not begun may be served by any version, as before. A change of the version is a change of the process, also at the same id, address and start.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -329,6 +329,8 @@
  * this entry
  * @tag: hash of @id, which identifies the upstream in messages between entries
  * @software: version of its software, shortened and printable, for logs
+ * @origin: hash of its service and of the version of its software. A stream
+ *	goes on only at upstreams of the origin that began it.
  * @accepting: it accepts requests, and is not draining
  * @withdrawal: what it has said of itself in its responses
  * @listed: it is still announced; a removed upstream is freed with its last
@@ -357,6 +359,7 @@
 	char *id;
 	char *service;
 	char *software;
+	uint64_t origin;
 	char *domain;
 	ks_address_t address;
 	ks_stage_t stage;
@@ -405,8 +408,9 @@
 GPtrArray *ks_fleet_available(const ks_fleet_t *fleet, const char *service,
 			      int64_t notice_us, int64_t now_us);
 void ks_fleet_update_withdrawal(ks_fleet_t *fleet, ks_member_t *member);
+void ks_members_keep_origin(GPtrArray *members, uint64_t origin);
 int64_t ks_fleet_return_us(const ks_fleet_t *fleet, const char *service,
-			   int64_t now_us);
+			   uint64_t origin, int64_t now_us);
 uint64_t ks_fleet_digest(const ks_fleet_t *fleet);
 uint32_t ks_member_process_tag(const ks_member_t *member);
 ks_member_t *ks_member_ref(ks_member_t *member);
--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -197,6 +197,7 @@
 {
 	exchange->started = true;
 	exchange->began = ks_member_ref(exchange->member);
+	exchange->origin = exchange->member->origin;
 	ks_http1_start(exchange->caller, exchange->status,
 		       (const ks_header_t *)(void *)exchange->fields->data,
 		       exchange->fields->len, length);
@@ -261,7 +262,7 @@
 {
 	const struct gateway_metrics *counters = &exchange->gateway->counters;
 	const ks_member_t *began = exchange->began;
-	bool same = !strcmp(began->software, exchange->member->software);
+	bool same = began->origin == exchange->member->origin;
 
 	ks_counter_add(same ? counters->resumed_same : counters->resumed_other,
 		       1);
--- a/packages/gateway/src/exchange_dispatch.c
+++ b/packages/gateway/src/exchange_dispatch.c
@@ -124,9 +124,12 @@
 static GPtrArray *available_members(const struct exchange *exchange,
 				    int64_t notice_us)
 {
-	return ks_fleet_available(&exchange->gateway->fleet,
-				  exchange->service_name, notice_us,
-				  exchange_now(exchange));
+	GPtrArray *members = ks_fleet_available(
+		&exchange->gateway->fleet, exchange->service_name, notice_us,
+		exchange_now(exchange));
+
+	ks_members_keep_origin(members, exchange->origin);
+	return members;
 }
 
 static ks_placement_query_t placement_query(struct exchange *exchange)
@@ -296,8 +299,8 @@
 {
 	ks_gateway_t *gateway = exchange->gateway;
 	int64_t now = exchange_now(exchange);
-	int64_t return_us = ks_fleet_return_us(&gateway->fleet,
-					       exchange->service_name, now);
+	int64_t return_us = ks_fleet_return_us(
+		&gateway->fleet, exchange->service_name, exchange->origin, now);
 	double wait_s = (double)(return_us - now) / KS_USEC_PER_SEC;
 
 	if (!return_us) {
--- a/packages/gateway/src/fleet.c
+++ b/packages/gateway/src/fleet.c
@@ -152,13 +152,20 @@
 		ks_member_unref(g_queue_pop_head(&fleet->withdrawn));
 }
 
+static uint64_t origin_of(const ks_member_spec_t *spec)
+{
+	uint64_t service = XXH64(spec->service.data, spec->service.len, 0);
+
+	return XXH64(spec->software.data, spec->software.len, service);
+}
+
 static bool is_same_process(const ks_member_t *member,
 			    const ks_member_spec_t *spec)
 {
 	return member->process_start_ms == spec->process_start_ms &&
 	       member->address.port == spec->address.port &&
 	       !strcmp(member->address.ip, spec->address.ip) &&
-	       ks_str_equal(ks_str_from(member->service), spec->service);
+	       member->origin == origin_of(spec);
 }
 
 /**
@@ -227,6 +234,7 @@
 	}
 	replace_text(&member->service, spec->service);
 	set_software(member, spec->software);
+	member->origin = origin_of(spec);
 	replace_text(&member->domain, spec->domain);
 	member->address = spec->address;
 	member->stage = spec->stage;
@@ -330,17 +338,33 @@
 	return members;
 }
 
+/**
+ * ks_members_keep_origin() - leave the upstreams of one origin
+ * @origin: 0 leaves all
+ */
+void ks_members_keep_origin(GPtrArray *members, uint64_t origin)
+{
+	for (guint i = members->len; origin && i-- > 0;) {
+		const ks_member_t *member = members->pdata[i];
+
+		if (member->origin != origin)
+			g_ptr_array_remove_index_fast(members, i);
+	}
+}
+
 /**
  * ks_fleet_return_us() - when an upstream of a service wants requests again
+ * @origin: of the upstreams that count, 0 for all
  *
  * Return: the earliest time of those that want none now, 0 if there is none.
  */
 int64_t ks_fleet_return_us(const ks_fleet_t *fleet, const char *service,
-			   int64_t now_us)
+			   uint64_t origin, int64_t now_us)
 {
 	GPtrArray *members = ks_fleet_members(fleet, service);
 	int64_t first = 0;
 
+	ks_members_keep_origin(members, origin);
 	for (guint i = 0; i < members->len; i++) {
 		const ks_member_t *member = members->pdata[i];
 		int64_t at_us =
@@ -374,7 +398,7 @@
 {
 	uint64_t hash = add_text(0, member->id);
 
-	hash = add_text(hash, member->service);
+	hash = XXH64(&member->origin, sizeof(member->origin), hash);
 	hash = add_text(hash, member->domain);
 	hash = add_text(hash, member->address.ip);
 	hash = XXH64(&member->address.port, sizeof(member->address.port), hash);
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -178,6 +178,8 @@
  * @is_try: may be sent once although a part of its prompt is held
  * @started: the head of the response has been sent to the caller
  * @began: upstream whose response that was, with a reference
+ * @origin: the response comes only from upstreams of this origin, 0 for any;
+ *	see struct ks_member
  * @is_resumed: it had been before the latest request was sent to an upstream
  * @sent_us: when the latest request was sent to an upstream
  * @begun_us: when the first byte of the body of its response arrived, 0 before
@@ -243,6 +245,7 @@
 	bool is_stream_response;
 	bool started;
 	ks_member_t *began;
+	uint64_t origin;
 	bool is_resumed;
 	bool first_event_seen;
 	int64_t sent_us;
--- a/tests/fakes/fake-site.c
+++ b/tests/fakes/fake-site.c
@@ -173,7 +173,8 @@
 {
 	char *row = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\","
-		"\"zone\":\"domain-1\",\"state\":\"ready\",\"slots\":8%s%s%s}",
+		"\"zone\":\"domain-1\",\"version\":\"v1\","
+		"\"state\":\"ready\",\"slots\":8%s%s%s}",
 		replica->stage ? "llm" : "app", replica->server.port,
 		replica->stage ? ",\"stage\":\"" : "",
 		replica->stage ? replica->stage : "",
--- a/tests/soak/soak-replica.c
+++ b/tests/soak/soak-replica.c
@@ -476,9 +476,9 @@
 {
 	char address[KS_ADDRESS_TEXT_SIZE];
 	json_t *row = json_pack(
-		"{s:s,s:s,s:s,s:s,s:i,s:I}", "service", replica->service,
+		"{s:s,s:s,s:s,s:s,s:s,s:i,s:I}", "service", replica->service,
 		"address", ks_address_format(&replica->announced, address),
-		"zone", "domain-1", "state",
+		"zone", "domain-1", "version", "v1", "state",
 		replica->leaving ? "draining" : "ready", "slots",
 		(int)replica->slots, "born", (json_int_t)replica->started_ms);
 	char *text, *encoded, *body_text;
