gateway: callers resume streams at the version that began them

Cause, the same class as within one response: what a stream has to go on with ended with the exchange that began it.

The entry that begins a resumable stream records its origin, by a hash of the request's id, and tells two other entries, which a hash of stream and entry chooses. An entry that does not know a stream that a caller names asks four. If none of them knows it within 0.2 s, or no upstream of the origin is left, the request is refused as not run and nothing is sent. The service of a split route is chosen by the origin, too. A caller that names no stream but an event is served if all upstreams of the service have one version, else refused. Records are kept for one to two minutes, 65,536 for each, and renewed while events come.

The messages go to single entries through the sockets that there are: publishers filter by the first bytes. An entry of the version before ignores them. ks_socket_init_sub() subscribes to nothing any more; test-peers reset-while-paused, which has a socket of its own, subscribes itself.

--- a/packages/connection/src/socket.c
+++ b/packages/connection/src/socket.c
@@ -361,15 +361,14 @@
 }
 
 /**
- * ks_socket_init_sub() - open a SUB socket without publishers
+ * ks_socket_init_sub() - open a SUB socket without publishers or subscriptions
  */
 bool ks_socket_init_sub(ks_socket_t *sock, ks_loop_t *loop, void *context,
 			ks_socket_receive_func_t receive, void *ctx,
 			GError **error)
 {
 	init_socket(sock, loop, receive, ctx);
-	if (open_broadcast_socket(sock, loop, context, ZMQ_SUB, error) &&
-	    !zmq_setsockopt(sock->zmq, ZMQ_SUBSCRIBE, "", 0)) {
+	if (open_broadcast_socket(sock, loop, context, ZMQ_SUB, error)) {
 		ks_timer_set(&sock->drain_timer, 0);
 		return true;
 	}
@@ -377,6 +376,19 @@
 	return false;
 }
 
+/**
+ * ks_socket_subscribe() - receive the messages that begin with a prefix
+ *
+ * Publishers do not send what is subscribed to by none.
+ *
+ * Return: false if ZeroMQ rejects the prefix.
+ */
+bool ks_socket_subscribe(ks_socket_t *sock, ks_str_t prefix)
+{
+	return !zmq_setsockopt(sock->zmq, ZMQ_SUBSCRIBE, prefix.data,
+			       prefix.len);
+}
+
 static bool change_publisher(ks_socket_t *sock, const ks_address_t *address,
 			     int (*change)(void *, const char *))
 {
--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -588,6 +588,26 @@
 		       const ks_peer_view_t *others, size_t n, bool shared,
 		       const ks_view_limits_t *limits);
 
+/* stream_origins.c */
+
+/**
+ * struct ks_stream_origins - where streams began
+ * @recent, @older: origins by the stream, of two generations
+ * @began_us: when the recent one began
+ */
+typedef struct ks_stream_origins {
+	GHashTable *recent;
+	GHashTable *older;
+	int64_t began_us;
+} ks_stream_origins_t;
+
+void ks_stream_origins_init(ks_stream_origins_t *origins);
+void ks_stream_origins_deinit(ks_stream_origins_t *origins);
+void ks_stream_origins_record(ks_stream_origins_t *origins, uint64_t stream,
+			      uint64_t origin, int64_t now_us);
+uint64_t ks_stream_origins_find(ks_stream_origins_t *origins, uint64_t stream,
+				int64_t now_us);
+
 /* peers.c */
 
 /*
@@ -596,6 +616,16 @@
  */
 typedef void (*ks_outdated_func_t)(void *ctx, ks_table_t table);
 
+/*
+ * Called when another entry has said what it knows of a stream, which is in the
+ * records then. @sender is a hash of its name.
+ */
+typedef void (*ks_stream_heard_func_t)(void *ctx, uint64_t stream,
+				       uint64_t sender);
+
+/* Limit on the entries that are asked for a stream. */
+#define KS_STREAM_MAX_ASKED 4
+
 /* Returns how many requests per second this entry has for a service. */
 typedef double (*ks_demand_func_t)(void *ctx, const char *service);
 
@@ -625,6 +655,9 @@
  * @shares_us: when the shares of limits were last worked out
  * @next_limit: number of the limit that the next message begins with
  * @demand: NULL for no demand
+ * @origins: where streams began; shared with the other entries. NULL for none
+ * @stream_news: struct stream_news to be sent in this iteration of the loop
+ * @heard: called for each answer about a stream; set if @origins is
  * @outdated_by: digest that @outdated was last called for, by table
  * @outdated: NULL for none
  */
@@ -658,6 +691,11 @@
 	size_t next_limit;
 	ks_demand_func_t demand;
 	void *demand_ctx;
+	ks_stream_origins_t *origins;
+	GArray *stream_news;
+	ks_timer_t news_timer;
+	ks_stream_heard_func_t heard;
+	void *heard_ctx;
 	uint64_t outdated_by[KS_N_TABLES];
 	ks_outdated_func_t outdated;
 	void *ctx;
@@ -675,6 +713,9 @@
 			   const ks_prompt_t *prompt);
 void ks_peers_queue_loss(ks_peers_t *peers, const ks_loss_t *loss);
 void ks_peers_announce_limit(ks_peers_t *peers, ks_member_t *member);
+void ks_peers_tell_stream(ks_peers_t *peers, uint64_t stream, uint64_t origin);
+unsigned ks_peers_ask_stream(ks_peers_t *peers, uint64_t stream,
+			     uint64_t *asked);
 void ks_peers_receive(ks_peers_t *peers, ks_str_t message);
 void ks_peers_pack(ks_peers_t *peers, GByteArray *message);
 size_t ks_peers_n_active(const ks_peers_t *peers);
--- a/packages/gateway/src/exchange.c
+++ b/packages/gateway/src/exchange.c
@@ -14,9 +14,6 @@
  */
 #define HARD_DEADLINE_MARGIN_US (60 * KS_USEC_PER_MSEC)
 
-/* Longest id of a caller that is logged, in bytes. */
-#define MAX_LOGGED_ID 64
-
 static void on_hard_deadline(void *ctx)
 {
 	struct exchange *exchange = ctx;
@@ -81,6 +78,7 @@
 	ks_events_init(&exchange->events);
 	ks_timer_init(&exchange->timer, gateway->loop, on_hard_deadline,
 		      exchange);
+	exchange_init_stream(exchange);
 	ks_list_append(&gateway->exchanges, &exchange->node);
 	exchange_copy_request(exchange, request);
 	request->ctx = exchange;
@@ -163,24 +161,30 @@
 		exchange_respond(exchange, 404, 0, "no route");
 }
 
-/* Records that the caller resumes a stream that has broken off. */
-static void note_taken_up(const struct exchange *exchange,
-			  const ks_http1_request_t *request)
+/**
+ * exchange_begin() - send the request to an upstream of a service of its route
+ * @service: a service that the configuration has
+ */
+void exchange_begin(struct exchange *exchange, const char *service)
 {
-	const ks_gateway_t *gateway = exchange->gateway;
-	ks_str_t first = ks_header_value(request->headers, request->n_headers,
-					 gateway->dialect->resumes.data);
-	ks_str_t after =
-		ks_header_value(request->headers, request->n_headers,
-				gateway->dialect->last_event_id.data);
-
-	if (!first.len && !after.len)
-		return;
-	ks_counter_add(gateway->counters.taken_up, 1);
-	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
-	       "a caller resumes a stream request=%s resumes=%.*s after=%.*s",
-	       exchange->id, (int)MIN(first.len, MAX_LOGGED_ID), first.data,
-	       (int)MIN(after.len, MAX_LOGGED_ID), after.data);
+	ks_gateway_t *gateway = exchange->gateway;
+	ks_str_t parts = ks_header_value(
+		(const ks_header_t *)(void *)exchange->request_fields->data,
+		exchange->request_fields->len,
+		gateway->dialect->prompt_parts.data);
+
+	exchange->service_name = service;
+	exchange->service = ks_traffic_service(exchange->traffic, service);
+	exchange->has_prompt = exchange->service->is_engine &&
+			       ks_prompt_parse(&exchange->prompt, parts);
+	ks_prompt_set_service(&exchange->prompt, service);
+	exchange->content = hash_content(
+		exchange, exchange->has_prompt ? parts : (ks_str_t){ "", 0 });
+	exchange->may_split =
+		exchange->has_prompt && exchange->service->transfers_kv;
+	ks_budget_request(gateway_budget(gateway, service),
+			  exchange_now(exchange));
+	exchange_dispatch(exchange);
 }
 
 /**
@@ -189,7 +193,7 @@
 void exchange_start(ks_gateway_t *gateway, ks_http1_request_t *request)
 {
 	struct exchange *exchange = new_exchange(gateway, request);
-	ks_str_t parts;
+	const char *service;
 
 	ks_counter_add(gateway->counters.requests, 1);
 	if (gateway->traffic) {
@@ -207,33 +211,21 @@
 		exchange_respond(exchange, 400, 0, "no request id");
 		return;
 	}
-	exchange->service_name = ks_route_pick(
-		exchange->route, ks_rng_below(&gateway->rng, G_MAXINT32));
-	exchange->service = exchange->service_name
-				    ? ks_traffic_service(exchange->traffic,
-							 exchange->service_name)
-				    : NULL;
-	if (!exchange->service) {
+	service = ks_route_pick(exchange->route,
+				ks_rng_below(&gateway->rng, G_MAXINT32));
+	if (!service || !ks_traffic_service(exchange->traffic, service)) {
 		exchange_respond(exchange, 503, RETRY_AFTER_NOT_READY_S,
 				 "the route has no known service");
 		return;
 	}
 	set_deadline(exchange, request);
-	parts = ks_header_value(request->headers, request->n_headers,
-				gateway->dialect->prompt_parts.data);
-	exchange->has_prompt = exchange->service->is_engine &&
-			       ks_prompt_parse(&exchange->prompt, parts);
-	ks_prompt_set_service(&exchange->prompt, exchange->service_name);
-	exchange->content = hash_content(
-		exchange, exchange->has_prompt ? parts : (ks_str_t){ "", 0 });
-	exchange->may_split =
-		exchange->has_prompt && exchange->service->transfers_kv;
 	exchange->has_events = exchange->route->kind == KS_CALL_STREAM &&
 			       exchange->route->resumable;
-	ks_budget_request(gateway_budget(gateway, exchange->service_name),
-			  exchange_now(exchange));
-	note_taken_up(exchange, request);
-	exchange_dispatch(exchange);
+	exchange_note_stream(exchange);
+	if (exchange->is_taken_up)
+		exchange_take_up(exchange, service);
+	else
+		exchange_begin(exchange, service);
 }
 
 /**
--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -198,6 +198,8 @@
 	exchange->started = true;
 	exchange->began = ks_member_ref(exchange->member);
 	exchange->origin = exchange->member->origin;
+	if (exchange->is_event_response)
+		exchange_record_stream(exchange);
 	ks_http1_start(exchange->caller, exchange->status,
 		       (const ks_header_t *)(void *)exchange->fields->data,
 		       exchange->fields->len, length);
@@ -352,6 +354,8 @@
 	}
 	if (exchange->is_stream_response && exchange->started) {
 		record_first_event(exchange);
+		if (exchange->is_event_response)
+			exchange_record_stream(exchange);
 		if (exchange->has_events)
 			forward_events(exchange, data);
 		else
--- a/packages/gateway/src/exchange_end.c
+++ b/packages/gateway/src/exchange_end.c
@@ -7,9 +7,8 @@
 #include <stdio.h>
 
 static const char *const step_names[] = {
-	[EXCHANGE_IDLE] = "place",
-	[EXCHANGE_PREFILL] = "prefill",
-	[EXCHANGE_RUN] = "run",
+	[EXCHANGE_IDLE] = "place",	  [EXCHANGE_ASK] = "ask",
+	[EXCHANGE_PREFILL] = "prefill",	  [EXCHANGE_RUN] = "run",
 	[EXCHANGE_DETACHED] = "detached",
 };
 
@@ -154,6 +153,7 @@
 	ks_http_call_cancel(&exchange->call);
 	exchange_free_handle(exchange);
 	ks_timer_clear(&exchange->timer);
+	ks_timer_clear(&exchange->ask_timer);
 	ks_list_remove(&exchange->node);
 	exchange_release_member(exchange);
 	exchange_release_prefill(exchange);
--- /dev/null
+++ b/packages/gateway/src/exchange_resume.c
@@ -0,0 +1,221 @@
+/*
+ * Serves callers that resume a stream. What upstreams of two versions of their
+ * software write does not fit together, so a stream goes on only where
+ * upstreams have the origin that began it. An entry that does not know the
+ * origin asks others, and refuses the request if none of them knows it either.
+ */
+#include "gateway_internal.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* An entry that shares its processor may take this long to answer. */
+#define ASK_TIMEOUT_US (200 * KS_USEC_PER_MSEC)
+
+/* A stream that goes on is told of again, before its record is forgotten. */
+#define TELL_AGAIN_US (30 * KS_USEC_PER_SEC)
+
+/* Longest id of a caller that is logged, in bytes. */
+#define MAX_LOGGED_ID 64
+
+static ks_str_t request_field(const struct exchange *exchange, ks_str_t name)
+{
+	return ks_header_value(
+		(const ks_header_t *)(void *)exchange->request_fields->data,
+		exchange->request_fields->len, name.data);
+}
+
+static void on_ask_timer(void *ctx);
+
+void exchange_init_stream(struct exchange *exchange)
+{
+	ks_timer_init(&exchange->ask_timer, exchange->gateway->loop,
+		      on_ask_timer, exchange);
+}
+
+/**
+ * exchange_note_stream() - note which stream the request begins or resumes
+ */
+void exchange_note_stream(struct exchange *exchange)
+{
+	const ks_dialect_t *dialect = exchange->gateway->dialect;
+	ks_str_t first = request_field(exchange, dialect->resumes);
+	ks_str_t after = request_field(exchange, dialect->last_event_id);
+	ks_str_t id = first.len ? first : ks_str_from(exchange->id);
+
+	exchange->stream = XXH64(id.data, id.len, 0);
+	exchange->names_stream = first.len > 0;
+	exchange->is_taken_up = exchange->route->kind == KS_CALL_STREAM &&
+				(first.len || after.len);
+	if (!exchange->is_taken_up)
+		return;
+	ks_counter_add(exchange->gateway->counters.taken_up, 1);
+	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
+	       "a caller resumes a stream request=%s resumes=%.*s after=%.*s",
+	       exchange->id, (int)MIN(first.len, MAX_LOGGED_ID), first.data,
+	       (int)MIN(after.len, MAX_LOGGED_ID), after.data);
+}
+
+/**
+ * exchange_record_stream() - record where the stream began
+ *
+ * Called at the beginning of the response, and with each of its events.
+ */
+void exchange_record_stream(struct exchange *exchange)
+{
+	ks_gateway_t *gateway = exchange->gateway;
+	int64_t now = exchange_now(exchange);
+
+	if (!exchange->has_events ||
+	    (exchange->told_us && now - exchange->told_us < TELL_AGAIN_US))
+		return;
+	exchange->told_us = now;
+	ks_stream_origins_record(&gateway->origins, exchange->stream,
+				 exchange->origin, now);
+	ks_peers_tell_stream(&gateway->peers, exchange->stream,
+			     exchange->origin);
+}
+
+/*
+ * Returns the origin of the upstreams of a service if all have the same one and
+ * @origin is 0, and else whether one of them has @origin; 0 if not.
+ */
+static uint64_t match_origin(const struct exchange *exchange,
+			     const char *service, uint64_t origin)
+{
+	GPtrArray *members =
+		ks_fleet_members(&exchange->gateway->fleet, service);
+	uint64_t found = 0;
+
+	for (guint i = 0; i < members->len; i++) {
+		const ks_member_t *member = members->pdata[i];
+
+		if (origin && member->origin != origin)
+			continue;
+		if (found && member->origin != found) {
+			found = 0;
+			break;
+		}
+		found = member->origin;
+	}
+	g_ptr_array_free(members, TRUE);
+	return found;
+}
+
+/* Finds the service of the route that has upstreams of the stream's origin. */
+static const char *find_service(const struct exchange *exchange)
+{
+	const GArray *splits = exchange->route->splits;
+
+	for (guint i = 0; i < splits->len; i++) {
+		const ks_split_t *split = &g_array_index(splits, ks_split_t, i);
+
+		if (split->weight &&
+		    ks_traffic_service(exchange->traffic, split->service) &&
+		    match_origin(exchange, split->service, exchange->origin))
+			return split->service;
+	}
+	return NULL;
+}
+
+static void refuse(struct exchange *exchange, const char *why)
+{
+	ks_counter_add(exchange->gateway->counters.not_taken_up, 1);
+	exchange_respond(exchange, 503, RETRY_AFTER_NOT_READY_S, why);
+}
+
+static void go_on(struct exchange *exchange)
+{
+	const char *service = find_service(exchange);
+
+	exchange->step = EXCHANGE_IDLE;
+	ks_timer_clear(&exchange->ask_timer);
+	if (!service) {
+		refuse(exchange, "no upstream of the version that began the "
+				 "stream");
+		return;
+	}
+	exchange_begin(exchange, service);
+}
+
+static void refuse_unknown(struct exchange *exchange)
+{
+	refuse(exchange, "not known which version began the stream");
+}
+
+static void on_ask_timer(void *ctx)
+{
+	refuse_unknown(ctx);
+}
+
+static void ask(struct exchange *exchange)
+{
+	ks_gateway_t *gateway = exchange->gateway;
+
+	exchange->n_asked = ks_peers_ask_stream(
+		&gateway->peers, exchange->stream, exchange->asked);
+	if (!exchange->n_asked) {
+		refuse_unknown(exchange);
+		return;
+	}
+	exchange->step = EXCHANGE_ASK;
+	ks_timer_set(&exchange->ask_timer, ASK_TIMEOUT_US);
+}
+
+/**
+ * exchange_take_up() - serve a request that resumes a stream
+ * @service: of the route, as chosen for a new stream
+ *
+ * A caller that does not name the stream is served only if all upstreams of the
+ * service have the same version.
+ */
+void exchange_take_up(struct exchange *exchange, const char *service)
+{
+	if (exchange->names_stream)
+		exchange->origin = ks_stream_origins_find(
+			&exchange->gateway->origins, exchange->stream,
+			exchange_now(exchange));
+	else
+		exchange->origin = match_origin(exchange, service, 0);
+	if (exchange->origin)
+		go_on(exchange);
+	else if (exchange->names_stream)
+		ask(exchange);
+	else
+		refuse_unknown(exchange);
+}
+
+/* Handles an answer of another entry. The exchange may have ended then. */
+static void hear(struct exchange *exchange, uint64_t sender)
+{
+	unsigned n = 0;
+
+	exchange->origin = ks_stream_origins_find(&exchange->gateway->origins,
+						  exchange->stream,
+						  exchange_now(exchange));
+	if (exchange->origin) {
+		go_on(exchange);
+		return;
+	}
+	for (unsigned i = 0; i < exchange->n_asked; i++)
+		if (exchange->asked[i] != sender)
+			exchange->asked[n++] = exchange->asked[i];
+	exchange->n_asked = n;
+	if (!n)
+		refuse_unknown(exchange);
+}
+
+/* Called when another entry has said what it knows of a stream. */
+void gateway_hear_stream(void *ctx, uint64_t stream, uint64_t sender)
+{
+	ks_gateway_t *gateway = ctx;
+
+	KS_LIST_FOREACH_SAFE (it, tmp, &gateway->exchanges) {
+		struct exchange *exchange =
+			KS_CONTAINER_OF(it, struct exchange, node);
+
+		if (exchange->step == EXCHANGE_ASK &&
+		    exchange->stream == stream)
+			hear(exchange, sender);
+	}
+}
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -156,6 +156,11 @@
 	c->taken_up = ks_metrics_counter(
 		m, "ks_gateway_taken_up_total",
 		"Requests of callers that resume a stream", NULL);
+	c->not_taken_up = ks_metrics_counter(
+		m, "ks_gateway_not_taken_up_total",
+		"Requests that resume a stream, refused as it is not known "
+		"which version of the software began it, or none is left",
+		NULL);
 	c->resumed_same = ks_metrics_counter(
 		m, "ks_gateway_resumed_streams_total",
 		"Streams that went on after they had broken off, by the "
@@ -271,6 +276,7 @@
 	gateway->metrics = ks_metrics_new();
 	make_counters(gateway);
 	gateway_quarantine_init(gateway);
+	ks_stream_origins_init(&gateway->origins);
 	ks_list_init(&gateway->exchanges);
 	ks_list_init(&gateway->server.conns);
 	ks_list_init(&gateway->ready.conns);
@@ -293,6 +299,9 @@
 		gateway->peers.quarantine = &gateway->quarantine;
 		gateway->peers.demand = service_demand;
 		gateway->peers.demand_ctx = gateway;
+		gateway->peers.origins = &gateway->origins;
+		gateway->peers.heard = gateway_hear_stream;
+		gateway->peers.heard_ctx = gateway;
 		log_start(gateway);
 		return gateway;
 	}
@@ -318,6 +327,7 @@
 	ks_rng_deinit(&gateway->rng);
 	g_hash_table_destroy(gateway->budgets);
 	ks_quarantine_deinit(&gateway->quarantine);
+	ks_stream_origins_deinit(&gateway->origins);
 	ks_metrics_free(gateway->metrics);
 	g_free(gateway->domain);
 	g_free(gateway->name);
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -19,6 +19,8 @@
  * @unnamed: responses without the id of a request
  * @truncated: streams of upstreams that ended inside an event
  * @taken_up: requests of callers that resume a stream
+ * @not_taken_up: of these, the ones that were refused as it is not known which
+ *	version of the software began the stream, or none of it is left
  * @resumed_same, @resumed_other: streams that went on at the version of the
  *	software that began the response, and at another one
  * @held: parts of prompts that were held, by this entry's own decision or not
@@ -54,6 +56,7 @@
 	ks_counter_t *unnamed;
 	ks_counter_t *truncated;
 	ks_counter_t *taken_up;
+	ks_counter_t *not_taken_up;
 	ks_counter_t *resumed_same;
 	ks_counter_t *resumed_other;
 	ks_counter_t *held;
@@ -84,6 +87,7 @@
  * @confirmed_us: when the store last confirmed that @traffic is current
  * @budgets: ks_budget_t for retries by service name
  * @quarantine: parts of prompts whose requests are refused
+ * @origins: where the streams of this entry and some of the others' began
  * @hold_keeper: NULL for none
  * @n_losses: losses recorded by this entry
  * @n_exchanges: exchanges begun
@@ -106,6 +110,7 @@
 	ks_peers_t peers;
 	GHashTable *budgets;
 	ks_quarantine_t quarantine;
+	ks_stream_origins_t origins;
 	const ks_hold_keeper_t *hold_keeper;
 	void *hold_keeper_ctx;
 	uint64_t n_losses;
@@ -129,6 +134,8 @@
 /**
  * enum exchange_step - what an exchange waits for
  * @EXCHANGE_IDLE: nothing; no upstream has been chosen yet
+ * @EXCHANGE_ASK: the answers of other entries, at which upstreams the stream
+ *	began that the caller resumes
  * @EXCHANGE_PREFILL: the response of the prefill engine, with a KV cache handle
  * @EXCHANGE_RUN: the response to the request
  * @EXCHANGE_DETACHED: the response to a request that must not be cancelled,
@@ -136,6 +143,7 @@
  */
 enum exchange_step {
 	EXCHANGE_IDLE,
+	EXCHANGE_ASK,
 	EXCHANGE_PREFILL,
 	EXCHANGE_RUN,
 	EXCHANGE_DETACHED,
@@ -147,6 +155,13 @@
  * @request_fields: forwarded header fields, with their text in @field_texts
  * @content: hash of what a repeat of the request has in common with it: method,
  *	host, target, body and prompt; for the service
+ * @stream: hash of the id of the request whose response began the stream: of
+ *	this one, or of the one that the caller names
+ * @names_stream: the caller names it
+ * @is_taken_up: the caller resumes a stream
+ * @told_us: when other entries were told of the stream, 0 before
+ * @asked, @n_asked: entries that were asked for it and have not answered
+ * @ask_timer: ends the wait for them
  * @number: of the exchange, among those of this process
  * @deadline_us: when the caller stops waiting or the route's timeout expires
  * @hard_deadline_us: when the exchange is ended in any case
@@ -211,6 +226,13 @@
 	ks_prompt_t prompt;
 	bool has_prompt;
 	uint64_t content;
+	uint64_t stream;
+	bool names_stream;
+	bool is_taken_up;
+	int64_t told_us;
+	uint64_t asked[KS_STREAM_MAX_ASKED];
+	unsigned n_asked;
+	ks_timer_t ask_timer;
 	uint64_t number;
 	int64_t arrived_us;
 	int64_t deadline_us;
@@ -268,6 +290,15 @@
 
 void exchange_start(ks_gateway_t *gateway, ks_http1_request_t *request);
 void exchange_abort(struct exchange *exchange);
+void exchange_begin(struct exchange *exchange, const char *service);
+
+/* exchange_resume.c */
+
+void exchange_init_stream(struct exchange *exchange);
+void exchange_note_stream(struct exchange *exchange);
+void exchange_record_stream(struct exchange *exchange);
+void exchange_take_up(struct exchange *exchange, const char *service);
+void gateway_hear_stream(void *ctx, uint64_t stream, uint64_t sender);
 
 /* exchange_end.c */
 
--- a/packages/gateway/src/peer.pb-c.c
+++ b/packages/gateway/src/peer.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &ks__peer_loss__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ks__peer_streams__init
+                     (Ks__PeerStreams         *message)
+{
+  static const Ks__PeerStreams init_value = KS__PEER_STREAMS__INIT;
+  *message = init_value;
+}
+size_t ks__peer_streams__get_packed_size
+                     (const Ks__PeerStreams *message)
+{
+  assert(message->base.descriptor == &ks__peer_streams__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ks__peer_streams__pack
+                     (const Ks__PeerStreams *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ks__peer_streams__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ks__peer_streams__pack_to_buffer
+                     (const Ks__PeerStreams *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ks__peer_streams__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ks__PeerStreams *
+       ks__peer_streams__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ks__PeerStreams *)
+     protobuf_c_message_unpack (&ks__peer_streams__descriptor,
+                                allocator, len, data);
+}
+void   ks__peer_streams__free_unpacked
+                     (Ks__PeerStreams *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ks__peer_streams__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor ks__peer_state__field_descriptors[20] =
 {
   {
@@ -659,3 +704,106 @@
   (ProtobufCMessageInit) ks__peer_loss__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ks__peer_streams__field_descriptors[6] =
+{
+  {
+    "receiver",
+    100,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ks__PeerStreams, receiver),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sender",
+    101,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ks__PeerStreams, sender),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream",
+    102,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ks__PeerStreams, n_stream),
+    offsetof(Ks__PeerStreams, stream),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "origin",
+    103,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ks__PeerStreams, n_origin),
+    offsetof(Ks__PeerStreams, origin),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked",
+    104,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ks__PeerStreams, n_asked),
+    offsetof(Ks__PeerStreams, asked),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unknown",
+    105,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ks__PeerStreams, n_unknown),
+    offsetof(Ks__PeerStreams, unknown),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ks__peer_streams__field_indices_by_name[] = {
+  4,   /* field[4] = asked */
+  3,   /* field[3] = origin */
+  0,   /* field[0] = receiver */
+  1,   /* field[1] = sender */
+  2,   /* field[2] = stream */
+  5,   /* field[5] = unknown */
+};
+static const ProtobufCIntRange ks__peer_streams__number_ranges[1 + 1] =
+{
+  { 100, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor ks__peer_streams__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ks.PeerStreams",
+  "PeerStreams",
+  "Ks__PeerStreams",
+  "ks",
+  sizeof(Ks__PeerStreams),
+  6,
+  ks__peer_streams__field_descriptors,
+  ks__peer_streams__field_indices_by_name,
+  1,  ks__peer_streams__number_ranges,
+  (ProtobufCMessageInit) ks__peer_streams__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/packages/gateway/src/peer.pb-c.h
+++ b/packages/gateway/src/peer.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct Ks__PeerState Ks__PeerState;
 typedef struct Ks__PeerLimit Ks__PeerLimit;
 typedef struct Ks__PeerLoss Ks__PeerLoss;
+typedef struct Ks__PeerStreams Ks__PeerStreams;
 
 
 /* --- enums --- */
@@ -189,6 +190,43 @@
     , 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
+/*
+ * Sent to a single entry, as sockets filter by the first bytes of a message:
+ * at which upstreams streams began, and questions about it. The numbers of the
+ * fields are those of no field of PeerState, so that an entry of an earlier
+ * version, which filters nothing, ignores the message.
+ */
+struct  Ks__PeerStreams
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of the name of the entry that the message is for, and of the sender.
+   */
+  uint64_t receiver;
+  uint64_t sender;
+  /*
+   * Hashes of the ids of the requests whose responses began the streams, and
+   * the origin of each: a hash of the upstream's service and of the version of
+   * its software.
+   */
+  size_t n_stream;
+  uint64_t *stream;
+  size_t n_origin;
+  uint64_t *origin;
+  /*
+   * Streams that the sender asks for, and streams that it was asked for and
+   * does not know.
+   */
+  size_t n_asked;
+  uint64_t *asked;
+  size_t n_unknown;
+  uint64_t *unknown;
+};
+#define KS__PEER_STREAMS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ks__peer_streams__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
 /* Ks__PeerState methods */
 void   ks__peer_state__init
                      (Ks__PeerState         *message);
@@ -246,6 +284,25 @@
 void   ks__peer_loss__free_unpacked
                      (Ks__PeerLoss *message,
                       ProtobufCAllocator *allocator);
+/* Ks__PeerStreams methods */
+void   ks__peer_streams__init
+                     (Ks__PeerStreams         *message);
+size_t ks__peer_streams__get_packed_size
+                     (const Ks__PeerStreams   *message);
+size_t ks__peer_streams__pack
+                     (const Ks__PeerStreams   *message,
+                      uint8_t             *out);
+size_t ks__peer_streams__pack_to_buffer
+                     (const Ks__PeerStreams   *message,
+                      ProtobufCBuffer     *buffer);
+Ks__PeerStreams *
+       ks__peer_streams__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ks__peer_streams__free_unpacked
+                     (Ks__PeerStreams *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Ks__PeerState_Closure)
@@ -257,6 +314,9 @@
 typedef void (*Ks__PeerLoss_Closure)
                  (const Ks__PeerLoss *message,
                   void *closure_data);
+typedef void (*Ks__PeerStreams_Closure)
+                 (const Ks__PeerStreams *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -266,6 +326,7 @@
 extern const ProtobufCMessageDescriptor ks__peer_state__descriptor;
 extern const ProtobufCMessageDescriptor ks__peer_limit__descriptor;
 extern const ProtobufCMessageDescriptor ks__peer_loss__descriptor;
+extern const ProtobufCMessageDescriptor ks__peer_streams__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- /dev/null
+++ b/packages/gateway/src/peer_streams.c
@@ -0,0 +1,260 @@
+/*
+ * Exchanges between entries at which upstreams streams began. A caller that
+ * resumes a stream mostly comes to another entry than before, which may have
+ * ended meanwhile.
+ *
+ * Each stream has a few keepers among the entries, which are chosen by a hash
+ * of both, so that the number of messages does not grow with that of entries.
+ * The entry that begins a stream tells its keepers; one that does not know a
+ * stream asks them.
+ */
+#include "peers_internal.h"
+
+#include <xxhash.h>
+
+/* Entries that are told of a stream. */
+#define N_KEEPERS 2
+
+/*
+ * Entries that are asked. Besides the keepers as they are seen here, these are
+ * one that may have been passed over as it began the stream itself, and one
+ * that has ended and is not known to have.
+ */
+#define N_ASKED (N_KEEPERS + 2)
+G_STATIC_ASSERT(N_ASKED <= KS_STREAM_MAX_ASKED);
+
+/* Limit on what one message says; the rest follows in the next one. */
+#define MAX_PER_MESSAGE 256
+
+/*
+ * The first bytes of a message: of a PeerState, the tag of its name, and of a
+ * PeerStreams, that of its receiver, whose 8 bytes follow.
+ */
+#define STATE_PREFIX "\x0a"
+#define STREAMS_PREFIX "\xa1\x06"
+
+enum news_kind {
+	NEWS_BEGUN,
+	NEWS_ASKED,
+	NEWS_UNKNOWN,
+};
+
+/**
+ * struct stream_news - what another entry is to be told
+ * @receiver: hash of its name
+ * @origin: of a stream that has begun
+ */
+struct stream_news {
+	uint64_t receiver;
+	enum news_kind kind;
+	uint64_t stream;
+	uint64_t origin;
+};
+
+static gint compare_receivers(gconstpointer a, gconstpointer b)
+{
+	const struct stream_news *x = a, *y = b;
+
+	return (x->receiver > y->receiver) - (x->receiver < y->receiver);
+}
+
+/* Sends the first @n news, which are for the same entry. */
+static void send_news(ks_peers_t *peers, const struct stream_news *news,
+		      guint n)
+{
+	uint64_t streams[MAX_PER_MESSAGE], origins[MAX_PER_MESSAGE];
+	uint64_t asked[MAX_PER_MESSAGE], unknown[MAX_PER_MESSAGE];
+	Ks__PeerStreams message = KS__PEER_STREAMS__INIT;
+	GByteArray *packed = g_byte_array_new();
+
+	message.receiver = news->receiver;
+	message.sender = peers->rank;
+	message.stream = streams;
+	message.origin = origins;
+	message.asked = asked;
+	message.unknown = unknown;
+	for (guint i = 0; i < n; i++) {
+		if (news[i].kind == NEWS_ASKED) {
+			asked[message.n_asked++] = news[i].stream;
+		} else if (news[i].kind == NEWS_UNKNOWN) {
+			unknown[message.n_unknown++] = news[i].stream;
+		} else {
+			origins[message.n_origin++] = news[i].origin;
+			streams[message.n_stream++] = news[i].stream;
+		}
+	}
+	g_byte_array_set_size(
+		packed, (guint)ks__peer_streams__get_packed_size(&message));
+	ks__peer_streams__pack(&message, packed->data);
+	ks_socket_send(&peers->pub, (ks_str_t){ NULL, 0 },
+		       (ks_str_t){ (const char *)packed->data, packed->len });
+	g_byte_array_free(packed, TRUE);
+}
+
+/* Sends what has been queued in this iteration of the loop. */
+static void on_news_timer(void *ctx)
+{
+	ks_peers_t *peers = ctx;
+	const struct stream_news *news;
+	guint first = 0;
+
+	g_array_sort(peers->stream_news, compare_receivers);
+	news = (const struct stream_news *)(void *)peers->stream_news->data;
+	for (guint i = 1; i <= peers->stream_news->len; i++) {
+		if (i < peers->stream_news->len &&
+		    i - first < MAX_PER_MESSAGE &&
+		    news[i].receiver == news[first].receiver)
+			continue;
+		send_news(peers, news + first, i - first);
+		first = i;
+	}
+	g_array_set_size(peers->stream_news, 0);
+}
+
+static void queue_news(ks_peers_t *peers, uint64_t receiver,
+		       enum news_kind kind, uint64_t stream, uint64_t origin)
+{
+	struct stream_news news = { receiver, kind, stream, origin };
+
+	g_array_append_val(peers->stream_news, news);
+	if (!ks_timer_is_set(&peers->news_timer))
+		ks_timer_set(&peers->news_timer, 0);
+}
+
+void peers_init_streams(ks_peers_t *peers)
+{
+	peers->stream_news =
+		g_array_new(FALSE, FALSE, sizeof(struct stream_news));
+	ks_timer_init(&peers->news_timer, peers->loop, on_news_timer, peers);
+}
+
+void peers_deinit_streams(ks_peers_t *peers)
+{
+	ks_timer_clear(&peers->news_timer);
+	g_array_free(peers->stream_news, TRUE);
+}
+
+/* Subscribes to the messages for all entries and to those for this one. */
+bool peers_subscribe(ks_peers_t *peers)
+{
+	char prefix[sizeof(STREAMS_PREFIX) - 1 + sizeof(uint64_t)] =
+		STREAMS_PREFIX;
+
+	for (size_t i = 0; i < sizeof(uint64_t); i++)
+		prefix[sizeof(STREAMS_PREFIX) - 1 + i] =
+			(char)(peers->rank >> (8 * i));
+	return ks_socket_subscribe(&peers->sub, KS_STR(STATE_PREFIX)) &&
+	       ks_socket_subscribe(&peers->sub,
+				   (ks_str_t){ prefix, sizeof(prefix) });
+}
+
+/* Chooses up to @n of the entries heard of for a stream; returns how many. */
+static unsigned choose_entries(const ks_peers_t *peers, uint64_t stream,
+			       uint64_t *ranks, unsigned n)
+{
+	uint64_t weights[N_ASKED];
+	unsigned used = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, peers->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+		uint64_t weight = XXH64(&stream, sizeof(stream), peer->rank);
+		unsigned at = used;
+
+		while (at && weights[at - 1] < weight)
+			at--;
+		if (at == n)
+			continue;
+		used = MIN(used + 1, n);
+		for (unsigned i = used - 1; i > at; i--) {
+			weights[i] = weights[i - 1];
+			ranks[i] = ranks[i - 1];
+		}
+		weights[at] = weight;
+		ranks[at] = peer->rank;
+	}
+	return used;
+}
+
+/**
+ * ks_peers_tell_stream() - tell the keepers of a stream where it began
+ */
+void ks_peers_tell_stream(ks_peers_t *peers, uint64_t stream, uint64_t origin)
+{
+	uint64_t ranks[N_KEEPERS];
+	unsigned n;
+
+	if (!peers->context)
+		return;
+	n = choose_entries(peers, stream, ranks, N_KEEPERS);
+	for (unsigned i = 0; i < n; i++)
+		queue_news(peers, ranks[i], NEWS_BEGUN, stream, origin);
+}
+
+/**
+ * ks_peers_ask_stream() - ask other entries where a stream began
+ * @asked: set to the hashes of their names, KS_STREAM_MAX_ASKED at most
+ *
+ * What they know is recorded in @origins, and @heard is called for each answer.
+ *
+ * Return: the number of entries that are asked.
+ */
+unsigned ks_peers_ask_stream(ks_peers_t *peers, uint64_t stream,
+			     uint64_t *asked)
+{
+	unsigned n;
+
+	if (!peers->context)
+		return 0;
+	n = choose_entries(peers, stream, asked, N_ASKED);
+	for (unsigned i = 0; i < n; i++)
+		queue_news(peers, asked[i], NEWS_ASKED, stream, 0);
+	return n;
+}
+
+static void answer(ks_peers_t *peers, uint64_t receiver, uint64_t stream)
+{
+	uint64_t origin = ks_stream_origins_find(peers->origins, stream,
+						 ks_loop_now(peers->loop));
+
+	queue_news(peers, receiver, origin ? NEWS_BEGUN : NEWS_UNKNOWN, stream,
+		   origin);
+}
+
+/* Whether a message is one to a single entry. */
+bool peers_is_about_streams(ks_str_t message)
+{
+	return ks_str_has_prefix(message, KS_STR(STREAMS_PREFIX));
+}
+
+/* Processes a message to this entry. */
+void peers_receive_streams(ks_peers_t *peers, ks_str_t message)
+{
+	Ks__PeerStreams *received = ks__peer_streams__unpack(
+		NULL, message.len, (const uint8_t *)message.data);
+
+	if (!received || received->n_stream != received->n_origin) {
+		ks_log(KS_LOG_LINK, KS_LOG_WARN,
+		       "malformed message about streams bytes=%zu",
+		       message.len);
+		ks__peer_streams__free_unpacked(received, NULL);
+		return;
+	}
+	if (received->receiver == peers->rank && peers->origins) {
+		for (size_t i = 0; i < received->n_stream; i++) {
+			ks_stream_origins_record(
+				peers->origins, received->stream[i],
+				received->origin[i], ks_loop_now(peers->loop));
+			peers->heard(peers->heard_ctx, received->stream[i],
+				     received->sender);
+		}
+		for (size_t i = 0; i < received->n_asked; i++)
+			answer(peers, received->sender, received->asked[i]);
+		for (size_t i = 0; i < received->n_unknown; i++)
+			peers->heard(peers->heard_ctx, received->unknown[i],
+				     received->sender);
+	}
+	ks__peer_streams__free_unpacked(received, NULL);
+}
--- a/packages/gateway/src/peers.c
+++ b/packages/gateway/src/peers.c
@@ -186,11 +186,16 @@
  */
 void ks_peers_receive(ks_peers_t *peers, ks_str_t message)
 {
-	Ks__PeerState *state = ks__peer_state__unpack(
-		NULL, message.len, (const uint8_t *)message.data);
+	Ks__PeerState *state;
 	struct peer *peer;
 	ks_id_t incarnation;
 
+	if (peers_is_about_streams(message)) {
+		peers_receive_streams(peers, message);
+		return;
+	}
+	state = ks__peer_state__unpack(NULL, message.len,
+				       (const uint8_t *)message.data);
 	if (!is_usable(peers, state)) {
 		if (!state)
 			ks_log(KS_LOG_LINK, KS_LOG_WARN,
@@ -428,6 +433,7 @@
 	peers->addresses =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	peers_init_limits(peers);
+	peers_init_streams(peers);
 	ks_timer_init(&peers->timer, loop, on_timer, peers);
 	if (!ks_id_generate(&peers->incarnation)) {
 		ks_error_set(error, KS_ERROR_INTERNAL,
@@ -440,6 +446,11 @@
 	    !ks_socket_init_sub(&peers->sub, loop, peers->context, on_message,
 				peers, error))
 		return false;
+	if (!peers_subscribe(peers)) {
+		ks_error_set(error, KS_ERROR_INTERNAL,
+			     "cannot subscribe to messages of other entries");
+		return false;
+	}
 	ks_timer_set(&peers->timer, IDLE_UPDATE_INTERVAL_US);
 	return true;
 }
@@ -464,6 +475,7 @@
 	g_hash_table_destroy(peers->addresses);
 	g_hash_table_destroy(peers->announced);
 	peers_deinit_limits(peers);
+	peers_deinit_streams(peers);
 	g_queue_clear_full(&peers->losses, g_free);
 	g_array_free(peers->queued_parts, TRUE);
 	g_array_free(peers->queued_tags, TRUE);
--- a/packages/gateway/src/peers_internal.h
+++ b/packages/gateway/src/peers_internal.h
@@ -70,6 +70,14 @@
 
 void peers_schedule_urgent(ks_peers_t *peers);
 
+/* peer_streams.c */
+
+void peers_init_streams(ks_peers_t *peers);
+void peers_deinit_streams(ks_peers_t *peers);
+bool peers_subscribe(ks_peers_t *peers);
+bool peers_is_about_streams(ks_str_t message);
+void peers_receive_streams(ks_peers_t *peers, ks_str_t message);
+
 /* peer_limits.c */
 
 void peers_init_limits(ks_peers_t *peers);
--- a/packages/gateway/tests/test-peers.c
+++ b/packages/gateway/tests/test-peers.c
@@ -387,6 +387,7 @@
 					 &address.port, NULL));
 	g_assert_true(ks_socket_init_sub(&sub, &loop, context, count_message,
 					 &received, NULL));
+	g_assert_true(ks_socket_subscribe(&sub, KS_STR("")));
 	g_assert_true(ks_socket_add_publisher(&sub, &address));
 	while (!received) {
 		ks_socket_send(&pub, nobody, payload);
--- /dev/null
+++ b/packages/gateway/tests/test-stream-origins.c
@@ -0,0 +1,134 @@
+/*
+ * Tests of the records of where streams began, and of the messages about them.
+ */
+#include "peer.pb-c.h"
+#include "versions_fixture.h"
+
+#define SECOND KS_USEC_PER_SEC
+
+/* Guards against records that are forgotten while callers may come back. */
+static void test_kept_for_a_minute(void)
+{
+	ks_stream_origins_t origins;
+
+	ks_stream_origins_init(&origins);
+	for (int64_t s = 0; s < 300; s += 7) {
+		uint64_t stream = (uint64_t)s + 1;
+
+		ks_stream_origins_record(&origins, stream, 5, s * SECOND);
+		for (int64_t age = 0; age <= MIN(s, 56); age += 7)
+			g_assert_cmpuint(
+				ks_stream_origins_find(&origins,
+						       stream - (uint64_t)age,
+						       s * SECOND),
+				==, 5);
+	}
+	ks_stream_origins_deinit(&origins);
+}
+
+/* Guards against records that are never forgotten. */
+static void test_forgotten(void)
+{
+	ks_stream_origins_t origins;
+
+	ks_stream_origins_init(&origins);
+	ks_stream_origins_record(&origins, 1, 5, 0);
+	g_assert_cmpuint(ks_stream_origins_find(&origins, 1, 130 * SECOND), ==,
+			 0);
+	ks_stream_origins_record(&origins, 2, 5, 140 * SECOND);
+	g_assert_cmpuint(ks_stream_origins_find(&origins, 2, 500 * SECOND), ==,
+			 0);
+	ks_stream_origins_deinit(&origins);
+}
+
+/* Guards against memory that grows with the number of streams. */
+static void test_bounded(void)
+{
+	ks_stream_origins_t origins;
+
+	ks_stream_origins_init(&origins);
+	for (uint64_t i = 1; i <= 200000; i++)
+		ks_stream_origins_record(&origins, i, i, SECOND);
+	g_assert_cmpuint(g_hash_table_size(origins.recent) +
+				 g_hash_table_size(origins.older),
+			 <=, 2 * 65536);
+	g_assert_cmpuint(ks_stream_origins_find(&origins, 200000, SECOND), ==,
+			 200000);
+	g_assert_cmpuint(ks_stream_origins_find(&origins, 1, SECOND), ==, 0);
+	ks_stream_origins_deinit(&origins);
+}
+
+static void receive(ks_peers_t *peers, uint64_t receiver, uint64_t stream,
+		    uint64_t origin, bool has_origin)
+{
+	Ks__PeerStreams message = KS__PEER_STREAMS__INIT;
+	uint8_t buf[128];
+	size_t len;
+
+	message.receiver = receiver;
+	message.sender = 1;
+	message.stream = &stream;
+	message.n_stream = 1;
+	message.origin = &origin;
+	message.n_origin = has_origin;
+	len = ks__peer_streams__pack(&message, buf);
+	ks_peers_receive(peers, (ks_str_t){ (const char *)buf, len });
+}
+
+/* Guards against messages for others, or malformed ones, that are heeded. */
+static void test_messages(void)
+{
+	struct versions v;
+	ks_peers_t *peers;
+	ks_stream_origins_t *origins;
+	int64_t now;
+
+	versions_init(&v, 1);
+	peers = ks_gateway_peers(v.entries[0]);
+	origins = peers->origins;
+	now = ks_loop_now(&v.f.loop);
+	receive(peers, peers->rank, 7, 70, true);
+	g_assert_cmpuint(ks_stream_origins_find(origins, 7, now), ==, 70);
+	receive(peers, peers->rank + 1, 8, 80, true);
+	g_assert_cmpuint(ks_stream_origins_find(origins, 8, now), ==, 0);
+	receive(peers, peers->rank, 9, 90, false);
+	g_assert_cmpuint(ks_stream_origins_find(origins, 9, now), ==, 0);
+	ks_peers_receive(peers, KS_STR("\xa1\x06\xff\xff"));
+	versions_deinit(&v);
+}
+
+/* Guards against a message that an entry of the version before would heed. */
+static void test_ignored_by_earlier_versions(void)
+{
+	Ks__PeerStreams message = KS__PEER_STREAMS__INIT;
+	Ks__PeerState *state;
+	uint64_t stream = 1, origin = 2;
+	uint8_t buf[128];
+	size_t len;
+
+	message.receiver = 3;
+	message.stream = &stream;
+	message.origin = &origin;
+	message.n_stream = message.n_origin = 1;
+	len = ks__peer_streams__pack(&message, buf);
+	g_assert_cmpint(buf[0], ==, 0xa1);
+	g_assert_cmpint(buf[1], ==, 0x06);
+	state = ks__peer_state__unpack(NULL, len, buf);
+	g_assert_nonnull(state);
+	g_assert_cmpstr(state->name, ==, "");
+	g_assert_cmpuint(state->incarnation.len, ==, 0);
+	ks__peer_state__free_unpacked(state, NULL);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/stream-origins/kept-for-a-minute",
+			test_kept_for_a_minute);
+	g_test_add_func("/stream-origins/forgotten", test_forgotten);
+	g_test_add_func("/stream-origins/bounded", test_bounded);
+	g_test_add_func("/stream-origins/messages", test_messages);
+	g_test_add_func("/stream-origins/ignored-by-earlier-versions",
+			test_ignored_by_earlier_versions);
+	return g_test_run();
+}
--- a/packages/gateway/tests/test-taken-up-at-other-version.c
+++ b/packages/gateway/tests/test-taken-up-at-other-version.c
@@ -173,6 +173,90 @@
 	versions_deinit(&v);
 }
 
+/* Entries that do not answer are not waited for until the deadline. */
+static void test_silent_entry(void)
+{
+	struct versions v;
+	struct fixture_caller caller;
+
+	init(&v, 2);
+	versions_end_entry(&v, 1);
+	v.f.gateway = v.entries[0];
+	versions_call(&v, &caller, "/resume/", "first", "1");
+	fixture_run_pending(&v.f);
+	g_assert_false(caller.done);
+	fixture_advance(&v.f, 200);
+	FIXTURE_WAIT(&v.f, caller.done);
+	g_assert_cmpint(caller.status, ==, 503);
+	g_assert_cmpuint(fixture_n_requests(&v.f), ==, 0);
+	fixture_end_call(&caller);
+	versions_deinit(&v);
+}
+
+/* A caller that disconnects while others are asked. */
+static void test_caller_leaves_meanwhile(void)
+{
+	struct versions v;
+	struct fixture_caller caller;
+
+	init(&v, 2);
+	versions_end_entry(&v, 1);
+	v.f.gateway = v.entries[0];
+	versions_call(&v, &caller, "/resume/", "first", "1");
+	fixture_run_pending(&v.f);
+	fixture_end_call(&caller);
+	fixture_run_pending(&v.f);
+	fixture_advance(&v.f, 400);
+	g_assert_cmpuint(fixture_n_requests(&v.f), ==, 0);
+	versions_deinit(&v);
+}
+
+static void apply_split(struct versions *v, int64_t version, unsigned weight)
+{
+	ks_traffic_t *traffic = ks_traffic_new(version);
+	ks_route_t *route;
+
+	ks_traffic_add_service(traffic, KS_STR("app"));
+	ks_traffic_add_service(traffic, KS_STR("new-app"));
+	route = ks_traffic_add_route(traffic, KS_STR("r"),
+				     KS_STR("shop.example"),
+				     KS_STR("/resume/"));
+	route->kind = KS_CALL_STREAM;
+	route->resumable = true;
+	route->timeout_us = 10 * KS_USEC_PER_SEC;
+	route->max_attempts = 2;
+	ks_route_add_split(route, KS_STR("app"), weight);
+	ks_route_add_split(route, KS_STR("new-app"), 10);
+	ks_gateway_apply(v->entries[0], traffic);
+	ks_gateway_confirm(v->entries[0]);
+	ks_traffic_unref(traffic);
+}
+
+/* A route that is split: the stream goes on at the service that began it. */
+static void test_split_route(void)
+{
+	struct versions v;
+	char id[16];
+
+	versions_init(&v, 1);
+	apply_split(&v, 2, 10);
+	versions_put(&v, 0, "app", "v1", KS_STAGE_ANY, true);
+	versions_put(&v, 1, "new-app", "v1", KS_STAGE_ANY, true);
+	for (int i = 0; i < ROUNDS; i++) {
+		int first;
+
+		g_snprintf(id, sizeof(id), "first-%d", i);
+		first = begin_and_leave(&v, 0, id);
+		g_assert_cmpint(take_up(&v, 0, "next", id), ==, first);
+	}
+	/* The route does not lead to the first service any more. */
+	while (begin_and_leave(&v, 0, "last") != 0)
+		;
+	apply_split(&v, 3, 0);
+	g_assert_cmpint(take_up(&v, 0, "next", "last"), ==, -1);
+	versions_deinit(&v);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -191,5 +275,11 @@
 	g_test_add_func("/taken-up-at-other-version/one-version",
 			test_one_version);
 	g_test_add_func("/taken-up-at-other-version/none-left", test_none_left);
+	g_test_add_func("/taken-up-at-other-version/silent-entry",
+			test_silent_entry);
+	g_test_add_func("/taken-up-at-other-version/caller-leaves",
+			test_caller_leaves_meanwhile);
+	g_test_add_func("/taken-up-at-other-version/split-route",
+			test_split_route);
 	return g_test_run();
 }
