cli: announce the port that the kernel chose for the other entries

With a peer address whose port the kernel chooses, as in the soak, the example and the system tests, a gateway announced port 0. No entry could connect to another, so all of them ran without load, losses, limits and streams of the others; the soak never played what they tell each other.

Evidence: test-entries-meet failed before ('nothing listens at the announced address 127.0.0.1:0').

--- a/cli/knapweedstaird.c
+++ b/cli/knapweedstaird.c
@@ -122,6 +122,8 @@
 					 &gateway, error);
 	if (!daemon->gateway)
 		return false;
+	/* The kernel may have chosen the port. */
+	gateway.peer.port = ks_gateway_peers(daemon->gateway)->port;
 	daemon->source = ks_platform_source_new(&daemon->loop, daemon->gateway,
 						&platform);
 	return true;
