soak: replicas of several versions, callers that resume their streams

Replicas state a version and put it into the events of their streams, callers break 40 of 100 resumable streams off, resume those and others that broke, at any gateway, and check that the whole stream is of one version (ORDER).

--- a/tests/soak/soak-callers.c
+++ b/tests/soak/soak-callers.c
@@ -48,6 +48,10 @@
 #define CRASHING_OF_100 5
 /* Of 100 requests, so many are given up before their answer. */
 #define GIVEN_UP_OF_100 4
+/* With several versions, of 100 streams that may be resumed, so many break. */
+#define BROKEN_OF_100 40
+/* Streams that callers resume for the share that goes on to be checked. */
+#define MIN_RESUMED 12
 
 /**
  * struct attempt - what is known of one request id
@@ -77,6 +81,10 @@
  * struct caller - sends one request at a time
  * @attempts: attempts of the current request so far
  * @class: its class, see soak.h
+ * @stream: id of the attempt that brought the first event, empty before
+ * @breaks: the caller closes the connection in the middle of the stream
+ * @is_resuming: the attempt resumes a stream
+ * @has_gone_on: it has brought bytes of it
  */
 struct caller {
 	struct soak *soak;
@@ -85,6 +93,10 @@
 	struct attempt *attempt;
 	unsigned attempts;
 	char class;
+	GString *stream;
+	bool breaks;
+	bool is_resuming;
+	bool has_gone_on;
 	GString *body;
 	GString *seal;
 	GString *echo;
@@ -130,6 +142,11 @@
  * @planned: only planned changes take place, so that no answer may be cut
  * @crashing: some prompts have a part that crashes replicas
  * @repeating: class of the request that crashes replicas itself, 0 for none
+ * @versions: replicas have several versions of their software, and callers
+ *	resume streams
+ * @streams, @begun: new streams that may be resumed, and those that began
+ * @resumed, @gone_on: the same for streams that callers resumed
+ * @versions_rng: draws which break
  * @crashing_rng: draws them, without a change to the other draws of a seed
  * @parts, @repeats: what requests with that part have done, and requests that
  *	crash replicas themselves
@@ -155,6 +172,9 @@
 	bool planned;
 	bool crashing;
 	char repeating;
+	bool versions;
+	unsigned streams, begun, resumed, gone_on;
+	ks_rng_t versions_rng;
 	ks_rng_t crashing_rng;
 	struct crashes parts;
 	struct crashes repeats;
@@ -379,9 +399,36 @@
 static void next_request(struct caller *caller)
 {
 	caller->attempts = 0;
+	caller->is_resuming = false;
+	g_string_truncate(caller->stream, 0);
+	g_string_truncate(caller->body, 0);
 	wait_for(caller, 1 + ks_rng_below(&caller->soak->rng, MAX_THINK_US));
 }
 
+/* Leaves whole events in the body, and returns whether there are any. */
+static bool keep_whole_events(struct caller *caller)
+{
+	const char *end = g_strrstr(caller->body->str, "\n\n");
+
+	g_string_truncate(caller->body,
+			  end ? (gsize)(end + 2 - caller->body->str) : 0);
+	return end != NULL;
+}
+
+/* Resumes a stream of which the caller has whole events; returns whether. */
+static bool resume_stream(struct caller *caller)
+{
+	if (!caller->soak->versions || caller->class != SOAK_NOTES ||
+	    !keep_whole_events(caller) || ++caller->attempts >= MAX_ATTEMPTS)
+		return false;
+	if (!caller->stream->len)
+		g_string_assign(caller->stream, caller->attempt->id->str);
+	caller->is_resuming = true;
+	wait_for(caller,
+		 1 + ks_rng_below(&caller->soak->versions_rng, MAX_THINK_US));
+	return true;
+}
+
 static void on_give_up(void *ctx)
 {
 	struct caller *caller = ctx;
@@ -411,8 +458,22 @@
 static void on_body(void *ctx, ks_str_t data)
 {
 	struct caller *caller = ctx;
+	struct soak *soak = caller->soak;
 
 	g_string_append_len(caller->body, data.data, (gssize)data.len);
+	if (caller->class != SOAK_NOTES || caller->attempt->status / 100 != 2)
+		return;
+	if (!caller->has_gone_on) {
+		caller->has_gone_on = true;
+		soak->begun += !caller->is_resuming;
+		soak->gone_on += caller->is_resuming;
+	}
+	if (!caller->breaks || !strstr(caller->body->str, "\n\n"))
+		return;
+	ks_http_call_cancel(&caller->call);
+	soak->given_up++;
+	if (!resume_stream(caller))
+		next_request(caller);
 }
 
 static bool is_promise(int status)
@@ -420,14 +481,24 @@
 	return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/* Returns the version of the software that began a stream. */
+static char *software_of(const char *body)
+{
+	const char *at = strstr(body, " at ");
+
+	return at ? g_strndup(at + 4, strcspn(at + 4, "\n")) : g_strdup("");
+}
+
 /* A cut stream has whole events in their order, and no event twice. */
 static void check_success(const struct caller *caller, bool complete)
 {
 	ks_str_t id = text_of(caller->attempt->id);
 	GString *seal = g_string_new(NULL), *body = g_string_new(NULL);
+	char *software = software_of(caller->body->str);
 
 	soak_seal(id, seal);
-	soak_body(id, body);
+	soak_body(caller->stream->len ? text_of(caller->stream) : id, software,
+		  body);
 	if (complete && (!g_string_equal(seal, caller->seal) ||
 			 !ks_str_equal(id, text_of(caller->echo)) ||
 			 (!soak_is_stream(caller->class) &&
@@ -438,7 +509,9 @@
 		 (complete ? !g_string_equal(body, caller->body)
 			   : !g_str_has_prefix(body->str, caller->body->str)))
 		report(caller->soak, "ORDER", caller->attempt,
-		       "a piece is missing, or comes twice");
+		       "a piece is missing, comes twice, or is of another "
+		       "version");
+	g_free(software);
 	g_string_free(seal, TRUE);
 	g_string_free(body, TRUE);
 }
@@ -461,6 +534,8 @@
 		complete && attempt->status / 100 != 2 && !attempt->promised;
 	soak->cut += attempt->cut;
 	check(soak, attempt);
+	if (attempt->cut && attempt->status / 100 == 2 && resume_stream(caller))
+		return;
 	if (attempt->promised && ++caller->attempts < MAX_ATTEMPTS)
 		wait_for(caller, caller->retry_us);
 	else
@@ -502,6 +577,21 @@
 	}
 }
 
+/* Counts an attempt at a stream, and draws whether the caller breaks it. */
+static void count_stream(struct caller *caller)
+{
+	struct soak *soak = caller->soak;
+
+	caller->has_gone_on = false;
+	caller->breaks = false;
+	if (caller->class != SOAK_NOTES)
+		return;
+	soak->streams += !caller->is_resuming;
+	soak->resumed += caller->is_resuming;
+	caller->breaks = soak->versions &&
+			 ks_rng_below(&soak->versions_rng, 100) < BROKEN_OF_100;
+}
+
 static void start_attempt(struct caller *caller)
 {
 	struct soak *soak = caller->soak;
@@ -509,7 +599,7 @@
 	unsigned deadline_ms =
 		MIN_DEADLINE_MS +
 		ks_rng_below(&soak->rng, MAX_DEADLINE_MS - MIN_DEADLINE_MS);
-	char deadline[16], parts[64];
+	char deadline[16], parts[64], after[16] = "";
 	bool leaves = ks_rng_below(&soak->rng, 100) < GIVEN_UP_OF_100;
 	ks_http_request_t request = {
 		.address = g_array_index(soak->gateways, ks_address_t,
@@ -527,6 +617,8 @@
 		{ KS_STR("request-id"), text_of(attempt->id) },
 		{ KS_STR("deadline-ms"), { deadline, 0 } },
 		{ KS_STR("prompt-prefix"), { parts, 0 } },
+		{ KS_STR("resumes"), text_of(caller->stream) },
+		{ KS_STR("last-event-id"), { after, 0 } },
 	};
 
 	headers[1].value.len = (size_t)g_snprintf(deadline, sizeof(deadline),
@@ -546,9 +638,18 @@
 		soak->n_ids);
 	request.headers = headers;
 	request.n_headers = soak_is_stream(caller->class) ? 3 : 2;
+	if (caller->is_resuming) {
+		const char *id = g_strrstr(caller->body->str, "id: ");
+
+		g_strlcpy(after, id + strlen("id: "), sizeof(after));
+		headers[4].value.len = strcspn(after, "\n");
+		request.n_headers = 5;
+	}
+	count_stream(caller);
 	attempt->sent_us = g_get_real_time();
 	caller->attempt = attempt;
-	g_string_truncate(caller->body, 0);
+	if (!caller->is_resuming)
+		g_string_truncate(caller->body, 0);
 	g_string_truncate(caller->seal, 0);
 	g_string_truncate(caller->echo, 0);
 	ks_http_call_start(&caller->call, &soak->client, &request, &events,
@@ -583,6 +684,7 @@
 
 		caller->soak = soak;
 		caller->body = g_string_new(NULL);
+		caller->stream = g_string_new(NULL);
 		caller->seal = g_string_new(NULL);
 		caller->echo = g_string_new(NULL);
 		ks_timer_init(&caller->timer, &soak->loop, on_think, caller);
@@ -606,6 +708,21 @@
 	return ok;
 }
 
+/* With planned changes only, two replicas of each version serve. */
+static void check_resumed(struct soak *soak)
+{
+	if (!soak->planned || !soak->timed || soak->resumed < MIN_RESUMED ||
+	    !soak->streams)
+		return;
+	if (2.0 * soak->gone_on / soak->resumed >=
+	    1.0 * soak->begun / soak->streams)
+		return;
+	soak->violations++;
+	printf("violation rule=LOST gone_on=%u of=%u begun=%u of=%u "
+	       "what=\"streams that callers resume do not go on\"\n",
+	       soak->gone_on, soak->resumed, soak->begun, soak->streams);
+}
+
 static int run(struct soak *soak, int seconds)
 {
 	soak->attempts = g_hash_table_new(g_str_hash, g_str_equal);
@@ -615,6 +732,7 @@
 	soak->rest = g_string_new(NULL);
 	ks_rng_init(&soak->rng, soak->seed);
 	ks_rng_init(&soak->crashing_rng, soak->seed);
+	ks_rng_init(&soak->versions_rng, soak->seed);
 	ks_loop_init(&soak->loop, ks_clock_monotonic());
 	ks_http_client_init(&soak->client, &soak->loop);
 	soak->client.max_idle_us = KEEP_IDLE_US;
@@ -626,10 +744,12 @@
 	start_callers(soak);
 	ks_loop_run(&soak->loop);
 	read_record(soak);
+	check_resumed(soak);
 	printf("requests=%u answered=%u refused=%u failed=%u cut=%u "
-	       "given_up=%u violations=%u\n",
+	       "given_up=%u begun=%u/%u gone_on=%u/%u violations=%u\n",
 	       soak->n_ids, soak->answered, soak->promised, soak->failed,
-	       soak->cut, soak->given_up, soak->violations);
+	       soak->cut, soak->given_up, soak->begun, soak->streams,
+	       soak->gone_on, soak->resumed, soak->violations);
 	fflush(stdout);
 	/* Nothing was checked if nothing was served. */
 	_exit(soak->violations || !soak->answered ? EXIT_FAILURE
@@ -657,9 +777,12 @@
 	struct arg_lit *repeating =
 		arg_lit0(NULL, "repeating",
 			 "a request that comes again crashes replicas");
+	struct arg_lit *versions =
+		arg_lit0(NULL, "versions", "callers resume streams");
 	struct arg_end *end = arg_end(10);
-	void *table[] = { gateways, record, seconds,  callers,	 seed,
-			  planned,  timed,  crashing, repeating, end };
+	void *table[] = { gateways,  record,   seconds, callers,
+			  seed,	     planned,  timed,	crashing,
+			  repeating, versions, end };
 	struct soak soak = { .n_ids = 0 };
 
 	if (arg_parse(argc, argv, table) > 0) {
@@ -677,6 +800,7 @@
 	soak.planned = planned->count > 0;
 	soak.timed = timed->count > 0;
 	soak.crashing = crashing->count > 0;
+	soak.versions = versions->count > 0;
 	if (repeating->count)
 		soak.repeating = soak.seed % 2 ? SOAK_READ : SOAK_BOOK;
 	return run(&soak, seconds->ival[0]);
--- a/tests/soak/soak-replica.c
+++ b/tests/soak/soak-replica.c
@@ -49,6 +49,7 @@
  * struct replica - state of the program
  * @id: key of its row, new at each start
  * @stage: "prefill" or "decode"; NULL for a plain service
+ * @software: version of its software
  * @second_of_100: while faults are on, so many of 100 whole answers are given
  *	a second time
  * @record: descriptor of the record
@@ -75,6 +76,7 @@
 	int signal_fd;
 	const char *service;
 	const char *stage;
+	const char *software;
 	char id[32];
 	int64_t started_ms;
 	int64_t work_us;
@@ -98,6 +100,7 @@
 
 /**
  * struct work - a request that occupies a slot
+ * @stream: id of the request whose response began the stream
  * @next_event: number of the next event of a stream
  * @fate: drawn when the work begins
  * @is_unframed: only the end of the connection marks the end of the stream
@@ -108,6 +111,7 @@
 	ks_http1_request_t *request;
 	ks_timer_t timer;
 	GString *id;
+	GString *stream;
 	int next_event;
 	enum fate {
 		ANSWERED,
@@ -219,6 +223,7 @@
 	ks_timer_clear(&work->timer);
 	work->replica->running--;
 	g_string_free(work->id, TRUE);
+	g_string_free(work->stream, TRUE);
 	g_free(work);
 }
 
@@ -247,7 +252,8 @@
 {
 	GString *event = g_string_new(NULL);
 
-	soak_event(text_of(work->id), work->next_event, event);
+	soak_event(text_of(work->stream), work->replica->software,
+		   work->next_event, event);
 	if (work->is_unframed) {
 		g_string_truncate(event, event->len - 1);
 		ks_http1_body(work->request,
@@ -395,7 +401,7 @@
 		cut_answer(work);
 	} else {
 		body = g_string_new(NULL);
-		soak_body(text_of(work->id), body);
+		soak_body(text_of(work->id), work->replica->software, body);
 		finish_work(work, 200, body->str);
 		g_string_free(body, TRUE);
 	}
@@ -417,10 +423,14 @@
 {
 	struct work *work = g_new0(struct work, 1);
 	ks_str_t id = field(request, "request-id");
+	ks_str_t first = field(request, "resumes");
 
+	if (!first.len)
+		first = id;
 	work->replica = replica;
 	work->request = request;
 	work->id = g_string_new_len(id.data, (gssize)id.len);
+	work->stream = g_string_new_len(first.data, (gssize)first.len);
 	work->is_prefill = is_prefill;
 	work->fate = draw_fate(replica);
 	request->ctx = work;
@@ -478,7 +488,7 @@
 	json_t *row = json_pack(
 		"{s:s,s:s,s:s,s:s,s:s,s:i,s:I}", "service", replica->service,
 		"address", ks_address_format(&replica->announced, address),
-		"zone", "domain-1", "version", "v1", "state",
+		"zone", "domain-1", "version", replica->software, "state",
 		replica->leaving ? "draining" : "ready", "slots",
 		(int)replica->slots, "born", (json_int_t)replica->started_ms);
 	char *text, *encoded, *body_text;
@@ -669,6 +679,8 @@
 		arg_str1(NULL, "store", "IP:PORT", "address of the store");
 	struct arg_str *service = arg_str1(NULL, "service", "NAME", "service");
 	struct arg_str *stage = arg_str0(NULL, "stage", "NAME", "stage");
+	struct arg_str *software = arg_str0(NULL, "software", "VERSION",
+					    "version of its software");
 	struct arg_str *record =
 		arg_str1(NULL, "record", "FILE", "record of runs");
 	struct arg_int *work =
@@ -680,8 +692,9 @@
 	struct arg_int *named = arg_int0(NULL, "named-of-3", "N",
 					 "second answers that bear an id");
 	struct arg_end *end = arg_end(10);
-	void *table[] = { listen, announced, store, service, stage, record,
-			  work,	  slots,     seed,  second,  named, end };
+	void *table[] = { listen,   announced, store, service, stage,
+			  software, record,    work,  slots,   seed,
+			  second,   named,     end };
 	struct replica replica = { .record = -1 };
 	ks_address_t address;
 
@@ -700,6 +713,7 @@
 			      O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0644);
 	replica.service = service->sval[0];
 	replica.stage = stage->count ? stage->sval[0] : NULL;
+	replica.software = software->count ? software->sval[0] : "v1";
 	replica.second_of_100 = second->count ? (unsigned)second->ival[0] : 40;
 	replica.work_us = work->ival[0] * KS_USEC_PER_MSEC;
 	replica.slots = (unsigned)slots->ival[0];
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -1,6 +1,7 @@
 /*
  * What the replicas of the soak answer, and the callers expect: the text of a
- * response follows from the id of its request.
+ * response follows from the id of its request. That of a stream follows from
+ * the request that began it, and from the version of the replicas' software.
  */
 #ifndef SOAK_H
 #define SOAK_H
@@ -68,14 +69,15 @@
 	g_string_append_printf(out, "seal-%.*s", (int)id.len, id.data);
 }
 
-static inline void soak_event(ks_str_t id, int number, GString *out)
+static inline void soak_event(ks_str_t id, const char *software, int number,
+			      GString *out)
 {
-	g_string_append_printf(out, "id: %d\ndata: piece %d of %.*s\n\n",
-			       number, number, (int)id.len, id.data);
+	g_string_append_printf(out, "id: %d\ndata: piece %d of %.*s at %s\n\n",
+			       number, number, (int)id.len, id.data, software);
 }
 
 /* Body of a complete response with status 200. */
-static inline void soak_body(ks_str_t id, GString *out)
+static inline void soak_body(ks_str_t id, const char *software, GString *out)
 {
 	if (!soak_is_stream(soak_class(id))) {
 		g_string_append_printf(out, "done %.*s\n", (int)id.len,
@@ -83,7 +85,7 @@
 		return;
 	}
 	for (int i = 0; i < SOAK_EVENTS; i++)
-		soak_event(id, i, out);
+		soak_event(id, software, i, out);
 }
 
 #endif
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # usage: tests/soak/soak.sh [--planned] [--many] [--timed] [--returns] [--crashing]
-#                          [--limited] [--repeating] SEED SECONDS
+#                          [--limited] [--repeating] [--versions] SEED SECONDS
 #
 # Runs gateways, replicas, a store and callers as separate processes and injects
 # faults, drawn from SEED, from outside: signals to the processes, and relays
@@ -14,7 +14,9 @@
 # the first crashes is checked with --timed. With --limited, replicas state limits
 # on the requests of all gateways; whether they are kept is checked with --timed.
 # With --repeating, a request of plain services that comes again crashes them;
-# besides, only planned changes.
+# besides, only planned changes. With --versions, replicas have two versions of
+# their software, three after restarts by faults, and callers break streams off and
+# resume them at any gateway.
 # SOAK_KEEP names a directory that gets
 # the logs of a run that failed. SOAK_SECOND is how many of 100 answers a faulty
 # replica gives twice, 40 by default, and SOAK_NAMED how many of 3 of these have
@@ -24,7 +26,7 @@
 . tests/system/lib.sh
 . tests/system/site.sh
 
-planned= many= timed= returns= crashing= limited= repeating=
+planned= many= timed= returns= crashing= limited= repeating= versions=
 while test $# -gt 2
 do
 	case $1 in
@@ -35,6 +37,7 @@
 	--crashing) crashing=--crashing ;;
 	--limited) limited=yes ;;
 	--repeating) repeating=--repeating ;;
+	--versions) versions=--versions ;;
 	esac
 	shift
 done
@@ -58,15 +61,33 @@
 	between 16 48; n_callers=$DRAWN
 fi
 between 5 60; work_ms=$DRAWN
+test -z "$versions" -o $n_engines -ge 4 || n_engines=4
+
+declare -A SOFTWARE
+
+# draw_software NAME: with --versions, so that each version has two replicas
+# unless faults happen.
+draw_software () {
+	local number=${1##*[a-z]}
+	test -n "$versions" || return
+	if test -z "${SOFTWARE[$1]:-}" || test -n "$planned"
+	then
+		SOFTWARE[$1]=v$((number % 2 + 1))
+	else
+		between 1 3; SOFTWARE[$1]=v$DRAWN
+	fi
+}
 
 # start_replica NAME SERVICE [STAGE]: on the address of an earlier process of
 # this name, if there was one. Every third replica is behind a relay.
 start_replica () {
 	local name=$1 service=$2 stage=${3:-}
+	draw_software "$name"
 	launch "$name" "$BIN/soak-replica" \
 		--listen "${ADDRESS[$name]:-127.0.0.1:0}" \
 		--store "${ADDRESS[site]}" --service "$service" \
 		${stage:+--stage "$stage"} --record "$record" \
+		--software "${SOFTWARE[$name]:-v1}" \
 		--work-ms "$work_ms" --slots 6 --seed $((seed + ++started)) \
 		${SOAK_SECOND:+--second-of-100 "$SOAK_SECOND"} \
 		${SOAK_NAMED:+--named-of-3 "$SOAK_NAMED"} \
@@ -269,7 +290,7 @@
 
 "$BIN/soak-callers" --gateways "$gateways" --record "$record" \
 	--seconds "$seconds" --callers $n_callers --seed "$seed" $planned $timed \
-	$crashing $repeating \
+	$crashing $repeating $versions \
 	>"$WORK/callers.out" 2>&1 &
 callers=$!
 
