placement: take KV cache only from engines of the same version

What two versions write does not fit together; whether the KV cache of one is read rightly by another is nowhere promised.

Cause, the same class: placement did not know versions. Prefill, decode and the upstream that cached parts are fetched from are of one origin now; of several origins that could prefill separately, the one with the least cost is chosen. With one version, the choices are the same as before.

Evidence: test-placement prefill-of-another-version and cache-of-another-version failed before.

--- a/packages/gateway/src/placement.c
+++ b/packages/gateway/src/placement.c
@@ -12,6 +12,8 @@
  *   fraction of the time of prefilling them.
  * - A decode engine prefills at half the speed, so a prompt with many uncached
  *   tokens is prefilled by a prefill engine.
+ * - Engines take KV cache only from engines of the same origin: what two
+ * versions of their software write does not fit together.
  */
 #include "ks/gateway.h"
 
@@ -170,11 +172,12 @@
 }
 
 /**
- * struct cache_source - the upstream known to have most of a prompt cached
- * @member: NULL if none is known
+ * struct cache_source - the upstream of an origin that is known to have most of
+ * a prompt cached
  * @tokens: prompt tokens cached there
  */
 struct cache_source {
+	uint64_t origin;
 	ks_member_t *member;
 	int64_t tokens;
 };
@@ -188,23 +191,42 @@
 	return MIN(known, query->prompt->total_tokens);
 }
 
-static struct cache_source find_cache_source(const GPtrArray *members,
-					     const ks_placement_query_t *query)
+/* Returns the source for upstreams of an origin, NULL if none is known. */
+static struct cache_source *find_source(const GArray *sources, uint64_t origin)
 {
-	struct cache_source source = { NULL, 0 };
+	for (guint i = 0; i < sources->len; i++) {
+		struct cache_source *source =
+			&g_array_index(sources, struct cache_source, i);
 
-	if (!query->service->fetches_kv)
-		return source;
-	for (guint i = 0; i < members->len; i++) {
+		if (source->origin == origin)
+			return source;
+	}
+	return NULL;
+}
+
+/* Returns a struct cache_source for each origin that has one. */
+static GArray *find_cache_sources(const GPtrArray *members,
+				  const ks_placement_query_t *query)
+{
+	GArray *sources =
+		g_array_new(FALSE, FALSE, sizeof(struct cache_source));
+
+	for (guint i = 0; query->service->fetches_kv && i < members->len; i++) {
 		ks_member_t *member = members->pdata[i];
-		int64_t known = cached_tokens(member, query);
+		struct cache_source source = { member->origin, member,
+					       cached_tokens(member, query) };
+		struct cache_source *known =
+			find_source(sources, member->origin);
 
-		if (known <= source.tokens || !is_healthy(member, query))
+		if (source.tokens <= (known ? known->tokens : 0) ||
+		    !is_healthy(member, query))
 			continue;
-		source.tokens = known;
-		source.member = member;
+		if (known)
+			*known = source;
+		else
+			g_array_append_val(sources, source);
 	}
-	return source;
+	return sources;
 }
 
 static int64_t pending_tokens(const ks_member_t *member)
@@ -235,17 +257,19 @@
 };
 
 /* Estimates what prefilling the prompt on an upstream costs. */
-static struct candidate
-prefill_candidate(ks_member_t *member, const struct cache_source *cache_source,
-		  const ks_placement_query_t *query)
+static struct candidate prefill_candidate(ks_member_t *member,
+					  const GArray *sources,
+					  const ks_placement_query_t *query)
 {
 	const ks_prompt_t *prompt = query->prompt;
+	const struct cache_source *source =
+		find_source(sources, member->origin);
 	struct candidate candidate = { .member = member };
 	int64_t cached = cached_tokens(member, query), fetched;
 
-	fetched = MAX(cache_source->tokens - cached, 0);
+	fetched = MAX((source ? source->tokens : 0) - cached, 0);
 	if (fetched)
-		candidate.source = cache_source->member;
+		candidate.source = source->member;
 	candidate.uncached = prompt->total_tokens - cached - fetched;
 	candidate.cost = candidate.uncached + fetched / FETCH_SPEEDUP +
 			 pending_tokens(member) + failure_cost(member, query);
@@ -254,15 +278,15 @@
 
 /* Chooses the engine for separate prefill. */
 static struct candidate choose_prefill(GPtrArray *members,
-				       const struct cache_source *cache_source,
+				       const GArray *sources,
 				       const ks_placement_query_t *query)
 {
 	struct candidate best = { .cost = INT64_MAX };
 	guint n = rank_members(members, ks_prompt_shared_id(query->prompt));
 
 	for (guint i = 0; i < n; i++) {
-		struct candidate candidate = prefill_candidate(
-			members->pdata[i], cache_source, query);
+		struct candidate candidate =
+			prefill_candidate(members->pdata[i], sources, query);
 
 		if (i)
 			candidate.cost += SECOND_CHOICE_COST_TOKENS;
@@ -314,8 +338,7 @@
  * Chooses the engine that runs the request if it prefills the prompt itself:
  * one of the sample, or one that has a part of the prompt.
  */
-static struct candidate choose_direct(GPtrArray *members,
-				      const struct cache_source *cache_source,
+static struct candidate choose_direct(GPtrArray *members, const GArray *sources,
 				      const ks_placement_query_t *query)
 {
 	struct candidate best = { .cost = INT64_MAX };
@@ -326,8 +349,8 @@
 
 		if (i >= n && !cached_tokens(members->pdata[i], query))
 			continue;
-		candidate = prefill_candidate(members->pdata[i], cache_source,
-					      query);
+		candidate =
+			prefill_candidate(members->pdata[i], sources, query);
 		if (candidate.cost < best.cost)
 			best = candidate;
 	}
@@ -373,36 +396,102 @@
 	return best;
 }
 
+/**
+ * struct separation - separate prefill and decode by engines of one origin
+ * @cost: estimated time until the prompt is prefilled and can be decoded, in
+ *	prompt tokens at the speed of a prefill engine
+ */
+struct separation {
+	struct candidate prefill;
+	ks_member_t *decode;
+	int64_t cost;
+};
+
+static GPtrArray *select_origin(const GPtrArray *members, uint64_t origin)
+{
+	GPtrArray *selected =
+		g_ptr_array_copy((GPtrArray *)members, NULL, NULL);
+
+	ks_members_keep_origin(selected, origin);
+	return selected;
+}
+
+/* Chooses the engines of one origin; @cost is INT64_MAX if some are missing. */
+static struct separation separate_within(const GPtrArray *all_decode,
+					 const GPtrArray *all_prefill,
+					 uint64_t origin, const GArray *sources,
+					 const ks_placement_query_t *query)
+{
+	GPtrArray *decode = select_origin(all_decode, origin);
+	GPtrArray *prefill = select_origin(all_prefill, origin);
+	struct separation best = { .cost = INT64_MAX };
+	int64_t cost;
+
+	if (decode->len && prefill->len) {
+		best.prefill = choose_prefill(prefill, sources, query);
+		best.decode = least_cost_decode(decode, best.prefill.member,
+						query, &cost);
+		best.cost = best.prefill.cost + SPLIT_OVERHEAD_TOKENS + cost;
+	}
+	g_ptr_array_free(decode, TRUE);
+	g_ptr_array_free(prefill, TRUE);
+	return best;
+}
+
+static bool has_origin_before(const GPtrArray *members, guint end,
+			      uint64_t origin)
+{
+	for (guint i = 0; i < end; i++)
+		if (((const ks_member_t *)members->pdata[i])->origin == origin)
+			return true;
+	return false;
+}
+
+/* Chooses the best engines of all origins for separate prefill. */
+static struct separation separate(const GPtrArray *decode,
+				  const GPtrArray *prefill,
+				  const GArray *sources,
+				  const ks_placement_query_t *query)
+{
+	struct separation best = { .cost = INT64_MAX };
+
+	for (guint i = 0; i < prefill->len; i++) {
+		const ks_member_t *member = prefill->pdata[i];
+		struct separation next;
+
+		if (has_origin_before(prefill, i, member->origin))
+			continue;
+		next = separate_within(decode, prefill, member->origin, sources,
+				       query);
+		if (next.cost < best.cost)
+			best = next;
+	}
+	return best;
+}
+
 static ks_placement_t place_prompt(GPtrArray *decode, GPtrArray *prefill,
-				   const struct cache_source *cache_source,
+				   const GArray *sources,
 				   const ks_placement_query_t *query)
 {
-	struct candidate direct = choose_direct(decode, cache_source, query),
-			 separate;
+	struct candidate direct = choose_direct(decode, sources, query);
+	struct separation separation;
 	ks_placement_t placement = {
 		.run = direct.member,
 		.run_tokens = direct.uncached,
 		.source = direct.source,
 	};
-	ks_member_t *decode_member;
-	int64_t cost;
 
 	if (!direct.member || !query->may_split)
 		return placement;
-	separate = choose_prefill(prefill, cache_source, query);
-	if (!separate.member)
+	separation = separate(decode, prefill, sources, query);
+	if (!separation.decode ||
+	    separation.cost >= DECODE_PREFILL_COST * direct.cost)
 		return placement;
-	decode_member =
-		least_cost_decode(decode, separate.member, query, &cost);
-	/* Both sides are in prompt tokens at the speed of a prefill engine. */
-	if (separate.cost + SPLIT_OVERHEAD_TOKENS + cost >=
-	    DECODE_PREFILL_COST * direct.cost)
-		return placement;
-	placement.run = decode_member;
+	placement.run = separation.decode;
 	placement.run_tokens = 0;
-	placement.prefill = separate.member;
-	placement.prefill_tokens = separate.uncached;
-	placement.source = separate.source;
+	placement.prefill = separation.prefill.member;
+	placement.prefill_tokens = separation.prefill.uncached;
+	placement.source = separation.prefill.source;
 	return placement;
 }
 
@@ -450,10 +539,10 @@
 	GPtrArray *prefill = usable_members(members, KS_STAGE_PREFILL, query);
 
 	if (query->prompt) {
-		struct cache_source cache_source =
-			find_cache_source(members, query);
+		GArray *sources = find_cache_sources(members, query);
 
-		placement = place_prompt(decode, prefill, &cache_source, query);
+		placement = place_prompt(decode, prefill, sources, query);
+		g_array_free(sources, TRUE);
 	} else {
 		placement.run = choose_plain(decode, query);
 	}
@@ -475,8 +564,10 @@
 {
 	GPtrArray *decode = usable_members(members, KS_STAGE_DECODE, query);
 	int64_t cost;
-	ks_member_t *member = least_cost_decode(decode, prefill, query, &cost);
+	ks_member_t *member;
 
+	ks_members_keep_origin(decode, prefill->origin);
+	member = least_cost_decode(decode, prefill, query, &cost);
 	g_ptr_array_free(decode, TRUE);
 	return member;
 }
--- a/packages/gateway/tests/test-placement.c
+++ b/packages/gateway/tests/test-placement.c
@@ -368,6 +368,75 @@
 	deinit_fixture(&p);
 }
 
+static ks_member_t *put_software(ks_fleet_t *fleet, const char *id,
+				 ks_stage_t stage, const char *software)
+{
+	ks_member_spec_t spec = { .id = ks_str_from(id),
+				  .service = KS_STR("llm"),
+				  .software = ks_str_from(software),
+				  .domain = KS_STR("d1"),
+				  .address = { "10.0.0.1", 80 },
+				  .stage = stage,
+				  .process_start_ms = 1,
+				  .accepting = true };
+
+	return ks_fleet_put(fleet, &spec);
+}
+
+/*
+ * Guards against a KV cache that an engine of another software version wrote:
+ * by separate prefill.
+ */
+static void test_prefill_of_another_version(void)
+{
+	struct placement_fixture p;
+	ks_placement_t placement;
+	ks_member_t *reader, *decode;
+	GPtrArray *members;
+
+	init_fixture(&p, "aa:13000,bb:4000");
+	p.decode[0] = put_software(&p.fleet, "gen0", KS_STAGE_DECODE, "v2");
+	p.decode[1] = put_software(&p.fleet, "gen1", KS_STAGE_DECODE, "v2");
+	placement = place(&p);
+	g_assert_null(placement.prefill);
+	g_assert_nonnull(placement.run);
+	reader = put_software(&p.fleet, "reader2", KS_STAGE_PREFILL, "v2");
+	placement = place(&p);
+	g_assert_true(placement.prefill == reader);
+	g_assert_cmpuint(placement.run->origin, ==, reader->origin);
+	/* The same once the prompt is prefilled, whatever the load. */
+	decode = put(&p.fleet, "gen2", KS_STAGE_DECODE, 1);
+	p.decode[0]->peer_prefill_tokens = 100000;
+	p.decode[1]->peer_prefill_tokens = 100000;
+	members = ks_fleet_members(&p.fleet, "llm");
+	g_assert_true(ks_placement_choose_decode(members, p.prefill,
+						 &p.query) == decode);
+	g_assert_true(ks_placement_choose_decode(members, reader, &p.query) !=
+		      decode);
+	g_ptr_array_free(members, TRUE);
+	deinit_fixture(&p);
+}
+
+/* The same by fetching cached parts. */
+static void test_cache_of_another_version(void)
+{
+	struct placement_fixture p;
+	ks_member_t *other, *same;
+
+	init_fixture(&p, "aa:13000,bb:50");
+	other = put_software(&p.fleet, "gen2", KS_STAGE_DECODE, "v2");
+	cache_shared_parts(other, &p.prompt);
+	/* Too busy to run the request itself. */
+	other->peer_prefill_tokens = 1000000;
+	g_assert_true(place(&p).run != other);
+	g_assert_null(place(&p).source);
+	same = put(&p.fleet, "gen3", KS_STAGE_DECODE, 1);
+	cache_shared_parts(same, &p.prompt);
+	same->peer_prefill_tokens = 1000000;
+	g_assert_true(place(&p).source == same);
+	deinit_fixture(&p);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -392,5 +461,9 @@
 	g_test_add_func("/placement/no-crowd", test_entries_do_not_crowd);
 	g_test_add_func("/placement/sample-domain",
 			test_sample_has_same_domain);
+	g_test_add_func("/placement/prefill-of-another-version",
+			test_prefill_of_another_version);
+	g_test_add_func("/placement/cache-of-another-version",
+			test_cache_of_another_version);
 	return g_test_run();
 }
