stages: give each version of the software both stages

With several versions, the engines of one could all prefill: the share of the service was kept, whichever engines it was. Streams that such a version had begun could not go on although it served, and with KV cache from the same version only, its prefill engines were of no use.

Each origin now has its part of both stages, one decode engine at least, and one prefill engine if it has two; the origin that is furthest from its target changes first. One without a decode engine does not wait until a change may be reversed. With one version the targets are those of before.

Evidence: test-stages each-version-has-both and version-without-decode failed before; the other tests of stages are unchanged.

--- a/packages/gateway/src/stages.c
+++ b/packages/gateway/src/stages.c
@@ -8,6 +8,10 @@
  * others prefill: besides doing the work, they keep the shared parts of more
  * prompts cached.
  *
+ * Engines of one origin work together, see placement.c, so each origin has its
+ * part of both stages. One without a decode engine could not go on with any of
+ * its streams.
+ *
  * A change makes an engine unavailable for seconds. To prevent an engine that
  * repeatedly joins and leaves from changing the others each time, a change in
  * the opposite direction is delayed.
@@ -74,8 +78,8 @@
  * Returns the engine of a stage with the least load, so that few requests are
  * affected by the change.
  */
-static ks_member_t *least_busy(const GPtrArray *members, ks_stage_t stage,
-			       int64_t now_us)
+static ks_member_t *least_busy(const GPtrArray *members, uint64_t origin,
+			       ks_stage_t stage, int64_t now_us)
 {
 	ks_member_t *best = NULL;
 
@@ -83,7 +87,7 @@
 		ks_member_t *member = members->pdata[i];
 
 		if (member->stage != stage || member->pending_stage ||
-		    is_limited(member, now_us))
+		    member->origin != origin || is_limited(member, now_us))
 			continue;
 		if (!best || total_running(member) + member->prefill_tokens <
 				     total_running(best) + best->prefill_tokens)
@@ -164,6 +168,67 @@
 	       now_us - balance->changed_us >= REVERSAL_DELAY_US;
 }
 
+/**
+ * struct stage_count - engines of one origin
+ * @n: number of engines
+ * @prefill: how many of them prefill or are changing to it
+ */
+struct stage_count {
+	uint64_t origin;
+	guint n;
+	guint prefill;
+};
+
+static struct stage_count *find_count(GArray *counts, uint64_t origin)
+{
+	struct stage_count count = { .origin = origin };
+
+	for (guint i = 0; i < counts->len; i++) {
+		struct stage_count *known =
+			&g_array_index(counts, struct stage_count, i);
+
+		if (known->origin == origin)
+			return known;
+	}
+	g_array_append_val(counts, count);
+	return &g_array_index(counts, struct stage_count, counts->len - 1);
+}
+
+/* Counts the engines of each origin, and of all together in @total. */
+static GArray *count_stages(const GPtrArray *members, int64_t now_us,
+			    struct stage_count *total, guint *changing)
+{
+	GArray *counts = g_array_new(FALSE, FALSE, sizeof(struct stage_count));
+
+	for (guint i = 0; i < members->len; i++) {
+		const ks_member_t *member = members->pdata[i];
+		ks_stage_t becomes = member->pending_stage
+					     ? member->pending_stage
+					     : member->stage;
+		bool prefills = becomes == KS_STAGE_PREFILL;
+		struct stage_count *count;
+
+		if (member->stage == KS_STAGE_ANY || is_limited(member, now_us))
+			continue;
+		count = find_count(counts, member->origin);
+		count->n++;
+		count->prefill += prefills;
+		total->n++;
+		total->prefill += prefills;
+		*changing += member->pending_stage != KS_STAGE_ANY;
+	}
+	return counts;
+}
+
+/* How many more engines of an origin should prefill; negative for fewer. */
+static double missing_prefill(const struct stage_count *count, double share)
+{
+	double target =
+		count->n < 2 ? 0 : CLAMP(share * count->n, 1, count->n - 1);
+
+	return target - count->prefill;
+}
+
 /**
  * ks_stage_balance_next() - choose the next engine to change
  * @members: engines of one service that accept requests
@@ -179,36 +244,40 @@
 				   const GPtrArray *members, int64_t now_us,
 				   ks_stage_t *stage)
 {
-	guint n = 0, prefill = 0, changing = 0;
-	double target;
+	struct stage_count total = { 0 };
+	guint changing = 0;
+	GArray *counts = count_stages(members, now_us, &total, &changing);
+	ks_member_t *next = NULL;
+	double share = 0, most = TARGET_TOLERANCE;
 
-	for (guint i = 0; i < members->len; i++) {
-		const ks_member_t *member = members->pdata[i];
-		ks_stage_t becomes = member->pending_stage
-					     ? member->pending_stage
-					     : member->stage;
+	if (total.n >= 2 && changing < MAX(1, MAX_CHANGING_SHARE * total.n))
+		share = CLAMP(prefill_target(balance, total.n, total.prefill),
+			      1, total.n - 1) /
+			total.n;
+	for (guint i = 0; share > 0 && i < counts->len; i++) {
+		const struct stage_count *count =
+			&g_array_index(counts, struct stage_count, i);
+		double missing = missing_prefill(count, share);
+		ks_stage_t becomes =
+			missing > 0 ? KS_STAGE_PREFILL : KS_STAGE_DECODE;
+		bool is_urgent = count->prefill == count->n;
+		ks_member_t *member;
 
-		if (member->stage == KS_STAGE_ANY || is_limited(member, now_us))
+		if (fabs(missing) <= most ||
+		    !(is_urgent || may_change(balance, becomes, now_us)))
+			continue;
+		member = least_busy(members, count->origin,
+				    missing > 0 ? KS_STAGE_DECODE
+						: KS_STAGE_PREFILL,
+				    now_us);
+		if (!member)
 			continue;
-		n++;
-		changing += member->pending_stage != KS_STAGE_ANY;
-		prefill += becomes == KS_STAGE_PREFILL;
+		most = fabs(missing);
+		*stage = becomes;
+		next = member;
 	}
-	if (n < 2 || changing >= MAX(1, MAX_CHANGING_SHARE * n))
-		return NULL;
-	target = CLAMP(prefill_target(balance, n, prefill), 1, n - 1);
-	if (target - prefill > TARGET_TOLERANCE)
-		*stage = KS_STAGE_PREFILL;
-	else if (prefill - target > TARGET_TOLERANCE)
-		*stage = KS_STAGE_DECODE;
-	else
-		return NULL;
-	if (!may_change(balance, *stage, now_us))
-		return NULL;
-	return least_busy(members,
-			  *stage == KS_STAGE_PREFILL ? KS_STAGE_DECODE
-						     : KS_STAGE_PREFILL,
-			  now_us);
+	g_array_free(counts, TRUE);
+	return next;
 }
 
 /**
--- a/packages/gateway/tests/test-stages.c
+++ b/packages/gateway/tests/test-stages.c
@@ -336,6 +336,90 @@
 	g_assert_cmpuint(ks_service_occupancy(&service, 100000), ==, 0);
 }
 
+static void put_version(ks_fleet_t *fleet, const char *software, int prefill,
+			int decode)
+{
+	for (int i = 0; i < prefill + decode; i++) {
+		char *id = g_strdup_printf("%s-%d", software, i);
+		ks_member_spec_t spec = {
+			.id = ks_str_from(id),
+			.service = KS_STR("llm"),
+			.software = ks_str_from(software),
+			.domain = KS_STR("d1"),
+			.address = { "10.0.0.1", 80 },
+			.stage = i < prefill ? KS_STAGE_PREFILL
+					     : KS_STAGE_DECODE,
+			.process_start_ms = 1,
+			.accepting = true,
+		};
+
+		ks_fleet_put(fleet, &spec);
+		g_free(id);
+	}
+}
+
+static int count_version(const ks_fleet_t *fleet, const char *software,
+			 ks_stage_t stage)
+{
+	GPtrArray *members = ks_fleet_members(fleet, "llm");
+	int n = 0;
+
+	for (guint i = 0; i < members->len; i++) {
+		const ks_member_t *member = members->pdata[i];
+
+		n += member->stage == stage &&
+		     !strcmp(member->software, software);
+	}
+	g_ptr_array_free(members, TRUE);
+	return n;
+}
+
+/*
+ * Guards against a software version whose engines all prefill, so that none of
+ * its streams can go on, or of which none prefills.
+ */
+static void test_each_version_has_both_stages(void)
+{
+	for (int old = 1; old <= 6; old++)
+		for (int prefill = 0; prefill <= old; prefill++) {
+			ks_stage_balance_t stages = { .prefill_share = 0.7 };
+			ks_fleet_t fleet;
+
+			ks_fleet_init(&fleet);
+			put_version(&fleet, "v1", prefill, old - prefill);
+			put_version(&fleet, "v2", 2, 4);
+			change_stages(&stages, &fleet, SECOND, true);
+			/* Changes in the opposite direction. */
+			change_stages(&stages, &fleet, 30 * SECOND, true);
+			g_assert_cmpint(
+				count_version(&fleet, "v1", KS_STAGE_DECODE),
+				>=, 1);
+			g_assert_cmpint(
+				count_version(&fleet, "v1", KS_STAGE_PREFILL),
+				>=, MIN(old - 1, 1));
+			g_assert_cmpint(
+				count_version(&fleet, "v2", KS_STAGE_PREFILL),
+				==, 4);
+			ks_fleet_deinit(&fleet);
+		}
+}
+
+/* Such a version does not wait until a change may be reversed. */
+static void test_version_without_decode_is_urgent(void)
+{
+	ks_stage_balance_t stages = { .prefill_share = 0.7 };
+	ks_fleet_t fleet;
+
+	ks_fleet_init(&fleet);
+	put_version(&fleet, "v2", 0, 6);
+	g_assert_cmpint(change_stages(&stages, &fleet, SECOND, true), ==, 4);
+	put_version(&fleet, "v1", 2, 0);
+	g_assert_cmpint(change_stages(&stages, &fleet, 2 * SECOND, true), ==,
+			1);
+	g_assert_cmpint(count_version(&fleet, "v1", KS_STAGE_DECODE), ==, 1);
+	ks_fleet_deinit(&fleet);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -354,5 +438,9 @@
 	g_test_add_func("/stages/idle", test_stages_stay_when_idle);
 	g_test_add_func("/stages/waiting", test_stages_ignore_waiting_requests);
 	g_test_add_func("/stages/occupancy", test_occupancy);
+	g_test_add_func("/stages/each-version-has-both",
+			test_each_version_has_both_stages);
+	g_test_add_func("/stages/version-without-decode",
+			test_version_without_decode_is_urgent);
 	return g_test_run();
 }
