--- a/packages/gateway/tests/test-stream-origins.c
+++ b/packages/gateway/tests/test-stream-origins.c
@@ -107,10 +107,13 @@
 	size_t len;
 
 	message.receiver = 3;
+	message.sender = 4;
 	message.stream = &stream;
 	message.origin = &origin;
 	message.n_stream = message.n_origin = 1;
 	len = ks__peer_streams__pack(&message, buf);
+	/* The figure of docs/platform-design.md. */
+	g_assert_cmpuint(len, ==, 42);
 	g_assert_cmpint(buf[0], ==, 0xa1);
 	g_assert_cmpint(buf[1], ==, 0x06);
 	state = ks__peer_state__unpack(NULL, len, buf);
--- a/tests/system/test-soak.sh
+++ b/tests/system/test-soak.sh
@@ -11,6 +11,7 @@
 CRASHING_SEEDS="5005"
 LIMITED_SEEDS="6006"
 REPEATING_SEEDS="7004"
+VERSIONS_SEEDS="903 904"
 
 keep=$(mktemp -d)
 trap 'rm -rf "$keep"' EXIT
@@ -51,9 +52,13 @@
 do
 	run_seed "$seed" --repeating &
 done
+for seed in $VERSIONS_SEEDS
+do
+	run_seed "$seed" --versions --planned &
+done
 wait
 for seed in $seeds $PLANNED_SEED $RETURNS_SEEDS $CRASHING_SEEDS \
-	$LIMITED_SEEDS $REPEATING_SEEDS
+	$LIMITED_SEEDS $REPEATING_SEEDS $VERSIONS_SEEDS
 do
 	cat "$keep/$seed.out"
 	test "$(cat "$keep/$seed.status")" = 0 || failed="$failed $seed"
