--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -5,13 +5,25 @@
 # each. The last line counts the seeds that passed and failed. Logs of failed
 # ones go to build/soak/SEED.
 set -u
-cd "$(dirname "$0")/../.."
+
+usage () {
+	sed -n 's/^# usage: /usage: /p' "$0" >&2
+	exit 2
+}
+
 options=()
-while test $# -gt 3
+while [[ ${1:-} == --* ]]
 do
 	options+=("$1")
 	shift
 done
+test $# = 3 || usage
+for number in "$@"
+do
+	[[ $number =~ ^[0-9]+$ ]] || usage
+done
+test "$1" -le "$2" || usage
+cd "$(dirname "$0")/../.."
 export SOAK_KEEP=${SOAK_KEEP:-build/soak}
 mkdir -p "$SOAK_KEEP"
 seq "$1" "$2" | xargs -P "${JOBS:-2}" -I{} \
@@ -29,4 +41,4 @@
 	fi
 done
 echo "seeds passed: $passed, failed:${failed:- none}"
-test -z "$failed"
+test -z "$failed" && test "$passed" -gt 0
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -22,12 +22,14 @@
 # replica gives twice, 40 by default, and SOAK_NAMED how many of 3 of these have
 # the id of their request, 2 by default.
 set -u
-cd "$(dirname "$0")/../.."
-. tests/system/lib.sh
-. tests/system/site.sh
+
+usage () {
+	sed -n '2,3s/^# *//p' "$0" >&2
+	exit 2
+}
 
 planned= many= timed= returns= crashing= limited= repeating= versions=
-while test $# -gt 2
+while [[ ${1:-} == --* ]]
 do
 	case $1 in
 	--planned) planned=--planned ;;
@@ -38,10 +40,16 @@
 	--limited) limited=yes ;;
 	--repeating) repeating=--repeating ;;
 	--versions) versions=--versions ;;
+	*) usage ;;
 	esac
 	shift
 done
+test $# = 2 || usage
+[[ $1 =~ ^[0-9]+$ && $2 =~ ^[1-9][0-9]*$ ]] || usage
 seed=$1 seconds=$2
+cd "$(dirname "$0")/../.."
+. tests/system/lib.sh
+. tests/system/site.sh
 RANDOM=$seed
 record=$WORK/runs
 : >"$record"
