--- a/packages/gateway/src/placement.c
+++ b/packages/gateway/src/placement.c
@@ -427,8 +427,9 @@
 	struct separation best = { .cost = INT64_MAX };
 	int64_t cost;
 
-	if (decode->len && prefill->len) {
+	if (decode->len)
 		best.prefill = choose_prefill(prefill, sources, query);
+	if (best.prefill.member) {
 		best.decode = least_cost_decode(decode, best.prefill.member,
 						query, &cost);
 		best.cost = best.prefill.cost + SPLIT_OVERHEAD_TOKENS + cost;
