--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -620,8 +620,8 @@
  * Called when another entry has said what it knows of a stream, which is in the
  * records then. @sender is a hash of its name.
  */
-typedef void (*ks_stream_heard_func_t)(void *ctx, uint64_t stream,
-				       uint64_t sender);
+typedef void (*ks_stream_answer_func_t)(void *ctx, uint64_t stream,
+					uint64_t sender);
 
 /* Limit on the entries that are asked for a stream. */
 #define KS_STREAM_MAX_ASKED 4
@@ -656,8 +656,9 @@
  * @next_limit: number of the limit that the next message begins with
  * @demand: NULL for no demand
  * @origins: where streams began; shared with the other entries. NULL for none
- * @stream_news: struct stream_news to be sent in this iteration of the loop
- * @heard: called for each answer about a stream; set if @origins is
+ * @stream_updates: struct stream_update to be sent in this iteration of the
+ *loop
+ * @answered: called for each answer about a stream; set if @origins is
  * @outdated_by: digest that @outdated was last called for, by table
  * @outdated: NULL for none
  */
@@ -692,10 +693,10 @@
 	ks_demand_func_t demand;
 	void *demand_ctx;
 	ks_stream_origins_t *origins;
-	GArray *stream_news;
-	ks_timer_t news_timer;
-	ks_stream_heard_func_t heard;
-	void *heard_ctx;
+	GArray *stream_updates;
+	ks_timer_t update_timer;
+	ks_stream_answer_func_t answered;
+	void *answered_ctx;
 	uint64_t outdated_by[KS_N_TABLES];
 	ks_outdated_func_t outdated;
 	void *ctx;
@@ -713,7 +714,8 @@
 			   const ks_prompt_t *prompt);
 void ks_peers_queue_loss(ks_peers_t *peers, const ks_loss_t *loss);
 void ks_peers_announce_limit(ks_peers_t *peers, ks_member_t *member);
-void ks_peers_tell_stream(ks_peers_t *peers, uint64_t stream, uint64_t origin);
+void ks_peers_announce_stream(ks_peers_t *peers, uint64_t stream,
+			      uint64_t origin);
 unsigned ks_peers_ask_stream(ks_peers_t *peers, uint64_t stream,
 			     uint64_t *asked);
 void ks_peers_receive(ks_peers_t *peers, ks_str_t message);
--- a/packages/gateway/src/exchange.c
+++ b/packages/gateway/src/exchange.c
@@ -222,8 +222,8 @@
 	exchange->has_events = exchange->route->kind == KS_CALL_STREAM &&
 			       exchange->route->resumable;
 	exchange_note_stream(exchange);
-	if (exchange->is_taken_up)
-		exchange_take_up(exchange, service);
+	if (exchange->is_resume_request)
+		exchange_resume(exchange, service);
 	else
 		exchange_begin(exchange, service);
 }
--- a/packages/gateway/src/exchange_resume.c
+++ b/packages/gateway/src/exchange_resume.c
@@ -12,8 +12,8 @@
 /* An entry that shares its processor may take this long to answer. */
 #define ASK_TIMEOUT_US (200 * KS_USEC_PER_MSEC)
 
-/* A stream that goes on is told of again, before its record is forgotten. */
-#define TELL_AGAIN_US (30 * KS_USEC_PER_SEC)
+/* A long stream is announced again before its record is forgotten. */
+#define REANNOUNCE_US (30 * KS_USEC_PER_SEC)
 
 /* Longest id of a caller that is logged, in bytes. */
 #define MAX_LOGGED_ID 64
@@ -45,11 +45,11 @@
 
 	exchange->stream = XXH64(id.data, id.len, 0);
 	exchange->names_stream = first.len > 0;
-	exchange->is_taken_up = exchange->route->kind == KS_CALL_STREAM &&
-				(first.len || after.len);
-	if (!exchange->is_taken_up)
+	exchange->is_resume_request = exchange->route->kind == KS_CALL_STREAM &&
+				      (first.len || after.len);
+	if (!exchange->is_resume_request)
 		return;
-	ks_counter_add(exchange->gateway->counters.taken_up, 1);
+	ks_counter_add(exchange->gateway->counters.resume_requests, 1);
 	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
 	       "a caller resumes a stream request=%s resumes=%.*s after=%.*s",
 	       exchange->id, (int)MIN(first.len, MAX_LOGGED_ID), first.data,
@@ -67,13 +67,14 @@
 	int64_t now = exchange_now(exchange);
 
 	if (!exchange->has_events ||
-	    (exchange->told_us && now - exchange->told_us < TELL_AGAIN_US))
+	    (exchange->announced_us &&
+	     now - exchange->announced_us < REANNOUNCE_US))
 		return;
-	exchange->told_us = now;
+	exchange->announced_us = now;
 	ks_stream_origins_record(&gateway->origins, exchange->stream,
 				 exchange->origin, now);
-	ks_peers_tell_stream(&gateway->peers, exchange->stream,
-			     exchange->origin);
+	ks_peers_announce_stream(&gateway->peers, exchange->stream,
+				 exchange->origin);
 }
 
 /*
@@ -120,11 +121,11 @@
 
 static void refuse(struct exchange *exchange, const char *why)
 {
-	ks_counter_add(exchange->gateway->counters.not_taken_up, 1);
+	ks_counter_add(exchange->gateway->counters.resume_refused, 1);
 	exchange_respond(exchange, 503, RETRY_AFTER_NOT_READY_S, why);
 }
 
-static void go_on(struct exchange *exchange)
+static void continue_stream(struct exchange *exchange)
 {
 	const char *service = find_service(exchange);
 
@@ -163,13 +164,13 @@
 }
 
 /**
- * exchange_take_up() - serve a request that resumes a stream
+ * exchange_resume() - serve a request that resumes a stream
  * @service: of the route, as chosen for a new stream
  *
  * A caller that does not name the stream is served only if all upstreams of the
  * service have the same version.
  */
-void exchange_take_up(struct exchange *exchange, const char *service)
+void exchange_resume(struct exchange *exchange, const char *service)
 {
 	if (exchange->names_stream)
 		exchange->origin = ks_stream_origins_find(
@@ -178,7 +179,7 @@
 	else
 		exchange->origin = match_origin(exchange, service, 0);
 	if (exchange->origin)
-		go_on(exchange);
+		continue_stream(exchange);
 	else if (exchange->names_stream)
 		ask(exchange);
 	else
@@ -186,7 +187,7 @@
 }
 
 /* Handles an answer of another entry. The exchange may have ended then. */
-static void hear(struct exchange *exchange, uint64_t sender)
+static void handle_answer(struct exchange *exchange, uint64_t sender)
 {
 	unsigned n = 0;
 
@@ -194,7 +195,7 @@
 						  exchange->stream,
 						  exchange_now(exchange));
 	if (exchange->origin) {
-		go_on(exchange);
+		continue_stream(exchange);
 		return;
 	}
 	for (unsigned i = 0; i < exchange->n_asked; i++)
@@ -206,7 +207,7 @@
 }
 
 /* Called when another entry has said what it knows of a stream. */
-void gateway_hear_stream(void *ctx, uint64_t stream, uint64_t sender)
+void gateway_on_stream_answer(void *ctx, uint64_t stream, uint64_t sender)
 {
 	ks_gateway_t *gateway = ctx;
 
@@ -216,6 +217,6 @@
 
 		if (exchange->step == EXCHANGE_ASK &&
 		    exchange->stream == stream)
-			hear(exchange, sender);
+			handle_answer(exchange, sender);
 	}
 }
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -153,11 +153,11 @@
 	c->truncated = ks_metrics_counter(
 		m, "ks_gateway_truncated_streams_total",
 		"Streams of upstreams that ended inside an event", NULL);
-	c->taken_up = ks_metrics_counter(
-		m, "ks_gateway_taken_up_total",
+	c->resume_requests = ks_metrics_counter(
+		m, "ks_gateway_resume_requests_total",
 		"Requests of callers that resume a stream", NULL);
-	c->not_taken_up = ks_metrics_counter(
-		m, "ks_gateway_not_taken_up_total",
+	c->resume_refused = ks_metrics_counter(
+		m, "ks_gateway_resume_refused_total",
 		"Requests that resume a stream, refused as it is not known "
 		"which version of the software began it, or none is left",
 		NULL);
@@ -300,8 +300,8 @@
 		gateway->peers.demand = service_demand;
 		gateway->peers.demand_ctx = gateway;
 		gateway->peers.origins = &gateway->origins;
-		gateway->peers.heard = gateway_hear_stream;
-		gateway->peers.heard_ctx = gateway;
+		gateway->peers.answered = gateway_on_stream_answer;
+		gateway->peers.answered_ctx = gateway;
 		log_start(gateway);
 		return gateway;
 	}
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -18,9 +18,9 @@
  *	of a request
  * @unnamed: responses without the id of a request
  * @truncated: streams of upstreams that ended inside an event
- * @taken_up: requests of callers that resume a stream
- * @not_taken_up: of these, the ones that were refused as it is not known which
- *	version of the software began the stream, or none of it is left
+ * @resume_requests: requests of callers that resume a stream
+ * @resume_refused: of these, the ones that were refused as it is not known
+ *which version of the software began the stream, or none of it is left
  * @resumed_same, @resumed_other: streams that went on at the version of the
  *	software that began the response, and at another one
  * @held: parts of prompts that were held, by this entry's own decision or not
@@ -55,8 +55,8 @@
 	ks_counter_t *skipped;
 	ks_counter_t *unnamed;
 	ks_counter_t *truncated;
-	ks_counter_t *taken_up;
-	ks_counter_t *not_taken_up;
+	ks_counter_t *resume_requests;
+	ks_counter_t *resume_refused;
 	ks_counter_t *resumed_same;
 	ks_counter_t *resumed_other;
 	ks_counter_t *held;
@@ -158,8 +158,8 @@
  * @stream: hash of the id of the request whose response began the stream: of
  *	this one, or of the one that the caller names
  * @names_stream: the caller names it
- * @is_taken_up: the caller resumes a stream
- * @told_us: when other entries were told of the stream, 0 before
+ * @is_resume_request: the caller resumes a stream
+ * @announced_us: when other entries were informed of the stream, 0 before
  * @asked, @n_asked: entries that were asked for it and have not answered
  * @ask_timer: ends the wait for them
  * @number: of the exchange, among those of this process
@@ -228,8 +228,8 @@
 	uint64_t content;
 	uint64_t stream;
 	bool names_stream;
-	bool is_taken_up;
-	int64_t told_us;
+	bool is_resume_request;
+	int64_t announced_us;
 	uint64_t asked[KS_STREAM_MAX_ASKED];
 	unsigned n_asked;
 	ks_timer_t ask_timer;
@@ -297,8 +297,8 @@
 void exchange_init_stream(struct exchange *exchange);
 void exchange_note_stream(struct exchange *exchange);
 void exchange_record_stream(struct exchange *exchange);
-void exchange_take_up(struct exchange *exchange, const char *service);
-void gateway_hear_stream(void *ctx, uint64_t stream, uint64_t sender);
+void exchange_resume(struct exchange *exchange, const char *service);
+void gateway_on_stream_answer(void *ctx, uint64_t stream, uint64_t sender);
 
 /* exchange_end.c */
 
--- a/packages/gateway/src/peer_streams.c
+++ b/packages/gateway/src/peer_streams.c
@@ -3,24 +3,24 @@
  * resumes a stream mostly comes to another entry than before, which may have
  * ended meanwhile.
  *
- * Each stream has a few keepers among the entries, which are chosen by a hash
+ * Each stream has a few owners among the entries, which are chosen by a hash
  * of both, so that the number of messages does not grow with that of entries.
- * The entry that begins a stream tells its keepers; one that does not know a
- * stream asks them.
+ * The entry that begins a stream sends them its origin; one that does not know
+ * a stream asks them.
  */
 #include "peers_internal.h"
 
 #include <xxhash.h>
 
-/* Entries that are told of a stream. */
-#define N_KEEPERS 2
+/* Entries that record a stream besides the one that begins it. */
+#define N_OWNERS 2
 
 /*
- * Entries that are asked. Besides the keepers as they are seen here, these are
+ * Entries that are asked. Besides the owners as they are seen here, these are
  * one that may have been passed over as it began the stream itself, and one
  * that has ended and is not known to have.
  */
-#define N_ASKED (N_KEEPERS + 2)
+#define N_ASKED (N_OWNERS + 2)
 G_STATIC_ASSERT(N_ASKED <= KS_STREAM_MAX_ASKED);
 
 /* Limit on what one message says; the rest follows in the next one. */
@@ -33,54 +33,54 @@
 #define STATE_PREFIX "\x0a"
 #define STREAMS_PREFIX "\xa1\x06"
 
-enum news_kind {
-	NEWS_BEGUN,
-	NEWS_ASKED,
-	NEWS_UNKNOWN,
+enum update_kind {
+	UPDATE_BEGUN,
+	UPDATE_ASKED,
+	UPDATE_UNKNOWN,
 };
 
 /**
- * struct stream_news - what another entry is to be told
+ * struct stream_update - something about a stream to send to another entry
  * @receiver: hash of its name
  * @origin: of a stream that has begun
  */
-struct stream_news {
+struct stream_update {
 	uint64_t receiver;
-	enum news_kind kind;
+	enum update_kind kind;
 	uint64_t stream;
 	uint64_t origin;
 };
 
 static gint compare_receivers(gconstpointer a, gconstpointer b)
 {
-	const struct stream_news *x = a, *y = b;
+	const struct stream_update *x = a, *y = b;
 
 	return (x->receiver > y->receiver) - (x->receiver < y->receiver);
 }
 
-/* Sends the first @n news, which are for the same entry. */
-static void send_news(ks_peers_t *peers, const struct stream_news *news,
-		      guint n)
+/* Sends @n updates, which are for the same entry. */
+static void send_updates(ks_peers_t *peers, const struct stream_update *updates,
+			 guint n)
 {
 	uint64_t streams[MAX_PER_MESSAGE], origins[MAX_PER_MESSAGE];
 	uint64_t asked[MAX_PER_MESSAGE], unknown[MAX_PER_MESSAGE];
 	Ks__PeerStreams message = KS__PEER_STREAMS__INIT;
 	GByteArray *packed = g_byte_array_new();
 
-	message.receiver = news->receiver;
+	message.receiver = updates->receiver;
 	message.sender = peers->rank;
 	message.stream = streams;
 	message.origin = origins;
 	message.asked = asked;
 	message.unknown = unknown;
 	for (guint i = 0; i < n; i++) {
-		if (news[i].kind == NEWS_ASKED) {
-			asked[message.n_asked++] = news[i].stream;
-		} else if (news[i].kind == NEWS_UNKNOWN) {
-			unknown[message.n_unknown++] = news[i].stream;
+		if (updates[i].kind == UPDATE_ASKED) {
+			asked[message.n_asked++] = updates[i].stream;
+		} else if (updates[i].kind == UPDATE_UNKNOWN) {
+			unknown[message.n_unknown++] = updates[i].stream;
 		} else {
-			origins[message.n_origin++] = news[i].origin;
-			streams[message.n_stream++] = news[i].stream;
+			origins[message.n_origin++] = updates[i].origin;
+			streams[message.n_stream++] = updates[i].stream;
 		}
 	}
 	g_byte_array_set_size(
@@ -92,46 +92,49 @@
 }
 
 /* Sends what has been queued in this iteration of the loop. */
-static void on_news_timer(void *ctx)
+static void on_update_timer(void *ctx)
 {
 	ks_peers_t *peers = ctx;
-	const struct stream_news *news;
+	const struct stream_update *updates;
 	guint first = 0;
 
-	g_array_sort(peers->stream_news, compare_receivers);
-	news = (const struct stream_news *)(void *)peers->stream_news->data;
-	for (guint i = 1; i <= peers->stream_news->len; i++) {
-		if (i < peers->stream_news->len &&
+	g_array_sort(peers->stream_updates, compare_receivers);
+	updates = (const struct stream_update *)(void *)
+			  peers->stream_updates->data;
+	for (guint i = 1; i <= peers->stream_updates->len; i++) {
+		if (i < peers->stream_updates->len &&
 		    i - first < MAX_PER_MESSAGE &&
-		    news[i].receiver == news[first].receiver)
+		    updates[i].receiver == updates[first].receiver)
 			continue;
-		send_news(peers, news + first, i - first);
+		send_updates(peers, updates + first, i - first);
 		first = i;
 	}
-	g_array_set_size(peers->stream_news, 0);
+	g_array_set_size(peers->stream_updates, 0);
 }
 
-static void queue_news(ks_peers_t *peers, uint64_t receiver,
-		       enum news_kind kind, uint64_t stream, uint64_t origin)
+static void queue_update(ks_peers_t *peers, uint64_t receiver,
+			 enum update_kind kind, uint64_t stream,
+			 uint64_t origin)
 {
-	struct stream_news news = { receiver, kind, stream, origin };
+	struct stream_update update = { receiver, kind, stream, origin };
 
-	g_array_append_val(peers->stream_news, news);
-	if (!ks_timer_is_set(&peers->news_timer))
-		ks_timer_set(&peers->news_timer, 0);
+	g_array_append_val(peers->stream_updates, update);
+	if (!ks_timer_is_set(&peers->update_timer))
+		ks_timer_set(&peers->update_timer, 0);
 }
 
 void peers_init_streams(ks_peers_t *peers)
 {
-	peers->stream_news =
-		g_array_new(FALSE, FALSE, sizeof(struct stream_news));
-	ks_timer_init(&peers->news_timer, peers->loop, on_news_timer, peers);
+	peers->stream_updates =
+		g_array_new(FALSE, FALSE, sizeof(struct stream_update));
+	ks_timer_init(&peers->update_timer, peers->loop, on_update_timer,
+		      peers);
 }
 
 void peers_deinit_streams(ks_peers_t *peers)
 {
-	ks_timer_clear(&peers->news_timer);
-	g_array_free(peers->stream_news, TRUE);
+	ks_timer_clear(&peers->update_timer);
+	g_array_free(peers->stream_updates, TRUE);
 }
 
 /* Subscribes to the messages for all entries and to those for this one. */
@@ -148,7 +151,7 @@
 				   (ks_str_t){ prefix, sizeof(prefix) });
 }
 
-/* Chooses up to @n of the entries heard of for a stream; returns how many. */
+/* Chooses up to @n of the active entries for a stream; returns how many. */
 static unsigned choose_entries(const ks_peers_t *peers, uint64_t stream,
 			       uint64_t *ranks, unsigned n)
 {
@@ -179,25 +182,27 @@
 }
 
 /**
- * ks_peers_tell_stream() - tell the keepers of a stream where it began
+ * ks_peers_announce_stream() - send the origin of a stream to its owners
  */
-void ks_peers_tell_stream(ks_peers_t *peers, uint64_t stream, uint64_t origin)
+void ks_peers_announce_stream(ks_peers_t *peers, uint64_t stream,
+			      uint64_t origin)
 {
-	uint64_t ranks[N_KEEPERS];
+	uint64_t ranks[N_OWNERS];
 	unsigned n;
 
 	if (!peers->context)
 		return;
-	n = choose_entries(peers, stream, ranks, N_KEEPERS);
+	n = choose_entries(peers, stream, ranks, N_OWNERS);
 	for (unsigned i = 0; i < n; i++)
-		queue_news(peers, ranks[i], NEWS_BEGUN, stream, origin);
+		queue_update(peers, ranks[i], UPDATE_BEGUN, stream, origin);
 }
 
 /**
  * ks_peers_ask_stream() - ask other entries where a stream began
  * @asked: set to the hashes of their names, KS_STREAM_MAX_ASKED at most
  *
- * What they know is recorded in @origins, and @heard is called for each answer.
+ * What they know is recorded in @origins, and @answered is called for each
+ * answer.
  *
  * Return: the number of entries that are asked.
  */
@@ -210,17 +215,17 @@
 		return 0;
 	n = choose_entries(peers, stream, asked, N_ASKED);
 	for (unsigned i = 0; i < n; i++)
-		queue_news(peers, asked[i], NEWS_ASKED, stream, 0);
+		queue_update(peers, asked[i], UPDATE_ASKED, stream, 0);
 	return n;
 }
 
-static void answer(ks_peers_t *peers, uint64_t receiver, uint64_t stream)
+static void queue_answer(ks_peers_t *peers, uint64_t receiver, uint64_t stream)
 {
 	uint64_t origin = ks_stream_origins_find(peers->origins, stream,
 						 ks_loop_now(peers->loop));
 
-	queue_news(peers, receiver, origin ? NEWS_BEGUN : NEWS_UNKNOWN, stream,
-		   origin);
+	queue_update(peers, receiver, origin ? UPDATE_BEGUN : UPDATE_UNKNOWN,
+		     stream, origin);
 }
 
 /* Whether a message is one to a single entry. */
@@ -247,14 +252,15 @@
 			ks_stream_origins_record(
 				peers->origins, received->stream[i],
 				received->origin[i], ks_loop_now(peers->loop));
-			peers->heard(peers->heard_ctx, received->stream[i],
-				     received->sender);
+			peers->answered(peers->answered_ctx,
+					received->stream[i], received->sender);
 		}
 		for (size_t i = 0; i < received->n_asked; i++)
-			answer(peers, received->sender, received->asked[i]);
+			queue_answer(peers, received->sender,
+				     received->asked[i]);
 		for (size_t i = 0; i < received->n_unknown; i++)
-			peers->heard(peers->heard_ctx, received->unknown[i],
-				     received->sender);
+			peers->answered(peers->answered_ctx,
+					received->unknown[i], received->sender);
 	}
 	ks__peer_streams__free_unpacked(received, NULL);
 }
--- a/packages/gateway/tests/test-taken-up-at-other-version.c
+++ b/packages/gateway/tests/test-caller-resumes-at-other-version.c
@@ -23,8 +23,8 @@
 }
 
 /* Resumes a stream; returns the upstream that it goes on at, -1 for none. */
-static int take_up(struct versions *v, unsigned entry, const char *id,
-		   const char *resumes)
+static int resume(struct versions *v, unsigned entry, const char *id,
+		  const char *resumes)
 {
 	struct fixture_caller caller;
 	struct fixture_upstream *upstream;
@@ -68,7 +68,7 @@
 		g_snprintf(first_id, sizeof(first_id), "first-%d", i);
 		g_snprintf(next_id, sizeof(next_id), "next-%d", i);
 		first = begin_and_leave(&v, begins, first_id);
-		next = take_up(&v, resumes, next_id, first_id);
+		next = resume(&v, resumes, next_id, first_id);
 		g_assert_cmpint(next, >=, 0);
 		g_assert_cmpstr(v.software[next], ==, v.software[first]);
 	}
@@ -99,10 +99,10 @@
 	init(&v, 3);
 	first = begin_and_leave(&v, 0, "first");
 	versions_end_entry(&v, 0);
-	next = take_up(&v, 2, "second", "first");
+	next = resume(&v, 2, "second", "first");
 	g_assert_cmpint(next, >=, 0);
 	g_assert_cmpstr(v.software[next], ==, v.software[first]);
-	next = take_up(&v, 1, "third", "first");
+	next = resume(&v, 1, "third", "first");
 	g_assert_cmpint(next, >=, 0);
 	g_assert_cmpstr(v.software[next], ==, v.software[first]);
 	versions_deinit(&v);
@@ -120,7 +120,7 @@
 		char id[16];
 
 		g_snprintf(id, sizeof(id), "try-%d", i);
-		next = take_up(&v, i % 2, id, "first");
+		next = resume(&v, i % 2, id, "first");
 		g_assert_cmpint(next, >=, 0);
 		g_assert_cmpstr(v.software[next], ==, v.software[first]);
 		/* Tries go on for longer than a record is kept. */
@@ -137,8 +137,8 @@
 
 	init(&v, 2);
 	before = fixture_n_requests(&v.f);
-	g_assert_cmpint(take_up(&v, 0, "second", "unheard-of"), ==, -1);
-	g_assert_cmpint(take_up(&v, 0, "third", NULL), ==, -1);
+	g_assert_cmpint(resume(&v, 0, "second", "unheard-of"), ==, -1);
+	g_assert_cmpint(resume(&v, 0, "third", NULL), ==, -1);
 	g_assert_cmpuint(fixture_n_requests(&v.f), ==, before);
 	versions_deinit(&v);
 }
@@ -151,7 +151,7 @@
 	versions_init(&v, 1);
 	versions_put_app(&v, 0, "v1");
 	versions_put_app(&v, 1, "v1");
-	g_assert_cmpint(take_up(&v, 0, "second", NULL), >=, 0);
+	g_assert_cmpint(resume(&v, 0, "second", NULL), >=, 0);
 	versions_deinit(&v);
 }
 
@@ -166,10 +166,10 @@
 	versions_put_app(&v, 1, "v2");
 	first = begin_and_leave(&v, 0, "first");
 	versions_put(&v, first, "app", v.software[first], KS_STAGE_ANY, false);
-	g_assert_cmpint(take_up(&v, 0, "second", "first"), ==, -1);
-	g_assert_cmpint(take_up(&v, 1, "third", "first"), ==, -1);
+	g_assert_cmpint(resume(&v, 0, "second", "first"), ==, -1);
+	g_assert_cmpint(resume(&v, 1, "third", "first"), ==, -1);
 	versions_put(&v, first, "app", v.software[first], KS_STAGE_ANY, true);
-	g_assert_cmpint(take_up(&v, 1, "fourth", "first"), ==, first);
+	g_assert_cmpint(resume(&v, 1, "fourth", "first"), ==, first);
 	versions_deinit(&v);
 }
 
@@ -247,39 +247,40 @@
 
 		g_snprintf(id, sizeof(id), "first-%d", i);
 		first = begin_and_leave(&v, 0, id);
-		g_assert_cmpint(take_up(&v, 0, "next", id), ==, first);
+		g_assert_cmpint(resume(&v, 0, "next", id), ==, first);
 	}
 	/* The route does not lead to the first service any more. */
 	while (begin_and_leave(&v, 0, "last") != 0)
 		;
 	apply_split(&v, 3, 0);
-	g_assert_cmpint(take_up(&v, 0, "next", "last"), ==, -1);
+	g_assert_cmpint(resume(&v, 0, "next", "last"), ==, -1);
 	versions_deinit(&v);
 }
 
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	g_test_add_func("/taken-up-at-other-version/same-entry",
+	g_test_add_func("/caller-resumes-at-other-version/same-entry",
 			test_same_entry);
-	g_test_add_func("/taken-up-at-other-version/other-entry",
+	g_test_add_func("/caller-resumes-at-other-version/other-entry",
 			test_other_entry);
-	g_test_add_func("/taken-up-at-other-version/four-entries",
+	g_test_add_func("/caller-resumes-at-other-version/four-entries",
 			test_one_of_four_entries);
-	g_test_add_func("/taken-up-at-other-version/entry-ended",
+	g_test_add_func("/caller-resumes-at-other-version/entry-ended",
 			test_after_the_end_of_its_entry);
-	g_test_add_func("/taken-up-at-other-version/several-tries",
+	g_test_add_func("/caller-resumes-at-other-version/several-tries",
 			test_several_tries);
-	g_test_add_func("/taken-up-at-other-version/unknown-stream",
+	g_test_add_func("/caller-resumes-at-other-version/unknown-stream",
 			test_unknown_stream);
-	g_test_add_func("/taken-up-at-other-version/one-version",
+	g_test_add_func("/caller-resumes-at-other-version/one-version",
 			test_one_version);
-	g_test_add_func("/taken-up-at-other-version/none-left", test_none_left);
-	g_test_add_func("/taken-up-at-other-version/silent-entry",
+	g_test_add_func("/caller-resumes-at-other-version/none-left",
+			test_none_left);
+	g_test_add_func("/caller-resumes-at-other-version/silent-entry",
 			test_silent_entry);
-	g_test_add_func("/taken-up-at-other-version/caller-leaves",
+	g_test_add_func("/caller-resumes-at-other-version/caller-leaves",
 			test_caller_leaves_meanwhile);
-	g_test_add_func("/taken-up-at-other-version/split-route",
+	g_test_add_func("/caller-resumes-at-other-version/split-route",
 			test_split_route);
 	return g_test_run();
 }
