--- a/packages/connection/src/socket.c
+++ b/packages/connection/src/socket.c
@@ -343,8 +343,8 @@
 /**
  * ks_socket_bind_pub() - listen with a PUB socket, without encryption
  *
- * For hints only, on which no request may depend: a subscriber that does not
- * keep up misses messages.
+ * For messages that may be lost: a subscriber that does not keep up misses
+ * some.
  *
  * Return: false if the address is in use.
  */
--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -656,8 +656,7 @@
  * @next_limit: number of the limit that the next message begins with
  * @demand: NULL for no demand
  * @origins: where streams began; shared with the other entries. NULL for none
- * @stream_updates: struct stream_update to be sent in this iteration of the
- *loop
+ * @stream_updates: struct stream_update to be sent by @update_timer
  * @answered: called for each answer about a stream; set if @origins is
  * @outdated_by: digest that @outdated was last called for, by table
  * @outdated: NULL for none
--- a/packages/gateway/src/exchange_resume.c
+++ b/packages/gateway/src/exchange_resume.c
@@ -77,29 +77,36 @@
 				 exchange->origin);
 }
 
-/*
- * Returns the origin of the upstreams of a service if all have the same one and
- * @origin is 0, and else whether one of them has @origin; 0 if not.
- */
-static uint64_t match_origin(const struct exchange *exchange,
-			     const char *service, uint64_t origin)
+/* Returns the origin of the upstreams of a service, 0 if there are several. */
+static uint64_t only_origin(const struct exchange *exchange,
+			    const char *service)
 {
 	GPtrArray *members =
 		ks_fleet_members(&exchange->gateway->fleet, service);
-	uint64_t found = 0;
+	uint64_t origin = 0;
 
 	for (guint i = 0; i < members->len; i++) {
 		const ks_member_t *member = members->pdata[i];
 
-		if (origin && member->origin != origin)
-			continue;
-		if (found && member->origin != found) {
-			found = 0;
+		if (origin && member->origin != origin) {
+			origin = 0;
 			break;
 		}
-		found = member->origin;
+		origin = member->origin;
 	}
 	g_ptr_array_free(members, TRUE);
+	return origin;
+}
+
+static bool has_origin(const struct exchange *exchange, const char *service)
+{
+	GPtrArray *members =
+		ks_fleet_members(&exchange->gateway->fleet, service);
+	bool found;
+
+	ks_members_keep_origin(members, exchange->origin);
+	found = members->len > 0;
+	g_ptr_array_free(members, TRUE);
 	return found;
 }
 
@@ -113,7 +120,7 @@
 
 		if (split->weight &&
 		    ks_traffic_service(exchange->traffic, split->service) &&
-		    match_origin(exchange, split->service, exchange->origin))
+		    has_origin(exchange, split->service))
 			return split->service;
 	}
 	return NULL;
@@ -177,7 +184,7 @@
 			&exchange->gateway->origins, exchange->stream,
 			exchange_now(exchange));
 	else
-		exchange->origin = match_origin(exchange, service, 0);
+		exchange->origin = only_origin(exchange, service);
 	if (exchange->origin)
 		continue_stream(exchange);
 	else if (exchange->names_stream)
