connection: drop trailer fields instead of adding them to the head

What callers saw: with a chunked request that ends with trailer fields, 404 for a route that is there, answers to other callers' requests, and bookings that ran under another request's id, some of them twice.

Cause: the parser reports trailer fields by the callbacks of the head's fields, which append to the text that the list of the head's fields points to. When the text moved, the request was served from freed memory, often that of the next connection's head.

Once the fields of a message are listed, later ones are trailer fields: they count against the limit of the head and are dropped, so the text cannot move. Responses use the same list; test-http-cut trailer-fields.

--- a/packages/connection/src/http1_server.c
+++ b/packages/connection/src/http1_server.c
@@ -132,7 +132,7 @@
 
 static bool head_fits(struct http1_conn *conn)
 {
-	if (conn->target->len + conn->fields.text->len <=
+	if (conn->target->len + http_fields_bytes(&conn->fields) <=
 	    conn->server->max_header_bytes)
 		return true;
 	conn->reject_status = 431;
--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -123,7 +123,7 @@
 	struct ks_http_conn *conn = parser->data;
 
 	http_fields_add_name(&conn->fields, at, len);
-	return conn->fields.text->len > MAX_HEAD_BYTES;
+	return http_fields_bytes(&conn->fields) > MAX_HEAD_BYTES;
 }
 
 static int on_value(http_parser *parser, const char *at, size_t len)
@@ -131,7 +131,7 @@
 	struct ks_http_conn *conn = parser->data;
 
 	http_fields_add_value(&conn->fields, at, len);
-	return conn->fields.text->len > MAX_HEAD_BYTES;
+	return http_fields_bytes(&conn->fields) > MAX_HEAD_BYTES;
 }
 
 static void update_idle_limit(struct ks_http_conn *conn,
--- a/packages/connection/src/http_message.c
+++ b/packages/connection/src/http_message.c
@@ -15,6 +15,8 @@
 	fields->text = g_string_new(NULL);
 	fields->spans = g_array_new(FALSE, TRUE, sizeof(struct http_span));
 	fields->in_value = true;
+	fields->is_listed = false;
+	fields->trailer_bytes = 0;
 }
 
 void http_fields_deinit(struct http_fields *fields)
@@ -28,6 +30,8 @@
 	g_string_truncate(fields->text, 0);
 	g_array_set_size(fields->spans, 0);
 	fields->in_value = true;
+	fields->is_listed = false;
+	fields->trailer_bytes = 0;
 }
 
 static struct http_span *last_span(struct http_fields *fields)
@@ -36,10 +40,18 @@
 			      fields->spans->len - 1);
 }
 
-/* The parser passes names and values in fragments of any size. */
+/*
+ * The parser passes names and values in fragments of any size, and trailer
+ * fields by the same callbacks as those of the head. Trailer fields must not
+ * replace or join the fields of the head (RFC 9110, 6.5.1).
+ */
 void http_fields_add_name(struct http_fields *fields, const char *at,
 			  size_t len)
 {
+	if (fields->is_listed) {
+		fields->trailer_bytes += len;
+		return;
+	}
 	if (fields->in_value) {
 		g_array_set_size(fields->spans, fields->spans->len + 1);
 		last_span(fields)->name = fields->text->len;
@@ -53,6 +65,10 @@
 void http_fields_add_value(struct http_fields *fields, const char *at,
 			   size_t len)
 {
+	if (fields->is_listed) {
+		fields->trailer_bytes += len;
+		return;
+	}
 	if (!fields->spans->len)
 		return;
 	if (!fields->in_value) {
@@ -64,15 +80,27 @@
 }
 
 /**
- * http_fields_list() - list the fields; their strings point into @fields
+ * http_fields_bytes() - length of all names and values, of the trailer too
+ */
+size_t http_fields_bytes(const struct http_fields *fields)
+{
+	return fields->text->len + fields->trailer_bytes;
+}
+
+/**
+ * http_fields_list() - list the fields at the end of the head
+ *
+ * Fields that are added later are those of the trailer, and are dropped.
  *
- * Return: an array to be freed with g_free().
+ * Return: an array to be freed with g_free(). Its strings point into @fields
+ * and are valid until http_fields_clear().
  */
-ks_header_t *http_fields_list(const struct http_fields *fields, size_t *count)
+ks_header_t *http_fields_list(struct http_fields *fields, size_t *count)
 {
 	ks_header_t *list = g_new(ks_header_t, fields->spans->len + 1);
 	const char *text = fields->text->str;
 
+	fields->is_listed = true;
 	*count = fields->spans->len;
 	for (size_t i = 0; i < *count; i++) {
 		const struct http_span *span =
--- a/packages/connection/src/http_message.h
+++ b/packages/connection/src/http_message.h
@@ -14,11 +14,15 @@
  * @spans: array of struct http_span, one for each field
  * @in_value: the last fragment was part of a value, so that the next name
  *	fragment begins a field
+ * @is_listed: http_fields_list() was called, so that @text must not move
+ * @trailer_bytes: length of the trailer fields, which are dropped
  */
 struct http_fields {
 	GString *text;
 	GArray *spans;
 	bool in_value;
+	bool is_listed;
+	size_t trailer_bytes;
 };
 
 /**
@@ -36,7 +40,8 @@
 			  size_t len);
 void http_fields_add_value(struct http_fields *fields, const char *at,
 			   size_t len);
-ks_header_t *http_fields_list(const struct http_fields *fields, size_t *count);
+size_t http_fields_bytes(const struct http_fields *fields);
+ks_header_t *http_fields_list(struct http_fields *fields, size_t *count);
 
 void http_socket_written(h2o_socket_t *sock, h2o_socket_cb on_input);
 
--- a/packages/connection/tests/test-http-cut.c
+++ b/packages/connection/tests/test-http-cut.c
@@ -177,6 +177,16 @@
 	expect("garbage\r\n\r\n", false, KS_HTTP_INCOMPLETE, "");
 }
 
+/* Guards against trailer fields that pass for fields or bytes of a response. */
+static void test_trailer_fields(void)
+{
+	expect(CHUNKED "3\r\nabc\r\n0\r\ncontent-length: 9\r\n"
+		       "x: y\r\n\r\n",
+	       false, KS_HTTP_COMPLETE, "abc");
+	expect(CHUNKED "3\r\nabc\r\n0\r\nx: y\r\n", false, KS_HTTP_INCOMPLETE,
+	       NULL);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -191,5 +201,6 @@
 	g_test_add_func("/http-cut/reset-without-length",
 			test_reset_without_length);
 	g_test_add_func("/http-cut/not-http", test_not_http);
+	g_test_add_func("/http-cut/trailer-fields", test_trailer_fields);
 	return g_test_run();
 }
--- a/packages/connection/tests/test-http1-server.c
+++ b/packages/connection/tests/test-http1-server.c
@@ -25,6 +25,7 @@
 	unsigned requests;
 	unsigned disconnects;
 	GString *bodies;
+	GString *fields;
 	int fd;
 	GString *received;
 	bool closed;
@@ -48,6 +49,14 @@
 	g_string_append_len(f->bodies, request->body.data,
 			    (gssize)request->body.len);
 	g_string_append_c(f->bodies, '|');
+	for (size_t i = 0; i < request->n_headers; i++) {
+		const ks_header_t *field = &request->headers[i];
+
+		g_string_append_printf(f->fields, "%.*s=%.*s;",
+				       (int)field->name.len, field->name.data,
+				       (int)field->value.len,
+				       field->value.data);
+	}
 	if (f->action == ABORT) {
 		ks_http1_abort(request);
 	} else if (f->action == RESPOND) {
@@ -81,6 +90,7 @@
 	memset(f, 0, sizeof(*f));
 	f->action = action;
 	f->bodies = g_string_new(NULL);
+	f->fields = g_string_new(NULL);
 	f->received = g_string_new(NULL);
 	ks_test_clock_init(&f->clock, KS_USEC_PER_SEC);
 	ks_loop_init(&f->loop, &f->clock.clock);
@@ -94,6 +104,7 @@
 	close(f->fd);
 	ks_http1_server_deinit(&f->server);
 	g_string_free(f->bodies, TRUE);
+	g_string_free(f->fields, TRUE);
 	g_string_free(f->received, TRUE);
 	ks_loop_deinit(&f->loop);
 }
@@ -337,6 +348,76 @@
 	deinit_fixture(&f);
 }
 
+#define CHUNKED_HEAD \
+	"POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n"
+#define CHUNKED_FIELDS "host=h;transfer-encoding=chunked;"
+#define CHUNKED_BODY "3\r\nabc\r\n0\r\n"
+
+/* Sends a head of any length, and a body that ends with @trailer. */
+static void expect_without_trailer(size_t pad_len, const char *trailer)
+{
+	char *pad = g_strnfill(pad_len, 'p');
+	char *request = g_strdup_printf(CHUNKED_HEAD "pad: %s\r\n\r\n" //
+					CHUNKED_BODY "%s\r\n"
+						     "GET /b HTTP/1.1\r\n"
+						     "host: b\r\n\r\n",
+					pad, trailer);
+	char *fields = g_strdup_printf(CHUNKED_FIELDS "pad=%s;"
+						      "host=b;",
+				       pad);
+	struct fixture f;
+
+	init_fixture(&f, RESPOND);
+	send_text(&f, request);
+	WAIT(&f, f.requests == 2);
+	g_assert_cmpstr(f.fields->str, ==, fields);
+	g_assert_cmpstr(f.bodies->str, ==, "abc||");
+	deinit_fixture(&f);
+	g_free(fields);
+	g_free(request);
+	g_free(pad);
+}
+
+/*
+ * Guards against a request with trailer fields whose header fields are read
+ * from freed memory, or are those of the trailer.
+ */
+static void test_trailer_fields(void)
+{
+	GString *many = g_string_new(NULL);
+
+	for (int i = 0; i < 50; i++)
+		g_string_append_printf(many, "x-%d: a value of the trailer\r\n",
+				       i);
+	for (size_t len = 0; len < 300; len++)
+		expect_without_trailer(len,
+				       "x-sum: 0123456789abcdef0123456789a"
+				       "bcdef0123456789abcdef01234567\r\n");
+	for (size_t len = 0; len < 2000; len += 40)
+		expect_without_trailer(len, many->str);
+	expect_without_trailer(10, "host: other\r\npad: other\r\n"
+				   "content-length: 7\r\n");
+	g_string_free(many, TRUE);
+}
+
+/* Guards against a trailer without end, and one in many pieces. */
+static void test_endless_trailer(void)
+{
+	struct fixture f;
+
+	init_fixture(&f, RESPOND);
+	f.server.max_header_bytes = 1000;
+	send_text(&f, CHUNKED_HEAD "\r\n" CHUNKED_BODY);
+	for (int i = 0; i < 100 && !f.closed; i++) {
+		send(f.fd, "x-more: 0123456789\r\n", 20, MSG_NOSIGNAL);
+		turn(&f);
+	}
+	WAIT(&f, f.closed);
+	g_assert_cmpuint(f.requests, ==, 0);
+	g_assert_true(g_str_has_prefix(f.received->str, "HTTP/1.1 431 "));
+	deinit_fixture(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -351,5 +432,7 @@
 	g_test_add_func("/http1-server/timeouts", test_timeouts);
 	g_test_add_func("/http1-server/stopping", test_stopping);
 	g_test_add_func("/http1-server/slow-caller", test_slow_caller);
+	g_test_add_func("/http1-server/trailer-fields", test_trailer_fields);
+	g_test_add_func("/http1-server/endless-trailer", test_endless_trailer);
 	return g_test_run();
 }
