gateway: log how much of an answer its caller was sent

A line of a request told the upstream's status, but not whether the caller had got anything of the answer, so that a stream broken off in the middle looked like one that had failed before its first event.

--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -293,9 +293,15 @@
 		exchange_record_cached(exchange, exchange->member);
 }
 
-static void forward(struct exchange *exchange, ks_str_t data)
+static void send_body(struct exchange *exchange, ks_str_t data)
 {
+	exchange->forwarded_bytes += data.len;
 	ks_http1_body(exchange->caller, data);
+}
+
+static void forward(struct exchange *exchange, ks_str_t data)
+{
+	send_body(exchange, data);
 	if (ks_http1_pending(exchange->caller) > HIGH_WATER_BYTES)
 		ks_http_call_pause(&exchange->call);
 }
@@ -468,14 +474,13 @@
 	/* What is no event has been held back whole. */
 	if (exchange->started && exchange->has_events &&
 	    !exchange->is_event_response)
-		ks_http1_body(exchange->caller,
-			      (ks_str_t){ exchange->events.partial->str,
-					  exchange->events.partial->len });
+		send_body(exchange,
+			  (ks_str_t){ exchange->events.partial->str,
+				      exchange->events.partial->len });
 	if (!exchange->started) {
 		start_response(exchange, (int64_t)exchange->body->len);
-		ks_http1_body(
-			exchange->caller,
-			(ks_str_t){ exchange->body->str, exchange->body->len });
+		send_body(exchange, (ks_str_t){ exchange->body->str,
+						exchange->body->len });
 	}
 	finish_response(exchange);
 }
--- a/packages/gateway/src/exchange_end.c
+++ b/packages/gateway/src/exchange_end.c
@@ -30,7 +30,8 @@
 /*
  * The fields from "step" on describe the last send: whether it left this
  * process, when, on which connection, and which response it got. They tell a
- * response that decided wrongly from a send that was not counted.
+ * response that decided wrongly from a send that was not counted. The last one
+ * tells a caller that has a part of the response from one that has nothing.
  */
 void exchange_log(const struct exchange *exchange, ks_log_level_t level,
 		  const char *outcome, int status)
@@ -42,7 +43,7 @@
 	       " upstream=%s software=%s sends=%u runs=%u age_ms=%" PRId64
 	       " step=%s sent=%d sent_us=%" PRId64 " conn=%" PRIu64
 	       " conn_calls=%u answer=%d not_run=%d answer_id=%s skipped=%u"
-	       " framing=%s inside_event=%d",
+	       " framing=%s inside_event=%d forwarded=%zu",
 	       outcome, exchange->id, status,
 	       exchange->route ? exchange->route->name : "-",
 	       exchange->service_name ? exchange->service_name : "-",
@@ -58,7 +59,8 @@
 	       call->conn_number, call->conn_calls, exchange->status,
 	       exchange->refused_not_run, response_id(call), call->skipped,
 	       framing_names[call->framing],
-	       ks_events_is_inside(&exchange->events));
+	       ks_events_is_inside(&exchange->events),
+	       exchange->forwarded_bytes);
 }
 
 /**
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -199,6 +199,7 @@
  * @sent_us: when the latest request was sent to an upstream
  * @begun_us: when the first byte of the body of its response arrived, 0 before
  * @body_bytes: size of the part of the body that has arrived
+ * @forwarded_bytes: size of the part of the body that the caller was sent
  * @prefill_us: time spent on prefill requests
  * @first_us: when the first data of the response arrived, 0 before
  * @latest_us: when the latest data arrived
@@ -273,6 +274,7 @@
 	int64_t sent_us;
 	int64_t begun_us;
 	size_t body_bytes;
+	size_t forwarded_bytes;
 	int64_t prefill_us;
 	int64_t first_us;
 	int64_t latest_us;
