gateway: send the head of a stream with its first bytes

What callers saw: a stream that reached its route's timeout, or whose upstream failed, after the upstream's head and before the first event, ended with a closed connection and not one byte of an answer.

Cause: the head was queued and the response counted as started when the upstream's head arrived, though nothing is written to the caller before the first event. A started response can only be broken off.

A response now starts with the first bytes that are forwarded. Until then what ends the request answers it, and the connection is kept; a resumable stream of which the caller has nothing begins anew.

test-broken-stream unframed-without-events demanded an incomplete response. Its caller now gets 502, which is as little a complete stream; the test demands the status, and neither a seal nor a body.

--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -243,8 +243,6 @@
 		return;
 	exchange->began_with_events = exchange->is_event_response;
 	copy_fields(exchange, headers, n);
-	if (exchange->is_stream_response && exchange->caller)
-		start_response(exchange, -1);
 }
 
 static void record_event_time(struct exchange *exchange)
@@ -299,8 +297,16 @@
 	ks_http1_body(exchange->caller, data);
 }
 
+/*
+ * The head is sent with the first bytes of the body. Until then a failure can
+ * still be answered, and the request may be sent to another upstream.
+ */
 static void forward(struct exchange *exchange, ks_str_t data)
 {
+	if (!data.len)
+		return;
+	if (!exchange->started)
+		start_response(exchange, -1);
 	send_body(exchange, data);
 	if (ks_http1_pending(exchange->caller) > HIGH_WATER_BYTES)
 		ks_http_call_pause(&exchange->call);
@@ -358,9 +364,9 @@
 		stop_reading(exchange);
 		return;
 	}
-	if (exchange->is_stream_response && exchange->started) {
+	if (exchange->is_stream_response) {
 		record_first_event(exchange);
-		if (exchange->is_event_response)
+		if (exchange->started && exchange->is_event_response)
 			exchange_record_stream(exchange);
 		if (exchange->has_events)
 			forward_events(exchange, data);
@@ -382,7 +388,6 @@
 		 * Too long to buffer. If it breaks off, the caller's connection
 		 * is closed early as well.
 		 */
-		start_response(exchange, -1);
 		forward(exchange,
 			(ks_str_t){ exchange->body->str, exchange->body->len });
 		g_string_truncate(exchange->body, 0);
@@ -451,6 +456,12 @@
 /* Forwards a complete response. */
 static void forward_response(struct exchange *exchange)
 {
+	ks_str_t held_back = { NULL, 0 };
+
+	/* What is no event has been held back whole. */
+	if (exchange->has_events && !exchange->is_event_response)
+		held_back = (ks_str_t){ exchange->events.partial->str,
+					exchange->events.partial->len };
 	if (exchange->refused_not_run) {
 		exchange_give_up(exchange, RETRY_AFTER_OVERLOADED_S,
 				 "refused by the upstream");
@@ -471,17 +482,12 @@
 			"the upstream failed and may have run the request");
 		return;
 	}
-	/* What is no event has been held back whole. */
-	if (exchange->started && exchange->has_events &&
-	    !exchange->is_event_response)
-		send_body(exchange,
-			  (ks_str_t){ exchange->events.partial->str,
-				      exchange->events.partial->len });
-	if (!exchange->started) {
-		start_response(exchange, (int64_t)exchange->body->len);
-		send_body(exchange, (ks_str_t){ exchange->body->str,
-						exchange->body->len });
-	}
+	if (!exchange->started)
+		start_response(exchange,
+			       (int64_t)(exchange->body->len + held_back.len));
+	send_body(exchange,
+		  (ks_str_t){ exchange->body->str, exchange->body->len });
+	send_body(exchange, held_back);
 	finish_response(exchange);
 }
 
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -35,7 +35,8 @@
  *	a limit
  * @late: forwarded responses that missed the route's objective for the first
  *	data, or its limit on pauses
- * @first_byte: time from the arrival of a request to the head of its response
+ * @first_byte: time from the arrival of a request to the first bytes of its
+ *	response
  * @prefill: time spent on prefill requests for one request
  * @run_wait: time from sending a request to an upstream to its first data
  * @pause: longest time between two arrivals of data of a response
