connection: end a 204 or 304 with its head

Cause: the server decided on chunks by the missing length alone.

Evidence: test-http1-server no-content failed before.

Such a response now has neither length, chunks nor body, as RFC 9112, 6.3 and RFC 9110, 8.6 say.

--- a/packages/connection/src/http1_conn.h
+++ b/packages/connection/src/http1_conn.h
@@ -22,7 +22,7 @@
  * @response_started: status line and headers are queued
  * @chunked: the response uses chunked transfer coding
  * @ends_with_connection: the response has neither a length nor chunks
- * @no_body: the method is HEAD
+ * @no_body: the method is HEAD, or the status has no body
  * @close_after: close once all output is written
  * @writing: a write is in progress
  * @handling_input: inside on_input(), which must not free the connection
--- a/packages/connection/src/http1_response.c
+++ b/packages/connection/src/http1_response.c
@@ -39,13 +39,18 @@
 		    int64_t length)
 {
 	struct http1_conn *conn = http1_conn_of(request);
+	bool ends_with_head = status == 204 || status == 304;
 	GString *out = conn->queued;
 
 	if (conn->closed)
 		return;
 	conn->response_started = true;
-	conn->chunked = length < 0 && conn->parser.http_minor > 0;
-	conn->ends_with_connection = length < 0 && !conn->chunked;
+	/* These end with their head (RFC 9112, 6.3). */
+	conn->no_body |= ends_with_head;
+	conn->chunked =
+		length < 0 && !ends_with_head && conn->parser.http_minor > 0;
+	conn->ends_with_connection =
+		length < 0 && !ends_with_head && !conn->chunked;
 	if (conn->ends_with_connection)
 		conn->keep_alive = false;
 	g_string_append_printf(out, "HTTP/1.1 %d %s\r\n", status,
@@ -60,7 +65,7 @@
 	}
 	if (conn->chunked)
 		g_string_append(out, "transfer-encoding: chunked\r\n");
-	else if (length >= 0)
+	else if (length >= 0 && !ends_with_head)
 		g_string_append_printf(out, "content-length: %" PRId64 "\r\n",
 				       length);
 	if (!conn->keep_alive || conn->server->stopping) {
--- a/packages/connection/tests/test-http1-server.c
+++ b/packages/connection/tests/test-http1-server.c
@@ -418,6 +418,37 @@
 	deinit_fixture(&f);
 }
 
+/*
+ * Guards against a body, or the end of one, after a status that has none: the
+ * caller would take it for the next response.
+ */
+static void test_no_content(void)
+{
+	static const int statuses[] = { 204, 304 };
+	static const int64_t lengths[] = { -1, 0 };
+
+	for (size_t i = 0; i < 4; i++) {
+		struct fixture f;
+
+		init_fixture(&f, DEFER);
+		send_text(&f, "GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+		WAIT(&f, f.pending != NULL);
+		ks_http1_start(f.pending, statuses[i / 2], NULL, 0,
+			       lengths[i % 2]);
+		ks_http1_body(f.pending, KS_STR(""));
+		ks_http1_end(f.pending);
+		WAIT(&f, count(&f, "\r\n\r\n") == 1);
+		for (int j = 0; j < 20; j++)
+			turn(&f);
+		g_assert_true(g_str_has_suffix(f.received->str, "\r\n\r\n"));
+		g_assert_cmpuint(count(&f, "\r\n\r\n"), ==, 1);
+		g_assert_cmpuint(count(&f, "transfer-encoding"), ==, 0);
+		g_assert_cmpuint(count(&f, "content-length"), ==, 0);
+		f.pending = NULL;
+		deinit_fixture(&f);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -432,6 +463,7 @@
 	g_test_add_func("/http1-server/timeouts", test_timeouts);
 	g_test_add_func("/http1-server/stopping", test_stopping);
 	g_test_add_func("/http1-server/slow-caller", test_slow_caller);
+	g_test_add_func("/http1-server/no-content", test_no_content);
 	g_test_add_func("/http1-server/trailer-fields", test_trailer_fields);
 	g_test_add_func("/http1-server/endless-trailer", test_endless_trailer);
 	return g_test_run();
