connection: refuse a port with a sign

A row of another writer with the address "10.0.0.9:+80" named an upstream at port 80. ks_address_parse() takes digits only now.

Evidence: test-decode bad-announcements with such a row failed before.

--- a/packages/connection/src/address.c
+++ b/packages/connection/src/address.c
@@ -45,6 +45,7 @@
 	int64_t number;
 
 	if (!split_address(text, &ip, &port) || ip.len >= sizeof(address->ip) ||
+	    !port.len || !g_ascii_isdigit(*port.data) ||
 	    !ks_str_parse_int(port, 0, UINT16_MAX, &number))
 		goto bad;
 	memcpy(address->ip, ip.data, ip.len);
