gateway: resume an unnamed stream only if no other version can have begun it

Cause: such a caller was served if all upstreams that accept requests had one version in the entry's view, without regard to the age of the view and to the time before it.

Evidence: test-unnamed-stream all-entries-restarted, version-has-left and version-was-replaced failed before.

The entry now has the list of upstreams read in a request that is sent after the caller's, and serves only if one version is there, draining upstreams included, and was alone for two timeouts of the route. Entries with the same view tell each other for how long, so that a restart of some loses nothing.

test-caller-resumes-at-other-version one-version demanded that the only version serves at once, which is the fault. It now demands a refusal at first and an answer after the time.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -389,11 +389,15 @@
  * @by_id, @by_tag: struct ks_member by its id and by its tag
  * @withdrawn: members that are no longer announced and have said something of
  *	themselves, in the order of their removal
+ * @latest_origins: origin of the upstream of each service that was last put
+ * @n_mixtures: counts the changes that showed two origins of one service
  */
 typedef struct ks_fleet {
 	GHashTable *by_id;
 	GHashTable *by_tag;
 	GQueue withdrawn;
+	GHashTable *latest_origins;
+	uint64_t n_mixtures;
 } ks_fleet_t;
 
 void ks_fleet_init(ks_fleet_t *fleet);
@@ -404,6 +408,7 @@
 size_t ks_fleet_expire(ks_fleet_t *fleet, int64_t now_us);
 ks_member_t *ks_fleet_find(const ks_fleet_t *fleet, ks_str_t id);
 ks_member_t *ks_fleet_find_tag(const ks_fleet_t *fleet, uint32_t tag);
+GPtrArray *ks_fleet_listed(const ks_fleet_t *fleet, const char *service);
 GPtrArray *ks_fleet_members(const ks_fleet_t *fleet, const char *service);
 GPtrArray *ks_fleet_available(const ks_fleet_t *fleet, const char *service,
 			      int64_t notice_us, int64_t now_us);
@@ -647,6 +652,9 @@
  * @next_us: earliest time of the next message
  * @rank: see struct ks_peer_view
  * @views: what this entry knows of each table
+ * @settled_us: since when no service has had upstreams of two origins, as far
+ *	as this entry knows, or one that has the same view of them; 0 if unknown
+ * @settled_since_start: it has known no such service since it started
  * @quarantine: exchanged with the other entries; NULL for none
  * @losses: ks_loss_t of this entry that are sent to the others
  * @claimants: struct claimant by entry name
@@ -683,6 +691,8 @@
 	int64_t next_us;
 	uint64_t rank;
 	ks_view_t views[KS_N_TABLES];
+	int64_t settled_us;
+	bool settled_since_start;
 	ks_quarantine_t *quarantine;
 	GQueue losses;
 	GHashTable *claimants;
@@ -898,6 +908,15 @@
 ks_fleet_t *ks_gateway_fleet(ks_gateway_t *gateway);
 ks_peers_t *ks_gateway_peers(ks_gateway_t *gateway);
 ks_quarantine_t *ks_gateway_quarantine(ks_gateway_t *gateway);
+/*
+ * Has the announcements of upstreams read at once; ks_gateway_members_read() is
+ * then called, possibly before this returns. A read in progress does not count.
+ */
+typedef void (*ks_read_members_func_t)(void *ctx);
+
+void ks_gateway_set_member_reader(ks_gateway_t *gateway,
+				  ks_read_members_func_t func, void *ctx);
+void ks_gateway_members_read(ks_gateway_t *gateway, int64_t asked_us);
 void ks_gateway_set_hold_keeper(ks_gateway_t *gateway,
 				const ks_hold_keeper_t *keeper, void *ctx);
 ks_metrics_t *ks_gateway_metrics(ks_gateway_t *gateway);
--- a/packages/gateway/src/exchange.c
+++ b/packages/gateway/src/exchange.c
@@ -223,7 +223,7 @@
 			       exchange->route->resumable;
 	exchange_note_stream(exchange);
 	if (exchange->is_resume_request)
-		exchange_resume(exchange, service);
+		exchange_resume(exchange);
 	else
 		exchange_begin(exchange, service);
 }
--- a/packages/gateway/src/exchange_end.c
+++ b/packages/gateway/src/exchange_end.c
@@ -8,6 +8,7 @@
 
 static const char *const step_names[] = {
 	[EXCHANGE_IDLE] = "place",	  [EXCHANGE_ASK] = "ask",
+	[EXCHANGE_READ] = "read",
 	[EXCHANGE_PREFILL] = "prefill",	  [EXCHANGE_RUN] = "run",
 	[EXCHANGE_DETACHED] = "detached",
 };
--- a/packages/gateway/src/exchange_resume.c
+++ b/packages/gateway/src/exchange_resume.c
@@ -3,6 +3,9 @@
  * software write does not fit together, so a stream goes on only where
  * upstreams have the origin that began it. An entry that does not know the
  * origin asks others, and refuses the request if none of them knows it either.
+ *
+ * A stream that its caller does not name goes on only if there has been no
+ * second version since before it can have begun.
  */
 #include "gateway_internal.h"
 
@@ -12,6 +15,15 @@
 /* An entry that shares its processor may take this long to answer. */
 #define ASK_TIMEOUT_US (200 * KS_USEC_PER_MSEC)
 
+/* The store may be slow; it responds within some hundred milliseconds then. */
+#define READ_TIMEOUT_US (800 * KS_USEC_PER_MSEC)
+
+/*
+ * A stream that is resumed is at most this many timeouts of its route old: one
+ * for the try that began it, and one for the try that resumes it.
+ */
+#define MAX_STREAM_TIMEOUTS 2
+
 /* A long stream is announced again before its record is forgotten. */
 #define REANNOUNCE_US (30 * KS_USEC_PER_SEC)
 
@@ -77,27 +89,54 @@
 				 exchange->origin);
 }
 
-/* Returns the origin of the upstreams of a service, 0 if there are several. */
-static uint64_t only_origin(const struct exchange *exchange,
-			    const char *service)
+/*
+ * Adds the origins of the upstreams of a service; returns false if there are
+ * several.
+ */
+static bool add_origins(const struct exchange *exchange, const char *service,
+			uint64_t *origin)
 {
 	GPtrArray *members =
-		ks_fleet_members(&exchange->gateway->fleet, service);
-	uint64_t origin = 0;
+		ks_fleet_listed(&exchange->gateway->fleet, service);
+	bool is_only = true;
 
-	for (guint i = 0; i < members->len; i++) {
+	for (guint i = 0; i < members->len && is_only; i++) {
 		const ks_member_t *member = members->pdata[i];
 
-		if (origin && member->origin != origin) {
-			origin = 0;
-			break;
-		}
-		origin = member->origin;
+		is_only = !*origin || member->origin == *origin;
+		*origin = member->origin;
 	}
 	g_ptr_array_free(members, TRUE);
+	return is_only;
+}
+
+/*
+ * Returns the origin of all upstreams that the route leads to, 0 if there are
+ * several or none.
+ */
+static uint64_t only_origin(const struct exchange *exchange)
+{
+	const GArray *splits = exchange->route->splits;
+	uint64_t origin = 0;
+
+	for (guint i = 0; i < splits->len; i++)
+		if (!add_origins(exchange,
+				 g_array_index(splits, ks_split_t, i).service,
+				 &origin))
+			return 0;
 	return origin;
 }
 
+/* Whether a stream that is resumed began after the latest second version. */
+static bool is_settled(const struct exchange *exchange)
+{
+	int64_t since_us = exchange->gateway->peers.settled_us;
+
+	return since_us &&
+	       exchange_now(exchange) - since_us >=
+		       MAX_STREAM_TIMEOUTS * exchange->route->timeout_us;
+}
+
 static bool has_origin(const struct exchange *exchange, const char *service)
 {
 	GPtrArray *members =
@@ -170,29 +209,55 @@
 	ks_timer_set(&exchange->ask_timer, ASK_TIMEOUT_US);
 }
 
+/* Has the announcements of upstreams read, as the known ones may be old. */
+static void await_read(struct exchange *exchange)
+{
+	ks_gateway_t *gateway = exchange->gateway;
+
+	if (!gateway->read_members) {
+		refuse_unknown(exchange);
+		return;
+	}
+	exchange->step = EXCHANGE_READ;
+	exchange->read_after_us = exchange_now(exchange);
+	ks_timer_set(&exchange->ask_timer, READ_TIMEOUT_US);
+	gateway->read_members(gateway->read_members_ctx);
+}
+
 /**
- * exchange_resume() - serve a request that resumes a stream
- * @service: of the route, as chosen for a new stream
- *
- * A caller that does not name the stream is served only if all upstreams of the
- * service have the same version.
+ * exchange_members_read() - continue an exchange that waits for a read of the
+ * announcements of upstreams
  */
-void exchange_resume(struct exchange *exchange, const char *service)
+void exchange_members_read(struct exchange *exchange)
 {
-	if (exchange->names_stream)
-		exchange->origin = ks_stream_origins_find(
-			&exchange->gateway->origins, exchange->stream,
-			exchange_now(exchange));
-	else
-		exchange->origin = only_origin(exchange, service);
+	if (exchange->step != EXCHANGE_READ ||
+	    exchange->gateway->members_read_us < exchange->read_after_us)
+		return;
+	exchange->origin = is_settled(exchange) ? only_origin(exchange) : 0;
 	if (exchange->origin)
 		continue_stream(exchange);
-	else if (exchange->names_stream)
-		ask(exchange);
 	else
 		refuse_unknown(exchange);
 }
 
+/**
+ * exchange_resume() - serve a request that resumes a stream
+ */
+void exchange_resume(struct exchange *exchange)
+{
+	if (!exchange->names_stream) {
+		await_read(exchange);
+		return;
+	}
+	exchange->origin = ks_stream_origins_find(&exchange->gateway->origins,
+						  exchange->stream,
+						  exchange_now(exchange));
+	if (exchange->origin)
+		continue_stream(exchange);
+	else
+		ask(exchange);
+}
+
 /* Handles an answer of another entry. The exchange may have ended then. */
 static void handle_answer(struct exchange *exchange, uint64_t sender)
 {
--- a/packages/gateway/src/fleet.c
+++ b/packages/gateway/src/fleet.c
@@ -78,6 +78,9 @@
 	fleet->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					     on_unlisted);
 	fleet->by_tag = g_hash_table_new(NULL, NULL);
+	fleet->latest_origins =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	fleet->n_mixtures = 0;
 	g_queue_init(&fleet->withdrawn);
 }
 
@@ -89,6 +92,7 @@
 		ks_member_unref(member);
 	g_hash_table_destroy(fleet->by_id);
 	g_hash_table_destroy(fleet->by_tag);
+	g_hash_table_destroy(fleet->latest_origins);
 }
 
 static ks_member_t *new_member(ks_str_t id)
@@ -204,8 +208,39 @@
 	}
 }
 
+static void note_put(ks_fleet_t *fleet, const ks_member_t *member)
+{
+	uint64_t *latest =
+		g_hash_table_lookup(fleet->latest_origins, member->service);
+
+	if (latest && *latest == member->origin)
+		return;
+	fleet->n_mixtures += latest != NULL;
+	g_hash_table_replace(
+		fleet->latest_origins, g_strdup(member->service),
+		g_memdup2(&member->origin, sizeof(member->origin)));
+}
+
+static void note_removal(ks_fleet_t *fleet, const ks_member_t *removed)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, fleet->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const ks_member_t *member = value;
+
+		if (member->origin != removed->origin &&
+		    !strcmp(member->service, removed->service)) {
+			fleet->n_mixtures++;
+			return;
+		}
+	}
+}
+
 static void remove_member(ks_fleet_t *fleet, ks_member_t *member)
 {
+	note_removal(fleet, member);
 	remember_withdrawal(fleet, member);
 	g_hash_table_remove(fleet->by_tag, GUINT_TO_POINTER(member->tag));
 	g_hash_table_remove(fleet->by_id, member->id);
@@ -241,6 +276,7 @@
 	member->process_start_ms = spec->process_start_ms;
 	member->accepting = spec->accepting;
 	member->remove_at_us = 0;
+	note_put(fleet, member);
 	return member;
 }
 
@@ -284,6 +320,7 @@
 
 		if (!member->remove_at_us || member->remove_at_us > now_us)
 			continue;
+		note_removal(fleet, member);
 		remember_withdrawal(fleet, member);
 		g_hash_table_remove(fleet->by_tag,
 				    GUINT_TO_POINTER(member->tag));
@@ -294,11 +331,11 @@
 }
 
 /**
- * ks_fleet_members() - get the upstreams of a service that accept requests
+ * ks_fleet_listed() - get the upstreams of a service, those that drain included
  *
  * Return: an array that holds no references; free it with g_ptr_array_free().
  */
-GPtrArray *ks_fleet_members(const ks_fleet_t *fleet, const char *service)
+GPtrArray *ks_fleet_listed(const ks_fleet_t *fleet, const char *service)
 {
 	GPtrArray *members = g_ptr_array_new();
 	GHashTableIter iter;
@@ -308,12 +345,30 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		ks_member_t *member = value;
 
-		if (member->accepting && !strcmp(member->service, service))
+		if (!strcmp(member->service, service))
 			g_ptr_array_add(members, member);
 	}
 	return members;
 }
 
+/**
+ * ks_fleet_members() - get the upstreams of a service that accept requests
+ *
+ * Return: an array that holds no references; free it with g_ptr_array_free().
+ */
+GPtrArray *ks_fleet_members(const ks_fleet_t *fleet, const char *service)
+{
+	GPtrArray *members = ks_fleet_listed(fleet, service);
+
+	for (guint i = members->len; i-- > 0;) {
+		const ks_member_t *member = members->pdata[i];
+
+		if (!member->accepting)
+			g_ptr_array_remove_index_fast(members, i);
+	}
+	return members;
+}
+
 /**
  * ks_fleet_available() - get the upstreams of a service that may be sent
  * requests now
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -411,6 +411,44 @@
 	gateway->confirmed_us = ks_loop_now(gateway->loop);
 }
 
+/**
+ * ks_gateway_set_member_reader() - set what reads the announcements of
+ * upstreams again
+ * @func: NULL for none
+ */
+void ks_gateway_set_member_reader(ks_gateway_t *gateway,
+				  ks_read_members_func_t func, void *ctx)
+{
+	gateway->read_members = func;
+	gateway->read_members_ctx = ctx;
+}
+
+static void note_mixtures(ks_gateway_t *gateway)
+{
+	ks_peers_t *peers = &gateway->peers;
+	bool is_first = !peers->settled_us;
+
+	if (!is_first && gateway->n_mixtures == gateway->fleet.n_mixtures)
+		return;
+	gateway->n_mixtures = gateway->fleet.n_mixtures;
+	peers->settled_us = ks_loop_now(gateway->loop);
+	peers->settled_since_start = is_first;
+}
+
+/**
+ * ks_gateway_members_read() - note that the fleet has what a read of the
+ * announcements of upstreams reported
+ * @asked_us: when the read was begun
+ */
+void ks_gateway_members_read(ks_gateway_t *gateway, int64_t asked_us)
+{
+	note_mixtures(gateway);
+	gateway->members_read_us = asked_us;
+	KS_LIST_FOREACH_SAFE (it, tmp, &gateway->exchanges)
+		exchange_members_read(
+			KS_CONTAINER_OF(it, struct exchange, node));
+}
+
 ks_fleet_t *ks_gateway_fleet(ks_gateway_t *gateway)
 {
 	return &gateway->fleet;
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -89,6 +89,10 @@
  * @budgets: ks_budget_t for retries by service name
  * @quarantine: parts of prompts whose requests are refused
  * @origins: where the streams of this entry and some of the others' began
+ * @read_members: NULL if nothing reads the announcements of upstreams again
+ * @members_read_us: when the latest read of them was begun that has ended, 0
+ *	before
+ * @n_mixtures: value of the fleet's counter at that read
  * @hold_keeper: NULL for none
  * @n_losses: losses recorded by this entry
  * @n_exchanges: exchanges begun
@@ -112,6 +116,10 @@
 	GHashTable *budgets;
 	ks_quarantine_t quarantine;
 	ks_stream_origins_t origins;
+	ks_read_members_func_t read_members;
+	void *read_members_ctx;
+	int64_t members_read_us;
+	uint64_t n_mixtures;
 	const ks_hold_keeper_t *hold_keeper;
 	void *hold_keeper_ctx;
 	uint64_t n_losses;
@@ -137,6 +145,8 @@
  * @EXCHANGE_IDLE: nothing; no upstream has been chosen yet
  * @EXCHANGE_ASK: the answers of other entries, at which upstreams the stream
  *	began that the caller resumes
+ * @EXCHANGE_READ: a read of the announcements of upstreams, which may have
+ *	changed since the last one
  * @EXCHANGE_PREFILL: the response of the prefill engine, with a KV cache handle
  * @EXCHANGE_RUN: the response to the request
  * @EXCHANGE_DETACHED: the response to a request that must not be cancelled,
@@ -145,6 +155,7 @@
 enum exchange_step {
 	EXCHANGE_IDLE,
 	EXCHANGE_ASK,
+	EXCHANGE_READ,
 	EXCHANGE_PREFILL,
 	EXCHANGE_RUN,
 	EXCHANGE_DETACHED,
@@ -162,7 +173,8 @@
  * @is_resume_request: the caller resumes a stream
  * @announced_us: when other entries were informed of the stream, 0 before
  * @asked, @n_asked: entries that were asked for it and have not answered
- * @ask_timer: ends the wait for them
+ * @read_after_us: a read counts that was begun then or later
+ * @ask_timer: ends the wait for entries or for a read
  * @number: of the exchange, among those of this process
  * @deadline_us: when the caller stops waiting or the route's timeout expires
  * @hard_deadline_us: when the exchange is ended in any case
@@ -234,6 +246,7 @@
 	int64_t announced_us;
 	uint64_t asked[KS_STREAM_MAX_ASKED];
 	unsigned n_asked;
+	int64_t read_after_us;
 	ks_timer_t ask_timer;
 	uint64_t number;
 	int64_t arrived_us;
@@ -300,7 +313,8 @@
 void exchange_init_stream(struct exchange *exchange);
 void exchange_note_stream(struct exchange *exchange);
 void exchange_record_stream(struct exchange *exchange);
-void exchange_resume(struct exchange *exchange, const char *service);
+void exchange_resume(struct exchange *exchange);
+void exchange_members_read(struct exchange *exchange);
 void gateway_on_stream_answer(void *ctx, uint64_t stream, uint64_t sender);
 
 /* exchange_end.c */
--- a/packages/gateway/src/peer.pb-c.c
+++ b/packages/gateway/src/peer.pb-c.c
@@ -187,7 +187,7 @@
   assert(message->base.descriptor == &ks__peer_streams__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ks__peer_state__field_descriptors[20] =
+static const ProtobufCFieldDescriptor ks__peer_state__field_descriptors[21] =
 {
   {
     "name",
@@ -429,6 +429,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "settled_ms",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ks__PeerState, settled_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ks__peer_state__field_indices_by_name[] = {
   15,   /* field[15] = answered_age_ms */
@@ -446,6 +458,7 @@
   9,   /* field[9] = occupancy */
   6,   /* field[6] = reading_tokens */
   5,   /* field[5] = running */
+  20,   /* field[20] = settled_ms */
   12,   /* field[12] = table_age_ms */
   11,   /* field[11] = table_digest */
   10,   /* field[10] = table_revision */
@@ -455,7 +468,7 @@
 static const ProtobufCIntRange ks__peer_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor ks__peer_state__descriptor =
 {
@@ -465,7 +478,7 @@
   "Ks__PeerState",
   "ks",
   sizeof(Ks__PeerState),
-  20,
+  21,
   ks__peer_state__field_descriptors,
   ks__peer_state__field_indices_by_name,
   1,  ks__peer_state__number_ranges,
--- a/packages/gateway/src/peer.pb-c.h
+++ b/packages/gateway/src/peer.pb-c.h
@@ -115,10 +115,15 @@
    */
   size_t n_limit;
   Ks__PeerLimit **limit;
+  /*
+   * For how long the sender knows, by its view of the upstreams, that no
+   * service has had two versions of its software; 0 if it does not know.
+   */
+  uint32_t settled_ms;
 };
 #define KS__PEER_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ks__peer_state__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
 
 
 /*
--- a/packages/gateway/src/peer_views.c
+++ b/packages/gateway/src/peer_views.c
@@ -3,6 +3,21 @@
  */
 #include "peers_internal.h"
 
+/*
+ * An entry that has started lately takes over what another one with the same
+ * view of the upstreams knows of the time before.
+ */
+static void extend_settled(ks_peers_t *peers, const ks_view_t *view,
+			   uint32_t settled_ms)
+{
+	int64_t since_us =
+		ks_loop_now(peers->loop) - settled_ms * KS_USEC_PER_MSEC;
+
+	if (settled_ms && peers->settled_since_start &&
+	    view->digest == peers->views[KS_TABLE_MEMBERS].digest)
+		peers->settled_us = MIN(peers->settled_us, MAX(since_us, 1));
+}
+
 /* Notes what another entry knows of each table. */
 void peers_record_views(ks_peers_t *peers, struct peer *peer,
 			const Ks__PeerState *state)
@@ -20,6 +35,8 @@
 		view->digest = state->table_digest[i];
 		view->read_us =
 			MAX(now - state->table_age_ms[i] * KS_USEC_PER_MSEC, 1);
+		if (i == KS_TABLE_MEMBERS)
+			extend_settled(peers, view, state->settled_ms);
 		/*
 		 * Once for each digest: if reading does not lead to the same
 		 * one, reading again would not either.
@@ -54,6 +71,10 @@
 	state->table_age_ms = fields->ages_ms;
 	state->n_table_revision = state->n_table_digest = KS_N_TABLES;
 	state->n_table_age_ms = KS_N_TABLES;
+	if (peers->settled_us)
+		state->settled_ms = (uint32_t)CLAMP((now - peers->settled_us) /
+							    KS_USEC_PER_MSEC,
+						    0, G_MAXINT32);
 }
 
 /**
--- a/packages/gateway/tests/test-caller-resumes-at-other-version.c
+++ b/packages/gateway/tests/test-caller-resumes-at-other-version.c
@@ -143,7 +143,10 @@
 	versions_deinit(&v);
 }
 
-/* A caller that does not say what it resumes is served by the only version. */
+/*
+ * A caller that does not say what it resumes is served by the only version,
+ * once that has been the only one for longer than a stream lasts.
+ */
 static void test_one_version(void)
 {
 	struct versions v;
@@ -151,6 +154,8 @@
 	versions_init(&v, 1);
 	versions_put_app(&v, 0, "v1");
 	versions_put_app(&v, 1, "v1");
+	g_assert_cmpint(resume(&v, 0, "first", NULL), ==, -1);
+	fixture_advance(&v.f, 20000);
 	g_assert_cmpint(resume(&v, 0, "second", NULL), >=, 0);
 	versions_deinit(&v);
 }
--- a/packages/gateway/tests/versions_fixture.h
+++ b/packages/gateway/tests/versions_fixture.h
@@ -60,6 +60,15 @@
 	versions_put(v, i, "app", software, KS_STAGE_ANY, true);
 }
 
+/* The fixture puts upstreams at once, so that a read has nothing new. */
+static inline void versions_read_members(void *ctx)
+{
+	ks_gateway_t *gateway = ctx;
+
+	ks_gateway_members_read(gateway,
+				ks_loop_now(ks_gateway_peers(gateway)->loop));
+}
+
 static inline void versions_start_entry(struct versions *v, unsigned i)
 {
 	char name[16];
@@ -82,6 +91,8 @@
 		ks_gateway_new(&v->f.loop, &fixture_dialect, &settings, NULL);
 	g_assert_nonnull(v->entries[i]);
 	v->f.gateway = v->entries[i];
+	ks_gateway_set_member_reader(v->entries[i], versions_read_members,
+				     v->entries[i]);
 	fixture_apply(&v->f, 1);
 }
 
