connection: call callbacks of completed writes before sockets are freed

What callers saw: after a freeze under load, or when several timers were due at once, an entry looped for good and answered nothing, or ended by a signal.

Cause: timers run outside h2o's loop. A write that completes at once puts its socket on h2o's list of pending callbacks; if a timer of the same batch closes it, h2o frees it at the start of the next iteration and goes through the list only after that.

The loop now calls the pending callbacks before each iteration and after the timers, when the closed sockets are still there. Callbacks of writes from timers come after all timers that are due, as before; the second poll of such an iteration is gone.

--- a/packages/connection/src/loop.c
+++ b/packages/connection/src/loop.c
@@ -147,22 +147,17 @@
 /*
  * Runs the timers that were due when it was called. With a clock that advances,
  * a timer set by a callback runs on the next iteration, even without a delay.
- *
- * Return: whether any was run.
  */
-static bool run_expired_timers(ks_loop_t *loop)
+static void run_expired_timers(ks_loop_t *loop)
 {
 	int64_t now = ks_loop_now(loop);
-	bool any = false;
 
 	while (loop->timers->len > 0 && timer_at(loop, 0)->due_us <= now) {
 		ks_timer_t *timer = timer_at(loop, 0);
 
 		ks_timer_clear(timer);
 		timer->func(timer->ctx);
-		any = true;
 	}
-	return any;
 }
 
 static int64_t next_wait(const ks_loop_t *loop, int64_t max_wait_us)
@@ -175,28 +170,36 @@
 	return CLAMP(wait, 0, max_wait_us);
 }
 
-static bool has_pending(const ks_loop_t *loop)
+/*
+ * Calls the callbacks of writes that completed at once. h2o does so after it
+ * has polled and freed the sockets that were closed, so that a socket which
+ * code outside h2o's loop has written and closed would be used after it was
+ * freed, and other callbacks would wait for an unrelated event.
+ */
+static void run_pending_callbacks(ks_loop_t *loop)
 {
-	return loop->h2o->_pending_as_client || loop->h2o->_pending_as_server;
+	if (loop->h2o->_pending_as_client || loop->h2o->_pending_as_server)
+		h2o_timeout__do_post_callback(loop->h2o);
 }
 
 /**
  * ks_loop_run_once() - run one iteration of the loop
  * @max_wait_us: longest wait for events, in microseconds
+ *
+ * Callbacks of writes that timers have made are called after all timers that
+ * are due.
  */
 void ks_loop_run_once(ks_loop_t *loop, int64_t max_wait_us)
 {
-	int64_t wait = next_wait(loop, max_wait_us);
+	int64_t wait;
 
+	/* Between two iterations, connections may have been written as well. */
+	run_pending_callbacks(loop);
+	wait = next_wait(loop, max_wait_us);
 	/* Rounded up: a wait rounded down would spin until the timer is due. */
 	h2o_evloop_run(loop->h2o, (int32_t)((wait + 999) / 1000));
-	/*
-	 * h2o polls before it calls the callbacks of writes that completed
-	 * immediately. Without a second run, the callback of a write from a
-	 * timer would wait for an unrelated event.
-	 */
-	if (run_expired_timers(loop) && has_pending(loop))
-		h2o_evloop_run(loop->h2o, 0);
+	run_expired_timers(loop);
+	run_pending_callbacks(loop);
 }
 
 /**
