soak: a process that ends by itself is a failure

A gateway that crashed in a soak was noticed only by what its callers lost, which faults excuse. The soak now looks at each gateway, the store and, where no request crashes them, the replicas, and reports one that ended though nothing told it to, with the signal or status; a gateway that was told to stop must exit with 0, also if it was frozen meanwhile.

--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -5,7 +5,7 @@
 # Runs gateways, replicas, a store and callers as separate processes and injects
 # faults, drawn from SEED, from outside: signals to the processes, and relays
 # that lose or refuse connections. Fails if a caller or a replica saw a rule
-# broken; see soak-callers.c. With --planned, only restarts by SIGTERM, leaving
+# broken; see soak-callers.c, or if a process ended by itself. With --planned, only restarts by SIGTERM, leaving
 # replicas and new configurations; with --many, as many processes as the limits
 # of a small machine bear; with --timed, rules with a time bound are checked as
 # well, for a machine without other load. With --returns, the store also returns
@@ -143,14 +143,45 @@
 		2>/dev/null &
 }
 
+ended=
+
+# report_end NAME STATUS: a process ended, and nothing told it to end so.
+report_end () {
+	local how="exit status $2"
+	test "$2" -le 128 || how=SIG$(kill -l $(($2 - 128)))
+	echo "violation ENDED $1 by $how" | tee -a "$WORK/ended.out"
+	ended=yes
+}
+
 # reap NAME: waits for a process that was told to end; it may be frozen.
 reap () {
 	kill -CONT "${PID[$1]}" 2>/dev/null
 	wait "${PID[$1]}" 2>/dev/null
+	local status=$?
+	case $1 in
+	gateway*) test $status = 0 || report_end "$1" $status ;;
+	esac
 }
 
 killed=() stopping=()
 
+# Finds the processes that have ended by themselves. Replicas may crash on a
+# request with --crashing and --repeating.
+check_ends () {
+	local name names
+	names="site $(seq -s ' ' -f gateway%g $n_gateways)"
+	test -n "$crashing$repeating" || names="$names $(
+		seq -s ' ' -f engine%g $n_engines) $(seq -s ' ' -f app%g $n_apps)"
+	for name in $names
+	do
+		! is_stopping $name && has_exited $name || continue
+		test $name != site -o -z "$ended" || continue
+		wait "${PID[$name]}" 2>/dev/null
+		report_end $name $?
+		test $name = site || killed+=($name)
+	done
+}
+
 # Notes the replicas that have crashed on a request.
 find_crashed () {
 	local name
@@ -316,10 +347,13 @@
 	between 2 9
 	sleep 0.$DRAWN
 	test -z "$crashing$repeating" || find_crashed
+	check_ends
 	start_again
 done
 wait $callers
 status=$?
+check_ends
+test -z "$ended" || status=1
 grep -v '^violation' "$WORK/callers.out" | sed "s/^/seed=$seed /"
 grep '^violation' "$WORK/callers.out" | head -n 20
 if test $status != 0 && test -n "${SOAK_KEEP:-}"
