gateway: resume a stream only at a process that is known to have its version

Cause: the version of an upstream was that of its row, which is read once a second. Nothing in a request or an answer tells two processes of one id apart, and the row was not compared with the connection.

A process announces itself before it serves. So a connection leads to the process of a row that was read in a request sent after the connection was established. A stream that has begun is sent only on such a connection; on a newer one the request waits, connected, until the rows have been read. The origin of a stream is noted, and told to other entries, by the same rule. What can't be known is refused or broken off with nothing sent.

For that, the client can let a call wait on its connection before the request is written, and the feed can be told to send a request within a time.

--- a/packages/connection/include/ks/http.h
+++ b/packages/connection/include/ks/http.h
@@ -117,10 +117,21 @@
 	bool no_retry;
 } ks_http_request_t;
 
+/**
+ * enum ks_http_permit - whether a request is sent on its connection
+ * @KS_HTTP_SEND: at once
+ * @KS_HTTP_WITHHOLD: not at all; the call ends with KS_HTTP_NOT_SENT
+ * @KS_HTTP_WAIT: asked for again by ks_http_call_permit()
+ */
+typedef enum ks_http_permit {
+	KS_HTTP_SEND,
+	KS_HTTP_WITHHOLD,
+	KS_HTTP_WAIT,
+} ks_http_permit_t;
+
 /**
  * struct ks_http_events - callbacks of a call
- * @permits: connected; returns false to end the call with KS_HTTP_NOT_SENT;
- *	optional
+ * @permits: connected; may the request be sent; optional
  * @sent: connected and about to write the request; optional
  * @head: status and headers; the strings are valid during the call only
  * @body: next bytes of the body, valid during the call only
@@ -130,7 +141,7 @@
  * No event is called before ks_http_call_start() has returned.
  */
 typedef struct ks_http_events {
-	bool (*permits)(void *ctx);
+	ks_http_permit_t (*permits)(void *ctx);
 	void (*sent)(void *ctx);
 	void (*head)(void *ctx, int status, const ks_header_t *headers,
 		     size_t n_headers);
@@ -154,6 +165,8 @@
  * @conn_number: number of the connection, counted from the first of the client;
  *	0 before there is one
  * @conn_calls: calls that the connection served before this one
+ * @conn_opened_us: when the connection was established, 0 before
+ * @is_waiting: connected, and the request waits for ks_http_call_permit()
  * @skipped: responses to other requests, or without an id, that arrived before
  *	the response
  * @deferred: starts the call on the next loop iteration, since no event may
@@ -187,6 +200,8 @@
 	size_t body_bytes;
 	uint64_t conn_number;
 	unsigned conn_calls;
+	int64_t conn_opened_us;
+	bool is_waiting;
 	unsigned skipped;
 } ks_http_call_t;
 
@@ -196,6 +211,7 @@
 			const ks_http_request_t *request,
 			const ks_http_events_t *events, void *ctx);
 void ks_http_call_cancel(ks_http_call_t *call);
+void ks_http_call_permit(ks_http_call_t *call);
 void ks_http_call_pause(ks_http_call_t *call);
 void ks_http_call_resume(ks_http_call_t *call);
 bool ks_http_call_is_active(const ks_http_call_t *call);
--- a/packages/connection/src/http_client.c
+++ b/packages/connection/src/http_client.c
@@ -111,9 +111,15 @@
 static void send_request(ks_http_call_t *call)
 {
 	bool first = !call->sent;
+	ks_http_permit_t permit = KS_HTTP_SEND;
 
-	if (first && call->events->permits &&
-	    !call->events->permits(call->ctx)) {
+	call->conn_opened_us = call->conn->opened_us;
+	if (first && call->events->permits)
+		permit = call->events->permits(call->ctx);
+	call->is_waiting = permit == KS_HTTP_WAIT;
+	if (call->is_waiting)
+		return;
+	if (permit == KS_HTTP_WITHHOLD) {
 		http_conn_close(call->conn);
 		finish_call(call, KS_HTTP_NOT_SENT);
 		return;
@@ -266,6 +272,17 @@
 	end_call(call);
 }
 
+/**
+ * ks_http_call_permit() - ask again whether a request that waits may be sent
+ *
+ * Does nothing if it does not wait. The call may have ended then.
+ */
+void ks_http_call_permit(ks_http_call_t *call)
+{
+	if (call->active && call->is_waiting)
+		send_request(call);
+}
+
 /**
  * ks_http_call_pause() - stop reading the response
  */
--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -416,6 +416,7 @@
 		fail_conn(conn);
 		return;
 	}
+	conn->opened_us = ks_loop_now(conn->client->loop);
 	http_call_connected(conn->call);
 }
 
--- a/packages/connection/src/http_conn.h
+++ b/packages/connection/src/http_conn.h
@@ -17,6 +17,7 @@
  * @timer: connect timeout, or idle timeout
  * @number: counted from the first connection of the client
  * @n_calls: calls sent on this connection
+ * @opened_us: when it was established
  * @ignored_bytes: bytes received before the response to the call
  * @max_idle_us: longest idle time after this response; 0 to close at once
  * @parsing: inside the parser, which must not free the connection
@@ -38,6 +39,7 @@
 	ks_timer_t timer;
 	uint64_t number;
 	unsigned n_calls;
+	int64_t opened_us;
 	size_t ignored_bytes;
 	int64_t max_idle_us;
 	bool writing;
--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -909,10 +909,11 @@
 ks_peers_t *ks_gateway_peers(ks_gateway_t *gateway);
 ks_quarantine_t *ks_gateway_quarantine(ks_gateway_t *gateway);
 /*
- * Has the announcements of upstreams read at once; ks_gateway_members_read() is
- * then called, possibly before this returns. A read in progress does not count.
+ * Has the announcements of upstreams read within a time in microseconds, 0 for
+ * at once; ks_gateway_members_read() is then called, possibly before this
+ * returns. A read in progress does not count.
  */
-typedef void (*ks_read_members_func_t)(void *ctx);
+typedef void (*ks_read_members_func_t)(void *ctx, int64_t within_us);
 
 void ks_gateway_set_member_reader(ks_gateway_t *gateway,
 				  ks_read_members_func_t func, void *ctx);
--- a/packages/gateway/src/exchange.c
+++ b/packages/gateway/src/exchange.c
@@ -78,7 +78,7 @@
 	ks_events_init(&exchange->events);
 	ks_timer_init(&exchange->timer, gateway->loop, on_hard_deadline,
 		      exchange);
-	exchange_init_stream(exchange);
+	exchange_init_identity(exchange);
 	ks_list_append(&gateway->exchanges, &exchange->node);
 	exchange_copy_request(exchange, request);
 	request->ctx = exchange;
--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -197,9 +197,7 @@
 {
 	exchange->started = true;
 	exchange->began = ks_member_ref(exchange->member);
-	exchange->origin = exchange->member->origin;
-	if (exchange->is_event_response)
-		exchange_record_stream(exchange);
+	exchange_identify_origin(exchange);
 	ks_http1_start(exchange->caller, exchange->status,
 		       (const ks_header_t *)(void *)exchange->fields->data,
 		       exchange->fields->len, length);
@@ -366,8 +364,8 @@
 	}
 	if (exchange->is_stream_response) {
 		record_first_event(exchange);
-		if (exchange->started && exchange->is_event_response)
-			exchange_record_stream(exchange);
+		if (exchange->started)
+			exchange_identify_origin(exchange);
 		if (exchange->has_events)
 			forward_events(exchange, data);
 		else
@@ -539,13 +537,15 @@
 	forward_response(exchange);
 }
 
-/* Places a request again that was not sent. No retry, as nothing arrived. */
-static void place_again(struct exchange *exchange)
+/**
+ * exchange_place_again() - place a request again that was not sent
+ *
+ * This is no retry, as nothing arrived.
+ */
+void exchange_place_again(struct exchange *exchange, const char *why)
 {
 	exchange->sends--;
-	exchange_log(exchange, KS_LOG_INFO,
-		     "placed again, the upstream wants no more requests now",
-		     0);
+	exchange_log(exchange, KS_LOG_INFO, why, 0);
 	exchange_free_handle(exchange);
 	exchange_release_member(exchange);
 	exchange_release_prefill(exchange);
@@ -553,11 +553,13 @@
 	exchange_dispatch(exchange);
 }
 
-static bool on_run_permits(void *ctx)
+static ks_http_permit_t on_run_permits(void *ctx)
 {
 	struct exchange *exchange = ctx;
 
-	return exchange_permits_send(exchange, exchange->member);
+	if (!exchange_permits_send(exchange, exchange->member))
+		return KS_HTTP_WITHHOLD;
+	return exchange_permits_origin(exchange) ? KS_HTTP_SEND : KS_HTTP_WAIT;
 }
 
 /*
@@ -578,7 +580,9 @@
 	if (result == KS_HTTP_COMPLETE && has_broken_off(exchange))
 		result = KS_HTTP_INCOMPLETE;
 	if (exchange->withheld && exchange->caller) {
-		place_again(exchange);
+		exchange_place_again(
+			exchange,
+			"placed again, the upstream wants no more requests now");
 		return;
 	}
 	/* The KV cache was imported, or is lost with the upstream. */
@@ -605,7 +609,18 @@
 	exchange_exclude_member(exchange);
 	if (result != KS_HTTP_NOT_SENT)
 		exchange->runs++;
-	if ((result != KS_HTTP_INCOMPLETE || !exchange_is_suspect(exchange)) &&
+	exchange->is_suspect =
+		result == KS_HTTP_INCOMPLETE && exchange_is_suspect(exchange);
+	if (exchange->is_suspect || !exchange_await_origin(exchange))
+		exchange_resume_lost(exchange);
+}
+
+/**
+ * exchange_resume_lost() - send a request that was lost again, or give it up
+ */
+void exchange_resume_lost(struct exchange *exchange)
+{
+	if (!exchange->is_suspect &&
 	    exchange_retry(exchange, exchange->started
 					     ? "stream broke off, resuming it"
 					     : "sent again after a loss"))
@@ -628,6 +643,7 @@
 	exchange->is_resumed = exchange->started;
 	exchange->begun_us = 0;
 	exchange->body_bytes = 0;
+	exchange->awaits_identity = false;
 	exchange->sends++;
 	exchange->sent_us = exchange_now(exchange);
 	exchange_send(exchange, exchange->member, false, &run_events);
--- a/packages/gateway/src/exchange_dispatch.c
+++ b/packages/gateway/src/exchange_dispatch.c
@@ -24,8 +24,10 @@
 {
 	if (exchange->route->kind == KS_CALL_IDEMPOTENT)
 		return !exchange->started;
+	/* A stream that has begun goes on at its origin only. */
 	if (exchange->route->kind == KS_CALL_STREAM)
-		return exchange->route->resumable;
+		return exchange->route->resumable &&
+		       (!exchange->started || exchange->origin);
 	return false;
 }
 
@@ -243,11 +245,13 @@
 	exchange_start_run(exchange);
 }
 
-static bool on_prefill_permits(void *ctx)
+static ks_http_permit_t on_prefill_permits(void *ctx)
 {
 	struct exchange *exchange = ctx;
 
-	return exchange_permits_send(exchange, exchange->prefill_member);
+	return exchange_permits_send(exchange, exchange->prefill_member)
+		       ? KS_HTTP_SEND
+		       : KS_HTTP_WITHHOLD;
 }
 
 static const ks_http_events_t prefill_events = {
--- a/packages/gateway/src/exchange_end.c
+++ b/packages/gateway/src/exchange_end.c
@@ -7,10 +7,9 @@
 #include <stdio.h>
 
 static const char *const step_names[] = {
-	[EXCHANGE_IDLE] = "place",	  [EXCHANGE_ASK] = "ask",
-	[EXCHANGE_READ] = "read",
-	[EXCHANGE_PREFILL] = "prefill",	  [EXCHANGE_RUN] = "run",
-	[EXCHANGE_DETACHED] = "detached",
+	[EXCHANGE_IDLE] = "place", [EXCHANGE_ASK] = "ask",
+	[EXCHANGE_READ] = "read",  [EXCHANGE_PREFILL] = "prefill",
+	[EXCHANGE_RUN] = "run",	   [EXCHANGE_DETACHED] = "detached",
 };
 
 /* Whose id the response to the last send has. */
@@ -156,7 +155,7 @@
 	ks_http_call_cancel(&exchange->call);
 	exchange_free_handle(exchange);
 	ks_timer_clear(&exchange->timer);
-	ks_timer_clear(&exchange->ask_timer);
+	ks_timer_clear(&exchange->wait_timer);
 	ks_list_remove(&exchange->node);
 	exchange_release_member(exchange);
 	exchange_release_prefill(exchange);
--- a/packages/gateway/src/exchange_resume.c
+++ b/packages/gateway/src/exchange_resume.c
@@ -15,9 +15,6 @@
 /* An entry that shares its processor may take this long to answer. */
 #define ASK_TIMEOUT_US (200 * KS_USEC_PER_MSEC)
 
-/* The store may be slow; it responds within some hundred milliseconds then. */
-#define READ_TIMEOUT_US (800 * KS_USEC_PER_MSEC)
-
 /*
  * A stream that is resumed is at most this many timeouts of its route old: one
  * for the try that began it, and one for the try that resumes it.
@@ -37,14 +34,6 @@
 		exchange->request_fields->len, name.data);
 }
 
-static void on_ask_timer(void *ctx);
-
-void exchange_init_stream(struct exchange *exchange)
-{
-	ks_timer_init(&exchange->ask_timer, exchange->gateway->loop,
-		      on_ask_timer, exchange);
-}
-
 /**
  * exchange_note_stream() - note which stream the request begins or resumes
  */
@@ -71,7 +60,7 @@
 /**
  * exchange_record_stream() - record where the stream began
  *
- * Called at the beginning of the response, and with each of its events.
+ * Called with each of its events.
  */
 void exchange_record_stream(struct exchange *exchange)
 {
@@ -176,7 +165,7 @@
 	const char *service = find_service(exchange);
 
 	exchange->step = EXCHANGE_IDLE;
-	ks_timer_clear(&exchange->ask_timer);
+	ks_timer_clear(&exchange->wait_timer);
 	if (!service) {
 		refuse(exchange, "no upstream of the version that began the "
 				 "stream");
@@ -185,16 +174,14 @@
 	exchange_begin(exchange, service);
 }
 
-static void refuse_unknown(struct exchange *exchange)
+/**
+ * exchange_refuse_unknown() - refuse to resume a stream of unknown origin
+ */
+void exchange_refuse_unknown(struct exchange *exchange)
 {
 	refuse(exchange, "not known which version began the stream");
 }
 
-static void on_ask_timer(void *ctx)
-{
-	refuse_unknown(ctx);
-}
-
 static void ask(struct exchange *exchange)
 {
 	ks_gateway_t *gateway = exchange->gateway;
@@ -202,42 +189,24 @@
 	exchange->n_asked = ks_peers_ask_stream(
 		&gateway->peers, exchange->stream, exchange->asked);
 	if (!exchange->n_asked) {
-		refuse_unknown(exchange);
+		exchange_refuse_unknown(exchange);
 		return;
 	}
 	exchange->step = EXCHANGE_ASK;
-	ks_timer_set(&exchange->ask_timer, ASK_TIMEOUT_US);
-}
-
-/* Has the announcements of upstreams read, as the known ones may be old. */
-static void await_read(struct exchange *exchange)
-{
-	ks_gateway_t *gateway = exchange->gateway;
-
-	if (!gateway->read_members) {
-		refuse_unknown(exchange);
-		return;
-	}
-	exchange->step = EXCHANGE_READ;
-	exchange->read_after_us = exchange_now(exchange);
-	ks_timer_set(&exchange->ask_timer, READ_TIMEOUT_US);
-	gateway->read_members(gateway->read_members_ctx);
+	ks_timer_set(&exchange->wait_timer, ASK_TIMEOUT_US);
 }
 
 /**
- * exchange_members_read() - continue an exchange that waits for a read of the
- * announcements of upstreams
+ * exchange_resume_unnamed() - serve a request that resumes a stream and does
+ * not name it, once the announcements of upstreams have been read
  */
-void exchange_members_read(struct exchange *exchange)
+void exchange_resume_unnamed(struct exchange *exchange)
 {
-	if (exchange->step != EXCHANGE_READ ||
-	    exchange->gateway->members_read_us < exchange->read_after_us)
-		return;
 	exchange->origin = is_settled(exchange) ? only_origin(exchange) : 0;
 	if (exchange->origin)
 		continue_stream(exchange);
 	else
-		refuse_unknown(exchange);
+		exchange_refuse_unknown(exchange);
 }
 
 /**
@@ -245,8 +214,13 @@
  */
 void exchange_resume(struct exchange *exchange)
 {
+	if (!exchange->names_stream && !exchange->gateway->read_members) {
+		exchange_refuse_unknown(exchange);
+		return;
+	}
 	if (!exchange->names_stream) {
-		await_read(exchange);
+		exchange->step = EXCHANGE_READ;
+		exchange_await_read(exchange, exchange_now(exchange));
 		return;
 	}
 	exchange->origin = ks_stream_origins_find(&exchange->gateway->origins,
@@ -275,7 +249,7 @@
 			exchange->asked[n++] = exchange->asked[i];
 	exchange->n_asked = n;
 	if (!n)
-		refuse_unknown(exchange);
+		exchange_refuse_unknown(exchange);
 }
 
 /* Called when another entry has said what it knows of a stream. */
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -146,7 +146,7 @@
  * @EXCHANGE_ASK: the answers of other entries, at which upstreams the stream
  *	began that the caller resumes
  * @EXCHANGE_READ: a read of the announcements of upstreams, which may have
- *	changed since the last one
+ *	changed since the last one, before a stream is resumed
  * @EXCHANGE_PREFILL: the response of the prefill engine, with a KV cache handle
  * @EXCHANGE_RUN: the response to the request
  * @EXCHANGE_DETACHED: the response to a request that must not be cancelled,
@@ -174,7 +174,10 @@
  * @announced_us: when other entries were informed of the stream, 0 before
  * @asked, @n_asked: entries that were asked for it and have not answered
  * @read_after_us: a read counts that was begun then or later
- * @ask_timer: ends the wait for entries or for a read
+ * @wait_timer: ends the wait for entries or for a read
+ * @awaits_identity: the request waits for a read that tells whether the process
+ *	at the end of its connection has the origin
+ * @identity_waits: how often another process was there
  * @number: of the exchange, among those of this process
  * @deadline_us: when the caller stops waiting or the route's timeout expires
  * @hard_deadline_us: when the exchange is ended in any case
@@ -203,11 +206,12 @@
  * @withheld: the request was not sent, as the upstream had requested a back-off
  *	or stated a limit by the time at which the connection was up
  * @is_counted: the latest send counts against a limit of the upstream
+ * @is_suspect: lost in a way in which requests that crash upstreams are lost
  * @is_try: may be sent once although a part of its prompt is held
  * @started: the head of the response has been sent to the caller
  * @began: upstream whose response that was, with a reference
- * @origin: the response comes only from upstreams of this origin, 0 for any;
- *	see struct ks_member
+ * @origin: the response comes only from upstreams of this origin; 0 for any
+ *	before it has begun, and then while its origin is not known
  * @is_resumed: it had been before the latest request was sent to an upstream
  * @sent_us: when the latest request was sent to an upstream
  * @begun_us: when the first byte of the body of its response arrived, 0 before
@@ -247,7 +251,9 @@
 	uint64_t asked[KS_STREAM_MAX_ASKED];
 	unsigned n_asked;
 	int64_t read_after_us;
-	ks_timer_t ask_timer;
+	ks_timer_t wait_timer;
+	bool awaits_identity;
+	unsigned identity_waits;
 	uint64_t number;
 	int64_t arrived_us;
 	int64_t deadline_us;
@@ -275,6 +281,7 @@
 	bool backed_off;
 	bool withheld;
 	bool is_counted;
+	bool is_suspect;
 	bool is_try;
 	GArray *fields;
 	GString *fields_text;
@@ -308,13 +315,22 @@
 void exchange_abort(struct exchange *exchange);
 void exchange_begin(struct exchange *exchange, const char *service);
 
+/* exchange_identity.c */
+
+void exchange_init_identity(struct exchange *exchange);
+void exchange_identify_origin(struct exchange *exchange);
+bool exchange_permits_origin(struct exchange *exchange);
+bool exchange_await_origin(struct exchange *exchange);
+void exchange_await_read(struct exchange *exchange, int64_t after_us);
+void exchange_members_read(struct exchange *exchange);
+
 /* exchange_resume.c */
 
-void exchange_init_stream(struct exchange *exchange);
 void exchange_note_stream(struct exchange *exchange);
 void exchange_record_stream(struct exchange *exchange);
 void exchange_resume(struct exchange *exchange);
-void exchange_members_read(struct exchange *exchange);
+void exchange_resume_unnamed(struct exchange *exchange);
+void exchange_refuse_unknown(struct exchange *exchange);
 void gateway_on_stream_answer(void *ctx, uint64_t stream, uint64_t sender);
 
 /* exchange_end.c */
@@ -350,6 +366,8 @@
 /* exchange_answer.c */
 
 void exchange_start_run(struct exchange *exchange);
+void exchange_place_again(struct exchange *exchange, const char *why);
+void exchange_resume_lost(struct exchange *exchange);
 void exchange_clear_response(struct exchange *exchange);
 void exchange_note_upstream(struct exchange *exchange, ks_member_t *member,
 			    const ks_header_t *headers, size_t n);
--- /dev/null
+++ b/packages/gateway/tests/test-restarted-process.c
@@ -0,0 +1,236 @@
+/*
+ * Upstreams whose process starts again under its id and address with another
+ * version of its software, before the entry has read so. Guards against a
+ * stream that one version began and that goes on at the other one.
+ */
+#include "versions_fixture.h"
+
+#define FIRST_EVENT "id: 1\ndata: a\n\n"
+
+/**
+ * struct world - entries, upstreams and what the store has of these
+ * @in_store: software that the row of each upstream names; NULL for no row
+ * @starts: starts of its process
+ * @is_away: the store does not answer
+ * @reads: reads that were answered
+ */
+struct world {
+	struct versions v;
+	const char *in_store[FIXTURE_UPSTREAMS];
+	int64_t starts[FIXTURE_UPSTREAMS];
+	bool is_away;
+	unsigned reads;
+	ks_timer_t timer;
+	int64_t asked_us;
+};
+
+static void on_read(void *ctx)
+{
+	struct world *w = ctx;
+
+	if (w->is_away)
+		return;
+	for (int i = 0; i < FIXTURE_UPSTREAMS; i++) {
+		w->v.starts = w->starts[i];
+		if (w->in_store[i])
+			versions_put_app(&w->v, i, w->in_store[i]);
+	}
+	w->reads++;
+	ks_gateway_members_read(w->v.entries[0], w->asked_us);
+}
+
+static void read_members(void *ctx, int64_t within_us)
+{
+	struct world *w = ctx;
+
+	/* The regular reads are those of the test. */
+	if (within_us || ks_timer_is_set(&w->timer))
+		return;
+	w->asked_us = ks_loop_now(&w->v.f.loop);
+	ks_timer_set(&w->timer, 5 * KS_USEC_PER_MSEC);
+}
+
+static void read_and_wait(struct world *w)
+{
+	unsigned before = w->reads;
+
+	fixture_advance(&w->v.f, 10);
+	read_members(w, 0);
+	fixture_advance(&w->v.f, 20);
+	g_assert_cmpuint(w->reads, ==, before + 1);
+}
+
+/* Upstreams with these versions; NULL for none. */
+static void init(struct world *w, const char *first, const char *second)
+{
+	memset(w, 0, sizeof(*w));
+	versions_init(&w->v, 1);
+	w->in_store[0] = first;
+	w->in_store[1] = second;
+	ks_timer_init(&w->timer, &w->v.f.loop, on_read, w);
+	ks_gateway_set_member_reader(w->v.entries[0], read_members, w);
+	read_and_wait(w);
+}
+
+static void deinit(struct world *w)
+{
+	ks_timer_clear(&w->timer);
+	versions_deinit(&w->v);
+}
+
+static void start_again(struct world *w, int i, const char *software)
+{
+	w->in_store[i] = software;
+	w->starts[i]++;
+}
+
+/* Begins a stream, of which the entry learns which process it is at. */
+static int begin(struct world *w, struct fixture_caller *caller, bool is_known)
+{
+	int i;
+
+	fixture_advance(&w->v.f, 10);
+	versions_call(&w->v, caller, "/resume/", NULL, NULL);
+	i = versions_begin(&w->v);
+	if (is_known) {
+		read_and_wait(w);
+		fixture_send(&w->v.f.upstreams[i], "id: 2\ndata: b\n\n");
+		fixture_run_pending(&w->v.f);
+	}
+	return i;
+}
+
+static void expect_cut(struct world *w, struct fixture_caller *caller,
+		       unsigned requests)
+{
+	for (int i = 0; i < 100 && !caller->done; i++)
+		fixture_advance(&w->v.f, 10);
+	g_assert_true(caller->done);
+	g_assert_cmpint(caller->result, ==, KS_HTTP_INCOMPLETE);
+	g_assert_cmpuint(fixture_n_requests(&w->v.f), ==, requests);
+	fixture_end_call(caller);
+}
+
+/* Waits until the stream goes on at an upstream, and lets that end it. */
+static void expect_goes_on(struct world *w, struct fixture_caller *caller,
+			   int at, const char *rest)
+{
+	struct fixture_upstream *next = &w->v.f.upstreams[at];
+
+	for (int i = 0; i < 100 && !next->request; i++)
+		fixture_advance(&w->v.f, 10);
+	g_assert_nonnull(next->request);
+	versions_respond(&w->v, next, rest);
+	FIXTURE_WAIT(&w->v.f, caller->done);
+	g_assert_cmpint(caller->result, ==, KS_HTTP_COMPLETE);
+	g_assert_cmpint(caller->status, ==, 200);
+	fixture_end_call(caller);
+}
+
+/* Within one response: the last upstream of a version is replaced. */
+static void test_within_response(void)
+{
+	struct fixture_caller caller;
+	struct world w;
+
+	init(&w, "v1", NULL);
+	begin(&w, &caller, true);
+	start_again(&w, 0, "v2");
+	fixture_abort_response(&w.v.f.upstreams[0]);
+	expect_cut(&w, &caller, 1);
+	deinit(&w);
+}
+
+/* The caller resumes at the entry. */
+static void test_caller_resumes(void)
+{
+	struct fixture_caller caller;
+	struct world w;
+
+	init(&w, "v1", NULL);
+	begin(&w, &caller, true);
+	fixture_end_call(&caller);
+	FIXTURE_WAIT(&w.v.f, w.v.f.upstreams[0].left);
+	start_again(&w, 0, "v2");
+	w.v.id = "r2";
+	versions_call(&w.v, &caller, "/resume/", "r1", "2");
+	for (int i = 0; i < 100 && !caller.done; i++)
+		fixture_advance(&w.v.f, 10);
+	g_assert_true(caller.done);
+	g_assert_cmpint(caller.status, ==, 503);
+	g_assert_cmpuint(fixture_n_requests(&w.v.f), ==, 1);
+	fixture_end_call(&caller);
+	deinit(&w);
+}
+
+/* The stream begins at the new process, which passes for the one before. */
+static void test_begun_at_new_process(void)
+{
+	struct fixture_caller caller;
+	struct world w;
+
+	init(&w, "v1", "v1");
+	start_again(&w, 0, "v2");
+	start_again(&w, 1, "v2");
+	fixture_abort_response(&w.v.f.upstreams[begin(&w, &caller, false)]);
+	expect_cut(&w, &caller, 1);
+	deinit(&w);
+}
+
+/* The same process: a broken connection is no reason to end the stream. */
+static void test_same_process(void)
+{
+	struct fixture_caller caller;
+	struct world w;
+
+	for (int is_known = 0; is_known < 2; is_known++) {
+		init(&w, "v1", NULL);
+		begin(&w, &caller, is_known);
+		fixture_abort_response(&w.v.f.upstreams[0]);
+		expect_goes_on(&w, &caller, 0, "id: 3\ndata: c\n\n");
+		deinit(&w);
+	}
+}
+
+/* The store is away: only a connection from before tells the process. */
+static void test_store_is_away(void)
+{
+	struct fixture_caller first, second;
+	struct world w;
+	int at;
+
+	init(&w, "v1", NULL);
+	begin(&w, &first, true);
+	w.is_away = true;
+	fixture_abort_response(&w.v.f.upstreams[0]);
+	expect_cut(&w, &first, 1);
+	deinit(&w);
+
+	init(&w, "v1", "v1");
+	at = begin(&w, &first, true);
+	/* Leaves an idle connection to the other upstream. */
+	versions_call(&w.v, &second, "/resume/", NULL, NULL);
+	FIXTURE_WAIT(&w.v.f, w.v.f.upstreams[1 - at].request);
+	versions_respond(&w.v, &w.v.f.upstreams[1 - at], FIRST_EVENT);
+	FIXTURE_WAIT(&w.v.f, second.done);
+	fixture_end_call(&second);
+	read_and_wait(&w);
+	w.is_away = true;
+	fixture_abort_response(&w.v.f.upstreams[at]);
+	expect_goes_on(&w, &first, 1 - at, "id: 3\ndata: c\n\n");
+	deinit(&w);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/restarted-process/within-response",
+			test_within_response);
+	g_test_add_func("/restarted-process/caller-resumes",
+			test_caller_resumes);
+	g_test_add_func("/restarted-process/begun-at-new-process",
+			test_begun_at_new_process);
+	g_test_add_func("/restarted-process/same-process", test_same_process);
+	g_test_add_func("/restarted-process/store-is-away", test_store_is_away);
+	return g_test_run();
+}
--- a/packages/gateway/tests/test-unnamed-stream.c
+++ b/packages/gateway/tests/test-unnamed-stream.c
@@ -46,7 +46,7 @@
 {
 	versions_put_app(v, 0, "v1");
 	for (unsigned i = 0; i < v->n_entries; i++)
-		versions_read_members(v->entries[i]);
+		versions_read_members(v->entries[i], 0);
 	fixture_advance(&v->f, SETTLED_MS);
 }
 
@@ -99,12 +99,12 @@
 }
 
 /* A version joined that this entry has not read of yet. */
-static void read_other_version(void *ctx)
+static void read_other_version(void *ctx, int64_t within_us G_GNUC_UNUSED)
 {
 	struct versions *v = ctx;
 
 	versions_put_app(v, 1, "v2");
-	versions_read_members(v->entries[0]);
+	versions_read_members(v->entries[0], 0);
 }
 
 static void test_view_was_old(void)
@@ -119,7 +119,8 @@
 	versions_deinit(&v);
 }
 
-static void read_nothing(void *ctx G_GNUC_UNUSED)
+static void read_nothing(void *ctx G_GNUC_UNUSED,
+			 int64_t within_us G_GNUC_UNUSED)
 {
 }
 
@@ -169,7 +170,7 @@
 	versions_start_entry(&v, 1);
 	versions_introduce(&v, 1, 0);
 	versions_put_app(&v, 0, "v1");
-	versions_read_members(v.entries[1]);
+	versions_read_members(v.entries[1], 0);
 	set_views(&v, 0, other_digest);
 	set_views(&v, 1, digest);
 	fixture_advance(&v.f, 3000);
--- a/packages/gateway/tests/versions_fixture.h
+++ b/packages/gateway/tests/versions_fixture.h
@@ -61,7 +61,8 @@
 }
 
 /* The fixture puts upstreams at once, so that a read has nothing new. */
-static inline void versions_read_members(void *ctx)
+static inline void versions_read_members(void *ctx,
+					 int64_t within_us G_GNUC_UNUSED)
 {
 	ks_gateway_t *gateway = ctx;
 
