gateway: refuse late in a stop what the end of the process may cut

What callers saw: a request that was being sent when the process was told to stop, and was whole 5 s later, was passed on and cut by the end of the process 2.7 s after that.

Cause: after the drain delay, a stopping process closed idle connections, and took the requests of the others as if it went on.

A request whose deadline is after the end of the process is now refused as not run once the drain delay is over, and comes again at another entry. What ends in time in any case is served, and within the drain delay all are, as the load balancer still sends requests here.

--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -239,6 +239,28 @@
 				    &s->metrics, on_metrics, gateway, error);
 }
 
+/* When the process ends at the latest, once a stop has begun. */
+static int64_t stop_end_us(const ks_gateway_t *gateway)
+{
+	return gateway->stop_began_us + gateway->settings.grace_us -
+	       GRACE_MARGIN_US;
+}
+
+/**
+ * gateway_may_cut() - whether a stop may cut a request that begins now
+ * @until_us: when the request ends at the latest
+ *
+ * In the drain delay, the load balancer still sends requests here, and most of
+ * them end in time. Later ones can be served by other entries.
+ */
+bool gateway_may_cut(const ks_gateway_t *gateway, int64_t until_us)
+{
+	return gateway->stopping &&
+	       ks_loop_now(gateway->loop) - gateway->stop_began_us >=
+		       gateway->settings.drain_delay_us &&
+	       until_us > stop_end_us(gateway);
+}
+
 static void on_stop_timer(void *ctx);
 
 static void log_start(const ks_gateway_t *gateway)
@@ -353,7 +375,7 @@
 			return;
 		}
 	}
-	if (elapsed_us >= settings->grace_us - GRACE_MARGIN_US) {
+	if (ks_loop_now(gateway->loop) >= stop_end_us(gateway)) {
 		ks_log(KS_LOG_MAIN, KS_LOG_WARN,
 		       "the grace period is over serving=%zu",
 		       ks_http1_server_n_serving(&gateway->server));
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -136,6 +136,7 @@
 ks_budget_t *gateway_budget(ks_gateway_t *gateway, const char *service);
 int64_t gateway_cache_tokens(const ks_gateway_t *gateway,
 			     const ks_service_t *service);
+bool gateway_may_cut(const ks_gateway_t *gateway, int64_t until_us);
 void gateway_serve(void *ctx, ks_http1_request_t *request);
 
 /* exchange.c */
@@ -342,6 +343,9 @@
 #define RETRY_AFTER_NOT_READY_S 0.5
 #define RETRY_AFTER_OVERLOADED_S 0.3
 
+/* Retry-After while this entry stops: others serve, on a new connection. */
+#define RETRY_AFTER_STOPPING_S 0.05
+
 void exchange_log(const struct exchange *exchange, ks_log_level_t level,
 		  const char *outcome, int status);
 void exchange_log_times(const struct exchange *exchange, ks_log_level_t level,
--- /dev/null
+++ b/packages/gateway/tests/test-late-request.c
@@ -0,0 +1,148 @@
+/*
+ * Requests that a caller had begun to send when the process was told to stop,
+ * and that are whole late in its grace period. Guards against one that is
+ * passed on and cut by the end of the process.
+ */
+#include "gateway_fixture.h"
+#include "gateway_internal.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+struct caller {
+	int fd;
+	GString *received;
+	bool closed;
+};
+
+static void connect_caller(struct fixture *f, struct caller *caller)
+{
+	struct sockaddr_in in = { .sin_family = AF_INET,
+				  .sin_port =
+					  htons(ks_gateway_port(f->gateway)) };
+
+	in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	caller->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	g_assert_cmpint(connect(caller->fd, (struct sockaddr *)&in, sizeof(in)),
+			==, 0);
+	caller->received = g_string_new(NULL);
+	caller->closed = false;
+}
+
+static void send_text(const struct caller *caller, const char *text)
+{
+	g_assert_cmpint(send(caller->fd, text, strlen(text), MSG_NOSIGNAL), ==,
+			strlen(text));
+}
+
+static void receive(struct caller *caller)
+{
+	char buf[4096];
+	ssize_t n = recv(caller->fd, buf, sizeof(buf), MSG_DONTWAIT);
+
+	if (n > 0)
+		g_string_append_len(caller->received, buf, n);
+	else if (n == 0 || errno != EAGAIN)
+		caller->closed = true;
+}
+
+static void wait_closed(struct fixture *f, struct caller *caller)
+{
+	for (int i = 0; i < FIXTURE_MAX_STEPS && !caller->closed; i++) {
+		fixture_run_once(f);
+		receive(caller);
+	}
+	g_assert_true(caller->closed);
+}
+
+static void end_caller(struct caller *caller)
+{
+	close(caller->fd);
+	g_string_free(caller->received, TRUE);
+}
+
+/* Sends the head before the stop, and the body @after_ms after its begin. */
+static void send_late(struct fixture *f, struct caller *caller,
+		      const char *target, const char *deadline_ms, int after_ms)
+{
+	char *head = g_strdup_printf("POST %s HTTP/1.1\r\n"
+				     "host: shop.example\r\nx-id: r1\r\n"
+				     "x-left: %s\r\ncontent-length: 4\r\n\r\n",
+				     target, deadline_ms);
+
+	fixture_init(f);
+	f->gateway->server.header_timeout_us = 60 * KS_USEC_PER_SEC;
+	connect_caller(f, caller);
+	send_text(caller, head);
+	fixture_run_pending(f);
+	ks_gateway_stop(f->gateway);
+	fixture_advance(f, after_ms);
+	send_text(caller, "body");
+	fixture_run_pending(f);
+	g_free(head);
+}
+
+/* It can't be known that it ends in time: refused as not run, to come again. */
+static void test_may_outlast(void)
+{
+	static const char *const targets[] = { "/tell/", "/resume/", "/book/" };
+	struct caller caller;
+	struct fixture f;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(targets); i++) {
+		send_late(&f, &caller, targets[i], "8000",
+			  i == 2 ? 6500 : 5000);
+		wait_closed(&f, &caller);
+		g_assert_true(g_str_has_prefix(caller.received->str,
+					       "HTTP/1.1 503 "));
+		g_assert_nonnull(strstr(caller.received->str, "retry-after: "));
+		g_assert_nonnull(
+			strstr(caller.received->str, "connection: close"));
+		g_assert_cmpuint(fixture_n_requests(&f), ==, 0);
+		end_caller(&caller);
+		fixture_deinit(&f);
+	}
+}
+
+/* One that ends in any case before the process does is served. */
+static void test_ends_in_time(void)
+{
+	static const int after_ms[] = { 1000, 2900, 5000 };
+	struct caller caller;
+	struct fixture f;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(after_ms); i++) {
+		send_late(&f, &caller, "/book/", "1500", after_ms[i]);
+		fixture_respond(fixture_wait_request(&f), 200, false, "done");
+		wait_closed(&f, &caller);
+		g_assert_true(g_str_has_prefix(caller.received->str,
+					       "HTTP/1.1 200 "));
+		g_assert_true(g_str_has_suffix(caller.received->str, "done"));
+		end_caller(&caller);
+		fixture_deinit(&f);
+	}
+}
+
+/* Callers still come while the load balancer does not know of the stop. */
+static void test_before_the_drain_delay(void)
+{
+	struct caller caller;
+	struct fixture f;
+
+	send_late(&f, &caller, "/tell/", "8000", 2900);
+	g_assert_nonnull(fixture_wait_request(&f));
+	end_caller(&caller);
+	fixture_deinit(&f);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/late-request/may-outlast", test_may_outlast);
+	g_test_add_func("/late-request/ends-in-time", test_ends_in_time);
+	g_test_add_func("/late-request/before-the-drain-delay",
+			test_before_the_drain_delay);
+	return g_test_run();
+}
