gateway: answer callers that have nothing when a stop ends the process

What callers saw: a request that was still waiting for its upstream, or for the first event of a stream, at the end of the grace period ended with a closed connection.

Cause: the end of the process breaks off all exchanges alike.

Such a caller now gets what it gets at its deadline: 504, or 503 if the request has not run. Streams in progress are broken off, as before.

--- a/packages/gateway/src/exchange.c
+++ b/packages/gateway/src/exchange.c
@@ -14,10 +14,11 @@
  */
 #define HARD_DEADLINE_MARGIN_US (60 * KS_USEC_PER_MSEC)
 
-static void on_hard_deadline(void *ctx)
+/**
+ * exchange_end_unanswered() - end an exchange that has no time left
+ */
+void exchange_end_unanswered(struct exchange *exchange, const char *why)
 {
-	struct exchange *exchange = ctx;
-
 	if (exchange->step == EXCHANGE_DETACHED) {
 		exchange_free(exchange);
 		return;
@@ -27,9 +28,14 @@
 	    ks_http_call_is_active(&exchange->call) && exchange->call.sent)
 		exchange->runs++;
 	if (exchange->started || !exchange_may_have_run(exchange))
-		exchange_give_up(exchange, RETRY_AFTER_OVERLOADED_S, "timeout");
+		exchange_give_up(exchange, RETRY_AFTER_OVERLOADED_S, why);
 	else
-		exchange_respond(exchange, 504, 0, "timeout");
+		exchange_respond(exchange, 504, 0, why);
+}
+
+static void on_hard_deadline(void *ctx)
+{
+	exchange_end_unanswered(ctx, "timeout");
 }
 
 /*
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -379,6 +379,10 @@
 		ks_log(KS_LOG_MAIN, KS_LOG_WARN,
 		       "the grace period is over serving=%zu",
 		       ks_http1_server_n_serving(&gateway->server));
+		KS_LIST_FOREACH_SAFE (it, tmp, &gateway->exchanges)
+			exchange_end_unanswered(
+				KS_CONTAINER_OF(it, struct exchange, node),
+				"the process ends");
 		ks_loop_stop(gateway->loop);
 		return;
 	}
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -314,6 +314,7 @@
 
 void exchange_start(ks_gateway_t *gateway, ks_http1_request_t *request);
 void exchange_abort(struct exchange *exchange);
+void exchange_end_unanswered(struct exchange *exchange, const char *why);
 void exchange_begin(struct exchange *exchange, const char *service);
 
 /* exchange_identity.c */
--- a/packages/gateway/tests/test-late-request.c
+++ b/packages/gateway/tests/test-late-request.c
@@ -137,6 +137,37 @@
 	fixture_deinit(&f);
 }
 
+/*
+ * The end of the grace period. A caller that has nothing of its answer gets
+ * one, of which only a request that was not sent says that it has not run.
+ */
+static void test_end_of_grace(void)
+{
+	struct fixture_caller sent, begun;
+	struct fixture f;
+
+	fixture_init(&f);
+	fixture_call(&f, &sent, "POST", "/tell/");
+	fixture_wait_request(&f);
+	ks_gateway_stop(f.gateway);
+	fixture_advance(&f, 2000);
+	fixture_call(&f, &begun, "POST", "/tell/");
+	FIXTURE_WAIT(&f, f.upstreams[0].request && f.upstreams[1].request);
+	for (int i = 0; i < 2; i++)
+		if (strstr(f.upstreams[i].received->pdata[0], "tell"))
+			fixture_start_response(&f.upstreams[i], 200, false, -1);
+	fixture_advance(&f, 6000);
+	g_assert_true(f.loop.stopping);
+	FIXTURE_WAIT(&f, sent.done && begun.done);
+	g_assert_cmpint(sent.result, ==, KS_HTTP_COMPLETE);
+	g_assert_cmpint(sent.status, ==, 504);
+	g_assert_cmpint(begun.result, ==, KS_HTTP_COMPLETE);
+	g_assert_cmpint(begun.status, ==, 504);
+	fixture_end_call(&sent);
+	fixture_end_call(&begun);
+	fixture_deinit(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -144,5 +175,6 @@
 	g_test_add_func("/late-request/ends-in-time", test_ends_in_time);
 	g_test_add_func("/late-request/before-the-drain-delay",
 			test_before_the_drain_delay);
+	g_test_add_func("/late-request/end-of-grace", test_end_of_grace);
 	return g_test_run();
 }
