--- a/tests/fakes/fake_rows.h
+++ b/tests/fakes/fake_rows.h
@@ -50,7 +50,10 @@
  * @compacted_revision: the change feed cannot be read from revisions below this
  *	one
  * @waiting: array of struct fake_wait
+ * @page_size: rows in a response to a list at most, 0 for any number
+ * @on_page: called before each response to a list; optional
  * @calls: number of requests received
+ * @writes: number of transactions among them
  */
 struct fake_rows {
 	ks_http1_server_t server;
@@ -62,7 +65,11 @@
 	int64_t compacted_revision;
 	enum fake_mode mode;
 	GPtrArray *waiting;
+	guint page_size;
+	void (*on_page)(void *ctx);
+	void *ctx;
 	unsigned calls;
+	unsigned writes;
 };
 
 static inline void fake_free_row(gpointer data)
@@ -75,6 +82,24 @@
 	g_free(row);
 }
 
+static inline char *fake_unescape(char *text)
+{
+	char *out = text;
+
+	for (const char *at = text; *at; at++) {
+		if (*at == '%' && g_ascii_isxdigit(at[1]) &&
+		    g_ascii_isxdigit(at[2])) {
+			*out++ = (char)(g_ascii_xdigit_value(at[1]) * 16 +
+					g_ascii_xdigit_value(at[2]));
+			at += 2;
+		} else {
+			*out++ = *at;
+		}
+	}
+	*out = '\0';
+	return text;
+}
+
 /* Returns a query parameter, or "" if it is missing; freed by the caller. */
 static inline char *fake_query_param(ks_str_t target, const char *name)
 {
@@ -92,7 +117,14 @@
 	}
 	g_free(start);
 	g_free(text);
-	return value ? value : g_strdup("");
+	return value ? fake_unescape(value) : g_strdup("");
+}
+
+static inline gint fake_compare_keys(gconstpointer a, gconstpointer b)
+{
+	const struct fake_row *const *x = a, *const *y = b;
+
+	return strcmp((*x)->key, (*y)->key);
 }
 
 static inline json_t *fake_row_json(const struct fake_row *row)
@@ -135,23 +167,33 @@
 
 /*
  * Returns the rows of a table with keys from @from on that changed after
- * revision @after. A list has no tombstones.
+ * revision @after. A list has no tombstones, is in the order of the keys and
+ * has a page of rows.
  */
 static inline json_t *fake_select(struct fake_rows *store, const char *table,
 				  int64_t after, bool is_list, const char *from)
 {
+	GPtrArray *selected = g_ptr_array_new();
 	json_t *rows = json_array();
+	bool has_more;
 
 	for (guint i = 0; i < store->rows->len; i++) {
-		const struct fake_row *row = store->rows->pdata[i];
+		struct fake_row *row = store->rows->pdata[i];
 
-		if (strcmp(row->table, table) || row->revision <= after ||
-		    (is_list && row->removed) || strcmp(row->key, from) < 0)
-			continue;
-		json_array_append_new(rows, fake_row_json(row));
+		if (!strcmp(row->table, table) && row->revision > after &&
+		    !(is_list && row->removed) && strcmp(row->key, from) >= 0)
+			g_ptr_array_add(selected, row);
 	}
-	return json_pack("{s:o,s:b,s:I}", "rows", rows, "has-more", 0, "ver",
-			 (json_int_t)store->revision);
+	has_more =
+		is_list && store->page_size && selected->len > store->page_size;
+	if (is_list)
+		g_ptr_array_sort(selected, fake_compare_keys);
+	for (guint i = 0; i < (has_more ? store->page_size : selected->len);
+	     i++)
+		json_array_append_new(rows, fake_row_json(selected->pdata[i]));
+	g_ptr_array_free(selected, TRUE);
+	return json_pack("{s:o,s:b,s:I}", "rows", rows, "has-more", has_more,
+			 "ver", (json_int_t)store->revision);
 }
 
 static inline void fake_put(struct fake_rows *store, const char *table,
@@ -315,6 +357,8 @@
 	char *table = fake_query_param(request->target, "table");
 	char *from = fake_query_param(request->target, "from");
 
+	if (store->on_page)
+		store->on_page(store->ctx);
 	fake_reply(store, request, 200,
 		   fake_select(store, table, 0, true, from));
 	g_free(table);
@@ -337,6 +381,8 @@
 	struct fake_rows *store = ctx;
 
 	store->calls++;
+	store->writes +=
+		ks_str_has_prefix(request->target, KS_STR("/-/rows-tx"));
 	switch (store->mode) {
 	case FAKE_UNRESPONSIVE:
 		fake_wait(store, request);
