--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -1,22 +1,24 @@
 #!/bin/bash
 # usage: tests/soak/soak.sh [--planned] [--many] [--timed] [--returns] [--crashing]
-#                          [--limited] [--repeating] [--versions] SEED SECONDS
+#                          [--limited] [--repeating] [--versions] [--paused]
+#                          SEED SECONDS
 #
 # Runs gateways, replicas, a store and callers as separate processes and injects
 # faults, drawn from SEED, from outside: signals to the processes, and relays
 # that lose or refuse connections. Fails if a caller or a replica saw a rule
-# broken; see soak-callers.c, or if a process ended by itself. With --planned, only restarts by SIGTERM, leaving
-# replicas and new configurations; with --many, as many processes as the limits
-# of a small machine bear; with --timed, rules with a time bound are checked as
-# well, for a machine without other load. With --returns, the store also returns
-# from older copies of itself. With --crashing, a part of some prompts crashes
-# replicas; besides, only planned changes. How many requests with it arrive after
-# the first crashes is checked with --timed. With --limited, replicas state limits
-# on the requests of all gateways; whether they are kept is checked with --timed.
-# With --repeating, a request of plain services that comes again crashes them;
-# besides, only planned changes. With --versions, replicas have two versions of
+# broken, see soak-callers.c, or if a process ended by itself. With --planned, only
+# restarts by SIGTERM, leaving replicas and new configurations; with --many, as many
+# processes as the limits of a small machine bear; with --timed, rules with a time
+# bound are checked as well, for a machine without other load. With --returns, the
+# store also returns from older copies of itself. With --crashing, a part of some
+# prompts crashes replicas; besides, only planned changes. How many requests with it
+# arrive after the first crashes is checked with --timed. With --limited, replicas
+# state limits on the requests of all gateways; whether they are kept is checked with
+# --timed. With --repeating, a request of plain services that comes again crashes
+# them; besides, only planned changes. With --versions, replicas have two versions of
 # their software, three after restarts by faults, and callers break streams off and
-# resume them at any gateway.
+# resume them at any gateway. With --paused, which is no planned change, a gateway
+# stands still in each round, and some have just been told to stop.
 # SOAK_KEEP names a directory that gets
 # the logs of a run that failed. SOAK_SECOND is how many of 100 answers a faulty
 # replica gives twice, 40 by default, and SOAK_NAMED how many of 3 of these have
@@ -24,11 +26,11 @@
 set -u
 
 usage () {
-	sed -n '2,3s/^# *//p' "$0" >&2
+	sed -n '2,4s/^# *//p' "$0" >&2
 	exit 2
 }
 
-planned= many= timed= returns= crashing= limited= repeating= versions=
+planned= many= timed= returns= crashing= limited= repeating= versions= paused=
 while [[ ${1:-} == --* ]]
 do
 	case $1 in
@@ -40,11 +42,13 @@
 	--limited) limited=yes ;;
 	--repeating) repeating=--repeating ;;
 	--versions) versions=--versions ;;
+	--paused) paused=yes ;;
 	*) usage ;;
 	esac
 	shift
 done
 test $# = 2 || usage
+test -z "$paused" -o -z "$planned" || usage
 [[ $1 =~ ^[0-9]+$ && $2 =~ ^[1-9][0-9]*$ ]] || usage
 seed=$1 seconds=$2
 cd "$(dirname "$0")/../.."
@@ -297,6 +301,15 @@
 	is_stopping "$NAME" || signal "$NAME" USR2
 }
 
+inject_pause () {
+	draw_gateway
+	if between 0 2; test $DRAWN = 0
+	then
+		stop_one
+	fi
+	freeze "$NAME"
+}
+
 started=0
 relays=()
 launch site "$BIN/soak-store"
@@ -344,6 +357,7 @@
 		test -z "$returns" || inject_return
 		test -z "$limited" || inject_limit
 	done
+	test -z "$paused" || inject_pause
 	between 2 9
 	sleep 0.$DRAWN
 	test -z "$crashing$repeating" || find_crashed
--- a/tests/system/test-soak-usage.sh
+++ b/tests/system/test-soak-usage.sh
@@ -23,4 +23,5 @@
 rejects tests/soak/soak.sh 1
 rejects tests/soak/soak.sh one 1
 rejects tests/soak/soak.sh 1 0
+rejects tests/soak/soak.sh --planned --paused 1 1
 test -z "$failed" || { echo "FAILED: not rejected:$failed" >&2; exit 1; }
--- a/tests/system/test-soak.sh
+++ b/tests/system/test-soak.sh
@@ -12,6 +12,7 @@
 LIMITED_SEEDS="6006"
 REPEATING_SEEDS="7004"
 VERSIONS_SEEDS="903 904"
+PAUSED_SEEDS="3101"
 
 keep=$(mktemp -d)
 trap 'rm -rf "$keep"' EXIT
@@ -56,9 +57,13 @@
 do
 	run_seed "$seed" --versions --planned &
 done
+for seed in $PAUSED_SEEDS
+do
+	run_seed "$seed" --paused &
+done
 wait
 for seed in $seeds $PLANNED_SEED $RETURNS_SEEDS $CRASHING_SEEDS \
-	$LIMITED_SEEDS $REPEATING_SEEDS $VERSIONS_SEEDS
+	$LIMITED_SEEDS $REPEATING_SEEDS $VERSIONS_SEEDS $PAUSED_SEEDS
 do
 	cat "$keep/$seed.out"
 	test "$(cat "$keep/$seed.status")" = 0 || failed="$failed $seed"
