--- a/packages/gateway/tests/gateway_fixture.h
+++ b/packages/gateway/tests/gateway_fixture.h
@@ -101,6 +101,15 @@
 				request->method.data, (int)request->target.len,
 				request->target.data, (int)request->body.len,
 				request->body.data));
+	/* Its fields tell a request of this test from one of another program.
+	 */
+	if (upstream->request)
+		for (size_t i = 0; i < request->n_headers; i++)
+			g_printerr("a second request: %.*s: %.*s\n",
+				   (int)request->headers[i].name.len,
+				   request->headers[i].name.data,
+				   (int)request->headers[i].value.len,
+				   request->headers[i].value.data);
 	g_assert_null(upstream->request);
 	upstream->request = request;
 	upstream->left = false;
