gateway: log streams that end before their origin is known, and who is asked

Callers got 503, "not known which version began the stream". The log could not tell an origin that was never recorded from one whose owners were not asked: no line said when a stream ended without an origin, or what the entries that were asked said.

--- a/packages/gateway/src/exchange_identity.c
+++ b/packages/gateway/src/exchange_identity.c
@@ -35,6 +35,29 @@
 		gateway->members_read_us >= exchange->call.conn_opened_us);
 }
 
+/**
+ * exchange_log_unknown_origin() - log that a stream ends before its origin is
+ * known
+ *
+ * No entry can tell then where it began.
+ */
+void exchange_log_unknown_origin(const struct exchange *exchange)
+{
+	const ks_gateway_t *gateway = exchange->gateway;
+	int64_t now = exchange_now(exchange);
+
+	if (!exchange->started || !exchange->has_events || exchange->origin)
+		return;
+	ks_counter_add(gateway->counters.origins_lost, 1);
+	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
+	       "a stream ended before its origin was known request=%s "
+	       "stream=%016" PRIx64 " upstream=%s conn_ms=%" PRId64
+	       " read_ms=%" PRId64,
+	       exchange->id, exchange->stream, exchange->began->id,
+	       (now - exchange->call.conn_opened_us) / KS_USEC_PER_MSEC,
+	       (now - gateway->members_read_us) / KS_USEC_PER_MSEC);
+}
+
 /* Notes the origin of a stream that has begun, if it is known, and tells it. */
 static void record_origin(struct exchange *exchange)
 {
--- a/packages/gateway/src/exchange_resume.c
+++ b/packages/gateway/src/exchange_resume.c
@@ -72,6 +72,10 @@
 	     now - exchange->announced_us < REANNOUNCE_US))
 		return;
 	exchange->announced_us = now;
+	ks_log(KS_LOG_ROUTE, KS_LOG_DEBUG,
+	       "origin of a stream recorded request=%s stream=%016" PRIx64
+	       " origin=%016" PRIx64,
+	       exchange->id, exchange->stream, exchange->origin);
 	ks_stream_origins_record(&gateway->origins, exchange->stream,
 				 exchange->origin, now);
 	ks_peers_announce_stream(&gateway->peers, exchange->stream,
@@ -186,6 +190,11 @@
  */
 void exchange_refuse_unknown(struct exchange *exchange)
 {
+	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
+	       "no entry knows where a stream began request=%s "
+	       "stream=%016" PRIx64 " unknown=%u silent=%u",
+	       exchange->id, exchange->stream, exchange->n_unknown,
+	       exchange->n_asked);
 	refuse(exchange, "not known which version began the stream");
 }
 
@@ -258,6 +267,7 @@
 	for (unsigned i = 0; i < exchange->n_asked; i++)
 		if (exchange->asked[i] != sender)
 			exchange->asked[n++] = exchange->asked[i];
+	exchange->n_unknown += exchange->n_asked - n;
 	exchange->n_asked = n;
 	if (!n)
 		exchange_refuse_unknown(exchange);
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -225,6 +225,14 @@
 		"Requests that resume a stream, refused as it is not known "
 		"which version of the software began it, or none is left",
 		NULL);
+	c->origins_late = ks_metrics_counter(
+		m, "ks_gateway_late_origins_total",
+		"Streams that began before it was known which process of the "
+		"upstream responds",
+		NULL);
+	c->origins_lost = ks_metrics_counter(
+		m, "ks_gateway_lost_origins_total",
+		"Streams that ended before their origin was known", NULL);
 	c->resumed_same = ks_metrics_counter(
 		m, "ks_gateway_resumed_streams_total",
 		"Streams that went on after they had broken off, by the "
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -22,6 +22,8 @@
  * @resume_requests: requests of callers that resume a stream
  * @resume_refused: of these, the ones that were refused as it is not known
  *which version of the software began the stream, or none of it is left
+ * @origins_late: streams whose origin was not known when they began
+ * @origins_lost: streams that ended before their origin was known
  * @resumed_same, @resumed_other: streams that went on at the version of the
  *	software that began the response, and at another one
  * @held: parts of prompts that were held, by this entry's own decision or not
@@ -62,6 +64,8 @@
 	ks_counter_t *truncated;
 	ks_counter_t *resume_requests;
 	ks_counter_t *resume_refused;
+	ks_counter_t *origins_late;
+	ks_counter_t *origins_lost;
 	ks_counter_t *resumed_same;
 	ks_counter_t *resumed_other;
 	ks_counter_t *held;
@@ -274,6 +278,7 @@
  * @is_resume_request: the caller resumes a stream
  * @announced_us: when other entries were informed of the stream, 0 before
  * @asked, @n_asked: entries that were asked for it and have not answered
+ * @n_unknown: entries that answered that they do not know it
  * @read_after_us: a read counts that was begun then or later
  * @wait_timer: ends the wait for entries or for a read
  * @awaits_identity: the request waits for a read that tells whether the process
@@ -361,6 +366,7 @@
 	int64_t announced_us;
 	uint64_t asked[KS_STREAM_MAX_ASKED];
 	unsigned n_asked;
+	unsigned n_unknown;
 	int64_t read_after_us;
 	ks_timer_t wait_timer;
 	bool awaits_identity;
@@ -456,6 +462,7 @@
 bool exchange_await_origin(struct exchange *exchange);
 void exchange_await_read(struct exchange *exchange, int64_t after_us);
 void exchange_members_read(struct exchange *exchange);
+void exchange_log_unknown_origin(const struct exchange *exchange);
 
 /* exchange_resume.c */
 
--- a/packages/gateway/src/peer_streams.c
+++ b/packages/gateway/src/peer_streams.c
@@ -224,6 +224,11 @@
 	uint64_t origin = ks_stream_origins_find(peers->origins, stream,
 						 ks_loop_now(peers->loop));
 
+	if (!origin)
+		ks_log(KS_LOG_LINK, KS_LOG_INFO,
+		       "asked for a stream that is not known "
+		       "stream=%016" PRIx64 " by=%016" PRIx64,
+		       stream, receiver);
 	queue_update(peers, receiver, origin ? UPDATE_BEGUN : UPDATE_UNKNOWN,
 		     stream, origin);
 }
