tests: streams that their callers resume are refused

Four of the five cases fail: a stream that begins on a connection newer than the last read of the rows and breaks off before the next one is refused at all entries, also after that read.

The delayed store of test-restarted-process moves to processes_fixture.h, for several entries; its cases are unchanged.

--- a/packages/gateway/tests/test-restarted-process.c
+++ b/packages/gateway/tests/test-restarted-process.c
@@ -3,90 +3,13 @@
  * version of its software, before the entry has read so. Guards against a
  * stream that one version began and that goes on at the other one.
  */
-#include "versions_fixture.h"
+#include "processes_fixture.h"
 #include "gateway_internal.h"
 
 #include <xxhash.h>
 
 #define FIRST_EVENT "id: 1\ndata: a\n\n"
 
-/**
- * struct world - entries, upstreams and what the store has of these
- * @in_store: software that the row of each upstream names; NULL for no row
- * @starts: starts of its process
- * @is_away: the store does not answer
- * @reads: reads that were answered
- */
-struct world {
-	struct versions v;
-	const char *in_store[FIXTURE_UPSTREAMS];
-	int64_t starts[FIXTURE_UPSTREAMS];
-	bool is_away;
-	unsigned reads;
-	ks_timer_t timer;
-	int64_t asked_us;
-};
-
-static void on_read(void *ctx)
-{
-	struct world *w = ctx;
-
-	if (w->is_away)
-		return;
-	for (int i = 0; i < FIXTURE_UPSTREAMS; i++) {
-		w->v.starts = w->starts[i];
-		if (w->in_store[i])
-			versions_put_app(&w->v, i, w->in_store[i]);
-	}
-	w->reads++;
-	ks_gateway_members_read(w->v.entries[0], w->asked_us);
-}
-
-static void read_members(void *ctx, int64_t within_us)
-{
-	struct world *w = ctx;
-
-	/* The regular reads are those of the test. */
-	if (within_us || ks_timer_is_set(&w->timer))
-		return;
-	w->asked_us = ks_loop_now(&w->v.f.loop);
-	ks_timer_set(&w->timer, 5 * KS_USEC_PER_MSEC);
-}
-
-static void read_and_wait(struct world *w)
-{
-	unsigned before = w->reads;
-
-	fixture_advance(&w->v.f, 10);
-	read_members(w, 0);
-	fixture_advance(&w->v.f, 20);
-	g_assert_cmpuint(w->reads, ==, before + 1);
-}
-
-/* Upstreams with these versions; NULL for none. */
-static void init(struct world *w, const char *first, const char *second)
-{
-	memset(w, 0, sizeof(*w));
-	versions_init(&w->v, 1);
-	w->in_store[0] = first;
-	w->in_store[1] = second;
-	ks_timer_init(&w->timer, &w->v.f.loop, on_read, w);
-	ks_gateway_set_member_reader(w->v.entries[0], read_members, w);
-	read_and_wait(w);
-}
-
-static void deinit(struct world *w)
-{
-	ks_timer_clear(&w->timer);
-	versions_deinit(&w->v);
-}
-
-static void start_again(struct world *w, int i, const char *software)
-{
-	w->in_store[i] = software;
-	w->starts[i]++;
-}
-
 /* Begins a stream, of which the entry learns which process it is at. */
 static int begin(struct world *w, struct fixture_caller *caller, bool is_known)
 {
@@ -96,7 +19,7 @@
 	versions_call(&w->v, caller, "/resume/", NULL, NULL);
 	i = versions_begin(&w->v);
 	if (is_known) {
-		read_and_wait(w);
+		world_read_and_wait(w);
 		fixture_send(&w->v.f.upstreams[i], "id: 2\ndata: b\n\n");
 		fixture_run_pending(&w->v.f);
 	}
@@ -136,12 +59,12 @@
 	struct fixture_caller caller;
 	struct world w;
 
-	init(&w, "v1", NULL);
+	world_init(&w, 1, "v1", NULL);
 	begin(&w, &caller, true);
-	start_again(&w, 0, "v2");
+	world_start_again(&w, 0, "v2");
 	fixture_abort_response(&w.v.f.upstreams[0]);
 	expect_cut(&w, &caller, 1);
-	deinit(&w);
+	world_deinit(&w);
 }
 
 /* The caller resumes at the entry. */
@@ -150,11 +73,11 @@
 	struct fixture_caller caller;
 	struct world w;
 
-	init(&w, "v1", NULL);
+	world_init(&w, 1, "v1", NULL);
 	begin(&w, &caller, true);
 	fixture_end_call(&caller);
 	FIXTURE_WAIT(&w.v.f, w.v.f.upstreams[0].left);
-	start_again(&w, 0, "v2");
+	world_start_again(&w, 0, "v2");
 	w.v.id = "r2";
 	versions_call(&w.v, &caller, "/resume/", "r1", "2");
 	for (int i = 0; i < 100 && !caller.done; i++)
@@ -163,7 +86,7 @@
 	g_assert_cmpint(caller.status, ==, 503);
 	g_assert_cmpuint(fixture_n_requests(&w.v.f), ==, 1);
 	fixture_end_call(&caller);
-	deinit(&w);
+	world_deinit(&w);
 }
 
 /* The stream begins at the new process, which passes for the one before. */
@@ -172,12 +95,12 @@
 	struct fixture_caller caller;
 	struct world w;
 
-	init(&w, "v1", "v1");
-	start_again(&w, 0, "v2");
-	start_again(&w, 1, "v2");
+	world_init(&w, 1, "v1", "v1");
+	world_start_again(&w, 0, "v2");
+	world_start_again(&w, 1, "v2");
 	fixture_abort_response(&w.v.f.upstreams[begin(&w, &caller, false)]);
 	expect_cut(&w, &caller, 1);
-	deinit(&w);
+	world_deinit(&w);
 }
 
 /* The same process: a broken connection is no reason to end the stream. */
@@ -187,11 +110,11 @@
 	struct world w;
 
 	for (int is_known = 0; is_known < 2; is_known++) {
-		init(&w, "v1", NULL);
+		world_init(&w, 1, "v1", NULL);
 		begin(&w, &caller, is_known);
 		fixture_abort_response(&w.v.f.upstreams[0]);
 		expect_goes_on(&w, &caller, 0, "id: 3\ndata: c\n\n");
-		deinit(&w);
+		world_deinit(&w);
 	}
 }
 
@@ -202,14 +125,14 @@
 	struct world w;
 	int at;
 
-	init(&w, "v1", NULL);
+	world_init(&w, 1, "v1", NULL);
 	begin(&w, &first, true);
 	w.is_away = true;
 	fixture_abort_response(&w.v.f.upstreams[0]);
 	expect_cut(&w, &first, 1);
-	deinit(&w);
+	world_deinit(&w);
 
-	init(&w, "v1", "v1");
+	world_init(&w, 1, "v1", "v1");
 	at = begin(&w, &first, true);
 	/* Leaves an idle connection to the other upstream. */
 	versions_call(&w.v, &second, "/resume/", NULL, NULL);
@@ -217,11 +140,11 @@
 	versions_respond(&w.v, &w.v.f.upstreams[1 - at], FIRST_EVENT);
 	FIXTURE_WAIT(&w.v.f, second.done);
 	fixture_end_call(&second);
-	read_and_wait(&w);
+	world_read_and_wait(&w);
 	w.is_away = true;
 	fixture_abort_response(&w.v.f.upstreams[at]);
 	expect_goes_on(&w, &first, 1 - at, "id: 3\ndata: c\n\n");
-	deinit(&w);
+	world_deinit(&w);
 }
 
 /*
@@ -234,7 +157,7 @@
 	struct world w;
 	uint64_t origin;
 
-	init(&w, "v1", "v2");
+	world_init(&w, 1, "v1", "v2");
 	origin = ks_fleet_find(ks_gateway_fleet(w.v.entries[0]), KS_STR("u1"))
 			 ->origin;
 	ks_fleet_remove(ks_gateway_fleet(w.v.entries[0]), KS_STR("u1"));
@@ -243,7 +166,7 @@
 				 origin, ks_loop_now(&w.v.f.loop));
 	versions_call(&w.v, &caller, "/resume/", "r0", "2");
 	expect_goes_on(&w, &caller, 1, "id: 3\ndata: c\n\n");
-	deinit(&w);
+	world_deinit(&w);
 }
 
 int main(int argc, char **argv)
--- /dev/null
+++ b/packages/gateway/tests/test-resumed-stream-refused.c
@@ -0,0 +1,168 @@
+/*
+ * Guards against streams that their callers resume and that are refused, though
+ * it can be known which version of the upstreams' software began them.
+ */
+#include "processes_fixture.h"
+
+/* Begins a stream at an entry, on a new connection; returns its upstream. */
+static int begin(struct world *w, unsigned entry, struct fixture_caller *caller)
+{
+	fixture_advance(&w->v.f, 10);
+	w->v.f.gateway = w->v.entries[entry];
+	w->v.id = "r1";
+	versions_call(&w->v, caller, "/resume/", NULL, NULL);
+	return versions_begin(&w->v);
+}
+
+/* The stream breaks off before any entry has read the rows again. */
+static void lose(struct world *w, int at, struct fixture_caller *caller)
+{
+	fixture_run_pending(&w->v.f);
+	fixture_end_call(caller);
+	FIXTURE_WAIT(&w->v.f, w->v.f.upstreams[at].left);
+}
+
+/* Begins a stream at an entry, and loses it before its origin is known. */
+static int begin_and_lose(struct world *w, unsigned entry)
+{
+	struct fixture_caller caller;
+	int at = begin(w, entry, &caller);
+
+	lose(w, at, &caller);
+	return at;
+}
+
+/* Messages between entries take time while the clock of the test stands. */
+static void let_entries_talk(struct world *w)
+{
+	for (int i = 0; i < 10; i++)
+		fixture_run_once(&w->v.f);
+}
+
+/* Resumes the stream; returns the upstream that it goes on at, -1 for none. */
+static int resume(struct world *w, unsigned entry)
+{
+	struct fixture_caller caller;
+	int at = -1;
+
+	w->v.f.gateway = w->v.entries[entry];
+	w->v.id = "r2";
+	versions_call(&w->v, &caller, "/resume/", "r1", "1");
+	for (int i = 0; i < 200 && !caller.done; i++) {
+		struct fixture_upstream *next =
+			fixture_pending_upstream(&w->v.f);
+
+		let_entries_talk(w);
+		fixture_advance(&w->v.f, 10);
+		if (!next)
+			continue;
+		at = versions_index(&w->v, next);
+		versions_respond(&w->v, next, "id: 2\ndata: b\n\n");
+		FIXTURE_WAIT(&w->v.f, caller.done);
+		g_assert_cmpint(caller.status, ==, 200);
+	}
+	g_assert_true(caller.done);
+	if (at < 0)
+		g_assert_cmpint(caller.status, ==, 503);
+	fixture_end_call(&caller);
+	return at;
+}
+
+static void expect_same_version(struct world *w, int first, int next)
+{
+	g_assert_cmpint(next, >=, 0);
+	g_assert_cmpstr(w->v.software[next], ==, w->v.software[first]);
+}
+
+/* The stream is lost before the rows are read again. */
+static void test_lost_before_read(void)
+{
+	for (unsigned resumes = 0; resumes < 4; resumes++) {
+		struct world w;
+		int first;
+
+		world_init(&w, 4, "v1", "v2");
+		first = begin_and_lose(&w, 0);
+		expect_same_version(&w, first, resume(&w, resumes));
+		world_deinit(&w);
+	}
+}
+
+/* The rows are read again after the end of the stream, and before it is
+ * resumed.
+ */
+static void test_lost_and_read(void)
+{
+	for (unsigned resumes = 0; resumes < 4; resumes++) {
+		struct world w;
+		int first;
+
+		world_init(&w, 4, "v1", "v2");
+		first = begin_and_lose(&w, 0);
+		world_read_and_wait(&w);
+		expect_same_version(&w, first, resume(&w, resumes));
+		world_deinit(&w);
+	}
+}
+
+/* The entry ends right after the stream began there. */
+static void test_lost_with_its_entry(void)
+{
+	struct world w;
+	int first;
+
+	world_init(&w, 4, "v1", "v2");
+	first = begin_and_lose(&w, 0);
+	world_end_entry(&w, 0);
+	expect_same_version(&w, first, resume(&w, 2));
+	world_deinit(&w);
+}
+
+/* The process is known only until another one follows it. */
+static void test_known_before_replaced(void)
+{
+	struct world w;
+	int first;
+
+	world_init(&w, 2, "v1", "v2");
+	first = begin_and_lose(&w, 0);
+	world_read_and_wait(&w);
+	world_start_again(&w, first, "v3");
+	w.in_store[2] = first ? "v2" : "v1";
+	world_read_and_wait(&w);
+	expect_same_version(&w, 2, resume(&w, 1));
+	world_deinit(&w);
+}
+
+/* Another process follows before the rows are read: either may have begun it.
+ */
+static void test_replaced_before_read(void)
+{
+	struct world w;
+	int first;
+
+	world_init(&w, 2, "v1", "v2");
+	first = begin_and_lose(&w, 0);
+	world_start_again(&w, first, "v3");
+	w.in_store[2] = first ? "v2" : "v1";
+	world_read_and_wait(&w);
+	g_assert_cmpint(resume(&w, 1), ==, -1);
+	g_assert_cmpint(resume(&w, 0), ==, -1);
+	world_deinit(&w);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/resumed-stream-refused/lost-before-read",
+			test_lost_before_read);
+	g_test_add_func("/resumed-stream-refused/lost-and-read",
+			test_lost_and_read);
+	g_test_add_func("/resumed-stream-refused/lost-with-its-entry",
+			test_lost_with_its_entry);
+	g_test_add_func("/resumed-stream-refused/known-before-replaced",
+			test_known_before_replaced);
+	g_test_add_func("/resumed-stream-refused/replaced-before-read",
+			test_replaced_before_read);
+	return g_test_run();
+}
