gateway: record the origin of a stream that ends before it is known

Cause: a stream that begins on a connection newer than the last read of the rows waited, with its exchange, for the next read.

Now the entry claims the stream for the process that it knows at the upstream, at the first event, and tells the owners. The claim outlives the exchange and is settled by any later read that still has that process: an earlier process had ended, with its connections, before the entry knew this one, and a later one would be in the read. Whoever is asked passes the claim on, and an entry that gets one reads the rows itself. A process that has been replaced before any read settles nothing, so a stream still goes on only where its version is known (test-restarted-process, replaced-before-read).

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -350,6 +350,8 @@
  * @software: version of its software, shortened and printable, for logs
  * @origin: hash of its service and of the version of its software. A stream
  *	goes on only at upstreams of the origin that began it.
+ * @process: hash of @id, @process_start_ms and @origin, which identifies its
+ *	process among all entries
  * @slots: requests that it runs at the same time, 0 if unknown
  * @accepting: it accepts requests, and is not draining
  * @withdrawal: what it has said of itself in its responses
@@ -389,6 +391,7 @@
 	ks_address_t address;
 	ks_stage_t stage;
 	int64_t process_start_ms;
+	uint64_t process;
 	unsigned slots;
 	bool accepting;
 	ks_withdrawal_t withdrawal;
@@ -445,6 +448,7 @@
 GPtrArray *ks_fleet_available(const ks_fleet_t *fleet, const char *service,
 			      int64_t notice_us, int64_t now_us);
 void ks_fleet_update_withdrawal(ks_fleet_t *fleet, ks_member_t *member);
+ks_member_t *ks_fleet_find_process(const ks_fleet_t *fleet, uint64_t process);
 void ks_members_keep_origin(GPtrArray *members, uint64_t origin);
 int64_t ks_fleet_return_us(const ks_fleet_t *fleet, const char *service,
 			   uint64_t origin, int64_t now_us);
@@ -662,23 +666,54 @@
 
 /* stream_origins.c */
 
+/**
+ * struct ks_stream_claim - a stream whose origin is not known yet
+ * @stream: hash of the id of the request whose response began it
+ * @process: of the upstream that the entry that began it knew, see struct
+ *	ks_member
+ * @since_us: if that process is there later than this, it began the stream
+ * @is_own: this entry began the stream
+ */
+typedef struct ks_stream_claim {
+	uint64_t stream;
+	uint64_t process;
+	int64_t since_us;
+	bool is_own;
+} ks_stream_claim_t;
+
 /**
  * struct ks_stream_origins - where streams began
  * @recent, @older: origins by the stream, of two generations
- * @began_us: when the recent one began
+ * @claims: ks_stream_claim_t by the stream
+ * @began_us: when the recent generation began
  */
 typedef struct ks_stream_origins {
 	GHashTable *recent;
 	GHashTable *older;
+	GHashTable *claims;
 	int64_t began_us;
 } ks_stream_origins_t;
 
+/*
+ * Sets the origin of the process of a claim, if it is known. Returns false if
+ * it will never be.
+ */
+typedef bool (*ks_settle_func_t)(void *ctx, const ks_stream_claim_t *claim,
+				 uint64_t *origin);
+
 void ks_stream_origins_init(ks_stream_origins_t *origins);
 void ks_stream_origins_deinit(ks_stream_origins_t *origins);
 void ks_stream_origins_record(ks_stream_origins_t *origins, uint64_t stream,
 			      uint64_t origin, int64_t now_us);
 uint64_t ks_stream_origins_find(ks_stream_origins_t *origins, uint64_t stream,
 				int64_t now_us);
+void ks_stream_origins_claim(ks_stream_origins_t *origins,
+			     const ks_stream_claim_t *claim, int64_t now_us);
+const ks_stream_claim_t *
+ks_stream_origins_find_claim(const ks_stream_origins_t *origins,
+			     uint64_t stream);
+void ks_stream_origins_settle(ks_stream_origins_t *origins,
+			      ks_settle_func_t func, void *ctx, int64_t now_us);
 
 /* peers.c */
 
@@ -800,7 +835,7 @@
 void ks_peers_announce_unanswered(ks_peers_t *peers);
 void ks_peers_announce_limit(ks_peers_t *peers, ks_member_t *member);
 void ks_peers_announce_stream(ks_peers_t *peers, uint64_t stream,
-			      uint64_t origin);
+			      uint64_t origin, uint64_t process);
 unsigned ks_peers_ask_stream(ks_peers_t *peers, uint64_t stream,
 			     uint64_t *asked);
 void ks_peers_receive(ks_peers_t *peers, ks_str_t message);
--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -211,7 +211,7 @@
 {
 	exchange->started = true;
 	exchange->began = ks_member_ref(exchange->member);
-	exchange_identify_origin(exchange);
+	exchange_note_beginning(exchange);
 	ks_counter_add(exchange->gateway->counters.origins_late,
 		       exchange->has_events && !exchange->origin);
 	ks_http1_start(exchange->caller, exchange->status,
--- a/packages/gateway/src/exchange_end.c
+++ b/packages/gateway/src/exchange_end.c
@@ -154,7 +154,6 @@
 {
 	exchange_usage_settle(exchange, exchange->call.sent &&
 						!exchange->refused_not_run);
-	exchange_log_unknown_origin(exchange);
 	ks_http_call_cancel(&exchange->call);
 	exchange_free_handle(exchange);
 	ks_timer_clear(&exchange->timer);
--- a/packages/gateway/src/exchange_identity.c
+++ b/packages/gateway/src/exchange_identity.c
@@ -1,13 +1,7 @@
 /*
- * Tells which process of an upstream an exchange speaks to. A process may start
- * again under the id and at the address of the one before, with another version
- * of its software. It announces itself before it serves, so a connection leads
- * to the process of an announcement that was read after the connection had been
- * established: an earlier process has ended and its connections with it, and a
- * later one would have announced itself.
- *
- * A stream has the origin of an upstream only once that is known, and goes on
- * only at a process that is known to have it.
+ * Lets streams go on only at processes that are known to have the origin that
+ * began them; see identity.c. A stream has the origin of an upstream only once
+ * its process is known, which may be after the stream has ended.
  */
 #include "gateway_internal.h"
 
@@ -27,35 +21,30 @@
 /* Whether the connection of the call leads to the process of the member. */
 static bool is_identified(const struct exchange *exchange)
 {
-	const ks_gateway_t *gateway = exchange->gateway;
-	const ks_member_t *member = exchange->member;
-
-	return !gateway->read_members ||
-	       (member->listed && !member->remove_at_us &&
-		gateway->members_read_us >= exchange->call.conn_opened_us);
+	return gateway_is_identified(exchange->gateway, exchange->member,
+				     exchange->call.conn_opened_us);
 }
 
-/**
- * exchange_log_unknown_origin() - log that a stream ends before its origin is
- * known
- *
- * No entry can tell then where it began.
+/*
+ * Notes the process that began a stream, so that the origin is recorded when it
+ * is known, also if the stream has ended by then.
  */
-void exchange_log_unknown_origin(const struct exchange *exchange)
+static void claim_stream(const struct exchange *exchange)
 {
-	const ks_gateway_t *gateway = exchange->gateway;
-	int64_t now = exchange_now(exchange);
-
-	if (!exchange->started || !exchange->has_events || exchange->origin)
+	ks_gateway_t *gateway = exchange->gateway;
+	ks_stream_claim_t claim = {
+		.stream = exchange->stream,
+		.process = exchange->member->process,
+		.since_us = exchange->call.conn_opened_us,
+		.is_own = true,
+	};
+
+	if (exchange->origin || !exchange->has_events)
 		return;
-	ks_counter_add(gateway->counters.origins_lost, 1);
-	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
-	       "a stream ended before its origin was known request=%s "
-	       "stream=%016" PRIx64 " upstream=%s conn_ms=%" PRId64
-	       " read_ms=%" PRId64,
-	       exchange->id, exchange->stream, exchange->began->id,
-	       (now - exchange->call.conn_opened_us) / KS_USEC_PER_MSEC,
-	       (now - gateway->members_read_us) / KS_USEC_PER_MSEC);
+	ks_stream_origins_claim(&gateway->origins, &claim,
+				exchange_now(exchange));
+	ks_peers_announce_stream(&gateway->peers, exchange->stream, 0,
+				 claim.process);
 }
 
 /* Notes the origin of a stream that has begun, if it is known, and tells it. */
@@ -67,11 +56,21 @@
 		exchange_record_stream(exchange);
 }
 
+/**
+ * exchange_note_beginning() - note where a stream begins, and tell other
+ * entries
+ */
+void exchange_note_beginning(struct exchange *exchange)
+{
+	exchange_identify_origin(exchange);
+	claim_stream(exchange);
+}
+
 /**
  * exchange_identify_origin() - have the origin of a stream that has begun noted
  * and told to other entries
  *
- * Called at the beginning of the response, and with each of its events.
+ * Called with each of its events.
  */
 void exchange_identify_origin(struct exchange *exchange)
 {
@@ -87,7 +86,7 @@
  * exchange_await_read() - wait for a read of the announcements of upstreams
  * @after_us: the read must begin then or later
  *
- * exchange_members_read() is called then, possibly before this returns.
+ * exchange_identity_changed() is called then, possibly before this returns.
  */
 void exchange_await_read(struct exchange *exchange, int64_t after_us)
 {
@@ -98,6 +97,12 @@
 	gateway->read_members(gateway->read_members_ctx, 0);
 }
 
+static void await_identity(struct exchange *exchange)
+{
+	ks_timer_set(&exchange->wait_timer, READ_TIMEOUT_US);
+	gateway_identify(exchange->gateway);
+}
+
 /**
  * exchange_permits_origin() - whether the process that the request is about to
  * be sent to is known to have the stream's origin
@@ -109,12 +114,8 @@
 	if (!exchange->origin || is_identified(exchange))
 		return true;
 	exchange->awaits_identity = true;
-	exchange_await_read(exchange, exchange->call.conn_opened_us);
-	if (!is_identified(exchange))
-		return false;
-	exchange->awaits_identity = false;
-	ks_timer_clear(&exchange->wait_timer);
-	return true;
+	await_identity(exchange);
+	return false;
 }
 
 /**
@@ -133,72 +134,95 @@
 		return false;
 	}
 	exchange->step = EXCHANGE_READ;
-	exchange_await_read(exchange, exchange->call.conn_opened_us);
+	await_identity(exchange);
 	return true;
 }
 
-static void send_after_read(struct exchange *exchange)
+/* Sends the request to another upstream, as this one is not known. */
+static void place_elsewhere(struct exchange *exchange, const char *why)
 {
 	exchange->awaits_identity = false;
 	ks_timer_clear(&exchange->wait_timer);
-	if (is_identified(exchange)) {
-		ks_http_call_permit(&exchange->call);
-		return;
-	}
-	/* Another process is announced there now. */
 	ks_http_call_cancel(&exchange->call);
 	if (++exchange->identity_waits < MAX_IDENTITY_WAITS)
-		exchange_place_again(
-			exchange, "placed again, the process of the upstream "
-				  "is not the one before");
+		exchange_place_again(exchange, why);
 	else
 		exchange_give_up(exchange, RETRY_AFTER_NOT_READY_S,
 				 "the upstreams of the version change");
 }
 
-/* The exchange may have ended then. */
-static void go_on_after_read(struct exchange *exchange)
+/* Goes on with a request that waits, connected, for the process to be known. */
+static void send_when_identified(struct exchange *exchange)
 {
+	if (is_identified(exchange)) {
+		exchange->awaits_identity = false;
+		ks_timer_clear(&exchange->wait_timer);
+		ks_http_call_permit(&exchange->call);
+	} else if (exchange->gateway->members_read_us >=
+		   exchange->call.conn_opened_us) {
+		place_elsewhere(exchange,
+				"placed again, the process of the upstream is "
+				"not the one before");
+	}
+}
+
+/* Resumes a lost stream once its origin is known. */
+static void resume_when_known(struct exchange *exchange)
+{
+	ks_gateway_t *gateway = exchange->gateway;
+	const ks_stream_origins_t *origins = &gateway->origins;
+
+	exchange->origin = ks_stream_origins_find(
+		&gateway->origins, exchange->stream, exchange_now(exchange));
+	if (!exchange->origin &&
+	    ks_stream_origins_find_claim(origins, exchange->stream))
+		return;
 	ks_timer_clear(&exchange->wait_timer);
 	exchange->step = EXCHANGE_RUN;
-	if (is_identified(exchange))
-		exchange->origin = exchange->member->origin;
 	exchange_resume_lost(exchange);
 }
 
 /**
- * exchange_members_read() - note that the announcements of upstreams have been
- * read
+ * exchange_identity_changed() - note that the announcements of upstreams have
+ * been read
  *
  * Continues an exchange that waits for it, which may have ended then.
  */
-void exchange_members_read(struct exchange *exchange)
+void exchange_identity_changed(struct exchange *exchange)
 {
-	bool is_read =
-		exchange->gateway->members_read_us >= exchange->read_after_us;
-
-	if (exchange->awaits_identity && exchange->call.is_waiting && is_read) {
-		send_after_read(exchange);
-	} else if (exchange->step == EXCHANGE_READ && is_read) {
+	switch (exchange->step) {
+	case EXCHANGE_ASK:
+		exchange_resume_if_known(exchange);
+		break;
+	case EXCHANGE_READ:
 		if (exchange->started)
-			go_on_after_read(exchange);
-		else
+			resume_when_known(exchange);
+		else if (exchange->gateway->members_read_us >=
+			 exchange->read_after_us)
 			exchange_resume_after_read(exchange);
-	} else if (exchange->step == EXCHANGE_RUN && exchange->started &&
-		   exchange->has_events && !exchange->origin) {
-		record_origin(exchange);
+		break;
+	case EXCHANGE_RUN:
+		if (exchange->awaits_identity && exchange->call.is_waiting)
+			send_when_identified(exchange);
+		else if (exchange->started && exchange->has_events &&
+			 !exchange->origin)
+			record_origin(exchange);
+		break;
+	default:
+		break;
 	}
 }
 
-/* Ends a wait for other entries, or for a read that did not end in time. */
+/* Ends a wait for other entries, or for a process to be known. */
 static void on_wait_timer(void *ctx)
 {
 	struct exchange *exchange = ctx;
 
 	if (exchange->awaits_identity)
 		ks_http_call_cancel(&exchange->call);
-	if (exchange->step == EXCHANGE_ASK ||
-	    (exchange->step == EXCHANGE_READ && !exchange->started))
+	if (exchange->step == EXCHANGE_ASK)
+		exchange_end_asking(exchange);
+	else if (exchange->step == EXCHANGE_READ && !exchange->started)
 		exchange_refuse_unknown(exchange);
 	else
 		exchange_give_up(exchange, RETRY_AFTER_NOT_READY_S,
--- a/packages/gateway/src/exchange_resume.c
+++ b/packages/gateway/src/exchange_resume.c
@@ -15,6 +15,12 @@
 /* An entry that shares its processor may take this long to answer. */
 #define ASK_TIMEOUT_US (200 * KS_USEC_PER_MSEC)
 
+/*
+ * Time for the store, or for the upstream itself, to tell whether the process
+ * that is said to have begun a stream is there, after ASK_TIMEOUT_US.
+ */
+#define CLAIM_TIMEOUT_US (600 * KS_USEC_PER_MSEC)
+
 /*
  * A stream that is resumed is at most this many timeouts of its route old: one
  * for the try that began it, and one for the try that resumes it.
@@ -66,12 +72,19 @@
 {
 	ks_gateway_t *gateway = exchange->gateway;
 	int64_t now = exchange_now(exchange);
+	bool is_told;
 
 	if (!exchange->has_events ||
 	    (exchange->announced_us &&
 	     now - exchange->announced_us < REANNOUNCE_US))
 		return;
+	is_told = !exchange->announced_us && !exchange->is_resume_request &&
+		  ks_stream_origins_find(&gateway->origins, exchange->stream,
+					 now) != 0;
 	exchange->announced_us = now;
+	/* The claim has been settled, which has told the others. */
+	if (is_told)
+		return;
 	ks_log(KS_LOG_ROUTE, KS_LOG_DEBUG,
 	       "origin of a stream recorded request=%s stream=%016" PRIx64
 	       " origin=%016" PRIx64,
@@ -79,7 +92,7 @@
 	ks_stream_origins_record(&gateway->origins, exchange->stream,
 				 exchange->origin, now);
 	ks_peers_announce_stream(&gateway->peers, exchange->stream,
-				 exchange->origin);
+				 exchange->origin, 0);
 }
 
 /*
@@ -192,24 +205,63 @@
 {
 	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
 	       "no entry knows where a stream began request=%s "
-	       "stream=%016" PRIx64 " unknown=%u silent=%u",
-	       exchange->id, exchange->stream, exchange->n_unknown,
-	       exchange->n_asked);
+	       "stream=%016" PRIx64 " answered=%u silent=%u claimed=%d",
+	       exchange->id, exchange->stream, exchange->n_answered,
+	       exchange->n_asked, exchange->identifies_claim);
 	refuse(exchange, "not known which version began the stream");
 }
 
-static void ask(struct exchange *exchange)
+/* Has it found out, once, whether the process of the claim is there. */
+static void identify_claim(struct exchange *exchange)
 {
-	ks_gateway_t *gateway = exchange->gateway;
+	if (!exchange->identifies_claim)
+		gateway_identify(exchange->gateway);
+	exchange->identifies_claim = true;
+}
 
-	exchange->n_asked = ks_peers_ask_stream(
-		&gateway->peers, exchange->stream, exchange->asked);
-	if (!exchange->n_asked) {
+/**
+ * exchange_resume_if_known() - serve a request that resumes a stream if its
+ * origin has become known, and refuse it if that can't happen any more
+ */
+void exchange_resume_if_known(struct exchange *exchange)
+{
+	const ks_stream_claim_t *claim = ks_stream_origins_find_claim(
+		&exchange->gateway->origins, exchange->stream);
+
+	exchange->origin = ks_stream_origins_find(&exchange->gateway->origins,
+						  exchange->stream,
+						  exchange_now(exchange));
+	if (exchange->origin)
+		continue_stream(exchange);
+	else if (claim)
+		identify_claim(exchange);
+	else if (!exchange->n_asked)
+		exchange_refuse_unknown(exchange);
+}
+
+/**
+ * exchange_end_asking() - go on without the entries that have not answered
+ */
+void exchange_end_asking(struct exchange *exchange)
+{
+	if (!ks_stream_origins_find_claim(&exchange->gateway->origins,
+					  exchange->stream) ||
+	    exchange->awaits_claim) {
 		exchange_refuse_unknown(exchange);
 		return;
 	}
+	exchange->awaits_claim = true;
+	ks_timer_set(&exchange->wait_timer, CLAIM_TIMEOUT_US);
+}
+
+/* The others may know, or have had it found out while the process was there. */
+static void ask(struct exchange *exchange)
+{
+	exchange->n_asked = ks_peers_ask_stream(
+		&exchange->gateway->peers, exchange->stream, exchange->asked);
 	exchange->step = EXCHANGE_ASK;
 	ks_timer_set(&exchange->wait_timer, ASK_TIMEOUT_US);
+	exchange_resume_if_known(exchange);
 }
 
 /**
@@ -257,20 +309,12 @@
 {
 	unsigned n = 0;
 
-	exchange->origin = ks_stream_origins_find(&exchange->gateway->origins,
-						  exchange->stream,
-						  exchange_now(exchange));
-	if (exchange->origin) {
-		continue_stream(exchange);
-		return;
-	}
 	for (unsigned i = 0; i < exchange->n_asked; i++)
 		if (exchange->asked[i] != sender)
 			exchange->asked[n++] = exchange->asked[i];
-	exchange->n_unknown += exchange->n_asked - n;
+	exchange->n_answered += exchange->n_asked - n;
 	exchange->n_asked = n;
-	if (!n)
-		exchange_refuse_unknown(exchange);
+	exchange_resume_if_known(exchange);
 }
 
 /* Called when another entry has said what it knows of a stream. */
--- a/packages/gateway/src/fleet.c
+++ b/packages/gateway/src/fleet.c
@@ -165,6 +165,14 @@
 	return XXH64(spec->software.data, spec->software.len, service);
 }
 
+static uint64_t process_of(const ks_member_spec_t *spec)
+{
+	uint64_t start = XXH64(&spec->process_start_ms,
+			       sizeof(spec->process_start_ms), origin_of(spec));
+
+	return XXH64(spec->id.data, spec->id.len, start);
+}
+
 static bool is_same_process(const ks_member_t *member,
 			    const ks_member_spec_t *spec)
 {
@@ -272,6 +280,7 @@
 	replace_text(&member->service, spec->service);
 	set_software(member, spec->software);
 	member->origin = origin_of(spec);
+	member->process = process_of(spec);
 	replace_text(&member->domain, spec->domain);
 	member->address = spec->address;
 	member->stage = spec->stage;
@@ -397,7 +406,25 @@
 }
 
 /**
- * ks_members_keep_origin() - leave the upstreams of one origin
+ * ks_fleet_find_process() - find an upstream by the hash of its process
+ *
+ * Return: NULL if no announced upstream has it.
+ */
+ks_member_t *ks_fleet_find_process(const ks_fleet_t *fleet, uint64_t process)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, fleet->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((ks_member_t *)value)->process == process)
+			return value;
+	return NULL;
+}
+
+/**
+ * ks_members_keep_origin() - leave the upstreams that are known to have an
+ * origin
  * @origin: 0 leaves all
  */
 void ks_members_keep_origin(GPtrArray *members, uint64_t origin)
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -232,7 +232,9 @@
 		NULL);
 	c->origins_lost = ks_metrics_counter(
 		m, "ks_gateway_lost_origins_total",
-		"Streams that ended before their origin was known", NULL);
+		"Streams whose origin stays unknown, as their process was "
+		"gone before it was known",
+		NULL);
 	c->resumed_same = ks_metrics_counter(
 		m, "ks_gateway_resumed_streams_total",
 		"Streams that went on after they had broken off, by the "
@@ -383,6 +385,8 @@
 	gateway_report_memory(gateway);
 	gateway_quarantine_init(gateway);
 	ks_stream_origins_init(&gateway->origins);
+	ks_timer_init(&gateway->identify_timer, loop, gateway_on_identify_timer,
+		      gateway);
 	ks_list_init(&gateway->exchanges);
 	ks_list_init(&gateway->server.conns);
 	ks_list_init(&gateway->ready.conns);
@@ -421,6 +425,7 @@
 void ks_gateway_free(ks_gateway_t *gateway)
 {
 	ks_timer_clear(&gateway->stop_timer);
+	ks_timer_clear(&gateway->identify_timer);
 	gateway_end_memory_report(gateway);
 	KS_LIST_FOREACH_SAFE (it, tmp, &gateway->exchanges)
 		exchange_abort(KS_CONTAINER_OF(it, struct exchange, node));
@@ -550,44 +555,6 @@
 	gateway->confirmed_us = ks_loop_now(gateway->loop);
 }
 
-/**
- * ks_gateway_set_member_reader() - set what reads the announcements of
- * upstreams again
- * @func: NULL for none
- */
-void ks_gateway_set_member_reader(ks_gateway_t *gateway,
-				  ks_read_members_func_t func, void *ctx)
-{
-	gateway->read_members = func;
-	gateway->read_members_ctx = ctx;
-}
-
-static void note_mixtures(ks_gateway_t *gateway)
-{
-	ks_peers_t *peers = &gateway->peers;
-	bool is_first = !peers->settled_us;
-
-	if (!is_first && gateway->n_mixtures == gateway->fleet.n_mixtures)
-		return;
-	gateway->n_mixtures = gateway->fleet.n_mixtures;
-	peers->settled_us = ks_loop_now(gateway->loop);
-	peers->settled_since_start = is_first;
-}
-
-/**
- * ks_gateway_members_read() - note that the fleet has what a read of the
- * announcements of upstreams reported
- * @asked_us: when the read was begun
- */
-void ks_gateway_members_read(ks_gateway_t *gateway, int64_t asked_us)
-{
-	note_mixtures(gateway);
-	gateway->members_read_us = asked_us;
-	KS_LIST_FOREACH_SAFE (it, tmp, &gateway->exchanges)
-		exchange_members_read(
-			KS_CONTAINER_OF(it, struct exchange, node));
-}
-
 ks_fleet_t *ks_gateway_fleet(ks_gateway_t *gateway)
 {
 	return &gateway->fleet;
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -23,7 +23,7 @@
  * @resume_refused: of these, the ones that were refused as it is not known
  *which version of the software began the stream, or none of it is left
  * @origins_late: streams whose origin was not known when they began
- * @origins_lost: streams that ended before their origin was known
+ * @origins_lost: of these, the ones whose process was gone before it was known
  * @resumed_same, @resumed_other: streams that went on at the version of the
  *	software that began the response, and at another one
  * @held: parts of prompts that were held, by this entry's own decision or not
@@ -124,6 +124,7 @@
  * @members_read_us: when the latest read of them was begun that has ended, 0
  *	before
  * @n_mixtures: value of the fleet's counter at that read
+ * @identify_timer: has the announcements read
  * @hold_keeper: NULL for none
  * @n_losses: losses recorded by this entry
  * @n_exchanges: exchanges begun
@@ -156,6 +157,7 @@
 	void *read_members_ctx;
 	int64_t members_read_us;
 	uint64_t n_mixtures;
+	ks_timer_t identify_timer;
 	const ks_hold_keeper_t *hold_keeper;
 	void *hold_keeper_ctx;
 	uint64_t n_losses;
@@ -278,7 +280,10 @@
  * @is_resume_request: the caller resumes a stream
  * @announced_us: when other entries were informed of the stream, 0 before
  * @asked, @n_asked: entries that were asked for it and have not answered
- * @n_unknown: entries that answered that they do not know it
+ * @n_answered: entries that have answered
+ * @identifies_claim: it is found out whether the process that is said to have
+ *	begun the stream is there
+ * @awaits_claim: that alone is waited for
  * @read_after_us: a read counts that was begun then or later
  * @wait_timer: ends the wait for entries or for a read
  * @awaits_identity: the request waits for a read that tells whether the process
@@ -366,7 +371,9 @@
 	int64_t announced_us;
 	uint64_t asked[KS_STREAM_MAX_ASKED];
 	unsigned n_asked;
-	unsigned n_unknown;
+	unsigned n_answered;
+	bool identifies_claim;
+	bool awaits_claim;
 	int64_t read_after_us;
 	ks_timer_t wait_timer;
 	bool awaits_identity;
@@ -461,8 +468,8 @@
 bool exchange_permits_origin(struct exchange *exchange);
 bool exchange_await_origin(struct exchange *exchange);
 void exchange_await_read(struct exchange *exchange, int64_t after_us);
-void exchange_members_read(struct exchange *exchange);
-void exchange_log_unknown_origin(const struct exchange *exchange);
+void exchange_identity_changed(struct exchange *exchange);
+void exchange_note_beginning(struct exchange *exchange);
 
 /* exchange_resume.c */
 
@@ -471,6 +478,8 @@
 void exchange_resume(struct exchange *exchange);
 void exchange_resume_after_read(struct exchange *exchange);
 void exchange_refuse_unknown(struct exchange *exchange);
+void exchange_resume_if_known(struct exchange *exchange);
+void exchange_end_asking(struct exchange *exchange);
 void gateway_on_stream_answer(void *ctx, uint64_t stream, uint64_t sender);
 
 /* exchange_end.c */
@@ -499,6 +508,12 @@
 void exchange_release_prefill(struct exchange *exchange);
 void exchange_free(struct exchange *exchange);
 
+/* identity.c */
+
+void gateway_on_identify_timer(void *ctx);
+void gateway_identify(ks_gateway_t *gateway);
+bool gateway_is_identified(const ks_gateway_t *gateway,
+			   const ks_member_t *member, int64_t since_us);
 /* exchange_dispatch.c */
 
 void exchange_dispatch(struct exchange *exchange);
--- /dev/null
+++ b/packages/gateway/src/identity.c
@@ -0,0 +1,144 @@
+/*
+ * Finds out which process of an upstream a connection leads to. A process may
+ * start again under the id and at the address of the one before, with another
+ * version of its software. It announces itself before it serves, so a
+ * connection leads to the announced process if that one is there after the
+ * connection had been established: an earlier process has ended and its
+ * connections with it, and a later one would have announced itself.
+ */
+#include "gateway_internal.h"
+
+/**
+ * gateway_is_identified() - whether a connection to an upstream leads to the
+ * process that is known there
+ * @since_us: when the connection was established, or later
+ */
+bool gateway_is_identified(const ks_gateway_t *gateway,
+			   const ks_member_t *member, int64_t since_us)
+{
+	if (!gateway->read_members)
+		return true;
+	return member->listed && !member->remove_at_us &&
+	       gateway->members_read_us >= since_us;
+}
+
+void gateway_on_identify_timer(void *ctx)
+{
+	ks_gateway_t *gateway = ctx;
+
+	gateway->read_members(gateway->read_members_ctx, 0);
+}
+
+/**
+ * gateway_identify() - find out which processes are there
+ *
+ * Exchanges that wait are told by exchange_identity_changed(), not before this
+ * returns.
+ */
+void gateway_identify(ks_gateway_t *gateway)
+{
+	if (gateway->read_members && !ks_timer_is_set(&gateway->identify_timer))
+		ks_timer_set(&gateway->identify_timer, 0);
+}
+
+/**
+ * struct settling - arguments of settle_claim()
+ * @settled: uint64_t of the streams of this entry whose origin is known now
+ */
+struct settling {
+	const ks_gateway_t *gateway;
+	GArray *settled;
+};
+
+static bool settle_claim(void *ctx, const ks_stream_claim_t *claim,
+			 uint64_t *origin)
+{
+	const struct settling *settling = ctx;
+	const ks_gateway_t *gateway = settling->gateway;
+	const ks_member_t *member =
+		ks_fleet_find_process(&gateway->fleet, claim->process);
+
+	if (!member && gateway->members_read_us >= claim->since_us) {
+		ks_counter_add(gateway->counters.origins_lost, claim->is_own);
+		ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
+		       "the process that began a stream is gone, its origin "
+		       "stays unknown stream=%016" PRIx64 " is_own=%d",
+		       claim->stream, claim->is_own);
+		return false;
+	}
+	if (!member)
+		return true;
+	if (!gateway_is_identified(gateway, member, claim->since_us))
+		return true;
+	*origin = member->origin;
+	if (claim->is_own)
+		g_array_append_val(settling->settled, claim->stream);
+	return true;
+}
+
+/* Records, and tells other entries, which origins have become known. */
+static void settle_claims(ks_gateway_t *gateway)
+{
+	struct settling settling = {
+		.gateway = gateway,
+		.settled = g_array_new(FALSE, FALSE, sizeof(uint64_t)),
+	};
+	int64_t now_us = ks_loop_now(gateway->loop);
+
+	ks_stream_origins_settle(&gateway->origins, settle_claim, &settling,
+				 now_us);
+	for (guint i = 0; i < settling.settled->len; i++) {
+		uint64_t stream = g_array_index(settling.settled, uint64_t, i);
+
+		ks_peers_announce_stream(
+			&gateway->peers, stream,
+			ks_stream_origins_find(&gateway->origins, stream,
+					       now_us),
+			0);
+	}
+	g_array_free(settling.settled, TRUE);
+}
+
+static void tell_exchanges(ks_gateway_t *gateway)
+{
+	settle_claims(gateway);
+	KS_LIST_FOREACH_SAFE (it, tmp, &gateway->exchanges)
+		exchange_identity_changed(
+			KS_CONTAINER_OF(it, struct exchange, node));
+}
+
+static void note_mixtures(ks_gateway_t *gateway)
+{
+	ks_peers_t *peers = &gateway->peers;
+	bool is_first = !peers->settled_us;
+
+	if (!is_first && gateway->n_mixtures == gateway->fleet.n_mixtures)
+		return;
+	gateway->n_mixtures = gateway->fleet.n_mixtures;
+	peers->settled_us = ks_loop_now(gateway->loop);
+	peers->settled_since_start = is_first;
+}
+
+/**
+ * ks_gateway_members_read() - note that the fleet has what a read of the
+ * announcements of upstreams reported
+ * @asked_us: when the read was begun
+ */
+void ks_gateway_members_read(ks_gateway_t *gateway, int64_t asked_us)
+{
+	note_mixtures(gateway);
+	gateway->members_read_us = asked_us;
+	tell_exchanges(gateway);
+}
+
+/**
+ * ks_gateway_set_member_reader() - set what reads the announcements of
+ * upstreams again
+ * @func: NULL for none
+ */
+void ks_gateway_set_member_reader(ks_gateway_t *gateway,
+				  ks_read_members_func_t func, void *ctx)
+{
+	gateway->read_members = func;
+	gateway->read_members_ctx = ctx;
+}
--- a/packages/gateway/src/peer.pb-c.c
+++ b/packages/gateway/src/peer.pb-c.c
@@ -913,7 +913,7 @@
   (ProtobufCMessageInit) ks__peer_loss__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ks__peer_streams__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ks__peer_streams__field_descriptors[7] =
 {
   {
     "receiver",
@@ -987,10 +987,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "process",
+    106,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ks__PeerStreams, n_process),
+    offsetof(Ks__PeerStreams, process),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ks__peer_streams__field_indices_by_name[] = {
   4,   /* field[4] = asked */
   3,   /* field[3] = origin */
+  6,   /* field[6] = process */
   0,   /* field[0] = receiver */
   1,   /* field[1] = sender */
   2,   /* field[2] = stream */
@@ -999,7 +1012,7 @@
 static const ProtobufCIntRange ks__peer_streams__number_ranges[1 + 1] =
 {
   { 100, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ks__peer_streams__descriptor =
 {
@@ -1009,7 +1022,7 @@
   "Ks__PeerStreams",
   "ks",
   sizeof(Ks__PeerStreams),
-  6,
+  7,
   ks__peer_streams__field_descriptors,
   ks__peer_streams__field_indices_by_name,
   1,  ks__peer_streams__number_ranges,
--- a/packages/gateway/src/peer.pb-c.h
+++ b/packages/gateway/src/peer.pb-c.h
@@ -263,10 +263,18 @@
   uint64_t *asked;
   size_t n_unknown;
   uint64_t *unknown;
+  /*
+   * For each stream, if the origin of one of them is not known to the sender,
+   * which is then 0: a hash of the upstream's id, of the start of the process
+   * that the sender knows there, and of the origin that this process has. 0 if
+   * the origin is known.
+   */
+  size_t n_process;
+  uint64_t *process;
 };
 #define KS__PEER_STREAMS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ks__peer_streams__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/packages/gateway/src/peer_streams.c
+++ b/packages/gateway/src/peer_streams.c
@@ -42,13 +42,15 @@
 /**
  * struct stream_update - something about a stream to send to another entry
  * @receiver: hash of its name
- * @origin: of a stream that has begun
+ * @origin: of a stream that has begun, 0 if it is not known
+ * @process: that may have begun it then, see struct ks_stream_claim
  */
 struct stream_update {
 	uint64_t receiver;
 	enum update_kind kind;
 	uint64_t stream;
 	uint64_t origin;
+	uint64_t process;
 };
 
 static gint compare_receivers(gconstpointer a, gconstpointer b)
@@ -64,6 +66,8 @@
 {
 	uint64_t streams[MAX_PER_MESSAGE], origins[MAX_PER_MESSAGE];
 	uint64_t asked[MAX_PER_MESSAGE], unknown[MAX_PER_MESSAGE];
+	uint64_t processes[MAX_PER_MESSAGE];
+	bool has_claims = false;
 	Ks__PeerStreams message = KS__PEER_STREAMS__INIT;
 	GByteArray *packed = g_byte_array_new();
 
@@ -73,16 +77,20 @@
 	message.origin = origins;
 	message.asked = asked;
 	message.unknown = unknown;
+	message.process = processes;
 	for (guint i = 0; i < n; i++) {
 		if (updates[i].kind == UPDATE_ASKED) {
 			asked[message.n_asked++] = updates[i].stream;
 		} else if (updates[i].kind == UPDATE_UNKNOWN) {
 			unknown[message.n_unknown++] = updates[i].stream;
 		} else {
+			processes[message.n_stream] = updates[i].process;
+			has_claims |= !updates[i].origin;
 			origins[message.n_origin++] = updates[i].origin;
 			streams[message.n_stream++] = updates[i].stream;
 		}
 	}
+	message.n_process = has_claims ? message.n_stream : 0;
 	g_byte_array_set_size(
 		packed, (guint)ks__peer_streams__get_packed_size(&message));
 	ks__peer_streams__pack(&message, packed->data);
@@ -112,13 +120,9 @@
 	g_array_set_size(peers->stream_updates, 0);
 }
 
-static void queue_update(ks_peers_t *peers, uint64_t receiver,
-			 enum update_kind kind, uint64_t stream,
-			 uint64_t origin)
+static void queue_update(ks_peers_t *peers, const struct stream_update *update)
 {
-	struct stream_update update = { receiver, kind, stream, origin };
-
-	g_array_append_val(peers->stream_updates, update);
+	g_array_append_val(peers->stream_updates, *update);
 	if (!ks_timer_is_set(&peers->update_timer))
 		ks_timer_set(&peers->update_timer, 0);
 }
@@ -183,18 +187,28 @@
 
 /**
  * ks_peers_announce_stream() - send the origin of a stream to its owners
+ * @origin: 0 if it is not known
+ * @process: that may have begun it then, see struct ks_stream_claim
  */
 void ks_peers_announce_stream(ks_peers_t *peers, uint64_t stream,
-			      uint64_t origin)
+			      uint64_t origin, uint64_t process)
 {
+	struct stream_update update = {
+		.kind = UPDATE_BEGUN,
+		.stream = stream,
+		.origin = origin,
+		.process = origin ? 0 : process,
+	};
 	uint64_t ranks[N_OWNERS];
 	unsigned n;
 
 	if (!peers->context)
 		return;
 	n = choose_entries(peers, stream, ranks, N_OWNERS);
-	for (unsigned i = 0; i < n; i++)
-		queue_update(peers, ranks[i], UPDATE_BEGUN, stream, origin);
+	for (unsigned i = 0; i < n; i++) {
+		update.receiver = ranks[i];
+		queue_update(peers, &update);
+	}
 }
 
 /**
@@ -209,28 +223,42 @@
 unsigned ks_peers_ask_stream(ks_peers_t *peers, uint64_t stream,
 			     uint64_t *asked)
 {
+	struct stream_update update = { .kind = UPDATE_ASKED,
+					.stream = stream };
 	unsigned n;
 
 	if (!peers->context)
 		return 0;
 	n = choose_entries(peers, stream, asked, N_ASKED);
-	for (unsigned i = 0; i < n; i++)
-		queue_update(peers, asked[i], UPDATE_ASKED, stream, 0);
+	for (unsigned i = 0; i < n; i++) {
+		update.receiver = asked[i];
+		queue_update(peers, &update);
+	}
 	return n;
 }
 
 static void queue_answer(ks_peers_t *peers, uint64_t receiver, uint64_t stream)
 {
-	uint64_t origin = ks_stream_origins_find(peers->origins, stream,
-						 ks_loop_now(peers->loop));
+	struct stream_update update = {
+		.receiver = receiver,
+		.kind = UPDATE_BEGUN,
+		.stream = stream,
+		.origin = ks_stream_origins_find(peers->origins, stream,
+						 ks_loop_now(peers->loop)),
+	};
+	const ks_stream_claim_t *claim =
+		ks_stream_origins_find_claim(peers->origins, stream);
 
-	if (!origin)
+	if (!update.origin && claim) {
+		update.process = claim->process;
+	} else if (!update.origin) {
+		update.kind = UPDATE_UNKNOWN;
 		ks_log(KS_LOG_LINK, KS_LOG_INFO,
 		       "asked for a stream that is not known "
 		       "stream=%016" PRIx64 " by=%016" PRIx64,
 		       stream, receiver);
-	queue_update(peers, receiver, origin ? UPDATE_BEGUN : UPDATE_UNKNOWN,
-		     stream, origin);
+	}
+	queue_update(peers, &update);
 }
 
 /* Whether a message is one to a single entry. */
@@ -239,13 +267,35 @@
 	return ks_str_has_prefix(message, KS_STR(STREAMS_PREFIX));
 }
 
+/* Records where a stream of a message began. */
+static void note_beginning(ks_peers_t *peers, const Ks__PeerStreams *received,
+			   size_t i)
+{
+	int64_t now_us = ks_loop_now(peers->loop);
+	ks_stream_claim_t claim = {
+		.stream = received->stream[i],
+		/* The stream had begun when the message was sent. */
+		.since_us = now_us,
+	};
+
+	if (received->origin[i]) {
+		ks_stream_origins_record(peers->origins, received->stream[i],
+					 received->origin[i], now_us);
+	} else if (received->n_process && received->process[i]) {
+		claim.process = received->process[i];
+		ks_stream_origins_claim(peers->origins, &claim, now_us);
+	}
+}
+
 /* Processes a message to this entry. */
 void peers_receive_streams(ks_peers_t *peers, ks_str_t message)
 {
 	Ks__PeerStreams *received = ks__peer_streams__unpack(
 		NULL, message.len, (const uint8_t *)message.data);
 
-	if (!received || received->n_stream != received->n_origin) {
+	if (!received || received->n_stream != received->n_origin ||
+	    (received->n_process &&
+	     received->n_process != received->n_stream)) {
 		ks_log(KS_LOG_LINK, KS_LOG_WARN,
 		       "malformed message about streams bytes=%zu",
 		       message.len);
@@ -254,9 +304,7 @@
 	}
 	if (received->receiver == peers->rank && peers->origins) {
 		for (size_t i = 0; i < received->n_stream; i++) {
-			ks_stream_origins_record(
-				peers->origins, received->stream[i],
-				received->origin[i], ks_loop_now(peers->loop));
+			note_beginning(peers, received, i);
 			peers->answered(peers->answered_ctx,
 					received->stream[i], received->sender);
 		}
