--- a/packages/gateway/src/stream_origins.c
+++ b/packages/gateway/src/stream_origins.c
@@ -100,11 +100,17 @@
 /**
  * ks_stream_origins_claim() - remember which process may have begun a stream
  *
- * Ignored if the origin of the stream is known, or there is a claim already.
+ * Ignored if the origin of the stream is known, or there is a claim already,
+ * unless this entry begins the stream: its caller then uses an id again.
  */
 void ks_stream_origins_claim(ks_stream_origins_t *origins,
 			     const ks_stream_claim_t *claim, int64_t now_us)
 {
+	if (claim->is_own) {
+		g_hash_table_remove(origins->recent, &claim->stream);
+		g_hash_table_remove(origins->older, &claim->stream);
+		g_hash_table_remove(origins->claims, &claim->stream);
+	}
 	if (ks_stream_origins_find(origins, claim->stream, now_us) ||
 	    g_hash_table_contains(origins->claims, &claim->stream) ||
 	    g_hash_table_size(origins->claims) >= MAX_STREAMS)
