gateway: end the wait for a process with the connection

A request that waited, connected, until the process of its upstream was known kept the timer of the wait if its connection ended meanwhile. The timer would have cut the response of the next send. Found by reading; no run showed it.

--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -611,6 +611,8 @@
 {
 	struct exchange *exchange = ctx;
 
+	/* The connection may have ended while the process was asked for. */
+	ks_timer_clear(&exchange->wait_timer);
 	if (result == KS_HTTP_COMPLETE && has_broken_off(exchange))
 		result = KS_HTTP_INCOMPLETE;
 	exchange_usage_settle(exchange, result != KS_HTTP_NOT_SENT &&
