gateway: ask upstreams for their process, so that outages of the store don't end streams

Cause: only a read of the rows told which process a connection leads to. In an outage streams could go on over connections from before only.

Now the upstream is asked as well: its report states when its process started, and if that is the start in its row, the process is the one of the row. That settles claims like a read does, and identifies the connection that waits. An upstream that says that another process is there is left out for streams that have begun, until its row has been read; one that says nothing twice is left out for this request. No call to the store is saved or added.

What can't be known: a process that follows another one during an outage, and streams that began there; an upstream that was lost before it could be asked.

test-resumed-stream-refused store-away, store-away-within-response and one-mute need the question; store-away-and-replaced and -begun-at-other show that a stream does not go on where another process is.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -352,6 +352,12 @@
  *	goes on only at upstreams of the origin that began it.
  * @process: hash of @id, @process_start_ms and @origin, which identifies its
  *	process among all entries
+ * @confirmed_us: when a question was sent to which the process has answered
+ *	that it is the one of the announcement, 0 before
+ * @is_replaced: an answer was that another process is there now
+ * @asked_us: when the question was sent that has no answer yet, 0 for none
+ * @n_silent: questions in a row that got no answer
+ * @ask_after_us: an answer is needed to a question that is sent then or later
  * @slots: requests that it runs at the same time, 0 if unknown
  * @accepting: it accepts requests, and is not draining
  * @withdrawal: what it has said of itself in its responses
@@ -392,6 +398,11 @@
 	ks_stage_t stage;
 	int64_t process_start_ms;
 	uint64_t process;
+	int64_t confirmed_us;
+	bool is_replaced;
+	int64_t asked_us;
+	int64_t ask_after_us;
+	unsigned n_silent;
 	unsigned slots;
 	bool accepting;
 	ks_withdrawal_t withdrawal;
@@ -1019,6 +1030,18 @@
 ks_fleet_t *ks_gateway_fleet(ks_gateway_t *gateway);
 ks_peers_t *ks_gateway_peers(ks_gateway_t *gateway);
 ks_quarantine_t *ks_gateway_quarantine(ks_gateway_t *gateway);
+/**
+ * enum ks_process_answer - what an upstream has said of its process
+ * @KS_PROCESS_SILENT: nothing that can be used
+ * @KS_PROCESS_SAME: it is the one of the announcement
+ * @KS_PROCESS_OTHER: it is another one
+ */
+typedef enum ks_process_answer {
+	KS_PROCESS_SILENT,
+	KS_PROCESS_SAME,
+	KS_PROCESS_OTHER,
+} ks_process_answer_t;
+
 /*
  * Has the announcements of upstreams read within a time in microseconds, 0 for
  * at once; ks_gateway_members_read() is then called, possibly before this
@@ -1029,6 +1052,18 @@
 void ks_gateway_set_member_reader(ks_gateway_t *gateway,
 				  ks_read_members_func_t func, void *ctx);
 void ks_gateway_members_read(ks_gateway_t *gateway, int64_t asked_us);
+
+/*
+ * Asks the process of an upstream when it started, independently of the
+ * announcements. ks_gateway_process_read() is called with the answer, not
+ * before this returns.
+ */
+typedef void (*ks_read_process_func_t)(void *ctx, ks_member_t *member);
+
+void ks_gateway_set_process_reader(ks_gateway_t *gateway,
+				   ks_read_process_func_t func, void *ctx);
+void ks_gateway_process_read(ks_gateway_t *gateway, ks_member_t *member,
+			     ks_process_answer_t answer);
 void ks_gateway_set_hold_keeper(ks_gateway_t *gateway,
 				const ks_hold_keeper_t *keeper, void *ctx);
 ks_metrics_t *ks_gateway_metrics(ks_gateway_t *gateway);
--- a/packages/gateway/src/exchange_identity.c
+++ b/packages/gateway/src/exchange_identity.c
@@ -100,7 +100,7 @@
 static void await_identity(struct exchange *exchange)
 {
 	ks_timer_set(&exchange->wait_timer, READ_TIMEOUT_US);
-	gateway_identify(exchange->gateway);
+	gateway_identify(exchange->gateway, exchange->member);
 }
 
 /**
@@ -151,6 +151,13 @@
 				 "the upstreams of the version change");
 }
 
+static void place_without_member(struct exchange *exchange)
+{
+	exchange_exclude_member(exchange);
+	place_elsewhere(exchange, "placed again, not known which process the "
+				  "upstream is");
+}
+
 /* Goes on with a request that waits, connected, for the process to be known. */
 static void send_when_identified(struct exchange *exchange)
 {
@@ -158,11 +165,14 @@
 		exchange->awaits_identity = false;
 		ks_timer_clear(&exchange->wait_timer);
 		ks_http_call_permit(&exchange->call);
-	} else if (exchange->gateway->members_read_us >=
-		   exchange->call.conn_opened_us) {
+	} else if (exchange->member->is_replaced ||
+		   exchange->gateway->members_read_us >=
+			   exchange->call.conn_opened_us) {
 		place_elsewhere(exchange,
 				"placed again, the process of the upstream is "
 				"not the one before");
+	} else if (gateway_is_silent(exchange->member)) {
+		place_without_member(exchange);
 	}
 }
 
@@ -175,7 +185,8 @@
 	exchange->origin = ks_stream_origins_find(
 		&gateway->origins, exchange->stream, exchange_now(exchange));
 	if (!exchange->origin &&
-	    ks_stream_origins_find_claim(origins, exchange->stream))
+	    ks_stream_origins_find_claim(origins, exchange->stream) &&
+	    !exchange->member->is_replaced)
 		return;
 	ks_timer_clear(&exchange->wait_timer);
 	exchange->step = EXCHANGE_RUN;
@@ -184,7 +195,7 @@
 
 /**
  * exchange_identity_changed() - note that the announcements of upstreams have
- * been read
+ * been read, or that an upstream has said what its process is
  *
  * Continues an exchange that waits for it, which may have ended then.
  */
--- a/packages/gateway/src/exchange_resume.c
+++ b/packages/gateway/src/exchange_resume.c
@@ -80,7 +80,7 @@
 		return;
 	is_told = !exchange->announced_us && !exchange->is_resume_request &&
 		  ks_stream_origins_find(&gateway->origins, exchange->stream,
-					 now) != 0;
+					 now) == exchange->origin;
 	exchange->announced_us = now;
 	/* The claim has been settled, which has told the others. */
 	if (is_told)
@@ -211,11 +211,32 @@
 	refuse(exchange, "not known which version began the stream");
 }
 
-/* Has it found out, once, whether the process of the claim is there. */
-static void identify_claim(struct exchange *exchange)
+/*
+ * Returns the process that may have begun the stream, if it can still turn out
+ * to be the one that did.
+ */
+static const ks_stream_claim_t *find_claim(const struct exchange *exchange)
+{
+	const ks_gateway_t *gateway = exchange->gateway;
+	const ks_stream_claim_t *claim = ks_stream_origins_find_claim(
+		&gateway->origins, exchange->stream);
+	const ks_member_t *member =
+		claim ? ks_fleet_find_process(&gateway->fleet, claim->process)
+		      : NULL;
+
+	return member && member->is_replaced ? NULL : claim;
+}
+
+/* Has it found out, once, whether that process began the stream. */
+static void identify_claim(struct exchange *exchange,
+			   const ks_stream_claim_t *claim)
 {
+	ks_gateway_t *gateway = exchange->gateway;
+
 	if (!exchange->identifies_claim)
-		gateway_identify(exchange->gateway);
+		gateway_identify(
+			gateway,
+			ks_fleet_find_process(&gateway->fleet, claim->process));
 	exchange->identifies_claim = true;
 }
 
@@ -225,8 +246,7 @@
  */
 void exchange_resume_if_known(struct exchange *exchange)
 {
-	const ks_stream_claim_t *claim = ks_stream_origins_find_claim(
-		&exchange->gateway->origins, exchange->stream);
+	const ks_stream_claim_t *claim = find_claim(exchange);
 
 	exchange->origin = ks_stream_origins_find(&exchange->gateway->origins,
 						  exchange->stream,
@@ -234,7 +254,7 @@
 	if (exchange->origin)
 		continue_stream(exchange);
 	else if (claim)
-		identify_claim(exchange);
+		identify_claim(exchange, claim);
 	else if (!exchange->n_asked)
 		exchange_refuse_unknown(exchange);
 }
@@ -244,9 +264,7 @@
  */
 void exchange_end_asking(struct exchange *exchange)
 {
-	if (!ks_stream_origins_find_claim(&exchange->gateway->origins,
-					  exchange->stream) ||
-	    exchange->awaits_claim) {
+	if (!find_claim(exchange) || exchange->awaits_claim) {
 		exchange_refuse_unknown(exchange);
 		return;
 	}
--- a/packages/gateway/src/fleet.c
+++ b/packages/gateway/src/fleet.c
@@ -432,7 +432,7 @@
 	for (guint i = members->len; origin && i-- > 0;) {
 		const ks_member_t *member = members->pdata[i];
 
-		if (member->origin != origin)
+		if (member->origin != origin || member->is_replaced)
 			g_ptr_array_remove_index_fast(members, i);
 	}
 }
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -385,8 +385,7 @@
 	gateway_report_memory(gateway);
 	gateway_quarantine_init(gateway);
 	ks_stream_origins_init(&gateway->origins);
-	ks_timer_init(&gateway->identify_timer, loop, gateway_on_identify_timer,
-		      gateway);
+	gateway_identity_init(gateway);
 	ks_list_init(&gateway->exchanges);
 	ks_list_init(&gateway->server.conns);
 	ks_list_init(&gateway->ready.conns);
@@ -425,7 +424,6 @@
 void ks_gateway_free(ks_gateway_t *gateway)
 {
 	ks_timer_clear(&gateway->stop_timer);
-	ks_timer_clear(&gateway->identify_timer);
 	gateway_end_memory_report(gateway);
 	KS_LIST_FOREACH_SAFE (it, tmp, &gateway->exchanges)
 		exchange_abort(KS_CONTAINER_OF(it, struct exchange, node));
@@ -439,6 +437,7 @@
 	ks_rng_deinit(&gateway->rng);
 	g_hash_table_destroy(gateway->budgets);
 	ks_quarantine_deinit(&gateway->quarantine);
+	gateway_identity_deinit(gateway);
 	ks_stream_origins_deinit(&gateway->origins);
 	g_hash_table_destroy(gateway->speed_gauges);
 	ks_metrics_free(gateway->metrics);
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -124,7 +124,8 @@
  * @members_read_us: when the latest read of them was begun that has ended, 0
  *	before
  * @n_mixtures: value of the fleet's counter at that read
- * @identify_timer: has the announcements read
+ * @read_process: NULL if upstreams can't be asked for their process
+ * @to_identify: upstreams to be asked when @identify_timer expires
  * @hold_keeper: NULL for none
  * @n_losses: losses recorded by this entry
  * @n_exchanges: exchanges begun
@@ -157,6 +158,9 @@
 	void *read_members_ctx;
 	int64_t members_read_us;
 	uint64_t n_mixtures;
+	ks_read_process_func_t read_process;
+	void *read_process_ctx;
+	GPtrArray *to_identify;
 	ks_timer_t identify_timer;
 	const ks_hold_keeper_t *hold_keeper;
 	void *hold_keeper_ctx;
@@ -510,10 +514,13 @@
 
 /* identity.c */
 
-void gateway_on_identify_timer(void *ctx);
-void gateway_identify(ks_gateway_t *gateway);
+void gateway_identity_init(ks_gateway_t *gateway);
+void gateway_identity_deinit(ks_gateway_t *gateway);
 bool gateway_is_identified(const ks_gateway_t *gateway,
 			   const ks_member_t *member, int64_t since_us);
+bool gateway_is_silent(const ks_member_t *member);
+void gateway_identify(ks_gateway_t *gateway, ks_member_t *member);
+
 /* exchange_dispatch.c */
 
 void exchange_dispatch(struct exchange *exchange);
--- a/packages/gateway/src/identity.c
+++ b/packages/gateway/src/identity.c
@@ -5,9 +5,16 @@
  * connection leads to the announced process if that one is there after the
  * connection had been established: an earlier process has ended and its
  * connections with it, and a later one would have announced itself.
+ *
+ * Two sources tell that it is there: a read of the announcements, and the
+ * upstream itself, which states when its process started. The second one does
+ * not depend on the store.
  */
 #include "gateway_internal.h"
 
+/* Questions to an upstream, one after the other, before it counts as silent. */
+#define MAX_QUESTIONS 2
+
 /**
  * gateway_is_identified() - whether a connection to an upstream leads to the
  * process that is known there
@@ -16,28 +23,71 @@
 bool gateway_is_identified(const ks_gateway_t *gateway,
 			   const ks_member_t *member, int64_t since_us)
 {
-	if (!gateway->read_members)
+	if (!gateway->read_members || member->confirmed_us >= since_us)
 		return true;
 	return member->listed && !member->remove_at_us &&
 	       gateway->members_read_us >= since_us;
 }
 
-void gateway_on_identify_timer(void *ctx)
+/* An upstream that wants few requests now is not asked. */
+static bool may_ask(const ks_member_t *member, int64_t now_us)
+{
+	return !member->asked_us && !member->is_replaced &&
+	       !ks_withdrawal_is_away(&member->withdrawal, now_us) &&
+	       ks_stated_limit_permits(&member->withdrawal.limit, now_us);
+}
+
+/**
+ * gateway_is_silent() - whether an upstream does not say which process it is
+ */
+bool gateway_is_silent(const ks_member_t *member)
+{
+	return member->n_silent >= MAX_QUESTIONS;
+}
+
+static void ask_process(ks_gateway_t *gateway, ks_member_t *member)
+{
+	int64_t now_us = ks_loop_now(gateway->loop);
+
+	if (!gateway->read_process || !may_ask(member, now_us))
+		return;
+	member->asked_us = now_us;
+	gateway->read_process(gateway->read_process_ctx, member);
+}
+
+static void on_identify_timer(void *ctx)
 {
 	ks_gateway_t *gateway = ctx;
+	GPtrArray *members = gateway->to_identify;
 
+	gateway->to_identify =
+		g_ptr_array_new_with_free_func((GDestroyNotify)ks_member_unref);
+	for (guint i = 0; i < members->len; i++)
+		ask_process(gateway, members->pdata[i]);
+	g_ptr_array_free(members, TRUE);
 	gateway->read_members(gateway->read_members_ctx, 0);
 }
 
 /**
- * gateway_identify() - find out which processes are there
+ * gateway_identify() - find out whether the known process of an upstream is
+ * there
+ * @member: NULL if it is not known
  *
  * Exchanges that wait are told by exchange_identity_changed(), not before this
- * returns.
+ * returns. The upstream is asked in addition to the store, which may be away.
  */
-void gateway_identify(ks_gateway_t *gateway)
+void gateway_identify(ks_gateway_t *gateway, ks_member_t *member)
 {
-	if (gateway->read_members && !ks_timer_is_set(&gateway->identify_timer))
+	if (!gateway->read_members)
+		return;
+	if (member) {
+		member->ask_after_us = ks_loop_now(gateway->loop);
+		member->n_silent = 0;
+		if (!g_ptr_array_find(gateway->to_identify, member, NULL))
+			g_ptr_array_add(gateway->to_identify,
+					ks_member_ref(member));
+	}
+	if (!ks_timer_is_set(&gateway->identify_timer))
 		ks_timer_set(&gateway->identify_timer, 0);
 }
 
@@ -131,6 +181,32 @@
 	tell_exchanges(gateway);
 }
 
+/**
+ * ks_gateway_process_read() - note what an upstream has said of its process
+ */
+void ks_gateway_process_read(ks_gateway_t *gateway, ks_member_t *member,
+			     ks_process_answer_t answer)
+{
+	int64_t asked_us = member->asked_us;
+
+	member->asked_us = 0;
+	if (answer == KS_PROCESS_SAME)
+		member->confirmed_us = MAX(member->confirmed_us, asked_us);
+	if (answer == KS_PROCESS_OTHER) {
+		ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
+		       "another process serves than the announced one "
+		       "upstream=%s software=%s",
+		       member->id, member->software);
+		member->is_replaced = true;
+	}
+	member->n_silent =
+		answer == KS_PROCESS_SILENT ? member->n_silent + 1 : 0;
+	if (member->n_silent ? !gateway_is_silent(member)
+			     : member->ask_after_us > asked_us)
+		ask_process(gateway, member);
+	tell_exchanges(gateway);
+}
+
 /**
  * ks_gateway_set_member_reader() - set what reads the announcements of
  * upstreams again
@@ -142,3 +218,29 @@
 	gateway->read_members = func;
 	gateway->read_members_ctx = ctx;
 }
+
+/**
+ * ks_gateway_set_process_reader() - set what asks an upstream for the start of
+ * its process
+ * @func: NULL for none; the store alone identifies processes then
+ */
+void ks_gateway_set_process_reader(ks_gateway_t *gateway,
+				   ks_read_process_func_t func, void *ctx)
+{
+	gateway->read_process = func;
+	gateway->read_process_ctx = ctx;
+}
+
+void gateway_identity_init(ks_gateway_t *gateway)
+{
+	gateway->to_identify =
+		g_ptr_array_new_with_free_func((GDestroyNotify)ks_member_unref);
+	ks_timer_init(&gateway->identify_timer, gateway->loop,
+		      on_identify_timer, gateway);
+}
+
+void gateway_identity_deinit(ks_gateway_t *gateway)
+{
+	ks_timer_clear(&gateway->identify_timer);
+	g_ptr_array_free(gateway->to_identify, TRUE);
+}
--- a/packages/gateway/tests/processes_fixture.h
+++ b/packages/gateway/tests/processes_fixture.h
@@ -1,5 +1,6 @@
 /*
- * Entries that learn of upstreams from a store with some delay.
+ * Entries that learn of upstreams from a store with some delay, and may ask an
+ * upstream for its process.
  */
 #ifndef KS_PROCESSES_FIXTURE_H
 #define KS_PROCESSES_FIXTURE_H
@@ -10,6 +11,8 @@
  * struct world - entries, upstreams and what the store has of these
  * @in_store: software that the row of each upstream names; NULL for no row
  * @starts: starts of its process, as the row states them
+ * @now: starts of the process that serves, if it is not the one of the row
+ * @is_mute: an upstream that is asked does not say which process it is
  * @is_away: the store does not answer
  * @reads: reads that were answered
  * @readers: struct reader of each entry
@@ -18,6 +21,8 @@
 	struct versions v;
 	const char *in_store[FIXTURE_UPSTREAMS];
 	int64_t starts[FIXTURE_UPSTREAMS];
+	int64_t now[FIXTURE_UPSTREAMS];
+	bool is_mute[FIXTURE_UPSTREAMS];
 	bool is_away;
 	unsigned reads;
 	struct reader {
@@ -25,6 +30,8 @@
 		ks_gateway_t *gateway;
 		ks_timer_t timer;
 		int64_t asked_us;
+		ks_timer_t answer;
+		GPtrArray *asked;
 	} readers[VERSIONS_MAX_ENTRIES];
 };
 
@@ -79,6 +86,36 @@
 	ks_timer_set(&reader->timer, 5 * KS_USEC_PER_MSEC);
 }
 
+static inline void world_on_answer(void *ctx)
+{
+	struct reader *reader = ctx;
+	const struct world *w = reader->world;
+	GPtrArray *asked = reader->asked;
+
+	reader->asked = g_ptr_array_new();
+	for (guint i = 0; i < asked->len; i++) {
+		ks_member_t *member = asked->pdata[i];
+		int at = member->id[1] - '0';
+		int64_t start = w->now[at] ? w->now[at] : w->starts[at];
+
+		ks_gateway_process_read(reader->gateway, member,
+					w->is_mute[at] ? KS_PROCESS_SILENT
+					: member->process_start_ms == start
+						? KS_PROCESS_SAME
+						: KS_PROCESS_OTHER);
+		ks_member_unref(member);
+	}
+	g_ptr_array_free(asked, TRUE);
+}
+
+static inline void world_read_process(void *ctx, ks_member_t *member)
+{
+	struct reader *reader = ctx;
+
+	g_ptr_array_add(reader->asked, ks_member_ref(member));
+	ks_timer_set(&reader->answer, 2 * KS_USEC_PER_MSEC);
+}
+
 /* Has all entries read the rows. */
 static inline void world_read_and_wait(struct world *w)
 {
@@ -95,6 +132,14 @@
 	g_assert_cmpuint(w->reads, ==, before + n);
 }
 
+/* The upstreams of the entries can be asked from now on. */
+static inline void world_allow_questions(struct world *w)
+{
+	for (unsigned i = 0; i < w->v.n_entries; i++)
+		ks_gateway_set_process_reader(
+			w->v.entries[i], world_read_process, &w->readers[i]);
+}
+
 /* Upstreams with these versions; NULL for none. */
 static inline void world_init(struct world *w, unsigned n_entries,
 			      const char *first, const char *second)
@@ -110,8 +155,11 @@
 
 		reader->world = w;
 		reader->gateway = w->v.entries[i];
+		reader->asked = g_ptr_array_new();
 		ks_timer_init(&reader->timer, &w->v.f.loop, world_on_read,
 			      reader);
+		ks_timer_init(&reader->answer, &w->v.f.loop, world_on_answer,
+			      reader);
 		ks_gateway_set_member_reader(w->v.entries[i],
 					     world_read_members, reader);
 	}
@@ -123,6 +171,10 @@
 	struct reader *reader = &w->readers[i];
 
 	ks_timer_clear(&reader->timer);
+	ks_timer_clear(&reader->answer);
+	for (guint j = 0; j < reader->asked->len; j++)
+		ks_member_unref(reader->asked->pdata[j]);
+	g_ptr_array_set_size(reader->asked, 0);
 }
 
 static inline void world_end_entry(struct world *w, unsigned i)
@@ -133,8 +185,10 @@
 
 static inline void world_deinit(struct world *w)
 {
-	for (unsigned i = 0; i < w->v.n_entries; i++)
+	for (unsigned i = 0; i < w->v.n_entries; i++) {
 		world_end_reader(w, i);
+		g_ptr_array_free(w->readers[i].asked, TRUE);
+	}
 	versions_deinit(&w->v);
 }
 
--- a/packages/gateway/tests/test-resumed-stream-refused.c
+++ b/packages/gateway/tests/test-resumed-stream-refused.c
@@ -151,6 +151,121 @@
 	world_deinit(&w);
 }
 
+/* The store is away from before the stream begins. */
+static void test_store_away(void)
+{
+	for (unsigned resumes = 0; resumes < 4; resumes++) {
+		struct world w;
+		int first;
+
+		world_init(&w, 4, "v1", "v2");
+		world_allow_questions(&w);
+		w.is_away = true;
+		first = begin_and_lose(&w, 0);
+		fixture_advance(&w.v.f, 3000);
+		expect_same_version(&w, first, resume(&w, resumes));
+		world_deinit(&w);
+	}
+}
+
+/* The entry sends a stream again that breaks off while the store is away. */
+static void test_store_away_within_response(void)
+{
+	struct fixture_caller caller;
+	struct fixture_upstream *next = NULL;
+	struct world w;
+	int first;
+
+	world_init(&w, 1, "v1", "v2");
+	w.in_store[2] = "v1";
+	world_read_and_wait(&w);
+	world_allow_questions(&w);
+	w.is_away = true;
+	first = begin(&w, 0, &caller);
+	fixture_abort_response(&w.v.f.upstreams[first]);
+	for (int i = 0; i < 100 && !next; i++) {
+		fixture_advance(&w.v.f, 10);
+		next = fixture_pending_upstream(&w.v.f);
+	}
+	g_assert_nonnull(next);
+	expect_same_version(&w, first, versions_index(&w.v, next));
+	versions_respond(&w.v, next, "id: 2\ndata: b\n\n");
+	FIXTURE_WAIT(&w.v.f, caller.done);
+	g_assert_cmpint(caller.result, ==, KS_HTTP_COMPLETE);
+	fixture_end_call(&caller);
+	world_deinit(&w);
+}
+
+/* While the store is away, processes are followed by ones of another version.
+ */
+static void test_store_away_and_replaced(void)
+{
+	struct world w;
+	int first;
+
+	world_init(&w, 2, "v1", "v1");
+	world_allow_questions(&w);
+	w.is_away = true;
+	first = begin_and_lose(&w, 0);
+	fixture_advance(&w.v.f, 500);
+	/* Not the one that began it: the other one has its version. */
+	w.now[1 - first] = 2;
+	expect_same_version(&w, first, resume(&w, 1));
+	w.now[first] = 2;
+	/* This entry has no connection to the process that was there before. */
+	g_assert_cmpint(resume(&w, 0), ==, -1);
+	g_assert_cmpuint(fixture_n_requests(&w.v.f), ==, 2);
+	world_deinit(&w);
+}
+
+/* The stream begins at a process that the entry does not know. */
+static void test_store_away_and_begun_at_other(void)
+{
+	struct world w;
+
+	world_init(&w, 2, "v1", "v1");
+	world_allow_questions(&w);
+	w.is_away = true;
+	w.now[0] = w.now[1] = 2;
+	begin_and_lose(&w, 0);
+	g_assert_cmpint(resume(&w, 1), ==, -1);
+	g_assert_cmpint(resume(&w, 0), ==, -1);
+	world_deinit(&w);
+}
+
+/* An upstream does not say which process it is, and another one does. */
+static void test_one_mute(void)
+{
+	for (int mute = 0; mute < 2; mute++) {
+		struct world w;
+
+		world_init(&w, 1, "v1", "v1");
+		begin_and_lose(&w, 0);
+		world_read_and_wait(&w);
+		world_allow_questions(&w);
+		w.is_away = true;
+		w.is_mute[mute] = true;
+		g_assert_cmpint(resume(&w, 0), ==, 1 - mute);
+		world_deinit(&w);
+	}
+}
+
+/* The only upstream does not say which process it is, and later it does. */
+static void test_mute(void)
+{
+	struct world w;
+
+	world_init(&w, 1, "v1", NULL);
+	world_allow_questions(&w);
+	w.is_away = true;
+	w.is_mute[0] = true;
+	begin_and_lose(&w, 0);
+	g_assert_cmpint(resume(&w, 0), ==, -1);
+	w.is_mute[0] = false;
+	g_assert_cmpint(resume(&w, 0), ==, 0);
+	world_deinit(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -164,5 +279,14 @@
 			test_known_before_replaced);
 	g_test_add_func("/resumed-stream-refused/replaced-before-read",
 			test_replaced_before_read);
+	g_test_add_func("/resumed-stream-refused/store-away", test_store_away);
+	g_test_add_func("/resumed-stream-refused/store-away-within-response",
+			test_store_away_within_response);
+	g_test_add_func("/resumed-stream-refused/store-away-and-replaced",
+			test_store_away_and_replaced);
+	g_test_add_func("/resumed-stream-refused/store-away-and-begun-at-other",
+			test_store_away_and_begun_at_other);
+	g_test_add_func("/resumed-stream-refused/one-mute", test_one_mute);
+	g_test_add_func("/resumed-stream-refused/mute", test_mute);
 	return g_test_run();
 }
