--- a/packages/gateway/tests/test-stream-origins.c
+++ b/packages/gateway/tests/test-stream-origins.c
@@ -58,6 +58,75 @@
 	ks_stream_origins_deinit(&origins);
 }
 
+/**
+ * struct process - what is known of one when claims are settled
+ */
+struct process {
+	uint64_t id;
+	int64_t seen_us;
+	bool is_gone;
+};
+
+static bool settle(void *ctx, const ks_stream_claim_t *claim, uint64_t *origin)
+{
+	const struct process *process = ctx;
+
+	g_assert_cmpuint(claim->process, ==, process->id);
+	if (process->seen_us >= claim->since_us)
+		*origin = 5;
+	return !process->is_gone;
+}
+
+static void claim(ks_stream_origins_t *origins, uint64_t stream,
+		  int64_t since_us, bool is_own)
+{
+	ks_stream_claim_t claim = { stream, 9, since_us, is_own };
+
+	ks_stream_origins_claim(origins, &claim, since_us);
+}
+
+/* Guards against claims that are settled too early, twice, or not at all. */
+static void test_claims(void)
+{
+	struct process process = { .id = 9, .seen_us = 9 };
+	ks_stream_origins_t origins;
+
+	ks_stream_origins_init(&origins);
+	claim(&origins, 1, 10, true);
+	ks_stream_origins_settle(&origins, settle, &process, 11);
+	g_assert_cmpuint(ks_stream_origins_find(&origins, 1, 11), ==, 0);
+	process.seen_us = 10;
+	ks_stream_origins_settle(&origins, settle, &process, 12);
+	g_assert_cmpuint(ks_stream_origins_find(&origins, 1, 12), ==, 5);
+	g_assert_null(ks_stream_origins_find_claim(&origins, 1));
+	/* What another entry claims does not change what is known. */
+	claim(&origins, 1, 13, false);
+	g_assert_null(ks_stream_origins_find_claim(&origins, 1));
+	/* A stream that begins here has used the id again. */
+	claim(&origins, 1, 14, true);
+	g_assert_cmpuint(ks_stream_origins_find(&origins, 1, 14), ==, 0);
+	process.is_gone = true;
+	ks_stream_origins_settle(&origins, settle, &process, 15);
+	g_assert_null(ks_stream_origins_find_claim(&origins, 1));
+	g_assert_cmpuint(ks_stream_origins_find(&origins, 1, 15), ==, 0);
+	ks_stream_origins_deinit(&origins);
+}
+
+/* Guards against claims that stay, or grow in number, without end. */
+static void test_claims_forgotten(void)
+{
+	ks_stream_origins_t origins;
+
+	ks_stream_origins_init(&origins);
+	claim(&origins, 1, SECOND, true);
+	ks_stream_origins_find(&origins, 1, 130 * SECOND);
+	g_assert_null(ks_stream_origins_find_claim(&origins, 1));
+	for (uint64_t i = 1; i <= 100000; i++)
+		claim(&origins, i, 131 * SECOND, true);
+	g_assert_cmpuint(g_hash_table_size(origins.claims), <=, 65536);
+	ks_stream_origins_deinit(&origins);
+}
+
 static void receive(ks_peers_t *peers, uint64_t receiver, uint64_t stream,
 		    uint64_t origin, bool has_origin)
 {
@@ -112,8 +181,11 @@
 	message.origin = &origin;
 	message.n_stream = message.n_origin = 1;
 	len = ks__peer_streams__pack(&message, buf);
-	/* The figure of docs/platform-design.md. */
+	/* The figures of docs/platform-design.md. */
 	g_assert_cmpuint(len, ==, 42);
+	message.process = &origin;
+	message.n_process = 1;
+	g_assert_cmpuint(ks__peer_streams__get_packed_size(&message), ==, 53);
 	g_assert_cmpint(buf[0], ==, 0xa1);
 	g_assert_cmpint(buf[1], ==, 0x06);
 	state = ks__peer_state__unpack(NULL, len, buf);
@@ -130,6 +202,9 @@
 			test_kept_for_a_minute);
 	g_test_add_func("/stream-origins/forgotten", test_forgotten);
 	g_test_add_func("/stream-origins/bounded", test_bounded);
+	g_test_add_func("/stream-origins/claims", test_claims);
+	g_test_add_func("/stream-origins/claims-forgotten",
+			test_claims_forgotten);
 	g_test_add_func("/stream-origins/messages", test_messages);
 	g_test_add_func("/stream-origins/ignored-by-earlier-versions",
 			test_ignored_by_earlier_versions);
