tests: soak with streams that replicas break off

--broken-streams has replicas break streams off soon after their first events and close most connections, beside releases, outages of the store and faults of gateways. At least half as large a share of resumed streams must go on as of new ones begins, counted apart while the store is away.

--- a/tests/fakes/fake-site.c
+++ b/tests/fakes/fake-site.c
@@ -74,6 +74,7 @@
 
 /**
  * struct site - state of the program
+ * @started_ms: start of the replicas, Unix milliseconds
  * @duties: interface for calls by one entry at a time
  * @executed_ids: set of the ids of executed requests
  * @runs: number of executed requests
@@ -82,6 +83,7 @@
  */
 struct site {
 	ks_loop_t loop;
+	int64_t started_ms;
 	struct fake_rows store;
 	struct replica replicas[REPLICAS];
 	ks_http1_server_t duties;
@@ -258,11 +260,12 @@
 	char *row = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\","
 		"\"zone\":\"domain-1\",\"version\":\"v1\","
-		"\"state\":\"ready\",\"slots\":8%s%s%s}",
+		"\"state\":\"ready\",\"slots\":8%s%s%s,"
+		"\"born\":%" PRId64 "}",
 		replica->stage ? "llm" : "app", replica->server.port,
 		replica->stage ? ",\"stage\":\"" : "",
 		replica->stage ? replica->stage : "",
-		replica->stage ? "\"" : "");
+		replica->stage ? "\"" : "", replica->site->started_ms);
 
 	fake_put(&replica->site->store, "servers", replica->id, row);
 	g_free(row);
@@ -285,10 +288,11 @@
 
 static void report(const struct replica *replica, ks_http1_request_t *request)
 {
-	char body[64];
+	char body[96];
 
-	g_snprintf(body, sizeof(body), "{\"busy\":false,\"seq\":%u}",
-		   replica->orders);
+	g_snprintf(body, sizeof(body),
+		   "{\"busy\":false,\"seq\":%u,\"born\":%" PRId64 "}",
+		   replica->orders, replica->site->started_ms);
 	reply(request, 200, false, body);
 }
 
@@ -364,7 +368,7 @@
 	bool has_organisations =
 		argc > 1 && !strcmp(argv[1], "--organisations");
 	struct fake_signals signals;
-	struct site site = { .runs = 0 };
+	struct site site = { .started_ms = g_get_real_time() / 1000 };
 
 	ks_loop_init(&site.loop, ks_clock_monotonic());
 	if (!fake_signals_init(&signals, &site.loop))
--- a/tests/soak/soak-callers.c
+++ b/tests/soak/soak-callers.c
@@ -10,6 +10,7 @@
  */
 #include "fake_main.h"
 #include "limits.h"
+#include "resumed.h"
 #include "soak.h"
 
 #include <argtable2.h>
@@ -29,6 +30,7 @@
 #define MAX_THINK_US (20 * KS_USEC_PER_MSEC)
 #define DEFAULT_RETRY_US (300 * KS_USEC_PER_MSEC)
 #define MAX_ATTEMPTS 3
+#define MAX_ATTEMPTS_BROKEN 4
 /* The notice of a leaving replica in the settings of tests/system/site.sh. */
 #define NOTICE_US (2000 * KS_USEC_PER_MSEC)
 /* Requests on their way when a replica answered, and those that may come. */
@@ -50,6 +52,13 @@
 #define GIVEN_UP_OF_100 4
 /* With several versions, of 100 streams that may be resumed, so many break. */
 #define BROKEN_OF_100 40
+/* Where replicas break streams off, so many of 100 requests are streams. */
+#define STREAMS_OF_100 50
+/* Shared parts of prompts; with few of them, each is in too many streams that
+ * break off, and is taken for a part that crashes replicas.
+ */
+#define SHARED_PARTS 4
+#define SHARED_PARTS_BROKEN 200
 /* Streams that callers resume for the share that goes on to be checked. */
 #define MIN_RESUMED 12
 
@@ -85,6 +94,10 @@
  * @breaks: the caller closes the connection in the middle of the stream
  * @is_resuming: the attempt resumes a stream
  * @has_gone_on: it has brought bytes of it
+ * @try: the attempts since the stream was new or broke off, where replicas
+ *	break streams off
+ * @leaves: the caller gives the attempt up early
+ * @deadline_us: of the attempt, from when it was sent
  */
 struct caller {
 	struct soak *soak;
@@ -97,6 +110,9 @@
 	bool breaks;
 	bool is_resuming;
 	bool has_gone_on;
+	struct resumed_try try;
+	bool leaves;
+	int64_t deadline_us;
 	GString *body;
 	GString *seal;
 	GString *echo;
@@ -144,6 +160,8 @@
  * @repeating: class of the request that crashes replicas itself, 0 for none
  * @versions: replicas have several versions of their software, and callers
  *	resume streams
+ * @broken: replicas break streams off
+ * @shares: how often streams go on, checked with @broken
  * @streams, @begun: new streams that may be resumed, and those that began
  * @resumed, @gone_on: the same for streams that callers resumed
  * @versions_rng: draws which break
@@ -173,6 +191,8 @@
 	bool crashing;
 	char repeating;
 	bool versions;
+	bool broken;
+	struct resumed shares;
 	unsigned streams, begun, resumed, gone_on;
 	ks_rng_t versions_rng;
 	ks_rng_t crashing_rng;
@@ -332,7 +352,12 @@
 	g_assert_cmpuint(g_strv_length(words), ==, 5);
 	at_us = g_ascii_strtoll(words[3], NULL, 10);
 	attempt = g_hash_table_lookup(soak->attempts, words[1]);
-	if (*words[0] == SOAK_EXCUSED) {
+	if (*words[0] == SOAK_SERVES) {
+		resumed_note_serving(&soak->shares, words[2], words[1],
+				     g_ascii_strtod(words[4], NULL), at_us);
+	} else if (*words[0] == SOAK_STORE) {
+		resumed_note_store(&soak->shares, *words[4] != '0', at_us);
+	} else if (*words[0] == SOAK_EXCUSED) {
 		soak->excused_us[atoi(words[1]) - 1] = at_us;
 	} else if (attempt) {
 		apply_event(soak, *words[0], attempt, words[2], at_us,
@@ -386,6 +411,9 @@
 	if (!caller->attempts)
 		caller->class = classes[ks_rng_below(&caller->soak->rng,
 						     sizeof(classes))];
+	if (!caller->attempts && caller->soak->broken &&
+	    ks_rng_below(&caller->soak->versions_rng, 100) < STREAMS_OF_100)
+		caller->class = SOAK_NOTES;
 	start_attempt(caller);
 }
 
@@ -396,8 +424,33 @@
 	ks_timer_set(&caller->timer, us);
 }
 
+static unsigned max_attempts(const struct soak *soak)
+{
+	return soak->broken ? MAX_ATTEMPTS_BROKEN : MAX_ATTEMPTS;
+}
+
+/* Notes the gateway of an attempt that has ended or brought bytes. */
+static void note_attempt(struct caller *caller)
+{
+	struct soak *soak = caller->soak;
+
+	if (!soak->broken || !caller->try.is_open)
+		return;
+	read_record(soak);
+	resumed_note_attempt(&caller->try,
+			     soak->excused_us[caller->attempt->gateway],
+			     caller->attempt->sent_us);
+}
+
+static void close_try(struct caller *caller, bool is_served)
+{
+	resumed_close(&caller->soak->shares, &caller->try, is_served,
+		      g_get_real_time());
+}
+
 static void next_request(struct caller *caller)
 {
+	close_try(caller, false);
 	caller->attempts = 0;
 	caller->is_resuming = false;
 	g_string_truncate(caller->stream, 0);
@@ -415,15 +468,30 @@
 	return end != NULL;
 }
 
+/* Returns the version of the software that began a stream. */
+static char *software_of(const char *body)
+{
+	const char *at = strstr(body, " at ");
+
+	return at ? g_strndup(at + 4, strcspn(at + 4, "\n")) : g_strdup("");
+}
+
 /* Resumes a stream of which the caller has whole events; returns whether. */
 static bool resume_stream(struct caller *caller)
 {
 	if (!caller->soak->versions || caller->class != SOAK_NOTES ||
-	    !keep_whole_events(caller) || ++caller->attempts >= MAX_ATTEMPTS)
+	    !keep_whole_events(caller) ||
+	    ++caller->attempts >= max_attempts(caller->soak))
 		return false;
 	if (!caller->stream->len)
 		g_string_assign(caller->stream, caller->attempt->id->str);
 	caller->is_resuming = true;
+	if (caller->soak->broken && !caller->try.is_open) {
+		char *software = software_of(caller->body->str);
+
+		resumed_open(&caller->try, software, g_get_real_time());
+		g_free(software);
+	}
 	wait_for(caller,
 		 1 + ks_rng_below(&caller->soak->versions_rng, MAX_THINK_US));
 	return true;
@@ -435,6 +503,8 @@
 
 	ks_http_call_cancel(&caller->call);
 	caller->soak->given_up++;
+	note_attempt(caller);
+	caller->try.is_open &= !caller->leaves;
 	next_request(caller);
 }
 
@@ -450,6 +520,10 @@
 	caller->retry_us = retry.len
 				   ? (int64_t)(g_ascii_strtod(text, NULL) * 1e6)
 				   : DEFAULT_RETRY_US;
+	/* These callers wait for a third of their time at most. */
+	if (caller->soak->broken)
+		caller->retry_us =
+			MIN(caller->retry_us, caller->deadline_us / 3);
 	g_string_append_len(caller->seal, seal.data, (gssize)seal.len);
 	g_string_append_len(caller->echo, echo.data, (gssize)echo.len);
 	g_free(text);
@@ -467,6 +541,8 @@
 		caller->has_gone_on = true;
 		soak->begun += !caller->is_resuming;
 		soak->gone_on += caller->is_resuming;
+		note_attempt(caller);
+		close_try(caller, true);
 	}
 	if (!caller->breaks || !strstr(caller->body->str, "\n\n"))
 		return;
@@ -481,14 +557,6 @@
 	return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-/* Returns the version of the software that began a stream. */
-static char *software_of(const char *body)
-{
-	const char *at = strstr(body, " at ");
-
-	return at ? g_strndup(at + 4, strcspn(at + 4, "\n")) : g_strdup("");
-}
-
 /* A cut stream has whole events in their order, and no event twice. */
 static void check_success(const struct caller *caller, bool complete)
 {
@@ -524,6 +592,7 @@
 	bool complete = result == KS_HTTP_COMPLETE;
 
 	ks_timer_clear(&caller->timer);
+	note_attempt(caller);
 	attempt->promised = complete && is_promise(attempt->status);
 	attempt->cut = !complete;
 	if (attempt->status / 100 == 2)
@@ -536,7 +605,7 @@
 	check(soak, attempt);
 	if (attempt->cut && attempt->status / 100 == 2 && resume_stream(caller))
 		return;
-	if (attempt->promised && ++caller->attempts < MAX_ATTEMPTS)
+	if (attempt->promised && ++caller->attempts < max_attempts(soak))
 		wait_for(caller, caller->retry_us);
 	else
 		next_request(caller);
@@ -586,15 +655,18 @@
 	caller->breaks = false;
 	if (caller->class != SOAK_NOTES)
 		return;
+	if (soak->broken && !caller->attempts)
+		resumed_open(&caller->try, "", g_get_real_time());
 	soak->streams += !caller->is_resuming;
 	soak->resumed += caller->is_resuming;
-	caller->breaks = soak->versions &&
+	caller->breaks = soak->versions && !soak->broken &&
 			 ks_rng_below(&soak->versions_rng, 100) < BROKEN_OF_100;
 }
 
 static void start_attempt(struct caller *caller)
 {
 	struct soak *soak = caller->soak;
+	unsigned before = caller->attempts ? caller->attempt->gateway : 0;
 	struct attempt *attempt = new_attempt(soak, caller->class);
 	unsigned deadline_ms =
 		MIN_DEADLINE_MS +
@@ -602,8 +674,6 @@
 	char deadline[16], parts[64], after[16] = "";
 	bool leaves = ks_rng_below(&soak->rng, 100) < GIVEN_UP_OF_100;
 	ks_http_request_t request = {
-		.address = g_array_index(soak->gateways, ks_address_t,
-					 attempt->gateway),
 		.method = caller->class == SOAK_READ ? KS_STR("GET")
 						     : KS_STR("POST"),
 		.target = ks_str_from(path_of(caller->class, false)),
@@ -621,6 +691,12 @@
 		{ KS_STR("last-event-id"), { after, 0 } },
 	};
 
+	caller->leaves = leaves;
+	caller->deadline_us = deadline_ms * KS_USEC_PER_MSEC;
+	if (soak->broken && caller->is_resuming && attempt->gateway == before)
+		attempt->gateway = (before + 1) % soak->gateways->len;
+	request.address =
+		g_array_index(soak->gateways, ks_address_t, attempt->gateway);
 	headers[1].value.len = (size_t)g_snprintf(deadline, sizeof(deadline),
 						  "%u", deadline_ms);
 	if (soak->repeating && caller->class == soak->repeating &&
@@ -633,7 +709,8 @@
 		ks_rng_below(&soak->crashing_rng, 100) < CRASHING_OF_100;
 	headers[2].value.len = (size_t)g_snprintf(
 		parts, sizeof(parts), "a%u:9000%s,b%u:3000",
-		ks_rng_below(&soak->rng, 4),
+		ks_rng_below(&soak->rng,
+			     soak->broken ? SHARED_PARTS_BROKEN : SHARED_PARTS),
 		attempt->is_crashing ? "," SOAK_CRASHING_PART ":100" : "",
 		soak->n_ids);
 	request.headers = headers;
@@ -727,6 +804,7 @@
 {
 	soak->attempts = g_hash_table_new(g_str_hash, g_str_equal);
 	limits_init(&soak->limits);
+	resumed_init(&soak->shares);
 	soak->words = g_hash_table_new(g_str_hash, g_str_equal);
 	soak->excused_us = g_new0(int64_t, soak->gateways->len);
 	soak->rest = g_string_new(NULL);
@@ -745,6 +823,8 @@
 	ks_loop_run(&soak->loop);
 	read_record(soak);
 	check_resumed(soak);
+	if (soak->broken)
+		soak->violations += resumed_check(&soak->shares);
 	printf("requests=%u answered=%u refused=%u failed=%u cut=%u "
 	       "given_up=%u begun=%u/%u gone_on=%u/%u violations=%u\n",
 	       soak->n_ids, soak->answered, soak->promised, soak->failed,
@@ -779,10 +859,12 @@
 			 "a request that comes again crashes replicas");
 	struct arg_lit *versions =
 		arg_lit0(NULL, "versions", "callers resume streams");
+	struct arg_lit *broken =
+		arg_lit0(NULL, "broken-streams", "replicas break streams off");
 	struct arg_end *end = arg_end(10);
 	void *table[] = { gateways,  record,   seconds, callers,
 			  seed,	     planned,  timed,	crashing,
-			  repeating, versions, end };
+			  repeating, versions, broken,	end };
 	struct soak soak = { .n_ids = 0 };
 
 	if (arg_parse(argc, argv, table) > 0) {
@@ -801,6 +883,7 @@
 	soak.timed = timed->count > 0;
 	soak.crashing = crashing->count > 0;
 	soak.versions = versions->count > 0;
+	soak.broken = broken->count > 0;
 	if (repeating->count)
 		soak.repeating = soak.seed % 2 ? SOAK_READ : SOAK_BOOK;
 	return run(&soak, seconds->ival[0]);
--- a/tests/soak/soak-replica.c
+++ b/tests/soak/soak-replica.c
@@ -10,6 +10,9 @@
  * or none any more. A third of the refusals request a back-off for a time.
  * SIGTERM announces that the replica leaves, here and in all its answers, and
  * ends it after the notice.
+ *
+ * With an id and an address of its own, it listens only once the store has
+ * accepted its announcement, as a process before it may have had both.
  */
 #include "fake_main.h"
 #include "second.h"
@@ -32,6 +35,9 @@
 /* Requests per second of a stated limit, between these. */
 #define MIN_LIMIT_PER_S 1.0
 #define MAX_LIMIT_PER_S 8.0
+#define SERVES_US (100 * KS_USEC_PER_MSEC)
+/* As the services of soak-store.c state. */
+#define KV_TOKENS 400000
 #define PREFILL_US (15 * KS_USEC_PER_MSEC)
 #define EVENT_US (20 * KS_USEC_PER_MSEC)
 
@@ -47,11 +53,17 @@
 
 /**
  * struct replica - state of the program
- * @id: key of its row, new at each start
+ * @id: key of its row, new at each start unless it is given
  * @stage: "prefill" or "decode"; NULL for a plain service
  * @software: version of its software
  * @second_of_100: while faults are on, so many of 100 whole answers are given
  *	a second time
+ * @break_of_100: of 100 streams, so many break off after an event or two
+ * @close_of_100: of 100 connections, so many are closed after a response
+ * @listen: where it will listen
+ * @is_listening: it does
+ * @is_announced: the store has accepted that it is ready
+ * @serves: fires when it records that it serves
  * @record: descriptor of the record
  * @is_exiting: the time to the exit is over
  * @accepted_era: era in which the store accepted that the replica leaves, 0 if
@@ -88,6 +100,12 @@
 	ks_rng_t rng;
 	ks_rng_t framing_rng;
 	unsigned second_of_100;
+	unsigned break_of_100;
+	unsigned close_of_100;
+	ks_address_t listen;
+	bool is_listening;
+	bool is_announced;
+	ks_timer_t serves;
 	struct seconds seconds;
 	bool is_relayed;
 	bool faulty;
@@ -102,6 +120,7 @@
  * struct work - a request that occupies a slot
  * @stream: id of the request whose response began the stream
  * @next_event: number of the next event of a stream
+ * @breaks_at: event before which the stream breaks off; 0 for none
  * @fate: drawn when the work begins
  * @is_unframed: only the end of the connection marks the end of the stream
  * @is_first: no event has been sent
@@ -113,6 +132,7 @@
 	GString *id;
 	GString *stream;
 	int next_event;
+	int breaks_at;
 	enum fate {
 		ANSWERED,
 		LOST,
@@ -167,6 +187,14 @@
 	return 1;
 }
 
+/* As few connections are kept, many requests come on new ones. */
+static void draw_close(struct replica *replica, ks_http1_request_t *request)
+{
+	if (replica->close_of_100 &&
+	    ks_rng_below(&replica->framing_rng, 100) < replica->close_of_100)
+		http1_conn_of(request)->keep_alive = false;
+}
+
 /* @not_run: state that the request was not executed */
 static void reply(struct replica *replica, ks_http1_request_t *request,
 		  int status, bool not_run, const char *body)
@@ -204,6 +232,7 @@
 	if (again)
 		text = seconds_format(&replica->seconds, status, id,
 				      &headers[1], body);
+	draw_close(replica, request);
 	ks_http1_start(request, status, headers, n, (int64_t)strlen(body));
 	ks_http1_body(request, ks_str_from(body));
 	ks_http1_end(request);
@@ -268,8 +297,18 @@
 	work->next_event++;
 }
 
+static void lose_answer(struct work *work)
+{
+	ks_http1_abort(work->request);
+	free_work(work);
+}
+
 static void advance_stream(struct work *work)
 {
+	if (work->breaks_at && work->next_event >= work->breaks_at) {
+		lose_answer(work);
+		return;
+	}
 	if (work->next_event >= SOAK_EVENTS) {
 		if (work->is_unframed && !work->is_first)
 			ks_http1_body(work->request, KS_STR("\n"));
@@ -307,6 +346,7 @@
 		record(work->replica, SOAK_LEAVES, text_of(work->id), 0);
 	soak_seal(text_of(work->id), seal);
 	headers[1].value = text_of(seal);
+	draw_close(work->replica, work->request);
 	ks_http1_start(work->request, 200, headers, n, length);
 	g_string_free(seal, TRUE);
 }
@@ -338,6 +378,12 @@
 
 	if (ks_str_parse_int(last, 0, SOAK_EVENTS, &number))
 		work->next_event = (int)number + 1;
+	if (work->replica->break_of_100 &&
+	    ks_rng_below(&work->replica->framing_rng, 100) <
+		    work->replica->break_of_100)
+		work->breaks_at =
+			work->next_event + 1 +
+			(int)ks_rng_below(&work->replica->framing_rng, 2);
 	work->is_first = true;
 	work->is_unframed = work->replica->faulty &&
 			    ks_rng_below(&work->replica->framing_rng, 100) <
@@ -361,12 +407,6 @@
 	finish_work(work, 200, body);
 }
 
-static void lose_answer(struct work *work)
-{
-	ks_http1_abort(work->request);
-	free_work(work);
-}
-
 static void cut_answer(struct work *work)
 {
 	start_answer(work, KS_STR("text/plain"), 1000);
@@ -454,10 +494,27 @@
 	return false;
 }
 
+static void listen_if_not_yet(struct replica *replica);
+
 static void on_announced(void *ctx, const ks_http_response_t *answer)
 {
-	(void)ctx;
-	is_accepted(answer);
+	struct replica *replica = ctx;
+
+	if (!is_accepted(answer))
+		return;
+	replica->is_announced = true;
+	listen_if_not_yet(replica);
+}
+
+/* Records for the check that it serves. */
+static void on_serves(void *ctx)
+{
+	struct replica *replica = ctx;
+
+	if (replica->is_announced && !replica->leaving)
+		record(replica, SOAK_SERVES, ks_str_from(replica->software),
+		       (double)replica->started_ms);
+	ks_timer_set(&replica->serves, SERVES_US);
 }
 
 /*
@@ -540,17 +597,38 @@
 	announce(replica);
 }
 
+static char *format_report(const struct replica *replica)
+{
+	json_t *json = json_pack(
+		"{s:b,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:s,s:[],s:I}",
+		"busy", 0, "seq", (int)replica->orders, "queued", 0, "running",
+		(int)replica->running, "kv-used", 0, "kv-total", KV_TOKENS,
+		"kv-handles", (int)replica->handles, "pinned", 0, "held", 0,
+		"next", 0, "state", replica->leaving ? "draining" : "ready",
+		"runs", "born", (json_int_t)replica->started_ms);
+	char *text;
+
+	if (replica->stage)
+		json_object_update_new(
+			json, json_pack("{s:s,s:[{s:s,s:i,s:[]}]}", "stage",
+					replica->stage, "models", "name", "m",
+					"version", 1, "adapters"));
+	text = json_dumps(json, JSON_COMPACT);
+	json_decref(json);
+	return text;
+}
+
 static void serve_own_call(struct replica *replica, ks_http1_request_t *request)
 {
-	char body[64];
+	char *report;
 
 	if (ks_str_equal(request->target, KS_STR("/-/order"))) {
 		obey_order(replica, request);
 		return;
 	}
-	g_snprintf(body, sizeof(body), "{\"busy\":false,\"seq\":%u}",
-		   replica->orders);
-	reply(replica, request, 200, false, body);
+	report = format_report(replica);
+	reply(replica, request, 200, false, report);
+	free(report);
 }
 
 /* Another incarnation is meant, or the other stage. */
@@ -644,28 +722,49 @@
 			     replica->signal_fd, on_signal, replica, NULL);
 }
 
-static bool start(struct replica *replica, const ks_address_t *listen)
+static bool listen_now(struct replica *replica)
 {
 	GError *error = NULL;
 
-	if (!watch_signals(replica) ||
-	    !ks_http1_server_init(&replica->server, &replica->loop, listen,
-				  on_request, replica, &error)) {
-		fprintf(stderr, "%s\n", error ? error->message : "signals");
+	if (!ks_http1_server_init(&replica->server, &replica->loop,
+				  &replica->listen, on_request, replica,
+				  &error)) {
+		fprintf(stderr, "%s\n", error->message);
 		g_clear_error(&error);
 		return false;
 	}
+	replica->server.idle_timeout_us = 60 * KS_USEC_PER_SEC;
+	replica->is_listening = true;
+	fprintf(stderr, "listens on %s:%u\n", replica->listen.ip,
+		replica->server.port);
+	return true;
+}
+
+static void listen_if_not_yet(struct replica *replica)
+{
+	if (!replica->is_listening && !listen_now(replica))
+		exit(EXIT_FAILURE);
+}
+
+/* @announces_first: listen once the store has accepted the announcement */
+static bool start(struct replica *replica, bool announces_first)
+{
+	if (!watch_signals(replica) ||
+	    (!announces_first && !listen_now(replica)))
+		return false;
 	if (!replica->is_relayed) {
-		replica->announced = *listen;
-		replica->announced.port = replica->server.port;
+		replica->announced = replica->listen;
+		if (replica->is_listening)
+			replica->announced.port = replica->server.port;
 	}
-	replica->server.idle_timeout_us = 60 * KS_USEC_PER_SEC;
 	ks_http_client_init(&replica->client, &replica->loop);
 	ks_timer_init(&replica->heartbeat, &replica->loop, on_heartbeat,
 		      replica);
 	ks_timer_init(&replica->exit, &replica->loop, on_exit_timer, replica);
+	ks_timer_init(&replica->serves, &replica->loop, on_serves, replica);
 	ks_timer_set(&replica->heartbeat, 0);
-	fprintf(stderr, "listens on %s:%u\n", listen->ip, replica->server.port);
+	if (replica->break_of_100)
+		ks_timer_set(&replica->serves, 0);
 	return true;
 }
 
@@ -691,18 +790,27 @@
 					  "answers that are given twice");
 	struct arg_int *named = arg_int0(NULL, "named-of-3", "N",
 					 "second answers that bear an id");
+	struct arg_str *id =
+		arg_str0(NULL, "id", "ID",
+			 "key of its row, which an earlier process may have "
+			 "had");
+	struct arg_int *breaking =
+		arg_int0(NULL, "break-of-100", "N", "streams that break off");
+	struct arg_int *closing =
+		arg_int0(NULL, "close-of-100", "N",
+			 "connections that are closed after a response");
 	struct arg_end *end = arg_end(10);
-	void *table[] = { listen,   announced, store, service, stage,
-			  software, record,    work,  slots,   seed,
-			  second,   named,     end };
+	void *table[] = { listen, announced, store,   service, stage,  software,
+			  record, work,	     slots,   seed,    second, named,
+			  id,	  breaking,  closing, end };
 	struct replica replica = { .record = -1 };
-	ks_address_t address;
 
 	if (arg_parse(argc, argv, table) > 0) {
 		arg_print_errors(stderr, end, "soak-replica");
 		return EXIT_USAGE;
 	}
-	if (!ks_address_parse(&address, ks_str_from(listen->sval[0]), NULL) ||
+	if (!ks_address_parse(&replica.listen, ks_str_from(listen->sval[0]),
+			      NULL) ||
 	    !ks_address_parse(&replica.store, ks_str_from(store->sval[0]),
 			      NULL) ||
 	    (announced->count &&
@@ -718,15 +826,22 @@
 	replica.work_us = work->ival[0] * KS_USEC_PER_MSEC;
 	replica.slots = (unsigned)slots->ival[0];
 	replica.started_ms = g_get_real_time() / 1000;
-	g_snprintf(replica.id, sizeof(replica.id), "i-%d-%" PRId64,
-		   (int)getpid(), replica.started_ms % 1000000);
+	replica.break_of_100 =
+		breaking->count ? (unsigned)breaking->ival[0] : 0;
+	replica.close_of_100 = closing->count ? (unsigned)closing->ival[0] : 0;
+	if (id->count)
+		g_strlcpy(replica.id, id->sval[0], sizeof(replica.id));
+	else
+		g_snprintf(replica.id, sizeof(replica.id), "i-%d-%" PRId64,
+			   (int)getpid(), replica.started_ms % 1000000);
 	ks_rng_init(&replica.rng, (uint32_t)seed->ival[0]);
 	ks_rng_init(&replica.framing_rng, (uint32_t)seed->ival[0]);
 	ks_loop_init(&replica.loop, ks_clock_monotonic());
 	seconds_init(&replica.seconds, &replica.loop, &replica.server,
 		     &replica.rng, named->count ? (unsigned)named->ival[0] : 2);
 	replica.is_relayed = announced->count > 0;
-	if (replica.record < 0 || !start(&replica, &address))
+	if (replica.record < 0 ||
+	    !start(&replica, id->count && replica.listen.port))
 		return EXIT_FAILURE;
 	ks_loop_run(&replica.loop);
 	/* Exiting closes the open connections. */
--- a/tests/soak/soak-store.c
+++ b/tests/soak/soak-store.c
@@ -2,19 +2,23 @@
  * Store of the soak, as a process: the configuration, the rows of the replicas,
  * which lapse when their owner is silent, and the rows of the gateways.
  *
- * SIGUSR1 makes it answer 503, and the next one serve again. SIGUSR2 publishes
+ * SIGUSR1 makes it answer 503, and the next one serve again; SIGURG makes it
+ * answer nothing, and the next one serve again. SIGUSR2 publishes
  * a new version of the configuration. After SIGHUP it is away for a moment and
  * returns from an older copy, and the operator writes the configuration again.
  */
 #include "fake_main.h"
 #include "fake_rows.h"
 
+#include <argtable2.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#define EXIT_USAGE 2
+
 #define SCAN_US (500 * KS_USEC_PER_MSEC)
 /* Three heartbeats of a replica. */
 #define LAPSE_US (3600 * KS_USEC_PER_MSEC)
@@ -43,13 +47,14 @@
 		"book", "non_idempotent", "%u", "1", "",                                        \
 		"app") "," ROUTE("advise", "streaming", "6000", "1", "",                        \
 				 "llm") "," ROUTE("notes", "streaming",                         \
-						  "6000", "3",                                  \
+						  "6000", "%d",                                 \
 						  ",\"resumable\":true",                        \
 						  "llm") "," ROUTE("extra-%u",                  \
 								   "idempotent",                \
 								   "4000",                      \
 								   "2", "",                     \
 								   "app") "]}"
+#define MAX_ATTEMPTS 3
 
 /**
  * struct seen - the last change of a row of a replica
@@ -64,6 +69,7 @@
 
 /**
  * struct store - state of the process
+ * @max_attempts: of streams that may be resumed
  * @copies: array of struct fake_copy, the newest one last
  * @returning: fires when the store returns
  * @rewrite: fires when the operator writes the configuration again
@@ -75,6 +81,7 @@
 	ks_watch_t watch;
 	int signal_fd;
 	unsigned version;
+	int max_attempts;
 	GHashTable *seen;
 	GPtrArray *copies;
 	ks_timer_t returning;
@@ -86,9 +93,9 @@
 {
 	char *config;
 
-	config = g_strdup_printf(CONFIG, store->version,
-				 store->version % 2 ? 4000U : 3000U,
-				 store->version, store->version);
+	config = g_strdup_printf(
+		CONFIG, store->version, store->version % 2 ? 4000U : 3000U,
+		store->max_attempts, store->version, store->version);
 	fake_put(&store->rows, "op", "config", config);
 	g_free(config);
 }
@@ -174,6 +181,10 @@
 	struct signalfd_siginfo info;
 
 	while (read(store->signal_fd, &info, sizeof(info)) == sizeof(info)) {
+		enum fake_mode away = info.ssi_signo == SIGURG
+					      ? FAKE_UNRESPONSIVE
+					      : FAKE_UNAVAILABLE;
+
 		if (info.ssi_signo == SIGUSR2) {
 			publish(store);
 			continue;
@@ -184,7 +195,7 @@
 			continue;
 		}
 		store->rows.mode = store->rows.mode == FAKE_AVAILABLE
-					   ? FAKE_UNAVAILABLE
+					   ? away
 					   : FAKE_AVAILABLE;
 		fprintf(stderr, "the store is %s\n",
 			store->rows.mode == FAKE_AVAILABLE ? "available"
@@ -200,17 +211,29 @@
 	sigaddset(&set, SIGUSR1);
 	sigaddset(&set, SIGUSR2);
 	sigaddset(&set, SIGHUP);
+	sigaddset(&set, SIGURG);
 	sigprocmask(SIG_BLOCK, &set, NULL);
 	store->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
 	return ks_watch_init(&store->watch, &store->loop, store->signal_fd,
 			     on_signal, store, NULL);
 }
 
-int main(void)
+int main(int argc, char **argv)
 {
+	struct arg_int *attempts =
+		arg_int0(NULL, "max-attempts", "N",
+			 "replicas that a resumable stream is sent to");
+	struct arg_end *end = arg_end(1);
+	void *table[] = { attempts, end };
 	struct fake_signals signals;
-	struct store store = { .version = 0 };
+	struct store store = { .max_attempts = MAX_ATTEMPTS };
 
+	if (arg_parse(argc, argv, table) > 0) {
+		arg_print_errors(stderr, end, "soak-store");
+		return EXIT_USAGE;
+	}
+	if (attempts->count)
+		store.max_attempts = attempts->ival[0];
 	ks_loop_init(&store.loop, ks_clock_monotonic());
 	if (!fake_signals_init(&signals, &store.loop) || !watch_signals(&store))
 		return EXIT_FAILURE;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -38,6 +38,10 @@
  * @SOAK_CRASHED: the replica crashed, as it began to answer the request
  * @SOAK_EXCUSED: in place of the id and the replica, the number of a gateway
  *	that was killed, stopped or frozen
+ * @SOAK_SERVES: in place of the id, the version of the replica's software; the
+ *	value is the start of its process. It serves, has announced itself, and
+ *	does not leave
+ * @SOAK_STORE: the store is disturbed, or no longer for the value 0
  */
 enum soak_event {
 	SOAK_ARRIVED = 'A',
@@ -47,6 +51,8 @@
 	SOAK_LIMITED = 'S',
 	SOAK_CRASHED = 'C',
 	SOAK_EXCUSED = 'X',
+	SOAK_SERVES = 'V',
+	SOAK_STORE = 'O',
 };
 
 static inline char soak_class(ks_str_t id)
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
 # usage: tests/soak/soak.sh [--planned] [--many] [--timed] [--returns] [--crashing]
 #                          [--limited] [--repeating] [--versions] [--paused]
-#                          SEED SECONDS
+#                          [--broken-streams] SEED SECONDS
 #
 # Runs gateways, replicas, a store and callers as separate processes and injects
 # faults, drawn from SEED, from outside: signals to the processes, and relays
@@ -18,7 +18,9 @@
 # them; besides, only planned changes. With --versions, replicas have two versions of
 # their software, three after restarts by faults, and callers break streams off and
 # resume them at any gateway. With --paused, which is no planned change, a gateway
-# stands still in each round, and some have just been told to stop.
+# stands still in each round, and some have just been told to stop. With
+# --broken-streams, as with --versions, but replicas break streams off, and the
+# faults are those of broken.sh.
 # SOAK_KEEP names a directory that gets
 # the logs of a run that failed. SOAK_SECOND is how many of 100 answers a faulty
 # replica gives twice, 40 by default, and SOAK_NAMED how many of 3 of these have
@@ -31,6 +33,7 @@
 }
 
 planned= many= timed= returns= crashing= limited= repeating= versions= paused=
+broken=
 while [[ ${1:-} == --* ]]
 do
 	case $1 in
@@ -43,6 +46,7 @@
 	--repeating) repeating=--repeating ;;
 	--versions) versions=--versions ;;
 	--paused) paused=yes ;;
+	--broken-streams) broken=--broken-streams versions=--versions ;;
 	*) usage ;;
 	esac
 	shift
@@ -74,6 +78,12 @@
 fi
 between 5 60; work_ms=$DRAWN
 test -z "$versions" -o $n_engines -ge 4 || n_engines=4
+if test -n "$broken"
+then
+	n_engines=8
+	between 6 8; n_gateways=$DRAWN
+	. tests/soak/broken.sh
+fi
 
 declare -A SOFTWARE
 
@@ -81,7 +91,7 @@
 # unless faults happen.
 draw_software () {
 	local number=${1##*[a-z]}
-	test -n "$versions" || return
+	test -n "$versions" -a -z "$broken" || return
 	if test -z "${SOFTWARE[$1]:-}" || test -n "$planned"
 	then
 		SOFTWARE[$1]=v$((number % 2 + 1))
@@ -94,8 +104,16 @@
 # this name, if there was one. Every third replica is behind a relay.
 start_replica () {
 	local name=$1 service=$2 stage=${3:-}
+	local launch=launch more=()
 	draw_software "$name"
-	launch "$name" "$BIN/soak-replica" \
+	if test -n "$broken" -a "$service" = llm
+	then
+		launch=launch_replica
+		draw_id "$name"
+		more=(--id "${ID[$name]}" --break-of-100 $BREAK_OF_100
+			--close-of-100 $CLOSE_OF_100)
+	fi
+	$launch "$name" "$BIN/soak-replica" \
 		--listen "${ADDRESS[$name]:-127.0.0.1:0}" \
 		--store "${ADDRESS[site]}" --service "$service" \
 		${stage:+--stage "$stage"} --record "$record" \
@@ -103,7 +121,8 @@
 		--work-ms "$work_ms" --slots 6 --seed $((seed + ++started)) \
 		${SOAK_SECOND:+--second-of-100 "$SOAK_SECOND"} \
 		${SOAK_NAMED:+--named-of-3 "$SOAK_NAMED"} \
-		${ADDRESS[relay-$name]:+--announce "${ADDRESS[relay-$name]}"}
+		${ADDRESS[relay-$name]:+--announce "${ADDRESS[relay-$name]}"} \
+		"${more[@]}"
 }
 
 # A relay needs the address of its target, which needs that of the relay.
@@ -168,6 +187,8 @@
 }
 
 killed=() stopping=()
+launch_gateway=launch_gateway
+test -z "$broken" || launch_gateway=launch_gateway_by_relay
 
 # Finds the processes that have ended by themselves. Replicas may crash on a
 # request with --crashing and --repeating.
@@ -205,7 +226,7 @@
 		excuse "$name"
 		cat "$WORK/$name.log" >>"$WORK/$name-before.log"
 		case $name in
-		gateway*) launch_gateway "$name" ;;
+		gateway*) $launch_gateway "$name" ;;
 		*) restart_replica "$name" ;;
 		esac
 	done
@@ -312,7 +333,7 @@
 
 started=0
 relays=()
-launch site "$BIN/soak-store"
+launch site "$BIN/soak-store" ${broken:+--max-attempts $MAX_ATTEMPTS}
 for i in $(seq $n_apps)
 do
 	if test $((i % 3)) = 2
@@ -325,7 +346,7 @@
 done
 for i in $(seq $n_engines)
 do
-	if test $((i % 3)) = 2
+	if test $((i % 3)) = 2 -a -z "$broken"
 	then
 		start_relayed_replica engine$i llm decode
 		relays+=("relay-engine$i")
@@ -336,13 +357,18 @@
 gateways=
 for i in $(seq $n_gateways)
 do
-	start_gateway gateway$i
+	$launch_gateway gateway$i
+	wait_until "gateway$i has a configuration" \
+		has_log gateway$i "configuration in force"
 	gateways=$gateways${gateways:+,}${ADDRESS[gateway$i]}
 done
 
+# Replicas cut answers as well then.
+callers_planned=$planned
+test -z "$broken" || callers_planned=
 "$BIN/soak-callers" --gateways "$gateways" --record "$record" \
-	--seconds "$seconds" --callers $n_callers --seed "$seed" $planned $timed \
-	$crashing $repeating $versions \
+	--seconds "$seconds" --callers $n_callers --seed "$seed" $callers_planned $timed \
+	$crashing $repeating $versions $broken \
 	>"$WORK/callers.out" 2>&1 &
 callers=$!
 
@@ -352,12 +378,13 @@
 	between 1 4
 	for _ in $(seq $DRAWN)
 	do
-		inject_planned
-		test -n "$planned$crashing$repeating" || inject_fault
+		test -n "$broken" || inject_planned
+		test -n "$planned$crashing$repeating$broken" || inject_fault
 		test -z "$returns" || inject_return
 		test -z "$limited" || inject_limit
 	done
 	test -z "$paused" || inject_pause
+	test -z "$broken" || inject_broken_streams
 	between 2 9
 	sleep 0.$DRAWN
 	test -z "$crashing$repeating" || find_crashed
