--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -350,6 +350,14 @@
  * @software: version of its software, shortened and printable, for logs
  * @origin: hash of its service and of the version of its software. A stream
  *	goes on only at upstreams of the origin that began it.
+ * @process: hash of @id, @process_start_ms and @origin, which identifies its
+ *	process among all entries
+ * @confirmed_us: when a question was sent to which the process has answered
+ *	that it is the one of the announcement, 0 before
+ * @is_replaced: an answer was that another process is there now
+ * @asked_us: when the question was sent that has no answer yet, 0 for none
+ * @n_silent: questions in a row that got no answer
+ * @ask_after_us: an answer is needed to a question that is sent then or later
  * @slots: requests that it runs at the same time, 0 if unknown
  * @accepting: it accepts requests, and is not draining
  * @withdrawal: what it has said of itself in its responses
@@ -389,6 +397,12 @@
 	ks_address_t address;
 	ks_stage_t stage;
 	int64_t process_start_ms;
+	uint64_t process;
+	int64_t confirmed_us;
+	bool is_replaced;
+	int64_t asked_us;
+	int64_t ask_after_us;
+	unsigned n_silent;
 	unsigned slots;
 	bool accepting;
 	ks_withdrawal_t withdrawal;
@@ -445,6 +459,7 @@
 GPtrArray *ks_fleet_available(const ks_fleet_t *fleet, const char *service,
 			      int64_t notice_us, int64_t now_us);
 void ks_fleet_update_withdrawal(ks_fleet_t *fleet, ks_member_t *member);
+ks_member_t *ks_fleet_find_process(const ks_fleet_t *fleet, uint64_t process);
 void ks_members_keep_origin(GPtrArray *members, uint64_t origin);
 int64_t ks_fleet_return_us(const ks_fleet_t *fleet, const char *service,
 			   uint64_t origin, int64_t now_us);
@@ -662,23 +677,54 @@
 
 /* stream_origins.c */
 
+/**
+ * struct ks_stream_claim - a stream whose origin is not known yet
+ * @stream: hash of the id of the request whose response began it
+ * @process: of the upstream that the entry that began it knew, see struct
+ *	ks_member
+ * @since_us: if that process is there later than this, it began the stream
+ * @is_own: this entry began the stream
+ */
+typedef struct ks_stream_claim {
+	uint64_t stream;
+	uint64_t process;
+	int64_t since_us;
+	bool is_own;
+} ks_stream_claim_t;
+
 /**
  * struct ks_stream_origins - where streams began
  * @recent, @older: origins by the stream, of two generations
- * @began_us: when the recent one began
+ * @claims: ks_stream_claim_t by the stream
+ * @began_us: when the recent generation began
  */
 typedef struct ks_stream_origins {
 	GHashTable *recent;
 	GHashTable *older;
+	GHashTable *claims;
 	int64_t began_us;
 } ks_stream_origins_t;
 
+/*
+ * Sets the origin of the process of a claim, if it is known. Returns false if
+ * it will never be.
+ */
+typedef bool (*ks_settle_func_t)(void *ctx, const ks_stream_claim_t *claim,
+				 uint64_t *origin);
+
 void ks_stream_origins_init(ks_stream_origins_t *origins);
 void ks_stream_origins_deinit(ks_stream_origins_t *origins);
 void ks_stream_origins_record(ks_stream_origins_t *origins, uint64_t stream,
 			      uint64_t origin, int64_t now_us);
 uint64_t ks_stream_origins_find(ks_stream_origins_t *origins, uint64_t stream,
 				int64_t now_us);
+void ks_stream_origins_claim(ks_stream_origins_t *origins,
+			     const ks_stream_claim_t *claim, int64_t now_us);
+const ks_stream_claim_t *
+ks_stream_origins_find_claim(const ks_stream_origins_t *origins,
+			     uint64_t stream);
+void ks_stream_origins_settle(ks_stream_origins_t *origins,
+			      ks_settle_func_t func, void *ctx, int64_t now_us);
 
 /* peers.c */
 
@@ -800,7 +846,7 @@
 void ks_peers_announce_unanswered(ks_peers_t *peers);
 void ks_peers_announce_limit(ks_peers_t *peers, ks_member_t *member);
 void ks_peers_announce_stream(ks_peers_t *peers, uint64_t stream,
-			      uint64_t origin);
+			      uint64_t origin, uint64_t process);
 unsigned ks_peers_ask_stream(ks_peers_t *peers, uint64_t stream,
 			     uint64_t *asked);
 void ks_peers_receive(ks_peers_t *peers, ks_str_t message);
@@ -984,6 +1030,18 @@
 ks_fleet_t *ks_gateway_fleet(ks_gateway_t *gateway);
 ks_peers_t *ks_gateway_peers(ks_gateway_t *gateway);
 ks_quarantine_t *ks_gateway_quarantine(ks_gateway_t *gateway);
+/**
+ * enum ks_process_answer - what an upstream has said of its process
+ * @KS_PROCESS_SILENT: nothing that can be used
+ * @KS_PROCESS_SAME: it is the one of the announcement
+ * @KS_PROCESS_OTHER: it is another one
+ */
+typedef enum ks_process_answer {
+	KS_PROCESS_SILENT,
+	KS_PROCESS_SAME,
+	KS_PROCESS_OTHER,
+} ks_process_answer_t;
+
 /*
  * Has the announcements of upstreams read within a time in microseconds, 0 for
  * at once; ks_gateway_members_read() is then called, possibly before this
@@ -994,6 +1052,18 @@
 void ks_gateway_set_member_reader(ks_gateway_t *gateway,
 				  ks_read_members_func_t func, void *ctx);
 void ks_gateway_members_read(ks_gateway_t *gateway, int64_t asked_us);
+
+/*
+ * Asks the process of an upstream when it started, independently of the
+ * announcements. ks_gateway_process_read() is called with the answer, not
+ * before this returns.
+ */
+typedef void (*ks_read_process_func_t)(void *ctx, ks_member_t *member);
+
+void ks_gateway_set_process_reader(ks_gateway_t *gateway,
+				   ks_read_process_func_t func, void *ctx);
+void ks_gateway_process_read(ks_gateway_t *gateway, ks_member_t *member,
+			     ks_process_answer_t answer);
 void ks_gateway_set_hold_keeper(ks_gateway_t *gateway,
 				const ks_hold_keeper_t *keeper, void *ctx);
 ks_metrics_t *ks_gateway_metrics(ks_gateway_t *gateway);
