tests: wait until a replica of the soak runs before a signal

A replica that is started again is not waited for, so a signal may reach its shell before it executes the program; that this ran the trap is suspected, not shown.

--- a/tests/soak/broken.sh
+++ b/tests/soak/broken.sh
@@ -35,6 +35,12 @@
 	: >"$WORK/$name.log"
 	"$@" >>"$WORK/$name.log" 2>&1 &
 	PID[$name]=$!
+	# A signal before that would run the script's EXIT trap in the child.
+	wait_until "$name runs" runs_or_exited "$name"
+}
+
+runs_or_exited () {
+	has_log "$1" "waits for the store" || has_exited "$1"
 }
 
 # Each gateway reaches the store through a relay of its own.
--- a/tests/soak/soak-replica.c
+++ b/tests/soak/soak-replica.c
@@ -752,6 +752,8 @@
 	if (!watch_signals(replica) ||
 	    (!announces_first && !listen_now(replica)))
 		return false;
+	if (announces_first)
+		fprintf(stderr, "waits for the store\n");
 	if (!replica->is_relayed) {
 		replica->announced = replica->listen;
 		if (replica->is_listening)
