gateway: log which upstreams of a stream's version are left, and why unused

The log had no line that tells whether the decode engines of its version were missing, drained, changed their stage, were away, or were dead and still listed.

A request that no upstream ran and that was prefilled or bound to an origin now logs the number of upstreams of its origin by stage and by reason, and so does a handle for which no engine is chosen after the prefill.

--- a/packages/gateway/src/exchange_dispatch.c
+++ b/packages/gateway/src/exchange_dispatch.c
@@ -283,6 +283,10 @@
 		return;
 	}
 	if (!exchange->handle || !choose_decode(exchange)) {
+		if (exchange->handle)
+			exchange_log_origin(exchange, engine->origin,
+					    "no engine takes the prompt that "
+					    "was prefilled");
 		exchange_free_handle(exchange);
 		exchange_release_prefill(exchange);
 		exchange_dispatch(exchange);
@@ -369,6 +373,71 @@
 			 : "no upstream";
 }
 
+/**
+ * struct origin_state - upstreams of one origin
+ * @prefill, @decode: engines of each stage among @listed
+ * @draining, @changing, @leaving, @away: those that are not used
+ * @silent: those that have lost a request and not responded since
+ * @objected: those that are used only if too few others are left
+ * @usable: those that run requests, and none of the above
+ */
+struct origin_state {
+	unsigned listed, prefill, decode;
+	unsigned draining, changing, leaving, away;
+	unsigned silent, objected, usable;
+};
+
+static void add_state(struct origin_state *state, const ks_member_t *member,
+		      const ks_placement_query_t *query)
+{
+	const ks_withdrawal_t *withdrawal = &member->withdrawal;
+	bool is_away = !ks_withdrawal_permits(withdrawal, query->now_us);
+	bool is_objected = ks_placement_objection(member, query);
+
+	state->listed++;
+	state->prefill += member->stage == KS_STAGE_PREFILL;
+	state->decode += member->stage == KS_STAGE_DECODE;
+	state->draining += !member->accepting;
+	state->changing += member->pending_stage != KS_STAGE_ANY;
+	state->leaving += withdrawal->leaving_us != 0;
+	state->away += is_away;
+	state->silent += member->unanswered_us != 0;
+	state->objected += is_objected;
+	state->usable += member->accepting && !withdrawal->leaving_us &&
+			 !is_away && !member->unanswered_us && !is_objected &&
+			 member->stage != KS_STAGE_PREFILL;
+}
+
+/**
+ * exchange_log_origin() - log which upstreams of a stream's origin are left,
+ * and why they are not used
+ * @origin: 0 for all upstreams of the service
+ */
+void exchange_log_origin(struct exchange *exchange, uint64_t origin,
+			 const char *why)
+{
+	ks_placement_query_t query = gateway_placement_query(
+		exchange->gateway, exchange->route, exchange->service, NULL);
+	GPtrArray *members = ks_fleet_listed(&exchange->gateway->fleet,
+					     exchange->service_name);
+	struct origin_state state = { 0 };
+
+	query.avoid = exchange->avoid;
+	ks_members_keep_origin(members, origin);
+	for (guint i = 0; i < members->len; i++)
+		add_state(&state, members->pdata[i], &query);
+	g_ptr_array_free(members, TRUE);
+	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
+	       "%s request=%s origin=%016" PRIx64
+	       " prefills=%u sends=%u listed=%u prefill=%u decode=%u"
+	       " draining=%u changing=%u leaving=%u away=%u silent=%u"
+	       " objected=%u usable=%u",
+	       why, exchange->id, origin, exchange->prefills, exchange->sends,
+	       state.listed, state.prefill, state.decode, state.draining,
+	       state.changing, state.leaving, state.away, state.silent,
+	       state.objected, state.usable);
+}
+
 /* Tells the caller when an upstream wants requests again. */
 static void refuse_unplaced(struct exchange *exchange)
 {
--- a/packages/gateway/src/exchange_end.c
+++ b/packages/gateway/src/exchange_end.c
@@ -234,6 +234,9 @@
 void exchange_give_up(struct exchange *exchange, double retry_after_s,
 		      const char *why)
 {
+	if (exchange->service && (exchange->origin || exchange->prefills))
+		exchange_log_origin(exchange, exchange->origin,
+				    "no upstream ran the request");
 	if (exchange->started) {
 		if (exchange->caller)
 			ks_http1_abort(exchange->caller);
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -502,6 +502,8 @@
 /* exchange_dispatch.c */
 
 void exchange_dispatch(struct exchange *exchange);
+void exchange_log_origin(struct exchange *exchange, uint64_t origin,
+			 const char *why);
 bool exchange_retry(struct exchange *exchange, bool has_arrived,
 		    const char *why);
 void exchange_record_cached(struct exchange *exchange, ks_member_t *member);
--- a/packages/gateway/tests/gateway_fixture.h
+++ b/packages/gateway/tests/gateway_fixture.h
@@ -9,7 +9,9 @@
 
 #include <string.h>
 
+#ifndef FIXTURE_UPSTREAMS
 #define FIXTURE_UPSTREAMS 3
+#endif
 #define FIXTURE_MAX_STEPS 4000
 #define FIXTURE_STEP_US (2 * KS_USEC_PER_MSEC)
 
