gateway: no prefill whose only decode engines are dead

Unhealthy engines are used if they are the majority, so the last decode engine of a version is placed although it has crashed, as long as its row is listed. Each request was prefilled at another engine of the version, and then failed to connect four times: "prefills=1 sends=4 decode=1 silent=1 usable=0" in the log.

A prompt is now prefilled separately only if a decode engine of the origin is expected to respond. Otherwise a request still tests whether the engine is back, without a prefill. That doesn't end with the ejection: it holds until any response, as the engine may stay listed for long.

The first request after a crash can't know of it.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -468,6 +468,7 @@
 void ks_member_record_response(ks_member_t *member, int64_t now_us);
 bool ks_member_is_unanswered(const ks_member_t *member, int64_t now_us);
 bool ks_member_is_unreachable(const ks_member_t *member, int64_t now_us);
+bool ks_member_is_silent(const ks_member_t *member, int64_t now_us);
 GPtrArray *ks_fleet_unanswered(const ks_fleet_t *fleet, int64_t now_us);
 
 /* budget.c */
--- a/packages/gateway/src/exchange_dispatch.c
+++ b/packages/gateway/src/exchange_dispatch.c
@@ -377,7 +377,7 @@
  * struct origin_state - upstreams of one origin
  * @prefill, @decode: engines of each stage among @listed
  * @draining, @changing, @leaving, @away: those that are not used
- * @silent: those that have lost a request and not responded since
+ * @silent: see ks_member_is_silent()
  * @objected: those that are used only if too few others are left
  * @usable: those that run requests, and none of the above
  */
@@ -392,6 +392,7 @@
 {
 	const ks_withdrawal_t *withdrawal = &member->withdrawal;
 	bool is_away = !ks_withdrawal_permits(withdrawal, query->now_us);
+	bool is_silent = ks_member_is_silent(member, query->now_us);
 	bool is_objected = ks_placement_objection(member, query);
 
 	state->listed++;
@@ -401,10 +402,10 @@
 	state->changing += member->pending_stage != KS_STAGE_ANY;
 	state->leaving += withdrawal->leaving_us != 0;
 	state->away += is_away;
-	state->silent += member->unanswered_us != 0;
+	state->silent += is_silent;
 	state->objected += is_objected;
 	state->usable += member->accepting && !withdrawal->leaving_us &&
-			 !is_away && !member->unanswered_us && !is_objected &&
+			 !is_away && !is_silent && !is_objected &&
 			 member->stage != KS_STAGE_PREFILL;
 }
 
--- a/packages/gateway/src/placement.c
+++ b/packages/gateway/src/placement.c
@@ -501,6 +501,15 @@
 	return selected;
 }
 
+/* Whether an upstream is expected to respond. */
+static bool may_respond(const GPtrArray *members, int64_t now_us)
+{
+	for (guint i = 0; i < members->len; i++)
+		if (!ks_member_is_silent(members->pdata[i], now_us))
+			return true;
+	return false;
+}
+
 /* Chooses the engines of one origin; @cost is INT64_MAX if some are missing. */
 static struct separation separate_within(const GPtrArray *all_decode,
 					 const GPtrArray *all_prefill,
@@ -512,7 +521,8 @@
 	struct separation best = { .cost = INT64_MAX };
 	int64_t cost;
 
-	if (decode->len)
+	/* A prefill would be lost if no decode engine responds. */
+	if (may_respond(decode, query->now_us))
 		best.prefill = choose_prefill(prefill, sources, query);
 	if (best.prefill.member) {
 		best.decode = least_cost_decode(decode, best.prefill.member,
--- a/packages/gateway/src/reachability.c
+++ b/packages/gateway/src/reachability.c
@@ -65,6 +65,20 @@
 		now_us - member->response_us > RECENT_RESPONSE_US);
 }
 
+/**
+ * ks_member_is_silent() - whether requests got no response in a row, and none
+ * has since
+ *
+ * Unlike an ejection, this does not end with time: an upstream that has crashed
+ * may be listed for long.
+ */
+bool ks_member_is_silent(const ks_member_t *member, int64_t now_us)
+{
+	return (member->unanswered_us &&
+		ks_ejection_is_failing(&member->health)) ||
+	       ks_member_is_unreachable(member, now_us);
+}
+
 /**
  * ks_fleet_unanswered() - get the upstreams that the other entries are to be
  * told of
--- a/packages/request/include/ks/request.h
+++ b/packages/request/include/ks/request.h
@@ -364,6 +364,7 @@
 void ks_ejection_failure(ks_ejection_t *ejection, int64_t now_us,
 			 ks_rng_t *rng);
 bool ks_ejection_is_active(const ks_ejection_t *ejection, int64_t now_us);
+bool ks_ejection_is_failing(const ks_ejection_t *ejection);
 void ks_ejection_dispatch(ks_ejection_t *ejection, int64_t now_us);
 size_t ks_ejection_cap(const ks_ejection_t *const *group, size_t count,
 		       int64_t now_us, bool *ejected);
--- a/packages/request/src/ejection.c
+++ b/packages/request/src/ejection.c
@@ -67,6 +67,15 @@
 	return now_us < ejection->until_us;
 }
 
+/**
+ * ks_ejection_is_failing() - whether the upstream has been ejected, and has
+ * answered no attempt since
+ */
+bool ks_ejection_is_failing(const ks_ejection_t *ejection)
+{
+	return ejection->failures >= FAILURES_BEFORE_EJECTION;
+}
+
 /**
  * ks_ejection_dispatch() - record that an attempt is sent to the upstream
  *
@@ -76,7 +85,7 @@
  */
 void ks_ejection_dispatch(ks_ejection_t *ejection, int64_t now_us)
 {
-	if (ejection->failures < FAILURES_BEFORE_EJECTION ||
+	if (!ks_ejection_is_failing(ejection) ||
 	    ks_ejection_is_active(ejection, now_us))
 		return;
 	ejection->probing = true;
