--- a/packages/gateway/tests/test-dwindling-version.c
+++ b/packages/gateway/tests/test-dwindling-version.c
@@ -62,6 +62,7 @@
 /**
  * struct cluster - an entry, its stage controller and the engines
  * @prefills: prompts prefilled for the current call
+ * @releases: prefilled prompts that no engine was to take
  * @calls: number of calls so far
  * @name: of the current play, for messages
  */
@@ -75,6 +76,7 @@
 	struct engine engines[FIXTURE_UPSTREAMS];
 	unsigned n_old;
 	unsigned prefills;
+	unsigned releases;
 	unsigned calls;
 	char id[16];
 	char name[32];
@@ -86,6 +88,7 @@
 	unsigned went_on;
 	unsigned refused_while_served;
 	unsigned prefilled_in_vain;
+	unsigned discarded;
 	unsigned stuck;
 };
 
@@ -252,6 +255,7 @@
 		ks_header_find(request->headers, request->n_headers, "x-stage");
 
 	if (ks_str_equal(request->method, KS_STR("DELETE"))) {
+		c->releases++;
 		respond(c, upstream, 200, "");
 	} else if (engine->next || !is_in_notice(c, engine)) {
 		respond(c, upstream, 503, "");
@@ -313,6 +317,7 @@
 	bool went_on;
 
 	c->prefills = 0;
+	c->releases = 0;
 	g_snprintf(c->id, sizeof(c->id), "r%u", c->calls);
 	c->v.id = c->id;
 	fixture_call_as(&c->v.f, &caller, c->id, "POST", "/continue/", "prompt",
@@ -347,8 +352,13 @@
 {
 	bool served = can_run(c), is_misled_now = is_misled(c);
 
-	if (resume(c, results))
+	if (resume(c, results)) {
+		results->discarded += c->releases;
+		if (c->releases)
+			g_test_message("%s %s: a prefilled prompt discarded",
+				       c->name, when);
 		return;
+	}
 	if (served) {
 		results->refused_while_served++;
 		g_test_message("%s %s: refused while an engine decodes",
@@ -446,13 +456,15 @@
 static void check(const struct results *results)
 {
 	g_test_message("resumed=%u went_on=%u refused_while_served=%u "
-		       "prefilled_in_vain=%u stuck=%u",
+		       "prefilled_in_vain=%u discarded=%u stuck=%u",
 		       results->resumed, results->went_on,
 		       results->refused_while_served,
-		       results->prefilled_in_vain, results->stuck);
+		       results->prefilled_in_vain, results->discarded,
+		       results->stuck);
 	g_assert_cmpuint(results->went_on, >, 0);
 	g_assert_cmpuint(results->refused_while_served, ==, 0);
 	g_assert_cmpuint(results->prefilled_in_vain, ==, 0);
+	g_assert_cmpuint(results->discarded, ==, 0);
 	g_assert_cmpuint(results->stuck, ==, 0);
 }
 
