gateway: no prefill before a decode engine that lost a request responds

A resumed stream was still prefilled in vain if its version's only decode engine had lost one or two requests and none of the version had responded since: placement counted an engine as silent after three failures only.

An origin whose decode engines have all lost a request since their last response now gets requests without a separate prefill, until any of them responds.

--- a/packages/gateway/src/placement.c
+++ b/packages/gateway/src/placement.c
@@ -504,9 +504,13 @@
 /* Whether an upstream is expected to respond. */
 static bool may_respond(const GPtrArray *members, int64_t now_us)
 {
-	for (guint i = 0; i < members->len; i++)
-		if (!ks_member_is_silent(members->pdata[i], now_us))
+	for (guint i = 0; i < members->len; i++) {
+		const ks_member_t *member = members->pdata[i];
+
+		if (!member->unanswered_us &&
+		    !ks_member_is_silent(member, now_us))
 			return true;
+	}
 	return false;
 }
 
