gateway: a version gets a decode engine while dead ones are still listed

Callers could not resume streams of a version for as long as its decode engines were listed, though dead or leaving: the engines left went on to prefill. The same held for a version whose change waited for others, for a version whose least busy engine took no orders ("no answer" keeps an engine from orders for 15 s, so the others were not asked), and for the last engine of a service.

The balance counted all engines that accept requests. Now an origin without a decode engine that goes on serving comes before all other changes, neither the limit on concurrent changes nor the delay of a reversal applies to it, and the engine is chosen among those that can be sent an order.

--- a/packages/gateway/src/stages.c
+++ b/packages/gateway/src/stages.c
@@ -74,6 +74,20 @@
 	return ks_stated_limit_is_in_force(&member->withdrawal.limit, now_us);
 }
 
+/* Whether an engine goes on serving, so that its stage matters. */
+static bool is_staying(const ks_member_t *member, int64_t now_us)
+{
+	return !member->withdrawal.leaving_us &&
+	       !ks_member_is_silent(member, now_us);
+}
+
+/* Whether an engine can be sent an order now. */
+static bool takes_orders(const ks_member_t *member, int64_t now_us)
+{
+	return is_staying(member, now_us) && member->next_order_us <= now_us &&
+	       !ks_withdrawal_is_away(&member->withdrawal, now_us);
+}
+
 /*
  * Returns the engine of a stage with the least load, so that few requests are
  * affected by the change.
@@ -87,7 +101,8 @@
 		ks_member_t *member = members->pdata[i];
 
 		if (member->stage != stage || member->pending_stage ||
-		    member->origin != origin || is_limited(member, now_us))
+		    member->origin != origin || is_limited(member, now_us) ||
+		    !takes_orders(member, now_us))
 			continue;
 		if (!best || total_running(member) + member->prefill_tokens <
 				     total_running(best) + best->prefill_tokens)
@@ -172,11 +187,13 @@
  * struct stage_count - engines of one origin
  * @n: number of engines
  * @prefill: how many of them prefill or are changing to it
+ * @decode: how many of the others go on serving
  */
 struct stage_count {
 	uint64_t origin;
 	guint n;
 	guint prefill;
+	guint decode;
 };
 
 static struct stage_count *find_count(GArray *counts, uint64_t origin)
@@ -206,6 +223,7 @@
 					     ? member->pending_stage
 					     : member->stage;
 		bool prefills = becomes == KS_STAGE_PREFILL;
+		bool decodes = !prefills && is_staying(member, now_us);
 		struct stage_count *count;
 
 		if (member->stage == KS_STAGE_ANY || is_limited(member, now_us))
@@ -213,6 +231,7 @@
 		count = find_count(counts, member->origin);
 		count->n++;
 		count->prefill += prefills;
+		count->decode += decodes;
 		total->n++;
 		total->prefill += prefills;
 		*changing += member->pending_stage != KS_STAGE_ANY;
@@ -229,6 +248,28 @@
 	return target - count->prefill;
 }
 
+/*
+ * Returns an engine of an origin whose engines all prefill. Its streams can't
+ * go on until that one decodes, so this does not wait for other changes.
+ */
+static ks_member_t *missing_decode(const GPtrArray *members,
+				   const GArray *counts, int64_t now_us)
+{
+	for (guint i = 0; i < counts->len; i++) {
+		const struct stage_count *count =
+			&g_array_index(counts, struct stage_count, i);
+		ks_member_t *member;
+
+		if (count->decode)
+			continue;
+		member = least_busy(members, count->origin, KS_STAGE_PREFILL,
+				    now_us);
+		if (member)
+			return member;
+	}
+	return NULL;
+}
+
 /**
  * ks_stage_balance_next() - choose the next engine to change
  * @members: engines of one service that accept requests
@@ -247,10 +288,12 @@
 	struct stage_count total = { 0 };
 	guint changing = 0;
 	GArray *counts = count_stages(members, now_us, &total, &changing);
-	ks_member_t *next = NULL;
+	ks_member_t *next = missing_decode(members, counts, now_us);
 	double share = 0, most = TARGET_TOLERANCE;
 
-	if (total.n >= 2 && changing < MAX(1, MAX_CHANGING_SHARE * total.n))
+	*stage = KS_STAGE_DECODE;
+	if (!next && total.n >= 2 &&
+	    changing < MAX(1, MAX_CHANGING_SHARE * total.n))
 		share = CLAMP(prefill_target(balance, total.n, total.prefill),
 			      1, total.n - 1) /
 			total.n;
@@ -260,11 +303,10 @@
 		double missing = missing_prefill(count, share);
 		ks_stage_t becomes =
 			missing > 0 ? KS_STAGE_PREFILL : KS_STAGE_DECODE;
-		bool is_urgent = count->prefill == count->n;
 		ks_member_t *member;
 
 		if (fabs(missing) <= most ||
-		    !(is_urgent || may_change(balance, becomes, now_us)))
+		    !may_change(balance, becomes, now_us))
 			continue;
 		member = least_busy(members, count->origin,
 				    missing > 0 ? KS_STAGE_DECODE
--- a/packages/gateway/tests/test-stages.c
+++ b/packages/gateway/tests/test-stages.c
@@ -420,6 +420,82 @@
 	ks_fleet_deinit(&fleet);
 }
 
+static ks_member_t *find(const ks_fleet_t *fleet, const char *id)
+{
+	return ks_fleet_find(fleet, ks_str_from(id));
+}
+
+/* Guards against a service whose last engine prefills for good. */
+static void test_last_engine_decodes(void)
+{
+	ks_stage_balance_t stages = follow_demand();
+	ks_fleet_t fleet;
+
+	ks_fleet_init(&fleet);
+	put_engines(&fleet, 1, 0);
+	g_assert_cmpint(change_stages(&stages, &fleet, SECOND, true), ==, 1);
+	g_assert_cmpint(count_prefill(&fleet), ==, 0);
+	ks_fleet_deinit(&fleet);
+}
+
+static void lose_requests(ks_member_t *member, int n, int64_t now)
+{
+	ks_rng_t rng;
+
+	ks_rng_init(&rng, 1);
+	for (int i = 0; i < n; i++)
+		ks_ejection_failure(&member->health, now, &rng);
+	ks_member_record_unanswered(member, now);
+	ks_rng_deinit(&rng);
+}
+
+/*
+ * Guards against a version whose decode engines have crashed or leave, and
+ * whose others go on to prefill as long as these are listed.
+ */
+static void test_listed_engines_that_end(void)
+{
+	for (int i = 0; i < 2; i++) {
+		ks_stage_balance_t stages = { .prefill_share = 0.5 };
+		ks_fleet_t fleet;
+
+		ks_fleet_init(&fleet);
+		put_version(&fleet, "v1", 2, 1);
+		put_version(&fleet, "v2", 2, 2);
+		if (i)
+			lose_requests(find(&fleet, "v1-2"), 3, SECOND);
+		else
+			ks_withdrawal_leave(&find(&fleet, "v1-2")->withdrawal,
+					    SECOND);
+		/* The ejection is over, the engine has not responded. */
+		change_stages(&stages, &fleet, 10 * SECOND, true);
+		g_assert_cmpint(count_version(&fleet, "v1", KS_STAGE_DECODE),
+				==, 2);
+		ks_fleet_deinit(&fleet);
+	}
+}
+
+/*
+ * Guards against a version that waits for other changes, or for an engine to
+ * which no order may be sent yet.
+ */
+static void test_version_without_decode_waits_for_none(void)
+{
+	ks_stage_balance_t stages = { .prefill_share = 0.5 };
+	ks_fleet_t fleet;
+
+	ks_fleet_init(&fleet);
+	put_version(&fleet, "v2", 0, 4);
+	g_assert_cmpint(change_stages(&stages, &fleet, SECOND, false), ==, 1);
+	put_version(&fleet, "v1", 2, 0);
+	find(&fleet, "v1-0")->next_order_us = 16 * SECOND;
+	g_assert_cmpint(change_stages(&stages, &fleet, 2 * SECOND, false), ==,
+			1);
+	g_assert_cmpint(find(&fleet, "v1-1")->pending_stage, ==,
+			KS_STAGE_DECODE);
+	ks_fleet_deinit(&fleet);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -442,5 +518,10 @@
 			test_each_version_has_both_stages);
 	g_test_add_func("/stages/version-without-decode",
 			test_version_without_decode_is_urgent);
+	g_test_add_func("/stages/last-engine", test_last_engine_decodes);
+	g_test_add_func("/stages/listed-engines-that-end",
+			test_listed_engines_that_end);
+	g_test_add_func("/stages/waits-for-none",
+			test_version_without_decode_waits_for_none);
 	return g_test_run();
 }
