gateway: the only decode engine that responds keeps its stage

A version was left without a decode engine after a crash: the dead engine was still listed and counted, so the balance ordered the live one to prefill.

An engine of a version is taken from decode only if another one decodes that has not lost a request since its last response.

--- a/packages/gateway/src/stages.c
+++ b/packages/gateway/src/stages.c
@@ -188,12 +188,14 @@
  * @n: number of engines
  * @prefill: how many of them prefill or are changing to it
  * @decode: how many of the others go on serving
+ * @proven: how many of these have not lost a request since their last response
  */
 struct stage_count {
 	uint64_t origin;
 	guint n;
 	guint prefill;
 	guint decode;
+	guint proven;
 };
 
 static struct stage_count *find_count(GArray *counts, uint64_t origin)
@@ -232,6 +234,7 @@
 		count->n++;
 		count->prefill += prefills;
 		count->decode += decodes;
+		count->proven += decodes && !member->unanswered_us;
 		total->n++;
 		total->prefill += prefills;
 		*changing += member->pending_stage != KS_STAGE_ANY;
@@ -305,6 +308,9 @@
 			missing > 0 ? KS_STAGE_PREFILL : KS_STAGE_DECODE;
 		ks_member_t *member;
 
+		/* The only decode engine that is sure to serve is kept. */
+		if (missing > 0 && count->proven < 2)
+			continue;
 		if (fabs(missing) <= most ||
 		    !may_change(balance, becomes, now_us))
 			continue;
--- a/packages/gateway/tests/test-stages.c
+++ b/packages/gateway/tests/test-stages.c
@@ -475,6 +475,22 @@
 	}
 }
 
+/* Guards against an order to the only decode engine that responds. */
+static void test_last_sound_engine_stays(void)
+{
+	ks_stage_balance_t stages = { .prefill_share = 0.5 };
+	ks_fleet_t fleet;
+
+	ks_fleet_init(&fleet);
+	put_version(&fleet, "v1", 0, 2);
+	put_version(&fleet, "v2", 2, 2);
+	lose_requests(find(&fleet, "v1-0"), 1, SECOND);
+	find(&fleet, "v1-0")->running = 5;
+	change_stages(&stages, &fleet, 2 * SECOND, true);
+	g_assert_cmpint(find(&fleet, "v1-1")->stage, ==, KS_STAGE_DECODE);
+	ks_fleet_deinit(&fleet);
+}
+
 /*
  * Guards against a version that waits for other changes, or for an engine to
  * which no order may be sent yet.
@@ -521,6 +537,8 @@
 	g_test_add_func("/stages/last-engine", test_last_engine_decodes);
 	g_test_add_func("/stages/listed-engines-that-end",
 			test_listed_engines_that_end);
+	g_test_add_func("/stages/last-sound-engine",
+			test_last_sound_engine_stays);
 	g_test_add_func("/stages/waits-for-none",
 			test_version_without_decode_waits_for_none);
 	return g_test_run();
