--- a/packages/gateway/src/exchange_dispatch.c
+++ b/packages/gateway/src/exchange_dispatch.c
@@ -205,19 +205,54 @@
 	ks_peers_schedule_update(&exchange->gateway->peers);
 }
 
+/**
+ * struct round - which upstreams are considered besides the ordinary ones
+ * @leaving: those that leave, within their notice
+ * @failed: those that have failed this request
+ */
+static const struct round {
+	bool leaving;
+	bool failed;
+} rounds[] = {
+	{ false, false },
+	{ true, false },
+	{ false, true },
+	{ true, true },
+};
+
+static void enter_round(const ks_gateway_t *gateway, size_t i,
+			const ks_placement_query_t *query,
+			ks_placement_query_t *round_query, int64_t *notice_us)
+{
+	*notice_us =
+		rounds[i].leaving ? gateway->settings.leaving_notice_us : 0;
+	round_query->avoid = rounds[i].failed ? NULL : query->avoid;
+}
+
 /*
  * Chooses the engine that runs the request once its prompt is prefilled: during
- * the prefill, the load of the engines changes.
+ * the prefill, the load of the engines changes. A request that is not bound to
+ * an origin is better placed again than on an engine of last resort.
  */
 static bool choose_decode(struct exchange *exchange)
 {
+	ks_gateway_t *gateway = exchange->gateway;
 	ks_placement_query_t query = placement_query(exchange);
-	GPtrArray *members = available_members(&exchange->gateway->fleet,
-					       exchange->origin, 0, &query);
-	ks_member_t *member = ks_placement_choose_decode(
-		members, exchange->prefill_member, &query);
+	ks_placement_query_t round_query = query;
+	size_t n = exchange->origin ? G_N_ELEMENTS(rounds) : 1;
+	ks_member_t *member = NULL;
+	int64_t notice_us;
 
-	g_ptr_array_free(members, TRUE);
+	for (size_t i = 0; i < n && !member; i++) {
+		GPtrArray *members;
+
+		enter_round(gateway, i, &query, &round_query, &notice_us);
+		members = available_members(&gateway->fleet, exchange->origin,
+					    notice_us, &query);
+		member = ks_placement_choose_decode(
+			members, exchange->prefill_member, &round_query);
+		g_ptr_array_free(members, TRUE);
+	}
 	if (member)
 		set_member(exchange, member, 0);
 	return member != NULL;
@@ -283,6 +318,10 @@
 		return;
 	}
 	if (!exchange->handle || !choose_decode(exchange)) {
+		if (exchange->handle)
+			exchange_log_origin(exchange, engine->origin,
+					    "no engine takes the prompt that "
+					    "was prefilled");
 		exchange_free_handle(exchange);
 		exchange_release_prefill(exchange);
 		exchange_dispatch(exchange);
@@ -325,13 +364,6 @@
 	GPtrArray *members = available_members(fleet, origin, notice_us, query);
 	ks_placement_t placement = ks_placement_choose(members, query);
 
-	/* An upstream that has failed this request is better than none. */
-	if (!placement.run && query->avoid && query->avoid->len) {
-		ks_placement_query_t any = *query;
-
-		any.avoid = NULL;
-		placement = ks_placement_choose(members, &any);
-	}
 	g_ptr_array_free(members, TRUE);
 	return placement;
 }
@@ -349,14 +381,15 @@
 			     uint64_t origin, const ks_placement_query_t *query,
 			     int64_t *notice_us)
 {
-	ks_placement_t placement;
+	ks_placement_t placement = { 0 };
+	ks_placement_query_t round_query = *query;
 
-	*notice_us = 0;
-	placement = place_within(fleet, origin, *notice_us, query);
-	if (placement.run)
-		return placement;
-	*notice_us = gateway->settings.leaving_notice_us;
-	return place_within(fleet, origin, *notice_us, query);
+	for (size_t i = 0; i < G_N_ELEMENTS(rounds) && !placement.run; i++) {
+		enter_round(gateway, i, query, &round_query, notice_us);
+		placement =
+			place_within(fleet, origin, *notice_us, &round_query);
+	}
+	return placement;
 }
 
 /**
@@ -369,6 +402,72 @@
 			 : "no upstream";
 }
 
+/**
+ * struct origin_state - upstreams of one origin
+ * @prefill, @decode: engines of each stage among @listed
+ * @draining, @changing, @leaving, @away: those that are not used
+ * @silent: see ks_member_is_silent()
+ * @objected: those that are used only if too few others are left
+ * @usable: those that run requests, and none of the above
+ */
+struct origin_state {
+	unsigned listed, prefill, decode;
+	unsigned draining, changing, leaving, away;
+	unsigned silent, objected, usable;
+};
+
+static void add_state(struct origin_state *state, const ks_member_t *member,
+		      const ks_placement_query_t *query)
+{
+	const ks_withdrawal_t *withdrawal = &member->withdrawal;
+	bool is_away = !ks_withdrawal_permits(withdrawal, query->now_us);
+	bool is_silent = ks_member_is_silent(member, query->now_us);
+	bool is_objected = ks_placement_objection(member, query);
+
+	state->listed++;
+	state->prefill += member->stage == KS_STAGE_PREFILL;
+	state->decode += member->stage == KS_STAGE_DECODE;
+	state->draining += !member->accepting;
+	state->changing += member->pending_stage != KS_STAGE_ANY;
+	state->leaving += withdrawal->leaving_us != 0;
+	state->away += is_away;
+	state->silent += is_silent;
+	state->objected += is_objected;
+	state->usable += member->accepting && !withdrawal->leaving_us &&
+			 !is_away && !is_silent && !is_objected &&
+			 member->stage != KS_STAGE_PREFILL;
+}
+
+/**
+ * exchange_log_origin() - log which upstreams of a stream's origin are left,
+ * and why they are not used
+ * @origin: 0 for all upstreams of the service
+ */
+void exchange_log_origin(struct exchange *exchange, uint64_t origin,
+			 const char *why)
+{
+	ks_placement_query_t query = gateway_placement_query(
+		exchange->gateway, exchange->route, exchange->service, NULL);
+	GPtrArray *members = ks_fleet_listed(&exchange->gateway->fleet,
+					     exchange->service_name);
+	struct origin_state state = { 0 };
+
+	query.avoid = exchange->avoid;
+	ks_members_keep_origin(members, origin);
+	for (guint i = 0; i < members->len; i++)
+		add_state(&state, members->pdata[i], &query);
+	g_ptr_array_free(members, TRUE);
+	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
+	       "%s request=%s origin=%016" PRIx64
+	       " prefills=%u sends=%u listed=%u prefill=%u decode=%u"
+	       " draining=%u changing=%u leaving=%u away=%u silent=%u"
+	       " objected=%u usable=%u",
+	       why, exchange->id, origin, exchange->prefills, exchange->sends,
+	       state.listed, state.prefill, state.decode, state.draining,
+	       state.changing, state.leaving, state.away, state.silent,
+	       state.objected, state.usable);
+}
+
 /* Tells the caller when an upstream wants requests again. */
 static void refuse_unplaced(struct exchange *exchange)
 {
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -524,6 +524,8 @@
 /* exchange_dispatch.c */
 
 void exchange_dispatch(struct exchange *exchange);
+void exchange_log_origin(struct exchange *exchange, uint64_t origin,
+			 const char *why);
 bool exchange_retry(struct exchange *exchange, bool has_arrived,
 		    const char *why);
 void exchange_record_cached(struct exchange *exchange, ks_member_t *member);
