connection: a response with two ids belongs to no request

Callers saw a request that may run once run at a second upstream, or were told "not run" for one that ran, after an upstream had written an earlier refusal once more on a kept connection and the response named two requests: the one that waited in its first id field, an earlier one in its second.

The HTTP client compared the first field only. The faulty refusal was taken for the response to the request that waited, and the request was sent again.

Test: /repeated-refusal/drawn-cases plays 600 drawn cases in virtual time: the refusal comes again while the connection is idle, just before it is used again, in the middle of the next request, after it, after an interim response, inside and after the response; with the earlier id, none, an empty one, another case, white space, a list, two fields; with and without a length, in two reads, twice.

A response whose id fields differ now counts as one without an id: it is skipped on a connection that has served a call, and otherwise ends the call with an unknown outcome. Two equal fields name one request, as before.

--- a/packages/connection/include/ks/http.h
+++ b/packages/connection/include/ks/http.h
@@ -83,9 +83,10 @@
  * @response_id_header: name, in lower case, of the response header in which the
  *	peer echoes an id; empty if it echoes none. A response with another id
  *	belongs to an earlier request on the connection and is skipped, and so
- *	is one without an id, which can belong to any of them. If no other
- *	response can follow, or there was no earlier request, the call ends with
- *	KS_HTTP_INCOMPLETE, but for @response_id_optional.
+ *	is one without an id, or with several that differ, which can belong to
+ *	any of them. If no other response can follow, or there was no earlier
+ *	request, the call ends with KS_HTTP_INCOMPLETE, but for
+ *	@response_id_optional.
  * @response_id: value expected in that header. It must not have been that of an
  *	earlier request on the connection.
  * @response_id_optional: the peer may echo no id. A response without one is
--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -170,7 +170,7 @@
  * enum response_owner - which request a response belongs to
  * @OWNER_CALL: the response has the id that the call expects, or the call
  *	expects none
- * @OWNER_UNNAMED: it has no id
+ * @OWNER_UNNAMED: it has no id, or several that differ
  * @OWNER_OTHER: it has the id of another request
  */
 enum response_owner {
@@ -179,6 +179,19 @@
 	OWNER_OTHER,
 };
 
+/* Whether a response names more than one request. */
+static bool is_ambiguous(const ks_header_t *headers, size_t n, const char *name,
+			 ks_str_t id)
+{
+	ks_str_t wanted = ks_str_from(name);
+
+	for (size_t i = 0; i < n; i++)
+		if (ks_str_equal_nocase(headers[i].name, wanted) &&
+		    !ks_str_equal(headers[i].value, id))
+			return true;
+	return false;
+}
+
 static enum response_owner owner_of(const struct ks_http_conn *conn,
 				    const ks_header_t *headers, size_t n)
 {
@@ -188,7 +201,8 @@
 	if (!call || !call->response_id->len)
 		return OWNER_CALL;
 	echo = ks_header_find(headers, n, call->response_id_header.data);
-	if (!echo)
+	if (!echo || is_ambiguous(headers, n, call->response_id_header.data,
+				  echo->value))
 		return OWNER_UNNAMED;
 	return ks_str_equal(echo->value, (ks_str_t){ call->response_id->str,
 						     call->response_id->len })
