connection: what arrives before a request is sent is no response to it

A call without an id was decided by an earlier response that was written once more: an order, a call to the store or a release of a KV cache handle could count as refused that was carried out. A request was lost, with an unknown outcome, on a connection that the peer had closed before it was sent.

An idle connection is closed at input that the loop has seen. What arrives between the last poll and the reuse, or while a call waits for the permission to send, was read after the request had been written, and so taken for the response unless an id told otherwise.

Test: /unasked-response, all four cases failed before: a refusal, or a close, as an idle connection is taken, and while a call waits on a new and on a kept one. In the cases with a refusal the call ended with 503, in the others as incomplete.

A connection is now polled before a request is written. If anything has arrived or the peer has closed it, a kept connection is replaced, and a call on a new one ends as not sent, which is true. The cost is one poll() of one descriptor for each call, and a new connection where one was unusable anyway.

--- a/packages/connection/include/ks/http.h
+++ b/packages/connection/include/ks/http.h
@@ -129,7 +129,9 @@
 
 /**
  * enum ks_http_permit - whether a request is sent on its connection
- * @KS_HTTP_SEND: at once
+ * @KS_HTTP_SEND: at once. If something has arrived on the connection, or the
+ *	peer has closed it, the request is not sent there, but on a new one if
+ *	the connection had been idle.
  * @KS_HTTP_WITHHOLD: not at all; the call ends with KS_HTTP_NOT_SENT
  * @KS_HTTP_WAIT: asked for again by ks_http_call_permit()
  */
--- a/packages/connection/src/http_client.c
+++ b/packages/connection/src/http_client.c
@@ -144,11 +144,6 @@
 	http_conn_send(call->conn, call);
 }
 
-void http_call_connected(ks_http_call_t *call)
-{
-	send_request(call);
-}
-
 static void connect_new(ks_http_call_t *call)
 {
 	call->reused = false;
@@ -161,6 +156,31 @@
 	call->conn->call = call;
 }
 
+/*
+ * Sends the request unless something has arrived on the connection, or the peer
+ * has closed it. Input from before the request was sent is no response to it.
+ */
+static void send_if_silent(ks_http_call_t *call)
+{
+	if (http_conn_is_silent(call->conn)) {
+		send_request(call);
+		return;
+	}
+	http_conn_close(call->conn);
+	call->conn = NULL;
+	call->is_waiting = false;
+	if (call->reused)
+		connect_new(call);
+	else
+		finish_call(call,
+			    call->sent ? KS_HTTP_INCOMPLETE : KS_HTTP_NOT_SENT);
+}
+
+void http_call_connected(ks_http_call_t *call)
+{
+	send_if_silent(call);
+}
+
 /* The connection failed before the response was complete. */
 void http_call_failed(ks_http_call_t *call)
 {
@@ -292,7 +312,7 @@
 void ks_http_call_permit(ks_http_call_t *call)
 {
 	if (call->active && call->is_waiting)
-		send_request(call);
+		send_if_silent(call);
 }
 
 /**
--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -6,6 +6,7 @@
 #include "http_conn.h"
 
 #include <netinet/in.h>
+#include <poll.h>
 
 #define MAX_HEAD_BYTES (256 * 1024)
 
@@ -510,25 +511,45 @@
 	return conn;
 }
 
+/**
+ * http_conn_is_silent() - whether a connection that is not being read has
+ * neither input nor been closed by the peer
+ */
+bool http_conn_is_silent(const struct ks_http_conn *conn)
+{
+	struct pollfd state = { .fd = h2o_socket_get_fd(conn->sock),
+				.events = POLLIN };
+
+	return !conn->sock->input->size && poll(&state, 1, 0) == 0;
+}
+
 /**
  * http_conn_take_idle() - take the most recently used idle connection
  *
+ * Closes those on which something arrived that the loop has not seen yet.
+ *
  * Return: NULL if there is none.
  */
 struct ks_http_conn *http_conn_take_idle(ks_http_client_t *client,
 					 const ks_address_t *address)
 {
 	struct ks_http_peer *peer = find_peer(client, address);
-	struct ks_http_conn *conn;
 
-	if (ks_list_is_empty(&peer->idle))
-		return NULL;
-	conn = KS_CONTAINER_OF(peer->idle.next, struct ks_http_conn, node);
-	ks_list_remove(&conn->node);
-	ks_list_append(&client->conns, &conn->node);
-	ks_timer_clear(&conn->timer);
-	h2o_socket_read_stop(conn->sock);
-	return conn;
+	while (!ks_list_is_empty(&peer->idle)) {
+		struct ks_http_conn *conn = KS_CONTAINER_OF(
+			peer->idle.next, struct ks_http_conn, node);
+
+		h2o_socket_read_stop(conn->sock);
+		if (!http_conn_is_silent(conn)) {
+			free_conn(conn);
+			continue;
+		}
+		ks_list_remove(&conn->node);
+		ks_list_append(&client->conns, &conn->node);
+		ks_timer_clear(&conn->timer);
+		return conn;
+	}
+	return NULL;
 }
 
 /**
--- a/packages/connection/src/http_conn.h
+++ b/packages/connection/src/http_conn.h
@@ -54,6 +54,7 @@
 
 struct ks_http_conn *http_conn_take_idle(ks_http_client_t *client,
 					 const ks_address_t *address);
+bool http_conn_is_silent(const struct ks_http_conn *conn);
 struct ks_http_conn *http_conn_open(ks_http_client_t *client,
 				    const ks_address_t *address);
 void http_conn_send(struct ks_http_conn *conn, ks_http_call_t *call);
