connection: white space around a field's value is no part of it

A caller waited until its deadline, and got 504, when an upstream wrote the id of its response with white space after it, also for a refusal: http_parser leaves trailing spaces and tabs in the value, so that the id seemed to be the one of another request and the response was skipped.

Test: /repeated-refusal/white-space; before, the refused request was not sent to the other upstream.

--- a/packages/connection/src/http_message.c
+++ b/packages/connection/src/http_message.c
@@ -90,6 +90,19 @@
 	return fields->text->len + fields->trailer_bytes;
 }
 
+/* The value of a field excludes white space around it (RFC 9110, 5.5). */
+static ks_str_t trim(ks_str_t value)
+{
+	while (value.len && (*value.data == ' ' || *value.data == '\t')) {
+		value.data++;
+		value.len--;
+	}
+	while (value.len && (value.data[value.len - 1] == ' ' ||
+			     value.data[value.len - 1] == '\t'))
+		value.len--;
+	return value;
+}
+
 /**
  * http_fields_list() - list the fields at the end of the head
  *
@@ -111,7 +124,7 @@
 
 		list[i].name = (ks_str_t){ text + span->name, span->name_len };
 		list[i].value =
-			(ks_str_t){ text + span->value, span->value_len };
+			trim((ks_str_t){ text + span->value, span->value_len });
 	}
 	return list;
 }
--- a/packages/gateway/tests/test-repeated-refusal.c
+++ b/packages/gateway/tests/test-repeated-refusal.c
@@ -375,9 +375,43 @@
 	g_assert_cmpuint(kept[IN_REQUEST], >, 0);
 }
 
+/*
+ * Guards against waiting until the deadline for a response whose id was written
+ * with white space around it, which is no part of a field's value (RFC 9110,
+ * 5.5).
+ */
+static void test_white_space(void)
+{
+	struct scene s = { .draw = { .name = "x-id: \t " LATER_ID " \t\r\n",
+				     .status = 503,
+				     .has_length = true,
+				     .copies = 1 } };
+	struct fixture_caller caller;
+	struct fixture *f = &s.f;
+
+	s.refusal = format_refusal(&s.draw);
+	fixture_init_bare(f);
+	fixture_apply(f, 1);
+	fixture_put_upstream(f, 0, "app", KS_STAGE_ANY);
+	refuse_earlier(&s);
+	fixture_call_as(f, &caller, LATER_ID, "POST", "/book/", "", NULL, 0);
+	FIXTURE_WAIT(f, f->upstreams[0].request);
+	fixture_put_upstream(f, 1, "app", KS_STAGE_ANY);
+	/* The upstream refuses the request, in its own writing. */
+	write_raw(&s, (ks_str_t){ s.refusal->str, s.refusal->len });
+	FIXTURE_WAIT(f, f->upstreams[1].request);
+	respond(&f->upstreams[1], LATER_ID, 200, false, "booked");
+	FIXTURE_WAIT(f, caller.done);
+	g_assert_cmpint(caller.status, ==, 200);
+	fixture_end_call(&caller);
+	fixture_deinit(f);
+	g_string_free(s.refusal, TRUE);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/repeated-refusal/drawn-cases", test_drawn_cases);
+	g_test_add_func("/repeated-refusal/white-space", test_white_space);
 	return g_test_run();
 }
