--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -535,19 +535,18 @@
 {
 	struct ks_http_peer *peer = find_peer(client, address);
 
-	while (!ks_list_is_empty(&peer->idle)) {
-		struct ks_http_conn *conn = KS_CONTAINER_OF(
-			peer->idle.next, struct ks_http_conn, node);
+	KS_LIST_FOREACH_SAFE (it, tmp, &peer->idle) {
+		struct ks_http_conn *conn =
+			KS_CONTAINER_OF(it, struct ks_http_conn, node);
 
 		h2o_socket_read_stop(conn->sock);
-		if (!http_conn_is_silent(conn)) {
-			free_conn(conn);
-			continue;
+		if (http_conn_is_silent(conn)) {
+			ks_list_remove(&conn->node);
+			ks_list_append(&client->conns, &conn->node);
+			ks_timer_clear(&conn->timer);
+			return conn;
 		}
-		ks_list_remove(&conn->node);
-		ks_list_append(&client->conns, &conn->node);
-		ks_timer_clear(&conn->timer);
-		return conn;
+		free_conn(conn);
 	}
 	return NULL;
 }
