--- a/packages/connection/include/ks/http.h
+++ b/packages/connection/include/ks/http.h
@@ -83,9 +83,10 @@
  * @response_id_header: name, in lower case, of the response header in which the
  *	peer echoes an id; empty if it echoes none. A response with another id
  *	belongs to an earlier request on the connection and is skipped, and so
- *	is one without an id, which can belong to any of them. If no other
- *	response can follow, or there was no earlier request, the call ends with
- *	KS_HTTP_INCOMPLETE, but for @response_id_optional.
+ *	is one without an id, or with several that differ, which can belong to
+ *	any of them. If no other response can follow, or there was no earlier
+ *	request, the call ends with KS_HTTP_INCOMPLETE, but for
+ *	@response_id_optional.
  * @response_id: value expected in that header. It must not have been that of an
  *	earlier request on the connection.
  * @response_id_optional: the peer may echo no id. A response without one is
@@ -128,7 +129,9 @@
 
 /**
  * enum ks_http_permit - whether a request is sent on its connection
- * @KS_HTTP_SEND: at once
+ * @KS_HTTP_SEND: at once. If something has arrived on the connection, or the
+ *	peer has closed it, the request is not sent there, but on a new one if
+ *	the connection had been idle.
  * @KS_HTTP_WITHHOLD: not at all; the call ends with KS_HTTP_NOT_SENT
  * @KS_HTTP_WAIT: asked for again by ks_http_call_permit()
  */
--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -6,6 +6,7 @@
 #include "http_conn.h"
 
 #include <netinet/in.h>
+#include <poll.h>
 
 #define MAX_HEAD_BYTES (256 * 1024)
 
@@ -170,7 +171,7 @@
  * enum response_owner - which request a response belongs to
  * @OWNER_CALL: the response has the id that the call expects, or the call
  *	expects none
- * @OWNER_UNNAMED: it has no id
+ * @OWNER_UNNAMED: it has no id, or several that differ
  * @OWNER_OTHER: it has the id of another request
  */
 enum response_owner {
@@ -179,6 +180,19 @@
 	OWNER_OTHER,
 };
 
+/* Whether a response names more than one request. */
+static bool is_ambiguous(const ks_header_t *headers, size_t n, const char *name,
+			 ks_str_t id)
+{
+	ks_str_t wanted = ks_str_from(name);
+
+	for (size_t i = 0; i < n; i++)
+		if (ks_str_equal_nocase(headers[i].name, wanted) &&
+		    !ks_str_equal(headers[i].value, id))
+			return true;
+	return false;
+}
+
 static enum response_owner owner_of(const struct ks_http_conn *conn,
 				    const ks_header_t *headers, size_t n)
 {
@@ -188,7 +202,8 @@
 	if (!call || !call->response_id->len)
 		return OWNER_CALL;
 	echo = ks_header_find(headers, n, call->response_id_header.data);
-	if (!echo)
+	if (!echo || is_ambiguous(headers, n, call->response_id_header.data,
+				  echo->value))
 		return OWNER_UNNAMED;
 	return ks_str_equal(echo->value, (ks_str_t){ call->response_id->str,
 						     call->response_id->len })
@@ -496,25 +511,44 @@
 	return conn;
 }
 
+/**
+ * http_conn_is_silent() - whether a connection that is not being read has
+ * neither input nor been closed by the peer
+ */
+bool http_conn_is_silent(const struct ks_http_conn *conn)
+{
+	struct pollfd state = { .fd = h2o_socket_get_fd(conn->sock),
+				.events = POLLIN };
+
+	return !conn->sock->input->size && poll(&state, 1, 0) == 0;
+}
+
 /**
  * http_conn_take_idle() - take the most recently used idle connection
  *
+ * Closes those on which something arrived that the loop has not seen yet.
+ *
  * Return: NULL if there is none.
  */
 struct ks_http_conn *http_conn_take_idle(ks_http_client_t *client,
 					 const ks_address_t *address)
 {
 	struct ks_http_peer *peer = find_peer(client, address);
-	struct ks_http_conn *conn;
 
-	if (ks_list_is_empty(&peer->idle))
-		return NULL;
-	conn = KS_CONTAINER_OF(peer->idle.next, struct ks_http_conn, node);
-	ks_list_remove(&conn->node);
-	ks_list_append(&client->conns, &conn->node);
-	ks_timer_clear(&conn->timer);
-	h2o_socket_read_stop(conn->sock);
-	return conn;
+	KS_LIST_FOREACH_SAFE (it, tmp, &peer->idle) {
+		struct ks_http_conn *conn =
+			KS_CONTAINER_OF(it, struct ks_http_conn, node);
+
+		h2o_socket_read_stop(conn->sock);
+		if (http_conn_is_silent(conn)) {
+			ks_list_remove(&conn->node);
+			ks_list_append(&client->conns, &conn->node);
+			ks_timer_clear(&conn->timer);
+			return conn;
+		}
+		free_conn(conn);
+	}
+	return NULL;
 }
 
 /**
