http client: read a bounded amount at once

Callers saw their connections end when an upstream sent fast and without end to callers that read nothing: the gateway exceeded its memory and was ended.

h2o reads a socket until it is empty, into a buffer that doubles. A sender fills the receive buffer of the kernel, which grows to tcp_rmem (33 MB here), while the gateway has paused reading because 256 KB wait for the caller. So each pause ended with megabytes in one body event, which were queued for the caller, whatever the pressure on memory.

The client now reads 64 KB at a time into one buffer for all its connections, as the server does. Input that is left in the socket at the end of a response still keeps the connection from being reused.

fake-site sends what faults.h lists for paths that end in the name of a fault, fake-crowd accepts such a path as its pattern.

--- a/packages/connection/include/ks/http.h
+++ b/packages/connection/include/ks/http.h
@@ -21,6 +21,7 @@
  * @peers: idle connections by the address of their peer
  * @calls: active calls
  * @conns: connections that are not idle
+ * @input: buffer for what is read from a connection
  * @n_opened: connections opened so far
  * @max_idle_us: idle connections are closed after this time, in microseconds
  * @connect_timeout_us: for a new connection, in microseconds; 0 for no limit
@@ -33,6 +34,7 @@
 	GHashTable *peers;
 	ks_list_t calls;
 	ks_list_t conns;
+	char *input;
 	uint64_t n_opened;
 	int64_t max_idle_us;
 	int64_t connect_timeout_us;
--- a/packages/connection/src/http_client.c
+++ b/packages/connection/src/http_client.c
@@ -16,6 +16,7 @@
 void ks_http_client_init(ks_http_client_t *client, ks_loop_t *loop)
 {
 	client->loop = loop;
+	client->input = g_malloc(HTTP_CONN_INPUT_BYTES);
 	client->n_opened = 0;
 	client->n_conns = 0;
 	client->max_conns = 0;
@@ -48,6 +49,8 @@
 		end_call_on_deinit(KS_CONTAINER_OF(client->calls.next,
 						   ks_http_call_t, node));
 	http_peers_deinit(client);
+	g_free(client->input);
+	client->input = NULL;
 }
 
 /* Releases a request that will not be sent again. */
--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -5,7 +5,10 @@
  */
 #include "http_conn.h"
 
+#include <errno.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <unistd.h>
 
 #define MAX_HEAD_BYTES (256 * 1024)
 
@@ -343,14 +346,40 @@
 	       HTTP_PARSER_ERRNO(&conn->parser) == HPE_PAUSED;
 }
 
+/* Whether there is input that was not read yet. */
+static bool has_input(const struct ks_http_conn *conn)
+{
+	char c;
+
+	return recv(h2o_socket_get_fd(conn->sock), &c, 1,
+		    MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* Reads into the buffer of the client. Returns an error of h2o, or NULL. */
+static const char *read_input(const struct ks_http_conn *conn, size_t *len)
+{
+	ssize_t n;
+
+	do
+		n = read(h2o_socket_get_fd(conn->sock), conn->client->input,
+			 HTTP_CONN_INPUT_BYTES);
+	while (n < 0 && errno == EINTR);
+	*len = n > 0 ? (size_t)n : 0;
+	if (!n)
+		return h2o_socket_error_closed;
+	return n > 0 || errno == EAGAIN ? NULL : h2o_socket_error_io;
+}
+
 static void on_input(h2o_socket_t *sock, const char *err)
 {
 	struct ks_http_conn *conn = sock->data;
-	size_t len = sock->input->size, used = 0;
+	size_t len = 0, used = 0;
 	bool ok = true;
 
+	if (!err)
+		err = read_input(conn, &len);
 	if (len)
-		ok = parse(conn, sock->input->bytes, len, &used);
+		ok = parse(conn, conn->client->input, len, &used);
 	if (conn->closing) {
 		free_conn(conn);
 		return;
@@ -359,7 +388,6 @@
 		conn->ignored_bytes += used;
 		ok &= conn->ignored_bytes <= MAX_IGNORED_BYTES;
 	}
-	http_input_used(sock, len);
 	/*
 	 * A response without a length ends when the peer closes the connection.
 	 * A reset does not end it, since data may have been lost.
@@ -369,7 +397,7 @@
 	if (conn->closing)
 		free_conn(conn);
 	else if (conn->response_complete)
-		finish_response(conn, used == len && !err);
+		finish_response(conn, used == len && !err && !has_input(conn));
 	else if (!ok || err)
 		fail_conn(conn);
 }
@@ -458,6 +486,31 @@
 	return false;
 }
 
+static h2o_socket_t *connect_to(ks_loop_t *loop, const ks_address_t *address)
+{
+	struct sockaddr_storage storage;
+	socklen_t len = http_sockaddr(address, &storage);
+	int fd = socket(storage.ss_family,
+			SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+	h2o_socket_t *sock;
+	int on = 1;
+
+	if (fd < 0)
+		return NULL;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	http_set_tcp_user_timeout(fd, TCP_USER_TIMEOUT_MS);
+	if (connect(fd, (struct sockaddr *)&storage, len) &&
+	    errno != EINPROGRESS) {
+		close(fd);
+		return NULL;
+	}
+	sock = h2o_evloop_socket_create(loop->h2o, fd,
+					H2O_SOCKET_FLAG_DONT_READ |
+						H2O_SOCKET_FLAG_IS_CONNECTING);
+	h2o_socket_notify_write(sock, on_connect);
+	return sock;
+}
+
 /**
  * http_conn_open() - start to connect
  *
@@ -469,15 +522,12 @@
 				    const ks_address_t *address)
 {
 	struct ks_http_conn *conn;
-	struct sockaddr_storage storage;
-	socklen_t len = http_sockaddr(address, &storage);
 	h2o_socket_t *sock;
 
 	if (client->max_conns && client->n_conns >= client->max_conns &&
 	    !close_idle(client))
 		return NULL;
-	sock = h2o_socket_connect(client->loop->h2o,
-				  (struct sockaddr *)&storage, len, on_connect);
+	sock = connect_to(client->loop, address);
 	if (!sock)
 		return NULL;
 	client->n_conns++;
@@ -488,7 +538,6 @@
 	conn->sock = sock;
 	conn->sock->data = conn;
 	http_fields_init(&conn->fields);
-	http_set_tcp_user_timeout(h2o_socket_get_fd(sock), TCP_USER_TIMEOUT_MS);
 	ks_timer_init(&conn->timer, client->loop, on_connect_timeout, conn);
 	if (client->connect_timeout_us > 0)
 		ks_timer_set(&conn->timer, client->connect_timeout_us);
--- a/packages/connection/src/http_conn.h
+++ b/packages/connection/src/http_conn.h
@@ -6,6 +6,12 @@
 
 #include <h2o.h>
 
+/*
+ * Read at once from a connection. h2o would read until the socket is empty,
+ * which is as much as its peer can send meanwhile.
+ */
+#define HTTP_CONN_INPUT_BYTES ((size_t)64 * 1024)
+
 struct ks_http_peer;
 
 /**
--- a/packages/connection/src/http_message.c
+++ b/packages/connection/src/http_message.c
@@ -10,9 +10,6 @@
 
 #define LISTEN_BACKLOG 1024
 
-/* Empty input buffers up to this size are kept. */
-#define KEPT_INPUT_BYTES (16 * 1024)
-
 void http_fields_init(struct http_fields *fields)
 {
 	fields->text = g_string_new(NULL);
@@ -231,18 +228,3 @@
 	else
 		h2o_socket_read_stop(sock);
 }
-
-/**
- * http_input_used() - remove parsed bytes from the input of a socket
- *
- * h2o keeps the block of an empty buffer, which has the size of the longest
- * input so far.
- */
-void http_input_used(h2o_socket_t *sock, size_t len)
-{
-	h2o_buffer_consume(&sock->input, len);
-	if (sock->input->size || sock->input->capacity <= KEPT_INPUT_BYTES)
-		return;
-	h2o_buffer_dispose(&sock->input);
-	h2o_buffer_init(&sock->input, &h2o_socket_buffer_prototype);
-}
--- a/packages/connection/src/http_message.h
+++ b/packages/connection/src/http_message.h
@@ -43,7 +43,6 @@
 size_t http_fields_bytes(const struct http_fields *fields);
 ks_header_t *http_fields_list(struct http_fields *fields, size_t *count);
 
-void http_input_used(h2o_socket_t *sock, size_t len);
 void http_socket_written(h2o_socket_t *sock, h2o_socket_cb on_input);
 
 socklen_t http_sockaddr(const ks_address_t *address,
--- a/tests/fakes/fake-crowd.c
+++ b/tests/fakes/fake-crowd.c
@@ -4,6 +4,9 @@
  *
  * usage: fake-crowd IP:PORT PATTERN CONNECTIONS
  *
+ * A PATTERN that begins with "/" is the path of requests whose responses are
+ * read at once, and one that begins with "unread:/" of those left unread.
+ *
  * It ends when every connection is closed, or when no byte was sent or received
  * on any of them for QUIET_MS, and prints how many were closed by the server.
  */
@@ -152,6 +155,9 @@
 	int visits;
 };
 
+#define UNREAD "unread:"
+
+static struct pattern path_pattern = { .unit = "" };
 static const struct pattern *pattern;
 static struct sockaddr_in target;
 static int closed_by_server;
@@ -281,6 +287,27 @@
 	return moved;
 }
 
+static const struct pattern *find_pattern(char *name)
+{
+	char *path = name;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(patterns); i++)
+		if (!strcmp(patterns[i].name, name))
+			return &patterns[i];
+	if (g_str_has_prefix(name, UNREAD)) {
+		path_pattern.reading = READ_NOTHING;
+		path += strlen(UNREAD);
+	}
+	if (*path != '/')
+		return NULL;
+	path_pattern.name = name;
+	path_pattern.head = g_strconcat("POST ", path,
+					HEAD("") "prompt-prefix: aa:90\r\n"
+						 "content-length: 0\r\n\r\n",
+					NULL);
+	return &path_pattern;
+}
+
 static bool is_open(const struct caller *callers, int n)
 {
 	for (int i = 0; i < n; i++)
@@ -297,9 +324,8 @@
 	gint64 moved_us = g_get_monotonic_time();
 	ks_address_t address;
 
-	for (size_t i = 0; i < G_N_ELEMENTS(patterns) && n > 0; i++)
-		if (!strcmp(patterns[i].name, argv[2]))
-			pattern = &patterns[i];
+	if (n > 0)
+		pattern = find_pattern(argv[2]);
 	if (!pattern ||
 	    !ks_address_parse(&address, ks_str_from(argv[1]), NULL)) {
 		fprintf(stderr, "usage: fake-crowd IP:PORT PATTERN COUNT\n");
--- a/tests/fakes/fake-site.c
+++ b/tests/fakes/fake-site.c
@@ -11,6 +11,8 @@
  */
 #include "fake_main.h"
 #include "fake_rows.h"
+#include "faults.h"
+#include "http1_conn.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -31,6 +33,10 @@
 #define LONG_EVENT_BYTES 4096
 #define LONG_PENDING_BYTES (64 * 1024)
 
+/* Prefix of paths that are answered as in faults.h, and size of one write. */
+#define FAULT_PATH "/fault-"
+#define FAULT_WRITE_BYTES (64 * 1024)
+
 /* Delay of the response to a path that ends in "/slow". */
 #define SLOW_RESPONSE_US (2 * KS_USEC_PER_SEC)
 
@@ -51,7 +57,10 @@
 	"\"max-attempts\":1,\"service\":\"app\"},"                            \
 	"{\"name\":\"advise\",\"host\":\"shop.example\",\"prefix\":"          \
 	"\"/advise/\",\"kind\":\"streaming\",\"timeout-ms\":20000,"           \
-	"\"max-attempts\":1,\"service\":\"llm\"}]"
+	"\"max-attempts\":1,\"service\":\"llm\"},"                            \
+	"{\"name\":\"follow\",\"host\":\"shop.example\",\"prefix\":"          \
+	"\"/follow/\",\"kind\":\"streaming\",\"timeout-ms\":20000,"           \
+	"\"max-attempts\":1,\"resumable\":true,\"service\":\"llm\"}]"
 
 #define ORGANISATIONS \
 	",\"tenants\":[{\"name\":\"org\",\"api-keys\":[\"site-key\"]}]"
@@ -232,6 +241,61 @@
 	}
 }
 
+/**
+ * struct fault_stream - bytes of a faulty upstream
+ * @sent: number of pieces
+ */
+struct fault_stream {
+	ks_http1_request_t *request;
+	const struct fault *fault;
+	size_t sent;
+};
+
+static void on_fault_closed(void *ctx)
+{
+	struct fault_stream *stream = ctx;
+
+	ks_http1_abort(stream->request);
+	g_free(stream);
+}
+
+static void send_fault(void *ctx)
+{
+	struct fault_stream *stream = ctx;
+	struct http1_conn *conn = http1_conn_of(stream->request);
+
+	fault_continue(stream->fault, &stream->sent, FAULT_WRITE_BYTES,
+		       conn->queued);
+	http1_conn_flush(conn);
+	http1_conn_account(conn);
+}
+
+/* Returns false if the path names no fault. */
+static bool start_fault(ks_http1_request_t *request)
+{
+	char *target = ks_str_dup(request->target);
+	char *id = ks_str_dup(field(request, "request-id"));
+	const char *name = strstr(target, FAULT_PATH);
+	const struct fault *fault =
+		name ? fault_find(name + strlen(FAULT_PATH)) : NULL;
+
+	if (fault) {
+		struct fault_stream *stream = g_new0(struct fault_stream, 1);
+
+		stream->request = request;
+		stream->fault = fault;
+		request->ctx = stream;
+		request->disconnected = on_fault_closed;
+		request->drained = send_fault;
+		fault_begin(fault, "request-id", id,
+			    http1_conn_of(request)->queued);
+		send_fault(stream);
+	}
+	g_free(target);
+	g_free(id);
+	return fault;
+}
+
 static void record_execution(struct site *site,
 			     const ks_http1_request_t *request)
 {
@@ -307,7 +371,7 @@
 		reply(request, 200, false, "");
 	} else if (field(request, "stage").len) {
 		read_prompt(replica->site, request);
-	} else {
+	} else if (!start_fault(request)) {
 		record_execution(replica->site, request);
 		if (ks_str_has_prefix(request->target, KS_STR("/advise/")))
 			start_stream(replica, request);
