http client: limit the number of fields of a response

Callers saw their connections end when an upstream responded with a head of many short fields and then nothing more: the gateway exceeded its memory and was ended.

A head may have 80 KB (http_parser), but a field of 4 bytes takes 32 bytes in the list of the client and 32 in that of the exchange, in blocks that double, and the client kept them until the next response on the connection. Per request that were about 1 MB, not charged.

A head now has 1,000 fields at most, and the client frees them once the head was passed on; the fields of a trailer are dropped as before.

--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -12,6 +12,9 @@
 
 #define MAX_HEAD_BYTES (256 * 1024)
 
+/* Short fields take many times their length in memory. */
+#define MAX_FIELDS 1000
+
 /*
  * Limit on what arrives before the response to a call: interim responses, and
  * responses to earlier requests on the connection.
@@ -135,7 +138,8 @@
 	struct ks_http_conn *conn = parser->data;
 
 	http_fields_add_name(&conn->fields, at, len);
-	return http_fields_bytes(&conn->fields) > MAX_HEAD_BYTES;
+	return http_fields_bytes(&conn->fields) > MAX_HEAD_BYTES ||
+	       conn->fields.spans->len > MAX_FIELDS;
 }
 
 static int on_value(http_parser *parser, const char *at, size_t len)
@@ -264,6 +268,7 @@
 	update_idle_limit(conn, headers, n);
 	passed = pass_head(conn, headers, n);
 	g_free(headers);
+	http_fields_drop(&conn->fields);
 	if (!passed)
 		return -1;
 	return conn->call && conn->call->is_head ? 1 : 0;
--- a/packages/connection/src/http_message.c
+++ b/packages/connection/src/http_message.c
@@ -113,6 +113,18 @@
 	return list;
 }
 
+/**
+ * http_fields_drop() - free listed fields before the message has ended
+ *
+ * Fields that follow are still those of the trailer.
+ */
+void http_fields_drop(struct http_fields *fields)
+{
+	http_fields_deinit(fields);
+	fields->text = g_string_new(NULL);
+	fields->spans = g_array_new(FALSE, TRUE, sizeof(struct http_span));
+}
+
 /**
  * http_sockaddr() - convert an address to a socket address
  *
--- a/packages/connection/src/http_message.h
+++ b/packages/connection/src/http_message.h
@@ -41,6 +41,7 @@
 void http_fields_add_value(struct http_fields *fields, const char *at,
 			   size_t len);
 size_t http_fields_bytes(const struct http_fields *fields);
+void http_fields_drop(struct http_fields *fields);
 ks_header_t *http_fields_list(struct http_fields *fields, size_t *count);
 
 void http_socket_written(h2o_socket_t *sock, h2o_socket_cb on_input);
