gateway: charge incomplete events, and limit the ids of events

Callers saw their connections end when an upstream began an event and sent nothing more, or sent one with a long id, on streams that can be resumed: the gateway exceeded its memory and was ended.

An event that is not complete is kept, up to 1 MB, and its last id as long as the stream lasts, up to the same size; the block of the event stays afterwards. None of it was charged to the account, so that the sum over all streams had no bound.

What is kept of a response is now charged (event, id, fields, body), an id has 4 KB at most, since a caller has to send it back in a head of 16 KB, and while more than half of the budget is taken, an event of more than 64 KB is taken for none, like a body that is no longer buffered. The block of a long event is freed with it.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -578,11 +578,19 @@
 
 /* events.c */
 
+/*
+ * A caller sends an id back in a header field, and heads of requests have
+ * KS_HTTP1_MAX_HEADER_BYTES at most.
+ */
+#define KS_EVENTS_MAX_ID_BYTES ((size_t)4 * 1024)
+
 /**
  * struct ks_events - splits a server-sent event stream into complete events
  * @partial: bytes of the incomplete event at the end
  * @last_id: id of the last complete event that had one
  * @event_bytes: size of the incomplete event
+ * @has_long_id: an event had an id that is longer than KS_EVENTS_MAX_ID_BYTES.
+ *	Nothing is passed on from this event on, until ks_events_reset().
  * @in_line: the bytes so far end inside a line
  * @in_event: they end inside an event
  * @after_cr: they end with a carriage return
@@ -591,6 +599,7 @@
 	GString *partial;
 	GString *last_id;
 	size_t event_bytes;
+	bool has_long_id;
 	bool in_line;
 	bool in_event;
 	bool after_cr;
--- a/packages/gateway/src/events.c
+++ b/packages/gateway/src/events.c
@@ -8,11 +8,15 @@
 
 #include <string.h>
 
+/* Blocks of an event up to this size are kept for the next one. */
+#define KEPT_BYTES (16 * 1024)
+
 void ks_events_init(ks_events_t *events)
 {
 	events->partial = g_string_new(NULL);
 	events->last_id = g_string_new(NULL);
 	events->event_bytes = 0;
+	events->has_long_id = false;
 	events->in_line = false;
 	events->in_event = false;
 	events->after_cr = false;
@@ -24,42 +28,63 @@
 	g_string_free(events->last_id, TRUE);
 }
 
+/* Empties @partial, which keeps the block of its longest event otherwise. */
+static void clear_partial(ks_events_t *events)
+{
+	g_string_truncate(events->partial, 0);
+	if (events->partial->allocated_len <= KEPT_BYTES)
+		return;
+	g_string_free(events->partial, TRUE);
+	events->partial = g_string_new(NULL);
+}
+
 /**
  * ks_events_reset() - discard the incomplete event
  */
 void ks_events_reset(ks_events_t *events)
 {
-	g_string_truncate(events->partial, 0);
+	clear_partial(events);
 	events->event_bytes = 0;
+	events->has_long_id = false;
 	events->in_line = false;
 	events->in_event = false;
 	events->after_cr = false;
 }
 
-static void note_line(ks_events_t *events, ks_str_t line)
+/* Returns false if the line has no id. */
+static bool read_id(ks_str_t line, ks_str_t *id)
 {
 	if (!ks_str_has_prefix(line, KS_STR("id:")))
-		return;
-	line.data += 3;
-	line.len -= 3;
-	if (line.len && line.data[0] == ' ') {
-		line.data++;
-		line.len--;
+		return false;
+	*id = (ks_str_t){ line.data + 3, line.len - 3 };
+	if (id->len && id->data[0] == ' ') {
+		id->data++;
+		id->len--;
 	}
-	g_string_truncate(events->last_id, 0);
-	g_string_append_len(events->last_id, line.data, (gssize)line.len);
+	return true;
 }
 
-static void note_event(ks_events_t *events, ks_str_t event)
+/* Notes the id of an event. Returns false if it is too long. */
+static bool note_event(ks_events_t *events, ks_str_t event)
 {
+	ks_str_t id = { NULL, 0 };
+	bool has_id = false;
 	size_t start = 0;
 
 	for (size_t i = 0; i < event.len; i++) {
 		if (event.data[i] != '\n' && event.data[i] != '\r')
 			continue;
-		note_line(events, (ks_str_t){ event.data + start, i - start });
+		has_id |= read_id((ks_str_t){ event.data + start, i - start },
+				  &id);
 		start = i + 1;
 	}
+	if (id.len > KS_EVENTS_MAX_ID_BYTES)
+		return false;
+	if (has_id) {
+		g_string_truncate(events->last_id, 0);
+		g_string_append_len(events->last_id, id.data, (gssize)id.len);
+	}
+	return true;
 }
 
 /*
@@ -121,7 +146,7 @@
 		data.data++;
 		data.len--;
 	}
-	while (data.len) {
+	while (data.len && !events->has_long_id) {
 		bool ended;
 		size_t n = scan_event(events, data, &ended);
 
@@ -136,11 +161,14 @@
 			data.data++;
 			data.len--;
 		}
-		note_event(events, (ks_str_t){ events->partial->str,
-					       events->partial->len });
+		events->has_long_id =
+			!note_event(events, (ks_str_t){ events->partial->str,
+							events->partial->len });
+		if (events->has_long_id)
+			return;
 		g_string_append_len(whole, events->partial->str,
 				    (gssize)events->partial->len);
-		g_string_truncate(events->partial, 0);
+		clear_partial(events);
 	}
 }
 
--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -24,18 +24,41 @@
 
 /*
  * While more than this share of the memory for callers is taken, less is read
- * ahead of them and buffered. A short response is still read at once, as its
- * upstream is busy until then.
+ * ahead of them and buffered, and only shorter events are waited for. A short
+ * response is still read at once, as its upstream is busy until then.
  */
 #define HIGH_PRESSURE 0.5
 #define PRESSED_WATER_BYTES (32 * 1024)
 #define PRESSED_BUFFERED_BODY (64 * 1024)
+#define PRESSED_EVENT_BYTES (64 * 1024)
 
 static bool is_pressed(const struct exchange *exchange)
 {
 	return ks_memory_pressure(&exchange->gateway->memory) > HIGH_PRESSURE;
 }
 
+/* Charges the account for what is kept of the response. */
+static void hold_output(struct exchange *exchange)
+{
+	ks_memory_hold(&exchange->gateway->memory, KS_MEMORY_OUTPUT,
+		       &exchange->held_output,
+		       exchange->body->allocated_len +
+			       exchange->fields_text->allocated_len +
+			       exchange->fields->len * sizeof(ks_header_t) +
+			       exchange->events.partial->allocated_len +
+			       exchange->events.last_id->allocated_len);
+}
+
+/* Whether the bytes of an event are too many to be one. */
+static bool is_no_event(const struct exchange *exchange)
+{
+	size_t limit =
+		is_pressed(exchange) ? PRESSED_EVENT_BYTES : MAX_EVENT_BYTES;
+
+	return exchange->events.event_bytes > limit ||
+	       exchange->events.has_long_id;
+}
+
 static bool implies_not_run(int status)
 {
 	return status == 503 || status == 429 || status == 408 || status == 421;
@@ -166,6 +189,7 @@
 	g_string_truncate(exchange->fields_text, 0);
 	g_string_truncate(exchange->body, 0);
 	ks_events_reset(&exchange->events);
+	hold_output(exchange);
 }
 
 /* Copies the header fields of a response, except those of the connection. */
@@ -258,6 +282,7 @@
 		return;
 	exchange->began_with_events = exchange->is_event_response;
 	copy_fields(exchange, headers, n);
+	hold_output(exchange);
 }
 
 static void record_event_time(struct exchange *exchange)
@@ -361,12 +386,6 @@
 	on_run_done(exchange, KS_HTTP_INCOMPLETE);
 }
 
-static void hold_output(struct exchange *exchange)
-{
-	ks_memory_hold(&exchange->gateway->memory, KS_MEMORY_OUTPUT,
-		       &exchange->held_output, exchange->body->allocated_len);
-}
-
 static void on_run_body(void *ctx, ks_str_t data)
 {
 	struct exchange *exchange = ctx;
@@ -400,7 +419,8 @@
 			forward(exchange, data);
 		if (!exchange->has_events && exchange->is_event_response)
 			ks_events_scan(&exchange->events, data);
-		if (exchange->events.event_bytes > MAX_EVENT_BYTES)
+		hold_output(exchange);
+		if (is_no_event(exchange))
 			stop_reading(exchange);
 		return;
 	}
--- a/tests/fakes/faults.h
+++ b/tests/fakes/faults.h
@@ -5,6 +5,7 @@
 #define KS_FAKE_FAULTS_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <string.h>
 
 /**
--- a/tests/system/test-memory-upstreams.sh
+++ b/tests/system/test-memory-upstreams.sh
@@ -12,7 +12,9 @@
 for pattern in ${PATTERNS:-unread:/follow/fault-events \
 	unread:/advise/fault-events /advise/fault-event \
 	/book/fault-error-body /read/fault-interim-fields \
-	/follow/fault-fields /follow/fault-trailer}
+	/follow/fault-fields /follow/fault-trailer \
+	/follow/fault-many-fields /follow/fault-event-id \
+	/follow/fault-half-event /follow/fault-short-chunks}
 do
 	run_crowd gateway1 "$pattern" 100
 done
