entry: parse no long JSON of upstreams

A completion of many small values ("[],[],...") takes about 50 times its size while it is parsed, and the entry parsed whole responses of up to max_answer_kib (16 MB by default) twice: for the usage, and to tell a half completion. One response of a faulty upstream was enough for 783 MB (measured with jansson alone on 16 MB of text), and the entry's other callers would lose their connections with it.

JSON of more than 256 KB, the limit of an event, is not parsed any more. The response is still forwarded, without its usage being read; whether it is half is then told from its last character.

--- a/packages/entry/src/entry_attempt.c
+++ b/packages/entry/src/entry_attempt.c
@@ -302,6 +302,13 @@
 	g_free(text);
 }
 
+static bool ends_with_object(ks_str_t text)
+{
+	while (text.len && g_ascii_isspace(text.data[text.len - 1]))
+		text.len--;
+	return text.len && text.data[text.len - 1] == '}';
+}
+
 /*
  * A completion that is not streamed is one JSON document. An engine that gives
  * its response no length and fails ends it regularly, anywhere.
@@ -309,13 +316,16 @@
 static bool is_half_completion(const struct entry_request *request)
 {
 	const char *type = request->content_type;
+	ks_str_t text = { request->response_body->str,
+			  request->response_body->len };
 	json_t *json;
 
 	if (!request->is_completion || request->status != 200 || !type ||
 	    g_ascii_strncasecmp(type, "application/json", 16) != 0)
 		return false;
-	json = json_loadb(request->response_body->str,
-			  request->response_body->len, 0, NULL);
+	if (text.len > ENTRY_MAX_JSON_BYTES)
+		return !ends_with_object(text);
+	json = entry_json_load(text);
 	json_decref(json);
 	return !json;
 }
--- a/packages/entry/src/entry_internal.h
+++ b/packages/entry/src/entry_internal.h
@@ -7,6 +7,12 @@
 #include <h2o.h>
 #include <jansson.h>
 
+/*
+ * Longer JSON of upstreams is not parsed: the values of a text take up to 50
+ * times its size in memory.
+ */
+#define ENTRY_MAX_JSON_BYTES ((size_t)256 * 1024)
+
 /* Initial estimates of an engine's time per token, until it is measured. */
 #define ENTRY_PREFILL_US 50.0
 #define ENTRY_DECODE_US 20000.0
@@ -486,6 +492,7 @@
 void entry_stream_deinit(struct entry_stream *stream);
 bool entry_stream_receive(struct entry_request *request, ks_str_t data);
 void entry_stream_reset_attempt(struct entry_request *request);
+json_t *entry_json_load(ks_str_t text);
 bool entry_stream_read_usage(struct entry_request *request, ks_str_t json);
 void entry_stream_finish(struct entry_request *request);
 void entry_stream_abort(struct entry_request *request, ks_error_kind_t kind,
--- a/packages/entry/src/entry_split.c
+++ b/packages/entry/src/entry_split.c
@@ -142,8 +142,8 @@
 static bool parse_kv_handle(struct entry_request *request)
 {
 	struct entry_split *split = &request->split;
-	json_t *root = json_loadb(request->response_body->str,
-				  request->response_body->len, 0, NULL);
+	json_t *root = entry_json_load((ks_str_t){
+		request->response_body->str, request->response_body->len });
 	json_t *kv = json_object_get(root, "kv");
 	const char *handle = json_string_value(json_object_get(kv, "handle"));
 	const char *source = json_string_value(json_object_get(kv, "endpoint"));
--- a/packages/entry/src/entry_stream.c
+++ b/packages/entry/src/entry_stream.c
@@ -60,6 +60,20 @@
 	return payload;
 }
 
+/**
+ * entry_json_load() - parse what an upstream has sent
+ *
+ * Return: NULL if it is no JSON, or too long to be parsed.
+ */
+json_t *entry_json_load(ks_str_t text)
+{
+	if (text.len <= ENTRY_MAX_JSON_BYTES)
+		return json_loadb(text.data, text.len, 0, NULL);
+	ks_log(KS_LOG_HTTP, KS_LOG_INFO,
+	       "a response is too long to be parsed bytes=%zu", text.len);
+	return NULL;
+}
+
 /**
  * entry_stream_read_usage() - read the usage and finish_reason of an event or
  * of a buffered response
@@ -70,7 +84,7 @@
  */
 bool entry_stream_read_usage(struct entry_request *request, ks_str_t text)
 {
-	json_t *json = json_loadb(text.data, text.len, 0, NULL);
+	json_t *json = entry_json_load(text);
 	json_t *usage = json_object_get(json, "usage");
 	json_t *details = json_object_get(usage, "prompt_tokens_details");
 	json_t *cached = json_object_get(details, "cached_tokens");
--- a/packages/entry/tests/test-entry.c
+++ b/packages/entry/tests/test-entry.c
@@ -6,8 +6,11 @@
 #include "entry-doubles.h"
 
 #include <arpa/inet.h>
+#include <jansson.h>
 #include <netinet/in.h>
+#include <stddef.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -532,6 +535,77 @@
 	tear_down();
 }
 
+/* Bytes that parsed JSON takes, and the most so far. */
+static size_t json_bytes, most_json_bytes;
+
+static void *count_malloc(size_t size)
+{
+	size_t *block = malloc(sizeof(max_align_t) + size);
+
+	g_assert_nonnull(block);
+	*block = size;
+	json_bytes += size;
+	most_json_bytes = MAX(most_json_bytes, json_bytes);
+	return (char *)block + sizeof(max_align_t);
+}
+
+static void count_free(void *data)
+{
+	size_t *block;
+
+	if (!data)
+		return;
+	block = (size_t *)(void *)((char *)data - sizeof(max_align_t));
+	json_bytes -= *block;
+	free(block);
+}
+
+/* A completion of 4 MB, of the smallest values. */
+static GString *small_values(const char *end)
+{
+	GString *body = g_string_new("{\"a\":[[]");
+
+	while (body->len < (size_t)4 * 1024 * 1024)
+		g_string_append(body, ",[]");
+	return g_string_append(body, end);
+}
+
+/*
+ * Guards against a response of many small values, which take a multiple of its
+ * size when it is parsed, and against forwarding half of one that is too long
+ * for that.
+ */
+static void test_large_completion(void)
+{
+	GString *half = small_values(""), *whole = small_values("]}\n");
+	json_malloc_t allocate;
+	json_free_t release;
+	struct call *call;
+
+	json_get_alloc_funcs(&allocate, &release);
+	json_set_alloc_funcs(count_malloc, count_free);
+	set_up();
+	fx.settings.max_answer_kib = 16 * 1024;
+	call = start_completion(WHOLE_BODY);
+	WAIT_FOR(double_attempts->len == 1);
+	double_head(double_attempt(0), 200, "application/json");
+	double_body(double_attempt(0), half->str);
+	double_end(double_attempt(0), KS_ERROR_NONE);
+	g_assert_cmpuint(double_attempts->len, ==, 2);
+	double_head(double_attempt(1), 200, "application/json");
+	double_body(double_attempt(1), whole->str);
+	double_end(double_attempt(1), KS_ERROR_NONE);
+	finish(call);
+	g_assert_cmpint(call->status, ==, 200);
+	g_assert_cmpuint(call->body->len, ==, whole->len);
+	free_call(call);
+	tear_down();
+	json_set_alloc_funcs(allocate, release);
+	g_string_free(half, TRUE);
+	g_string_free(whole, TRUE);
+	g_assert_cmpuint(most_json_bytes, <, (size_t)32 * 1024 * 1024);
+}
+
 /* Guards against reporting "not run" after an attempt has started. */
 static void test_not_run_is_not_reported_after_start(void)
 {
@@ -1423,6 +1497,7 @@
 	{ "/entry/resume-answered-whole", test_resume_requires_stream },
 	{ "/entry/finished-choice", test_finished_choice_is_not_resumed },
 	{ "/entry/whole-retried", test_buffered_response_is_retried },
+	{ "/entry/large-completion", test_large_completion },
 	{ "/entry/half-completion", test_half_completion_is_retried },
 	{ "/entry/not-run-is-true", test_not_run_is_not_reported_after_start },
 	{ "/entry/not-started", test_not_started_is_retried_then_reported },
