gateway: judge each send of a stopping process, not only arrivals

A request that was taken before a stop or within the drain delay was sent late in the grace period as if the process went on: after a refusal of an upstream, after its prompt had been read ahead, or when its connection came up late. The end of the process then cut it, or answered it 504, although it could have been refused as not run and served by another entry; so also requests that may not be repeated.

The check of whether a stop may cut a request was made once, when it arrived. It is made before each send now. A request that may have run is still sent again where its route allows that, as it can't be refused as not run.

The fixture lets a test replace the time that a caller has left.

--- a/packages/gateway/src/exchange.c
+++ b/packages/gateway/src/exchange.c
@@ -282,11 +282,8 @@
 		return;
 	}
 	set_deadline(exchange, request);
-	if (gateway_may_cut(gateway, exchange->hard_deadline_us)) {
-		exchange_respond(exchange, 503, RETRY_AFTER_STOPPING_S,
-				 GATEWAY_WHY_STOPPING);
+	if (exchange_refuse_stopping(exchange))
 		return;
-	}
 	exchange->has_events = exchange->route->kind == KS_CALL_STREAM &&
 			       exchange->route->resumable;
 	exchange_note_stream(exchange);
--- a/packages/gateway/src/exchange_dispatch.c
+++ b/packages/gateway/src/exchange_dispatch.c
@@ -31,6 +31,34 @@
 	return false;
 }
 
+/**
+ * exchange_may_be_cut() - whether a stop may cut the request if it is sent now
+ *
+ * A request that may have run can't be refused as not run, so that a further
+ * send is worth a try.
+ */
+bool exchange_may_be_cut(const struct exchange *exchange)
+{
+	return !exchange_may_have_run(exchange) &&
+	       gateway_may_cut(exchange->gateway, exchange->hard_deadline_us);
+}
+
+/**
+ * exchange_refuse_stopping() - refuse a request that a stop may cut
+ *
+ * To be called before each send: a request may have been taken long ago.
+ *
+ * Return: whether it was refused, and the exchange has ended.
+ */
+bool exchange_refuse_stopping(struct exchange *exchange)
+{
+	if (!exchange_may_be_cut(exchange))
+		return false;
+	exchange_respond(exchange, 503, RETRY_AFTER_STOPPING_S,
+			 GATEWAY_WHY_STOPPING);
+	return true;
+}
+
 void exchange_exclude_member(struct exchange *exchange)
 {
 	if (exchange->member)
@@ -53,6 +81,8 @@
 	if (!exchange->caller || exchange->sends >= MAX_SENDS ||
 	    exchange_now(exchange) >= exchange->deadline_us)
 		return false;
+	if (exchange_refuse_stopping(exchange))
+		return true;
 	if (exchange_may_have_run(exchange) &&
 	    (!may_repeat(exchange) ||
 	     exchange->runs >= exchange->route->max_attempts))
@@ -275,7 +305,8 @@
 			     "the prompt could not be read ahead",
 			     exchange->status);
 	}
-	if (exchange_refuse_held(exchange))
+	if (exchange_refuse_stopping(exchange) ||
+	    exchange_refuse_held(exchange))
 		return;
 	if (!may_run_after_prefill(exchange, result)) {
 		exchange_give_up(exchange, RETRY_AFTER_OVERLOADED_S,
@@ -396,7 +427,8 @@
 	ks_placement_t placement;
 	int64_t notice_us;
 
-	if (exchange_refuse_held(exchange))
+	if (exchange_refuse_stopping(exchange) ||
+	    exchange_refuse_held(exchange))
 		return;
 	query = placement_query(exchange);
 	placement = gateway_place(gateway, &gateway->fleet, exchange->origin,
--- a/packages/gateway/src/exchange_send.c
+++ b/packages/gateway/src/exchange_send.c
@@ -142,15 +142,16 @@
 /**
  * exchange_permits_send() - whether the request may still be sent
  *
- * The upstream may have requested a back-off or stated a limit while its
- * connection came up.
+ * While the connection came up, the upstream may have requested a back-off or
+ * stated a limit, and a stop may have gone on.
  */
 bool exchange_permits_send(struct exchange *exchange, ks_member_t *member)
 {
 	ks_withdrawal_t *withdrawal = &member->withdrawal;
 	int64_t now = exchange_now(exchange);
 
-	exchange->withheld = ks_withdrawal_is_away(withdrawal, now);
+	exchange->withheld = ks_withdrawal_is_away(withdrawal, now) ||
+			     exchange_may_be_cut(exchange);
 	if (exchange->withheld || exchange->is_counted)
 		return !exchange->withheld;
 	exchange->withheld = !ks_stated_limit_permits(&withdrawal->limit, now);
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -311,7 +311,8 @@
  * @refused_not_run: the response states that the request was not executed
  * @backed_off: the upstream turned the request away and requested a back-off
  * @withheld: the request was not sent, as the upstream had requested a back-off
- *	or stated a limit by the time at which the connection was up
+ *	or stated a limit, or a stop might cut it, by the time at which the
+ *	connection was up
  * @is_counted: the latest send counts against a limit of the upstream
  * @is_unsent: the latest send has not left this process
  * @is_suspect: lost in a way in which requests that crash upstreams are lost
@@ -501,6 +502,8 @@
 
 /* exchange_dispatch.c */
 
+bool exchange_may_be_cut(const struct exchange *exchange);
+bool exchange_refuse_stopping(struct exchange *exchange);
 void exchange_dispatch(struct exchange *exchange);
 bool exchange_retry(struct exchange *exchange, bool has_arrived,
 		    const char *why);
--- a/packages/gateway/tests/gateway_fixture.h
+++ b/packages/gateway/tests/gateway_fixture.h
@@ -313,7 +313,7 @@
 		.target = ks_str_from(target),
 		.host = KS_STR("shop.example"),
 		.headers = headers,
-		.n_headers = 2 + n_extra,
+		.n_headers = 2,
 		.body = ks_str_from(body),
 		.reuse = true,
 		.no_retry = true,
@@ -321,8 +321,11 @@
 
 	if (is_stream)
 		headers[1].value = KS_STR("9000");
-	for (size_t i = 0; i < n_extra; i++)
-		headers[2 + i] = extra[i];
+	for (size_t i = 0; i < n_extra; i++) {
+		bool is_left = ks_str_equal(extra[i].name, headers[1].name);
+
+		headers[is_left ? 1 : request.n_headers++] = extra[i];
+	}
 	memset(caller, 0, sizeof(*caller));
 	caller->body = g_string_new(NULL);
 	caller->seal = g_string_new(NULL);
