gateway: wait in a stop for calls whose callers have left

A call that may not be repeated runs on when its caller leaves, as one that is cancelled may be left half done. A process that was told to stop did not wait for it: it looked only at connections of callers, ended once the drain delay was over and nothing else was in progress, and so cancelled the call at its upstream. It waits for all exchanges now, until the grace period ends.

Evidence: test-work-after-stop caller-left failed before (the loop had stopped 5 s after the signal while the upstream was at work).

--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -476,7 +476,8 @@
 	if (elapsed_us >= settings->drain_delay_us) {
 		ks_http1_server_close_listener(&gateway->server);
 		ks_http1_server_close_idle(&gateway->server);
-		if (!ks_http1_server_n_serving(&gateway->server)) {
+		if (ks_list_is_empty(&gateway->exchanges) &&
+		    !ks_http1_server_n_serving(&gateway->server)) {
 			end_stop(gateway);
 			return;
 		}
--- a/packages/gateway/tests/test-work-after-stop.c
+++ b/packages/gateway/tests/test-work-after-stop.c
@@ -147,6 +147,30 @@
 	}
 }
 
+/* A call that may not be repeated must not be left half done. */
+static void test_caller_left(void)
+{
+	struct fixture_upstream *upstream;
+	struct fixture_caller caller;
+	struct fixture f;
+
+	fixture_init(&f);
+	apply_long_timeouts(&f);
+	call(&f, &caller, "/book/", "9000");
+	upstream = fixture_wait_request(&f);
+	fixture_end_call(&caller);
+	fixture_run_pending(&f);
+	ks_gateway_stop(f.gateway);
+	fixture_advance(&f, 5000);
+	g_assert_false(f.loop.stopping);
+	g_assert_false(upstream->left);
+	fixture_respond(upstream, 200, false, "done");
+	fixture_run_pending(&f);
+	fixture_advance(&f, 100);
+	g_assert_true(f.loop.stopping);
+	fixture_deinit(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -159,5 +183,6 @@
 			test_run_after_prefill);
 	g_test_add_func("/work-after-stop/connection-late",
 			test_connection_late);
+	g_test_add_func("/work-after-stop/caller-left", test_caller_left);
 	return g_test_run();
 }
