gateway: end a stop only when no request is being received

With nothing else in progress, a process that was told to stop ended once the drain delay was over, also while it received a request: its caller saw a closed connection, which does not say whether the request has run. If it had usage counts to pass on first, a request that became whole in the 50 ms of that would have been sent to an upstream and cut.

A connection with an unfinished request counts as in progress now. The request is served or refused as any other when it is whole, or ends with the timeout for it. At the end of the grace period, what is still unfinished is answered 503, as it has not run and will not.

Evidence: test-work-after-stop being-received and never-received failed before (the loop had stopped; the connection had no answer). The 50 ms case was not run.

--- a/packages/connection/include/ks/http.h
+++ b/packages/connection/include/ks/http.h
@@ -388,6 +388,7 @@
 void ks_http1_server_set_memory(ks_http1_server_t *server, ks_memory_t *memory);
 void ks_http1_server_close_listener(ks_http1_server_t *server);
 void ks_http1_server_close_idle(ks_http1_server_t *server);
+void ks_http1_server_refuse_unfinished(ks_http1_server_t *server);
 size_t ks_http1_max_conns(size_t max_descriptors);
 size_t ks_http1_server_n_serving(const ks_http1_server_t *server);
 
--- a/packages/connection/src/http1_server.c
+++ b/packages/connection/src/http1_server.c
@@ -290,6 +290,13 @@
 	server->listener = NULL;
 }
 
+/* Whether no request is served on a connection or being received. */
+static bool is_idle(const struct http1_conn *conn)
+{
+	return !conn->serving && !conn->request_started && !conn->writing &&
+	       conn->sock && !conn->ahead->len;
+}
+
 /**
  * ks_http1_server_close_idle() - close connections without a request
  */
@@ -299,8 +306,7 @@
 		struct http1_conn *conn =
 			KS_CONTAINER_OF(it, struct http1_conn, node);
 
-		if (!conn->serving && !conn->request_started &&
-		    !conn->writing && conn->sock && !conn->ahead->len)
+		if (is_idle(conn))
 			http1_conn_close(conn);
 	}
 }
@@ -326,7 +332,24 @@
 }
 
 /**
- * ks_http1_server_n_serving() - number of requests without a complete response
+ * ks_http1_server_refuse_unfinished() - answer requests that are not received
+ * completely with 503, and close their connections
+ */
+void ks_http1_server_refuse_unfinished(ks_http1_server_t *server)
+{
+	KS_LIST_FOREACH_SAFE (it, tmp, &server->conns) {
+		struct http1_conn *conn =
+			KS_CONTAINER_OF(it, struct http1_conn, node);
+
+		if (conn->request_started && !conn->request_complete &&
+		    !conn->close_after && conn->sock)
+			ks_http1_reject(&conn->request, 503);
+	}
+}
+
+/**
+ * ks_http1_server_n_serving() - number of requests without a complete response,
+ * including those that are being received
  */
 size_t ks_http1_server_n_serving(const ks_http1_server_t *server)
 {
@@ -336,7 +359,7 @@
 		const struct http1_conn *conn =
 			KS_CONTAINER_OF(it, struct http1_conn, node);
 
-		n += conn->serving || conn->writing;
+		n += !is_idle(conn);
 	}
 	return n;
 }
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -490,6 +490,7 @@
 			exchange_end_unanswered(
 				KS_CONTAINER_OF(it, struct exchange, node),
 				"the process ends");
+		ks_http1_server_refuse_unfinished(&gateway->server);
 		end_stop(gateway);
 		return;
 	}
--- a/packages/gateway/tests/test-work-after-stop.c
+++ b/packages/gateway/tests/test-work-after-stop.c
@@ -4,6 +4,7 @@
  */
 #include "gateway_fixture.h"
 #include "gateway_internal.h"
+#include "raw_caller.h"
 
 #define LONG_TIMEOUT_US (20 * KS_USEC_PER_SEC)
 
@@ -171,6 +172,56 @@
 	fixture_deinit(&f);
 }
 
+static const char head[] = "POST /book/ HTTP/1.1\r\nhost: shop.example\r\n"
+			   "x-id: r1\r\nx-left: 1500\r\n"
+			   "content-length: 4\r\n\r\n";
+
+static void begin_request(struct fixture *f, struct caller *caller,
+			  const char *text)
+{
+	fixture_init(f);
+	f->gateway->server.header_timeout_us = 60 * KS_USEC_PER_SEC;
+	connect_caller(f, caller);
+	send_text(caller, text);
+	fixture_run_pending(f);
+	ks_gateway_stop(f->gateway);
+}
+
+/* Nothing else is in progress. */
+static void test_being_received(void)
+{
+	struct caller caller;
+	struct fixture f;
+
+	begin_request(&f, &caller, head);
+	fixture_advance(&f, 4000);
+	g_assert_false(f.loop.stopping);
+	send_text(&caller, "body");
+	fixture_respond(fixture_wait_request(&f), 200, false, "done");
+	wait_closed(&f, &caller);
+	g_assert_true(g_str_has_prefix(caller.received->str, "HTTP/1.1 200 "));
+	end_caller(&caller);
+	fixture_advance(&f, 100);
+	g_assert_true(f.loop.stopping);
+	fixture_deinit(&f);
+}
+
+/* A caller that has not sent all of its request learns that it has not run. */
+static void test_never_received(void)
+{
+	struct caller caller;
+	struct fixture f;
+
+	begin_request(&f, &caller, head);
+	fixture_advance(&f, 8000);
+	g_assert_true(f.loop.stopping);
+	wait_closed(&f, &caller);
+	g_assert_true(g_str_has_prefix(caller.received->str, "HTTP/1.1 503 "));
+	g_assert_cmpuint(fixture_n_requests(&f), ==, 0);
+	end_caller(&caller);
+	fixture_deinit(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -184,5 +235,7 @@
 	g_test_add_func("/work-after-stop/connection-late",
 			test_connection_late);
 	g_test_add_func("/work-after-stop/caller-left", test_caller_left);
+	g_test_add_func("/work-after-stop/being-received", test_being_received);
+	g_test_add_func("/work-after-stop/never-received", test_never_received);
 	return g_test_run();
 }
