connection: keep connections with unread input when a stop closes idle ones

At the end of the drain delay, a stopping process closed its listener and all connections without a request that it had begun to read. A request that the kernel held, on a connection that had just been accepted, that waited to be accepted or that was written since the last poll, was lost with a reset. Its caller can't tell whether it has run.

Established connections are accepted before the listener closes, and a connection that has unread input is not idle.

Evidence: http1-server stopping-unread and test-work-after-stop unread failed before (no connection left; no request at an upstream, the caller reset).

--- a/packages/connection/src/http1_server.c
+++ b/packages/connection/src/http1_server.c
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <xxhash.h>
 
@@ -280,21 +281,33 @@
 
 /**
  * ks_http1_server_close_listener() - stop accepting connections
+ *
+ * Those that are established already are accepted.
  */
 void ks_http1_server_close_listener(ks_http1_server_t *server)
 {
 	if (!server->listener)
 		return;
+	on_accept(server->listener, NULL);
 	h2o_socket_read_stop(server->listener);
 	h2o_socket_close(server->listener);
 	server->listener = NULL;
 }
 
+/* Whether the kernel holds input, which may be a whole request. */
+static bool has_unread(const struct http1_conn *conn)
+{
+	int bytes = 0;
+
+	return !ioctl(h2o_socket_get_fd(conn->sock), FIONREAD, &bytes) &&
+	       bytes > 0;
+}
+
 /* Whether no request is served on a connection or being received. */
 static bool is_idle(const struct http1_conn *conn)
 {
 	return !conn->serving && !conn->request_started && !conn->writing &&
-	       conn->sock && !conn->ahead->len;
+	       conn->sock && !conn->ahead->len && !has_unread(conn);
 }
 
 /**
--- a/packages/connection/tests/test-http1-server.c
+++ b/packages/connection/tests/test-http1-server.c
@@ -275,6 +275,31 @@
 	deinit_fixture(&f);
 }
 
+/*
+ * Guards against a graceful stop that resets a connection whose request the
+ * kernel holds, accepted or not.
+ */
+static void test_stopping_unread(void)
+{
+	for (int is_accepted = 0; is_accepted < 2; is_accepted++) {
+		struct fixture f;
+
+		init_fixture(&f, RESPOND);
+		for (int i = 0; is_accepted && i < 20; i++)
+			turn(&f);
+		send_text(&f, "GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+		f.server.stopping = true;
+		ks_http1_server_close_listener(&f.server);
+		ks_http1_server_close_idle(&f.server);
+		g_assert_cmpuint(ks_http1_server_n_serving(&f.server), ==, 1);
+		WAIT(&f, f.closed);
+		g_assert_false(f.reset);
+		g_assert_true(
+			g_str_has_prefix(f.received->str, "HTTP/1.1 200 "));
+		deinit_fixture(&f);
+	}
+}
+
 /*
  * Guards against responses to requests sent ahead that pile up for a caller
  * that reads none.
@@ -584,6 +609,7 @@
 	g_test_add_func("/http1-server/refusals", test_refusals);
 	g_test_add_func("/http1-server/timeouts", test_timeouts);
 	g_test_add_func("/http1-server/stopping", test_stopping);
+	g_test_add_func("/http1-server/stopping-unread", test_stopping_unread);
 	g_test_add_func("/http1-server/slow-caller", test_slow_caller);
 	g_test_add_func("/http1-server/unread-response", test_unread_response);
 	g_test_add_func("/http1-server/end-without-output",
--- a/packages/gateway/tests/test-work-after-stop.c
+++ b/packages/gateway/tests/test-work-after-stop.c
@@ -222,6 +222,26 @@
 	fixture_deinit(&f);
 }
 
+/* Requests that no read has seen yet at the end of the drain delay. */
+static void test_unread(void)
+{
+	struct caller caller;
+	struct fixture f;
+
+	fixture_init(&f);
+	ks_gateway_stop(f.gateway);
+	fixture_advance(&f, 2900);
+	connect_caller(&f, &caller);
+	send_text(&caller, head);
+	send_text(&caller, "body");
+	ks_test_clock_advance(&f.clock, 200 * KS_USEC_PER_MSEC);
+	fixture_respond(fixture_wait_request(&f), 200, false, "done");
+	wait_closed(&f, &caller);
+	g_assert_true(g_str_has_prefix(caller.received->str, "HTTP/1.1 200 "));
+	end_caller(&caller);
+	fixture_deinit(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -237,5 +257,6 @@
 	g_test_add_func("/work-after-stop/caller-left", test_caller_left);
 	g_test_add_func("/work-after-stop/being-received", test_being_received);
 	g_test_add_func("/work-after-stop/never-received", test_never_received);
+	g_test_add_func("/work-after-stop/unread", test_unread);
 	return g_test_run();
 }
