gateway: keep the drain delay to half of the grace period

With a drain delay as long as the grace period, a stopping process took every request until its end, and cut it: the check of whether a stop may cut a request begins after the drain delay. The grace period comes from the platform and the drain delay from the template of the settings, so that a short grace period is enough for this.

Evidence: test-work-after-stop drain-delay-as-long-as-grace failed before (a request that was whole 7 s into a grace period of 8 s was sent).

--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -327,6 +327,18 @@
 	       GRACE_MARGIN_US;
 }
 
+/*
+ * With a drain delay that leaves little of the grace period, requests would be
+ * taken that can't end in it.
+ */
+static int64_t drain_delay_us(const ks_gateway_t *gateway)
+{
+	const ks_gateway_settings_t *settings = &gateway->settings;
+
+	return MIN(settings->drain_delay_us,
+		   (settings->grace_us - GRACE_MARGIN_US) / 2);
+}
+
 /**
  * gateway_may_cut() - whether a stop may cut a request that begins now
  * @until_us: when the request ends at the latest
@@ -338,7 +350,7 @@
 {
 	return gateway->stopping &&
 	       ks_loop_now(gateway->loop) - gateway->stop_began_us >=
-		       gateway->settings.drain_delay_us &&
+		       drain_delay_us(gateway) &&
 	       until_us > stop_end_us(gateway);
 }
 
@@ -467,13 +479,12 @@
 	ks_gateway_t *gateway = ctx;
 	int64_t elapsed_us =
 		ks_loop_now(gateway->loop) - gateway->stop_began_us;
-	const ks_gateway_settings_t *settings = &gateway->settings;
 
 	if (gateway->sent_last_usage) {
 		ks_loop_stop(gateway->loop);
 		return;
 	}
-	if (elapsed_us >= settings->drain_delay_us) {
+	if (elapsed_us >= drain_delay_us(gateway)) {
 		ks_http1_server_close_listener(&gateway->server);
 		ks_http1_server_close_idle(&gateway->server);
 		if (ks_list_is_empty(&gateway->exchanges) &&
--- a/packages/gateway/tests/test-work-after-stop.c
+++ b/packages/gateway/tests/test-work-after-stop.c
@@ -242,6 +242,27 @@
 	fixture_deinit(&f);
 }
 
+/* The settings don't keep the two times in their order. */
+static void test_drain_delay_as_long_as_grace(void)
+{
+	struct caller caller;
+	struct fixture f;
+
+	begin_request(&f, &caller,
+		      "POST /tell/ HTTP/1.1\r\nhost: shop.example\r\n"
+		      "x-id: r1\r\nx-left: 8000\r\n"
+		      "content-length: 4\r\n\r\n");
+	f.gateway->settings.drain_delay_us = f.gateway->settings.grace_us;
+	fixture_advance(&f, 7000);
+	send_text(&caller, "body");
+	fixture_run_pending(&f);
+	receive(&caller);
+	g_assert_cmpuint(fixture_n_requests(&f), ==, 0);
+	g_assert_true(g_str_has_prefix(caller.received->str, "HTTP/1.1 503 "));
+	end_caller(&caller);
+	fixture_deinit(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -258,5 +279,7 @@
 	g_test_add_func("/work-after-stop/being-received", test_being_received);
 	g_test_add_func("/work-after-stop/never-received", test_never_received);
 	g_test_add_func("/work-after-stop/unread", test_unread);
+	g_test_add_func("/work-after-stop/drain-delay-as-long-as-grace",
+			test_drain_delay_as_long_as_grace);
 	return g_test_run();
 }
