connection: reset a connection whose end would end an unwritten response

A response without a length to an HTTP/1.0 caller ends with its connection. When the server closed that connection by itself before all output had left, at the end of the process or as the caller was too slow, the caller saw a regular end and took what it had for the whole response.

ks_http1_abort() reset such a connection; every close of one with a response in progress or output left does now.

--- a/packages/connection/src/http1_response.c
+++ b/packages/connection/src/http1_response.c
@@ -194,8 +194,6 @@
 {
 	struct http1_conn *conn = http1_conn_of(request);
 
-	if (!conn->closed && conn->ends_with_connection)
-		http_reset_at_close(h2o_socket_get_fd(conn->sock));
 	if (!conn->closed)
 		http1_conn_close_socket(conn);
 	finish_response(conn, false);
--- a/packages/connection/src/http1_server.c
+++ b/packages/connection/src/http1_server.c
@@ -57,9 +57,19 @@
 	server->accept_paused = false;
 }
 
+/* Whether the end of the connection would end a response too early. */
+static bool truncates_response(const struct http1_conn *conn)
+{
+	return conn->ends_with_connection &&
+	       (conn->serving || conn->writing || conn->queued->len ||
+		conn->sent < conn->sending->len);
+}
+
 void http1_conn_close_socket(struct http1_conn *conn)
 {
 	ks_timer_clear(&conn->timer);
+	if (conn->sock && truncates_response(conn))
+		http_reset_at_close(h2o_socket_get_fd(conn->sock));
 	if (conn->sock)
 		close_sock(conn);
 	conn->sock = NULL;
--- a/packages/connection/tests/test-http1-server.c
+++ b/packages/connection/tests/test-http1-server.c
@@ -442,6 +442,32 @@
 	deinit_fixture(&f);
 }
 
+/*
+ * Guards against a response that looks complete although the server has closed
+ * the connection before all of it had left.
+ */
+static void test_close_without_chunks(void)
+{
+	const size_t len = (size_t)32 * 1024 * 1024;
+	char *body = g_malloc0(len);
+	struct fixture f;
+
+	init_fixture(&f, DEFER);
+	send_text(&f, "GET / HTTP/1.0\r\nhost: h\r\n\r\n");
+	WAIT(&f, f.pending != NULL);
+	ks_http1_start(f.pending, 200, NULL, 0, -1);
+	ks_http1_body(f.pending, (ks_str_t){ body, len });
+	ks_http1_end(f.pending);
+	for (int i = 0; i < 100; i++)
+		ks_loop_run_once(&f.loop, 0);
+	ks_http1_server_deinit(&f.server);
+	WAIT(&f, f.closed);
+	g_assert_cmpuint(f.received->len, <, len);
+	g_assert_true(f.reset);
+	deinit_fixture(&f);
+	g_free(body);
+}
+
 #define SLOW_ROUNDS 4000
 #define SLOW_MAX_CHUNK (512 * 1024)
 
@@ -610,6 +636,8 @@
 	g_test_add_func("/http1-server/timeouts", test_timeouts);
 	g_test_add_func("/http1-server/stopping", test_stopping);
 	g_test_add_func("/http1-server/stopping-unread", test_stopping_unread);
+	g_test_add_func("/http1-server/close-without-chunks",
+			test_close_without_chunks);
 	g_test_add_func("/http1-server/slow-caller", test_slow_caller);
 	g_test_add_func("/http1-server/unread-response", test_unread_response);
 	g_test_add_func("/http1-server/end-without-output",
