--- a/packages/connection/src/http1_server.c
+++ b/packages/connection/src/http1_server.c
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <xxhash.h>
 
@@ -56,9 +57,19 @@
 	server->accept_paused = false;
 }
 
+/* Whether the end of the connection would end a response too early. */
+static bool truncates_response(const struct http1_conn *conn)
+{
+	return conn->ends_with_connection &&
+	       (conn->serving || conn->writing || conn->queued->len ||
+		conn->sent < conn->sending->len);
+}
+
 void http1_conn_close_socket(struct http1_conn *conn)
 {
 	ks_timer_clear(&conn->timer);
+	if (conn->sock && truncates_response(conn))
+		http_reset_at_close(h2o_socket_get_fd(conn->sock));
 	if (conn->sock)
 		close_sock(conn);
 	conn->sock = NULL;
@@ -280,16 +291,35 @@
 
 /**
  * ks_http1_server_close_listener() - stop accepting connections
+ *
+ * Those that are established already are accepted.
  */
 void ks_http1_server_close_listener(ks_http1_server_t *server)
 {
 	if (!server->listener)
 		return;
+	on_accept(server->listener, NULL);
 	h2o_socket_read_stop(server->listener);
 	h2o_socket_close(server->listener);
 	server->listener = NULL;
 }
 
+/* Whether the kernel holds input, which may be a whole request. */
+static bool has_unread(const struct http1_conn *conn)
+{
+	int bytes = 0;
+
+	return !ioctl(h2o_socket_get_fd(conn->sock), FIONREAD, &bytes) &&
+	       bytes > 0;
+}
+
+/* Whether no request is served on a connection or being received. */
+static bool is_idle(const struct http1_conn *conn)
+{
+	return !conn->serving && !conn->request_started && !conn->writing &&
+	       conn->sock && !conn->ahead->len && !has_unread(conn);
+}
+
 /**
  * ks_http1_server_close_idle() - close connections without a request
  */
@@ -299,8 +329,7 @@
 		struct http1_conn *conn =
 			KS_CONTAINER_OF(it, struct http1_conn, node);
 
-		if (!conn->serving && !conn->request_started &&
-		    !conn->writing && conn->sock && !conn->ahead->len)
+		if (is_idle(conn))
 			http1_conn_close(conn);
 	}
 }
@@ -326,7 +355,24 @@
 }
 
 /**
- * ks_http1_server_n_serving() - number of requests without a complete response
+ * ks_http1_server_refuse_unfinished() - answer requests that are not received
+ * completely with 503, and close their connections
+ */
+void ks_http1_server_refuse_unfinished(ks_http1_server_t *server)
+{
+	KS_LIST_FOREACH_SAFE (it, tmp, &server->conns) {
+		struct http1_conn *conn =
+			KS_CONTAINER_OF(it, struct http1_conn, node);
+
+		if (conn->request_started && !conn->request_complete &&
+		    !conn->close_after && conn->sock)
+			ks_http1_reject(&conn->request, 503);
+	}
+}
+
+/**
+ * ks_http1_server_n_serving() - number of requests without a complete response,
+ * including those that are being received
  */
 size_t ks_http1_server_n_serving(const ks_http1_server_t *server)
 {
@@ -336,7 +382,7 @@
 		const struct http1_conn *conn =
 			KS_CONTAINER_OF(it, struct http1_conn, node);
 
-		n += conn->serving || conn->writing;
+		n += !is_idle(conn);
 	}
 	return n;
 }
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -320,7 +320,8 @@
  * @refused_not_run: the response states that the request was not executed
  * @backed_off: the upstream turned the request away and requested a back-off
  * @withheld: the request was not sent, as the upstream had requested a back-off
- *	or stated a limit by the time at which the connection was up
+ *	or stated a limit, or a stop might cut it, by the time at which the
+ *	connection was up
  * @is_counted: the latest send counts against a limit of the upstream
  * @is_unsent: the latest send has not left this process
  * @is_suspect: lost in a way in which requests that crash upstreams are lost
@@ -523,6 +524,8 @@
 
 /* exchange_dispatch.c */
 
+bool exchange_may_be_cut(const struct exchange *exchange);
+bool exchange_refuse_stopping(struct exchange *exchange);
 void exchange_dispatch(struct exchange *exchange);
 void exchange_log_origin(struct exchange *exchange, uint64_t origin,
 			 const char *why);
