--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -7,8 +7,8 @@
 
 #include <errno.h>
 #include <netinet/in.h>
-#include <poll.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <unistd.h>
 
 #define MAX_HEAD_BYTES (256 * 1024)
