gateway: a row from an older copy of the store identifies no process

If the store returns from an older copy, the row of a process can be followed by that of the process before it, under the same id and at the same address. Such a read does not count, so members_read_us stays that of an earlier read, which had shown the later process. gateway_is_identified() compared only this time with that of the connection: a connection that had been opened to the later process before that read passed for one to the earlier process. A claim for the earlier process was settled the same way, though the last read that counted had shown that it was gone.

A member now has the time of the read that had its own row, in confirmed_us, which the answers of upstreams set already. One that was put by a read that does not count has none until a read counts or the upstream says which process it is.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -352,8 +352,8 @@
  *	goes on only at upstreams of the origin that began it.
  * @process: hash of @id, @process_start_ms and @origin, which identifies its
  *	process among all entries
- * @confirmed_us: when a question was sent to which the process has answered
- *	that it is the one of the announcement, 0 before
+ * @confirmed_us: the process was there then or later: a read was begun that
+ *	has its announcement, or it was asked and has answered; 0 before
  * @is_replaced: an answer was that another process is there now
  * @asked_us: when the question was sent that has no answer yet, 0 for none
  * @n_silent: questions in a row that got no answer
--- a/packages/gateway/src/identity.c
+++ b/packages/gateway/src/identity.c
@@ -23,10 +23,7 @@
 bool gateway_is_identified(const ks_gateway_t *gateway,
 			   const ks_member_t *member, int64_t since_us)
 {
-	if (!gateway->read_members || member->confirmed_us >= since_us)
-		return true;
-	return member->listed && !member->remove_at_us &&
-	       gateway->members_read_us >= since_us;
+	return !gateway->read_members || member->confirmed_us >= since_us;
 }
 
 /* An upstream that wants few requests now is not asked. */
@@ -169,6 +166,22 @@
 	peers->settled_since_start = is_first;
 }
 
+/* A row that only an older copy of the store has is in no read that counts. */
+static void confirm_members(ks_gateway_t *gateway, int64_t asked_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gateway->fleet.by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		ks_member_t *member = value;
+
+		if (!member->remove_at_us)
+			member->confirmed_us =
+				MAX(member->confirmed_us, asked_us);
+	}
+}
+
 /**
  * ks_gateway_members_read() - note that the fleet has what a read of the
  * announcements of upstreams reported
@@ -178,6 +191,7 @@
 {
 	note_mixtures(gateway);
 	gateway->members_read_us = asked_us;
+	confirm_members(gateway, asked_us);
 	tell_exchanges(gateway);
 }
 
--- a/packages/gateway/tests/test-restarted-process.c
+++ b/packages/gateway/tests/test-restarted-process.c
@@ -169,6 +169,87 @@
 	world_deinit(&w);
 }
 
+/* The store returns from a copy that has the row of the process before. */
+static void return_from_copy(struct world *w, int i, const char *software)
+{
+	w->is_away = true;
+	w->now[i] = w->starts[i];
+	w->starts[i]--;
+	w->in_store[i] = software;
+	world_put_rows(w, w->v.entries[0]);
+}
+
+/*
+ * A process passes for the one before, as the store has returned from an older
+ * copy, and the entry has a connection to it.
+ */
+static void test_older_copy(void)
+{
+	struct fixture_caller caller;
+	struct world w;
+
+	world_init(&w, 1, "v1", NULL);
+	begin(&w, &caller, true);
+	fixture_end_call(&caller);
+	FIXTURE_WAIT(&w.v.f, w.v.f.upstreams[0].left);
+	world_start_again(&w, 0, "v2");
+	world_read_and_wait(&w);
+	/* Leaves an idle connection to the second process. */
+	w.v.id = "r3";
+	versions_call(&w.v, &caller, "/resume/", NULL, NULL);
+	FIXTURE_WAIT(&w.v.f, w.v.f.upstreams[0].request);
+	versions_respond(&w.v, &w.v.f.upstreams[0], FIRST_EVENT);
+	FIXTURE_WAIT(&w.v.f, caller.done);
+	fixture_end_call(&caller);
+	world_read_and_wait(&w);
+	return_from_copy(&w, 0, "v1");
+	w.v.id = "r2";
+	versions_call(&w.v, &caller, "/resume/", "r1", "2");
+	for (int i = 0; i < 100 && !caller.done; i++)
+		fixture_advance(&w.v.f, 10);
+	g_assert_cmpuint(fixture_n_requests(&w.v.f), ==, 2);
+	g_assert_true(caller.done);
+	g_assert_cmpint(caller.status, ==, 503);
+	fixture_end_call(&caller);
+	world_deinit(&w);
+}
+
+/*
+ * A stream is claimed for a process whose row is gone and comes back with an
+ * older copy of the store, while another process had begun the stream.
+ */
+static void test_claimed_before_older_copy(void)
+{
+	struct fixture_upstream *upstream;
+	struct fixture_caller caller;
+	struct world w;
+	int at;
+
+	world_init(&w, 1, "v1", "v1");
+	fixture_advance(&w.v.f, 10);
+	versions_call(&w.v, &caller, "/resume/", NULL, NULL);
+	upstream = fixture_wait_request(&w.v.f);
+	at = versions_index(&w.v, upstream);
+	world_start_again(&w, at, "v2");
+	world_read_and_wait(&w);
+	versions_start_response(&w.v, upstream);
+	fixture_send(upstream, FIRST_EVENT);
+	fixture_run_pending(&w.v.f);
+	fixture_end_call(&caller);
+	FIXTURE_WAIT(&w.v.f, upstream->left);
+	world_allow_questions(&w);
+	return_from_copy(&w, at, "v1");
+	w.v.id = "r2";
+	versions_call(&w.v, &caller, "/resume/", "r1", "1");
+	for (int i = 0; i < 100 && !caller.done; i++)
+		fixture_advance(&w.v.f, 10);
+	g_assert_cmpuint(fixture_n_requests(&w.v.f), ==, 1);
+	g_assert_true(caller.done);
+	g_assert_cmpint(caller.status, ==, 503);
+	fixture_end_call(&caller);
+	world_deinit(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -181,5 +262,8 @@
 	g_test_add_func("/restarted-process/same-process", test_same_process);
 	g_test_add_func("/restarted-process/store-is-away", test_store_is_away);
 	g_test_add_func("/restarted-process/joined-unseen", test_joined_unseen);
+	g_test_add_func("/restarted-process/older-copy", test_older_copy);
+	g_test_add_func("/restarted-process/claimed-before-older-copy",
+			test_claimed_before_older_copy);
 	return g_test_run();
 }
