gateway: keep claims for a minute also on old connections

A stream that begins in an outage of the store on a connection that has been in use for a minute could be refused to its caller a moment later: claims were dropped by the time since which the process counts, which is that of the connection. One of a connection older than a generation lasted until the next generation began, from no time to a minute, instead of one to two minutes. Their age is now that of the claim.

The new case claim-on-old-connection failed before: a claim that was two seconds old was gone.

--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -683,12 +683,14 @@
  * @process: of the upstream that the entry that began it knew, see struct
  *	ks_member
  * @since_us: if that process is there later than this, it began the stream
+ * @claimed_us: set by ks_stream_origins_claim()
  * @is_own: this entry began the stream
  */
 typedef struct ks_stream_claim {
 	uint64_t stream;
 	uint64_t process;
 	int64_t since_us;
+	int64_t claimed_us;
 	bool is_own;
 } ks_stream_claim_t;
 
--- a/packages/gateway/src/stream_origins.c
+++ b/packages/gateway/src/stream_origins.c
@@ -43,7 +43,7 @@
 	const ks_stream_claim_t *claim = value;
 	const int64_t *now_us = ctx;
 
-	return *now_us - claim->since_us >= GENERATION_US;
+	return *now_us - claim->claimed_us >= GENERATION_US;
 }
 
 static void begin_generation(ks_stream_origins_t *origins, int64_t now_us)
@@ -106,6 +106,8 @@
 void ks_stream_origins_claim(ks_stream_origins_t *origins,
 			     const ks_stream_claim_t *claim, int64_t now_us)
 {
+	ks_stream_claim_t *kept;
+
 	if (claim->is_own) {
 		g_hash_table_remove(origins->recent, &claim->stream);
 		g_hash_table_remove(origins->older, &claim->stream);
@@ -115,9 +117,11 @@
 	    g_hash_table_contains(origins->claims, &claim->stream) ||
 	    g_hash_table_size(origins->claims) >= MAX_STREAMS)
 		return;
+	kept = g_memdup2(claim, sizeof(*claim));
+	kept->claimed_us = now_us;
 	g_hash_table_insert(origins->claims,
 			    g_memdup2(&claim->stream, sizeof(claim->stream)),
-			    g_memdup2(claim, sizeof(*claim)));
+			    kept);
 }
 
 /**
--- a/packages/gateway/tests/test-stream-origins.c
+++ b/packages/gateway/tests/test-stream-origins.c
@@ -80,7 +80,12 @@
 static void claim(ks_stream_origins_t *origins, uint64_t stream,
 		  int64_t since_us, bool is_own)
 {
-	ks_stream_claim_t claim = { stream, 9, since_us, is_own };
+	ks_stream_claim_t claim = {
+		.stream = stream,
+		.process = 9,
+		.since_us = since_us,
+		.is_own = is_own,
+	};
 
 	ks_stream_origins_claim(origins, &claim, since_us);
 }
@@ -127,6 +132,27 @@
 	ks_stream_origins_deinit(&origins);
 }
 
+/* Guards against a claim that is dropped early as its connection is old. */
+static void test_claim_on_old_connection(void)
+{
+	ks_stream_claim_t claim = {
+		.stream = 1,
+		.process = 9,
+		.since_us = SECOND,
+		.is_own = true,
+	};
+	ks_stream_origins_t origins;
+
+	ks_stream_origins_init(&origins);
+	ks_stream_origins_find(&origins, 2, 100 * SECOND);
+	ks_stream_origins_claim(&origins, &claim, 159 * SECOND);
+	ks_stream_origins_find(&origins, 2, 161 * SECOND);
+	g_assert_nonnull(ks_stream_origins_find_claim(&origins, 1));
+	ks_stream_origins_find(&origins, 2, 222 * SECOND);
+	g_assert_null(ks_stream_origins_find_claim(&origins, 1));
+	ks_stream_origins_deinit(&origins);
+}
+
 static void receive(ks_peers_t *peers, uint64_t receiver, uint64_t stream,
 		    uint64_t origin, bool has_origin)
 {
@@ -205,6 +231,8 @@
 	g_test_add_func("/stream-origins/claims", test_claims);
 	g_test_add_func("/stream-origins/claims-forgotten",
 			test_claims_forgotten);
+	g_test_add_func("/stream-origins/claim-on-old-connection",
+			test_claim_on_old_connection);
 	g_test_add_func("/stream-origins/messages", test_messages);
 	g_test_add_func("/stream-origins/ignored-by-earlier-versions",
 			test_ignored_by_earlier_versions);
