gateway: count an upstream as silent also if many requests need it

A stream that could go on at another upstream was broken off, or refused to its caller, after 0.8 s as "not known which process the upstream is": each request that needed the process of a silent upstream set its count of silent questions back to zero, also while a question was under way. If one came more often than a question takes (0.3 s when the upstream does not respond), the count never reached two, and no request was placed elsewhere.

The count starts anew only if no question is under way. One that is lets a later request be placed elsewhere early, which does it no harm.

The new case mute-and-asked-often failed before (mute = 1: not sent at all instead of to upstream 0) and passes now.

--- a/packages/gateway/src/identity.c
+++ b/packages/gateway/src/identity.c
@@ -79,7 +79,9 @@
 		return;
 	if (member) {
 		member->ask_after_us = ks_loop_now(gateway->loop);
-		member->n_silent = 0;
+		/* A question that is under way counts for this one as well. */
+		if (!member->asked_us)
+			member->n_silent = 0;
 		if (!g_ptr_array_find(gateway->to_identify, member, NULL))
 			g_ptr_array_add(gateway->to_identify,
 					ks_member_ref(member));
--- a/packages/gateway/tests/test-restarted-process.c
+++ b/packages/gateway/tests/test-restarted-process.c
@@ -250,6 +250,57 @@
 	world_deinit(&w);
 }
 
+/* Resumes r1 while others have upstreams asked all the time. */
+static int resume_amid_questions(struct world *w, const char *asked)
+{
+	ks_gateway_t *gateway = w->v.entries[0];
+	struct fixture_caller caller;
+	int at = -1;
+
+	w->v.id = "r2";
+	versions_call(&w->v, &caller, "/resume/", "r1", "2");
+	for (int i = 0; i < 1000 && at < 0 && !caller.done; i++) {
+		struct fixture_upstream *next;
+
+		fixture_advance(&w->v.f, 1);
+		gateway_identify(gateway, ks_fleet_find(&gateway->fleet,
+							ks_str_from(asked)));
+		next = fixture_pending_upstream(&w->v.f);
+		if (next)
+			at = versions_index(&w->v, next);
+	}
+	if (at >= 0)
+		versions_respond(&w->v, &w->v.f.upstreams[at],
+				 "id: 3\ndata: c\n\n");
+	FIXTURE_WAIT(&w->v.f, caller.done);
+	fixture_end_call(&caller);
+	return at;
+}
+
+/*
+ * One of two upstreams does not say which process it is, and many requests
+ * need to know. Guards against a wait for it until the stream is refused.
+ */
+static void test_mute_and_asked_often(void)
+{
+	for (int mute = 0; mute < 2; mute++) {
+		struct fixture_caller caller;
+		struct world w;
+		int at;
+
+		world_init(&w, 1, "v1", "v1");
+		at = begin(&w, &caller, true);
+		fixture_end_call(&caller);
+		FIXTURE_WAIT(&w.v.f, w.v.f.upstreams[at].left);
+		world_allow_questions(&w);
+		w.is_away = true;
+		w.is_mute[mute] = true;
+		g_assert_cmpint(resume_amid_questions(&w, mute ? "u1" : "u0"),
+				==, 1 - mute);
+		world_deinit(&w);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -265,5 +316,7 @@
 	g_test_add_func("/restarted-process/older-copy", test_older_copy);
 	g_test_add_func("/restarted-process/claimed-before-older-copy",
 			test_claimed_before_older_copy);
+	g_test_add_func("/restarted-process/mute-and-asked-often",
+			test_mute_and_asked_often);
 	return g_test_run();
 }
