--- a/packages/gateway/include/ks/gateway.h
+++ b/packages/gateway/include/ks/gateway.h
@@ -352,8 +352,8 @@
  *	goes on only at upstreams of the origin that began it.
  * @process: hash of @id, @process_start_ms and @origin, which identifies its
  *	process among all entries
- * @confirmed_us: when a question was sent to which the process has answered
- *	that it is the one of the announcement, 0 before
+ * @confirmed_us: the process was there then or later: a read was begun that
+ *	has its announcement, or it was asked and has answered; 0 before
  * @is_replaced: an answer was that another process is there now
  * @asked_us: when the question was sent that has no answer yet, 0 for none
  * @n_silent: questions in a row that got no answer
@@ -693,12 +693,14 @@
  * @process: of the upstream that the entry that began it knew, see struct
  *	ks_member
  * @since_us: if that process is there later than this, it began the stream
+ * @claimed_us: set by ks_stream_origins_claim()
  * @is_own: this entry began the stream
  */
 typedef struct ks_stream_claim {
 	uint64_t stream;
 	uint64_t process;
 	int64_t since_us;
+	int64_t claimed_us;
 	bool is_own;
 } ks_stream_claim_t;
 
