--- a/packages/gateway/tests/test-repeated-refusal.c
+++ b/packages/gateway/tests/test-repeated-refusal.c
@@ -364,6 +364,7 @@
 		ks_timer_clear(&s.timer);
 		fixture_deinit(&s.f);
 		g_string_free(s.refusal, TRUE);
+		ks_rng_deinit(&s.draw.rng);
 	}
 	g_free(large);
 	for (int i = 0; i < N_MOMENTS; i++)
