--- a/review/world-2.c
+++ b/review/world-2.c
@@ -110,8 +110,8 @@
 	for (;; next = next < 31000 ? next + 1 : 15000) {
 		struct sockaddr_in address = loopback(next);
 		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-		bool ok = !bind(fd, (struct sockaddr *)&address,
-				sizeof(address));
+		bool ok =
+			!bind(fd, (struct sockaddr *)&address, sizeof(address));
 
 		close(fd);
 		if (ok)
@@ -257,8 +257,8 @@
 			request.fields[request.n_fields++] =
 				(struct field){ line, colon };
 		}
-		body_len = strtoul(field_of(&request, "content-length"), NULL,
-				   10);
+		body_len =
+			strtoul(field_of(&request, "content-length"), NULL, 10);
 		if (!fill(served.fd, &buffer, &size, &len,
 			  head_len + body_len)) {
 			free(head);
@@ -296,8 +296,8 @@
 		if (fd < 0)
 			continue;
 		served = malloc(sizeof(*served));
-		*served = (struct served){ fd, listener->handler,
-					   listener->ctx };
+		*served =
+			(struct served){ fd, listener->handler, listener->ctx };
 		start_thread(serve_connection, served);
 	}
 	free(listener);
@@ -529,9 +529,9 @@
 
 static json_t *row_json(const struct row *row)
 {
-	json_t *json = json_pack("{s:s,s:s,s:s,s:I}", "table", row->table,
-				 "part", "", "key", row->key, "ver",
-				 (json_int_t)row->ver);
+	json_t *json =
+		json_pack("{s:s,s:s,s:s,s:I}", "table", row->table, "part", "",
+			  "key", row->key, "ver", (json_int_t)row->ver);
 
 	if (row->removed)
 		json_object_set_new(json, "tombstone", json_true());
@@ -609,12 +609,14 @@
 	if (status == 200) {
 		store_ver++;
 		json_array_foreach(json_object_get(body, "puts"), i, item)
-			set_row(json_string_value(json_object_get(item, "table")),
+			set_row(json_string_value(
+					json_object_get(item, "table")),
 				json_string_value(json_object_get(item, "key")),
 				json_string_value(
 					json_object_get(item, "value")));
 		json_array_foreach(json_object_get(body, "remove"), i, item)
-			set_row(json_string_value(json_object_get(item, "table")),
+			set_row(json_string_value(
+					json_object_get(item, "table")),
 				json_string_value(json_object_get(item, "key")),
 				NULL);
 		pthread_cond_broadcast(&store_changed);
@@ -657,8 +659,7 @@
 					      until % 1000 * 1000000 };
 			json_t *list;
 
-			if (store_away || era != store_era ||
-			    after > store_ver)
+			if (store_away || era != store_era || after > store_ver)
 				break;
 			list = list_json(table, "", after);
 			if (json_array_size(list) || now_ms() >= until) {
@@ -670,7 +671,10 @@
 		}
 		pthread_mutex_unlock(&store_lock);
 		/* A version that the store does not have. */
-		answer(request->fd, json ? 200 : store_away ? 503 : 410,
+		answer(request->fd,
+		       json	    ? 200
+		       : store_away ? 503
+				    : 410,
 		       json ? json : json_object());
 	} else {
 		answer(request->fd, 404, json_object());
@@ -751,8 +755,9 @@
 		/* The work ends when the connection closes. */
 		if (recv(request->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0)
 			return;
-		snprintf(event, sizeof(event), "id: %d\ndata: piece %d of %s\n\n",
-			 next, next, replica->software);
+		snprintf(event, sizeof(event),
+			 "id: %d\ndata: piece %d of %s\n\n", next, next,
+			 replica->software);
 		if (!send_text(request->fd, "%zx\r\n%s\r\n", strlen(event),
 			       event))
 			return;
@@ -760,6 +765,87 @@
 	send_text(request->fd, "0\r\n\r\n");
 }
 
+#define ROLE_SWITCH_MS 3000
+#define PREFILL_MS 30
+
+static bool answer_json(int fd, int status, const char *id, const char *more,
+			const char *body)
+{
+	return send_text(fd,
+			 "HTTP/1.1 %d X\r\nRequest-Id: %s\r\n%sContent-Type: "
+			 "application/json\r\nContent-Length: %zu\r\n\r\n%s",
+			 status, id, more, strlen(body), body);
+}
+
+static void *switch_stage(void *arg)
+{
+	struct replica *replica = arg;
+	int generation = replica->generation;
+
+	sleep_ms(ROLE_SWITCH_MS);
+	if (generation != replica->generation)
+		return NULL;
+	replica->stage =
+		!strcmp(replica->stage, "prefill") ? "decode" : "prefill";
+	record("%s has the stage %s", replica->id, replica->stage);
+	replica_announce(replica);
+	return NULL;
+}
+
+/* Orders to a replica with a stage, and requests that it doesn't run. */
+static bool handle_stage(struct replica *replica, struct request *request,
+			 bool *handled)
+{
+	const char *id = field_of(request, "request-id");
+	bool is_prefill = !strcmp(field_of(request, "stage"), "prefill");
+	char body[128];
+
+	*handled = true;
+	if (!strncmp(request->target, "/-/kv-handle/", 13))
+		return answer_json(request->fd, 200, id, "", "");
+	if (!strncmp(request->target, "/-/order", 8)) {
+		json_t *json = json_loads(request->body, 0, NULL);
+		const char *stage =
+			json_string_value(json_object_get(json, "stage"));
+		int status = 202;
+
+		if (!stage)
+			status = 400;
+		else if (now_ms() < replica->busy_until_ms ||
+			 json_integer_value(json_object_get(
+				 json, "expected-revision")) != replica->seq)
+			status = 409;
+		else if (!strcmp(stage, replica->stage))
+			status = 200;
+		if (status == 202) {
+			replica->seq++;
+			replica->busy_until_ms = now_ms() + ROLE_SWITCH_MS;
+			start_thread(switch_stage, replica);
+		}
+		record("order at=%s status=%d %s", replica->id, status,
+		       request->body);
+		json_decref(json);
+		return answer_json(request->fd, status, id, "", "");
+	}
+	if (now_ms() < replica->busy_until_ms)
+		return answer_json(request->fd, 503, id, "Not-Executed: 1\r\n",
+				   "");
+	if (is_prefill != !strcmp(replica->stage, "prefill"))
+		return answer_json(request->fd, 421, id, "Not-Executed: 1\r\n",
+				   "");
+	if (is_prefill) {
+		sleep_ms(PREFILL_MS);
+		record("prefill at=%s request=%s", replica->id, id);
+		snprintf(body, sizeof(body),
+			 "{\"handle\":\"%s%08x\",\"tokens\":1460,"
+			 "\"version\":1}",
+			 replica->id, ++replica->handles);
+		return answer_json(request->fd, 200, id, "", body);
+	}
+	*handled = false;
+	return true;
+}
+
 static bool handle_replica(void *ctx, struct request *request)
 {
 	struct replica *replica = ctx;
@@ -767,7 +853,8 @@
 	const char *expected = field_of(request, "expect-instance");
 	size_t len = strlen(request->target);
 	int generation = replica->generation;
-	char body[128];
+	bool handled = false, keep;
+	char body[256];
 
 	note_open(replica, request->fd);
 	if (*expected && strcmp(expected, replica->id) != 0)
@@ -777,16 +864,22 @@
 				 "Instance-Id: %s\r\nContent-Length: 0\r\n\r\n",
 				 id, replica->id);
 	if (!strncmp(request->target, "/-/report", 9)) {
-		snprintf(body, sizeof(body),
-			 "{\"busy\":false,\"seq\":0,\"queued\":0,\"running\":0,"
-			 "\"born\":%lld}",
-			 (long long)replica->born_ms);
+		snprintf(
+			body, sizeof(body),
+			"{\"stage\":\"%s\",\"busy\":%s,\"seq\":%d,\"queued\":0,"
+			"\"running\":0,\"born\":%lld}",
+			replica->stage ? replica->stage : "",
+			now_ms() < replica->busy_until_ms ? "true" : "false",
+			replica->seq, (long long)replica->born_ms);
 		return send_text(request->fd,
 				 "HTTP/1.1 200 OK\r\nContent-Type: "
 				 "application/json\r\nContent-Length: "
 				 "%zu\r\n\r\n%s",
 				 strlen(body), body);
 	}
+	keep = replica->stage ? handle_stage(replica, request, &handled) : true;
+	if (handled)
+		return keep;
 	record("run at=%s request=%s target=%s last_event=%s", replica->id, id,
 	       request->target, field_of(request, "last-event-id"));
 	if (len >= 7 && !strcmp(request->target + len - 7, "/stream")) {
@@ -810,17 +903,31 @@
 
 void replica_announce(const struct replica *replica)
 {
-	char text[512];
+	char text[512], stage[32] = "";
 
+	if (replica->stage)
+		snprintf(stage, sizeof(stage), "\"stage\":\"%s\",",
+			 replica->stage);
 	snprintf(text, sizeof(text),
 		 "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":"
-		 "\"%s\",\"version\":\"%s\",\"slots\":64,\"state\":\"ready\","
+		 "\"%s\",\"version\":\"%s\",\"slots\":64,\"state\":\"%s\",%s"
 		 "\"cold-remaining-ms\":0,\"seq\":1,\"born\":%lld}",
 		 replica->service, replica->port, replica->zone,
-		 replica->software, (long long)replica->born_ms);
+		 replica->software, replica->draining ? "draining" : "ready",
+		 stage, (long long)replica->born_ms);
 	store_put("servers", replica->id, text);
 }
 
+/* The store removes the entry. */
+void replica_withdraw(const struct replica *replica)
+{
+	pthread_mutex_lock(&store_lock);
+	store_ver++;
+	set_row("servers", replica->id, NULL);
+	pthread_cond_broadcast(&store_changed);
+	pthread_mutex_unlock(&store_lock);
+}
+
 void replica_start(struct replica *replica)
 {
 	replica_listen(replica);
@@ -876,8 +983,8 @@
 			char *close_mark = strstr(line, "}}");
 			char *end = strstr(line, "{{/");
 
-			if (!value_of(line + 3,
-				      (size_t)(close_mark - line - 3), values))
+			if (!value_of(line + 3, (size_t)(close_mark - line - 3),
+				      values))
 				continue;
 			*end++ = '\n';
 			*end = '\0';
--- a/review/world-2.h
+++ b/review/world-2.h
@@ -75,12 +75,19 @@
 	int64_t born_ms;
 	int listener;
 	int generation;
+	/* "prefill" or "decode"; NULL for a replica without a stage. */
+	const char *stage;
+	bool draining;
+	int seq;
+	int handles;
+	int64_t busy_until_ms;
 };
 
 /* Listens, on the port that it had, and announces itself. */
 void replica_start(struct replica *replica);
 void replica_listen(struct replica *replica);
 void replica_announce(const struct replica *replica);
+void replica_withdraw(const struct replica *replica);
 
 /* Ends the process of the replica with its connections; its row stays. */
 void replica_crash(struct replica *replica);
@@ -115,7 +122,8 @@
 
 /* Client side. */
 int connect_to(int port, int64_t timeout_ms);
-/* Appends what arrives; returns bytes, 0 at the end, -1 on error, -2 timeout. */
+/* Appends what arrives; returns bytes, 0 at the end, -1 on error, -2 timeout.
+ */
 ssize_t read_more(int fd, char *buffer, size_t size, size_t *len,
 		  int64_t until_ms);
 
