--- a/review/case-accept.c
+++ b/review/case-accept.c
@@ -119,8 +119,11 @@
 
 int main(int argc, char **argv)
 {
-	struct bounds bounds = { .drain_ms = 3000, .grace_s = 8, .slack = 96,
-				 .lease_ms = 3000, .memory_mb = 120,
+	struct bounds bounds = { .drain_ms = 3000,
+				 .grace_s = 8,
+				 .slack = 96,
+				 .lease_ms = 3000,
+				 .memory_mb = 120,
 				 .max_fds = MAX_FDS };
 	bool trouble = argc < 3 || strcmp(argv[2], "0") != 0, ready, broken;
 	int crowd = trouble ? N_CROWD : N_USUAL, store;
@@ -189,15 +192,16 @@
 	sleep_ms(CONTACT_MS + 1500);
 	ready = gateway_is_ready(&gateway);
 	pthread_mutex_lock(&lock);
-	broken = ready && (!n_answered ||
-			   first_answer_ms - tries_since_ms > CONTACT_MS);
+	broken = ready &&
+		 (!n_answered || first_answer_ms - tries_since_ms > CONTACT_MS);
 	pthread_mutex_unlock(&lock);
 	record("ready=%d tries=%d answered=%d first after %lld ms: the rule %s",
 	       ready, n_tries, n_answered,
 	       n_answered ? (long long)(first_answer_ms - tries_since_ms) : -1,
 	       broken ? "is broken" : "holds");
-	printf("resting=%d ready=%d tries=%d answered=%d: the rule %s\n", n_open,
-	       ready, n_tries, n_answered, broken ? "is broken" : "holds");
+	printf("resting=%d ready=%d tries=%d answered=%d: the rule %s\n",
+	       n_open, ready, n_tries, n_answered,
+	       broken ? "is broken" : "holds");
 	ends = true;
 	sleep_ms(300);
 	world_end();
--- a/review/case-streams.c
+++ b/review/case-streams.c
@@ -145,9 +145,8 @@
 {
 	for (int i = first; i < first + n; i++) {
 		streams[i].number = i;
-		streams[i].gateway =
-			is_new ? N_GATEWAYS - N_LEFT + i % N_LEFT
-			       : i % (N_GATEWAYS - N_LEFT);
+		streams[i].gateway = is_new ? N_GATEWAYS - N_LEFT + i % N_LEFT
+					    : i % (N_GATEWAYS - N_LEFT);
 		start_thread(run_stream, &streams[i]);
 	}
 }
@@ -164,8 +163,11 @@
 int main(int argc, char **argv)
 {
 	static const char *const zones[] = { "luzon-a", "luzon-b", "luzon-c" };
-	struct bounds bounds = { .drain_ms = 3000, .grace_s = 8, .slack = 96,
-				 .lease_ms = 3000, .memory_mb = 120,
+	struct bounds bounds = { .drain_ms = 3000,
+				 .grace_s = 8,
+				 .slack = 96,
+				 .lease_ms = 3000,
+				 .memory_mb = 120,
 				 .max_fds = 3075 };
 	int resumed = 0, went_on = 0, began = 0, fresh = 0, store;
 	bool trouble = argc < 3 || strcmp(argv[2], "0") != 0, broken;
--- a/review/case-usage.c
+++ b/review/case-usage.c
@@ -127,8 +127,11 @@
 
 int main(int argc, char **argv)
 {
-	struct bounds bounds = { .drain_ms = 3000, .grace_s = 8, .slack = 84,
-				 .lease_ms = 3000, .memory_mb = 160,
+	struct bounds bounds = { .drain_ms = 3000,
+				 .grace_s = 8,
+				 .slack = 84,
+				 .lease_ms = 3000,
+				 .memory_mb = 160,
 				 .max_fds = 4100,
 				 .usage_window_s = WINDOW_S };
 	bool trouble = argc < 3 || strcmp(argv[2], "0") != 0;
--- a/review/case-versions.c
+++ b/review/case-versions.c
@@ -55,9 +55,8 @@
 			  "Request-Id: %016x\r\nModel: m\r\nToken-Count: "
 			  "1460,19\r\nPrompt-Prefix: %x:800,%x:660\r\n"
 			  "Deadline-Ms: %d\r\nContent-Length: 2\r\n\r\n{}",
-			  0x5eed0000u + stream->number,
-			  0x500 + stream->number, 0x1000 + stream->number,
-			  DEADLINE_MS);
+			  0x5eed0000u + stream->number, 0x500 + stream->number,
+			  0x1000 + stream->number, DEADLINE_MS);
 	while (fd >= 0 &&
 	       read_more(fd, buffer, sizeof(buffer), &len, until) > 0) {
 		char *at;
@@ -65,9 +64,9 @@
 		while ((at = strstr(buffer + seen, "\nid: ")) &&
 		       strstr(at, "\n\n")) {
 			int id = atoi(at + 5);
-			bool is_new = strstr(at, "\n\n") >
-					      strstr(at, " of 1.5") &&
-				      strstr(at, " of 1.5");
+			bool is_new =
+				strstr(at, "\n\n") > strstr(at, " of 1.5") &&
+				strstr(at, " of 1.5");
 
 			stream->odd |= id != stream->last_event + 1;
 			stream->last_event = id;
@@ -87,8 +86,7 @@
 		close(fd);
 	record("client stream=%d gateway=%s complete=%d %sevents=%s",
 	       stream->number, gateway->name, stream->complete,
-	       stream->old_events && stream->new_events ? "TWO VERSIONS "
-							: "",
+	       stream->old_events && stream->new_events ? "TWO VERSIONS " : "",
 	       events);
 	stream->done = true;
 	return NULL;
@@ -105,8 +103,11 @@
 int main(int argc, char **argv)
 {
 	static const char *const zones[] = { "luzon-a", "luzon-b", "luzon-c" };
-	struct bounds bounds = { .drain_ms = 3000, .grace_s = 8, .slack = 96,
-				 .lease_ms = 3000, .memory_mb = 120,
+	struct bounds bounds = { .drain_ms = 3000,
+				 .grace_s = 8,
+				 .slack = 96,
+				 .lease_ms = 3000,
+				 .memory_mb = 120,
 				 .max_fds = 3075 };
 	bool trouble = argc < 3 || strcmp(argv[2], "0") != 0;
 	struct replica *flapping = &replicas[N_REPLICAS - 1];
