--- a/review/case-streams.c
+++ b/review/case-streams.c
@@ -15,7 +15,7 @@
 
 /* As lakbay-galaw-grown has. */
 #define N_GATEWAYS 28
-#define N_LEFT 2
+#define N_LEFT 6
 #define N_REPLICAS 6
 #define N_STREAMS 120
 #define N_NEW 40
