usage: abandon windows that may have been reported before a return

Callers see nothing of it; the platform accepted two usage reports with different counts for one window. All entries were killed just after a report, and the store returned from a copy without the row of it. The next holder of the lease took the older row for the latest one.

The row now names the era of the store in which it was written. An entry that held the lease until it learned of a return tells the others that it knows all that was sealed. A holder that knows neither abandons the windows that are not in the row and had begun before.

prop-usage lets the holder end without a last message, or all entries, as the store returns.

--- a/packages/gateway/include/ks/duty.h
+++ b/packages/gateway/include/ks/duty.h
@@ -18,11 +18,14 @@
 /**
  * struct ks_duty_user - something that is done by the holder of the lease
  * @wanted: has something to do; see ks_duty_lease_set_wanted()
+ * @returned: called when the store has returned from an older copy, before the
+ *	lease counts as not held; may be NULL
  */
 typedef struct ks_duty_user {
 	ks_list_t node;
 	ks_duty_lease_t *lease;
 	bool wanted;
+	void (*returned)(struct ks_duty_user *user, uint64_t era);
 } ks_duty_user_t;
 
 /**
@@ -97,7 +100,7 @@
 void ks_duty_lease_add_user(ks_duty_lease_t *lease, ks_duty_user_t *user);
 void ks_duty_lease_set_wanted(ks_duty_user_t *user, bool wanted);
 void ks_duty_lease_stop(ks_duty_lease_t *lease);
-void ks_duty_lease_forget(ks_duty_lease_t *lease);
+void ks_duty_lease_forget(ks_duty_lease_t *lease, uint64_t era);
 bool ks_duty_lease_is_held(const ks_duty_lease_t *lease);
 bool ks_duty_lease_is_settled(const ks_duty_lease_t *lease);
 bool ks_duty_lease_permit(const ks_duty_lease_t *lease, uint64_t *fence);
--- a/packages/gateway/include/ks/usage.h
+++ b/packages/gateway/include/ks/usage.h
@@ -77,7 +77,10 @@
  * @told_us: when they were sent the last message with totals
  * @offset_us: estimate of true time less monotonic time
  * @estimated_us: when it was made, 0 before the first
- * @sealed: all windows before this one have been sealed, as far as is known
+ * @sealed: all windows before this one have been sealed or abandoned, as far as
+ *	is known
+ * @sealed_era: @sealed covers all that was sealed before this era of the store,
+ *	see struct ks_row
  * @requested_us: when another process last asked for counts that it misses
  * @messages: number of messages with totals sent
  * @is_reporter: this entry reports the counts
@@ -97,6 +100,7 @@
 	int64_t offset_us;
 	int64_t estimated_us;
 	int64_t sealed;
+	uint64_t sealed_era;
 	int64_t requested_us;
 	uint64_t messages;
 	bool is_reporter;
--- a/packages/gateway/src/duty_lease.c
+++ b/packages/gateway/src/duty_lease.c
@@ -163,10 +163,18 @@
 
 /**
  * ks_duty_lease_forget() - permit no calls until the lease has been acquired
- * again, as the store may have lost it
+ * again, as the store has returned from an older copy and may have lost it
+ * @era: of the store now, see struct ks_row
  */
-void ks_duty_lease_forget(ks_duty_lease_t *lease)
+void ks_duty_lease_forget(ks_duty_lease_t *lease, uint64_t era)
 {
+	KS_LIST_FOREACH (it, &lease->users) {
+		ks_duty_user_t *user =
+			KS_CONTAINER_OF(it, ks_duty_user_t, node);
+
+		if (user->returned)
+			user->returned(user, era);
+	}
 	ks_lease_keeper_forget(lease->keeper);
 }
 
--- a/packages/gateway/src/peer.pb-c.c
+++ b/packages/gateway/src/peer.pb-c.c
@@ -277,7 +277,7 @@
   assert(message->base.descriptor == &ks__peer_usage_window__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ks__peer_state__field_descriptors[29] =
+static const ProtobufCFieldDescriptor ks__peer_state__field_descriptors[30] =
 {
   {
     "name",
@@ -627,6 +627,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "usage_sealed_era",
+    36,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ks__PeerState, usage_sealed_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ks__peer_state__field_indices_by_name[] = {
   15,   /* field[15] = answered_age_ms */
@@ -656,6 +668,7 @@
   4,   /* field[4] = upstream */
   23,   /* field[23] = usage_missing */
   22,   /* field[22] = usage_sealed */
+  29,   /* field[29] = usage_sealed_era */
   3,   /* field[3] = version */
   21,   /* field[21] = wall_ms */
 };
@@ -664,7 +677,7 @@
   { 1, 0 },
   { 30, 24 },
   { 35, 28 },
-  { 0, 29 }
+  { 0, 30 }
 };
 const ProtobufCMessageDescriptor ks__peer_state__descriptor =
 {
@@ -674,7 +687,7 @@
   "Ks__PeerState",
   "ks",
   sizeof(Ks__PeerState),
-  29,
+  30,
   ks__peer_state__field_descriptors,
   ks__peer_state__field_indices_by_name,
   3,  ks__peer_state__number_ranges,
--- a/packages/gateway/src/peer.pb-c.h
+++ b/packages/gateway/src/peer.pb-c.h
@@ -147,10 +147,15 @@
    */
   int64_t wall_ms;
   /*
-   * All windows before this one have been sealed, see usage_report.c; 0 if the
-   * sender does not know of any.
+   * All windows before this one have been sealed or abandoned, see
+   * usage_report.c; 0 if the sender does not know of any.
    */
   int64_t usage_sealed;
+  /*
+   * All that was sealed before this era of the store is covered by
+   * usage_sealed; 0 if the sender does not know.
+   */
+  uint64_t usage_sealed_era;
   /*
    * Senders of which the counts of a window are missing here in part, as a
    * message was lost: PeerUsage.sender. They send all of them again.
@@ -160,7 +165,7 @@
 };
 #define KS__PEER_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ks__peer_state__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL }
 
 
 /*
--- a/packages/gateway/src/peer_usage.c
+++ b/packages/gateway/src/peer_usage.c
@@ -130,8 +130,11 @@
 		      state->wall_ms * KS_USEC_PER_MSEC, now);
 	/* A window that has not ended cannot have been sealed. */
 	if (state->usage_sealed > 0 &&
-	    state->usage_sealed <= ks_usage_window_at(usage, now) + 1)
+	    state->usage_sealed <= ks_usage_window_at(usage, now) + 1) {
 		usage->sealed = MAX(usage->sealed, state->usage_sealed);
+		usage->sealed_era =
+			MAX(usage->sealed_era, state->usage_sealed_era);
+	}
 	for (size_t i = 0; i < state->n_usage_missing; i++)
 		if (state->usage_missing[i] ==
 		    tag_of(peers->incarnation.bytes)) {
@@ -151,6 +154,7 @@
 		return;
 	state->wall_ms = ks_clock_now(peers->usage->wall) / KS_USEC_PER_MSEC;
 	state->usage_sealed = MAX(peers->usage->sealed, 0);
+	state->usage_sealed_era = peers->usage->sealed_era;
 	state->usage_missing = missing;
 	if (peers->hears_usage)
 		state->n_usage_missing = ks_usage_missing(
--- a/packages/gateway/src/usage_report.c
+++ b/packages/gateway/src/usage_report.c
@@ -7,6 +7,12 @@
  * A report is sealed before it is sent: its exact bytes are written to a row of
  * the store, conditional on the row's version. Whoever sends the report of a
  * window, now or later, sends these bytes.
+ *
+ * A store that returns from an older copy may have lost what was sealed last.
+ * The row names the era of the store in which it was written. In a later one,
+ * only a process that held the lease until the store returned knows all that
+ * was sealed, and tells the others. Without it, the windows that may have been
+ * reported are abandoned.
  */
 #include "usage_row.h"
 
@@ -39,6 +45,9 @@
  * struct ks_usage_report - reports the usage while holding the lease
  * @row_known: @row and @etag are as last read or written
  * @etag: empty if there is no row
+ * @era: of the store when the row was read
+ * @returned_us: when the store last returned from an older copy, 0 if it has
+ *	not since this process started
  * @store_pending: a store operation will call back
  * @store_due_us: earliest time of the next store operation
  * @called: window whose report is being sent, KS_USAGE_NONE for none
@@ -58,6 +67,8 @@
 	struct usage_row row;
 	bool row_known;
 	GString *etag;
+	uint64_t era;
+	int64_t returned_us;
 	bool store_pending;
 	int64_t store_due_us;
 	ks_backoff_t store_backoff;
@@ -117,6 +128,44 @@
 		g_string_append_len(report->etag, etag.data, (gssize)etag.len);
 }
 
+/*
+ * Returns since when this process knows of the store's present era, or a later
+ * time.
+ */
+static int64_t era_known_since(const ks_usage_report_t *report)
+{
+	if (report->returned_us)
+		return report->returned_us;
+	/* The configuration has been read from the store. */
+	if (report->usage->active_since_us)
+		return report->usage->active_since_us;
+	return ks_loop_now(report->loop);
+}
+
+/*
+ * Gives up the windows that may have been sealed in an earlier era of the store
+ * without a trace in the row.
+ */
+static void give_up_earlier_eras(ks_usage_report_t *report)
+{
+	ks_usage_t *usage = report->usage;
+	int64_t now = ks_loop_now(report->loop);
+	int64_t ago_us = now - era_known_since(report);
+	int64_t running =
+		(ks_usage_true_us(usage, now) - ago_us) / usage->window_us;
+
+	if (report->row.era == report->era || usage->sealed_era >= report->era)
+		return;
+	/* The clocks of those that sealed it may have been ahead. */
+	usage->sealed = MAX(usage->sealed, running + 1);
+	usage->sealed_era = report->era;
+	ks_log(KS_LOG_ORDER, KS_LOG_WARN,
+	       "windows may have been reported before the store returned, those "
+	       "not in the row are abandoned row_era=%" PRIu64 " era=%" PRIu64
+	       " before=%" PRId64,
+	       report->row.era, report->era, running + 1);
+}
+
 static void on_read(void *ctx, ks_store_outcome_t outcome, const ks_row_t *row)
 {
 	ks_usage_report_t *report = ctx;
@@ -137,14 +186,17 @@
 	}
 	ks_backoff_reset(&report->store_backoff);
 	set_etag(report, row->etag);
+	report->era = row->era;
 	report->row_known = true;
 	if (report->row.next != KS_USAGE_NONE)
 		report->usage->sealed =
 			MAX(report->usage->sealed, report->row.next);
+	give_up_earlier_eras(report);
 	ks_log(KS_LOG_ORDER, KS_LOG_INFO,
 	       "read the row with the usage reports next=%" PRId64
-	       " reports=%u",
-	       report->row.next, report->row.reports.length);
+	       " reports=%u era=%" PRIu64 " row_era=%" PRIu64,
+	       report->row.next, report->row.reports.length, report->era,
+	       report->row.era);
 }
 
 static void read_row(ks_usage_report_t *report)
@@ -248,7 +300,7 @@
 	/* The row of an older copy of the store lacks what was sent. */
 	while (next < report->usage->sealed &&
 	       !usage_row_find(&report->row, next)) {
-		abandon(report, next, 1, "another entry has sealed them");
+		abandon(report, next, 1, "they have or may have been sealed");
 		next++;
 	}
 	return next;
@@ -283,8 +335,7 @@
 
 static void write_row(ks_usage_report_t *report, const GString *text)
 {
-	char *value = g_strdup_printf("%" PRId64 "\n%s",
-				      report->row.written_next, text->str);
+	char *value = usage_row_format(&report->row, text->str, report->era);
 	ks_store_write_t write = {
 		.key = KS_STR(ROW_KEY),
 		.etag = { report->etag->str, report->etag->len },
@@ -393,6 +444,18 @@
 	}
 }
 
+static void on_returned(ks_duty_user_t *user, uint64_t era)
+{
+	ks_usage_report_t *report =
+		KS_CONTAINER_OF(user, ks_usage_report_t, user);
+
+	report->returned_us = ks_loop_now(report->loop);
+	/* No other process can have sealed anything meanwhile. */
+	if (report->row_known && ks_duty_lease_is_held(report->lease))
+		report->usage->sealed_era = era;
+	report->row_known = false;
+}
+
 static void update_metrics(const ks_usage_report_t *report)
 {
 	const struct report_metrics *m = &report->metrics;
@@ -507,6 +570,7 @@
 			BACKOFF_MAX_US);
 	ks_backoff_init(&report->call_backoff, BACKOFF_BASE_US, BACKOFF_MAX_US);
 	make_metrics(&report->metrics, metrics);
+	report->user.returned = on_returned;
 	ks_duty_lease_add_user(lease, &report->user);
 	ks_timer_init(&report->timer, loop, on_timer, report);
 	ks_timer_set(&report->timer, TICK_US);
--- a/packages/gateway/src/usage_row.c
+++ b/packages/gateway/src/usage_row.c
@@ -10,8 +10,14 @@
 /* The platform's rows have less than 65,536 bytes. */
 #define MAX_ROW_BYTES 65000
 
-/* Space for the number of the next window. */
-#define MAX_NEXT_BYTES 24
+/* Space for the number of the next window and the era. */
+#define MAX_HEAD_BYTES 40
+
+/*
+ * The line of the era has the form of a report of this window, which no row has
+ * a report of. Versions of this program that know no eras drop it as too old.
+ */
+#define ERA_WINDOW 0
 
 static void free_report(gpointer data)
 {
@@ -116,28 +122,47 @@
 				window);
 }
 
+/* Checks the lines after the first one, and finds the era, 0 if there is none.
+ */
+static bool check_lines(ks_str_t lines, int64_t *era)
+{
+	int64_t window;
+	ks_str_t body;
+
+	*era = 0;
+	while (lines.len) {
+		if (!split_line(take_line(&lines), &window, &body))
+			return false;
+		if (window == ERA_WINDOW &&
+		    !ks_str_parse_int(body, 0, KS_ROW_MAX_ERA, era))
+			return false;
+	}
+	return true;
+}
+
 /*
- * Reads the row: the next window, then a line for each report with its window
- * and its body. There is no row if @value is empty.
+ * Reads the row: the next window, then a line with the era, then one for each
+ * report with its window and its body. There is no row if @value is empty.
  *
  * Return: false if the row is malformed.
  */
 bool usage_row_parse(struct usage_row *row, ks_str_t value)
 {
-	int64_t next = KS_USAGE_NONE, window;
+	int64_t next = KS_USAGE_NONE, window, era;
 	ks_str_t body, rest = value;
 
 	if (value.len &&
 	    !ks_str_parse_int(take_line(&rest), 0, INT64_MAX, &next))
 		return false;
-	for (ks_str_t check = rest; check.len;)
-		if (!split_line(take_line(&check), &window, &body))
-			return false;
+	if (!check_lines(rest, &era))
+		return false;
 	for (GList *l = row->reports.head; l; l = l->next)
 		((struct usage_report *)l->data)->in_row = false;
 	row->next = next;
+	row->era = (uint64_t)era;
 	while (rest.len && split_line(take_line(&rest), &window, &body))
-		take_report(row, window, body);
+		if (window != ERA_WINDOW)
+			take_report(row, window, body);
 	return true;
 }
 
@@ -177,7 +202,7 @@
 	gsize before = text->len;
 
 	append(text, window, body);
-	if (text->len + MAX_NEXT_BYTES > MAX_ROW_BYTES) {
+	if (text->len + MAX_HEAD_BYTES > MAX_ROW_BYTES) {
 		g_string_truncate(text, before);
 		return false;
 	}
@@ -185,6 +210,26 @@
 	return true;
 }
 
+/*
+ * Writes the text of the new version.
+ * @reports: lines of the reports, see usage_row_begin_write()
+ * @era: of the store now, see struct ks_row
+ *
+ * Return: to be freed with g_free().
+ */
+char *usage_row_format(const struct usage_row *row, const char *reports,
+		       uint64_t era)
+{
+	GString *text = g_string_new(NULL);
+
+	g_string_append_printf(text, "%" PRId64 "\n", row->written_next);
+	if (era)
+		g_string_append_printf(text, "%d %" PRIu64 "\n", ERA_WINDOW,
+				       era);
+	g_string_append(text, reports);
+	return g_string_free(text, FALSE);
+}
+
 /*
  * Takes over the new version, which has been written.
  *
--- a/packages/gateway/src/usage_row.h
+++ b/packages/gateway/src/usage_row.h
@@ -29,12 +29,15 @@
  * @sealing: struct usage_report of the write in flight
  * @next: number of the next window to be sealed, KS_USAGE_NONE if there is no
  *	row
+ * @era: of the store when the row was written, see struct ks_row; 0 if there is
+ *	no row, or the row does not say
  * @written_next: value of @next that the write in flight has
  */
 struct usage_row {
 	GQueue reports;
 	GQueue sealing;
 	int64_t next;
+	uint64_t era;
 	int64_t written_next;
 };
 
@@ -46,6 +49,8 @@
 GString *usage_row_begin_write(struct usage_row *row, int64_t oldest);
 bool usage_row_add(struct usage_row *row, GString *text, int64_t window,
 		   const char *body);
+char *usage_row_format(const struct usage_row *row, const char *reports,
+		       uint64_t era);
 unsigned usage_row_adopt_write(struct usage_row *row);
 void usage_row_drop_write(struct usage_row *row);
 void usage_row_expire(struct usage_row *row, int64_t oldest, int64_t called);
--- a/packages/gateway/tests/prop-usage.cpp
+++ b/packages/gateway/tests/prop-usage.cpp
@@ -4,8 +4,9 @@
  * window, fencing tokens that fall or that two holders share, and calls of two
  * holders that interleave, after kills, freezes, cuts, outages of the store,
  * lost answers and wrong clocks, or after the store has returned from an older
- * copy; and against wrong counts, windows that are left out, reports from
- * before the first request, and more than a write for each window without them.
+ * copy, also if its holder or all entries end then; and against wrong counts,
+ * windows that are left out, reports from before the first request, and more
+ * than a write for each window without them.
  */
 #include "ks/usage.h"
 #include "memory_store.h"
@@ -39,6 +40,7 @@
 	ks_store_outcome_t outcome;
 	bool has_row;
 	std::string etag, value;
+	uint64_t era;
 };
 
 struct sim_entry {
@@ -96,6 +98,7 @@
 	bool away;
 	std::vector<int64_t> accepted;
 	std::string older_row;
+	uint64_t era = 1;
 	std::vector<std::unique_ptr<sim_entry>> entries;
 	std::vector<sim_call> calls;
 	std::vector<arrival> arrivals;
@@ -124,8 +127,9 @@
 		      const ks_row_t *row)
 {
 	store_operation *op = static_cast<store_operation *>(ctx);
-	store_result result = { op->func,	op->ctx, outcome,
-				row != nullptr, "",	 "" };
+	store_result result = { op->func,	  op->ctx, outcome,
+				row != nullptr,	  "",	   "",
+				op->entry->s->era };
 
 	if (row && row->etag.len)
 		result.etag.assign(row->etag.data, row->etag.len);
@@ -148,7 +152,7 @@
 
 	if (is_store_cut(entry))
 		entry->results.push_back(
-			{ func, ctx, KS_STORE_UNREACHABLE, false, "", "" });
+			{ func, ctx, KS_STORE_UNREACHABLE, false, "", "", 0 });
 	else
 		store->get(store->impl, key, on_stored,
 			   new store_operation{ entry, func, ctx });
@@ -162,7 +166,7 @@
 
 	if (is_store_cut(entry))
 		entry->results.push_back(
-			{ func, ctx, KS_STORE_UNKNOWN, false, "", "" });
+			{ func, ctx, KS_STORE_UNKNOWN, false, "", "", 0 });
 	else
 		store->write(store->impl, write, on_stored,
 			     new store_operation{ entry, func, ctx });
@@ -178,6 +182,7 @@
 
 		row.etag = { result.etag.data(), result.etag.size() };
 		row.value = { result.value.data(), result.value.size() };
+		row.era = result.era;
 		result.func(result.ctx, result.outcome,
 			    result.has_row ? &row : nullptr);
 	}
@@ -318,7 +323,7 @@
 	return static_cast<memory_fault_t>(1 + ks_rng_below(&s.rng, 4));
 }
 
-static void init_sim(sim &s, uint32_t seed)
+static void init_sim(sim &s, uint32_t seed, unsigned max)
 {
 	unsigned n;
 
@@ -329,7 +334,7 @@
 	s.store.late_us = 2 * KS_USEC_PER_SEC;
 	s.store.fault = draw_store_fault;
 	s.store.fault_ctx = &s;
-	n = 2 + ks_rng_below(&s.rng, 19);
+	n = 2 + ks_rng_below(&s.rng, max - 1);
 	for (unsigned i = 0; i < n; i++) {
 		/* Less than half of the clocks are wrong. */
 		bool wrong = i < (n - 1) / 2;
@@ -382,6 +387,8 @@
 			ks_usage_hear(&to->usage, from->tag, wall_now(from),
 				      now);
 		to->usage.sealed = MAX(to->usage.sealed, from->usage.sealed);
+		to->usage.sealed_era =
+			MAX(to->usage.sealed_era, from->usage.sealed_era);
 		for (size_t i = 0; i < n_missing; i++)
 			if (missing[i] == to->tag)
 				ks_usage_request(&to->usage, now);
@@ -523,20 +530,55 @@
 {
 }
 
+/* Which entries end without another message as the store returns. */
+enum returns {
+	RETURNS_NONE,
+	RETURNS_HOLDER_TOLD,
+	RETURNS_HOLDER,
+	RETURNS_ALL
+};
+
+static void replace_entries(sim &s, enum returns returns)
+{
+	size_t n = s.entries.size();
+
+	for (size_t i = 0; i < n; i++) {
+		bool reports = s.entries[i]->usage.is_reporter;
+
+		if (!s.entries[i]->alive ||
+		    (returns != RETURNS_ALL && !reports))
+			continue;
+		/* Another one takes over, which has heard all there is. */
+		if (returns == RETURNS_HOLDER_TOLD)
+			send_message(s, s.entries[i].get(), false);
+		s.entries[i]->alive = false;
+		add_entry(s, 0);
+	}
+}
+
 /* The store loses what was written to the row since a while ago. */
-static void return_store(sim &s)
+static void return_store(sim &s, enum returns returns)
 {
 	ks_store_write_t write = {};
+	/* Otherwise they end before they learn of the return. */
+	bool end_later = returns == RETURNS_HOLDER_TOLD || chance(s, 2);
+	size_t n = s.entries.size();
 
 	write.key = KS_STR("usage/reports");
 	write.value = { s.older_row.data(), s.older_row.size() };
 	write.unconditional = true;
 	s.store.store.write(s.store.store.impl, &write, ignore_row, nullptr);
-	for (auto &entry : s.entries) {
+	s.era++;
+	if (!end_later)
+		replace_entries(s, returns);
+	for (size_t j = 0; j < n; j++) {
+		sim_entry *entry = s.entries[j].get();
 		int64_t now = s.clock.time_us;
 		int64_t window = ks_usage_window_at(&entry->usage, now);
 
-		ks_duty_lease_forget(&entry->lease);
+		if (!entry->alive)
+			continue;
+		ks_duty_lease_forget(&entry->lease, s.era);
 		/* Counts that were not known when the windows were sealed. */
 		for (int64_t i = window - 4; i < window; i++)
 			ks_usage_totals_set(ks_usage_find_totals(&entry->usage,
@@ -544,15 +586,8 @@
 					    ks_usage_tag("org0"),
 					    ks_rng_below(&s.rng, 9));
 	}
-	/* Another entry takes over, which has heard up to where it sealed. */
-	for (size_t i = 0; i < s.entries.size(); i++) {
-		if (!s.entries[i]->usage.is_reporter || !s.entries[i]->alive)
-			continue;
-		send_message(s, s.entries[i].get(), false);
-		s.entries[i]->alive = false;
-		add_entry(s, 0);
-		break;
-	}
+	if (end_later)
+		replace_entries(s, returns);
 	s.older_row.clear();
 }
 
@@ -563,26 +598,40 @@
 							  row->value.len);
 }
 
-static void run(bool faults, bool lossy, bool returns, int steps)
+/*
+ * The loops of entries that have ended keep their descriptors until the process
+ * ends, so there are fewer where many of them end.
+ */
+static const unsigned max_entries = 20;
+static const unsigned max_entries_ending = 6;
+static const unsigned max_returns = 3;
+
+static void run(bool faults, bool lossy, enum returns returns, int steps)
 {
 	sim s = {};
 
 	s.faults = faults;
 	runs_with_faults += faults;
 	s.lossy = lossy;
-	init_sim(s, *rc::gen::arbitrary<uint32_t>());
+	init_sim(s, *rc::gen::arbitrary<uint32_t>(),
+		 returns == RETURNS_HOLDER || returns == RETURNS_ALL
+			 ? max_entries_ending
+			 : max_entries);
 	try {
 		for (int i = 0; i < steps; i++) {
 			step(s);
-			if (returns && s.older_row.empty() && chance(s, 100))
+			if (returns != RETURNS_NONE && s.older_row.empty() &&
+			    chance(s, 100))
 				s.store.store.get(s.store.store.impl,
 						  KS_STR("usage/reports"),
 						  keep_row, &s);
-			else if (returns && !s.older_row.empty() &&
+			else if (!s.older_row.empty() &&
+				 (returns != RETURNS_ALL ||
+				  s.era <= max_returns) &&
 				 chance(s, 200))
-				return_store(s);
+				return_store(s, returns);
 		}
-		if (!faults && !returns)
+		if (!faults && returns == RETURNS_NONE)
 			check_exact(s);
 	} catch (...) {
 		deinit_sim(s);
@@ -600,7 +649,7 @@
 	sim s = {};
 	int64_t oldest;
 
-	init_sim(s, *rc::gen::arbitrary<uint32_t>());
+	init_sim(s, *rc::gen::arbitrary<uint32_t>(), max_entries);
 	for (int i = 0; i < 1400; i++) {
 		s.away = i >= 300 && i < 1200;
 		if (i == 300)
@@ -622,14 +671,20 @@
 int main()
 {
 	bool ok = rc::check("reports, tokens and turns hold despite faults",
-			    [] { run(true, true, false, 1600); });
+			    [] { run(true, true, RETURNS_NONE, 1600); });
 
 	ok &= rc::check("each report is exact in calm",
-			[] { run(false, false, false, 1200); });
+			[] { run(false, false, RETURNS_NONE, 1200); });
 	ok &= rc::check("each report is exact despite lost messages",
-			[] { run(false, true, false, 1200); });
+			[] { run(false, true, RETURNS_NONE, 1200); });
 	ok &= rc::check("reports hold after the store returns",
-			[] { run(false, false, true, 1600); });
+			[] { run(false, false, RETURNS_HOLDER_TOLD, 1600); });
+	ok &= rc::check("reports hold after the store returns and the holder "
+			"ends without a message",
+			[] { run(false, false, RETURNS_HOLDER, 1600); });
+	ok &= rc::check("reports hold after the store returns and all entries "
+			"end",
+			[] { run(false, false, RETURNS_ALL, 1600); });
 	ok &= rc::check("reports wait while the platform is away",
 			run_with_outage);
 	/* Fail if the seeds did not exercise the checks of holders. */
