gateway: resume streams that no entry knows at the only version

Callers whose streams were broken by a loss of many entries got 503 at each try, although all upstreams had one version: where a stream began is known to three entries, and all three were lost.

A named stream that no entry knows is now served like one without a name, if no second version has been seen since it may have begun. How long ago that was follows from what the caller says it still waits, instead of two timeouts of the route in each case.

--- a/packages/gateway/src/exchange.c
+++ b/packages/gateway/src/exchange.c
@@ -106,6 +106,15 @@
 	return MIN(route->timeout_us, ms * KS_USEC_PER_MSEC);
 }
 
+static int64_t parse_stated_us(ks_str_t left_ms)
+{
+	int64_t ms;
+
+	return ks_str_parse_int(left_ms, 0, G_MAXINT32, &ms)
+		       ? ms * KS_USEC_PER_MSEC
+		       : 0;
+}
+
 /**
  * gateway_hard_deadline_us() - when an exchange is ended in any case
  * @deadline_us: when the caller stops waiting
@@ -122,6 +131,7 @@
 		ks_header_value(request->headers, request->n_headers,
 				exchange->gateway->dialect->time_left_ms.data);
 
+	exchange->stated_us = parse_stated_us(text);
 	exchange->deadline_us = exchange->arrived_us +
 				gateway_time_limit_us(exchange->route, text);
 	exchange->hard_deadline_us =
--- a/packages/gateway/src/exchange_resume.c
+++ b/packages/gateway/src/exchange_resume.c
@@ -2,10 +2,11 @@
  * Serves callers that resume a stream. What upstreams of two versions of their
  * software write does not fit together, so a stream goes on only where
  * upstreams have the origin that began it. An entry that does not know the
- * origin asks others, and refuses the request if none of them knows it either.
+ * origin asks others.
  *
- * A stream that its caller does not name goes on only if there has been no
- * second version since before it can have begun.
+ * A stream that its caller does not name, or that no entry knows, as those that
+ * knew it may all have been lost, goes on only if there has been no second
+ * version since before it can have begun.
  */
 #include "gateway_internal.h"
 
@@ -27,6 +28,9 @@
  */
 #define MAX_STREAM_TIMEOUTS 2
 
+/* Time that a request may spend on its way and unread. */
+#define MAX_UNREAD_US (2 * KS_USEC_PER_SEC)
+
 /* A long stream is announced again before its record is forgotten. */
 #define REANNOUNCE_US (30 * KS_USEC_PER_SEC)
 
@@ -54,6 +58,8 @@
 	exchange->names_stream = first.len > 0;
 	exchange->is_resume_request = exchange->route->kind == KS_CALL_STREAM &&
 				      (first.len || after.len);
+	exchange->gateway->longest_wait_us =
+		MAX(exchange->gateway->longest_wait_us, exchange->stated_us);
 	if (!exchange->is_resume_request)
 		return;
 	ks_counter_add(exchange->gateway->counters.resume_requests, 1);
@@ -133,14 +139,32 @@
 	return origin;
 }
 
+/*
+ * Returns how long ago a stream that is resumed can have begun. A caller waits
+ * for a limited time in all, of which it states what is left with each try, so
+ * less is left to one that began longer ago.
+ */
+static int64_t max_age_us(const struct exchange *exchange)
+{
+	int64_t timeout_us = exchange->route->timeout_us;
+	int64_t max_us = MAX_STREAM_TIMEOUTS * timeout_us;
+	int64_t longest_us =
+		MAX(timeout_us, exchange->gateway->longest_wait_us);
+	int64_t waited_us = exchange_now(exchange) - exchange->arrived_us;
+
+	if (!exchange->stated_us)
+		return max_us;
+	return MIN(max_us, longest_us - exchange->stated_us + waited_us +
+				   MAX_UNREAD_US);
+}
+
 /* Whether a stream that is resumed began after the latest second version. */
 static bool is_settled(const struct exchange *exchange)
 {
 	int64_t since_us = exchange->gateway->peers.settled_us;
 
 	return since_us &&
-	       exchange_now(exchange) - since_us >=
-		       MAX_STREAM_TIMEOUTS * exchange->route->timeout_us;
+	       exchange_now(exchange) - since_us >= max_age_us(exchange);
 }
 
 static bool has_origin(const struct exchange *exchange, const char *service)
@@ -205,12 +229,32 @@
 {
 	ks_log(KS_LOG_ROUTE, KS_LOG_INFO,
 	       "no entry knows where a stream began request=%s "
-	       "stream=%016" PRIx64 " answered=%u silent=%u claimed=%d",
+	       "stream=%016" PRIx64 " answered=%u silent=%u claimed=%d "
+	       "max_age_ms=%" PRId64 " settled_ms=%" PRId64,
 	       exchange->id, exchange->stream, exchange->n_answered,
-	       exchange->n_asked, exchange->identifies_claim);
+	       exchange->n_asked, exchange->identifies_claim,
+	       max_age_us(exchange) / KS_USEC_PER_MSEC,
+	       (exchange_now(exchange) - exchange->gateway->peers.settled_us) /
+		       KS_USEC_PER_MSEC);
 	refuse(exchange, "not known which version began the stream");
 }
 
+/*
+ * Serves a request that resumes a stream which no entry knows: reads the
+ * announcements of upstreams if they can show that one version only can have
+ * begun it, or refuses the request.
+ */
+static void resume_unknown(struct exchange *exchange)
+{
+	ks_timer_clear(&exchange->wait_timer);
+	if (!exchange->gateway->read_members || !is_settled(exchange)) {
+		exchange_refuse_unknown(exchange);
+		return;
+	}
+	exchange->step = EXCHANGE_READ;
+	exchange_await_read(exchange, exchange_now(exchange));
+}
+
 /*
  * Returns the process that may have begun the stream, if it can still turn out
  * to be the one that did.
@@ -242,7 +286,7 @@
 
 /**
  * exchange_resume_if_known() - serve a request that resumes a stream if its
- * origin has become known, and refuse it if that can't happen any more
+ * origin has become known, or no other entry can tell it any more
  */
 void exchange_resume_if_known(struct exchange *exchange)
 {
@@ -256,7 +300,7 @@
 	else if (claim)
 		identify_claim(exchange, claim);
 	else if (!exchange->n_asked)
-		exchange_refuse_unknown(exchange);
+		resume_unknown(exchange);
 }
 
 /**
@@ -264,7 +308,11 @@
  */
 void exchange_end_asking(struct exchange *exchange)
 {
-	if (!find_claim(exchange) || exchange->awaits_claim) {
+	if (!find_claim(exchange)) {
+		resume_unknown(exchange);
+		return;
+	}
+	if (exchange->awaits_claim) {
 		exchange_refuse_unknown(exchange);
 		return;
 	}
@@ -288,11 +336,8 @@
  */
 void exchange_resume_after_read(struct exchange *exchange)
 {
-	if (exchange->names_stream) {
-		continue_stream(exchange);
-		return;
-	}
-	exchange->origin = is_settled(exchange) ? only_origin(exchange) : 0;
+	if (!exchange->origin && is_settled(exchange))
+		exchange->origin = only_origin(exchange);
 	if (exchange->origin)
 		continue_stream(exchange);
 	else
@@ -304,13 +349,8 @@
  */
 void exchange_resume(struct exchange *exchange)
 {
-	if (!exchange->names_stream && !exchange->gateway->read_members) {
-		exchange_refuse_unknown(exchange);
-		return;
-	}
 	if (!exchange->names_stream) {
-		exchange->step = EXCHANGE_READ;
-		exchange_await_read(exchange, exchange_now(exchange));
+		resume_unknown(exchange);
 		return;
 	}
 	exchange->origin = ks_stream_origins_find(&exchange->gateway->origins,
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -123,6 +123,7 @@
  * @read_members: NULL if nothing reads the announcements of upstreams again
  * @members_read_us: when the latest read of them was begun that has ended, 0
  *	before
+ * @longest_wait_us: longest time that a caller of a stream has said it waits
  * @n_mixtures: value of the fleet's counter at that read
  * @read_process: NULL if upstreams can't be asked for their process
  * @to_identify: upstreams to be asked when @identify_timer expires
@@ -157,6 +158,7 @@
 	ks_read_members_func_t read_members;
 	void *read_members_ctx;
 	int64_t members_read_us;
+	int64_t longest_wait_us;
 	uint64_t n_mixtures;
 	ks_read_process_func_t read_process;
 	void *read_process_ctx;
@@ -294,6 +296,8 @@
  *	at the end of its connection has the origin
  * @identity_waits: how often another process was there
  * @number: of the exchange, among those of this process
+ * @stated_us: how long the caller says it waits, from its arrival; 0 if it does
+ *	not say
  * @deadline_us: when the caller stops waiting or the route's timeout expires
  * @hard_deadline_us: when the exchange is ended in any case
  * @sends: requests sent to upstreams, except prefill requests
@@ -385,6 +389,7 @@
 	unsigned identity_waits;
 	uint64_t number;
 	int64_t arrived_us;
+	int64_t stated_us;
 	int64_t deadline_us;
 	int64_t hard_deadline_us;
 	ks_timer_t timer;
--- a/packages/gateway/tests/test-resumed-stream-refused.c
+++ b/packages/gateway/tests/test-resumed-stream-refused.c
@@ -266,6 +266,118 @@
 	world_deinit(&w);
 }
 
+/* The route's timeout. */
+#define TIMEOUT_MS 10000
+
+/*
+ * Resumes a stream that no entry knows, as after a loss of all that knew it.
+ * Returns whether it goes on.
+ */
+static bool resume_forgotten(struct world *w, const char *left_ms)
+{
+	static unsigned n_forgotten;
+	char first[32];
+	ks_header_t extra[] = { { KS_STR("last-event-id"), KS_STR("1") },
+				{ KS_STR("x-resumes"), { NULL, 0 } },
+				{ KS_STR("x-left"), ks_str_from(left_ms) } };
+	struct fixture_caller caller;
+	bool goes_on = false;
+
+	g_snprintf(first, sizeof(first), "forgotten-%u", n_forgotten++);
+	extra[1].value = ks_str_from(first);
+	w->v.f.gateway = w->v.entries[0];
+	fixture_call_as(&w->v.f, &caller, w->v.id = "r2", "POST", "/resume/",
+			"prompt", extra, G_N_ELEMENTS(extra));
+	for (int i = 0; i < 200 && !caller.done; i++) {
+		struct fixture_upstream *next =
+			fixture_pending_upstream(&w->v.f);
+
+		let_entries_talk(w);
+		fixture_advance(&w->v.f, 10);
+		goes_on |= next != NULL;
+		if (next)
+			versions_respond(&w->v, next, "id: 2\ndata: b\n\n");
+	}
+	g_assert_true(caller.done);
+	g_assert_cmpint(caller.status, ==, goes_on ? 200 : 503);
+	fixture_end_call(&caller);
+	return goes_on;
+}
+
+/* Entries that have known one version for @settled_ms. */
+static void init_settled(struct world *w, int settled_ms)
+{
+	world_init(w, 2, "v1", "v1");
+	world_read_and_wait(w);
+	fixture_advance(&w->v.f, settled_ms);
+}
+
+/* One version has served since before the stream can have begun. */
+static void test_forgotten(void)
+{
+	struct world w;
+
+	init_settled(&w, 4000);
+	/* It began a second ago at most. */
+	g_assert_true(resume_forgotten(&w, "9000"));
+	world_deinit(&w);
+}
+
+/* The stream may be older than what the entry knows of the versions. */
+static void test_forgotten_long_ago(void)
+{
+	struct world w;
+
+	init_settled(&w, 4000);
+	g_assert_false(resume_forgotten(&w, "1500"));
+	g_assert_false(resume_forgotten(&w, "no number"));
+	fixture_advance(&w.v.f, 2 * TIMEOUT_MS);
+	g_assert_true(resume_forgotten(&w, "1500"));
+	g_assert_true(resume_forgotten(&w, "no number"));
+	world_deinit(&w);
+}
+
+/* Callers wait for longer than the route's timeout. */
+static void test_forgotten_long_wait(void)
+{
+	struct world w;
+
+	init_settled(&w, 4000);
+	g_assert_true(resume_forgotten(&w, "20000"));
+	g_assert_false(resume_forgotten(&w, "9000"));
+	world_deinit(&w);
+}
+
+/* Another version served when the stream may have begun, or does now. */
+static void test_forgotten_other_version(void)
+{
+	struct world w;
+
+	init_settled(&w, 4000);
+	w.in_store[1] = "v2";
+	g_assert_false(resume_forgotten(&w, "9000"));
+	fixture_advance(&w.v.f, 4000);
+	w.in_store[1] = "v1";
+	w.starts[1]++;
+	world_read_and_wait(&w);
+	g_assert_false(resume_forgotten(&w, "9000"));
+	fixture_advance(&w.v.f, 4000);
+	world_read_and_wait(&w);
+	g_assert_true(resume_forgotten(&w, "9000"));
+	world_deinit(&w);
+}
+
+/* The store, which could show another version, is away. */
+static void test_forgotten_store_away(void)
+{
+	struct world w;
+
+	init_settled(&w, 4000);
+	w.is_away = true;
+	g_assert_false(resume_forgotten(&w, "9000"));
+	world_deinit(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -288,5 +400,14 @@
 			test_store_away_and_begun_at_other);
 	g_test_add_func("/resumed-stream-refused/one-mute", test_one_mute);
 	g_test_add_func("/resumed-stream-refused/mute", test_mute);
+	g_test_add_func("/resumed-stream-refused/forgotten", test_forgotten);
+	g_test_add_func("/resumed-stream-refused/forgotten-long-ago",
+			test_forgotten_long_ago);
+	g_test_add_func("/resumed-stream-refused/forgotten-long-wait",
+			test_forgotten_long_wait);
+	g_test_add_func("/resumed-stream-refused/forgotten-other-version",
+			test_forgotten_other_version);
+	g_test_add_func("/resumed-stream-refused/forgotten-store-away",
+			test_forgotten_store_away);
 	return g_test_run();
 }
