gateway: read the announcements for a stream without a name again

The change before refused a stream that no entry knows at once if the entry had never read the announcements of upstreams, instead of reading them. test-caller-resumes-at-other-version one-version failed since then, and passes. Callers of an entry that has read them see no difference.

--- a/packages/gateway/src/exchange_resume.c
+++ b/packages/gateway/src/exchange_resume.c
@@ -246,8 +246,12 @@
  */
 static void resume_unknown(struct exchange *exchange)
 {
+	bool has_read = exchange->gateway->peers.settled_us != 0;
+
 	ks_timer_clear(&exchange->wait_timer);
-	if (!exchange->gateway->read_members || !is_settled(exchange)) {
+	/* A read can show another version, and never that there was none. */
+	if (!exchange->gateway->read_members ||
+	    (has_read && !is_settled(exchange))) {
 		exchange_refuse_unknown(exchange);
 		return;
 	}
