connection: take only what is a response in the protocol

Callers got answers of upstreams whose status was 000, 099, 20 or 999, with that status, and answers with a blank in the name of a field, with the field as it came. A blank before the colon of a length left two lengths, or none, in the answer.

http_parser takes any digits for a status and a blank for a byte of a name, and nothing looked at what it handed over. The connections of the HTTP client, through which all processes read upstreams, orders, questions and the platform, now check the status line, the names and values of all fields, also of interim responses and trailers, and the transfer coding: a body in a coding other than chunked was passed on as it came. Each of these ends the call as a connection that broke off. The links between processes check fields as they did the status.

--- a/packages/connection/include/ks/connection.h
+++ b/packages/connection/include/ks/connection.h
@@ -89,6 +89,13 @@
 				  const char *name);
 ks_str_t ks_header_value(const ks_header_t *headers, size_t count,
 			 const char *name);
+bool ks_header_is_name(ks_str_t bytes);
+bool ks_header_is_value(ks_str_t bytes);
+bool ks_headers_are_valid(const ks_header_t *headers, size_t count);
+
+/* Range of HTTP status codes (RFC 9110, section 15). */
+#define KS_HTTP_MIN_STATUS 100
+#define KS_HTTP_MAX_STATUS 599
 
 /* address.c */
 
--- a/packages/connection/include/ks/http.h
+++ b/packages/connection/include/ks/http.h
@@ -176,6 +176,8 @@
  * @response_started: the head of the response was received
  * @response_named: the response has the expected id
  * @framing: what marks the end of the response
+ * @fault: why what arrived is no response in the protocol, for logs; NULL if
+ *	it is one. The call ends as one whose connection has failed.
  * @max_body: see struct ks_http_request
  * @body_bytes: size of the part of the body that has arrived
  * @conn_number: number of the connection, counted from the first of the client;
@@ -213,6 +215,7 @@
 	bool response_started;
 	bool response_named;
 	ks_http_framing_t framing;
+	const char *fault;
 	size_t max_body;
 	size_t body_bytes;
 	uint64_t conn_number;
--- a/packages/connection/src/header.c
+++ b/packages/connection/src/header.c
@@ -1,6 +1,8 @@
 /* HTTP header fields. */
 #include "ks/connection.h"
 
+#include <string.h>
+
 /**
  * ks_header_find() - find the first header field with a name
  * @name: NUL-terminated; compared without regard to case
@@ -30,3 +32,43 @@
 
 	return header ? header->value : (ks_str_t){ NULL, 0 };
 }
+
+/**
+ * ks_header_is_name() - whether all bytes may stand in the name of a header
+ * field (RFC 9110, 5.6.2)
+ */
+bool ks_header_is_name(ks_str_t bytes)
+{
+	static const char marks[] = "!#$%&'*+-.^_`|~";
+
+	for (size_t i = 0; i < bytes.len; i++)
+		if (!g_ascii_isalnum(bytes.data[i]) &&
+		    !memchr(marks, bytes.data[i], sizeof(marks) - 1))
+			return false;
+	return true;
+}
+
+/**
+ * ks_header_is_value() - whether all bytes may stand in the value of a header
+ * field (RFC 9110, 5.5)
+ */
+bool ks_header_is_value(ks_str_t bytes)
+{
+	for (size_t i = 0; i < bytes.len; i++)
+		if (g_ascii_iscntrl(bytes.data[i]) && bytes.data[i] != '\t')
+			return false;
+	return true;
+}
+
+/**
+ * ks_headers_are_valid() - whether names and values may stand in a message
+ */
+bool ks_headers_are_valid(const ks_header_t *headers, size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+		if (!headers[i].name.len ||
+		    !ks_header_is_name(headers[i].name) ||
+		    !ks_header_is_value(headers[i].value))
+			return false;
+	return true;
+}
--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -1,7 +1,8 @@
 /*
  * Connections of the HTTP client on h2o's sockets. Responses are parsed with
  * http_parser, because h2o's own client reports a chunked response that was
- * truncated after a full chunk as complete.
+ * truncated after a full chunk as complete. http_parser is lenient, so the
+ * status line, the fields and the transfer coding are checked here as well.
  */
 #include "http_conn.h"
 
@@ -9,6 +10,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <string.h>
 #include <unistd.h>
 
 #define MAX_HEAD_BYTES (256 * 1024)
@@ -270,16 +272,92 @@
 	return true;
 }
 
+/* Notes the start of the response, up to the end of its first line. */
+static void note_status_line(struct ks_http_conn *conn, const char *data,
+			     size_t len)
+{
+	for (size_t i = 0; i < len && !conn->has_status_line; i++) {
+		/* The parser skips empty lines before a response. */
+		if (!conn->status_len && (data[i] == '\r' || data[i] == '\n'))
+			continue;
+		if (conn->status_len < HTTP_CONN_STATUS_BYTES)
+			conn->status_line[conn->status_len++] = data[i];
+		conn->has_status_line = data[i] == '\n';
+	}
+}
+
+/* Whether the response begins with a version, a blank and three digits. */
+static bool is_status_line_valid(const struct ks_http_conn *conn)
+{
+	const char *line = conn->status_line;
+
+	return conn->status_len == HTTP_CONN_STATUS_BYTES &&
+	       !memcmp(line, "HTTP/1.", 7) && g_ascii_isdigit(line[7]) &&
+	       line[8] == ' ' && g_ascii_isdigit(line[9]) &&
+	       g_ascii_isdigit(line[10]) && g_ascii_isdigit(line[11]) &&
+	       strchr(" \r\n", line[12]);
+}
+
+/* Whether the transfer coding is none, or the one that the parser decodes. */
+static bool is_coding_known(const struct ks_http_conn *conn,
+			    const ks_header_t *headers, size_t n)
+{
+	ks_str_t name = KS_STR("transfer-encoding");
+	unsigned n_codings = 0;
+	bool is_known = true;
+
+	for (size_t i = 0; i < n; i++) {
+		if (!ks_str_equal_nocase(headers[i].name, name))
+			continue;
+		n_codings++;
+		is_known &= ks_str_equal_nocase(headers[i].value,
+						KS_STR("chunked"));
+	}
+	/* RFC 9112, 6.1: HTTP/1.0 has none. */
+	return !n_codings ||
+	       (n_codings == 1 && is_known && conn->parser.http_minor > 0);
+}
+
+/* Returns why a response is none in the protocol, NULL if it is one. */
+static const char *find_fault(const struct ks_http_conn *conn,
+			      const ks_header_t *headers, size_t n)
+{
+	unsigned status = conn->parser.status_code;
+
+	if (!is_status_line_valid(conn))
+		return "malformed status line";
+	/* No request asks for another protocol. */
+	if (status < KS_HTTP_MIN_STATUS || status > KS_HTTP_MAX_STATUS ||
+	    status == 101)
+		return "wrong status";
+	if (conn->fields.is_malformed)
+		return "malformed field";
+	if (!is_coding_known(conn, headers, n))
+		return "unknown transfer coding";
+	return NULL;
+}
+
+static void note_fault(struct ks_http_conn *conn, const char *fault)
+{
+	if (fault && conn->call)
+		conn->call->fault = fault;
+}
+
 static int on_head(http_parser *parser)
 {
 	struct ks_http_conn *conn = parser->data;
+	const char *fault;
 	ks_header_t *headers;
 	bool passed;
 	size_t n;
 
-	if (parser->status_code / 100 == 1)
-		return 0;
 	headers = http_fields_list(&conn->fields, &n);
+	fault = find_fault(conn, headers, n);
+	note_fault(conn, fault);
+	if (fault || parser->status_code / 100 == 1) {
+		g_free(headers);
+		return fault ? -1 : 0;
+	}
 	update_idle_limit(conn, headers, n);
 	passed = pass_head(conn, headers, n);
 	g_free(headers);
@@ -302,11 +380,16 @@
 {
 	struct ks_http_conn *conn = parser->data;
 
+	if (conn->fields.is_malformed) {
+		note_fault(conn, "malformed trailer field");
+		return -1;
+	}
+	/* Ends parse_message(). */
+	http_parser_pause(parser, 1);
 	if (parser->status_code / 100 == 1 || conn->skipping_response)
 		return 0;
 	conn->response_complete = true;
 	conn->reusable = http_should_keep_alive(parser) && !conn->single_use;
-	http_parser_pause(parser, 1);
 	return 0;
 }
 
@@ -356,14 +439,38 @@
 	http_call_complete(call);
 }
 
+/* Parses up to the end of one message; returns whether that was reached. */
+static bool parse_message(struct ks_http_conn *conn, const char *data,
+			  size_t len, size_t *used)
+{
+	note_status_line(conn, data, len);
+	*used = http_parser_execute(&conn->parser, &parser_settings, data, len);
+	if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_PAUSED)
+		return false;
+	http_parser_pause(&conn->parser, 0);
+	conn->status_len = 0;
+	conn->has_status_line = false;
+	return true;
+}
+
+/*
+ * Parses up to the end of the response to the call. No bytes stand for the end
+ * of the connection.
+ */
 static bool parse(struct ks_http_conn *conn, const char *data, size_t len,
 		  size_t *used)
 {
+	size_t n = 0;
+	bool ended;
+
+	*used = 0;
 	conn->parsing = true;
-	*used = http_parser_execute(&conn->parser, &parser_settings, data, len);
+	do {
+		ended = parse_message(conn, data + *used, len - *used, &n);
+		*used += n;
+	} while (ended && !conn->response_complete && *used < len);
 	conn->parsing = false;
-	return HTTP_PARSER_ERRNO(&conn->parser) == HPE_OK ||
-	       HTTP_PARSER_ERRNO(&conn->parser) == HPE_PAUSED;
+	return HTTP_PARSER_ERRNO(&conn->parser) == HPE_OK;
 }
 
 /* Whether there is input that was not read yet. */
@@ -413,7 +520,7 @@
 	 * A reset does not end it, since data may have been lost.
 	 */
 	if (ok && !conn->response_complete && err == h2o_socket_error_closed)
-		ok = parse(conn, NULL, 0, &used);
+		ok = parse(conn, "", 0, &used);
 	if (conn->closing)
 		free_conn(conn);
 	else if (conn->response_complete)
@@ -438,6 +545,8 @@
 {
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
+	conn->status_len = 0;
+	conn->has_status_line = false;
 	conn->ignored_bytes = 0;
 	conn->skipping_response = false;
 	conn->response_complete = false;
--- a/packages/connection/src/http_message.c
+++ b/packages/connection/src/http_message.c
@@ -15,6 +15,7 @@
 	fields->text = g_string_new(NULL);
 	fields->spans = g_array_new(FALSE, TRUE, sizeof(struct http_span));
 	fields->in_value = true;
+	fields->is_malformed = false;
 	fields->is_listed = false;
 	fields->trailer_bytes = 0;
 }
@@ -30,6 +31,7 @@
 	g_string_truncate(fields->text, 0);
 	g_array_set_size(fields->spans, 0);
 	fields->in_value = true;
+	fields->is_malformed = false;
 	fields->is_listed = false;
 	fields->trailer_bytes = 0;
 }
@@ -48,6 +50,8 @@
 void http_fields_add_name(struct http_fields *fields, const char *at,
 			  size_t len)
 {
+	/* The parser takes a blank for a byte of a name. */
+	fields->is_malformed |= !ks_header_is_name((ks_str_t){ at, len });
 	if (fields->is_listed) {
 		fields->trailer_bytes += len;
 		return;
@@ -65,6 +69,7 @@
 void http_fields_add_value(struct http_fields *fields, const char *at,
 			   size_t len)
 {
+	fields->is_malformed |= !ks_header_is_value((ks_str_t){ at, len });
 	if (fields->is_listed) {
 		fields->trailer_bytes += len;
 		return;
--- a/packages/connection/src/http_message.h
+++ b/packages/connection/src/http_message.h
@@ -14,6 +14,8 @@
  * @spans: array of struct http_span, one for each field
  * @in_value: the last fragment was part of a value, so that the next name
  *	fragment begins a field
+ * @is_malformed: a name or value, also one of the trailer, has a byte that must
+ *	not be there
  * @is_listed: http_fields_list() was called, so that @text must not move
  * @trailer_bytes: length of the trailer fields, which are dropped
  */
@@ -21,6 +23,7 @@
 	GString *text;
 	GArray *spans;
 	bool in_value;
+	bool is_malformed;
 	bool is_listed;
 	size_t trailer_bytes;
 };
--- a/packages/connection/src/link_attempt.c
+++ b/packages/connection/src/link_attempt.c
@@ -1,10 +1,6 @@
 /* The entry's side of the attempts on a link. */
 #include "link_client.h"
 
-/* Range of HTTP status codes (RFC 9110, section 15). */
-#define MIN_STATUS 100
-#define MAX_STATUS 599
-
 static bool is_response_frame(const ks_frame_t *frame, uint64_t *seq,
 			      size_t *body_len)
 {
@@ -107,14 +103,19 @@
 
 	if (attempt->abandoned)
 		return;
-	if (head->status < MIN_STATUS || head->status > MAX_STATUS) {
+	if (head->status < KS_HTTP_MIN_STATUS ||
+	    head->status > KS_HTTP_MAX_STATUS) {
 		reject_response(attempt,
 				KS_STR("the answer has a wrong status"));
 		return;
 	}
 	headers = ks_frame_headers_view(head->headers, head->n_headers);
-	attempt->events->head(attempt->ctx, (int)head->status, headers,
-			      head->n_headers);
+	if (ks_headers_are_valid(headers, head->n_headers))
+		attempt->events->head(attempt->ctx, (int)head->status, headers,
+				      head->n_headers);
+	else
+		reject_response(attempt,
+				KS_STR("the answer has a malformed field"));
 	g_free(headers);
 }
 
--- a/packages/connection/tests/test-link.c
+++ b/packages/connection/tests/test-link.c
@@ -280,6 +280,40 @@
 	stop_pair(&pair);
 }
 
+/* Guards against a response that is none in HTTP and is passed on. */
+static void test_link_rejects_response(void)
+{
+	static const struct {
+		int status;
+		const char *name, *value;
+	} heads[] = {
+		{ 0, "x-a", "b" },	     { 99, "x-a", "b" },
+		{ 600, "x-a", "b" },	     { 200, "x a", "b" },
+		{ 200, "x-a\x01", "b" },     { 200, "", "b" },
+		{ 200, "x-a", "b\r\nc: d" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
+		ks_header_t headers[] = { { KS_STR("x-a"), KS_STR("b") },
+					  { ks_str_from(heads[i].name),
+					    ks_str_from(heads[i].value) } };
+		struct pair pair;
+
+		start_pair(&pair, &plain, &plain);
+		g_assert_true(run_until(&pair, is_up));
+		g_assert_nonnull(send(&pair, true));
+		g_assert_true(run_until(&pair, has_job));
+		ks_job_head(pair.job, heads[i].status, headers, 2);
+		ks_job_body(pair.job, KS_STR("hello"));
+		ks_job_end(pair.job, KS_ERROR_NONE, KS_STR(""));
+		g_assert_true(run_until(&pair, has_ended));
+		g_assert_cmpint(pair.end_kind, ==, KS_ERROR_UPSTREAM_FAILED);
+		g_assert_cmpstr(pair.response->str, ==, "");
+		g_assert_true(run_until(&pair, is_idle));
+		stop_pair(&pair);
+	}
+}
+
 static void start_secure_pair(struct pair *pair, const struct keys *server,
 			      const struct keys *client,
 			      const char *allowed_key)
@@ -526,6 +560,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/link/carries-response", test_link_carries_response);
+	g_test_add_func("/link/rejects-response", test_link_rejects_response);
 	g_test_add_func("/link/is-encrypted", test_link_is_encrypted);
 	g_test_add_func("/link/refuses-unknown-key",
 			test_link_refuses_unknown_key);
--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -551,6 +551,14 @@
 	ks_counter_add(counters->unnamed,
 		       call->response_started && !call->response_named);
 	ks_counter_add(counters->truncated, ended_inside_event(exchange));
+	if (!call->fault)
+		return;
+	ks_counter_add(counters->malformed, 1);
+	ks_log(KS_LOG_ROUTE, KS_LOG_WARN,
+	       "an upstream sent what is no response in the protocol request=%s "
+	       "upstream=%s fault=\"%s\"",
+	       exchange->id, exchange->member ? exchange->member->id : "-",
+	       call->fault);
 }
 
 static void record_outcome(struct exchange *exchange, ks_http_result_t result)
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -208,6 +208,9 @@
 	c->first_byte =
 		ks_metrics_histogram(m, "ks_gateway_first_byte_us",
 				     "Time to the head of the answer", NULL);
+	c->malformed = ks_metrics_counter(
+		m, "ks_gateway_malformed_answers_total",
+		"Answers that were none in the protocol", NULL);
 	c->skipped = ks_metrics_counter(
 		m, "ks_gateway_skipped_answers_total",
 		"Answers to other requests, skipped on a connection", NULL);
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -59,6 +59,7 @@
 	ks_counter_t *gone;
 	ks_counter_t *retries;
 	ks_counter_t *splits;
+	ks_counter_t *malformed;
 	ks_counter_t *skipped;
 	ks_counter_t *unnamed;
 	ks_counter_t *truncated;
--- a/packages/upstream/src/upstream_job.c
+++ b/packages/upstream/src/upstream_job.c
@@ -243,7 +243,10 @@
 		end_job(job, kind, "no whole answer from the upstream in time");
 		break;
 	default:
-		end_job(job, kind, "the connection to the upstream was lost");
+		end_job(job, kind,
+			job->call.fault ? job->call.fault
+					: "the connection to the upstream was "
+					  "lost");
 	}
 }
 
