connection: no regular end after a request that could not be written

A replica answered a long upload with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Only the first call on a socket after a reset reports it. That was the write of the rest of the request, so the read after it saw the regular end that completes a response without a length. Such a response now ends with the connection only once the request has been written: the end is kept until then, and fails the call if the write fails. Responses with a length or chunks don't depend on it.

test-invalid-response reset-beside-request, with a reset, a close with unread input, and a reset after a FIN, fails without the change at the first reset. A server that ends its answer with a FIN and reads on still completes it.

--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -497,6 +497,49 @@
 	return n > 0 || errno == EAGAIN ? NULL : h2o_socket_error_io;
 }
 
+/* Whether the response ends when the peer closes the connection. */
+static bool ends_with_conn(const struct ks_http_conn *conn)
+{
+	const ks_http_call_t *call = conn->call;
+
+	return call->response_started && !conn->skipping_response &&
+	       call->framing == KS_HTTP_FRAMING_CLOSE;
+}
+
+/*
+ * Acts on the end of the connection. A reset does not end a response without a
+ * length, since data may have been lost, but only the first call on the socket
+ * after it reports it. If that was the write of the request, reading reports a
+ * regular end.
+ *
+ * Return: whether the input is parsed without a fault.
+ */
+static bool end_input(struct ks_http_conn *conn)
+{
+	size_t used;
+
+	if (ends_with_conn(conn)) {
+		conn->input_ended = conn->writing;
+		if (conn->input_ended)
+			h2o_socket_read_stop(conn->sock);
+		if (conn->input_ended || conn->write_failed)
+			return conn->input_ended;
+	}
+	return parse(conn, "", 0, &used);
+}
+
+/* Goes on after input has been parsed. */
+static void conclude_input(struct ks_http_conn *conn, bool ok, const char *err,
+			   bool is_all_used)
+{
+	if (conn->closing)
+		free_conn(conn);
+	else if (conn->response_complete)
+		finish_response(conn, is_all_used && !err && !has_input(conn));
+	else if (!ok || (err && !conn->input_ended))
+		fail_conn(conn);
+}
+
 static void on_input(h2o_socket_t *sock, const char *err)
 {
 	struct ks_http_conn *conn = sock->data;
@@ -515,18 +558,19 @@
 		conn->ignored_bytes += used;
 		ok &= conn->ignored_bytes <= MAX_IGNORED_BYTES;
 	}
-	/*
-	 * A response without a length ends when the peer closes the connection.
-	 * A reset does not end it, since data may have been lost.
-	 */
 	if (ok && !conn->response_complete && err == h2o_socket_error_closed)
-		ok = parse(conn, "", 0, &used);
-	if (conn->closing)
-		free_conn(conn);
-	else if (conn->response_complete)
-		finish_response(conn, used == len && !err && !has_input(conn));
-	else if (!ok || err)
-		fail_conn(conn);
+		ok = end_input(conn);
+	conclude_input(conn, ok, err, used == len);
+}
+
+/* The request was written, or not, after the end of the input. */
+static void end_input_late(struct ks_http_conn *conn)
+{
+	bool ok;
+
+	conn->input_ended = false;
+	ok = end_input(conn);
+	conclude_input(conn, ok, h2o_socket_error_closed, true);
 }
 
 static void on_written(h2o_socket_t *sock, const char *err)
@@ -534,10 +578,13 @@
 	struct ks_http_conn *conn = sock->data;
 
 	conn->writing = false;
+	conn->write_failed = err != NULL;
 	drop_request(conn);
 	http_socket_written(sock, conn->call ? on_input : on_idle_input);
+	if (conn->input_ended && conn->call)
+		end_input_late(conn);
 	/* The response may have been received already, so reading decides. */
-	if (err && conn->call && !h2o_socket_is_reading(sock))
+	else if (err && conn->call && !h2o_socket_is_reading(sock))
 		fail_conn(conn);
 }
 
@@ -547,6 +594,8 @@
 	conn->parser.data = conn;
 	conn->status_len = 0;
 	conn->has_status_line = false;
+	conn->write_failed = false;
+	conn->input_ended = false;
 	conn->ignored_bytes = 0;
 	conn->skipping_response = false;
 	conn->response_complete = false;
--- a/packages/connection/src/http_conn.h
+++ b/packages/connection/src/http_conn.h
@@ -32,6 +32,9 @@
  * @has_status_line: the status line was received
  * @ignored_bytes: bytes received before the response to the call
  * @max_idle_us: longest idle time after this response; 0 to close at once
+ * @write_failed: the last request was not written
+ * @input_ended: there is no more input, and whether that is the end of the
+ *	response is known once the request has been written
  * @parsing: inside the parser, which must not free the connection
  * @skipping_response: the response belongs to an earlier request
  * @response_complete: the complete response was parsed
@@ -59,6 +62,8 @@
 	size_t ignored_bytes;
 	int64_t max_idle_us;
 	bool writing;
+	bool write_failed;
+	bool input_ended;
 	bool parsing;
 	bool skipping_response;
 	bool response_complete;
--- a/packages/connection/tests/test-invalid-response.c
+++ b/packages/connection/tests/test-invalid-response.c
@@ -1,6 +1,7 @@
 /*
  * Guards against bytes that are no response in the protocol and are passed on
- * as one: wrong statuses and field names.
+ * as one: wrong statuses and field names, and a response without a length whose
+ * connection is reset while its request is still being written.
  */
 #include "ks/connection.h"
 
@@ -373,6 +374,40 @@
 	}
 }
 
+static void expect_early(const char *response, enum ending ending,
+			 ks_http_result_t result)
+{
+	for (int i = 0; i < 5; i++) {
+		struct server server = { .response = response,
+					 .piece = 1000,
+					 .ending = ending };
+		struct outcome outcome;
+
+		call(&server, LONG_BODY_BYTES, &outcome);
+		g_assert_cmpint(outcome.result, ==, result);
+		g_assert_cmpstr(outcome.body->str, ==, "part");
+		free_outcome(&outcome);
+	}
+}
+
+/* The rest of the body may have been lost with the reset. */
+static void test_reset_beside_request(void)
+{
+	expect_early(OK "\r\npart", ENDING_RESET, KS_HTTP_INCOMPLETE);
+	expect_early(OK "\r\npart", ENDING_CLOSE, KS_HTTP_INCOMPLETE);
+	expect_early(OK "\r\npart", ENDING_FIN_RESET, KS_HTTP_INCOMPLETE);
+	expect_early("HTTP/1.0 500 No\r\n\r\npart", ENDING_RESET,
+		     KS_HTTP_INCOMPLETE);
+}
+
+/* A server may respond before it has read the request. */
+static void test_end_beside_request(void)
+{
+	expect_early(OK "\r\npart", ENDING_FIN_READ, KS_HTTP_COMPLETE);
+	expect_early(OK "content-length: 4\r\n\r\npart", ENDING_RESET,
+		     KS_HTTP_COMPLETE);
+}
+
 int main(int argc, char **argv)
 {
 	signal(SIGPIPE, SIG_IGN);
@@ -384,5 +419,9 @@
 			test_transfer_coding);
 	g_test_add_func("/invalid-response/valid", test_valid);
 	g_test_add_func("/invalid-response/folded-line", test_folded_line);
+	g_test_add_func("/invalid-response/reset-beside-request",
+			test_reset_beside_request);
+	g_test_add_func("/invalid-response/end-beside-request",
+			test_end_beside_request);
 	return g_test_run();
 }
