gateway: a stream goes on only with a response of its status

A stream without a content type had begun and broken off, and the next replica answered 204, which has no events: the caller got the stream as complete. Its first response had 200. A response of another status in the 2xx range was taken for one that goes on with it and has no more events; for streams with a content type, the type decided.

It now counts as one that broke off. after-break of test-malformed-response, in which the next replica sends errors, a redirect, no content, a cut head or no response, fails without the change at 204 alone.

--- a/packages/gateway/src/exchange_answer.c
+++ b/packages/gateway/src/exchange_answer.c
@@ -280,6 +280,7 @@
 	/* A resumed stream has already sent the head of its first response. */
 	if (exchange->started)
 		return;
+	exchange->began_status = status;
 	exchange->began_with_events = exchange->is_event_response;
 	copy_fields(exchange, headers, n);
 	hold_output(exchange);
@@ -366,11 +367,15 @@
 
 static void on_run_done(void *ctx, ks_http_result_t result);
 
-/* Whether the response to resume a stream is no stream of events. */
+/*
+ * Whether the response to resume a stream does not go on with it: it has
+ * another status, as 204, which has no events, or is no stream of events.
+ */
 static bool is_other_content(const struct exchange *exchange)
 {
-	return exchange->started && exchange->began_with_events &&
-	       exchange->status / 100 == 2 && !exchange->is_event_response;
+	return exchange->started && exchange->status / 100 == 2 &&
+	       (exchange->status != exchange->began_status ||
+		(exchange->began_with_events && !exchange->is_event_response));
 }
 
 /*
--- a/packages/gateway/src/gateway_internal.h
+++ b/packages/gateway/src/gateway_internal.h
@@ -349,6 +349,7 @@
  * @has_events: the response is a stream that can be resumed
  * @is_event_response: the response that is being received consists of events
  * @began_with_events: so did the response whose head the caller has
+ * @began_status: status of that response
  * @usage_window: window that the request is counted in
  * @is_usage_pending: it is counted there, but may turn out not to have run
  * @is_usage_counted: it is counted for good
@@ -440,6 +441,7 @@
 	ks_events_t events;
 	bool has_events;
 	bool is_event_response;
+	int began_status;
 	bool began_with_events;
 	int64_t usage_window;
 	bool is_usage_pending;
--- a/packages/gateway/tests/test-malformed-response.c
+++ b/packages/gateway/tests/test-malformed-response.c
@@ -11,6 +11,7 @@
 
 #define HEAD "HTTP/1.1 200 OK\r\nx-id: r1\r\nx-seal: s\r\n"
 #define REST "content-length: 14\r\n\r\nid: 9\ndata: z\n\n"
+#define EVENT "id: 1\ndata: a\n\n"
 
 static const char *const targets[] = { "/read/", "/book/", "/tell/",
 				       "/resume/" };
@@ -145,11 +146,62 @@
 		}
 }
 
+static void start_stream(struct fixture_upstream *upstream, bool has_type)
+{
+	ks_header_t headers[] = { { KS_STR("x-id"), KS_STR("r1") },
+				  { KS_STR("x-seal"), KS_STR("s") },
+				  { KS_STR("content-type"),
+				    KS_STR("text/event-stream") } };
+
+	ks_http1_start(upstream->request, 200, headers, has_type ? 3 : 2, -1);
+}
+
+/* A stream has begun and broken off; the next upstream sends no more of it. */
+static void test_after_break(void)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 500 Failed\r\nx-id: r1\r\nx-seal: t\r\n" REST,
+		"HTTP/1.1 302 Found\r\nx-id: r1\r\nlocation: /\r\n" REST,
+		"HTTP/1.1 503 No\r\nx-id: r1\r\nx-not-run: 1\r\n" REST,
+		"HTTP/1.1 204 No Content\r\nx-id: r1\r\n\r\n",
+		"HTTP/1.1 000 X\r\nx-id: r1\r\n" REST,
+		HEAD "a b: c\r\n" REST,
+		HEAD "a b: c\r\ncontent-length: 0\r\n\r\n",
+		HEAD "content-le",
+		HEAD "content-length: 14\r\n\r\n",
+		"no response",
+	};
+
+	/* The stream begins with and without a content type. */
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(answers); i++)
+		for (int ending = ENDING_FIN; ending < N_ENDINGS; ending++) {
+			const char *bytes = answers[i / 2];
+			struct fixture_upstream *first;
+			struct play play;
+
+			g_test_message("answer %zu, ending %d", i, ending);
+			begin(&play, "/resume/");
+			first = fixture_wait_request(&play.f);
+			start_stream(first, i % 2);
+			fixture_send(first, EVENT);
+			FIXTURE_WAIT(&play.f, play.caller.body->len);
+			fixture_abort_response(first);
+			answer_all(&play, bytes, strlen(bytes),
+				   (enum ending)ending);
+			g_assert_cmpint(play.caller.result, !=,
+					KS_HTTP_COMPLETE);
+			g_assert_cmpint(play.caller.status, ==, 200);
+			g_assert_cmpstr(play.caller.body->str, ==, EVENT);
+			end(&play);
+		}
+}
+
 int main(int argc, char **argv)
 {
 	signal(SIGPIPE, SIG_IGN);
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/malformed-response/malformed", test_malformed);
 	g_test_add_func("/malformed-response/cut-head", test_cut_head);
+	g_test_add_func("/malformed-response/after-break", test_after_break);
 	return g_test_run();
 }
