connection: refuse requests with a malformed name of a field

A blank in the name of a field was taken from callers as from upstreams: "content-length : 3" was no length to the gateway, and went on to the upstream in that form, beside the gateway's own length.

Such requests now get 400, as RFC 9112, 5.1, asks. refusals of test-http1-server fails without the change.

--- a/packages/connection/src/http1_input.c
+++ b/packages/connection/src/http1_input.c
@@ -66,6 +66,9 @@
 	g_free((gpointer)conn->request.headers);
 	conn->request.headers =
 		http_fields_list(&conn->fields, &conn->request.n_headers);
+	/* RFC 9112, 5.1: such a field may be read differently by others. */
+	if (conn->fields.is_malformed)
+		return -1;
 	if (parser->content_length != ULLONG_MAX &&
 	    parser->content_length > conn->server->max_body_bytes) {
 		conn->reject_status = 413;
--- a/packages/connection/tests/test-http1-server.c
+++ b/packages/connection/tests/test-http1-server.c
@@ -219,6 +219,13 @@
 		       "content-length: 4\r\n\r\nabcd",
 		       "HTTP/1.1 400 ");
 	expect_refusal("nonsense\r\n\r\n", "HTTP/1.1 400 ");
+	expect_refusal("POST / HTTP/1.1\r\nhost: a\r\n"
+		       "content-length : 3\r\n\r\nabc",
+		       "HTTP/1.1 400 ");
+	expect_refusal("GET / HTTP/1.1\r\nhost: a\r\na b: c\r\n\r\n",
+		       "HTTP/1.1 400 ");
+	expect_refusal("GET / HTTP/1.1\r\n host: a\r\n\r\n",
+		       "HTTP/1.1 400 ");
 	expect_refusal("POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 11\r\n"
 		       "\r\n",
 		       "HTTP/1.1 413 ");
