--- a/packages/connection/tests/test-http1-server.c
+++ b/packages/connection/tests/test-http1-server.c
@@ -224,8 +224,7 @@
 		       "HTTP/1.1 400 ");
 	expect_refusal("GET / HTTP/1.1\r\nhost: a\r\na b: c\r\n\r\n",
 		       "HTTP/1.1 400 ");
-	expect_refusal("GET / HTTP/1.1\r\n host: a\r\n\r\n",
-		       "HTTP/1.1 400 ");
+	expect_refusal("GET / HTTP/1.1\r\n host: a\r\n\r\n", "HTTP/1.1 400 ");
 	expect_refusal("POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 11\r\n"
 		       "\r\n",
 		       "HTTP/1.1 413 ");
