gateway: use an answer that comes while the announcements are read

An entry that answers after 0.2 s may tell where a stream began while its caller's request already waits for a read of the announcements, which then decided alone. By reading; no play showed it.

--- a/packages/gateway/src/exchange_resume.c
+++ b/packages/gateway/src/exchange_resume.c
@@ -340,6 +340,11 @@
  */
 void exchange_resume_after_read(struct exchange *exchange)
 {
+	/* Another entry may have answered late. */
+	if (!exchange->origin && exchange->names_stream)
+		exchange->origin = ks_stream_origins_find(
+			&exchange->gateway->origins, exchange->stream,
+			exchange_now(exchange));
 	if (!exchange->origin && is_settled(exchange))
 		exchange->origin = only_origin(exchange);
 	if (exchange->origin)
