--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -1,8 +1,8 @@
 /*
  * Connections of the HTTP client on h2o's sockets. Responses are parsed with
  * http_parser, because h2o's own client reports a chunked response that was
- * truncated after a full chunk as complete. http_parser is lenient, so the
- * status line, the fields and the transfer coding are checked here as well.
+ * truncated after a full chunk as complete. What http_parser accepts beyond the
+ * protocol is rejected by http_check.c.
  */
 #include "http_conn.h"
 
@@ -272,71 +272,6 @@
 	return true;
 }
 
-/* Notes the start of the response, up to the end of its first line. */
-static void note_status_line(struct ks_http_conn *conn, const char *data,
-			     size_t len)
-{
-	for (size_t i = 0; i < len && !conn->has_status_line; i++) {
-		/* The parser skips empty lines before a response. */
-		if (!conn->status_len && (data[i] == '\r' || data[i] == '\n'))
-			continue;
-		if (conn->status_len < HTTP_CONN_STATUS_BYTES)
-			conn->status_line[conn->status_len++] = data[i];
-		conn->has_status_line = data[i] == '\n';
-	}
-}
-
-/* Whether the response begins with a version, a blank and three digits. */
-static bool is_status_line_valid(const struct ks_http_conn *conn)
-{
-	const char *line = conn->status_line;
-
-	return conn->status_len == HTTP_CONN_STATUS_BYTES &&
-	       !memcmp(line, "HTTP/1.", 7) && g_ascii_isdigit(line[7]) &&
-	       line[8] == ' ' && g_ascii_isdigit(line[9]) &&
-	       g_ascii_isdigit(line[10]) && g_ascii_isdigit(line[11]) &&
-	       strchr(" \r\n", line[12]);
-}
-
-/* Whether the transfer coding is none, or the one that the parser decodes. */
-static bool is_coding_known(const struct ks_http_conn *conn,
-			    const ks_header_t *headers, size_t n)
-{
-	ks_str_t name = KS_STR("transfer-encoding");
-	unsigned n_codings = 0;
-	bool is_known = true;
-
-	for (size_t i = 0; i < n; i++) {
-		if (!ks_str_equal_nocase(headers[i].name, name))
-			continue;
-		n_codings++;
-		is_known &= ks_str_equal_nocase(headers[i].value,
-						KS_STR("chunked"));
-	}
-	/* RFC 9112, 6.1: HTTP/1.0 has none. */
-	return !n_codings ||
-	       (n_codings == 1 && is_known && conn->parser.http_minor > 0);
-}
-
-/* Returns why a response is none in the protocol, NULL if it is one. */
-static const char *find_fault(const struct ks_http_conn *conn,
-			      const ks_header_t *headers, size_t n)
-{
-	unsigned status = conn->parser.status_code;
-
-	if (!is_status_line_valid(conn))
-		return "malformed status line";
-	/* No request asks for another protocol. */
-	if (status < KS_HTTP_MIN_STATUS || status > KS_HTTP_MAX_STATUS ||
-	    status == 101)
-		return "wrong status";
-	if (conn->fields.is_malformed)
-		return "malformed field";
-	if (!is_coding_known(conn, headers, n))
-		return "unknown transfer coding";
-	return NULL;
-}
-
 static void note_fault(struct ks_http_conn *conn, const char *fault)
 {
 	if (fault && conn->call)
@@ -352,7 +287,8 @@
 	size_t n;
 
 	headers = http_fields_list(&conn->fields, &n);
-	fault = find_fault(conn, headers, n);
+	fault = http_find_fault(&conn->status_line, parser, &conn->fields,
+				headers, n);
 	note_fault(conn, fault);
 	if (fault || parser->status_code / 100 == 1) {
 		g_free(headers);
@@ -443,13 +379,12 @@
 static bool parse_message(struct ks_http_conn *conn, const char *data,
 			  size_t len, size_t *used)
 {
-	note_status_line(conn, data, len);
+	http_status_line_note(&conn->status_line, data, len);
 	*used = http_parser_execute(&conn->parser, &parser_settings, data, len);
 	if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_PAUSED)
 		return false;
 	http_parser_pause(&conn->parser, 0);
-	conn->status_len = 0;
-	conn->has_status_line = false;
+	http_status_line_init(&conn->status_line);
 	return true;
 }
 
@@ -592,8 +527,7 @@
 {
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
-	conn->status_len = 0;
-	conn->has_status_line = false;
+	http_status_line_init(&conn->status_line);
 	conn->write_failed = false;
 	conn->input_ended = false;
 	conn->ignored_bytes = 0;
--- a/packages/connection/src/http_conn.h
+++ b/packages/connection/src/http_conn.h
@@ -2,7 +2,7 @@
 #ifndef KS_CONNECTION_HTTP_CONN_H
 #define KS_CONNECTION_HTTP_CONN_H
 
-#include "http_message.h"
+#include "http_check.h"
 
 #include <h2o.h>
 
@@ -12,9 +12,6 @@
  */
 #define HTTP_CONN_INPUT_BYTES ((size_t)64 * 1024)
 
-/* "HTTP/1.1 200" and the byte after it. */
-#define HTTP_CONN_STATUS_BYTES 13
-
 struct ks_http_peer;
 
 /**
@@ -27,9 +24,7 @@
  * @number: counted from the first connection of the client
  * @n_calls: calls sent on this connection
  * @opened_us: when it was established
- * @status_line: first bytes of the response being parsed
- * @status_len: number of these
- * @has_status_line: the status line was received
+ * @status_line: of the response being parsed
  * @ignored_bytes: bytes received before the response to the call
  * @max_idle_us: longest idle time after this response; 0 to close at once
  * @write_failed: the last request was not written
@@ -56,9 +51,7 @@
 	uint64_t number;
 	unsigned n_calls;
 	int64_t opened_us;
-	char status_line[HTTP_CONN_STATUS_BYTES];
-	unsigned status_len;
-	bool has_status_line;
+	struct http_status_line status_line;
 	size_t ignored_bytes;
 	int64_t max_idle_us;
 	bool writing;
