--- a/packages/connection/src/http_check.c
+++ b/packages/connection/src/http_check.c
@@ -39,7 +39,7 @@
 	       !memcmp(text, "HTTP/1.", 7) && g_ascii_isdigit(text[7]) &&
 	       text[8] == ' ' && g_ascii_isdigit(text[9]) &&
 	       g_ascii_isdigit(text[10]) && g_ascii_isdigit(text[11]) &&
-	       memchr(" \r\n", text[12], 3);
+	       (text[12] == ' ' || text[12] == '\r' || text[12] == '\n');
 }
 
 /* Whether the transfer coding is none, or the one that the parser decodes. */
