Read the change as a newcomer: the end of input, logs of eras

end_input() says in one branch each when the end is waited for and when it fails the call. The line about rows of an earlier era is no warning, as a system that starts for the first time has none. settled_ms of a refusal is 0 if nothing is known.

--- a/packages/connection/src/http_conn.c
+++ b/packages/connection/src/http_conn.c
@@ -445,22 +445,22 @@
  * Acts on the end of the connection. A reset does not end a response without a
  * length, since data may have been lost, but only the first call on the socket
  * after it reports it. If that was the write of the request, reading reports a
- * regular end.
+ * regular end, so the end of the write is waited for.
  *
- * Return: whether the input is parsed without a fault.
+ * Return: false if the response is not complete and can't become so.
  */
 static bool end_input(struct ks_http_conn *conn)
 {
 	size_t used;
 
-	if (ends_with_conn(conn)) {
-		conn->input_ended = conn->writing;
-		if (conn->input_ended)
-			h2o_socket_read_stop(conn->sock);
-		if (conn->input_ended || conn->write_failed)
-			return conn->input_ended;
+	if (!ends_with_conn(conn))
+		return parse(conn, "", 0, &used);
+	if (conn->writing) {
+		conn->input_ended = true;
+		h2o_socket_read_stop(conn->sock);
+		return true;
 	}
-	return parse(conn, "", 0, &used);
+	return !conn->write_failed && parse(conn, "", 0, &used);
 }
 
 /* Goes on after input has been parsed. */
@@ -498,14 +498,12 @@
 	conclude_input(conn, ok, err, used == len);
 }
 
-/* The request was written, or not, after the end of the input. */
+/* Acts on the end of the input, now that the request was written, or was not.
+ */
 static void end_input_late(struct ks_http_conn *conn)
 {
-	bool ok;
-
 	conn->input_ended = false;
-	ok = end_input(conn);
-	conclude_input(conn, ok, h2o_socket_error_closed, true);
+	conclude_input(conn, end_input(conn), h2o_socket_error_closed, true);
 }
 
 static void on_written(h2o_socket_t *sock, const char *err)
--- a/packages/gateway/src/exchange_resume.c
+++ b/packages/gateway/src/exchange_resume.c
@@ -158,13 +158,19 @@
 				   MAX_UNREAD_US);
 }
 
-/* Whether a stream that is resumed began after the latest second version. */
-static bool is_settled(const struct exchange *exchange)
+/* Returns for how long there has been no second version; 0 if not known. */
+static int64_t settled_for_us(const struct exchange *exchange)
 {
 	int64_t since_us = exchange->gateway->peers.settled_us;
 
-	return since_us &&
-	       exchange_now(exchange) - since_us >= max_age_us(exchange);
+	return since_us ? exchange_now(exchange) - since_us : 0;
+}
+
+/* Whether a stream that is resumed began after the latest second version. */
+static bool is_settled(const struct exchange *exchange)
+{
+	return exchange->gateway->peers.settled_us &&
+	       settled_for_us(exchange) >= max_age_us(exchange);
 }
 
 static bool has_origin(const struct exchange *exchange, const char *service)
@@ -234,8 +240,7 @@
 	       exchange->id, exchange->stream, exchange->n_answered,
 	       exchange->n_asked, exchange->identifies_claim,
 	       max_age_us(exchange) / KS_USEC_PER_MSEC,
-	       (exchange_now(exchange) - exchange->gateway->peers.settled_us) /
-		       KS_USEC_PER_MSEC);
+	       settled_for_us(exchange) / KS_USEC_PER_MSEC);
 	refuse(exchange, "not known which version began the stream");
 }
 
--- a/packages/gateway/src/usage_report.c
+++ b/packages/gateway/src/usage_report.c
@@ -159,10 +159,10 @@
 	/* The clocks of those that sealed it may have been ahead. */
 	usage->sealed = MAX(usage->sealed, running + 1);
 	usage->sealed_era = report->era;
-	ks_log(KS_LOG_ORDER, KS_LOG_WARN,
-	       "windows may have been reported before the store returned, those "
-	       "not in the row are abandoned row_era=%" PRIu64 " era=%" PRIu64
-	       " before=%" PRId64,
+	ks_log(KS_LOG_ORDER, KS_LOG_INFO,
+	       "the row with the usage reports is missing or of an earlier era, "
+	       "windows that may have been reported are abandoned "
+	       "row_era=%" PRIu64 " era=%" PRIu64 " before=%" PRId64,
 	       report->row.era, report->era, running + 1);
 }
 
