--- a/packages/gateway/tests/test-usage.c
+++ b/packages/gateway/tests/test-usage.c
@@ -349,6 +349,43 @@
 	g_free(body);
 }
 
+/*
+ * Guards against a row of an earlier era of the store that passes for one of
+ * the present era, and against a row of a version without eras that is refused.
+ */
+static void test_row_era(void)
+{
+	static const char *const malformed[] = { "5\n0 x\n", "5\n0 -1\n" };
+	struct usage_row row;
+	GString *text;
+	char *value;
+
+	usage_row_init(&row);
+	text = usage_row_begin_write(&row, 0);
+	g_assert_true(usage_row_add(&row, text, 7, "body"));
+	row.written_next = 8;
+	value = usage_row_format(&row, text->str, 3);
+	g_assert_cmpstr(value, ==, "8\n0 3\n7 body\n");
+	g_string_free(text, TRUE);
+	usage_row_deinit(&row);
+	usage_row_init(&row);
+	g_assert_true(usage_row_parse(&row, ks_str_from(value)));
+	g_assert_cmpuint(row.era, ==, 3);
+	g_assert_cmpint(row.next, ==, 8);
+	g_assert_cmpuint(row.reports.length, ==, 1);
+	for (size_t i = 0; i < G_N_ELEMENTS(malformed); i++)
+		g_assert_false(
+			usage_row_parse(&row, ks_str_from(malformed[i])));
+	g_assert_cmpuint(row.era, ==, 3);
+	g_assert_true(usage_row_parse(&row, KS_STR("9\n7 body\n")));
+	g_assert_cmpuint(row.era, ==, 0);
+	g_assert_cmpint(row.next, ==, 9);
+	g_assert_true(usage_row_parse(&row, KS_STR("")));
+	g_assert_cmpuint(row.era, ==, 0);
+	usage_row_deinit(&row);
+	g_free(value);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -359,5 +396,6 @@
 	g_test_add_func("/usage/lost-messages", test_lost_messages);
 	g_test_add_func("/usage/last-message", test_last_message);
 	g_test_add_func("/usage/row", test_row);
+	g_test_add_func("/usage/row-era", test_row_era);
 	return g_test_run();
 }
